peer: carries protobuf frames over yamux, with mutual TLS

One yamux stream for each exchange; frames bounded to 1 MiB, bodies cut into 64 KiB chunks; a broken frame cuts off its peer alone. Ruled out: HTTP/2 between our processes, whose stream errors do not tell 'not started' from 'started'.

--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,195 @@
+// Package peer carries the protocol between the system's own processes: yamux
+// streams over TCP, with mutual TLS where it is set, and protobuf frames of
+// bounded size on them. Each exchange has a stream of its own.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/hollowgrade/hollowgrade/internal/errs"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+)
+
+const (
+	// MaxFrame is the largest frame, in bytes, that a peer may send.
+	MaxFrame = 1 << 20
+	// MaxChunk is the largest piece of a body that goes into one frame.
+	MaxChunk = 64 << 10
+	// maxStreams bounds the exchanges that one connection may have open, so
+	// that a peer gone wrong cannot take all of a box's memory.
+	maxStreams = 4096
+
+	keepAlive    = 5 * time.Second
+	writeTimeout = 10 * time.Second
+)
+
+// ErrBroken is in the chain of the error for a frame that cannot be read.
+var ErrBroken = errors.New("peer sent a broken frame")
+
+func config() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.AcceptBacklog = maxStreams
+	c.KeepAliveInterval = keepAlive
+	c.ConnectionWriteTimeout = writeTimeout
+	c.LogOutput = io.Discard
+	return c
+}
+
+// Dialer opens a connection to an address.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// TCP returns a dialer for TCP.
+func TCP() Dialer {
+	var d net.Dialer
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address)
+	}
+}
+
+// WithTLS returns a dialer that goes through d and then speaks TLS. The
+// configuration is asked for at each connection, so that renewed certificates
+// come into use.
+func WithTLS(d Dialer, c func() *tls.Config) Dialer {
+	return func(ctx context.Context, address string) (n net.Conn, err error) {
+		n, err = d(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		t := tls.Client(n, c())
+		if err = t.HandshakeContext(ctx); err != nil {
+			return nil, errors.Join(err, n.Close())
+		}
+		return t, nil
+	}
+}
+
+// Conn is a connection to a peer.
+type Conn struct {
+	session *yamux.Session
+}
+
+// Dial connects to a peer.
+func Dial(ctx context.Context, d Dialer, address string) (c *Conn, err error) {
+	defer errs.Annotate(&err, "dial peer %s", address)
+	n, err := d(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	s, err := yamux.Client(n, config())
+	if err != nil {
+		return nil, errors.Join(err, n.Close())
+	}
+	return &Conn{session: s}, nil
+}
+
+// Open begins an exchange with the given first frame.
+func (c *Conn) Open(f *wire.Frame) (s *Stream, err error) {
+	defer errs.Annotate(&err, "open stream")
+	y, err := c.session.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	s = newStream(y)
+	if err = s.Send(f); err != nil {
+		s.Abort()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Closed returns a channel that is closed when the connection ends.
+func (c *Conn) Closed() <-chan struct{} {
+	return c.session.CloseChan()
+}
+
+// Close ends the connection and all its exchanges.
+func (c *Conn) Close() error {
+	return c.session.Close()
+}
+
+// Stream is one exchange of frames. One goroutine may send while another
+// receives.
+type Stream struct {
+	raw *yamux.Stream
+	in  *bufio.Reader
+	out *bufio.Writer
+}
+
+const bufferBytes = 4 << 10
+
+func newStream(y *yamux.Stream) *Stream {
+	return &Stream{raw: y, in: bufio.NewReaderSize(y, bufferBytes), out: bufio.NewWriterSize(y, bufferBytes)}
+}
+
+// Send writes one frame.
+func (s *Stream) Send(f *wire.Frame) (err error) {
+	defer errs.Annotate(&err, "send frame")
+	if _, err = protodelim.MarshalTo(s.out, f); err != nil {
+		return err
+	}
+	return s.out.Flush()
+}
+
+// Receive reads the next frame. It returns [io.EOF] when the other side has
+// ended the exchange between two frames.
+func (s *Stream) Receive() (f *wire.Frame, err error) {
+	f = &wire.Frame{}
+	err = protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(s.in, f)
+	switch {
+	case err == nil && f.Body == nil:
+		return nil, fmt.Errorf("%w: empty", ErrBroken)
+	case err == nil, errors.Is(err, io.EOF), isTransport(err):
+		return f, err
+	default:
+		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+}
+
+func isTransport(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrSessionShutdown) ||
+		errors.Is(err, yamux.ErrConnectionReset)
+}
+
+// SendBody sends a body in frames of bounded size.
+func (s *Stream) SendBody(r io.Reader) (err error) {
+	b := make([]byte, MaxChunk)
+	for {
+		n, err := io.ReadFull(r, b)
+		last := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+		if err != nil && !last {
+			return fmt.Errorf("read body: %w", err)
+		}
+		if err = s.Send(Chunk(b[:n], last)); err != nil || last {
+			return err
+		}
+	}
+}
+
+// Chunk returns the frame for a piece of a body.
+func Chunk(b []byte, last bool) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: b, Last: last}}}
+}
+
+// Finish tells the other side that nothing more will be sent. The other
+// direction stays open.
+func (s *Stream) Finish() error {
+	return s.raw.Close()
+}
+
+// Abort ends the exchange in both directions and wakes a blocked Receive.
+func (s *Stream) Abort() {
+	_ = s.raw.SetDeadline(time.Unix(1, 0))
+	_ = s.raw.Close()
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+)
+
+// Handler serves one exchange. The stream is ended when it returns.
+type Handler func(ctx context.Context, s *Stream, first *wire.Frame) error
+
+// Server accepts connections of peers.
+type Server struct {
+	handle Handler
+	broken func(peer net.Addr, err error)
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]struct{}
+	group    sync.WaitGroup
+}
+
+// NewServer returns a server. Broken is told of each peer that was cut off.
+func NewServer(h Handler, broken func(peer net.Addr, err error)) *Server {
+	return &Server{handle: h, broken: broken, sessions: map[*yamux.Session]struct{}{}}
+}
+
+// Serve accepts connections until the listener is closed. Ending ctx ends what
+// is being served.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		s.group.Go(func() { s.serveConn(ctx, c) })
+	}
+}
+
+// Close ends all connections and waits for what served them.
+func (s *Server) Close() {
+	s.mu.Lock()
+	for y := range s.sessions {
+		_ = y.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+}
+
+func (s *Server) serveConn(ctx context.Context, c net.Conn) {
+	y, err := yamux.Server(c, config())
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	defer y.Close()
+	s.mu.Lock()
+	s.sessions[y] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.sessions, y)
+		s.mu.Unlock()
+	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		r, err := y.AcceptStream()
+		if err != nil {
+			return
+		}
+		if y.NumStreams() > maxStreams {
+			_ = r.Close()
+			continue
+		}
+		s.group.Go(func() { s.serveStream(ctx, y, newStream(r)) })
+	}
+}
+
+// firstFrameTimeout bounds how long a peer may keep a stream without saying
+// what it is for.
+const firstFrameTimeout = 10 * time.Second
+
+func (s *Server) serveStream(ctx context.Context, y *yamux.Session, t *Stream) {
+	defer t.Abort()
+	stop := context.AfterFunc(ctx, t.Abort)
+	defer stop()
+	_ = t.raw.SetReadDeadline(time.Now().Add(firstFrameTimeout))
+	f, err := t.Receive()
+	if err == nil {
+		_ = t.raw.SetReadDeadline(time.Time{})
+		err = s.handle(ctx, t, f)
+	}
+	if errors.Is(err, ErrBroken) {
+		s.broken(y.RemoteAddr(), err)
+		_ = y.Close()
+	}
+}
