--- /dev/null
+++ b/ledger/keys.go
@@ -0,0 +1,227 @@
+package ledger
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hollowgrade/hollowgrade"
+)
+
+// Ranges is the number of ranges into which idempotency keys are divided. Each
+// range has one keeper.
+const Ranges = 64
+
+// KeyID is an idempotency key of one organisation.
+type KeyID struct {
+	Organisation string `json:"organisation"`
+	Key          string `json:"key"`
+}
+
+// Range returns the range that the key belongs to.
+func (k KeyID) Range() int {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(k.Organisation)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(k.Key)
+	return int(d.Sum64() % Ranges)
+}
+
+// RangeName returns the name of a range in the published configuration.
+func RangeName(n int) string {
+	return strconv.Itoa(n)
+}
+
+// MintedPrefix begins the keys that a keeper makes. Such a key names its
+// keeper's box and incarnation, and no other process ever decides about it.
+const MintedPrefix = "hgk"
+
+const mintedSeparator = "~"
+
+// MintedKey returns the minted key with the given parts.
+func MintedKey(box, incarnation, secret string) string {
+	return strings.Join([]string{MintedPrefix, box, incarnation, secret}, mintedSeparator)
+}
+
+// ParseMinted returns the parts of a minted key, and false for other keys.
+func ParseMinted(key string) (box, incarnation, secret string, ok bool) {
+	p := strings.Split(key, mintedSeparator)
+	if len(p) != 4 || p[0] != MintedPrefix {
+		return "", "", "", false
+	}
+	return p[1], p[2], p[3], true
+}
+
+// Verdict answers a claim.
+type Verdict string
+
+// The verdicts.
+const (
+	Granted   Verdict = "granted"    // run it, once
+	Running   Verdict = "running"    // an earlier claim holds
+	Settled   Verdict = "settled"    // it has ended, see the outcome
+	Reused    Verdict = "reused"     // the key was used with another body
+	NotKnown  Verdict = "not_known"  // it may have run before this ledger began
+	Full      Verdict = "full"       // the ledger has no room
+	NotMine   Verdict = "not_mine"   // another keeper decides, or none yet
+	NotMinted Verdict = "not_minted" // not a key that this keeper made
+)
+
+// Claim asks for the right to run a key once.
+type Claim struct {
+	ID      KeyID
+	Digest  uint64        // of the request's body
+	Request string        // id of the request that claims
+	Hold    time.Duration // how long the run can take at most
+}
+
+// KeyRecord is what a ledger remembers of a key.
+type KeyRecord struct {
+	ID      KeyID               `json:"id"`
+	Digest  uint64              `json:"digest"`
+	Request string              `json:"request"`
+	Outcome hollowgrade.Outcome `json:"outcome,omitempty"` // empty while it runs
+	Answer  []byte              `json:"answer,omitempty"`  // encoded, if it is kept
+	Left    time.Duration       `json:"left"`              // until the hold ends or the record is forgotten
+
+	until time.Time
+}
+
+// Keys is the ledger of the runs under idempotency keys. A key that it grants
+// is not granted again until the window has passed since its end.
+type Keys struct {
+	window  time.Duration
+	limit   int
+	blind   time.Time // until then a key that is not in the ledger may have run
+	records map[KeyID]*KeyRecord
+	expiry  []*KeyRecord // settled records in the order in which they are forgotten
+}
+
+// NewKeys returns an empty ledger of at most limit records.
+func NewKeys(window time.Duration, limit int) *Keys {
+	return &Keys{window: window, limit: limit, records: map[KeyID]*KeyRecord{}}
+}
+
+// BlindUntil says that until t a key that is not in the ledger may have run:
+// its record may have been lost with a former keeper.
+func (k *Keys) BlindUntil(t time.Time) {
+	k.blind = t
+}
+
+// Len returns the number of records.
+func (k *Keys) Len() int {
+	return len(k.records)
+}
+
+// Claim decides about a claim. The record is that of the run which the verdict
+// speaks of, if there is one.
+func (k *Keys) Claim(c Claim, now time.Time) (v Verdict, r KeyRecord) {
+	k.expire(now)
+	p, ok := k.records[c.ID]
+	if !ok {
+		return k.first(c, now), KeyRecord{}
+	}
+	k.lapse(p, now)
+	switch {
+	case p.Digest != c.Digest:
+		return Reused, KeyRecord{}
+	case p.Outcome != "":
+		return Settled, *p
+	case p.Request == c.Request:
+		// The claimer asks again because our answer was lost.
+		return Granted, *p
+	default:
+		return Running, p.withLeft(now)
+	}
+}
+
+func (p *KeyRecord) withLeft(now time.Time) KeyRecord {
+	r := *p
+	r.Left = p.until.Sub(now)
+	return r
+}
+
+func (k *Keys) first(c Claim, now time.Time) Verdict {
+	if now.Before(k.blind) {
+		return NotKnown
+	}
+	if len(k.records) >= k.limit {
+		return Full
+	}
+	k.records[c.ID] = &KeyRecord{ID: c.ID, Digest: c.Digest, Request: c.Request, until: now.Add(c.Hold)}
+	return Granted
+}
+
+// lapse turns a run of which nobody has told the end into one that may have
+// run.
+func (k *Keys) lapse(p *KeyRecord, now time.Time) {
+	if p.Outcome == "" && now.After(p.until) {
+		k.end(p, hollowgrade.Unknown, nil, now)
+	}
+}
+
+func (k *Keys) end(p *KeyRecord, o hollowgrade.Outcome, answer []byte, now time.Time) {
+	p.Outcome, p.Answer = o, answer
+	p.until = now.Add(k.window)
+	k.expiry = append(k.expiry, p)
+}
+
+// Settle notes how the run that the request claimed has ended. A run that did
+// not happen frees the key. It reports whether the record was the request's.
+func (k *Keys) Settle(id KeyID, request string, o hollowgrade.Outcome, answer []byte, now time.Time) bool {
+	p, ok := k.records[id]
+	if !ok || p.Request != request {
+		return false
+	}
+	k.lapse(p, now)
+	switch {
+	case p.Outcome == hollowgrade.Unknown:
+		p.Outcome, p.Answer = o, answer
+	case p.Outcome != "":
+		return true
+	case o == hollowgrade.NotRun:
+		delete(k.records, id)
+	default:
+		k.end(p, o, answer, now)
+	}
+	return true
+}
+
+// expire forgets records whose window has passed.
+func (k *Keys) expire(now time.Time) {
+	for len(k.expiry) > 0 && now.After(k.expiry[0].until) {
+		p := k.expiry[0]
+		k.expiry = k.expiry[1:]
+		if k.records[p.ID] == p {
+			delete(k.records, p.ID)
+		}
+	}
+	if len(k.records) >= k.limit {
+		for _, p := range k.records {
+			k.lapse(p, now)
+		}
+	}
+}
+
+// Export returns all records, for a handover.
+func (k *Keys) Export(now time.Time) (rs []KeyRecord) {
+	for _, p := range k.records {
+		rs = append(rs, p.withLeft(now))
+	}
+	return rs
+}
+
+// Import takes in records of a former keeper.
+func (k *Keys) Import(rs []KeyRecord, now time.Time) {
+	for _, r := range rs {
+		p := r
+		p.until = now.Add(r.Left)
+		k.records[p.ID] = &p
+		if p.Outcome != "" {
+			k.expiry = append(k.expiry, &p)
+		}
+	}
+}
--- /dev/null
+++ b/sched/prefix.go
@@ -0,0 +1,96 @@
+package sched
+
+import "github.com/cespare/xxhash/v2"
+
+// PrefixBlock is the unit, in bytes, in which cached prefixes are compared.
+const PrefixBlock = 4096
+
+// maxPrefixBlocks bounds the work and the memory that one prompt costs. A
+// prefix shared beyond this is not told apart.
+const maxPrefixBlocks = 64
+
+// PrefixHashes returns a hash for each of the leading whole blocks of a
+// prompt; each covers all bytes up to the end of its block.
+func PrefixHashes(prompt []byte) (hs []uint64) {
+	var h uint64
+	for i := 0; i < maxPrefixBlocks && len(prompt) >= PrefixBlock; i++ {
+		h = h*0x9e3779b97f4a7c15 + xxhash.Sum64(prompt[:PrefixBlock])
+		hs = append(hs, h)
+		prompt = prompt[PrefixBlock:]
+	}
+	return hs
+}
+
+// Prefixes remembers which upstreams have run which prompt prefixes. It is a
+// hint with a bounded size: the oldest half is forgotten when it is full.
+type Prefixes struct {
+	young, old map[uint64][]string
+	limit      int
+}
+
+// holders bounds the upstreams remembered for one prefix.
+const holders = 4
+
+// NewPrefixes returns an empty index of at most limit prefixes.
+func NewPrefixes(limit int) *Prefixes {
+	return &Prefixes{young: map[uint64][]string{}, old: map[uint64][]string{}, limit: limit}
+}
+
+// Note remembers that an upstream has run a prompt with the given hashes.
+func (p *Prefixes) Note(hs []uint64, upstream string) {
+	for _, h := range hs {
+		p.young[h] = withFirst(p.holders(h), upstream)
+	}
+	if len(p.young) > p.limit/2 {
+		p.old, p.young = p.young, map[uint64][]string{}
+	}
+}
+
+// Forget drops all that is remembered of an upstream, as when its engine has
+// been restarted.
+func (p *Prefixes) Forget(upstream string) {
+	for _, m := range []map[uint64][]string{p.young, p.old} {
+		for h, us := range m {
+			m[h] = without(us, upstream)
+		}
+	}
+}
+
+// Cached returns, for an upstream, how many bytes of the prompt it is thought
+// to have.
+func (p *Prefixes) Cached(hs []uint64, upstream string) int {
+	for i := len(hs); i > 0; i-- {
+		for _, u := range p.holders(hs[i-1]) {
+			if u == upstream {
+				return i * PrefixBlock
+			}
+		}
+	}
+	return 0
+}
+
+func (p *Prefixes) holders(h uint64) []string {
+	if us, ok := p.young[h]; ok {
+		return us
+	}
+	return p.old[h]
+}
+
+func withFirst(us []string, u string) []string {
+	r := append(make([]string, 0, holders), u)
+	for _, v := range us {
+		if v != u && len(r) < holders {
+			r = append(r, v)
+		}
+	}
+	return r
+}
+
+func without(us []string, u string) (r []string) {
+	for _, v := range us {
+		if v != u {
+			r = append(r, v)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/sched/queue.go
@@ -0,0 +1,335 @@
+// Package sched holds the scheduling decisions: which request an agent gives
+// to its upstream next, and which upstream an entry sends a request to. All of
+// it is plain computation on values and a time; nothing here does I/O, starts
+// goroutines or reads a clock, and nothing is safe for concurrent use.
+package sched
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+)
+
+// Item is a request in a queue.
+type Item struct {
+	ID           string
+	Organisation string
+	Class        hollowgrade.Class
+	Priority     int       // higher goes first within an organisation
+	Cost         int       // tokens of work, the currency of fair shares
+	LatestStart  time.Time // the deadline less the predicted time of the run
+	Due          time.Time // from here on the item may not be passed over
+
+	lane  *lane
+	order uint64
+	gone  bool
+}
+
+// Queue decides in which order an agent gives requests to its upstream.
+type Queue interface {
+	// Push adds an item.
+	Push(i *Item)
+	// Pop removes and returns the item to start next among those for which
+	// fits returns true, or nil.
+	Pop(now time.Time, fits func(*Item) bool) *Item
+	// Remove takes an item out, and reports whether it was still there.
+	Remove(i *Item) bool
+	// Len returns the number of items.
+	Len() int
+}
+
+// FIFO is the naive queue: first in, first out, whatever the request. It is
+// the baseline that [Fair] is measured against.
+type FIFO struct {
+	items []*Item
+}
+
+// NewFIFO returns an empty queue.
+func NewFIFO() *FIFO {
+	return &FIFO{}
+}
+
+// Push implements [Queue].
+func (f *FIFO) Push(i *Item) {
+	f.items = append(f.items, i)
+}
+
+// Pop implements [Queue].
+func (f *FIFO) Pop(_ time.Time, fits func(*Item) bool) *Item {
+	if len(f.items) == 0 || !fits(f.items[0]) {
+		return nil
+	}
+	i := f.items[0]
+	f.items = f.items[1:]
+	return i
+}
+
+// Remove implements [Queue].
+func (f *FIFO) Remove(i *Item) bool {
+	for n, j := range f.items {
+		if i == j {
+			f.items = append(f.items[:n:n], f.items[n+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Len implements [Queue].
+func (f *FIFO) Len() int {
+	return len(f.items)
+}
+
+// maxPassedOver bounds how many organisations Pop looks at when the request
+// at the head of each does not fit.
+const maxPassedOver = 8
+
+// Fair orders by class; within a class it gives organisations equal shares of
+// the work (start-time fair queueing, counted in tokens); within an
+// organisation it takes the highest priority and then the least slack.
+//
+// An item that has passed its Due time is overdue. Every second Pop serves the
+// oldest overdue item, so an item with n overdue items before it starts within
+// 2(n+1) starts. When the oldest overdue item does not fit, only the Instant
+// class goes on until it does: otherwise small requests would take each piece
+// of memory that comes free, and a large one would wait for ever.
+type Fair struct {
+	classes [hollowgrade.Classes]class
+	due     itemHeap
+	length  int
+	count   uint64
+	turn    bool // whether the next Pop owes a start to an overdue item
+}
+
+type class struct {
+	lanes  laneHeap
+	byName map[string]*lane
+	now    float64 // virtual time: start tag of the last item served
+}
+
+type lane struct {
+	name  string
+	items itemHeap
+	tag   float64 // virtual time at which the lane's next item starts
+	order uint64
+	index int // in class.lanes, or -1
+}
+
+// NewFair returns an empty queue.
+func NewFair() *Fair {
+	f := &Fair{due: itemHeap{less: earlierDue}}
+	for c := range f.classes {
+		f.classes[c].byName = map[string]*lane{}
+	}
+	return f
+}
+
+// Push implements [Queue].
+func (f *Fair) Push(i *Item) {
+	c := &f.classes[i.Class]
+	l, ok := c.byName[i.Organisation]
+	if !ok {
+		l = &lane{name: i.Organisation, items: itemHeap{less: lessSlack}, index: -1}
+		c.byName[i.Organisation] = l
+	}
+	f.count++
+	i.order, i.lane, i.gone = f.count, l, false
+	heap.Push(&l.items, i)
+	heap.Push(&f.due, i)
+	f.length++
+	if l.index < 0 {
+		l.tag = max(l.tag, c.now)
+		l.order = f.count
+		heap.Push(&c.lanes, l)
+	}
+}
+
+// Pop implements [Queue].
+func (f *Fair) Pop(now time.Time, fits func(*Item) bool) *Item {
+	o := f.overdue(now)
+	f.turn = !f.turn
+	if o != nil && f.turn && fits(o) {
+		return f.take(o)
+	}
+	last := hollowgrade.Classes - 1
+	if o != nil && !fits(o) {
+		last = hollowgrade.Instant
+	}
+	for c := hollowgrade.Instant; c <= last; c++ {
+		if i := f.classes[c].next(fits); i != nil {
+			return f.take(i)
+		}
+	}
+	if o != nil && fits(o) {
+		return f.take(o)
+	}
+	return nil
+}
+
+func (f *Fair) overdue(now time.Time) *Item {
+	i := f.due.first()
+	if i == nil || now.Before(i.Due) {
+		return nil
+	}
+	return i
+}
+
+// next returns the item that the class would serve, without removing it.
+func (c *class) next(fits func(*Item) bool) (i *Item) {
+	var passed []*lane
+	for len(c.lanes) > 0 && len(passed) < maxPassedOver && i == nil {
+		l := c.lanes[0]
+		h := l.items.first()
+		switch {
+		case h == nil:
+			heap.Pop(&c.lanes)
+			c.forget(l)
+		case fits(h):
+			i = h
+		default:
+			heap.Pop(&c.lanes)
+			passed = append(passed, l)
+		}
+	}
+	for _, l := range passed {
+		heap.Push(&c.lanes, l)
+	}
+	return i
+}
+
+// forget drops an empty lane once its tag no longer matters. A lane that is
+// ahead of its share is kept, lest an organisation gain by coming and going.
+func (c *class) forget(l *lane) {
+	if l.tag <= c.now {
+		delete(c.byName, l.name)
+	}
+}
+
+func (f *Fair) take(i *Item) *Item {
+	c := &f.classes[i.Class]
+	l := i.lane
+	c.now = max(c.now, l.tag)
+	l.tag += float64(max(i.Cost, 1))
+	f.drop(i)
+	if l.index >= 0 {
+		heap.Fix(&c.lanes, l.index)
+	}
+	if l.items.first() == nil && l.index >= 0 {
+		heap.Remove(&c.lanes, l.index)
+		c.prune()
+	}
+	return i
+}
+
+// prune forgets idle lanes whose share has been used up by the passing of
+// virtual time, so that state is bounded by the organisations that are active.
+func (c *class) prune() {
+	const keep = 64
+	if len(c.byName) <= keep+len(c.lanes) {
+		return
+	}
+	for _, l := range c.byName {
+		if l.index < 0 {
+			c.forget(l)
+		}
+	}
+}
+
+func (f *Fair) drop(i *Item) {
+	i.gone = true
+	f.length--
+}
+
+// Remove implements [Queue].
+func (f *Fair) Remove(i *Item) bool {
+	if i.gone || i.lane == nil {
+		return false
+	}
+	f.drop(i)
+	return true
+}
+
+// Len implements [Queue].
+func (f *Fair) Len() int {
+	return f.length
+}
+
+// itemHeap is a heap whose removed items stay until they come to the top.
+type itemHeap struct {
+	items []*Item
+	less  func(a, b *Item) bool
+}
+
+func lessSlack(a, b *Item) bool {
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	if !a.LatestStart.Equal(b.LatestStart) {
+		return a.LatestStart.Before(b.LatestStart)
+	}
+	return a.order < b.order
+}
+
+func earlierDue(a, b *Item) bool {
+	if !a.Due.Equal(b.Due) {
+		return a.Due.Before(b.Due)
+	}
+	return a.order < b.order
+}
+
+func (h *itemHeap) first() *Item {
+	for len(h.items) > 0 && h.items[0].gone {
+		heap.Pop(h)
+	}
+	if len(h.items) == 0 {
+		return nil
+	}
+	return h.items[0]
+}
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+
+func (h *itemHeap) Len() int           { return len(h.items) }
+func (h *itemHeap) Less(i, j int) bool { return h.less(h.items[i], h.items[j]) }
+func (h *itemHeap) Swap(i, j int)      { h.items[i], h.items[j] = h.items[j], h.items[i] }
+func (h *itemHeap) Push(x any)         { h.items = append(h.items, x.(*Item)) }
+
+func (h *itemHeap) Pop() any {
+	n := len(h.items) - 1
+	i := h.items[n]
+	h.items[n] = nil
+	h.items = h.items[:n]
+	return i
+}
+
+type laneHeap []*lane
+
+func (h laneHeap) Len() int { return len(h) }
+
+func (h laneHeap) Less(i, j int) bool {
+	if h[i].tag != h[j].tag {
+		return h[i].tag < h[j].tag
+	}
+	return h[i].order < h[j].order
+}
+
+func (h laneHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *laneHeap) Push(x any) {
+	l := x.(*lane)
+	l.index = len(*h)
+	*h = append(*h, l)
+}
+
+func (h *laneHeap) Pop() any {
+	n := len(*h) - 1
+	l := (*h)[n]
+	(*h)[n] = nil
+	*h = (*h)[:n]
+	l.index = -1
+	return l
+}
