fold: folds the platform's log into one configuration

Each record replaces a named revision, so racing operators have one winner; removed items leave their revision behind, without which a late second copy of a first record would bring the item back.

--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,238 @@
+// Package config gives types to the items of the published configuration and
+// compiles a fold's state into the form that entries and agents use.
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade/fold"
+	"github.com/hollowgrade/hollowgrade/policy"
+)
+
+// The kinds of items.
+const (
+	OrganisationKind = "organisation"
+	ModelKind        = "model"
+	ServiceKind      = "service"
+	EventKind        = "event"
+	PolicyKind       = "policy"
+	ObjectiveKind    = "objective"
+	KeyRangeKind     = "key_range"
+)
+
+// DefaultPolicy is the name of the policy for organisations that name none.
+const DefaultPolicy = "default"
+
+// Duration is a length of time that is written as "1m30s".
+type Duration time.Duration
+
+// MarshalText implements [encoding.TextMarshaler].
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements [encoding.TextUnmarshaler].
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("%q is no duration such as 30s or 1m30s", b)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Organisation is a customer whose requests share the fleet with others.
+type Organisation struct {
+	Name        string   `json:"name" toml:"-"`
+	Keys        []string `json:"keys" toml:"keys"` // hex SHA-256 digests of its bearer keys
+	Policy      string   `json:"policy,omitempty" toml:"policy"`
+	MaxRequests int      `json:"max_requests,omitempty" toml:"max_requests"` // in flight at one entry, 0 for no limit
+	MaxTokens   int      `json:"max_tokens,omitempty" toml:"max_tokens"`     // in flight at one entry, 0 for no limit
+}
+
+// Model is a model that callers may name.
+type Model struct {
+	Name     string `json:"name" toml:"-"`
+	MaxGroup int    `json:"max_group,omitempty" toml:"max_group"` // engines that one prompt may span, 0 for 1
+}
+
+// Service is a plain service that callers may call.
+type Service struct {
+	Name        string `json:"name" toml:"-"`
+	ChecksFence bool   `json:"checks_fence,omitempty" toml:"checks_fence"` // whether it refuses a stale epoch
+}
+
+// Event is a time with a fixed start for which the fleet is made ready.
+type Event struct {
+	Name     string    `json:"name" toml:"-"`
+	Starts   time.Time `json:"starts" toml:"starts"`
+	Ends     time.Time `json:"ends" toml:"ends"`
+	Models   []string  `json:"models,omitempty" toml:"models"`
+	Prepares Duration  `json:"prepares,omitempty" toml:"prepares"` // how long before the start loading begins
+}
+
+// Phase returns where the event stands at now.
+func (e Event) Phase(now time.Time) policy.Phase {
+	switch {
+	case now.Before(e.Starts):
+		return policy.Before
+	case now.Before(e.Ends):
+		return policy.During
+	default:
+		return policy.After
+	}
+}
+
+// Objective is a service level that the report measures against.
+type Objective struct {
+	Name       string   `json:"name" toml:"-"`
+	Kind       string   `json:"kind" toml:"kind"`               // kind of request, empty for all
+	MaxPrompt  int      `json:"max_prompt" toml:"max_prompt"`   // tokens up to which it holds, 0 for all
+	FirstToken Duration `json:"first_token" toml:"first_token"` // allowed time to first token, 0 for none
+	Share      float64  `json:"share" toml:"share"`             // part of the requests that must meet it
+}
+
+// Policy is a published policy.
+type Policy struct {
+	Name string `json:"name"`
+	Text string `json:"text"`
+}
+
+// KeyRange says which agent keeps the ledger for one range of idempotency keys.
+type KeyRange struct {
+	Owner       string `json:"owner"`
+	Incarnation string `json:"incarnation"`
+	First       bool   `json:"first,omitempty"`  // the range had no owner before
+	Former      int64  `json:"former,omitempty"` // epoch of the owner that has sent its ledger, 0 if none has
+}
+
+// Config is the configuration at one revision. It is immutable.
+type Config struct {
+	Revision      int64
+	Organisations map[string]Organisation
+	Models        map[string]Model
+	Services      map[string]Service
+	Events        map[string]Event
+	Objectives    map[string]Objective
+	Policies      map[string]*policy.Program
+	KeyRanges     map[string]Range
+	byKey         map[string]string // digest of a bearer key to organisation
+}
+
+// Range is a [KeyRange] with the revision of its item, which is the epoch that
+// fences its owner.
+type Range struct {
+	KeyRange
+	Epoch int64
+}
+
+// Compile makes a configuration from a state. Items that cannot be used are
+// left as they were in former, if they stood there, and are returned as
+// errors: a box that cannot compile a policy goes on with the one before.
+func Compile(s fold.State, former *Config) (c *Config, errs []error) {
+	c = empty(s.Revision())
+	for _, i := range s.Items("") {
+		if err := c.add(i, former); err != nil {
+			errs = append(errs, fmt.Errorf("%s %s at revision %d: %w", i.Kind, i.Name, i.Revision, err))
+		}
+	}
+	return c, errs
+}
+
+func empty(revision int64) *Config {
+	return &Config{
+		Revision:      revision,
+		Organisations: map[string]Organisation{},
+		Models:        map[string]Model{},
+		Services:      map[string]Service{},
+		Events:        map[string]Event{},
+		Objectives:    map[string]Objective{},
+		Policies:      map[string]*policy.Program{},
+		KeyRanges:     map[string]Range{},
+		byKey:         map[string]string{},
+	}
+}
+
+func (c *Config) add(i fold.Item, former *Config) (err error) {
+	switch i.Kind {
+	case OrganisationKind:
+		var o Organisation
+		o, err = decode(i, c.Organisations)
+		for _, k := range o.Keys {
+			c.byKey[k] = o.Name
+		}
+	case ModelKind:
+		_, err = decode(i, c.Models)
+	case ServiceKind:
+		_, err = decode(i, c.Services)
+	case EventKind:
+		_, err = decode(i, c.Events)
+	case ObjectiveKind:
+		_, err = decode(i, c.Objectives)
+	case KeyRangeKind:
+		var r KeyRange
+		err = json.Unmarshal(i.Body, &r)
+		c.KeyRanges[i.Name] = Range{KeyRange: r, Epoch: i.Revision}
+	case PolicyKind:
+		err = c.addPolicy(i, former)
+	}
+	return err
+}
+
+func decode[T any](i fold.Item, into map[string]T) (v T, err error) {
+	if err = json.Unmarshal(i.Body, &v); err != nil {
+		return v, err
+	}
+	into[i.Name] = v
+	return v, nil
+}
+
+func (c *Config) addPolicy(i fold.Item, former *Config) error {
+	var v Policy
+	if err := json.Unmarshal(i.Body, &v); err != nil {
+		return err
+	}
+	if former != nil {
+		if p := former.Policies[i.Name]; p != nil {
+			c.Policies[i.Name] = p
+			if p.Text() == v.Text {
+				return nil
+			}
+		}
+	}
+	p, err := policy.Compile(i.Name, v.Text)
+	if err != nil {
+		return err
+	}
+	c.Policies[i.Name] = p
+	return nil
+}
+
+// Authenticate returns the organisation to which a bearer key belongs.
+func (c *Config) Authenticate(key string) (o Organisation, ok bool) {
+	n, ok := c.byKey[KeyDigest(key)]
+	if !ok {
+		return o, false
+	}
+	return c.Organisations[n], true
+}
+
+// PolicyFor returns the policy that binds an organisation, or nil if neither
+// its own nor the default one is published.
+func (c *Config) PolicyFor(o Organisation) *policy.Program {
+	if p := c.Policies[o.Policy]; p != nil {
+		return p
+	}
+	return c.Policies[DefaultPolicy]
+}
+
+// KeyDigest returns the digest of a bearer key as it stands in the published
+// configuration.
+func KeyDigest(key string) string {
+	h := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(h[:])
+}
--- /dev/null
+++ b/fold/follower.go
@@ -0,0 +1,300 @@
+package fold
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/internal/errs"
+	"github.com/hollowgrade/hollowgrade/kernel"
+)
+
+const (
+	defaultPoll = time.Second
+	readLimit   = 1000
+	readTimeout = 5 * time.Second
+	// renewFraction of the retention may pass before the state is written
+	// anew. Half leaves the other half for outages of the log.
+	renewFraction = 2
+)
+
+// Follower keeps a state up to date with the log. It is a service of the
+// kernel.
+type Follower struct {
+	log       hollowgrade.Log
+	clock     hollowgrade.Clock
+	logger    *log.Logger
+	poll      time.Duration
+	retention time.Duration
+	peers     func(ctx context.Context, newerThan int64) [][]byte
+	renews    func() bool
+
+	state  atomic.Pointer[State]
+	mu     sync.Mutex
+	reads  time.Time // when the end of the log was last seen
+	newest time.Time // log time of the newest base: a snapshot, or the first record
+	watch  []func(State)
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// FollowerOption changes a follower as it is made.
+type FollowerOption func(*Follower)
+
+// WithClock sets the clock.
+func WithClock(c hollowgrade.Clock) FollowerOption {
+	return func(f *Follower) { f.clock = c }
+}
+
+// WithLogger sets the logger.
+func WithLogger(l *log.Logger) FollowerOption {
+	return func(f *Follower) { f.logger = l }
+}
+
+// WithPoll sets the time between two reads of the log.
+func WithPoll(d time.Duration) FollowerOption {
+	return func(f *Follower) { f.poll = d }
+}
+
+// WithPeers sets where snapshots come from while the log is out: each is the
+// newest state of one peer, if newer than the offset given.
+func WithPeers(p func(ctx context.Context, newerThan int64) [][]byte) FollowerOption {
+	return func(f *Follower) { f.peers = p }
+}
+
+// WithRenewal makes the follower write the state anew before the log drops its
+// records. Turn says whether it is this box's turn, so that not all write at
+// once; that two write does no harm.
+func WithRenewal(retention time.Duration, turn func() bool) FollowerOption {
+	return func(f *Follower) { f.retention, f.renews = retention, turn }
+}
+
+// NewFollower returns a follower of the log.
+func NewFollower(l hollowgrade.Log, os ...FollowerOption) *Follower {
+	f := &Follower{
+		log:    l,
+		clock:  hollowgrade.SystemClock(),
+		logger: log.Default(),
+		poll:   defaultPoll,
+		renews: func() bool { return false },
+		done:   make(chan struct{}),
+	}
+	for _, o := range os {
+		o(f)
+	}
+	s := New()
+	f.state.Store(&s)
+	return f
+}
+
+// State returns the newest state.
+func (f *Follower) State() State {
+	return *f.state.Load()
+}
+
+// Fresh returns when the end of the log was last seen.
+func (f *Follower) Fresh() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads
+}
+
+// Watch calls w with each new state, and at once with the present one. Calls
+// come one after another.
+func (f *Follower) Watch(w func(State)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watch = append(f.watch, w)
+	w(f.State())
+}
+
+// Start implements [kernel.Service]. It does not wait for the log: a box must
+// come up during an outage.
+func (f *Follower) Start(context.Context, *kernel.Kernel) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	go f.loop(ctx)
+	return nil
+}
+
+// Stop implements [kernel.Service].
+func (f *Follower) Stop(context.Context) error {
+	f.cancel()
+	<-f.done
+	return nil
+}
+
+func (f *Follower) loop(ctx context.Context) {
+	defer close(f.done)
+	for ctx.Err() == nil {
+		if err := f.Update(ctx); err != nil && ctx.Err() == nil {
+			f.logger.Warn("log not read", "err", err)
+			f.askPeers(ctx)
+		}
+		f.renew(ctx)
+		// The jitter keeps a thousand boxes from reading in step.
+		d := f.poll*3/4 + rand.N(f.poll/2+1)
+		t := f.clock.NewTimer(d)
+		select {
+		case <-t.Chan():
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+}
+
+// Update reads the log to its end.
+func (f *Follower) Update(ctx context.Context) (err error) {
+	defer errs.Annotate(&err, "follow log")
+	for {
+		at := f.clock.Now()
+		s := f.State()
+		c, cancel := context.WithTimeout(ctx, readTimeout)
+		p, err := f.log.Read(c, s.Next(), readLimit)
+		cancel()
+		if errors.Is(err, hollowgrade.ErrTrimmed) {
+			s, err = f.bootstrap(ctx, p.Earliest)
+			if err != nil {
+				return err
+			}
+			f.set(s)
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		f.set(f.apply(s, p.Records))
+		if len(p.Records) == 0 || p.Records[len(p.Records)-1].Offset+1 >= p.Next {
+			f.seenEnd(at)
+			return nil
+		}
+	}
+}
+
+func (f *Follower) seenEnd(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads = at
+}
+
+func (f *Follower) apply(s State, rs []hollowgrade.Record) State {
+	for _, r := range rs {
+		f.noteBase(r)
+		n, err := s.Apply(r)
+		if err != nil {
+			f.logger.Warn("record passed over", "code", "HG5005", "offset", r.Offset, "err", err)
+		}
+		s = n
+	}
+	return s
+}
+
+// noteBase remembers how old the newest record is from which a new box could
+// begin.
+func (f *Follower) noteBase(r hollowgrade.Record) {
+	e, err := decode(r.Body)
+	isBase := r.Offset == 0 || err == nil && e.Type == SnapshotRecord
+	if isBase {
+		f.mu.Lock()
+		f.newest = r.Time
+		f.mu.Unlock()
+	}
+}
+
+func (f *Follower) bootstrap(ctx context.Context, earliest int64) (s State, err error) {
+	var rs []hollowgrade.Record
+	for from := earliest; ; {
+		p, err := f.log.Read(ctx, from, readLimit)
+		if err != nil {
+			return s, err
+		}
+		rs = append(rs, p.Records...)
+		from += int64(len(p.Records))
+		if len(p.Records) == 0 || from >= p.Next {
+			break
+		}
+	}
+	for _, r := range rs {
+		f.noteBase(r)
+	}
+	return Bootstrap(earliest, rs)
+}
+
+// set makes s the state if it is newer, and tells the watchers.
+func (f *Follower) set(s State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.Next() <= f.State().Next() {
+		return
+	}
+	changed := s.Revision() != f.State().Revision()
+	f.state.Store(&s)
+	if !changed {
+		return
+	}
+	for _, w := range f.watch {
+		w(s)
+	}
+}
+
+// Restore takes an encoded snapshot if it is newer than the present state.
+func (f *Follower) Restore(b []byte) error {
+	s, err := f.State().Restore(b)
+	if err != nil {
+		return err
+	}
+	f.set(s)
+	return nil
+}
+
+func (f *Follower) askPeers(ctx context.Context) {
+	if f.peers == nil {
+		return
+	}
+	for _, b := range f.peers(ctx, f.State().Next()) {
+		if err := f.Restore(b); err != nil {
+			f.logger.Warn("snapshot of a peer passed over", "err", err)
+		}
+	}
+}
+
+// Encoded returns the state as an encoded snapshot if it is newer than the
+// offset given, else nil. It is what a box hands to its peers.
+func (f *Follower) Encoded(newerThan int64) []byte {
+	s := f.State()
+	if s.Next() <= newerThan {
+		return nil
+	}
+	n, err := s.Snapshot()
+	if err != nil {
+		return nil
+	}
+	b, err := n.Encode()
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+// renew appends a snapshot when the base of the state is growing old.
+func (f *Follower) renew(ctx context.Context) {
+	f.mu.Lock()
+	old := f.retention > 0 && !f.newest.IsZero() && f.clock.Since(f.newest) > f.retention/renewFraction
+	f.mu.Unlock()
+	if !old || !f.renews() {
+		return
+	}
+	b := f.Encoded(0)
+	if b == nil {
+		return
+	}
+	if _, err := f.log.Append(ctx, b); err != nil {
+		f.logger.Warn("snapshot not written", "err", err)
+	}
+}
