standin: stands in for engine, service, log, box list and weight store

The engine batches continuously and gives prefill budget in order of admission, so a long prompt holds up those behind it as in engines in use; answers are a function of the prompt, so a test can tell a whole answer and whose it is. Conclusion: kept small.

--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,488 @@
+// Package standin holds small stand-ins for the systems around hollowgrade: a
+// model engine, a plain service, the platform's log, box list and weight
+// store. The demo, the examples and the tests use them; no role does.
+package standin
+
+import (
+	"container/list"
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hollowgrade/hollowgrade"
+)
+
+// BytesPerToken is the length of a token in the stand-in engine's tokenizer.
+const BytesPerToken = 4
+
+// The errors that an engine answers with.
+var (
+	ErrEngineDown  = errors.New("engine is down")
+	ErrNoMemory    = errors.New("not enough memory")
+	ErrNoSuchModel = errors.New("model is not loaded")
+	ErrNoHolding   = errors.New("no such holding")
+	ErrCancelled   = errors.New("sequence was cancelled")
+	ErrStaleFence  = errors.New("order has a stale fence")
+	ErrDuplicateID = errors.New("id is in use")
+)
+
+// EngineConfig gives the size and the speed of a stand-in engine.
+type EngineConfig struct {
+	Models       []string
+	MemoryTokens int           // what its memory holds
+	StepTokens   int           // tokens that one step may work on
+	PrefillRate  float64       // prompt tokens a second
+	StepBase     time.Duration // time of a step without prefill
+	MaxRunning   int           // sequences in one batch
+	LoadLag      time.Duration // age of what Load reports
+}
+
+// DefaultEngine returns the size that the demo uses. The longest prompts, of a
+// million tokens, need more than twice its memory.
+func DefaultEngine(models ...string) EngineConfig {
+	return EngineConfig{
+		Models:       models,
+		MemoryTokens: 400_000,
+		StepTokens:   1024,
+		PrefillRate:  60_000,
+		StepBase:     8 * time.Millisecond,
+		MaxRunning:   128,
+		LoadLag:      500 * time.Millisecond,
+	}
+}
+
+// Engine is a stand-in for a model engine with continuous batching. Each step
+// gives one token to each decoding sequence, and what is left of the step's
+// budget to prefills in the order in which they were admitted: a long prefill
+// holds up those admitted after it, as in the engines that are in use.
+type Engine struct {
+	config EngineConfig
+	clock  hollowgrade.Clock
+
+	mu       sync.Mutex
+	down     bool
+	frozen   bool
+	wake     chan struct{}
+	stopped  chan struct{}
+	waiting  []*sequence
+	running  []*sequence
+	held     map[string]*holding
+	cache    prefixCache
+	used     int
+	fence    int64
+	models   []string
+	loads    []hollowgrade.EngineLoad // history, for the lag
+	runs     []Run
+	computed int
+}
+
+// Run is one entry of the engine's own record of what ran, which the checkers
+// of the fault tests compare with what callers were told.
+type Run struct {
+	ID     string
+	Tokens int // tokens generated
+	Ended  bool
+}
+
+type holding struct {
+	hollowgrade.Holding
+	digest  xxhash.Digest
+	hash    uint64 // chained hash of the last block, for the prefix cache
+	expires time.Time
+}
+
+type sequence struct {
+	hollowgrade.Generation
+	digest    xxhash.Digest
+	hash      uint64
+	blocks    []uint64
+	prompt    int // tokens still counted to this sequence's own prefill
+	prefilled int
+	made      int // tokens of the answer, with those of Prefix
+	need      int
+	run       int // index into Engine.runs
+	out       chan hollowgrade.Token
+	err       error // why out was closed; set before it is
+}
+
+// NewEngine returns an engine and starts its loop.
+func NewEngine(c EngineConfig, k hollowgrade.Clock) *Engine {
+	e := &Engine{
+		config:  c,
+		clock:   k,
+		wake:    make(chan struct{}, 1),
+		stopped: make(chan struct{}),
+		held:    map[string]*holding{},
+		models:  slices.Clone(c.Models),
+	}
+	e.cache.init()
+	go e.loop()
+	return e
+}
+
+// Stop ends the engine's loop for good.
+func (e *Engine) Stop() {
+	e.Kill()
+	close(e.stopped)
+}
+
+// Kill makes the engine lose all that it holds and refuse calls until Revive.
+func (e *Engine) Kill() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = true
+	for _, s := range slices.Concat(e.running, e.waiting) {
+		e.end(s, ErrEngineDown)
+	}
+	e.running, e.waiting = nil, nil
+	e.held = map[string]*holding{}
+	e.used = 0
+	e.cache.init()
+}
+
+// Revive ends what Kill began.
+func (e *Engine) Revive() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = false
+}
+
+// Freeze stops the engine's steps, or lets them go on.
+func (e *Engine) Freeze(on bool) {
+	e.mu.Lock()
+	e.frozen = on
+	e.mu.Unlock()
+	e.poke()
+}
+
+// Runs returns the record of what ran.
+func (e *Engine) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.runs)
+}
+
+// Computed returns how many prompt tokens the engine has worked on, without
+// those that its prefix cache had.
+func (e *Engine) Computed() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.computed
+}
+
+// Generate implements [hollowgrade.Engine].
+func (e *Engine) Generate(ctx context.Context, g hollowgrade.Generation) (hollowgrade.TokenStream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, err := e.accept(g)
+	if err != nil {
+		return nil, err
+	}
+	i, _ := slices.BinarySearchFunc(e.waiting, s, func(a, b *sequence) int {
+		if a.Priority >= b.Priority {
+			return -1
+		}
+		return 1
+	})
+	e.waiting = slices.Insert(e.waiting, i, s)
+	e.poke()
+	stop := context.AfterFunc(ctx, func() { _ = e.Cancel(context.WithoutCancel(ctx), g.ID) })
+	return &stream{engine: e, sequence: s, stop: stop}, nil
+}
+
+func (e *Engine) accept(g hollowgrade.Generation) (*sequence, error) {
+	if e.down {
+		return nil, ErrEngineDown
+	}
+	if !slices.Contains(e.models, g.Model) {
+		return nil, ErrNoSuchModel
+	}
+	if e.find(g.ID) != nil {
+		return nil, ErrDuplicateID
+	}
+	s := &sequence{Generation: g, out: make(chan hollowgrade.Token, g.MaxTokens+1)}
+	s.digest.Reset()
+	for _, h := range g.Handles {
+		p, err := parseHandle(h)
+		if err != nil {
+			return nil, err
+		}
+		s.digest, s.hash = p.digest, p.hash
+	}
+	_, _ = s.digest.WriteString(g.Prompt)
+	s.blocks, s.hash = chain(s.hash, g.Prompt)
+	s.prompt = Tokens(g.Prompt) + len(g.Prefix)
+	s.made = len(g.Prefix)
+	s.need = s.prompt + g.MaxTokens - len(g.Prefix)
+	if g.HoldOnly {
+		s.need = s.prompt
+	}
+	if s.need > e.config.MemoryTokens {
+		return nil, ErrNoMemory
+	}
+	s.run = len(e.runs)
+	e.runs = append(e.runs, Run{ID: g.ID})
+	return s, nil
+}
+
+// Tokens returns the length of a prompt in tokens.
+func Tokens(prompt string) int {
+	return (len(prompt) + BytesPerToken - 1) / BytesPerToken
+}
+
+func (e *Engine) find(id string) *sequence {
+	for _, s := range slices.Concat(e.running, e.waiting) {
+		if s.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// Cancel implements [hollowgrade.Engine].
+func (e *Engine) Cancel(_ context.Context, id string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return ErrEngineDown
+	}
+	if i := slices.IndexFunc(e.waiting, func(s *sequence) bool { return s.ID == id }); i >= 0 {
+		e.end(e.waiting[i], ErrCancelled)
+		e.waiting = slices.Delete(e.waiting, i, i+1)
+	}
+	if i := slices.IndexFunc(e.running, func(s *sequence) bool { return s.ID == id }); i >= 0 {
+		e.used -= e.running[i].need
+		e.end(e.running[i], ErrCancelled)
+		e.running = slices.Delete(e.running, i, i+1)
+	}
+	e.poke()
+	return nil
+}
+
+func (e *Engine) end(s *sequence, err error) {
+	s.err = err
+	e.runs[s.run].Ended = true
+	close(s.out)
+}
+
+func (e *Engine) poke() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) loop() {
+	for {
+		d, ok := e.plan()
+		if !ok {
+			select {
+			case <-e.wake:
+				continue
+			case <-e.stopped:
+				return
+			}
+		}
+		t := e.clock.NewTimer(d)
+		select {
+		case <-t.Chan():
+		case <-e.stopped:
+			t.Stop()
+			return
+		}
+		e.deliver()
+	}
+}
+
+// plan admits what fits, assigns the step's budget and returns the step's
+// time. It returns false if there is nothing to do.
+func (e *Engine) plan() (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down || e.frozen {
+		return 0, false
+	}
+	e.expire()
+	e.admit()
+	if len(e.running) == 0 {
+		return 0, false
+	}
+	budget := e.config.StepTokens
+	for _, s := range e.running {
+		if s.prefilled == s.prompt {
+			budget--
+		}
+	}
+	total := 0
+	for _, s := range e.running {
+		n := min(s.prompt-s.prefilled, max(budget-total, 0))
+		s.prefilled += n
+		total += n
+	}
+	e.computed += total
+	return e.config.StepBase + time.Duration(float64(total)/e.config.PrefillRate*float64(time.Second)), true
+}
+
+func (e *Engine) admit() {
+	for len(e.waiting) > 0 && len(e.running) < e.config.MaxRunning {
+		s := e.waiting[0]
+		if r, ok := e.held[s.Reservation]; ok && s.Reservation != "" {
+			e.drop(r)
+		}
+		if e.used+s.need > e.config.MemoryTokens {
+			return
+		}
+		e.used += s.need
+		s.prefilled = min(e.cache.hit(s.blocks)*blockTokens, s.prompt-1)
+		e.cache.shrink(e.config.MemoryTokens - e.used)
+		e.running = append(e.running, s)
+		e.waiting = e.waiting[1:]
+	}
+}
+
+// deliver gives out the tokens of the step that has ended.
+func (e *Engine) deliver() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.report()
+	kept := e.running[:0]
+	for _, s := range e.running {
+		if s.prefilled < s.prompt || !e.advance(s) {
+			kept = append(kept, s)
+			continue
+		}
+		e.used -= s.need
+		e.cache.add(s.blocks, e.config.MemoryTokens-e.used)
+		e.keep(s)
+		e.end(s, io.EOF)
+	}
+	clear(e.running[len(kept):])
+	e.running = kept
+}
+
+// advance produces one token and reports whether the sequence is done.
+func (e *Engine) advance(s *sequence) bool {
+	if s.HoldOnly {
+		return true
+	}
+	if s.made < s.MaxTokens {
+		s.out <- hollowgrade.Token{Offset: s.made, Text: AnswerToken(s.digest.Sum64(), s.made)}
+		s.made++
+		e.runs[s.run].Tokens++
+	}
+	return s.made >= s.MaxTokens
+}
+
+func (e *Engine) keep(s *sequence) {
+	if !s.HoldOnly {
+		return
+	}
+	e.used += s.need
+	e.held[s.ID] = &holding{
+		Holding: hollowgrade.Holding{ID: s.ID, Kind: hollowgrade.HeldExport, Tokens: s.need},
+		digest:  s.digest,
+		hash:    s.hash,
+	}
+}
+
+// AnswerToken returns the token at an offset of the answer to the prompt with
+// the given xxhash, so that tests can tell a whole answer and whose it is.
+func AnswerToken(digest uint64, offset int) string {
+	var b [16]byte
+	for i := range 8 {
+		b[i] = byte(digest >> (8 * i))
+		b[8+i] = byte(offset >> (8 * i))
+	}
+	return strconv.FormatUint(xxhash.Sum64(b[:])&0xffffff, 36) + " "
+}
+
+// Answer returns the whole answer to a prompt.
+func Answer(prompt string, tokens int) string {
+	h := xxhash.Sum64String(prompt)
+	var b []byte
+	for i := range tokens {
+		b = append(b, AnswerToken(h, i)...)
+	}
+	return string(b)
+}
+
+type stream struct {
+	engine   *Engine
+	sequence *sequence
+	stop     func() bool
+}
+
+// Next implements [hollowgrade.TokenStream].
+func (s *stream) Next() (hollowgrade.Token, error) {
+	t, ok := <-s.sequence.out
+	if !ok {
+		s.stop()
+		return t, s.sequence.err
+	}
+	return t, nil
+}
+
+// Close implements [hollowgrade.TokenStream].
+func (s *stream) Close() error {
+	s.stop()
+	return s.engine.Cancel(context.Background(), s.sequence.ID)
+}
+
+const blockTokens = 256 // unit of the prefix cache
+
+// chain returns the chained hashes of the whole blocks of a prompt that comes
+// after a prefix whose chained hash is h, and the hash after all of it.
+func chain(h uint64, prompt string) (bs []uint64, last uint64) {
+	const size = blockTokens * BytesPerToken
+	for ; len(prompt) >= size; prompt = prompt[size:] {
+		h = h*0x9e3779b97f4a7c15 + xxhash.Sum64String(prompt[:size])
+		bs = append(bs, h)
+	}
+	return bs, h
+}
+
+// prefixCache is a least-recently-used set of prompt blocks.
+type prefixCache struct {
+	order *list.List
+	at    map[uint64]*list.Element
+}
+
+func (c *prefixCache) init() {
+	c.order = list.New()
+	c.at = map[uint64]*list.Element{}
+}
+
+// hit returns how many of the leading blocks are in the cache.
+func (c *prefixCache) hit(bs []uint64) int {
+	for i, b := range bs {
+		l, ok := c.at[b]
+		if !ok {
+			return i
+		}
+		c.order.MoveToFront(l)
+	}
+	return len(bs)
+}
+
+func (c *prefixCache) add(bs []uint64, room int) {
+	for _, b := range bs {
+		if _, ok := c.at[b]; !ok {
+			c.at[b] = c.order.PushFront(b)
+		}
+	}
+	c.shrink(room)
+}
+
+func (c *prefixCache) shrink(room int) {
+	for c.order.Len()*blockTokens > room {
+		l := c.order.Back()
+		delete(c.at, l.Value.(uint64))
+		c.order.Remove(l)
+	}
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,88 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+)
+
+// Service is a stand-in for a plain service. It answers each call with what it
+// received, after a delay, and keeps a record of what ran.
+type Service struct {
+	clock hollowgrade.Clock
+	delay time.Duration
+
+	mu   sync.Mutex
+	runs map[string]int // by body
+	down bool
+}
+
+// Echo is the answer of the stand-in service.
+type Echo struct {
+	Method       string `json:"method"`
+	Path         string `json:"path"`
+	Organisation string `json:"organisation"`
+	Body         string `json:"body"`
+}
+
+// NewService returns a service that takes the delay for each call.
+func NewService(delay time.Duration, k hollowgrade.Clock) *Service {
+	return &Service{clock: k, delay: delay, runs: map[string]int{}}
+}
+
+// SetDown makes the service break connections, or ends that.
+func (s *Service) SetDown(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = on
+}
+
+// Runs returns how often a call with each body ran.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := make(map[string]int, len(s.runs))
+	for k, n := range s.runs {
+		m[k] = n
+	}
+	return m
+}
+
+// ServeHTTP implements [http.Handler].
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if !s.note(string(b)) {
+		panic(http.ErrAbortHandler)
+	}
+	t := s.clock.NewTimer(s.delay)
+	defer t.Stop()
+	select {
+	case <-t.Chan():
+	case <-r.Context().Done():
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Echo{
+		Method:       r.Method,
+		Path:         r.URL.Path,
+		Organisation: r.Header.Get("Hollowgrade-Organisation"),
+		Body:         string(b),
+	})
+}
+
+func (s *Service) note(body string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return false
+	}
+	s.runs[body]++
+	return true
+}
--- /dev/null
+++ b/internal/standin/weights.go
@@ -0,0 +1,47 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/platform"
+)
+
+// Weights is a stand-in for the rate-limited weight store.
+type Weights struct {
+	clock hollowgrade.Clock
+	limit *rate.Limiter
+
+	mu      sync.Mutex
+	fetches []platform.FetchCall
+}
+
+// NewWeights returns a store that allows one fetch for each interval, and a
+// few at once.
+func NewWeights(interval time.Duration, burst int, k hollowgrade.Clock) *Weights {
+	return &Weights{clock: k, limit: rate.NewLimiter(rate.Every(interval), burst)}
+}
+
+// Fetch implements [hollowgrade.WeightStore].
+func (s *Weights) Fetch(_ context.Context, box, model string) error {
+	if !s.limit.AllowN(s.clock.Now(), 1) {
+		return ErrTooFast
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fetches = append(s.fetches, platform.FetchCall{Box: box, Model: model})
+	return nil
+}
+
+// ServeHTTP serves the store's protocol.
+func (s *Weights) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var c platform.FetchCall
+	if accept(w, r, &c) {
+		platformReply(w, struct{}{}, s.Fetch(r.Context(), c.Box, c.Model))
+	}
+}
