--- /dev/null
+++ b/agent/control.go
@@ -0,0 +1,102 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/peer"
+)
+
+// minReportGap bounds how often one entry is told of a changed load.
+const minReportGap = 50 * time.Millisecond
+
+// serveControl reports the agent's status to one entry until the connection
+// ends: at each heartbeat, and sooner when the agent begins to drain.
+func (a *Agent) serveControl(ctx context.Context, s *peer.Stream) error {
+	for {
+		m, changed := a.status()
+		if err := s.Send(&wire.Frame{Body: &wire.Frame_Status{Status: m}}); err != nil {
+			return err
+		}
+		if !a.pause(ctx, changed) {
+			return nil
+		}
+	}
+}
+
+// pause waits for the next reason to report. It returns false when ctx ends.
+func (a *Agent) pause(ctx context.Context, changed <-chan struct{}) bool {
+	t := a.clock.NewTimer(a.limits.Heartbeat)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.Chan():
+		return true
+	case <-changed:
+	}
+	g := a.clock.NewTimer(minReportGap)
+	defer g.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-g.Chan():
+		return true
+	}
+}
+
+func (a *Agent) status() (*wire.Status, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return &wire.Status{
+		Box:                 a.box.Name,
+		Incarnation:         a.incarnation,
+		Hall:                a.box.Hall,
+		Draining:            a.draining || !a.reachable,
+		Revision:            a.revision(),
+		Models:              a.models,
+		Service:             a.serviceName,
+		Queued:              int64(a.queue.Len()),
+		InstantQueuedTokens: int64(a.queued[hollowgrade.Instant] + a.prefill),
+		NormalQueuedTokens:  int64(a.queued[hollowgrade.Normal]),
+		QueuedTokens:        int64(a.queued[hollowgrade.Background]),
+		Running:             int64(a.running),
+		HeldTokens:          int64(a.memory.Used()),
+		TotalTokens:         int64(a.memory.Total()),
+		PrefillRate:         a.speed.prefillRate,
+		StepMicros:          a.speed.step.Microseconds(),
+	}, a.changed
+}
+
+// speed holds the measured speed of the engine, as moving averages.
+type speed struct {
+	prefillRate float64
+	step        time.Duration
+}
+
+// weight is that of a new sample in the moving averages.
+const weight = 0.1
+
+// minSample is the smallest prefill that says anything of the rate; below it
+// the time of a single step dominates.
+const minSample = 512
+
+func (s *speed) addPrefill(tokens int, d time.Duration) {
+	if tokens < minSample || d <= 0 {
+		return
+	}
+	r := float64(tokens) / d.Seconds()
+	if s.prefillRate == 0 {
+		s.prefillRate = r
+	}
+	s.prefillRate += weight * (r - s.prefillRate)
+}
+
+func (s *speed) addStep(d time.Duration) {
+	if s.step == 0 {
+		s.step = d
+	}
+	s.step += time.Duration(weight * float64(d-s.step))
+}
--- /dev/null
+++ b/agent/job.go
@@ -0,0 +1,300 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/sched"
+)
+
+// job is one attempt at a request on its way through the agent.
+type job struct {
+	submit  *wire.Submit
+	request hollowgrade.Request
+	id      string // at the engine
+	body    []byte
+	arrived time.Time
+	lease   time.Time // the claim on the key holds until then; zero without key
+	stream  *peer.Stream
+	grant   chan struct{}
+	started atomic.Bool
+	waited  time.Duration
+	next    int // bytes of the prompt that earlier pieces have prefilled
+	handles []string
+	held    []string // ids of the pieces held on the engine
+	count   int      // tokens sent on
+}
+
+// The causes for which a job's context ends, beside its deadline.
+var (
+	errCallerGone = errors.New("the entry ended the exchange")
+	errStopped    = errors.New("the agent was stopped")
+)
+
+func newJob(m *wire.Submit, s *peer.Stream, now time.Time) *job {
+	j := &job{
+		submit:  m,
+		stream:  s,
+		arrived: now,
+		id:      fmt.Sprintf("%s.%d", m.Id, m.Attempt),
+		handles: m.Handles,
+		request: hollowgrade.Request{
+			ID:           m.Id,
+			Attempt:      int(m.Attempt),
+			Organisation: m.Organisation,
+			Event:        m.Event,
+			Kind:         m.Kind,
+			Model:        m.Model,
+			Service:      m.Service,
+			Key:          m.Key,
+			PromptTokens: int(m.PromptTokens),
+			MaxTokens:    int(m.MaxTokens),
+			Deadline:     now.Add(time.Duration(m.RemainingMicros) * time.Microsecond),
+			Decision: hollowgrade.Decision{
+				Class:      hollowgrade.Class(min(max(m.Class, 0), int32(hollowgrade.Classes)-1)),
+				Priority:   int(m.Priority),
+				MayWait:    m.MayWait,
+				Repeatable: m.Repeatable,
+				Share:      m.Share,
+			},
+		},
+	}
+	if m.Key != "" {
+		j.lease = now.Add(time.Duration(m.LeaseMicros) * time.Microsecond)
+	}
+	return j
+}
+
+// serveSubmit takes a request in, runs it, and sends the final frame.
+func (a *Agent) serveSubmit(ctx context.Context, s *peer.Stream, m *wire.Submit) error {
+	j := newJob(m, s, a.clock.Now())
+	if err := a.receiveBody(j); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ctx, stop := clockwork.WithDeadline(ctx, a.clock, j.request.Deadline)
+	defer stop()
+	go func() {
+		// Whatever comes, or ends, here means that nobody wants the answer. A
+		// run under a key that has begun goes on all the same: half of it
+		// would be worse than all of it.
+		_, _ = s.Receive()
+		if j.request.Key == "" || !j.started.Load() {
+			cancel(errCallerGone)
+		}
+	}()
+	err := a.run(ctx, j)
+	a.finish(j, err)
+	return s.Send(a.final(j, err))
+}
+
+// receiveBody reads the prompt or body. The job cannot run before all of it
+// has come, so an entry that fails to send the last frame may say "not run".
+func (a *Agent) receiveBody(j *job) error {
+	for {
+		f, err := j.stream.Receive()
+		if err != nil {
+			return err
+		}
+		c := f.GetChunk()
+		if c == nil || int64(len(j.body)+len(c.Data)) > a.limits.MaxBodyBytes {
+			return fmt.Errorf("%w: body of %s", peer.ErrBroken, j.request.ID)
+		}
+		j.body = append(j.body, c.Data...)
+		if c.Last {
+			return nil
+		}
+	}
+}
+
+// run takes the job through queue and upstream.
+func (a *Agent) run(ctx context.Context, j *job) (err error) {
+	if err = a.admit(j); err != nil {
+		return err
+	}
+	defer a.leave(j)
+	if a.service != nil {
+		return a.runService(ctx, j)
+	}
+	return a.runEngine(ctx, j)
+}
+
+// admit checks whether the job may queue here, and enters it.
+func (a *Agent) admit(j *job) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining {
+		return fault.New(fault.Draining, "agent %s is leaving", a.box.Name)
+	}
+	if _, ok := a.jobs[j.id]; ok {
+		return fault.New(fault.Internal, "attempt %s is here already", j.id).WithOutcome(hollowgrade.Unknown)
+	}
+	if a.queue.Len() >= a.limits.MaxQueued {
+		return fault.New(fault.Overloaded, "the queue of %s is full", a.box.Name).WithRetryAfter(a.drainTime())
+	}
+	if a.engine != nil && j.request.Tokens() > a.memory.Total() && len(j.handles) == 0 {
+		return fault.New(fault.PromptTooLong, "%d tokens do not fit into the engine's %d", j.request.Tokens(), a.memory.Total())
+	}
+	if !j.request.Decision.MayWait && a.queue.Len() > 0 {
+		return fault.New(fault.MayNotWait, "%s has %d requests waiting", a.box.Name, a.queue.Len()).WithRetryAfter(a.drainTime())
+	}
+	a.jobs[j.id] = j
+	return nil
+}
+
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+// drainTime estimates when what is queued now will have been started.
+func (a *Agent) drainTime() time.Duration {
+	r := a.speed.prefillRate
+	if r <= 0 {
+		return time.Second
+	}
+	t := a.prefill
+	for _, n := range a.queued {
+		t += n
+	}
+	d := time.Duration(float64(t) / r * float64(time.Second))
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+// leave takes the job out of the agent's account and gives back its memory.
+func (a *Agent) leave(j *job) {
+	a.releasePieces(j)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.jobs, j.id)
+	if l, ok := a.memory.Release(j.id); ok && a.long(l.Tokens) {
+		a.longHeld -= l.Tokens
+	}
+	a.pump()
+	a.checkIdle()
+}
+
+// finish logs and counts the end of a job.
+func (a *Agent) finish(j *job, err error) {
+	o := hollowgrade.Finished
+	c := fault.Code("")
+	if err != nil {
+		f := a.faultOf(j, err)
+		o, c = f.Outcome, f.Code
+	}
+	took := a.clock.Since(j.arrived)
+	a.log.Info("attempt ended",
+		"request", j.request.ID, "attempt", j.request.Attempt, "organisation", j.request.Organisation,
+		"outcome", o, "code", c, "tokens", j.count, "waited_ms", j.waited.Milliseconds(), "took_ms", took.Milliseconds())
+	a.observe(Observation{
+		Organisation: j.request.Organisation,
+		Kind:         j.request.Kind,
+		Outcome:      o,
+		Waited:       j.waited,
+		Took:         took,
+		PromptTokens: j.request.PromptTokens,
+	})
+}
+
+// final makes the last frame of the exchange.
+func (a *Agent) final(j *job, err error) *wire.Frame {
+	m := &wire.Final{
+		Attempt: int32(j.request.Attempt),
+		Outcome: string(hollowgrade.Finished),
+		Count:   int64(j.count),
+	}
+	if err == nil && j.request.Model != "" && j.submit.HoldOnly {
+		m.Handle = j.handles[len(j.handles)-1]
+	}
+	if err != nil {
+		f := a.faultOf(j, err)
+		m.Outcome, m.Code, m.Message = string(f.Outcome), string(f.Code), f.Message
+		m.RetryAfterMicros = f.RetryAfter.Microseconds()
+	}
+	return &wire.Frame{Body: &wire.Frame_Final{Final: m}}
+}
+
+// faultOf says what an error means for the caller. A job that was never
+// started did not run: it has been taken out of the queue, and it is the agent
+// alone that starts it.
+func (a *Agent) faultOf(j *job, err error) (f *fault.Error) {
+	var known *fault.Error
+	switch {
+	case errors.As(err, &known):
+		return known
+	case errors.Is(err, errCallerGone), errors.Is(err, errStopped):
+		f = fault.New(fault.CallerGone, "%v", err)
+	case errors.Is(err, context.DeadlineExceeded):
+		f = fault.New(fault.DeadlinePassed, "the allowed time passed after %d tokens", j.count)
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		f = fault.New(fault.UpstreamLost, "the upstream of %s broke off after %d tokens", a.box.Name, j.count)
+	default:
+		f = fault.New(fault.UpstreamLost, "the upstream of %s failed: %v", a.box.Name, err)
+	}
+	switch {
+	case !j.started.Load():
+		return f.WithOutcome(hollowgrade.NotRun)
+	case a.service != nil:
+		// A plain service may have done all of the work before it was cut off.
+		return f.WithOutcome(hollowgrade.Unknown)
+	default:
+		return f.WithOutcome(hollowgrade.Failed)
+	}
+}
+
+// cost is the work that the job's next step gives to the engine, in tokens.
+func (a *Agent) cost(j *job) int {
+	if a.service != nil {
+		return 1
+	}
+	rest := (len(j.body)-j.next)/bytesPerToken + 1
+	if a.limits.Piece > 0 {
+		return min(rest, a.limits.Piece)
+	}
+	return rest
+}
+
+// bytesPerToken is the rule of thumb by which work is measured before the
+// engine has tokenised a prompt.
+const bytesPerToken = 4
+
+func (a *Agent) long(tokens int) bool {
+	return tokens > a.limits.LongTokens
+}
+
+// item makes the queue's view of the job's next step.
+func (a *Agent) item(j *job) *sched.Item {
+	now := a.clock.Now()
+	return &sched.Item{
+		ID:           j.id,
+		Organisation: j.request.Organisation,
+		Class:        j.request.Decision.Class,
+		Priority:     j.request.Decision.Priority,
+		Cost:         a.cost(j),
+		LatestStart:  j.request.Deadline.Add(-a.serviceTime(j)),
+		Due:          now.Add(a.patience(j, now)),
+	}
+}
+
+// patience is how long the job may be passed over: the agent's limit, or half
+// of what is left of its allowed time if that is less.
+func (a *Agent) patience(j *job, now time.Time) time.Duration {
+	return min(a.limits.Patience, j.request.Remaining(now)/2)
+}
+
+func (a *Agent) serviceTime(j *job) time.Duration {
+	l := sched.Load{PrefillRate: a.speed.prefillRate, Step: a.speed.step}
+	w := sched.Work{PromptTokens: (len(j.body) - j.next) / bytesPerToken, MaxTokens: j.request.MaxTokens}
+	return sched.Predict(&l, w).Total
+}
--- /dev/null
+++ b/agent/keeper.go
@@ -0,0 +1,484 @@
+package agent
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/config"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/fold"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/kernel"
+	"github.com/hollowgrade/hollowgrade/ledger"
+	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/sched"
+)
+
+// KeyTimes are the times that bound the keeping of idempotency keys.
+type KeyTimes struct {
+	// Window is how long a key is remembered after its run has ended.
+	Window time.Duration
+	// Lease is how long a keeper goes on without having seen the end of the
+	// log. After a crash its keys wait that long for the next keeper; in an
+	// outage of the log it is how long callers' own keys are served.
+	Lease time.Duration
+	// Grace is how long a keeper must be off the list before another takes
+	// its ranges.
+	Grace time.Duration
+	// Every is the time between two looks at the list.
+	Every time.Duration
+}
+
+// DefaultKeyTimes returns times that suit boxes which are replaced a few
+// hundred times a day.
+func DefaultKeyTimes() KeyTimes {
+	return KeyTimes{Window: time.Hour, Lease: 2 * time.Minute, Grace: 10 * time.Second, Every: time.Second}
+}
+
+// maxKeys bounds the records of one ledger, about 300 bytes each without the
+// answers.
+const maxKeys = 100_000
+
+// maxKeptAnswer bounds the answers that are kept for a key sent again, in
+// bytes. Of a larger one only the outcome is kept.
+const maxKeptAnswer = 16 << 10
+
+// Keeper keeps the ledger of the key ranges that the log gives to this agent.
+// Ranges are taken by a record in the log, each naming the revision that it
+// replaces, so each epoch of a range has one keeper. A keeper that has not
+// seen the end of the log for the time of its lease stops granting, and its
+// successor waits that long before it begins; so no two grant at once.
+type Keeper struct {
+	box         string
+	incarnation string
+	times       KeyTimes
+	clock       hollowgrade.Clock
+	logger      *log.Logger
+	log         hollowgrade.Log
+	follower    *fold.Follower
+	agents      func(context.Context) []hollowgrade.Box
+	dial        peer.Dialer
+	secret      []byte
+
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu      sync.Mutex
+	config  *config.Config
+	kept    map[int]*keptRange
+	pending map[int]*pendingRange // handed over to us and not yet ours by the log
+	minted  *ledger.Keys
+	missing map[string]time.Time // since when a keeper is off the list
+	leaving bool
+}
+
+type keptRange struct {
+	epoch int64
+	from  time.Time // no claim is granted before
+	keys  *ledger.Keys
+}
+
+// pendingRange is a range on its way from one keeper to the next.
+type pendingRange struct {
+	epoch   int64 // of the keeper that hands over
+	records []ledger.KeyRecord
+	whole   bool
+}
+
+// NewKeeper returns a keeper. Agents returns the agents' boxes as the platform
+// lists them.
+func NewKeeper(box, incarnation string, t KeyTimes, k hollowgrade.Clock, g *log.Logger, l hollowgrade.Log,
+	f *fold.Follower, agents func(context.Context) []hollowgrade.Box, d peer.Dialer,
+) *Keeper {
+	s := make([]byte, sha256.Size)
+	_, _ = rand.Read(s)
+	return &Keeper{
+		box: box, incarnation: incarnation, times: t, clock: k, logger: g, log: l, follower: f,
+		agents: agents, dial: d, secret: s,
+		done:    make(chan struct{}),
+		config:  &config.Config{},
+		kept:    map[int]*keptRange{},
+		pending: map[int]*pendingRange{},
+		minted:  ledger.NewKeys(t.Window, maxKeys),
+		missing: map[string]time.Time{},
+	}
+}
+
+// Start implements [kernel.Service].
+func (k *Keeper) Start(context.Context, *kernel.Kernel) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	k.cancel = cancel
+	go k.loop(ctx)
+	return nil
+}
+
+// Stop implements [kernel.Service]. It hands the ranges over to other agents.
+func (k *Keeper) Stop(ctx context.Context) error {
+	k.cancel()
+	<-k.done
+	return k.handOver(ctx)
+}
+
+func (k *Keeper) loop(ctx context.Context) {
+	defer close(k.done)
+	for {
+		t := k.clock.NewTimer(k.times.Every)
+		select {
+		case <-t.Chan():
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		k.takeRanges(ctx)
+	}
+}
+
+// SetConfig tells the keeper who owns which range.
+func (k *Keeper) SetConfig(c *config.Config) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if c.Revision < k.config.Revision {
+		return
+	}
+	k.config = c
+	for n := range ledger.Ranges {
+		r, ok := c.KeyRanges[ledger.RangeName(n)]
+		mine := ok && r.Owner == k.box && r.Incarnation == k.incarnation
+		if !mine {
+			delete(k.kept, n)
+			continue
+		}
+		if p := k.kept[n]; p == nil || p.epoch != r.Epoch {
+			k.kept[n] = k.begin(n, r)
+		}
+	}
+}
+
+// begin opens the ledger of a range that has become ours. The keeper before us
+// may grant until its lease ends, and what it granted is not in our ledger
+// unless it handed it over.
+func (k *Keeper) begin(n int, r config.Range) *keptRange {
+	now := k.clock.Now()
+	p := &keptRange{epoch: r.Epoch, from: now, keys: ledger.NewKeys(k.times.Window, maxKeys)}
+	h := k.pending[n]
+	delete(k.pending, n)
+	switch {
+	case r.First:
+	case r.Former != 0 && h != nil && h.whole && h.epoch == r.Former:
+		p.keys.Import(h.records, now)
+	default:
+		p.from = now.Add(k.times.Lease)
+		p.keys.BlindUntil(p.from.Add(k.times.Window))
+	}
+	return p
+}
+
+// Claim implements [KeyKeeper].
+func (k *Keeper) Claim(m *wire.Claim) *wire.ClaimReply {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clock.Now()
+	id := ledger.KeyID{Organisation: m.Organisation, Key: m.Key}
+	keys, epoch, lease := k.ledgerFor(id, now)
+	if keys == nil {
+		return &wire.ClaimReply{Verdict: string(ledger.NotMine)}
+	}
+	v, r := keys.Claim(ledger.Claim{
+		ID:      id,
+		Digest:  m.Digest,
+		Request: m.Id,
+		Hold:    time.Duration(m.HoldMicros) * time.Microsecond,
+	}, now)
+	a := &wire.ClaimReply{Verdict: string(v), Epoch: epoch, LeaseMicros: lease.Microseconds(), Outcome: string(r.Outcome)}
+	if len(r.Answer) > 0 {
+		a.Answer = &wire.StoredAnswer{}
+		if err := proto.Unmarshal(r.Answer, a.Answer); err != nil {
+			a.Answer = nil
+		}
+	}
+	return a
+}
+
+// mintedLease is the lease on a minted key: its keeper never changes, so only
+// the hold of the claim bounds it.
+const mintedLease = time.Hour
+
+// ledgerFor returns the ledger that decides about the key, its epoch, and how
+// long the right to grant certainly lasts; nil if that is not here.
+func (k *Keeper) ledgerFor(id ledger.KeyID, now time.Time) (l *ledger.Keys, epoch int64, lease time.Duration) {
+	if b, i, s, ok := ledger.ParseMinted(id.Key); ok {
+		if b != k.box || i != k.incarnation || !k.genuine(s, now) {
+			return nil, 0, 0
+		}
+		return k.minted, 0, mintedLease
+	}
+	p := k.kept[id.Range()]
+	lease = k.times.Lease - now.Sub(k.follower.Fresh())
+	if p == nil || k.leaving || now.Before(p.from) || lease <= 0 {
+		return nil, 0, 0
+	}
+	return p.keys, p.epoch, lease
+}
+
+// Settle implements [KeyKeeper].
+func (k *Keeper) Settle(m *wire.Settle) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clock.Now()
+	id := ledger.KeyID{Organisation: m.Organisation, Key: m.Key}
+	keys := k.minted
+	if p := k.kept[id.Range()]; p != nil {
+		keys = p.keys
+	}
+	if _, _, _, ok := ledger.ParseMinted(id.Key); ok {
+		keys = k.minted
+	}
+	var b []byte
+	if m.Answer != nil && proto.Size(m.Answer) <= maxKeptAnswer {
+		b, _ = proto.Marshal(m.Answer)
+	}
+	keys.Settle(id, m.Id, hollowgrade.Outcome(m.Outcome), b, now)
+}
+
+// Fenced implements [KeyKeeper].
+func (k *Keeper) Fenced(organisation, key string, epoch int64) bool {
+	if _, _, _, ok := ledger.ParseMinted(key); ok {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	id := ledger.KeyID{Organisation: organisation, Key: key}
+	return k.config.KeyRanges[ledger.RangeName(id.Range())].Epoch > epoch
+}
+
+// Mint implements [KeyKeeper]. A minted key ends with its time of expiry and a
+// mark that only this process can make, so nothing need be remembered of it
+// before it is claimed.
+func (k *Keeper) Mint() string {
+	n := strconv.FormatInt(k.clock.Now().Add(k.times.Window/2).UnixNano(), 36) + "-" + uuid.NewString()
+	return ledger.MintedKey(k.box, k.incarnation, n+"-"+k.mark(n))
+}
+
+const markBytes = 12
+
+func (k *Keeper) mark(s string) string {
+	h := hmac.New(sha256.New, k.secret)
+	_, _ = h.Write([]byte(s))
+	return hex.EncodeToString(h.Sum(nil)[:markBytes])
+}
+
+// genuine reports whether the last part of a minted key is ours, and whether
+// it may still be used: its record would be forgotten after the window.
+func (k *Keeper) genuine(s string, now time.Time) bool {
+	if len(s) < 2*markBytes+1 {
+		return false
+	}
+	n, m := s[:len(s)-2*markBytes-1], s[len(s)-2*markBytes:]
+	if !hmac.Equal([]byte(m), []byte(k.mark(n))) {
+		return false
+	}
+	e, _, _ := cutDash(n)
+	at, err := strconv.ParseInt(e, 36, 64)
+	return err == nil && now.UnixNano() < at
+}
+
+func cutDash(s string) (before, after string, ok bool) {
+	i := slices.Index([]byte(s), '-')
+	if i < 0 {
+		return s, "", false
+	}
+	return s[:i], s[i+1:], true
+}
+
+// takeRanges takes the ranges that have no live keeper and for which this
+// agent ranks first.
+func (k *Keeper) takeRanges(ctx context.Context) {
+	live := liveNames(k.agents(ctx))
+	if !slices.Contains(live, k.box) || k.follower.Fresh().IsZero() {
+		return
+	}
+	for n := range ledger.Ranges {
+		c, ok := k.takeover(n, live)
+		if !ok {
+			continue
+		}
+		if err := k.publish(ctx, n, c); err != nil && ctx.Err() == nil {
+			k.logger.Warn("key range not taken", "range", n, "err", err)
+			return
+		}
+	}
+}
+
+func liveNames(bs []hollowgrade.Box) (ns []string) {
+	for _, b := range bs {
+		if b.Role == hollowgrade.AgentRole && b.State == hollowgrade.BoxLive {
+			ns = append(ns, b.Name)
+		}
+	}
+	return ns
+}
+
+// takeover decides whether to take a range now.
+func (k *Keeper) takeover(n int, live []string) (r config.KeyRange, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	cur, stands := k.config.KeyRanges[ledger.RangeName(n)]
+	r = config.KeyRange{Owner: k.box, Incarnation: k.incarnation, First: !stands}
+	switch {
+	case k.leaving:
+		return r, false
+	case stands && cur.Owner == k.box:
+		// A former process of this box kept it.
+		return r, cur.Incarnation != k.incarnation
+	case stands && slices.Contains(live, cur.Owner):
+		delete(k.missing, cur.Owner)
+		return r, false
+	case stands && !k.goneFor(cur.Owner):
+		return r, false
+	default:
+		return r, sched.First("key range "+ledger.RangeName(n), live) == k.box
+	}
+}
+
+func (k *Keeper) goneFor(owner string) bool {
+	now := k.clock.Now()
+	since, ok := k.missing[owner]
+	if !ok {
+		k.missing[owner] = now
+		return false
+	}
+	return now.Sub(since) >= k.times.Grace
+}
+
+func (k *Keeper) publish(ctx context.Context, n int, r config.KeyRange) error {
+	s := k.follower.State()
+	i, _ := s.Item(config.KeyRangeKind, ledger.RangeName(n))
+	c, err := fold.NewChange(config.KeyRangeKind, ledger.RangeName(n), i.Revision, r, uuid.NewString(), k.box)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	_, err = fold.Publish(ctx, k.log, s, c)
+	var f *fault.Error
+	if errors.As(err, &f) && f.Code == fault.LostRace {
+		return nil // somebody else has it, which is as good
+	}
+	return err
+}
+
+// handOver gives each range with its ledger to the agent that ranks next. From
+// here on this keeper grants nothing.
+func (k *Keeper) handOver(ctx context.Context) (err error) {
+	boxes := slices.DeleteFunc(k.agents(ctx), func(b hollowgrade.Box) bool {
+		return b.Role != hollowgrade.AgentRole || b.State != hollowgrade.BoxLive || b.Name == k.box
+	})
+	names := liveNames(boxes)
+	for n, h := range k.close() {
+		next := sched.First("key range "+ledger.RangeName(n), names)
+		i := slices.IndexFunc(boxes, func(b hollowgrade.Box) bool { return b.Name == next })
+		if i < 0 {
+			return nil
+		}
+		inc, e := k.send(ctx, boxes[i].Peer, n, h)
+		if e == nil {
+			e = k.publish(ctx, n, config.KeyRange{Owner: next, Incarnation: inc, Former: h.epoch})
+		}
+		if e != nil {
+			err = errors.Join(err, fmt.Errorf("hand over key range %d: %w", n, e))
+		}
+	}
+	return err
+}
+
+// close stops granting and returns the records of each range.
+func (k *Keeper) close() map[int]pendingRange {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = true
+	now := k.clock.Now()
+	m := map[int]pendingRange{}
+	for n, p := range k.kept {
+		if !now.Before(p.from) {
+			m[n] = pendingRange{epoch: p.epoch, records: p.keys.Export(now)}
+		}
+	}
+	return m
+}
+
+// handoverBatch is the number of records in one frame. An answer of the
+// largest size in each still fits.
+const handoverBatch = 16
+
+func (k *Keeper) send(ctx context.Context, address string, n int, h pendingRange) (incarnation string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	c, err := peer.Dial(ctx, k.dial, address)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	var s *peer.Stream
+	for b := range slices.Chunk(append(h.records, ledger.KeyRecord{}), handoverBatch) {
+		// The empty record at the end makes sure that there is a last batch.
+		last := b[len(b)-1].ID.Key == ""
+		if last {
+			b = b[:len(b)-1]
+		}
+		j, err := json.Marshal(b)
+		if err != nil {
+			return "", err
+		}
+		f := &wire.Frame{Body: &wire.Frame_Handover{Handover: &wire.Handover{Range: int64(n), Epoch: h.epoch, Records: j, Last: last}}}
+		if s == nil {
+			s, err = c.Open(f)
+		} else {
+			err = s.Send(f)
+		}
+		if err != nil {
+			return "", err
+		}
+	}
+	defer s.Abort()
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	f, err := s.Receive()
+	if err != nil {
+		return "", err
+	}
+	return f.GetHello().GetIncarnation(), nil
+}
+
+// TakeIn implements [KeyKeeper].
+func (k *Keeper) TakeIn(h *wire.Handover) error {
+	var rs []ledger.KeyRecord
+	if err := json.Unmarshal(h.Records, &rs); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := int(h.Range)
+	p := k.pending[n]
+	if p == nil || p.whole || p.epoch != h.Epoch {
+		p = &pendingRange{epoch: h.Epoch}
+		k.pending[n] = p
+	}
+	p.records = append(p.records, rs...)
+	p.whole = h.Last
+	return nil
+}
--- /dev/null
+++ b/agent/memory.go
@@ -0,0 +1,190 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/ledger"
+	"github.com/hollowgrade/hollowgrade/peer"
+)
+
+// engineTimeout bounds the short calls to the engine.
+const engineTimeout = 2 * time.Second
+
+// hold notes a piece that the engine keeps for the job. Its memory is part of
+// the job's lease or of the group's reservation already, so its own lease
+// counts nothing. A piece of a group ends with the reservation.
+func (a *Agent) hold(j *job, id string) {
+	j.held = append(j.held, id)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := ledger.Lease{ID: id, Owner: j.id, Kind: hollowgrade.HeldExport}
+	if r, ok := a.memory.Get(j.submit.Reservation); ok {
+		l.Owner, l.Expires = r.ID, r.Expires
+	}
+	a.memory.Grant(l)
+}
+
+// releasePieces frees the pieces of a job that has ended. What cannot be freed
+// now, the sweep will free: no lease answers for it any longer. The pieces of
+// a group stay until the entry releases the reservation, or it expires.
+func (a *Agent) releasePieces(j *job) {
+	if j.submit.Reservation != "" {
+		return
+	}
+	for _, id := range j.held {
+		a.free(id)
+	}
+}
+
+func (a *Agent) free(id string) {
+	a.mu.Lock()
+	a.memory.Release(id)
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), engineTimeout)
+	defer cancel()
+	if err := a.engine.Release(ctx, id); err != nil {
+		a.log.Debug("release failed, the sweep will repeat it", "id", id, "err", err)
+	}
+}
+
+// freeOwned frees a reservation and the pieces that were made under it.
+func (a *Agent) freeOwned(id string) {
+	a.mu.Lock()
+	ls := a.memory.OwnedBy(id)
+	a.mu.Unlock()
+	for _, l := range ls {
+		a.free(l.ID)
+	}
+}
+
+// serveReserve sets memory aside for a group that spans several engines.
+func (a *Agent) serveReserve(ctx context.Context, s *peer.Stream, m *wire.Reserve) error {
+	ttl := time.Duration(m.TtlMicros) * time.Microsecond
+	err := a.reserve(ctx, m.Id, int(m.Tokens), ttl)
+	f := &wire.Final{Outcome: string(hollowgrade.Finished)}
+	if err != nil {
+		e := fault.As(err, hollowgrade.NotRun)
+		f.Outcome, f.Code, f.Message = string(e.Outcome), string(e.Code), e.Message
+	}
+	return s.Send(&wire.Frame{Body: &wire.Frame_Final{Final: f}})
+}
+
+func (a *Agent) reserve(ctx context.Context, id string, tokens int, ttl time.Duration) error {
+	l := ledger.Lease{ID: id, Owner: id, Kind: hollowgrade.HeldReservation, Tokens: tokens, Expires: a.clock.Now().Add(ttl)}
+	a.mu.Lock()
+	ok := !a.draining && a.engine != nil && a.reachable && a.memory.Grant(l)
+	a.mu.Unlock()
+	if !ok {
+		return fault.New(fault.GroupBusy, "%s has no room for %d tokens now", a.box.Name, tokens)
+	}
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	err := a.engine.Reserve(ctx, id, tokens, ttl)
+	if err == nil {
+		return nil
+	}
+	a.free(id)
+	return fault.New(fault.GroupBusy, "the engine of %s reserved nothing: %v", a.box.Name, err)
+}
+
+// serveRelease frees a reservation or an exported piece.
+func (a *Agent) serveRelease(s *peer.Stream, m *wire.Release) error {
+	if a.engine != nil {
+		a.freeOwned(m.Id)
+	}
+	f := &wire.Final{Outcome: string(hollowgrade.Finished)}
+	a.mu.Lock()
+	a.pump()
+	a.mu.Unlock()
+	return s.Send(&wire.Frame{Body: &wire.Frame_Final{Final: f}})
+}
+
+// sweepLoop compares the ledger with what the engine holds. It is also the
+// probe that finds the engine gone and back, and it adopts nothing: what a
+// former process left behind is an orphan, and is freed.
+func (a *Agent) sweepLoop() {
+	for {
+		if err := a.sweep(); err != nil && a.ctx.Err() == nil {
+			a.log.Warn("engine does not answer", "err", err)
+		}
+		t := a.clock.NewTimer(a.limits.Sweep)
+		select {
+		case <-t.Chan():
+		case <-a.ctx.Done():
+			t.Stop()
+			return
+		}
+	}
+}
+
+func (a *Agent) sweep() (err error) {
+	ctx, cancel := context.WithTimeout(a.ctx, engineTimeout)
+	defer cancel()
+	load, err := a.engine.Load(ctx)
+	if err == nil {
+		var held []hollowgrade.Holding
+		held, err = a.engine.Holdings(ctx)
+		if err == nil {
+			a.reclaim(ctx, load, held)
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if was := a.reachable; was != (err == nil) {
+		a.reachable = err == nil
+		a.notify()
+		a.pump()
+	}
+	return err
+}
+
+// orphanSweeps is how many sweeps in a row must find a holding without a lease
+// before it is freed: a holding can be seen before its lease, or after.
+const orphanSweeps = 2
+
+// reclaim frees what no lease answers for, and what expired leases held.
+func (a *Agent) reclaim(ctx context.Context, l hollowgrade.EngineLoad, held []hollowgrade.Holding) {
+	for _, h := range a.orphans(l, held) {
+		if err := errors.Join(a.engine.Cancel(ctx, h.ID), a.engine.Release(ctx, h.ID)); err != nil {
+			a.log.Warn("orphan not freed", "id", h.ID, "err", err)
+			continue
+		}
+		a.log.Info("orphan freed", "id", h.ID, "kind", h.Kind, "tokens", h.Tokens)
+	}
+}
+
+func (a *Agent) orphans(l hollowgrade.EngineLoad, held []hollowgrade.Holding) (os []hollowgrade.Holding) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.memory.SetTotal(l.TotalTokens)
+	for _, e := range a.memory.Expired(a.clock.Now()) {
+		a.memory.Release(e.ID)
+	}
+	seen := map[string]int{}
+	a.lost = 0
+	for _, h := range a.memory.Orphans(held) {
+		if _, ok := a.jobs[h.ID]; ok {
+			continue
+		}
+		a.lost += h.Tokens
+		seen[h.ID] = a.suspects[h.ID] + 1
+		if seen[h.ID] >= orphanSweeps {
+			os = append(os, h)
+		}
+	}
+	a.suspects = seen
+	return os
+}
+
+// Lost returns how many tokens the engine held at the last sweep that no lease
+// answered for.
+func (a *Agent) Lost() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lost
+}
--- /dev/null
+++ b/agent/service.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/peer"
+)
+
+// runService passes a call on to the plain service and its answer back.
+func (a *Agent) runService(ctx context.Context, j *job) error {
+	if err := a.await(ctx, j); err != nil {
+		return err
+	}
+	defer a.stepDone()
+	defer a.prefilled(a.cost(j))
+	h := j.submit.Head
+	if h == nil {
+		return fault.New(fault.MalformedBody, "the call has no head")
+	}
+	r, err := http.NewRequestWithContext(ctx, h.Method, h.Path, bytes.NewReader(j.body))
+	if err != nil {
+		return fault.New(fault.MalformedBody, "the call cannot be made: %v", err)
+	}
+	for _, v := range h.Headers {
+		r.Header.Add(v.Name, v.Value)
+	}
+	if err = a.mayStart(j); err != nil {
+		return err
+	}
+	if err = a.start(j); err != nil {
+		return err
+	}
+	res, err := a.service.Do(r)
+	if err != nil {
+		return a.serviceError(ctx, err)
+	}
+	defer res.Body.Close()
+	return a.passResponse(ctx, j, res)
+}
+
+func (a *Agent) passResponse(ctx context.Context, j *job, res *http.Response) error {
+	h := &wire.ServiceHead{Status: int32(res.StatusCode)}
+	for n, vs := range res.Header {
+		for _, v := range vs {
+			h.Headers = append(h.Headers, &wire.Header{Name: n, Value: v})
+		}
+	}
+	if err := j.stream.Send(&wire.Frame{Body: &wire.Frame_ServiceHead{ServiceHead: h}}); err != nil {
+		return errCallerGone
+	}
+	b := make([]byte, peer.MaxChunk)
+	for {
+		n, err := res.Body.Read(b)
+		if n > 0 {
+			j.count += n
+			if e := j.stream.Send(peer.Chunk(b[:n], false)); e != nil {
+				return errCallerGone
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return a.serviceError(ctx, err)
+		}
+	}
+}
+
+// serviceError says whether the call ended for our reasons or the service's.
+func (a *Agent) serviceError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
