entry: serves callers, places requests, retries and resumes

The claim on a key comes before every other refusal, since 'not run' may be said of a keyed request only once it is certain that no earlier one has run.

--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,321 @@
+// Package entry is the process that callers talk to. It decides who a request
+// belongs to and what policy binds it, picks an upstream, passes the answer
+// back as it comes, and tries again elsewhere where that does no harm. All it
+// knows of upstreams is a hint; the agents beside them decide.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/config"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/kernel"
+	"github.com/hollowgrade/hollowgrade/ledger"
+	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/retry"
+	"github.com/hollowgrade/hollowgrade/sched"
+)
+
+// Limits bound what an entry takes on.
+type Limits struct {
+	MaxBodyBytes  int64         // of a caller's request
+	BodyTimeout   time.Duration // for a caller to send its body
+	HeaderTimeout time.Duration // for a caller to send its headers
+	MaxRequests   int           // open at once
+	MaxAttempts   int           // for one request
+	RetryRatio    float64       // retries for each first attempt, in the long run
+	RetrySaved    float64       // retries that a budget can save up
+}
+
+// DefaultLimits returns limits that suit a small box.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxBodyBytes:  8 << 20,
+		BodyTimeout:   30 * time.Second,
+		HeaderTimeout: 5 * time.Second,
+		MaxRequests:   8192,
+		MaxAttempts:   4,
+		RetryRatio:    0.1,
+		RetrySaved:    10,
+	}
+}
+
+// Entry serves callers.
+type Entry struct {
+	box         hollowgrade.Box
+	incarnation string
+	limits      Limits
+	clock       hollowgrade.Clock
+	log         *log.Logger
+	listener    net.Listener
+	dial        peer.Dialer
+	agents      func(context.Context) []hollowgrade.Box
+	placement   sched.Placement
+	observe     func(Observation)
+	server      *http.Server
+
+	config atomic.Pointer[config.Config]
+	ctx    context.Context // ends when the entry stops
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	mu       sync.Mutex
+	links    map[string]*link // by peer address
+	order    []*link          // the same, in a fixed order
+	prefixes *sched.Prefixes
+	usage    map[string]*usage // by organisation
+	open     int
+	mintTurn int
+	draining bool
+	idle     chan struct{}
+}
+
+// Observation is one request that has ended, for metrics.
+type Observation struct {
+	Organisation string
+	Kind         string
+	Model        string
+	Service      string
+	Outcome      hollowgrade.Outcome
+	Code         fault.Code
+	PromptTokens int
+	FirstToken   time.Duration // zero if none was sent
+	Ideal        time.Duration // predicted time to first token without any wait, zero for plain services
+	Took         time.Duration
+	Attempts     int
+	Tokens       int
+}
+
+// Option changes an entry as it is made.
+type Option func(*Entry)
+
+// WithClock sets the clock.
+func WithClock(c hollowgrade.Clock) Option {
+	return func(e *Entry) { e.clock = c }
+}
+
+// WithLogger sets the logger.
+func WithLogger(l *log.Logger) Option {
+	return func(e *Entry) { e.log = l }
+}
+
+// WithLimits sets the limits.
+func WithLimits(l Limits) Option {
+	return func(e *Entry) { e.limits = l }
+}
+
+// WithDialer sets how agents are reached.
+func WithDialer(d peer.Dialer) Option {
+	return func(e *Entry) { e.dial = d }
+}
+
+// WithPlacement sets how an upstream is picked.
+func WithPlacement(p sched.Placement) Option {
+	return func(e *Entry) { e.placement = p }
+}
+
+// WithObserver sets who is told of each request that has ended.
+func WithObserver(f func(Observation)) Option {
+	return func(e *Entry) { e.observe = f }
+}
+
+// prefixLimit bounds the memory of the prefix index: about 100 bytes each.
+const prefixLimit = 200_000
+
+// New returns an entry for the box that will serve callers on the listener.
+// Agents returns the agents' boxes as the platform lists them.
+func New(b hollowgrade.Box, incarnation string, l net.Listener, agents func(context.Context) []hollowgrade.Box, os ...Option) *Entry {
+	e := &Entry{
+		box:         b,
+		incarnation: incarnation,
+		limits:      DefaultLimits(),
+		clock:       hollowgrade.SystemClock(),
+		log:         log.Default(),
+		listener:    l,
+		dial:        peer.TCP(),
+		agents:      agents,
+		placement:   sched.NewQuickest(),
+		observe:     func(Observation) {},
+		links:       map[string]*link{},
+		prefixes:    sched.NewPrefixes(prefixLimit),
+		usage:       map[string]*usage{},
+		idle:        make(chan struct{}),
+	}
+	for _, o := range os {
+		o(e)
+	}
+	e.config.Store(&config.Config{})
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.server = &http.Server{Handler: e.router(), ReadHeaderTimeout: e.limits.HeaderTimeout}
+	return e
+}
+
+// SetConfig puts a configuration in force. An older one never replaces a newer
+// one.
+func (e *Entry) SetConfig(c *config.Config) {
+	for {
+		old := e.config.Load()
+		if c.Revision < old.Revision || e.config.CompareAndSwap(old, c) {
+			return
+		}
+	}
+}
+
+// Start implements [kernel.Service].
+func (e *Entry) Start(context.Context, *kernel.Kernel) error {
+	e.group.Go(e.linkLoop)
+	e.group.Go(func() {
+		if err := e.server.Serve(e.listener); err != nil && e.ctx.Err() == nil {
+			e.log.Info("callers' listener closed", "err", err)
+		}
+	})
+	return nil
+}
+
+// Stop implements [kernel.Service]. Requests that are open are finished, for
+// as long as ctx lasts; new ones are refused.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.Drain()
+	var err error
+	select {
+	case <-e.idle:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	e.cancel()
+	if e := e.server.Shutdown(ctx); err == nil {
+		err = e
+	}
+	_ = e.server.Close()
+	e.group.Wait()
+	return err
+}
+
+// Drain makes the entry refuse new requests and report itself not ready, so
+// that the balancer leads elsewhere.
+func (e *Entry) Drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.draining {
+		return
+	}
+	e.draining = true
+	e.checkIdle()
+}
+
+func (e *Entry) checkIdle() {
+	if !e.draining || e.open > 0 {
+		return
+	}
+	select {
+	case <-e.idle:
+	default:
+		close(e.idle)
+	}
+}
+
+// Ready reports whether the balancer should lead callers here, and if not, why.
+func (e *Entry) Ready() (ok bool, why string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.draining:
+		return false, "draining"
+	case e.config.Load().Revision == 0:
+		return false, "no configuration yet"
+	case !e.connected():
+		return false, "no agent is connected"
+	default:
+		return true, ""
+	}
+}
+
+func (e *Entry) connected() bool {
+	for _, l := range e.order {
+		if l.conn != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Complete reports whether the entry is connected to that many agents, and
+// whether each range of idempotency keys has a keeper among them.
+func (e *Entry) Complete(agents int) bool {
+	c := e.config.Load()
+	for n := range ledger.Ranges {
+		if _, ok := c.KeyRanges[ledger.RangeName(n)]; !ok {
+			return false
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, l := range e.order {
+		if l.conn != nil && !l.load.Draining {
+			n++
+		}
+	}
+	return n >= agents
+}
+
+// usage is what an organisation has in flight at this entry.
+type usage struct {
+	requests int
+	tokens   int
+	budget   *retry.Budget
+}
+
+// enter admits a request against the limits of the entry and of the
+// organisation. Leave must be called once it has ended.
+func (e *Entry) enter(r hollowgrade.Request, o config.Organisation) (leave func(), err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.draining {
+		return nil, fault.New(fault.Draining, "entry %s is being stopped", e.box.Name).WithRetryAfter(shortRetry)
+	}
+	if e.open >= e.limits.MaxRequests {
+		return nil, fault.New(fault.Overloaded, "entry %s has %d requests open", e.box.Name, e.open).WithRetryAfter(shortRetry)
+	}
+	u := e.usageOf(o.Name)
+	if o.MaxRequests > 0 && u.requests >= o.MaxRequests {
+		return nil, fault.New(fault.OrganisationLimit, "%s has %d requests in flight here, which is its limit", o.Name, u.requests).WithRetryAfter(shortRetry)
+	}
+	if o.MaxTokens > 0 && u.tokens > 0 && u.tokens+r.Tokens() > o.MaxTokens {
+		return nil, fault.New(fault.OrganisationLimit, "%s has %d tokens in flight here, its limit is %d", o.Name, u.tokens, o.MaxTokens).WithRetryAfter(shortRetry)
+	}
+	u.requests++
+	u.tokens += r.Tokens()
+	u.budget.Deposit()
+	e.open++
+	return func() { e.leave(u, r) }, nil
+}
+
+// shortRetry is when to come back after a refusal that passes quickly.
+const shortRetry = time.Second
+
+func (e *Entry) usageOf(organisation string) *usage {
+	u, ok := e.usage[organisation]
+	if !ok {
+		u = &usage{budget: retry.NewBudget(e.limits.RetryRatio, e.limits.RetrySaved)}
+		e.usage[organisation] = u
+	}
+	return u
+}
+
+func (e *Entry) leave(u *usage, r hollowgrade.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	u.requests--
+	u.tokens -= r.Tokens()
+	e.open--
+	e.checkIdle()
+}
--- /dev/null
+++ b/entry/group.go
@@ -0,0 +1,216 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/peer"
+)
+
+// A prompt that no single engine can hold is spread over a group. The entry
+// reserves memory at each member, all or nothing and always in the order of
+// their addresses, so that two groups never wait for each other in a circle.
+// Then the members prefill one part after another, each attached to the parts
+// before it, and the last one generates the answer. Reservations expire by
+// themselves if the entry dies.
+
+// group is the part of a query that belongs to one member of its group.
+type group struct {
+	reservation string
+	handles     []string
+	holding     bool // the member only prefills its part
+	from, to    int  // bytes of the prompt; to is 0 if there is no group
+}
+
+// part returns the bytes that go to the present member.
+func (g *group) part(body []byte) []byte {
+	if g.to == 0 {
+		return body
+	}
+	return body[g.from:g.to]
+}
+
+func (g *group) fill(m *wire.Submit) {
+	if g.to == 0 {
+		return
+	}
+	m.Reservation = g.reservation
+	m.Handles = g.handles
+	m.HoldOnly = g.holding
+	m.PromptTokens = int64((g.to - g.from) / bytesPerToken)
+	if g.holding {
+		m.MaxTokens = 0
+		m.Prefix = nil
+	}
+}
+
+func (g *group) hold(handle string) {
+	if g.holding && handle != "" {
+		g.handles = append(g.handles, handle)
+	}
+}
+
+// member is one engine of a group.
+type member struct {
+	link   *link
+	conn   *peer.Conn
+	tokens int // reserved there
+	from   int
+	to     int
+}
+
+// defaultGroup is how many engines a prompt may span when the published model
+// does not say.
+const defaultGroup = 4
+
+// needsGroup reports whether the request is too large for each single engine.
+func (e *Entry) needsGroup(r hollowgrade.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	most := 0
+	for _, l := range e.order {
+		if l.serves(r) {
+			most = max(most, l.load.TotalTokens)
+		}
+	}
+	return most > 0 && r.Tokens() > most
+}
+
+func (e *Entry) serveGroup(ctx context.Context, q *query) error {
+	ms, err := e.planGroup(q)
+	if err != nil {
+		return err
+	}
+	id := q.request.ID + ".group"
+	defer e.releaseGroup(ms, id)
+	if err = e.reserveGroup(ctx, q, ms, id); err != nil {
+		return err
+	}
+	defer func() { q.group = group{} }()
+	var handles []string
+	for i, m := range ms {
+		q.group = group{reservation: id, handles: handles, holding: i < len(ms)-1, from: m.from, to: m.to}
+		if err = e.attempt(ctx, m.link, m.conn, q); err != nil {
+			e.judge(m.link, err)
+			return groupFault(err, i)
+		}
+		handles = q.group.handles
+	}
+	return nil
+}
+
+// groupFault corrects the outcome for the parts that earlier members ran.
+func groupFault(err error, before int) error {
+	f := fault.As(err, hollowgrade.Unknown)
+	if before > 0 && f.Outcome == hollowgrade.NotRun {
+		return f.WithOutcome(hollowgrade.Failed)
+	}
+	return f
+}
+
+// planGroup chooses the members with the most room, and cuts the prompt.
+func (e *Entry) planGroup(q *query) (ms []member, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ls, _ := e.candidates(q, nil)
+	ls = slices.DeleteFunc(ls, func(l *link) bool { return l.load.Draining })
+	slices.SortStableFunc(ls, func(a, b *link) int {
+		return cmp.Compare(b.load.TotalTokens-b.load.HeldTokens, a.load.TotalTokens-a.load.HeldTokens)
+	})
+	most := defaultGroup
+	if m := e.config.Load().Models[q.request.Model]; m.MaxGroup > 0 {
+		most = m.MaxGroup
+	}
+	room := 0
+	for _, l := range ls[:min(most, len(ls))] {
+		if room >= q.request.Tokens() {
+			break
+		}
+		ms = append(ms, member{link: l, conn: l.conn})
+		room += l.load.TotalTokens
+	}
+	if room < q.request.Tokens() {
+		return nil, fault.New(fault.PromptTooLong, "%d tokens do not fit into the %d that %d engines hold", q.request.Tokens(), room, len(ms))
+	}
+	slices.SortFunc(ms, func(a, b member) int { return strings.Compare(a.link.box.Peer, b.link.box.Peer) })
+	cut(ms, len(q.body), q.request.MaxTokens)
+	return ms, nil
+}
+
+// cut shares the prompt out in parts of whole blocks in proportion to the
+// members' memory. The last member takes the answer too.
+func cut(ms []member, bytes, answer int) {
+	total := 0
+	for _, m := range ms {
+		total += m.link.load.TotalTokens
+	}
+	tokens := bytes/bytesPerToken + 1 + answer
+	from := 0
+	for i := range ms {
+		m := &ms[i]
+		share := tokens * m.link.load.TotalTokens / total
+		m.from, m.to = from, min(from+share/cutBlock*cutBlock*bytesPerToken, bytes)
+		m.tokens = (m.to - m.from) / bytesPerToken
+		if i == len(ms)-1 {
+			m.to = bytes
+			m.tokens = (bytes-m.from)/bytesPerToken + 1 + answer
+		}
+		from = m.to
+	}
+}
+
+// cutBlock is the unit, in tokens, at which a prompt is cut.
+const cutBlock = 1024
+
+// reserveGroup reserves at each member in turn.
+func (e *Entry) reserveGroup(ctx context.Context, q *query, ms []member, id string) error {
+	ttl := q.request.Remaining(e.clock.Now()) + time.Second
+	for _, m := range ms {
+		f := &wire.Frame{Body: &wire.Frame_Reserve{Reserve: &wire.Reserve{
+			Id:        id,
+			Tokens:    int64(m.tokens),
+			TtlMicros: ttl.Microseconds(),
+		}}}
+		r, err := e.ask(ctx, m.conn, f)
+		if ctx.Err() != nil {
+			return fault.New(fault.GroupBusy, "the group of %d engines did not come free in time", len(ms)).WithRetryAfter(shortRetry)
+		}
+		if err != nil || r.GetFinal().GetOutcome() != string(hollowgrade.Finished) {
+			return fault.New(fault.GroupBusy, "agent %s reserved nothing: %s", m.link.box.Name, r.GetFinal().GetMessage()).WithRetryAfter(shortRetry)
+		}
+	}
+	return nil
+}
+
+const releaseTimeout = 2 * time.Second
+
+// releaseGroup frees what was reserved. Where that fails, the reservation
+// expires.
+func (e *Entry) releaseGroup(ms []member, id string) {
+	ctx, cancel := context.WithTimeout(e.ctx, releaseTimeout)
+	defer cancel()
+	for _, m := range ms {
+		f := &wire.Frame{Body: &wire.Frame_Release{Release: &wire.Release{Id: id}}}
+		if _, err := e.ask(ctx, m.conn, f); err != nil {
+			e.log.Debug("reservation left to expire", "agent", m.link.box.Name, "err", err)
+		}
+	}
+}
+
+// ask sends one frame and returns the answer.
+func (e *Entry) ask(ctx context.Context, c *peer.Conn, f *wire.Frame) (*wire.Frame, error) {
+	s, err := c.Open(f)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Abort()
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	return s.Receive()
+}
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,255 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/config"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/policy"
+)
+
+// The headers that callers send.
+const (
+	AllowedHeader = "Hollowgrade-Allowed"
+	KindHeader    = "Hollowgrade-Kind"
+	EventHeader   = "Hollowgrade-Event"
+	KeyHeader     = "Idempotency-Key"
+)
+
+// The headers that callers receive.
+const (
+	RequestHeader  = "X-Request-Id"
+	RevisionHeader = "Hollowgrade-Revision"
+	ReplayHeader   = "Hollowgrade-Replayed"
+)
+
+// The paths that the entry serves.
+const (
+	CompletionsPath = "/v1/completions"
+	ChatPath        = "/v1/chat/completions"
+	KeysPath        = "/v1/keys"
+	ServicesPath    = "/services/"
+	ReadyPath       = "/healthz/ready"
+)
+
+const (
+	maxNameBytes  = 64  // of kind and event
+	maxKeyBytes   = 256 // of an idempotency key
+	bytesPerToken = 4   // rule of thumb until the engine has tokenised a prompt
+)
+
+func (e *Entry) router() http.Handler {
+	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	r.HandleFunc(CompletionsPath, e.handle(e.completion)).Methods(http.MethodPost)
+	r.HandleFunc(ChatPath, e.handle(e.chat)).Methods(http.MethodPost)
+	r.HandleFunc(KeysPath, e.handle(e.mintKey)).Methods(http.MethodPost)
+	r.PathPrefix(ServicesPath + "{name}").HandlerFunc(e.handle(e.callService))
+	r.HandleFunc(ReadyPath, e.serveReady)
+	none := e.handle(func(http.ResponseWriter, *http.Request, caller) error {
+		return fault.New(fault.NoSuchPath, "there is no such path or method")
+	})
+	r.NotFoundHandler, r.MethodNotAllowedHandler = none, none
+	return r
+}
+
+// serveReady answers the platform's balancer, which sees only this listener.
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if ok, why := e.Ready(); !ok {
+		http.Error(w, why, http.StatusServiceUnavailable)
+	}
+}
+
+// caller is what is known of who sends a request.
+type caller struct {
+	id           string // of the request
+	organisation config.Organisation
+	config       *config.Config
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, c caller) error
+
+// handle authenticates the caller and turns errors into answers.
+func (e *Entry) handle(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := caller{id: uuid.NewString(), config: e.config.Load()}
+		w.Header().Set(RequestHeader, c.id)
+		w.Header().Set(RevisionHeader, strconv.FormatInt(c.config.Revision, 10))
+		err := e.authenticate(r, &c)
+		if err == nil {
+			err = h(w, r, c)
+		}
+		if err != nil {
+			e.refuse(w, c.id, err)
+		}
+	}
+}
+
+// authenticate finds the organisation by the bearer key alone: what a caller
+// says of itself in other headers counts for nothing.
+func (e *Entry) authenticate(r *http.Request, c *caller) error {
+	if c.config.Revision == 0 {
+		return fault.New(fault.NoConfiguration, "entry %s has no configuration yet", e.box.Name).WithRetryAfter(shortRetry)
+	}
+	k, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || k == "" {
+		return fault.New(fault.NoKey, "send the header Authorization: Bearer KEY")
+	}
+	c.organisation, ok = c.config.Authenticate(k)
+	if !ok {
+		return fault.New(fault.WrongKey, "the bearer key belongs to no organisation")
+	}
+	return nil
+}
+
+// ErrorBody is the JSON object that tells a caller of a refusal or a failure.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail is the content of an [ErrorBody].
+type ErrorDetail struct {
+	Message    string              `json:"message"`
+	Code       fault.Code          `json:"code"`
+	Outcome    hollowgrade.Outcome `json:"outcome"`
+	RequestID  string              `json:"request_id"`
+	RetryAfter float64             `json:"retry_after,omitempty"` // seconds
+}
+
+func errorBody(id string, f *fault.Error) ErrorBody {
+	return ErrorBody{Error: ErrorDetail{
+		Message:    f.Message,
+		Code:       f.Code,
+		Outcome:    f.Outcome,
+		RequestID:  id,
+		RetryAfter: f.RetryAfter.Seconds(),
+	}}
+}
+
+// refuse sends an error before any byte of an answer has been sent.
+func (e *Entry) refuse(w http.ResponseWriter, id string, err error) {
+	f := fault.As(err, hollowgrade.Unknown)
+	if f.Code == fault.Internal {
+		e.log.Error("internal error", "request", id, "err", err)
+	}
+	if f.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(f.Status())
+	_ = json.NewEncoder(w).Encode(errorBody(id, f))
+}
+
+// readBody reads the whole body of a caller, within limits of size and time.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) (b []byte, err error) {
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(time.Now().Add(e.limits.BodyTimeout))
+	b, err = io.ReadAll(http.MaxBytesReader(w, r.Body, e.limits.MaxBodyBytes))
+	_ = c.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return b, nil
+	case errors.As(err, &tooLarge):
+		return nil, fault.New(fault.BodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, fault.New(fault.SlowBody, "the body had not arrived after %s", e.limits.BodyTimeout)
+	default:
+		return nil, fault.New(fault.CallerGone, "the body broke off").WithOutcome(hollowgrade.NotRun)
+	}
+}
+
+// decide applies the organisation's policy and what the caller asks for by
+// headers.
+func (e *Entry) decide(r *http.Request, c caller, q hollowgrade.Request) (hollowgrade.Request, error) {
+	p := c.config.PolicyFor(c.organisation)
+	if p == nil {
+		return q, fault.New(fault.NoConfiguration, "no policy is published").WithRetryAfter(shortRetry)
+	}
+	q.ID, q.Organisation = c.id, c.organisation.Name
+	q.Kind, q.Event, q.Key = r.Header.Get(KindHeader), r.Header.Get(EventHeader), r.Header.Get(KeyHeader)
+	if err := checkHeaders(q); err != nil {
+		return q, err
+	}
+	now := e.clock.Now()
+	d, err := p.Decide(policy.Input{
+		Organisation: q.Organisation,
+		Event:        q.Event,
+		Phase:        phase(c.config, q.Event, now),
+		Kind:         q.Kind,
+		Model:        q.Model,
+		Service:      q.Service,
+		Method:       r.Method,
+		PromptTokens: q.PromptTokens,
+		MaxTokens:    q.MaxTokens,
+	})
+	if err != nil {
+		return q, fmt.Errorf("decide: %w", err)
+	}
+	if d.Allowed, err = allowed(r, d.Allowed); err != nil {
+		return q, err
+	}
+	if !d.Repeatable && q.Key == "" {
+		return q, fault.New(fault.KeyNeeded, "a request of this kind may not be repeated and needs the header %s", KeyHeader)
+	}
+	if d.Repeatable {
+		q.Key = ""
+	}
+	return q.WithDecision(d, now), nil
+}
+
+func phase(c *config.Config, event string, now time.Time) policy.Phase {
+	v, ok := c.Events[event]
+	if !ok {
+		return policy.NoEvent
+	}
+	return v.Phase(now)
+}
+
+func checkHeaders(q hollowgrade.Request) error {
+	if !printable(q.Kind, maxNameBytes) {
+		return fault.New(fault.BadHeader, "%s must be at most %d printable characters", KindHeader, maxNameBytes)
+	}
+	if !printable(q.Event, maxNameBytes) {
+		return fault.New(fault.BadHeader, "%s must be at most %d printable characters", EventHeader, maxNameBytes)
+	}
+	if !printable(q.Key, maxKeyBytes) {
+		return fault.New(fault.BadHeader, "%s must be at most %d printable characters", KeyHeader, maxKeyBytes)
+	}
+	return nil
+}
+
+func printable(s string, limit int) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c > '~' {
+			return false
+		}
+	}
+	return len(s) <= limit
+}
+
+// allowed returns the allowed time: what the caller asks for, but never more
+// than the policy gives.
+func allowed(r *http.Request, most time.Duration) (time.Duration, error) {
+	h := r.Header.Get(AllowedHeader)
+	if h == "" {
+		return most, nil
+	}
+	d, err := time.ParseDuration(h)
+	if err != nil || d <= 0 {
+		return 0, fault.New(fault.BadHeader, "%s is %q, it must be a positive duration such as 1500ms or 30s", AllowedHeader, h)
+	}
+	return min(d, most), nil
+}
--- /dev/null
+++ b/entry/link.go
@@ -0,0 +1,222 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/retry"
+	"github.com/hollowgrade/hollowgrade/sched"
+)
+
+const (
+	listEvery        = time.Second     // between two looks at the list of boxes
+	dialTimeout      = 2 * time.Second // for a connection to an agent
+	maxDialWait      = 5 * time.Second // between two tries
+	silence          = 3 * time.Second // after this without a heartbeat the agent is given up
+	breakerThreshold = 3
+	breakerCooldown  = 2 * time.Second
+	hallDistance     = 1500 * time.Microsecond // assumed one way between two data halls
+)
+
+// link is the connection to one agent, with what it last said of itself. The
+// entry's lock guards it.
+type link struct {
+	box     hollowgrade.Box
+	cancel  context.CancelFunc
+	conn    *peer.Conn // nil while there is none
+	status  *wire.Status
+	load    sched.Load
+	sent    map[string]sentWork // own work that no report covers yet, by request
+	breaker *retry.Breaker
+	budget  *retry.Budget
+}
+
+type sentWork struct {
+	tokens int
+	at     time.Time
+}
+
+// linkLoop keeps one link for each agent on the list. An agent that leaves the
+// list keeps its link while its connection lives: the list lags both ways, and
+// the agent itself says when it is draining.
+func (e *Entry) linkLoop() {
+	for e.ctx.Err() == nil {
+		e.syncLinks(e.agents(e.ctx))
+		t := e.clock.NewTimer(listEvery)
+		select {
+		case <-t.Chan():
+		case <-e.ctx.Done():
+			t.Stop()
+		}
+	}
+	e.syncLinks(nil)
+}
+
+func (e *Entry) syncLinks(bs []hollowgrade.Box) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	listed := map[string]bool{}
+	for _, b := range bs {
+		listed[b.Peer] = true
+		if _, ok := e.links[b.Peer]; !ok && b.State != hollowgrade.BoxLeaving {
+			e.addLink(b)
+		}
+	}
+	for a, l := range e.links {
+		if !listed[a] && (l.conn == nil || e.ctx.Err() != nil) {
+			l.cancel()
+			delete(e.links, a)
+			e.order = slices.DeleteFunc(e.order, func(o *link) bool { return o == l })
+		}
+	}
+}
+
+func (e *Entry) addLink(b hollowgrade.Box) {
+	ctx, cancel := context.WithCancel(e.ctx)
+	l := &link{
+		box:     b,
+		cancel:  cancel,
+		sent:    map[string]sentWork{},
+		breaker: retry.NewBreaker(breakerThreshold, breakerCooldown),
+		budget:  retry.NewBudget(e.limits.RetryRatio, e.limits.RetrySaved),
+	}
+	if b.Hall != e.box.Hall {
+		l.load.Distance = hallDistance
+	}
+	e.links[b.Peer] = l
+	e.order = append(e.order, l)
+	slices.SortFunc(e.order, func(a, b *link) int { return strings.Compare(a.box.Peer, b.box.Peer) })
+	e.group.Go(func() { e.keepLink(ctx, l) })
+}
+
+// keepLink connects again and again until ctx ends.
+func (e *Entry) keepLink(ctx context.Context, l *link) {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 50 * time.Millisecond
+	b.MaxInterval = maxDialWait
+	for ctx.Err() == nil {
+		if e.useLink(ctx, l) {
+			b.Reset()
+		}
+		t := e.clock.NewTimer(b.NextBackOff())
+		select {
+		case <-t.Chan():
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+}
+
+// useLink holds one connection until it ends, and reports whether it ever
+// stood.
+func (e *Entry) useLink(ctx context.Context, l *link) (stood bool) {
+	d, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := peer.Dial(d, e.dial, l.box.Peer)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	hello := &wire.Hello{Box: e.box.Name, Incarnation: e.incarnation, Hall: e.box.Hall}
+	s, err := c.Open(&wire.Frame{Body: &wire.Frame_Hello{Hello: hello}})
+	if err != nil {
+		return false
+	}
+	defer s.Abort()
+	defer e.lost(l)
+	return e.readStatus(ctx, l, c, s)
+}
+
+// readStatus takes in reports until the connection ends or falls silent.
+func (e *Entry) readStatus(ctx context.Context, l *link, c *peer.Conn, s *peer.Stream) (stood bool) {
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	quiet := e.clock.AfterFunc(silence, func() { _ = c.Close() })
+	defer quiet.Stop()
+	for {
+		f, err := s.Receive()
+		if err != nil || f.GetStatus() == nil {
+			return stood
+		}
+		quiet.Reset(silence)
+		e.reported(l, c, f.GetStatus())
+		stood = true
+	}
+}
+
+func (e *Entry) reported(l *link, c *peer.Conn, m *wire.Status) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if l.status != nil && l.status.Incarnation != m.Incarnation {
+		e.prefixes.Forget(l.box.Name)
+	}
+	l.conn, l.status = c, m
+	l.box.Name, l.box.Hall = m.Box, m.Hall
+	now := e.clock.Now()
+	for id, w := range l.sent {
+		// What was sent a round trip before the report is in the report.
+		if now.Sub(w.at) > 2*l.load.Distance+minRoundTrip {
+			delete(l.sent, id)
+		}
+	}
+	l.load.Queued = [hollowgrade.Classes]int{int(m.InstantQueuedTokens), int(m.NormalQueuedTokens), int(m.QueuedTokens)}
+	l.load.QueuedItems = int(m.Queued)
+	l.load.Running = int(m.Running)
+	l.load.HeldTokens = int(m.HeldTokens)
+	l.load.TotalTokens = int(m.TotalTokens)
+	l.load.PrefillRate = m.PrefillRate
+	l.load.Step = time.Duration(m.StepMicros) * time.Microsecond
+	l.load.Draining = m.Draining
+	l.count()
+}
+
+const minRoundTrip = 5 * time.Millisecond
+
+func (e *Entry) lost(l *link) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l.conn, l.status = nil, nil
+	clear(l.sent)
+	l.count()
+}
+
+// count sums up the work that no report covers.
+func (l *link) count() {
+	l.load.Sent, l.load.SentItems = 0, len(l.sent)
+	for _, w := range l.sent {
+		l.load.Sent += w.tokens
+	}
+}
+
+// note adds own work to the link's load, until a report covers it.
+func (l *link) note(id string, tokens int, now time.Time) {
+	l.sent[id] = sentWork{tokens: tokens, at: now}
+	l.count()
+}
+
+// settled takes own work out of the load again.
+func (e *Entry) settled(l *link, id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := l.sent[id]; ok {
+		delete(l.sent, id)
+		l.count()
+	}
+}
+
+func (l *link) serves(r hollowgrade.Request) bool {
+	if l.conn == nil || l.status == nil {
+		return false
+	}
+	if r.Service != "" {
+		return l.status.Service == r.Service
+	}
+	return slices.Contains(l.status.Models, r.Model)
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,262 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/config"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/sched"
+)
+
+// serve brings a request to its end, whatever that is. It returns within the
+// allowed time, and at once when nothing more can be done.
+func (e *Entry) serve(ctx context.Context, q *query, o config.Organisation) (err error) {
+	if q.request.Key != "" {
+		// What runs under a key goes on without its caller, so that the keeper
+		// learns how it ended and can tell when the key comes again.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, stop := clockwork.WithDeadline(ctx, e.clock, q.request.Deadline)
+	defer stop()
+	defer func() { e.ended(q, err) }()
+	if q.request.Key != "" {
+		var replayed bool
+		if replayed, err = e.claimKey(ctx, q); err != nil || replayed {
+			return err
+		}
+		defer func() { e.settleKey(q, err) }()
+	}
+	leave, err := e.enter(q.request, o)
+	if err != nil {
+		return err
+	}
+	defer leave()
+	err = e.tryAll(ctx, q)
+	return err
+}
+
+// tryAll makes attempts until one ends the request.
+func (e *Entry) tryAll(ctx context.Context, q *query) error {
+	worst := hollowgrade.NotRun
+	tried := map[*link]bool{}
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = 20 * time.Millisecond
+	wait.MaxInterval = time.Second
+	for n := 1; ; n++ {
+		q.request = q.request.WithAttempt(n)
+		l, err := e.attemptOnce(ctx, q, tried)
+		if err == nil {
+			return nil
+		}
+		f := fault.As(err, hollowgrade.Unknown)
+		worst = worst.Worse(f.Outcome)
+		f = f.WithOutcome(worst)
+		if l == nil || n >= e.limits.MaxAttempts || !mayRetry(q, f) {
+			return f
+		}
+		tried[l] = true
+		if !e.spend(q, l) {
+			return spent(f)
+		}
+		if f.Outcome == hollowgrade.NotRun {
+			continue // another upstream can take it now
+		}
+		if !e.sleep(ctx, q, wait.NextBackOff()) {
+			return f
+		}
+	}
+}
+
+// attemptOnce places the request and makes one attempt. The link is nil when
+// no upstream was asked.
+func (e *Entry) attemptOnce(ctx context.Context, q *query, tried map[*link]bool) (l *link, err error) {
+	if q.request.Service == "" && e.needsGroup(q.request) {
+		return nil, e.serveGroup(ctx, q)
+	}
+	l, c, err := e.place(q, tried)
+	if err != nil {
+		return nil, err
+	}
+	err = e.attempt(ctx, l, c, q)
+	e.settled(l, q.request.ID)
+	e.judge(l, err)
+	return l, err
+}
+
+// judge tells the link's breaker how an attempt went.
+func (e *Entry) judge(l *link, err error) {
+	var f *fault.Error
+	switch {
+	case err == nil:
+		l.breaker.Succeed()
+	case errors.As(err, &f) && (f.Code == fault.UpstreamLost || f.Code == fault.AnswerCut):
+		l.breaker.Fail(e.clock.Now())
+	}
+}
+
+// mayRetry reports whether another attempt could help and does no harm. What
+// did not run may always be tried elsewhere; what ran, or may have, only if the
+// policy says that a second run does no harm, and if what the caller has so far
+// can be gone on from.
+func mayRetry(q *query, f *fault.Error) bool {
+	switch f.Code {
+	case fault.UpstreamLost, fault.AnswerCut, fault.Overloaded, fault.Draining, fault.MayNotWait:
+	default:
+		return false
+	}
+	if f.Outcome == hollowgrade.NotRun {
+		return true
+	}
+	return q.request.Decision.Repeatable && !q.began
+}
+
+// spend takes a retry out of the budgets of the organisation and the upstream.
+func (e *Entry) spend(q *query, l *link) bool {
+	e.mu.Lock()
+	u := e.usageOf(q.request.Organisation)
+	e.mu.Unlock()
+	if !u.budget.Spend() {
+		return false
+	}
+	if !l.budget.Spend() {
+		u.budget.Refund()
+		return false
+	}
+	return true
+}
+
+func spent(f *fault.Error) error {
+	return fault.New(fault.RetriesSpent, "%s; not tried again: the retry budget is spent", f.Message).
+		WithOutcome(f.Outcome).WithRetryAfter(shortRetry)
+}
+
+// sleep waits before the next attempt. It returns false when that would go
+// beyond the deadline.
+func (e *Entry) sleep(ctx context.Context, q *query, d time.Duration) bool {
+	if q.request.Remaining(e.clock.Now()) <= d {
+		return false
+	}
+	t := e.clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// place picks an agent, and refuses the request at once if none could answer
+// in time. Agents that were tried are left out.
+func (e *Entry) place(q *query, tried map[*link]bool) (*link, *peer.Conn, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ls, loads := e.candidates(q, tried)
+	if len(ls) == 0 {
+		return nil, nil, noUpstream(q.request, len(tried))
+	}
+	w := work(q.request)
+	i := e.placement.Pick(w, loads)
+	if i < 0 {
+		return nil, nil, fault.New(fault.NoUpstream, "each upstream for %s is leaving or cut off", target(q.request)).WithRetryAfter(shortRetry)
+	}
+	if err := e.foresee(q, loads[i], w); err != nil {
+		return nil, nil, err
+	}
+	l := ls[i]
+	now := e.clock.Now()
+	l.breaker.Allow(now)
+	l.note(q.request.ID, max(w.PromptTokens-l.load.CachedTokens, 1), now)
+	l.budget.Deposit()
+	e.prefixes.Note(q.prefixes, l.box.Name)
+	return l, l.conn, nil
+}
+
+func work(r hollowgrade.Request) sched.Work {
+	return sched.Work{Class: r.Decision.Class, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens}
+}
+
+func target(r hollowgrade.Request) string {
+	if r.Service != "" {
+		return "service " + r.Service
+	}
+	return "model " + r.Model
+}
+
+func noUpstream(r hollowgrade.Request, tried int) error {
+	if tried > 0 {
+		return fault.New(fault.Overloaded, "each of the %d upstreams for %s refused", tried, target(r)).WithRetryAfter(shortRetry)
+	}
+	return fault.New(fault.NoUpstream, "no upstream for %s is connected", target(r)).WithRetryAfter(shortRetry)
+}
+
+// candidates returns the agents that serve the request, with their loads.
+func (e *Entry) candidates(q *query, tried map[*link]bool) (ls []*link, loads []*sched.Load) {
+	now := e.clock.Now()
+	for _, l := range e.order {
+		if tried[l] || !l.serves(q.request) {
+			continue
+		}
+		l.load.Suspect = l.breaker.Open(now)
+		l.load.CachedTokens = e.prefixes.Cached(q.prefixes, l.box.Name) / bytesPerToken
+		ls = append(ls, l)
+		loads = append(loads, &l.load)
+	}
+	return ls, loads
+}
+
+// foresee refuses what cannot end in time by the best that is known.
+func (e *Entry) foresee(q *query, l *sched.Load, w sched.Work) error {
+	if q.request.Service != "" {
+		return nil
+	}
+	w.MaxTokens -= len(q.tokens)
+	p := sched.Predict(l, w)
+	if q.ideal == 0 {
+		q.ideal = p.First - p.Wait
+	}
+	left := q.request.Remaining(e.clock.Now())
+	if p.Total <= left {
+		return nil
+	}
+	f := fault.New(fault.CannotMakeIt, "the answer would take %s at the best upstream, allowed are %s",
+		p.Total.Round(time.Millisecond), left.Round(time.Millisecond))
+	if p.Wait > 0 && p.Total-p.Wait <= left {
+		f = f.WithRetryAfter(max(p.Total-left, shortestRetry))
+	}
+	return f
+}
+
+const shortestRetry = 100 * time.Millisecond
+
+// ended logs and counts a request.
+func (e *Entry) ended(q *query, err error) {
+	o := Observation{
+		Organisation: q.request.Organisation,
+		Kind:         q.request.Kind,
+		Model:        q.request.Model,
+		Service:      q.request.Service,
+		Outcome:      hollowgrade.Finished,
+		PromptTokens: q.request.PromptTokens,
+		FirstToken:   q.first,
+		Ideal:        q.ideal,
+		Took:         e.clock.Since(q.arrived),
+		Attempts:     q.request.Attempt,
+		Tokens:       len(q.tokens),
+	}
+	if err != nil {
+		f := fault.As(err, hollowgrade.Unknown)
+		o.Outcome, o.Code = f.Outcome, f.Code
+	}
+	e.log.Info("request ended",
+		"request", q.request.ID, "organisation", o.Organisation, "kind", o.Kind, "outcome", o.Outcome, "code", o.Code,
+		"attempts", o.Attempts, "tokens", o.Tokens, "first_token_ms", o.FirstToken.Milliseconds(), "took_ms", o.Took.Milliseconds())
+	e.observe(o)
+}
--- /dev/null
+++ b/entry/services.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// ownHeaders are for the entry and not for the service behind it. A bearer key
+// must never leave it.
+var ownHeaders = []string{"Authorization", "Content-Length", "Host"}
+
+// callService serves a call to a plain service.
+func (e *Entry) callService(w http.ResponseWriter, r *http.Request, c caller) error {
+	n := mux.Vars(r)["name"]
+	if _, ok := c.config.Services[n]; !ok {
+		return fault.New(fault.UnknownService, "there is no service %q", n)
+	}
+	b, err := e.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	q := &query{body: b, arrived: e.clock.Now(), head: head(r, n, c)}
+	q.request, err = e.decide(r, c, hollowgrade.Request{Service: n})
+	if err != nil {
+		return err
+	}
+	s := &passage{w: w}
+	q.sink = s
+	err = e.serve(r.Context(), q, c.organisation)
+	if err != nil && s.began {
+		// The status has been sent. Only breaking the connection tells the
+		// caller that the body is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	return err
+}
+
+// head makes the head of the call as the service will see it.
+func head(r *http.Request, service string, c caller) *wire.ServiceHead {
+	p := strings.TrimPrefix(r.URL.EscapedPath(), ServicesPath+service)
+	if !strings.HasPrefix(p, "/") {
+		p = "/" + p
+	}
+	if r.URL.RawQuery != "" {
+		p += "?" + r.URL.RawQuery
+	}
+	h := &wire.ServiceHead{Method: r.Method, Path: p}
+	drop := dropped(r.Header)
+	for n, vs := range r.Header {
+		if slices.Contains(drop, n) || slices.Contains(ownHeaders, n) {
+			continue
+		}
+		for _, v := range vs {
+			h.Headers = append(h.Headers, &wire.Header{Name: n, Value: v})
+		}
+	}
+	h.Headers = append(h.Headers,
+		&wire.Header{Name: RequestHeader, Value: c.id},
+		&wire.Header{Name: "Hollowgrade-Organisation", Value: c.organisation.Name})
+	return h
+}
+
+// dropped lists the headers that end at this connection: the customary ones
+// and those that the Connection header names.
+func dropped(h http.Header) []string {
+	ns := slices.Clone(hopHeaders)
+	ns = append(ns, RequestHeader, "Hollowgrade-Organisation")
+	for _, v := range h.Values("Connection") {
+		for n := range strings.SplitSeq(v, ",") {
+			ns = append(ns, http.CanonicalHeaderKey(strings.TrimSpace(n)))
+		}
+	}
+	return ns
+}
+
+// passage is the sink of a plain service's answer.
+type passage struct {
+	w     http.ResponseWriter
+	began bool
+}
+
+// Token implements [sink].
+func (p *passage) Token(int, string) error {
+	return nil
+}
+
+// Head implements [sink].
+func (p *passage) Head(h *wire.ServiceHead) error {
+	from := http.Header{}
+	for _, v := range h.Headers {
+		from.Add(v.Name, v.Value)
+	}
+	drop := dropped(from)
+	for n, vs := range from {
+		if !slices.Contains(drop, n) {
+			p.w.Header()[n] = vs
+		}
+	}
+	p.began = true
+	p.w.WriteHeader(int(h.Status))
+	return nil
+}
+
+// Data implements [sink].
+func (p *passage) Data(b []byte) error {
+	if _, err := p.w.Write(b); err != nil {
+		return err
+	}
+	return http.NewResponseController(p.w).Flush()
+}
