--- /dev/null
+++ b/cmd/hollowgrade/main.go
@@ -0,0 +1,13 @@
+// Command hollowgrade is the serving layer: entry, agent and the operators'
+// tools in one binary. See the README and 'hollowgrade --help'.
+package main
+
+import (
+	"os"
+
+	"github.com/hollowgrade/hollowgrade/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,93 @@
+// Package cli is the command line of hollowgrade.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/setting"
+)
+
+// The exit codes. docs/operators/command-line.md lists them.
+const (
+	exitOK      = 0
+	exitFailure = 1 // the command ran and failed
+	exitUsage   = 2 // arguments, settings or a published item are wrong
+	exitLost    = 3 // somebody else published first
+	exitUnknown = 4 // it is not known whether the change was published
+)
+
+// commands lists all commands.
+type commands struct {
+	Entry   entryCommand   `cmd:"" help:"Serve callers."`
+	Agent   agentCommand   `cmd:"" help:"Serve entries beside one upstream."`
+	Config  configCommand  `cmd:"" help:"Check settings; publish and look at the configuration."`
+	Policy  policyCommand  `cmd:"" help:"Check, compare, publish and show policies."`
+	Event   eventCommand   `cmd:"" help:"Create, list and show events."`
+	Report  reportCommand  `cmd:"" help:"Report on service levels, from the boxes' own records."`
+	Explain explainCommand `cmd:"" help:"Explain a code or a setting."`
+	Load    loadCommand    `cmd:"" help:"Send a load to running entries."`
+	Demo    demoCommand    `cmd:"" help:"Run one event with all roles and stand-ins in one process."`
+}
+
+// streams is where a command writes.
+type streams struct {
+	out, err io.Writer
+}
+
+// Run runs the command line and returns the exit code.
+func Run(args []string, out, messages io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	code := exitOK
+	exited := false
+	k, err := kong.New(&commands{},
+		kong.Name("hollowgrade"),
+		kong.Description("A serving layer for events with a fixed start."),
+		kong.DefaultEnvars(setting.EnvPrefix),
+		kong.Writers(out, messages),
+		kong.Exit(func(c int) { code, exited = c, true }),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(&streams{out: out, err: messages}))
+	if err != nil {
+		fmt.Fprintln(messages, "hollowgrade:", err)
+		return exitUsage
+	}
+	c, err := k.Parse(args)
+	if exited {
+		return code
+	}
+	if err != nil {
+		fmt.Fprintln(messages, "hollowgrade:", err)
+		return exitUsage
+	}
+	if err = c.Run(); err != nil {
+		fmt.Fprintln(messages, "hollowgrade:", err)
+		return exitCode(err)
+	}
+	return exitOK
+}
+
+func exitCode(err error) int {
+	var f *fault.Error
+	if !errors.As(err, &f) {
+		return exitFailure
+	}
+	switch f.Code {
+	case fault.BadSetting, fault.BadPolicy:
+		return exitUsage
+	case fault.LostRace:
+		return exitLost
+	case fault.PublishUnknown:
+		return exitUnknown
+	default:
+		return exitFailure
+	}
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,289 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/entry"
+	"github.com/hollowgrade/hollowgrade/internal/standin"
+	"github.com/hollowgrade/hollowgrade/measure"
+)
+
+// Result is what became of one planned request, as its caller saw it.
+type Result struct {
+	Request    Request
+	Outcome    hollowgrade.Outcome
+	Code       string
+	Status     int
+	FirstToken time.Duration
+	Took       time.Duration
+	Tokens     int
+	Wrong      string // why the answer is not the whole answer to this request
+	RequestID  string
+}
+
+// Runner sends plans.
+type Runner struct {
+	entries []string // base URLs, taken in turn as a balancer would
+	verify  bool
+	client  *http.Client
+	turn    atomic.Uint64
+
+	// Progress is called now and then with the number of requests that were
+	// sent and that have ended.
+	Progress func(sent, ended int)
+}
+
+const idleConns = 4096
+
+// NewRunner returns a runner. With verify, each answer is compared with the one
+// that the stand-in engine gives.
+func NewRunner(entries []string, verify bool) *Runner {
+	t := &http.Transport{MaxIdleConns: idleConns, MaxIdleConnsPerHost: idleConns, DisableCompression: true}
+	return &Runner{entries: entries, verify: verify, client: &http.Client{Transport: t}, Progress: func(int, int) {}}
+}
+
+const progressEvery = 2 * time.Second
+
+// Run sends the plan and returns a result for each of its requests.
+func (r *Runner) Run(ctx context.Context, p Plan) []Result {
+	results := make([]Result, len(p.Requests))
+	var sent, ended atomic.Int64
+	var g sync.WaitGroup
+	began := time.Now()
+	stop := make(chan struct{})
+	go r.report(stop, &sent, &ended)
+	for i, q := range p.Requests {
+		if !sleepUntil(ctx, began.Add(q.At)) {
+			results[i] = Result{Request: q, Outcome: hollowgrade.NotRun, Code: "not sent"}
+			continue
+		}
+		sent.Add(1)
+		g.Go(func() {
+			results[i] = r.send(ctx, q, p.Event)
+			ended.Add(1)
+		})
+	}
+	g.Wait()
+	close(stop)
+	return results
+}
+
+func (r *Runner) report(stop <-chan struct{}, sent, ended *atomic.Int64) {
+	t := time.NewTicker(progressEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+			r.Progress(int(sent.Load()), int(ended.Load()))
+		}
+	}
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	w := time.NewTimer(time.Until(t))
+	defer w.Stop()
+	select {
+	case <-w.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+type completionCall struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+func (r *Runner) send(ctx context.Context, q Request, event string) (s Result) {
+	s.Request = q
+	began := time.Now()
+	defer func() { s.Took = time.Since(began) }()
+	h, prompt, err := r.call(ctx, q, event)
+	if err != nil {
+		s.Outcome, s.Code = hollowgrade.NotRun, err.Error()
+		return s
+	}
+	began = time.Now()
+	res, err := r.client.Do(h)
+	if err != nil {
+		s.Outcome, s.Code = hollowgrade.Unknown, "connection: "+reason(err)
+		return s
+	}
+	defer res.Body.Close()
+	s.Status, s.RequestID = res.StatusCode, res.Header.Get(entry.RequestHeader)
+	switch {
+	case res.StatusCode != http.StatusOK:
+		s.refused(res.Body)
+	case q.Kind.Service != "":
+		s.service(res.Body)
+	default:
+		s.stream(res.Body, began, prompt, r.verify)
+	}
+	return s
+}
+
+// reason shortens an error of the HTTP client, which repeats the address.
+func reason(err error) string {
+	for u := errors.Unwrap(err); u != nil; u = errors.Unwrap(err) {
+		err = u
+	}
+	return err.Error()
+}
+
+func (r *Runner) call(ctx context.Context, q Request, event string) (h *http.Request, prompt string, err error) {
+	base := r.entries[int(r.turn.Add(1))%len(r.entries)]
+	method, url := http.MethodPost, base+entry.CompletionsPath
+	var body []byte
+	if q.Kind.Service != "" {
+		method, url = q.Kind.Method, fmt.Sprintf("%s%s%s/item/%d", base, entry.ServicesPath, q.Kind.Service, q.Index)
+		body = []byte(fmt.Sprintf("call %d of %s, %016x", q.Index, q.Organisation.Name, q.seed))
+	} else {
+		prompt = q.PromptText()
+		body, err = json.Marshal(completionCall{Model: q.Kind.Model, Prompt: prompt, MaxTokens: q.Kind.MaxTokens, Stream: true})
+		if err != nil {
+			return nil, "", err
+		}
+	}
+	h, err = http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	h.Header.Set("Authorization", "Bearer "+q.Organisation.Key)
+	h.Header.Set(entry.KindHeader, q.Kind.Name)
+	if event != "" {
+		h.Header.Set(entry.EventHeader, event)
+	}
+	if q.Kind.Allowed > 0 {
+		h.Header.Set(entry.AllowedHeader, time.Duration(q.Kind.Allowed).String())
+	}
+	if q.Key != "" {
+		h.Header.Set(entry.KeyHeader, q.Key)
+	}
+	return h, prompt, nil
+}
+
+func (s *Result) refused(b io.Reader) {
+	var e entry.ErrorBody
+	if err := json.NewDecoder(b).Decode(&e); err != nil || e.Error.Outcome == "" {
+		s.Outcome, s.Wrong = hollowgrade.Unknown, "the refusal has no readable body"
+		return
+	}
+	s.Outcome, s.Code = e.Error.Outcome, string(e.Error.Code)
+}
+
+func (s *Result) service(b io.Reader) {
+	v, err := io.ReadAll(b)
+	if err != nil {
+		s.Outcome, s.Code = hollowgrade.Unknown, "connection: "+reason(err)
+		return
+	}
+	s.Outcome, s.Tokens = hollowgrade.Finished, len(v)
+}
+
+// event is any event of a stream.
+type event struct {
+	entry.ErrorBody
+	Choices []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+const maxEventBytes = 1 << 20
+
+// stream reads server-sent events up to the one that marks the end.
+func (s *Result) stream(b io.Reader, began time.Time, prompt string, verify bool) {
+	var text strings.Builder
+	l := bufio.NewScanner(b)
+	l.Buffer(nil, maxEventBytes)
+	for l.Scan() {
+		d, ok := strings.CutPrefix(l.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if d == "[DONE]" {
+			s.finished(text.String(), prompt, verify)
+			return
+		}
+		var e event
+		if err := json.Unmarshal([]byte(d), &e); err != nil {
+			s.Outcome, s.Wrong = hollowgrade.Unknown, "an event cannot be read"
+			return
+		}
+		if e.Error.Outcome != "" {
+			s.Outcome, s.Code = e.Error.Outcome, string(e.Error.Code)
+			return
+		}
+		if s.Tokens == 0 {
+			s.FirstToken = time.Since(began)
+		}
+		if len(e.Choices) > 0 && e.Choices[0].FinishReason == nil {
+			text.WriteString(e.Choices[0].Text)
+			s.Tokens++
+		}
+	}
+	s.Outcome, s.Code = hollowgrade.Unknown, "connection: the stream broke off"
+}
+
+func (s *Result) finished(text, prompt string, verify bool) {
+	s.Outcome = hollowgrade.Finished
+	if verify && text != standin.Answer(prompt, s.Request.Kind.MaxTokens) {
+		s.Wrong = fmt.Sprintf("the answer of %d tokens is not the whole answer to this request", s.Tokens)
+	}
+}
+
+// Summary is what a run comes to.
+type Summary struct {
+	Sent    int            `json:"sent"`
+	Ended   int            `json:"accounted_for"`
+	Wrong   int            `json:"wrong_answers"`
+	Samples []string       `json:"wrong_samples,omitempty"`
+	Report  measure.Report `json:"report"`
+}
+
+// Summarise makes a summary from the callers' point of view.
+func Summarise(rs []Result) (s Summary, err error) {
+	r := measure.NewRecorder("callers", hollowgrade.SystemClock())
+	for _, v := range rs {
+		s.Sent++
+		if v.Outcome != "" {
+			s.Ended++
+		}
+		if v.Wrong != "" {
+			s.Wrong++
+			s.Samples = append(s.Samples, v.RequestID+": "+v.Wrong)
+		}
+		r.Add(measure.Sample{
+			Organisation: v.Request.Organisation.Name,
+			Kind:         v.Request.Kind.Name,
+			Outcome:      v.Outcome,
+			Code:         v.Code,
+			PromptTokens: v.Request.Prompt,
+			FirstToken:   v.FirstToken,
+			Took:         v.Took,
+			Attempts:     1,
+		})
+	}
+	s.Samples = s.Samples[:min(len(s.Samples), maxSamples)]
+	s.Report, err = measure.Merge([]measure.Snapshot{r.Snapshot()})
+	return s, err
+}
+
+const maxSamples = 10
--- /dev/null
+++ b/internal/node/agent.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"context"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/agent"
+	"github.com/hollowgrade/hollowgrade/internal/errs"
+	"github.com/hollowgrade/hollowgrade/platform"
+	"github.com/hollowgrade/hollowgrade/sched"
+	"github.com/hollowgrade/hollowgrade/setting"
+	"github.com/hollowgrade/hollowgrade/upstream"
+)
+
+// AgentNode is a process of the role agent.
+type AgentNode struct {
+	*Node
+	Peers     string // address on which entries are served
+	Operators string
+	Agent     *agent.Agent
+}
+
+// NewAgent opens the listeners and puts an agent together. Start brings it up.
+func NewAgent(c setting.Agent, g *log.Logger) (n *AgentNode, err error) {
+	defer errs.Annotate(&err, "set up agent %s", c.Box)
+	b, err := base(hollowgrade.AgentRole, c.Common, g)
+	if err != nil {
+		return nil, err
+	}
+	t, err := secure(c.Common)
+	if err != nil {
+		return nil, err
+	}
+	l, err := listenPeers(c.Peers, c.Common, t)
+	if err != nil {
+		return nil, err
+	}
+	b.Box.Peer = l.Addr().String()
+	d := directory(c.Common)
+	p := platform.NewLog(c.PlatformLog, nil)
+	b.follow(c.Common, p, d, dialer(t))
+	k := agent.NewKeeper(b.Box.Name, b.Incarnation, keyTimes(c), b.clock, g, p, b.follower, d.Agents, dialer(t))
+	os := []agent.Option{
+		agent.WithLogger(g),
+		agent.WithLimits(agentLimits(c)),
+		agent.WithQueue(queue(c.Order)),
+		agent.WithKeys(k),
+		agent.WithRevision(func() int64 { return b.follower.State().Revision() }),
+		agent.WithSnapshot(b.follower.Encoded),
+	}
+	u, err := upstreamOption(c)
+	if err != nil {
+		return nil, err
+	}
+	a := agent.New(b.Box, b.Incarnation, l, append(os, u)...)
+	n = &AgentNode{Node: b, Peers: b.Box.Peer, Agent: a}
+	b.Register("configuration", starter(func() { b.watch(k.SetConfig) }))
+	b.Register(KeeperService, k)
+	b.Register(AgentService, a)
+	o, err := newOperators(c.Operators, b, a.Ready)
+	if err != nil {
+		return nil, err
+	}
+	n.Operators = o.address()
+	b.Register(OperatorsService, o)
+	return n, n.gauges()
+}
+
+func upstreamOption(c setting.Agent) (agent.Option, error) {
+	if c.Engine != "" {
+		return agent.WithEngine(upstream.NewEngine(c.Engine, upstream.Transport(nil)), c.Models...), nil
+	}
+	s, err := upstream.NewService(c.Service, upstream.Transport(nil))
+	if err != nil {
+		return nil, err
+	}
+	return agent.WithService(c.ServiceName, s), nil
+}
+
+func agentLimits(c setting.Agent) agent.Limits {
+	return agent.Limits{
+		MaxRunning:    c.MaxRunning,
+		MaxQueued:     c.MaxQueued,
+		MaxBodyBytes:  c.MaxBodyBytes,
+		PrefillWindow: c.PrefillWindow,
+		Piece:         c.Piece,
+		LongShare:     c.LongShare,
+		LongTokens:    c.LongTokens,
+		Patience:      c.Patience,
+		Heartbeat:     c.Heartbeat,
+		Sweep:         c.Sweep,
+	}
+}
+
+func keyTimes(c setting.Agent) agent.KeyTimes {
+	t := agent.DefaultKeyTimes()
+	t.Window, t.Lease, t.Grace = c.KeyWindow, c.KeyLease, c.KeyGrace
+	return t
+}
+
+func queue(order string) sched.Queue {
+	if order == "fifo" {
+		return sched.NewFIFO()
+	}
+	return sched.NewFair()
+}
+
+// gauges adds the agent's own figures to the metrics.
+func (n *AgentNode) gauges() error {
+	if err := n.metrics.Gauge("hollowgrade.memory_lost", "Tokens that the engine holds and that no lease answers for.",
+		func() float64 { return float64(n.Agent.Lost()) }); err != nil {
+		return err
+	}
+	return n.metrics.Gauge("hollowgrade.queued", "Requests in the queue.",
+		func() float64 { return float64(n.Agent.Queued()) })
+}
+
+// Drain makes the agent refuse new work.
+func (n *AgentNode) Drain(context.Context) {
+	n.Agent.Drain()
+}
--- /dev/null
+++ b/internal/node/entry.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/entry"
+	"github.com/hollowgrade/hollowgrade/internal/errs"
+	"github.com/hollowgrade/hollowgrade/kernel"
+	"github.com/hollowgrade/hollowgrade/measure"
+	"github.com/hollowgrade/hollowgrade/platform"
+	"github.com/hollowgrade/hollowgrade/sched"
+	"github.com/hollowgrade/hollowgrade/setting"
+)
+
+// EntryNode is a process of the role entry.
+type EntryNode struct {
+	*Node
+	Callers   string // address on which callers are served
+	Operators string
+	Entry     *entry.Entry
+}
+
+// NewEntry opens the listeners and puts an entry together. Start brings it up.
+func NewEntry(c setting.Entry, g *log.Logger) (n *EntryNode, err error) {
+	defer errs.Annotate(&err, "set up entry %s", c.Box)
+	b, err := base(hollowgrade.EntryRole, c.Common, g)
+	if err != nil {
+		return nil, err
+	}
+	t, err := secure(c.Common)
+	if err != nil {
+		return nil, err
+	}
+	l, err := listen(c.Callers)
+	if err != nil {
+		return nil, err
+	}
+	d := directory(c.Common)
+	e := entry.New(b.Box, b.Incarnation, l, d.Agents,
+		entry.WithLogger(g),
+		entry.WithDialer(dialer(t)),
+		entry.WithLimits(entryLimits(c)),
+		entry.WithPlacement(placement(c.Placement)),
+		entry.WithObserver(func(o entry.Observation) { b.sample(sampleOf(o)) }))
+	n = &EntryNode{Node: b, Callers: l.Addr().String(), Entry: e}
+	b.follow(c.Common, platform.NewLog(c.PlatformLog, nil), d, dialer(t))
+	b.Register("configuration", starter(func() { b.watch(e.SetConfig) }))
+	b.Register(EntryService, e)
+	o, err := newOperators(c.Operators, b, e.Ready)
+	if err != nil {
+		return nil, err
+	}
+	n.Operators = o.address()
+	b.Register(OperatorsService, o)
+	return n, nil
+}
+
+func entryLimits(c setting.Entry) entry.Limits {
+	return entry.Limits{
+		MaxBodyBytes:  c.MaxBodyBytes,
+		BodyTimeout:   c.BodyTimeout,
+		HeaderTimeout: c.HeaderTimeout,
+		MaxRequests:   c.MaxRequests,
+		MaxAttempts:   c.MaxAttempts,
+		RetryRatio:    c.RetryRatio,
+		RetrySaved:    c.RetrySaved,
+	}
+}
+
+func placement(name string) sched.Placement {
+	switch name {
+	case "round_robin":
+		return sched.NewRoundRobin()
+	case "least_loaded":
+		return sched.NewLeastLoaded()
+	default:
+		return sched.NewQuickest()
+	}
+}
+
+func sampleOf(o entry.Observation) measure.Sample {
+	if o.Service != "" {
+		o.FirstToken = 0 // a plain service sends none
+	}
+	return measure.Sample{
+		Organisation: o.Organisation,
+		Kind:         o.Kind,
+		Outcome:      o.Outcome,
+		Code:         string(o.Code),
+		PromptTokens: o.PromptTokens,
+		FirstToken:   o.FirstToken,
+		Ideal:        o.Ideal,
+		Took:         o.Took,
+		Attempts:     o.Attempts,
+	}
+}
+
+// starter is a service that only does something at the start.
+type starter func()
+
+// Start implements [kernel.Service].
+func (s starter) Start(context.Context, *kernel.Kernel) error {
+	s()
+	return nil
+}
+
+// Stop implements [kernel.Service].
+func (starter) Stop(context.Context) error {
+	return nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,245 @@
+// Package node puts the processes of the long-running roles together from
+// their settings: which services run in them and how they find each other.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/config"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/fold"
+	"github.com/hollowgrade/hollowgrade/internal/errs"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/kernel"
+	"github.com/hollowgrade/hollowgrade/measure"
+	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/platform"
+	"github.com/hollowgrade/hollowgrade/sched"
+	"github.com/hollowgrade/hollowgrade/setting"
+)
+
+// The names by which the services of a process find each other.
+const (
+	FollowerService  = "follower"
+	KeeperService    = "keeper"
+	AgentService     = "agent"
+	EntryService     = "entry"
+	OperatorsService = "operators"
+)
+
+// Node is a process of one of the roles.
+type Node struct {
+	*kernel.Kernel
+	Box         hollowgrade.Box
+	Incarnation string
+	follower    *fold.Follower
+	compiled    *compiled
+	recorder    *measure.Recorder
+	metrics     *measure.Metrics
+	log         *log.Logger
+	clock       hollowgrade.Clock
+}
+
+// base makes what all roles share.
+func base(r hollowgrade.Role, c setting.Common, g *log.Logger) (n *Node, err error) {
+	k := hollowgrade.SystemClock()
+	m, err := measure.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	return &Node{
+		Kernel:      kernel.New(),
+		Box:         hollowgrade.Box{Name: c.Box, Role: r, Hall: c.Hall, State: hollowgrade.BoxLive},
+		Incarnation: uuid.NewString(),
+		compiled:    &compiled{log: g},
+		recorder:    measure.NewRecorder(c.Box, k),
+		metrics:     m,
+		log:         g,
+		clock:       k,
+	}, nil
+}
+
+// directory returns who the agents are by the settings and the list.
+func directory(c setting.Common) *platform.Directory {
+	var bs hollowgrade.Boxes
+	if c.PlatformList != "" {
+		bs = platform.NewBoxes(c.PlatformList, nil)
+	}
+	var static []hollowgrade.Box
+	for _, a := range c.Agents {
+		static = append(static, hollowgrade.Box{Name: a, Role: hollowgrade.AgentRole, Peer: a, State: hollowgrade.BoxLive})
+	}
+	return platform.NewDirectory(bs, static)
+}
+
+// secure returns the certificates that the settings name, or nil if peers talk
+// in the clear.
+func secure(c setting.Common) (*peer.Certificates, error) {
+	if !c.Secure() {
+		return nil, nil
+	}
+	return peer.NewCertificates(c.TLSCert, c.TLSKey, c.TLSCA)
+}
+
+func dialer(c *peer.Certificates) peer.Dialer {
+	if c == nil {
+		return peer.TCP()
+	}
+	return peer.WithTLS(peer.TCP(), c.Client)
+}
+
+func listen(address string) (net.Listener, error) {
+	var c net.ListenConfig
+	return c.Listen(context.Background(), "tcp", address)
+}
+
+// listenPeers opens the listener for peers. Without TLS it opens on loopback
+// only, unless the settings say in so many words that it need not be secure.
+func listenPeers(address string, c setting.Common, t *peer.Certificates) (l net.Listener, err error) {
+	defer errs.Annotate(&err, "listen for peers")
+	if t == nil && !c.Insecure && !peer.Loopback(address) {
+		return nil, fault.New(fault.BadSetting, "peers is %s: beyond loopback set tls_cert, tls_key and tls_ca, or insecure = true", address)
+	}
+	l, err = listen(address)
+	if err != nil || t == nil {
+		return l, err
+	}
+	return t.Listener(l), nil
+}
+
+// follow registers the follower of the log.
+func (n *Node) follow(c setting.Common, l hollowgrade.Log, d *platform.Directory, dial peer.Dialer) {
+	turn := func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+		defer cancel()
+		return sched.First("snapshot", names(d.All(ctx))) == n.Box.Name
+	}
+	n.follower = fold.NewFollower(l,
+		fold.WithLogger(n.log),
+		fold.WithPoll(c.LogPoll),
+		fold.WithRenewal(c.LogRetention, turn),
+		fold.WithPeers(snapshots(d, dial)))
+	n.Register(FollowerService, n.follower)
+}
+
+func names(bs []hollowgrade.Box) (ns []string) {
+	for _, b := range bs {
+		if b.State == hollowgrade.BoxLive {
+			ns = append(ns, b.Name)
+		}
+	}
+	return ns
+}
+
+const (
+	peerTimeout = 2 * time.Second
+	askedPeers  = 3 // for their configuration, while the log is out
+)
+
+// snapshots returns a function that asks a few agents for their newest
+// configuration.
+func snapshots(d *platform.Directory, dial peer.Dialer) func(context.Context, int64) [][]byte {
+	turn := 0
+	return func(ctx context.Context, newer int64) (bs [][]byte) {
+		as := d.Agents(ctx)
+		turn += askedPeers
+		for i := range min(askedPeers, len(as)) {
+			b, err := askSnapshot(ctx, dial, as[(turn+i)%len(as)].Peer, newer)
+			if err == nil && len(b) > 0 {
+				bs = append(bs, b)
+			}
+		}
+		return bs
+	}
+}
+
+func askSnapshot(ctx context.Context, dial peer.Dialer, address string, newer int64) (b []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	c, err := peer.Dial(ctx, dial, address)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	s, err := c.Open(&wire.Frame{Body: &wire.Frame_FoldRequest{FoldRequest: &wire.FoldRequest{NewerThan: newer}}})
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	for {
+		f, err := s.Receive()
+		if err != nil {
+			return nil, err
+		}
+		b = append(b, f.GetChunk().GetData()...)
+		if f.GetChunk().GetLast() {
+			return b, nil
+		}
+		if f.GetChunk() == nil {
+			return nil, errors.New("peer sent something else")
+		}
+	}
+}
+
+// compiled holds the newest compiled configuration and tells others of it.
+type compiled struct {
+	log     *log.Logger
+	current *config.Config
+}
+
+// watch compiles each new state and passes it on.
+func (n *Node) watch(use func(*config.Config)) {
+	n.follower.Watch(func(s fold.State) {
+		if s.Revision() == 0 {
+			return
+		}
+		c, es := config.Compile(s, n.compiled.current)
+		for _, e := range es {
+			n.log.Error("configuration item not used", "code", fault.BadRecord, "revision", s.Revision(), "err", e)
+		}
+		n.compiled.current = c
+		n.recorder.SetObjectives(c.Objectives)
+		n.log.Info("configuration in force", "revision", c.Revision)
+		use(c)
+	})
+}
+
+// sample records a request in both forms.
+func (n *Node) sample(s measure.Sample) {
+	s.Kind = n.recorder.Bound(s.Kind)
+	n.recorder.Add(s)
+	n.metrics.Add(s)
+}
+
+// Logger returns a logger that writes JSON lines of the given level and above.
+func Logger(w interface{ Write([]byte) (int, error) }, level string) (g *log.Logger, err error) {
+	l, err := log.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("verbosity: %w", err)
+	}
+	return log.NewWithOptions(w, log.Options{
+		Formatter:       log.JSONFormatter,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+		Level:           l,
+	}), nil
+}
+
+// Revision returns the revision of the configuration in force.
+func (n *Node) Revision() int64 {
+	return n.follower.State().Revision()
+}
+
+// Snapshot returns what the process has recorded of requests.
+func (n *Node) Snapshot() measure.Snapshot {
+	return n.recorder.Snapshot()
+}
--- /dev/null
+++ b/internal/node/operators.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/kernel"
+)
+
+// The paths of the operators' listener.
+const (
+	MetricsPath = "/metrics"
+	LivePath    = "/healthz/live"
+	ReadyPath   = "/healthz/ready"
+	StatusPath  = "/status"
+	ReportPath  = "/report"
+)
+
+// Status is what a box says of itself at [StatusPath].
+type Status struct {
+	Box         string           `json:"box"`
+	Role        hollowgrade.Role `json:"role"`
+	Hall        string           `json:"hall"`
+	Incarnation string           `json:"incarnation"`
+	Revision    int64            `json:"revision"` // in force
+	Next        int64            `json:"next"`     // first log offset that was not read
+	LogAge      float64          `json:"log_age"`  // seconds since the end of the log was seen, -1 if never
+	Ready       bool             `json:"ready"`    // whether it takes work
+	Reason      string           `json:"reason"`   // why it does not
+}
+
+const operatorsHeaderTimeout = 5 * time.Second
+
+// operators serves operators' tools on a listener apart from callers'.
+type operators struct {
+	node     *Node
+	ready    func() (bool, string)
+	listener net.Listener
+	server   *http.Server
+}
+
+func newOperators(address string, n *Node, ready func() (bool, string)) (o *operators, err error) {
+	l, err := listen(address)
+	if err != nil {
+		return nil, err
+	}
+	o = &operators{node: n, ready: ready, listener: l}
+	r := mux.NewRouter()
+	r.Handle(MetricsPath, n.metrics.Handler())
+	r.HandleFunc(LivePath, func(http.ResponseWriter, *http.Request) {})
+	r.HandleFunc(ReadyPath, o.serveReady)
+	r.HandleFunc(StatusPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, o.status()) })
+	r.HandleFunc(ReportPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.recorder.Snapshot()) })
+	o.server = &http.Server{Handler: r, ReadHeaderTimeout: operatorsHeaderTimeout}
+	return o, nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (o *operators) address() string {
+	return o.listener.Addr().String()
+}
+
+func (o *operators) status() Status {
+	s := Status{
+		Box:         o.node.Box.Name,
+		Role:        o.node.Box.Role,
+		Hall:        o.node.Box.Hall,
+		Incarnation: o.node.Incarnation,
+		Revision:    o.node.follower.State().Revision(),
+		Next:        o.node.follower.State().Next(),
+		LogAge:      -1,
+	}
+	if f := o.node.follower.Fresh(); !f.IsZero() {
+		s.LogAge = o.node.clock.Since(f).Seconds()
+	}
+	s.Ready, s.Reason = o.ready()
+	return s
+}
+
+func (o *operators) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if ok, why := o.ready(); !ok {
+		http.Error(w, why, http.StatusServiceUnavailable)
+	}
+}
+
+// Start implements [kernel.Service].
+func (o *operators) Start(context.Context, *kernel.Kernel) error {
+	go func() {
+		if err := o.server.Serve(o.listener); !errors.Is(err, http.ErrServerClosed) {
+			o.node.log.Error("operators' listener failed", "err", err)
+		}
+	}()
+	return nil
+}
+
+// Stop implements [kernel.Service].
+func (o *operators) Stop(ctx context.Context) error {
+	return o.server.Shutdown(ctx)
+}
--- /dev/null
+++ b/measure/otel.go
@@ -0,0 +1,76 @@
+package measure
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/hollowgrade/hollowgrade/internal/errs"
+)
+
+// Metrics are the process's OpenTelemetry instruments. Organisations are no
+// attribute: thousands of them would make as many series on each box.
+type Metrics struct {
+	registry *prometheus.Registry
+	meter    metric.Meter
+	requests metric.Int64Counter
+	first    metric.Float64Histogram
+	took     metric.Float64Histogram
+	attempts metric.Int64Counter
+}
+
+// NewMetrics returns instruments that a Prometheus endpoint can read.
+func NewMetrics() (m *Metrics, err error) {
+	defer errs.Annotate(&err, "set up metrics")
+	r := prometheus.NewRegistry()
+	x, err := exporter.New(exporter.WithRegisterer(r))
+	if err != nil {
+		return nil, err
+	}
+	m = &Metrics{registry: r, meter: sdk.NewMeterProvider(sdk.WithReader(x)).Meter("hollowgrade")}
+	if m.requests, err = m.meter.Int64Counter("hollowgrade.requests", metric.WithDescription("Requests that have ended, by kind, outcome and code.")); err != nil {
+		return nil, err
+	}
+	if m.attempts, err = m.meter.Int64Counter("hollowgrade.attempts", metric.WithDescription("Attempts made for requests that have ended.")); err != nil {
+		return nil, err
+	}
+	bounds := metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.2, 0.42, 0.8, 1.5, 3, 6, 12, 25, 50, 120, 600)
+	if m.first, err = m.meter.Float64Histogram("hollowgrade.first_token", metric.WithUnit("s"), bounds, metric.WithDescription("Time to first token, by prompt length.")); err != nil {
+		return nil, err
+	}
+	m.took, err = m.meter.Float64Histogram("hollowgrade.took", metric.WithUnit("s"), bounds, metric.WithDescription("Time until the final answer, by kind."))
+	return m, err
+}
+
+// Gauge adds a gauge whose value is asked for at each collection.
+func (m *Metrics) Gauge(name, description string, value func() float64) error {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(value())
+			return nil
+		}))
+	return err
+}
+
+// Add records a request.
+func (m *Metrics) Add(s Sample) {
+	ctx := context.Background()
+	kind := attribute.String("kind", s.Kind)
+	m.requests.Add(ctx, 1, metric.WithAttributes(kind, attribute.String("outcome", string(s.Outcome)), attribute.String("code", s.Code)))
+	m.attempts.Add(ctx, int64(s.Attempts))
+	m.took.Record(ctx, s.Took.Seconds(), metric.WithAttributes(kind))
+	if s.FirstToken > 0 {
+		m.first.Record(ctx, s.FirstToken.Seconds(), metric.WithAttributes(attribute.String("length", Bucket(s.PromptTokens))))
+	}
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
