fold: reads the time of the last read without a lock

Watchers are called under the follower's lock and take the keeper's; a claim holds the keeper's lock and asked for the time of the last read under the follower's: two locks in two orders. Ruled out: calling watchers without the lock, which would let an older configuration arrive after a newer one. Conclusion: the time is an atomic value.

--- a/fold/follower.go
+++ b/fold/follower.go
@@ -35,9 +35,11 @@
 	peers     func(ctx context.Context, newerThan int64) [][]byte
 	renews    func() bool
 
-	state  atomic.Pointer[State]
+	state atomic.Pointer[State]
+	// Fresh is read by watchers while set holds the lock, so it has none.
+	fresh atomic.Pointer[time.Time]
+
 	mu     sync.Mutex
-	reads  time.Time // when the end of the log was last seen
 	newest time.Time // log time of the newest base: a snapshot, or the first record
 	watch  []func(State)
 	cancel context.CancelFunc
@@ -90,6 +92,7 @@
 	}
 	s := New()
 	f.state.Store(&s)
+	f.fresh.Store(&time.Time{})
 	return f
 }
 
@@ -100,9 +103,7 @@
 
 // Fresh returns when the end of the log was last seen.
 func (f *Follower) Fresh() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.reads
+	return *f.fresh.Load()
 }
 
 // Watch calls w with each new state, and at once with the present one. Calls
@@ -171,18 +172,12 @@
 		}
 		f.set(f.apply(s, p.Records))
 		if len(p.Records) == 0 || p.Records[len(p.Records)-1].Offset+1 >= p.Next {
-			f.seenEnd(at)
+			f.fresh.Store(&at)
 			return nil
 		}
 	}
 }
 
-func (f *Follower) seenEnd(at time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.reads = at
-}
-
 func (f *Follower) apply(s State, rs []hollowgrade.Record) State {
 	for _, r := range rs {
 		f.noteBase(r)
--- a/fold/publish.go
+++ b/fold/publish.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/charmbracelet/log"
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/fault"
@@ -100,7 +102,7 @@
 
 // Load reads the log once from its beginning and returns the state.
 func Load(ctx context.Context, l hollowgrade.Log) (s State, err error) {
-	f := NewFollower(l)
+	f := NewFollower(l, WithLogger(log.New(io.Discard)))
 	if err = f.Update(ctx); err != nil {
 		return s, fmt.Errorf("load configuration: %w", err)
 	}
