--- a/agent/agent.go
+++ b/agent/agent.go
@@ -30,6 +30,7 @@
 	LongTokens    int           // a request that holds more than this is long
 	Patience      time.Duration // after this an item is overdue
 	Heartbeat     time.Duration // longest time between two status reports
+	Linger        time.Duration // for which a planned stop answers entries that have not heard of it
 	Sweep         time.Duration // between two comparisons of the ledger with the engine
 }
 
@@ -46,6 +47,7 @@
 		LongTokens:    100_000,
 		Patience:      20 * time.Second,
 		Heartbeat:     500 * time.Millisecond,
+		Linger:        2 * time.Second,
 		Sweep:         time.Second,
 	}
 }
@@ -83,11 +85,14 @@
 	longHeld  int
 	speed     speed
 	lost      int // tokens the engine holds that no lease answers for
+	receiving int // exchanges whose body is still coming
 	draining  bool
 	idle      chan struct{} // closed when draining and nothing is left
 	changed   chan struct{} // closed and replaced when the status changes
 	suspects  map[string]int
 	reachable bool
+	probed    bool          // whether the upstream was ever asked
+	probe     chan struct{} // asks for a sweep at once
 }
 
 // KeyKeeper keeps the ledger of idempotency keys, if this agent does.
@@ -188,6 +193,7 @@
 		suspects:    map[string]int{},
 		idle:        make(chan struct{}),
 		changed:     make(chan struct{}),
+		probe:       make(chan struct{}, 1),
 	}
 	for _, o := range os {
 		o(a)
@@ -216,6 +222,7 @@
 // finished, for as long as ctx lasts.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.Drain()
+	a.linger(ctx)
 	var err error
 	select {
 	case <-a.idle:
@@ -229,6 +236,17 @@
 	return err
 }
 
+// linger gives entries the time to hear of the drain. What they had sent before
+// is refused with a definite answer meanwhile, so they can send it elsewhere.
+func (a *Agent) linger(ctx context.Context) {
+	t := a.clock.NewTimer(a.limits.Linger)
+	defer t.Stop()
+	select {
+	case <-t.Chan():
+	case <-ctx.Done():
+	}
+}
+
 // Drain makes the agent refuse new work and say so to every entry. What has
 // been accepted goes on.
 func (a *Agent) Drain() {
@@ -243,7 +261,7 @@
 }
 
 func (a *Agent) checkIdle() {
-	if !a.draining || len(a.jobs) > 0 {
+	if !a.draining || len(a.jobs) > 0 || a.receiving > 0 {
 		return
 	}
 	select {
@@ -274,8 +292,6 @@
 		return a.serveKeys(s, f)
 	case *wire.Frame_Reserve:
 		return a.serveReserve(ctx, s, b.Reserve)
-	case *wire.Frame_Release:
-		return a.serveRelease(s, b.Release)
 	case *wire.Frame_FoldRequest:
 		return a.serveFold(s, b.FoldRequest)
 	default:
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -16,7 +16,7 @@
 // not be started.
 func (a *Agent) await(ctx context.Context, j *job) error {
 	a.mu.Lock()
-	j.grant = make(chan struct{})
+	j.grant, j.bounced = make(chan struct{}), make(chan struct{})
 	i := a.item(j)
 	a.queue.Push(i)
 	a.waiting[i] = j
@@ -26,18 +26,40 @@
 	select {
 	case <-j.grant:
 		return a.checkDeadline(ctx, j, i)
+	case <-j.bounced:
+		return a.upstreamGone()
 	case <-ctx.Done():
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.queue.Remove(i) {
+	switch {
+	case a.queue.Remove(i):
 		a.dequeued(i)
-	} else {
+	case closed(j.grant):
 		a.returnGrant(i)
 	}
 	return context.Cause(ctx)
 }
 
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// bounce gives back everything that waits. The lock is held.
+func (a *Agent) bounce() {
+	for i, j := range a.waiting {
+		if a.queue.Remove(i) {
+			a.dequeued(i)
+			close(j.bounced)
+		}
+	}
+}
+
 // checkDeadline gives the grant back if the deadline passed together with it.
 func (a *Agent) checkDeadline(ctx context.Context, _ *job, i *sched.Item) error {
 	if ctx.Err() == nil {
@@ -106,6 +128,9 @@
 	}
 	n := j.request.Tokens()
 	l := ledger.Lease{ID: j.id, Owner: j.request.ID, Kind: hollowgrade.HeldSequence, Tokens: n}
+	if j.reserves {
+		l.Kind, l.Expires = hollowgrade.HeldReservation, j.request.Deadline
+	}
 	if a.memory.Grant(l) && a.long(n) {
 		a.longHeld += n
 	}
--- a/agent/engine.go
+++ b/agent/engine.go
@@ -19,7 +19,7 @@
 func (a *Agent) runEngine(ctx context.Context, j *job) error {
 	for {
 		if err := a.await(ctx, j); err != nil {
-			return err
+			return afterStart(j, err)
 		}
 		last, err := a.step(ctx, j)
 		if err != nil || last {
@@ -28,6 +28,16 @@
 	}
 }
 
+// afterStart corrects an error that says "not run" of a job of which earlier
+// pieces have run.
+func afterStart(j *job, err error) error {
+	var f *fault.Error
+	if errors.As(err, &f) && f.Outcome == hollowgrade.NotRun && j.started.Load() {
+		return f.WithOutcome(hollowgrade.Failed)
+	}
+	return err
+}
+
 // step gives one granted piece of the prompt to the engine, or the rest of the
 // prompt with the answer. It reports whether it was the last.
 func (a *Agent) step(ctx context.Context, j *job) (last bool, err error) {
@@ -191,6 +201,7 @@
 	case errors.As(err, &r):
 		return fault.New(fault.UpstreamRefused, "the engine refused: %s", r.Message)
 	default:
+		a.suspectEngine()
 		return err
 	}
 }
--- a/agent/job.go
+++ b/agent/job.go
@@ -19,20 +19,22 @@
 
 // job is one attempt at a request on its way through the agent.
 type job struct {
-	submit  *wire.Submit
-	request hollowgrade.Request
-	id      string // at the engine
-	body    []byte
-	arrived time.Time
-	lease   time.Time // the claim on the key holds until then; zero without key
-	stream  *peer.Stream
-	grant   chan struct{}
-	started atomic.Bool
-	waited  time.Duration
-	next    int // bytes of the prompt that earlier pieces have prefilled
-	handles []string
-	held    []string // ids of the pieces held on the engine
-	count   int      // tokens sent on
+	submit   *wire.Submit
+	request  hollowgrade.Request
+	id       string // at the engine
+	body     []byte
+	arrived  time.Time
+	lease    time.Time // the claim on the key holds until then; zero without key
+	stream   *peer.Stream
+	grant    chan struct{}
+	bounced  chan struct{} // closed when the queue is emptied because the upstream is gone
+	started  atomic.Bool
+	waited   time.Duration
+	reserves bool // only sets memory aside for a group
+	next     int  // bytes of the prompt that earlier pieces have prefilled
+	handles  []string
+	held     []string // ids of the pieces held on the engine
+	count    int      // tokens sent on
 }
 
 // The causes for which a job's context ends, beside its deadline.
@@ -78,6 +80,8 @@
 // serveSubmit takes a request in, runs it, and sends the final frame.
 func (a *Agent) serveSubmit(ctx context.Context, s *peer.Stream, m *wire.Submit) error {
 	j := newJob(m, s, a.clock.Now())
+	done := a.receives()
+	defer done()
 	if err := a.receiveBody(j); err != nil {
 		return err
 	}
@@ -99,6 +103,20 @@
 	return s.Send(a.final(j, err))
 }
 
+// receives counts an exchange until it has been answered, for a planned stop to
+// wait for.
+func (a *Agent) receives() (done func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.receiving++
+	return func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.receiving--
+		a.checkIdle()
+	}
+}
+
 // receiveBody reads the prompt or body. The job cannot run before all of it
 // has come, so an entry that fails to send the last frame may say "not run".
 func (a *Agent) receiveBody(j *job) error {
@@ -140,6 +158,9 @@
 	if _, ok := a.jobs[j.id]; ok {
 		return fault.New(fault.Internal, "attempt %s is here already", j.id).WithOutcome(hollowgrade.Unknown)
 	}
+	if a.probed && !a.reachable {
+		return a.upstreamGone()
+	}
 	if a.queue.Len() >= a.limits.MaxQueued {
 		return fault.New(fault.Overloaded, "the queue of %s is full", a.box.Name).WithRetryAfter(a.drainTime())
 	}
@@ -153,6 +174,12 @@
 	return nil
 }
 
+// upstreamGone refuses what has not been started while the upstream does not
+// answer, so that its entry can send it elsewhere.
+func (a *Agent) upstreamGone() error {
+	return fault.New(fault.UpstreamLost, "the upstream of %s does not answer", a.box.Name).WithOutcome(hollowgrade.NotRun)
+}
+
 const (
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
@@ -178,13 +205,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.jobs, j.id)
-	if l, ok := a.memory.Release(j.id); ok && a.long(l.Tokens) {
-		a.longHeld -= l.Tokens
+	if !j.reserves {
+		a.releaseLease(j.id)
 	}
 	a.pump()
 	a.checkIdle()
 }
 
+// releaseLease ends a lease and keeps count of what long requests hold.
+func (a *Agent) releaseLease(id string) {
+	if l, ok := a.memory.Release(id); ok && a.long(l.Tokens) {
+		a.longHeld -= l.Tokens
+	}
+}
+
 // finish logs and counts the end of a job.
 func (a *Agent) finish(j *job, err error) {
 	o := hollowgrade.Finished
--- a/agent/memory.go
+++ b/agent/memory.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
@@ -43,7 +45,7 @@
 
 func (a *Agent) free(id string) {
 	a.mu.Lock()
-	a.memory.Release(id)
+	a.releaseLease(id)
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), engineTimeout)
 	defer cancel()
@@ -60,48 +62,74 @@
 	for _, l := range ls {
 		a.free(l.ID)
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pump()
 }
 
-// serveReserve sets memory aside for a group that spans several engines.
+// serveReserve sets memory aside for a group that spans several engines. The
+// reservation waits its turn in the queue like any request: otherwise small
+// requests would take each piece of memory that comes free. It stands as long
+// as its exchange: when the entry ends that, or dies, all of the group's memory
+// here is freed. The expiry is for entries that fall silent.
 func (a *Agent) serveReserve(ctx context.Context, s *peer.Stream, m *wire.Reserve) error {
+	done := a.receives()
+	defer done()
 	ttl := time.Duration(m.TtlMicros) * time.Microsecond
-	err := a.reserve(ctx, m.Id, int(m.Tokens), ttl)
+	ctx, stop := clockwork.WithTimeout(ctx, a.clock, ttl)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		_, _ = s.Receive()
+		cancel(errCallerGone)
+	}()
 	f := &wire.Final{Outcome: string(hollowgrade.Finished)}
+	err := a.reserve(ctx, m)
 	if err != nil {
 		e := fault.As(err, hollowgrade.NotRun)
-		f.Outcome, f.Code, f.Message = string(e.Outcome), string(e.Code), e.Message
+		f.Outcome, f.Code, f.Message = string(hollowgrade.NotRun), string(e.Code), e.Message
+		return s.Send(&wire.Frame{Body: &wire.Frame_Final{Final: f}})
 	}
-	return s.Send(&wire.Frame{Body: &wire.Frame_Final{Final: f}})
+	defer a.freeOwned(m.Id)
+	if err = s.Send(&wire.Frame{Body: &wire.Frame_Final{Final: f}}); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
 }
 
-func (a *Agent) reserve(ctx context.Context, id string, tokens int, ttl time.Duration) error {
-	l := ledger.Lease{ID: id, Owner: id, Kind: hollowgrade.HeldReservation, Tokens: tokens, Expires: a.clock.Now().Add(ttl)}
-	a.mu.Lock()
-	ok := !a.draining && a.engine != nil && a.reachable && a.memory.Grant(l)
-	a.mu.Unlock()
-	if !ok {
-		return fault.New(fault.GroupBusy, "%s has no room for %d tokens now", a.box.Name, tokens)
+func (a *Agent) reserve(ctx context.Context, m *wire.Reserve) error {
+	if a.engine == nil {
+		return fault.New(fault.GroupBusy, "%s has no engine", a.box.Name)
 	}
+	ttl := time.Duration(m.TtlMicros) * time.Microsecond
+	j := newJob(&wire.Submit{
+		Id:              m.Id,
+		Organisation:    m.Organisation,
+		Class:           m.Class,
+		MayWait:         true,
+		PromptTokens:    m.Tokens,
+		RemainingMicros: m.TtlMicros,
+	}, nil, a.clock.Now())
+	j.id, j.reserves = m.Id, true
+	if err := a.admit(j); err != nil {
+		return err
+	}
+	defer a.leave(j)
+	if err := a.await(ctx, j); err != nil {
+		return fault.New(fault.GroupBusy, "%s had no room for %d tokens in time", a.box.Name, m.Tokens)
+	}
+	defer a.stepDone()
+	a.prefilled(a.cost(j))
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
-	err := a.engine.Reserve(ctx, id, tokens, ttl)
-	if err == nil {
-		return nil
-	}
-	a.free(id)
-	return fault.New(fault.GroupBusy, "the engine of %s reserved nothing: %v", a.box.Name, err)
-}
-
-// serveRelease frees a reservation or an exported piece.
-func (a *Agent) serveRelease(s *peer.Stream, m *wire.Release) error {
-	if a.engine != nil {
-		a.freeOwned(m.Id)
+	if err := a.engine.Reserve(ctx, m.Id, int(m.Tokens), ttl); err != nil {
+		a.free(m.Id)
+		_ = a.engineError(ctx, err)
+		return fault.New(fault.GroupBusy, "the engine of %s reserved nothing: %v", a.box.Name, err)
 	}
-	f := &wire.Final{Outcome: string(hollowgrade.Finished)}
-	a.mu.Lock()
-	a.pump()
-	a.mu.Unlock()
-	return s.Send(&wire.Frame{Body: &wire.Frame_Final{Final: f}})
+	return nil
 }
 
 // sweepLoop compares the ledger with what the engine holds. It is also the
@@ -115,6 +143,8 @@
 		t := a.clock.NewTimer(a.limits.Sweep)
 		select {
 		case <-t.Chan():
+		case <-a.probe:
+			t.Stop()
 		case <-a.ctx.Done():
 			t.Stop()
 			return
@@ -122,6 +152,22 @@
 	}
 }
 
+// suspectEngine takes an engine that broke off as gone until the next sweep,
+// which it asks for at once, has found it there. Without this the agent would
+// draw requests to a dead engine until the sweep's turn came.
+func (a *Agent) suspectEngine() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.reachable {
+		a.reachable = false
+		a.notify()
+	}
+	select {
+	case a.probe <- struct{}{}:
+	default:
+	}
+}
+
 func (a *Agent) sweep() (err error) {
 	ctx, cancel := context.WithTimeout(a.ctx, engineTimeout)
 	defer cancel()
@@ -135,7 +181,11 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if was := a.reachable; was != (err == nil) {
+	a.probed = true
+	if err != nil {
+		a.bounce()
+	}
+	if a.reachable != (err == nil) {
 		a.reachable = err == nil
 		a.notify()
 		a.pump()
@@ -163,7 +213,7 @@
 	defer a.mu.Unlock()
 	a.memory.SetTotal(l.TotalTokens)
 	for _, e := range a.memory.Expired(a.clock.Now()) {
-		a.memory.Release(e.ID)
+		a.releaseLease(e.ID)
 	}
 	seen := map[string]int{}
 	a.lost = 0
--- a/agent/service.go
+++ b/agent/service.go
@@ -7,9 +7,11 @@
 	"io"
 	"net/http"
 
+	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/upstream"
 )
 
 // runService passes a call on to the plain service and its answer back.
@@ -23,7 +25,8 @@
 	if h == nil {
 		return fault.New(fault.MalformedBody, "the call has no head")
 	}
-	r, err := http.NewRequestWithContext(ctx, h.Method, h.Path, bytes.NewReader(j.body))
+	check := upstream.WithLastCheck(ctx, func() error { return a.mayStart(j) })
+	r, err := http.NewRequestWithContext(check, h.Method, h.Path, bytes.NewReader(j.body))
 	if err != nil {
 		return fault.New(fault.MalformedBody, "the call cannot be made: %v", err)
 	}
@@ -74,8 +77,12 @@
 
 // serviceError says whether the call ended for our reasons or the service's.
 func (a *Agent) serviceError(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		return fault.New(fault.UpstreamLost, "the service of %s: %v", a.box.Name, err).WithOutcome(hollowgrade.NotRun)
+	case ctx.Err() != nil:
 		return context.Cause(ctx)
+	default:
+		return err
 	}
-	return err
 }
--- a/config/publish.go
+++ b/config/publish.go
@@ -26,7 +26,7 @@
 	}
 	s, err := fold.Load(ctx, l)
 	if err != nil {
-		return 0, err
+		return 0, fault.New(fault.LogAway, "nothing was published: %v", err)
 	}
 	i, _ := s.Item(kind, name)
 	if replaces == Current {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,7 @@
 	MaxAttempts   int           // for one request
 	RetryRatio    float64       // retries for each first attempt, in the long run
 	RetrySaved    float64       // retries that a budget can save up
+	Linger        time.Duration // for which a planned stop goes on serving, until the balancer leads elsewhere
 }
 
 // DefaultLimits returns limits that suit a small box.
@@ -45,6 +46,7 @@
 		MaxAttempts:   4,
 		RetryRatio:    0.1,
 		RetrySaved:    10,
+		Linger:        5 * time.Second,
 	}
 }
 
@@ -67,15 +69,16 @@
 	cancel context.CancelFunc
 	group  sync.WaitGroup
 
-	mu       sync.Mutex
-	links    map[string]*link // by peer address
-	order    []*link          // the same, in a fixed order
-	prefixes *sched.Prefixes
-	usage    map[string]*usage // by organisation
-	open     int
-	mintTurn int
-	draining bool
-	idle     chan struct{}
+	mu        sync.Mutex
+	links     map[string]*link // by peer address
+	order     []*link          // the same, in a fixed order
+	prefixes  *sched.Prefixes
+	usage     map[string]*usage // by organisation
+	open      int               // requests and settlements of keys
+	mintTurn  int
+	lingering bool
+	draining  bool
+	idle      chan struct{}
 }
 
 // Observation is one request that has ended, for metrics.
@@ -180,9 +183,12 @@
 	return nil
 }
 
-// Stop implements [kernel.Service]. Requests that are open are finished, for
-// as long as ctx lasts; new ones are refused.
+// Stop implements [kernel.Service]. First the entry says that it is not ready
+// and goes on serving, since requests are on their way to it until the balancer
+// has noticed. Then it refuses new ones, and finishes those that are open, for
+// as long as ctx lasts.
 func (e *Entry) Stop(ctx context.Context) error {
+	e.linger(ctx)
 	e.Drain()
 	var err error
 	select {
@@ -199,6 +205,18 @@
 	return err
 }
 
+func (e *Entry) linger(ctx context.Context) {
+	e.mu.Lock()
+	e.lingering = true
+	e.mu.Unlock()
+	t := e.clock.NewTimer(e.limits.Linger)
+	defer t.Stop()
+	select {
+	case <-t.Chan():
+	case <-ctx.Done():
+	}
+}
+
 // Drain makes the entry refuse new requests and report itself not ready, so
 // that the balancer leads elsewhere.
 func (e *Entry) Drain() {
@@ -227,7 +245,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
-	case e.draining:
+	case e.draining || e.lingering:
 		return false, "draining"
 	case e.config.Load().Revision == 0:
 		return false, "no configuration yet"
@@ -295,7 +313,7 @@
 	u.requests++
 	u.tokens += r.Tokens()
 	u.budget.Deposit()
-	e.open++
+	e.opened()
 	return func() { e.leave(u, r) }, nil
 }
 
@@ -316,6 +334,16 @@
 	defer e.mu.Unlock()
 	u.requests--
 	u.tokens -= r.Tokens()
+	e.closed()
+}
+
+// opened and closed count what a planned stop waits for. The lock is held.
+
+func (e *Entry) opened() {
+	e.open++
+}
+
+func (e *Entry) closed() {
 	e.open--
 	e.checkIdle()
 }
--- a/entry/group.go
+++ b/entry/group.go
@@ -82,15 +82,22 @@
 	return most > 0 && r.Tokens() > most
 }
 
-func (e *Entry) serveGroup(ctx context.Context, q *query) error {
+// serveGroup makes one attempt on a group. The link is that of the member that
+// failed, or nil if the group was not reserved.
+func (e *Entry) serveGroup(ctx context.Context, q *query) (l *link, err error) {
 	ms, err := e.planGroup(q)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	id := q.request.ID + ".group"
-	defer e.releaseGroup(ms, id)
-	if err = e.reserveGroup(ctx, q, ms, id); err != nil {
-		return err
+	ss, err := e.reserveGroup(ctx, q, ms, id)
+	defer func() {
+		for _, s := range ss {
+			s.Abort()
+		}
+	}()
+	if err != nil {
+		return nil, err
 	}
 	defer func() { q.group = group{} }()
 	var handles []string
@@ -98,11 +105,11 @@
 		q.group = group{reservation: id, handles: handles, holding: i < len(ms)-1, from: m.from, to: m.to}
 		if err = e.attempt(ctx, m.link, m.conn, q); err != nil {
 			e.judge(m.link, err)
-			return groupFault(err, i)
+			return m.link, groupFault(err, i)
 		}
 		handles = q.group.handles
 	}
-	return nil
+	return nil, nil
 }
 
 // groupFault corrects the outcome for the parts that earlier members ran.
@@ -121,6 +128,9 @@
 	ls, _ := e.candidates(q, nil)
 	ls = slices.DeleteFunc(ls, func(l *link) bool { return l.load.Draining })
 	slices.SortStableFunc(ls, func(a, b *link) int {
+		if a.load.Suspect != b.load.Suspect {
+			return cmp.Compare(suspicion(a), suspicion(b))
+		}
 		return cmp.Compare(b.load.TotalTokens-b.load.HeldTokens, a.load.TotalTokens-a.load.HeldTokens)
 	})
 	most := defaultGroup
@@ -133,7 +143,7 @@
 			break
 		}
 		ms = append(ms, member{link: l, conn: l.conn})
-		room += l.load.TotalTokens
+		room += wholeBlocks(l.load.TotalTokens)
 	}
 	if room < q.request.Tokens() {
 		return nil, fault.New(fault.PromptTooLong, "%d tokens do not fit into the %d that %d engines hold", q.request.Tokens(), room, len(ms))
@@ -143,19 +153,28 @@
 	return ms, nil
 }
 
+func suspicion(l *link) int {
+	if l.load.Suspect {
+		return 1
+	}
+	return 0
+}
+
 // cut shares the prompt out in parts of whole blocks in proportion to the
 // members' memory. The last member takes the answer too.
 func cut(ms []member, bytes, answer int) {
 	total := 0
 	for _, m := range ms {
-		total += m.link.load.TotalTokens
+		total += wholeBlocks(m.link.load.TotalTokens)
 	}
 	tokens := bytes/bytesPerToken + 1 + answer
 	from := 0
 	for i := range ms {
 		m := &ms[i]
-		share := tokens * m.link.load.TotalTokens / total
-		m.from, m.to = from, min(from+share/cutBlock*cutBlock*bytesPerToken, bytes)
+		// Rounded up, so that what is left for the last member is never more
+		// than its share.
+		share := wholeBlocks(tokens*wholeBlocks(m.link.load.TotalTokens)/total + cutBlock - 1)
+		m.from, m.to = from, min(from+share*bytesPerToken, bytes)
 		m.tokens = (m.to - m.from) / bytesPerToken
 		if i == len(ms)-1 {
 			m.to = bytes
@@ -168,39 +187,37 @@
 // cutBlock is the unit, in tokens, at which a prompt is cut.
 const cutBlock = 1024
 
-// reserveGroup reserves at each member in turn.
-func (e *Entry) reserveGroup(ctx context.Context, q *query, ms []member, id string) error {
+func wholeBlocks(tokens int) int {
+	return tokens / cutBlock * cutBlock
+}
+
+// reserveGroup reserves at each member in turn. Each reservation stands until
+// its exchange is ended.
+func (e *Entry) reserveGroup(ctx context.Context, q *query, ms []member, id string) (ss []*peer.Stream, err error) {
 	ttl := q.request.Remaining(e.clock.Now()) + time.Second
 	for _, m := range ms {
-		f := &wire.Frame{Body: &wire.Frame_Reserve{Reserve: &wire.Reserve{
-			Id:        id,
-			Tokens:    int64(m.tokens),
-			TtlMicros: ttl.Microseconds(),
-		}}}
-		r, err := e.ask(ctx, m.conn, f)
-		if ctx.Err() != nil {
-			return fault.New(fault.GroupBusy, "the group of %d engines did not come free in time", len(ms)).WithRetryAfter(shortRetry)
+		s, err := m.conn.Open(&wire.Frame{Body: &wire.Frame_Reserve{Reserve: &wire.Reserve{
+			Id:           id,
+			Tokens:       int64(m.tokens),
+			TtlMicros:    ttl.Microseconds(),
+			Organisation: q.request.Organisation,
+			Class:        int32(q.request.Decision.Class),
+		}}})
+		if err != nil {
+			return ss, fault.New(fault.GroupBusy, "agent %s went away", m.link.box.Name).WithRetryAfter(shortRetry)
 		}
-		if err != nil || r.GetFinal().GetOutcome() != string(hollowgrade.Finished) {
-			return fault.New(fault.GroupBusy, "agent %s reserved nothing: %s", m.link.box.Name, r.GetFinal().GetMessage()).WithRetryAfter(shortRetry)
+		ss = append(ss, s)
+		stop := context.AfterFunc(ctx, s.Abort)
+		f, err := s.Receive()
+		stop()
+		if ctx.Err() != nil {
+			return ss, fault.New(fault.GroupBusy, "the group of %d engines did not come free in time", len(ms)).WithRetryAfter(shortRetry)
 		}
-	}
-	return nil
-}
-
-const releaseTimeout = 2 * time.Second
-
-// releaseGroup frees what was reserved. Where that fails, the reservation
-// expires.
-func (e *Entry) releaseGroup(ms []member, id string) {
-	ctx, cancel := context.WithTimeout(e.ctx, releaseTimeout)
-	defer cancel()
-	for _, m := range ms {
-		f := &wire.Frame{Body: &wire.Frame_Release{Release: &wire.Release{Id: id}}}
-		if _, err := e.ask(ctx, m.conn, f); err != nil {
-			e.log.Debug("reservation left to expire", "agent", m.link.box.Name, "err", err)
+		if err != nil || f.GetFinal().GetOutcome() != string(hollowgrade.Finished) {
+			return ss, fault.New(fault.GroupBusy, "agent %s reserved nothing: %s", m.link.box.Name, f.GetFinal().GetMessage()).WithRetryAfter(shortRetry)
 		}
 	}
+	return ss, nil
 }
 
 // ask sends one frame and returns the answer.
--- a/entry/http.go
+++ b/entry/http.go
@@ -86,6 +86,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := caller{id: uuid.NewString(), config: e.config.Load()}
 		w.Header().Set(RequestHeader, c.id)
+		if ok, _ := e.Ready(); !ok {
+			w.Header().Set("Connection", "close")
+		}
 		w.Header().Set(RevisionHeader, strconv.FormatInt(c.config.Revision, 10))
 		err := e.authenticate(r, &c)
 		if err == nil {
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -35,8 +35,8 @@
 	claimPatience = 5 * time.Second // while the range changes hands
 	claimGap      = 100 * time.Millisecond
 	holdMargin    = 10 * time.Second // beyond the allowed time, for the end to be told
-	settleTries   = 5
-	settleGap     = 200 * time.Millisecond
+	settleTries   = 20
+	settleGap     = 500 * time.Millisecond
 )
 
 // claimKey asks the keeper of the key for the right to run. Replayed says that
@@ -147,19 +147,35 @@
 	} else if q.claim.body != nil {
 		m.Answer = q.claim.body.answer()
 	}
+	e.mu.Lock()
+	e.opened()
+	e.mu.Unlock()
 	e.group.Go(func() {
-		for range settleTries {
-			_, err := e.askKeeper(e.ctx, q.request, &wire.Frame{Body: &wire.Frame_Settle{Settle: m}})
-			if err == nil || e.ctx.Err() != nil {
-				return
-			}
-			t := e.clock.NewTimer(settleGap)
-			<-t.Chan()
-		}
-		e.log.Warn("key not settled", "request", q.request.ID)
+		e.settle(q.request, m)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.closed()
 	})
 }
 
+// settle tries until the keeper has answered. The range may be changing hands
+// meanwhile; the next keeper has the record by then.
+func (e *Entry) settle(r hollowgrade.Request, m *wire.Settle) {
+	for range settleTries {
+		_, err := e.askKeeper(e.ctx, r, &wire.Frame{Body: &wire.Frame_Settle{Settle: m}})
+		if err == nil || e.ctx.Err() != nil {
+			return
+		}
+		t := e.clock.NewTimer(settleGap)
+		select {
+		case <-t.Chan():
+		case <-e.ctx.Done():
+			t.Stop()
+		}
+	}
+	e.log.Warn("key not settled", "request", r.ID)
+}
+
 // askKeeper sends a frame to the keeper of the request's key.
 func (e *Entry) askKeeper(ctx context.Context, r hollowgrade.Request, f *wire.Frame) (*wire.Frame, error) {
 	c := e.keeper(r)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -58,15 +58,17 @@
 		f := fault.As(err, hollowgrade.Unknown)
 		worst = worst.Worse(f.Outcome)
 		f = f.WithOutcome(worst)
-		if l == nil || n >= e.limits.MaxAttempts || !mayRetry(q, f) {
+		if n >= e.limits.MaxAttempts || !mayRetry(q, f) || l == nil && f.Code != fault.GroupBusy {
 			return f
 		}
-		tried[l] = true
-		if !e.spend(q, l) {
-			return spent(f)
-		}
-		if f.Outcome == hollowgrade.NotRun {
-			continue // another upstream can take it now
+		if l != nil {
+			tried[l] = true
+			if !e.spend(q, l) {
+				return spent(f)
+			}
+			if f.Outcome == hollowgrade.NotRun {
+				continue // another upstream can take it now
+			}
 		}
 		if !e.sleep(ctx, q, wait.NextBackOff()) {
 			return f
@@ -74,11 +76,11 @@
 	}
 }
 
-// attemptOnce places the request and makes one attempt. The link is nil when
-// no upstream was asked.
+// attemptOnce places the request and makes one attempt. The link is that of the
+// upstream which was asked last, or nil if none was given the request.
 func (e *Entry) attemptOnce(ctx context.Context, q *query, tried map[*link]bool) (l *link, err error) {
 	if q.request.Service == "" && e.needsGroup(q.request) {
-		return nil, e.serveGroup(ctx, q)
+		return e.serveGroup(ctx, q)
 	}
 	l, c, err := e.place(q, tried)
 	if err != nil {
@@ -107,7 +109,7 @@
 // can be gone on from.
 func mayRetry(q *query, f *fault.Error) bool {
 	switch f.Code {
-	case fault.UpstreamLost, fault.AnswerCut, fault.Overloaded, fault.Draining, fault.MayNotWait:
+	case fault.UpstreamLost, fault.AnswerCut, fault.Overloaded, fault.Draining, fault.MayNotWait, fault.GroupBusy:
 	default:
 		return false
 	}
--- a/fault/registry.go
+++ b/fault/registry.go
@@ -47,6 +47,7 @@
 	LostRace          Code = "HG5003"
 	PublishUnknown    Code = "HG5004"
 	BadRecord         Code = "HG5005"
+	LogAway           Code = "HG5006"
 )
 
 const (
@@ -92,5 +93,6 @@
 	{BadPolicy, "A policy is wrong", "The policy does not compile, uses a field that does not exist, or leaves a part of the answer out. The message names line and column.", first, Operator, hollowgrade.NotRun, http.StatusInternalServerError},
 	{LostRace, "Somebody else published first", "The item changed between reading and publishing. Nothing of this change is in force. Look at what is in force now and publish again.", first, Operator, hollowgrade.NotRun, http.StatusConflict},
 	{PublishUnknown, "Whether the change was published is not known", "The log did not answer and could not be read back. Run 'hollowgrade config status' when the log is back, before publishing again.", first, Operator, hollowgrade.Unknown, http.StatusBadGateway},
+	{LogAway, "The log cannot be read", "The platform's log does not answer, so the change was not begun. Nothing was published. Try again when the log is back; boxes go on with what they have.", first, Transient, hollowgrade.NotRun, http.StatusServiceUnavailable},
 	{BadRecord, "A record of the log was passed over", "A record is malformed, has the wrong digest, or replaces a revision that is not current. Every box passes over the same records, so the configuration stays the same everywhere.", first, Operator, hollowgrade.NotRun, http.StatusInternalServerError},
 }
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -72,7 +72,7 @@
 	if c.Engine != "" {
 		return agent.WithEngine(upstream.NewEngine(c.Engine, upstream.Transport(nil)), c.Models...), nil
 	}
-	s, err := upstream.NewService(c.Service, upstream.Transport(nil))
+	s, err := upstream.NewService(c.Service, upstream.ServiceTransport(nil))
 	if err != nil {
 		return nil, err
 	}
@@ -90,6 +90,7 @@
 		LongTokens:    c.LongTokens,
 		Patience:      c.Patience,
 		Heartbeat:     c.Heartbeat,
+		Linger:        c.Linger,
 		Sweep:         c.Sweep,
 	}
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -67,6 +67,7 @@
 		MaxAttempts:   c.MaxAttempts,
 		RetryRatio:    c.RetryRatio,
 		RetrySaved:    c.RetrySaved,
+		Linger:        c.Linger,
 	}
 }
 
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -41,6 +41,7 @@
 	MaxAttempts   int           `help:"Attempts at one request." default:"4" min:"1" max:"10" group:"retries"`
 	RetryRatio    float64       `help:"Retries for each first attempt in the long run, for each organisation and each upstream." default:"0.1" min:"0" max:"1" group:"retries"`
 	RetrySaved    float64       `help:"Retries that can be saved up." default:"10" min:"1" group:"retries"`
+	Linger        time.Duration `help:"How long a planned stop goes on serving, until the balancer leads elsewhere." default:"5s" min:"0s" group:"limits"`
 	Placement     string        `help:"How an upstream is picked: by the predicted time to first token, or as the baselines do." default:"quickest" enum:"quickest,least_loaded,round_robin" group:"decisions"`
 }
 
@@ -62,6 +63,7 @@
 	LongShare     float64       `help:"Part of the engine's memory that long requests may hold together." default:"0.75" min:"0.05" max:"1" group:"decisions"`
 	Patience      time.Duration `help:"A request that has waited this long is not passed over any more." default:"20s" min:"10ms" group:"decisions"`
 	Heartbeat     time.Duration `help:"Longest time between two reports to an entry." default:"500ms" min:"20ms" max:"1s" group:"limits"`
+	Linger        time.Duration `help:"How long a planned stop goes on answering entries that have not heard of it." default:"2s" min:"0s" group:"limits"`
 	Sweep         time.Duration `help:"Time between two comparisons of the memory ledger with the engine." default:"1s" min:"50ms" group:"limits"`
 	KeyWindow     time.Duration `help:"How long an idempotency key is remembered after its run." default:"1h" min:"1s" group:"keys"`
 	KeyLease      time.Duration `help:"How long a keeper of keys goes on without having read the log." default:"2m" min:"1s" group:"keys"`
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -2,15 +2,56 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 )
 
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// dialTimeout bounds a connection to a plain service. A call that got no
+// connection has not run, and can go elsewhere while there is time.
+const dialTimeout = time.Second
+
+// ErrNotSent is in the chain of the error of a call that never got a
+// connection: no byte of it has left.
+var ErrNotSent = errors.New("no connection to the service")
+
+type checkKey struct{}
+
+// WithLastCheck returns a context whose check is made once more after a
+// connection has been opened for a call, which can take long. An error from it
+// keeps the call from being sent.
+func WithLastCheck(ctx context.Context, check func() error) context.Context {
+	return context.WithValue(ctx, checkKey{}, check)
+}
+
+// ServiceTransport returns an HTTP transport for a plain service. Dial may be
+// nil.
+func ServiceTransport(d DialFunc) *http.Transport {
+	if d == nil {
+		d = (&net.Dialer{}).DialContext
+	}
+	return Transport(func(ctx context.Context, network, address string) (c net.Conn, err error) {
+		t, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		if c, err = d(t, network, address); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		if check, ok := ctx.Value(checkKey{}).(func() error); ok {
+			if err = check(); err != nil {
+				return nil, errors.Join(fmt.Errorf("%w: %w", ErrNotSent, err), c.Close())
+			}
+		}
+		return c, nil
+	})
+}
+
 // Service implements [hollowgrade.Service] for a plain service at one base URL.
 type Service struct {
 	base      *url.URL
