--- /dev/null
+++ b/internal/fleettest/caller.go
@@ -0,0 +1,180 @@
+package fleettest
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/entry"
+	"github.com/hollowgrade/hollowgrade/internal/standin"
+)
+
+// Call is a request of a caller.
+type Call struct {
+	Entry        int
+	Organisation string
+	Kind         string
+	Prompt       string // of a model's request, or body of a service's
+	Tokens       int
+	Service      bool
+	Key          string
+	Allowed      time.Duration
+}
+
+// Answer is what a caller saw.
+type Answer struct {
+	Call       Call
+	RequestID  string
+	Outcome    hollowgrade.Outcome // empty if the connection broke without a word
+	Code       string
+	Message    string
+	Status     int
+	RetryAfter float64
+	Text       string
+	Sent       time.Time
+	First      time.Time
+	Ended      time.Time
+	Revision   string
+	Replayed   bool
+}
+
+// Took returns how long the caller waited.
+func (a Answer) Took() time.Duration {
+	return a.Ended.Sub(a.Sent)
+}
+
+// Wants returns the text of the whole answer to a model's request.
+func (c Call) Wants() string {
+	return standin.Answer(c.Prompt, c.Tokens)
+}
+
+type completionCall struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+func (f *Fleet) request(ctx context.Context, c Call) *http.Request {
+	url := fmt.Sprintf("http://%s:80", EntryName(c.Entry))
+	body := c.Prompt
+	if c.Service {
+		url += entry.ServicesPath + Service + "/x"
+	} else {
+		url += entry.CompletionsPath
+		b, _ := json.Marshal(completionCall{Model: Model, Prompt: c.Prompt, MaxTokens: c.Tokens, Stream: true})
+		body = string(b)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+Bearer+c.Organisation)
+	r.Header.Set(entry.KindHeader, c.Kind)
+	if c.Key != "" {
+		r.Header.Set(entry.KeyHeader, c.Key)
+	}
+	if c.Allowed > 0 {
+		r.Header.Set(entry.AllowedHeader, c.Allowed.String())
+	}
+	return r
+}
+
+// Do sends a call and reads its answer to the end.
+func (f *Fleet) Do(ctx context.Context, c Call) (a Answer) {
+	a.Call, a.Sent = c, time.Now()
+	defer func() { a.Ended = time.Now() }()
+	res, err := f.client.Do(f.request(ctx, c))
+	if err != nil {
+		a.Code = err.Error()
+		return a
+	}
+	defer res.Body.Close()
+	a.Status, a.RequestID = res.StatusCode, res.Header.Get(entry.RequestHeader)
+	a.Revision, a.Replayed = res.Header.Get(entry.RevisionHeader), res.Header.Get(entry.ReplayHeader) != ""
+	switch {
+	case res.StatusCode != http.StatusOK:
+		a.refused(res.Body)
+	case c.Service:
+		a.service(res.Body)
+	default:
+		a.stream(res.Body)
+	}
+	return a
+}
+
+func (a *Answer) refused(b io.Reader) {
+	var e entry.ErrorBody
+	if err := json.NewDecoder(b).Decode(&e); err != nil {
+		a.Code = "unreadable refusal"
+		return
+	}
+	a.failed(e)
+}
+
+func (a *Answer) failed(e entry.ErrorBody) {
+	a.Outcome, a.Code, a.Message, a.RetryAfter = e.Error.Outcome, string(e.Error.Code), e.Error.Message, e.Error.RetryAfter
+}
+
+func (a *Answer) service(b io.Reader) {
+	v, err := io.ReadAll(b)
+	if err != nil {
+		a.Code = err.Error()
+		return
+	}
+	var e standin.Echo
+	if err = json.Unmarshal(v, &e); err != nil {
+		a.Code = "unreadable answer"
+		return
+	}
+	a.Text, a.Outcome = e.Body, hollowgrade.Finished
+}
+
+type event struct {
+	entry.ErrorBody
+	Choices []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+const maxEvent = 1 << 20
+
+func (a *Answer) stream(b io.Reader) {
+	var text strings.Builder
+	defer func() { a.Text = text.String() }()
+	l := bufio.NewScanner(b)
+	l.Buffer(nil, maxEvent)
+	for l.Scan() {
+		d, ok := strings.CutPrefix(l.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if d == "[DONE]" {
+			a.Outcome = hollowgrade.Finished
+			return
+		}
+		var e event
+		if err := json.Unmarshal([]byte(d), &e); err != nil {
+			a.Code = "unreadable event"
+			return
+		}
+		if e.Error.Outcome != "" {
+			a.failed(e.ErrorBody)
+			return
+		}
+		if a.First.IsZero() {
+			a.First = time.Now()
+		}
+		if len(e.Choices) > 0 && e.Choices[0].FinishReason == nil {
+			text.WriteString(e.Choices[0].Text)
+		}
+	}
+	a.Code = "the stream broke off"
+}
--- /dev/null
+++ b/internal/fleettest/check.go
@@ -0,0 +1,222 @@
+package fleettest
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+)
+
+// Promise is one of the eight things that must always hold.
+type Promise string
+
+// The promises of the brief.
+const (
+	InTime       Promise = "ends within its allowed time"
+	NoMemoryLost Promise = "no engine loses memory for good"
+	WholeAnswer  Promise = "each caller gets the whole answer to its own request"
+	NotRunIsTrue Promise = "what is told 'not run' did not run"
+	AtMostOnce   Promise = "what may not be repeated runs at most once"
+	NoNewWork    Promise = "an upstream that is leaving receives no new work"
+	NothingCut   Promise = "a planned stop cuts off no request"
+	NeverReverts Promise = "an accepted configuration is in force everywhere and never reverts"
+)
+
+// Started is one start of a request at an upstream.
+type Started struct {
+	Request string // id that the entry gave
+	Attempt string // tells attempts at one request apart
+	Box     string
+	Body    string // of a call to a plain service
+	At      time.Time
+}
+
+// Evidence is what the callers saw and what the upstreams really ran. The
+// checker judges by nothing else.
+type Evidence struct {
+	Answers   []Answer
+	Runs      []Started
+	Used      map[string]int       // tokens that each live engine still holds at the end
+	Lost      map[string]int       // tokens that no ledger answers for at the end
+	Left      map[string]time.Time // since when a box is leaving
+	Planned   bool                 // only planned stops happened
+	Revisions map[string][]int64   // what each box had in force, in the order of time
+	Late      []string             // boxes on which an accepted revision was not in force in time
+	Excused   map[string]bool      // requests by prompt whose entry could not speak to them
+}
+
+// Breach is a promise that was not kept.
+type Breach struct {
+	Promise Promise
+	Text    string
+}
+
+// String implements [fmt.Stringer].
+func (b Breach) String() string {
+	return fmt.Sprintf("%s: %s", b.Promise, b.Text)
+}
+
+const (
+	timeSlack  = 50 * time.Millisecond // for the way back to the caller
+	leaveSlack = 2 * time.Second
+)
+
+// Breaches returns every promise that the evidence shows broken.
+func (e Evidence) Breaches() (bs []Breach) {
+	for _, a := range e.Answers {
+		bs = append(bs, e.judgeAnswer(a)...)
+	}
+	bs = append(bs, e.judgeKeys()...)
+	bs = append(bs, e.judgeMemory()...)
+	bs = append(bs, e.judgeLeaving()...)
+	return append(bs, e.judgeRevisions()...)
+}
+
+func (e Evidence) judgeAnswer(a Answer) (bs []Breach) {
+	if a.Took() > a.Call.Allowed+timeSlack && !e.Excused[a.Call.Prompt] {
+		bs = append(bs, Breach{InTime, fmt.Sprintf("%q took %s, allowed are %s", name(a), a.Took(), a.Call.Allowed)})
+	}
+	if a.Outcome == hollowgrade.Finished && !whole(a) {
+		bs = append(bs, Breach{WholeAnswer, fmt.Sprintf("%q finished with %d bytes that are not its answer", name(a), len(a.Text))})
+	}
+	if a.Outcome == hollowgrade.NotRun {
+		for _, r := range e.runsOf(a) {
+			if r.At.Before(a.Ended) {
+				bs = append(bs, Breach{NotRunIsTrue, fmt.Sprintf("%q (%s) ran on %s", name(a), a.Code, r.Box)})
+			}
+		}
+	}
+	if e.Planned && a.Outcome != hollowgrade.Finished {
+		bs = append(bs, Breach{NothingCut, fmt.Sprintf("%q ended as %q with %s %s", name(a), a.Outcome, a.Code, a.Message)})
+	}
+	return bs
+}
+
+func name(a Answer) string {
+	return strings.TrimSpace(a.Call.Prompt[:min(len(a.Call.Prompt), 24)])
+}
+
+// whole reports whether a finished answer is the right one. A finished request
+// whose answer is no longer kept says so by its code and has no text.
+func whole(a Answer) bool {
+	switch {
+	case a.Code != "":
+		return a.Text == ""
+	case a.Call.Service:
+		return a.Text == a.Call.Prompt
+	default:
+		return a.Text == a.Call.Wants()
+	}
+}
+
+// runsOf returns the starts of a request: its own, and for a key those of all
+// requests with that key.
+func (e Evidence) runsOf(a Answer) (rs []Started) {
+	ids := map[string]bool{a.RequestID: a.RequestID != ""}
+	for _, o := range e.Answers {
+		if a.Call.Key != "" && o.Call.Key == a.Call.Key && o.RequestID != "" {
+			ids[o.RequestID] = true
+		}
+	}
+	for _, r := range e.Runs {
+		if ids[r.Request] || a.Call.Key != "" && a.Call.Service && r.Body == a.Call.Prompt {
+			rs = append(rs, r)
+		}
+	}
+	return rs
+}
+
+// judgeKeys counts the starts under each key. The pieces of one attempt count
+// as one start.
+func (e Evidence) judgeKeys() (bs []Breach) {
+	seen := map[string]bool{}
+	for _, a := range e.Answers {
+		if a.Call.Key == "" || seen[a.Call.Key] {
+			continue
+		}
+		seen[a.Call.Key] = true
+		starts := map[string]bool{}
+		for _, r := range e.runsOf(a) {
+			starts[r.Request+"/"+r.Attempt] = true
+		}
+		if len(starts) > 1 {
+			bs = append(bs, Breach{AtMostOnce, fmt.Sprintf("key %s ran %d times", a.Call.Key, len(starts))})
+		}
+	}
+	return bs
+}
+
+func (e Evidence) judgeMemory() (bs []Breach) {
+	for b, n := range e.Used {
+		if n != 0 {
+			bs = append(bs, Breach{NoMemoryLost, fmt.Sprintf("%s still holds %d tokens", b, n)})
+		}
+	}
+	for b, n := range e.Lost {
+		if n != 0 {
+			bs = append(bs, Breach{NoMemoryLost, fmt.Sprintf("no lease answers for %d tokens on %s", n, b)})
+		}
+	}
+	return bs
+}
+
+func (e Evidence) judgeLeaving() (bs []Breach) {
+	sent := map[string]time.Time{}
+	for _, a := range e.Answers {
+		sent[a.RequestID] = a.Sent
+	}
+	for _, r := range e.Runs {
+		left, ok := e.Left[r.Box]
+		if ok && sent[r.Request].After(left.Add(leaveSlack)) {
+			bs = append(bs, Breach{NoNewWork, fmt.Sprintf("%s was given a request %s after it began to leave", r.Box, r.At.Sub(left))})
+		}
+	}
+	return bs
+}
+
+func (e Evidence) judgeRevisions() (bs []Breach) {
+	for b, rs := range e.Revisions {
+		for i := 1; i < len(rs); i++ {
+			if rs[i] < rs[i-1] {
+				bs = append(bs, Breach{NeverReverts, fmt.Sprintf("%s went from revision %d to %d", b, rs[i-1], rs[i])})
+			}
+		}
+	}
+	for _, l := range e.Late {
+		bs = append(bs, Breach{NeverReverts, l})
+	}
+	return bs
+}
+
+// Collect gathers the evidence of a fleet at the end of a test.
+func (f *Fleet) Collect() Evidence {
+	e := Evidence{Used: map[string]int{}, Lost: map[string]int{}}
+	for _, a := range f.Agents {
+		if !a.replaced {
+			e.Runs = append(e.Runs, a.starts()...)
+		}
+		if a.Engine != nil && !a.dead && !a.replaced {
+			e.Used[a.Name] = a.Engine.Used()
+			e.Lost[a.Name] = a.Lost()
+		}
+	}
+	return e
+}
+
+// starts returns what the upstream beside the agent ran. An engine knows it by
+// the agent's id: request, attempt and, for a piece of a prompt, its number.
+func (a *AgentBox) starts() (ss []Started) {
+	if a.Engine == nil {
+		for _, r := range a.Service.Runs() {
+			ss = append(ss, Started{Request: r.RequestID, Attempt: r.At.String(), Box: a.Name, Body: r.Body, At: r.At})
+		}
+		return ss
+	}
+	for _, r := range a.Engine.Runs() {
+		id, attempt, _ := strings.Cut(r.ID, ".")
+		attempt, _, _ = strings.Cut(attempt, "/")
+		ss = append(ss, Started{Request: id, Attempt: attempt, Box: a.Name, At: r.At})
+	}
+	return ss
+}
--- /dev/null
+++ b/internal/fleettest/fleet.go
@@ -0,0 +1,565 @@
+// Package fleettest runs real entries and agents against the stand-ins inside
+// a bubble of testing/synctest: the network, the engines and the log are small
+// fakes at the interfaces, and time is virtual. The fault matrix and the fleet
+// benchmark drive it.
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/agent"
+	"github.com/hollowgrade/hollowgrade/config"
+	"github.com/hollowgrade/hollowgrade/entry"
+	"github.com/hollowgrade/hollowgrade/fold"
+	"github.com/hollowgrade/hollowgrade/internal/standin"
+	"github.com/hollowgrade/hollowgrade/ledger"
+	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/sched"
+	"github.com/hollowgrade/hollowgrade/upstream"
+)
+
+// Config gives the size of a fleet and how its parts decide.
+type Config struct {
+	Entries   int
+	Engines   int
+	Services  int // upstreams of the plain service
+	Halls     int
+	Engine    standin.EngineConfig
+	Limits    agent.Limits
+	Entry     entry.Limits
+	KeyTimes  agent.KeyTimes
+	Queue     func() sched.Queue
+	Placement func() sched.Placement
+	HallDelay time.Duration // one way between two data halls
+	BoxDelay  time.Duration // one way between two boxes of a data hall
+	Caller    time.Duration // one way to a caller
+	Poll      time.Duration // of the log
+	Policy    string
+	Log       *log.Logger
+}
+
+// The names that a fleet uses.
+const (
+	Model   = "m"
+	Service = "s"
+	Caller  = "caller"
+	Bearer  = "bearer-"
+)
+
+// Small returns the size that the fault tests use: enough of each part that
+// one can be lost.
+func Small() Config {
+	e := standin.DefaultEngine(Model)
+	e.MemoryTokens = 20_000
+	l := agent.DefaultLimits()
+	l.LongTokens = 10_000
+	l.Heartbeat = 500 * time.Millisecond
+	l.Sweep = 500 * time.Millisecond
+	k := agent.DefaultKeyTimes()
+	k.Lease = 2 * time.Second
+	k.Grace = time.Second
+	k.Every = time.Second
+	return Config{
+		Entries:   2,
+		Engines:   3,
+		Services:  2,
+		Halls:     3,
+		Engine:    e,
+		Limits:    l,
+		Entry:     entry.DefaultLimits(),
+		KeyTimes:  k,
+		Queue:     func() sched.Queue { return sched.NewFair() },
+		Placement: func() sched.Placement { return sched.NewQuickest() },
+		HallDelay: 1500 * time.Microsecond,
+		BoxDelay:  100 * time.Microsecond,
+		Caller:    time.Millisecond,
+		Poll:      time.Second,
+		Policy:    Policy,
+		Log:       log.NewWithOptions(io.Discard, log.Options{Level: log.FatalLevel}),
+	}
+}
+
+// Policy is the policy of the fault tests.
+const Policy = `kind == "once"
+  ? {class: "instant", priority: 0, allowed: duration("20s"), may_wait: true, repeatable: false, share: 1.0}
+: kind == "long"
+  ? {class: "background", priority: 0, allowed: duration("20s"), may_wait: true, repeatable: true, share: 0.5}
+  : {class: "instant", priority: 0, allowed: duration("20s"), may_wait: true, repeatable: true, share: 1.0}`
+
+// EntryBox is an entry with what surrounds it.
+type EntryBox struct {
+	*entry.Entry
+	Name     string
+	Freezer  *standin.Freezer
+	follower *fold.Follower
+	dead     bool
+}
+
+// Revision returns the revision in force.
+func (e *EntryBox) Revision() int64 { return e.follower.State().Revision() }
+
+// AgentBox is an agent with what surrounds it.
+type AgentBox struct {
+	*agent.Agent
+	Name    string
+	Freezer *standin.Freezer
+
+	incarnation string
+
+	Engine   *standin.Engine       // nil beside a plain service
+	Link     *standin.LinkedEngine // the engine as the agent sees it
+	Service  *standin.Service      // nil beside an engine
+	upstream hollowgrade.Service
+	keeper   *agent.Keeper
+	follower *fold.Follower
+	dead     bool
+	replaced bool
+}
+
+// Revision returns the revision in force.
+func (a *AgentBox) Revision() int64 { return a.follower.State().Revision() }
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Config  Config
+	Network *standin.Network
+	Log     *standin.Log
+	Boxes   *standin.Boxes
+	Entries []*EntryBox
+	Agents  []*AgentBox
+	client  *http.Client
+
+	mu      sync.Mutex
+	started int // processes, to number incarnations
+	stops   []func()
+}
+
+// New starts a fleet. It must run inside a bubble.
+func New(c Config) *Fleet {
+	f := &Fleet{Config: c, Log: standin.NewLog(0, hollowgrade.SystemClock())}
+	f.Network = standin.NewNetwork(f.delay)
+	f.Boxes = standin.NewBoxes(0, hollowgrade.SystemClock())
+	f.client = &http.Client{Transport: &http.Transport{
+		DialContext:         f.dialCaller,
+		MaxIdleConnsPerHost: 256,
+		DisableCompression:  true,
+	}}
+	for i := range c.Engines {
+		f.StartAgent(EngineName(i), false)
+	}
+	for i := range c.Services {
+		f.StartAgent(ServiceName(i), true)
+	}
+	for i := range c.Entries {
+		f.StartEntry(EntryName(i))
+	}
+	return f
+}
+
+// EntryName names the box of an entry.
+func EntryName(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+// EngineName names the box of an agent beside an engine.
+func EngineName(i int) string { return fmt.Sprintf("engine-%d", i) }
+
+// ServiceName names the box of an agent beside a plain service.
+func ServiceName(i int) string { return fmt.Sprintf("service-%d", i) }
+
+func (f *Fleet) dialCaller(ctx context.Context, _, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	return f.Network.Dial(Caller)(ctx, host)
+}
+
+// hall returns the data hall of a box, from the number at the end of its name.
+func (f *Fleet) hall(name string) string {
+	var n int
+	_, _ = fmt.Sscanf(name[len(name)-1:], "%d", &n)
+	return fmt.Sprintf("hall-%d", n%f.Config.Halls)
+}
+
+func (f *Fleet) delay(from, to string) time.Duration {
+	switch {
+	case from == Caller || to == Caller:
+		return f.Config.Caller
+	case f.hall(from) == f.hall(to):
+		return f.Config.BoxDelay
+	default:
+		return f.Config.HallDelay
+	}
+}
+
+func (f *Fleet) incarnation(name string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started++
+	return fmt.Sprintf("%s#%d", name, f.started)
+}
+
+// agents returns the list of agents as the platform shows it.
+func (f *Fleet) agents(ctx context.Context) []hollowgrade.Box {
+	bs, _ := f.Boxes.List(ctx)
+	return slices.DeleteFunc(bs, func(b hollowgrade.Box) bool { return b.Role != hollowgrade.AgentRole })
+}
+
+// frozenLog is the log as a process sees it that can be frozen or cut off.
+type frozenLog struct {
+	*standin.Log
+	freezer *standin.Freezer
+}
+
+// Append implements [hollowgrade.Log].
+func (l frozenLog) Append(ctx context.Context, b []byte) (int64, error) {
+	l.freezer.Wait()
+	return l.Log.Append(ctx, b)
+}
+
+// Read implements [hollowgrade.Log].
+func (l frozenLog) Read(ctx context.Context, from int64, limit int) (hollowgrade.Page, error) {
+	l.freezer.Wait()
+	return l.Log.Read(ctx, from, limit)
+}
+
+func (f *Fleet) follower(z *standin.Freezer) *fold.Follower {
+	return fold.NewFollower(frozenLog{f.Log, z}, fold.WithClock(z.Clock()), fold.WithLogger(f.Config.Log), fold.WithPoll(f.Config.Poll))
+}
+
+func watch(w *fold.Follower, use func(*config.Config)) {
+	var former *config.Config
+	w.Watch(func(s fold.State) {
+		if s.Revision() > 0 {
+			former, _ = config.Compile(s, former)
+			use(former)
+		}
+	})
+}
+
+// StartAgent starts an agent, with an upstream of its own, and lists its box.
+func (f *Fleet) StartAgent(name string, service bool) *AgentBox {
+	a := &AgentBox{Name: name}
+	if service {
+		a.upstream = f.startService(a)
+	} else {
+		a.Engine = standin.NewEngine(f.Config.Engine, hollowgrade.SystemClock())
+		f.stops = append(f.stops, a.Engine.Stop)
+	}
+	a = f.startBeside(a)
+	f.Agents = append(f.Agents, a)
+	return a
+}
+
+// startBeside starts a process beside the upstream of another one.
+func (f *Fleet) startBeside(o *AgentBox) *AgentBox {
+	a := &AgentBox{Name: o.Name, Engine: o.Engine, Service: o.Service, upstream: o.upstream, Freezer: f.Network.Freezer(o.Name)}
+	a.incarnation = f.incarnation(a.Name)
+	a.follower = f.follower(a.Freezer)
+	clock, l := a.Freezer.Clock(), frozenLog{f.Log, a.Freezer}
+	b := hollowgrade.Box{Name: a.Name, Role: hollowgrade.AgentRole, Hall: f.hall(a.Name), Peer: a.Name, State: hollowgrade.BoxLive}
+	a.keeper = agent.NewKeeper(a.Name, a.incarnation, f.Config.KeyTimes, clock, f.Config.Log, l, a.follower, f.agents, f.Network.Dial(a.Name))
+	os := []agent.Option{
+		agent.WithClock(clock), agent.WithLogger(f.Config.Log), agent.WithLimits(f.Config.Limits),
+		agent.WithQueue(f.Config.Queue()), agent.WithKeys(a.keeper),
+		agent.WithRevision(a.Revision), agent.WithSnapshot(a.follower.Encoded),
+	}
+	if a.Engine != nil {
+		a.Link = a.Freezer.Engine(a.Engine)
+		os = append(os, agent.WithEngine(a.Link, Model))
+	} else {
+		os = append(os, agent.WithService(Service, a.upstream))
+	}
+	a.Agent = agent.New(b, a.incarnation, f.Network.Listen(a.Name), os...)
+	f.Boxes.Set(b)
+	_ = a.follower.Start(context.Background(), nil)
+	watch(a.follower, a.keeper.SetConfig)
+	_ = a.keeper.Start(context.Background(), nil)
+	_ = a.Start(context.Background(), nil)
+	return a
+}
+
+const serviceDelay = 20 * time.Millisecond
+
+// startService serves a plain service beside the agent.
+func (f *Fleet) startService(a *AgentBox) hollowgrade.Service {
+	a.Service = standin.NewService(serviceDelay, hollowgrade.SystemClock())
+	host := a.Name + "-upstream-" + a.Name[len(a.Name)-1:]
+	s := &http.Server{Handler: a.Service}
+	l := f.Network.Listen(host)
+	go func() { _ = s.Serve(l) }()
+	d := f.Network.Dial(a.Name)
+	t := upstream.ServiceTransport(func(ctx context.Context, _, _ string) (net.Conn, error) { return d(ctx, host) })
+	f.stops = append(f.stops, func() { _ = s.Close(); t.CloseIdleConnections() })
+	c, err := upstream.NewService("http://"+host, t)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// UpstreamOf returns the address of the plain service beside an agent.
+func UpstreamOf(name string) string {
+	return name + "-upstream-" + name[len(name)-1:]
+}
+
+// StartEntry starts an entry.
+func (f *Fleet) StartEntry(name string) *EntryBox {
+	e := &EntryBox{Name: name, Freezer: f.Network.Freezer(name)}
+	b := hollowgrade.Box{Name: name, Role: hollowgrade.EntryRole, Hall: f.hall(name), State: hollowgrade.BoxLive}
+	e.follower = f.follower(e.Freezer)
+	e.Entry = entry.New(b, f.incarnation(name), f.Network.Listen(name), f.agents,
+		entry.WithClock(e.Freezer.Clock()), entry.WithLogger(f.Config.Log), entry.WithLimits(f.Config.Entry),
+		entry.WithDialer(peer.Dialer(f.Network.Dial(name))), entry.WithPlacement(f.Config.Placement()))
+	f.mu.Lock()
+	f.Entries = append(slices.Clone(f.Entries), e)
+	f.mu.Unlock()
+	f.Boxes.Set(b)
+	_ = e.follower.Start(context.Background(), nil)
+	watch(e.follower, e.SetConfig)
+	_ = e.Start(context.Background(), nil)
+	return e
+}
+
+// Prepare publishes a policy, a model, a service and the organisations.
+func (f *Fleet) Prepare(organisations ...string) error {
+	ctx := context.Background()
+	type item struct {
+		kind, name string
+		body       any
+	}
+	is := []item{
+		{config.PolicyKind, config.DefaultPolicy, config.Policy{Name: config.DefaultPolicy, Text: f.Config.Policy}},
+		{config.ModelKind, Model, config.Model{Name: Model}},
+		{config.ServiceKind, Service, config.Service{Name: Service}},
+	}
+	for _, o := range organisations {
+		is = append(is, item{config.OrganisationKind, o, config.Organisation{Name: o, Keys: []string{config.KeyDigest(Bearer + o)}}})
+	}
+	for _, i := range is {
+		if _, err := config.Publish(ctx, f.Log, i.kind, i.name, i.body, config.Current); err != nil {
+			return err
+		}
+	}
+	if err := f.giveRanges(); err != nil {
+		return err
+	}
+	for !f.ready() {
+		time.Sleep(f.Config.Poll / 4)
+	}
+	return nil
+}
+
+// giveRanges names a keeper for each range of keys, as the agents themselves
+// would within seconds; written here to spare each test their dozens of reads.
+func (f *Fleet) giveRanges() error {
+	for n := range ledger.Ranges {
+		a := f.Agents[n%len(f.Agents)]
+		r := config.KeyRange{Owner: a.Name, Incarnation: a.incarnation, First: true}
+		c, err := fold.NewChange(config.KeyRangeKind, ledger.RangeName(n), 0, r, fmt.Sprint("range", n), "test")
+		if err != nil {
+			return err
+		}
+		b, err := c.Encode()
+		if err != nil {
+			return err
+		}
+		if _, err = f.Log.Append(context.Background(), b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) ready() bool {
+	for _, e := range f.Entries {
+		if ok, _ := e.Ready(); !ok || !e.Complete(len(f.Agents)) {
+			return false
+		}
+	}
+	return true
+}
+
+// KillEntry kills an entry as SIGKILL does: it does nothing more, and its
+// connections break.
+func (f *Fleet) KillEntry(i int) {
+	e := f.Entries[i]
+	f.mark(&e.dead)
+	e.Freezer.Set(true)
+	f.Network.Kill(e.Name)
+}
+
+// KillAgent kills an agent. Its upstream goes on.
+func (f *Fleet) KillAgent(i int) {
+	a := f.Agents[i]
+	f.mark(&a.dead)
+	a.Freezer.Set(true)
+	f.Network.Kill(a.Name)
+	if a.Link != nil {
+		a.Link.SetCut(true)
+	}
+}
+
+// KillUpstream kills the engine or the plain service beside an agent.
+func (f *Fleet) KillUpstream(i int) {
+	a := f.Agents[i]
+	if a.Engine != nil {
+		a.Engine.Kill()
+		return
+	}
+	a.Service.SetDown(true)
+	f.Network.Kill(UpstreamOf(a.Name))
+}
+
+// Unlist takes a box off the platform's list.
+func (f *Fleet) Unlist(name string) {
+	f.Boxes.Remove(name)
+}
+
+// Stop ends everything, so that the bubble can end.
+func (f *Fleet) Stop() {
+	for _, e := range f.Entries {
+		e.Freezer.Set(false)
+	}
+	for _, a := range f.Agents {
+		a.Freezer.Set(false)
+		f.Network.Freezer(UpstreamOf(a.Name)).Set(false)
+	}
+	f.client.CloseIdleConnections()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, e := range f.Entries {
+		_ = e.Stop(ctx)
+		_ = e.follower.Stop(ctx)
+	}
+	for _, a := range f.Agents {
+		_ = a.Stop(ctx)
+		_ = a.keeper.Stop(ctx)
+		_ = a.follower.Stop(ctx)
+	}
+	for _, s := range f.stops {
+		s()
+	}
+	for _, a := range f.Agents {
+		f.Network.Kill(a.Name)
+	}
+	for _, e := range f.Entries {
+		f.Network.Kill(e.Name)
+	}
+	f.Network.Kill(Caller)
+}
+
+// ReplaceAgent starts another process at the address of an agent that was
+// killed, beside the same upstream. The new one takes its place in Agents; what
+// the upstream ran before stays in the evidence.
+func (f *Fleet) ReplaceAgent(i int) {
+	old := f.Agents[i]
+	f.mark(&old.replaced)
+	f.Network.Forget(old.Name)
+	a := f.startBeside(old)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Agents = append(slices.Clone(f.Agents), old)
+	f.Agents[i] = a
+}
+
+// StopAgent stops an agent as planned, with its keeper of keys.
+func (f *Fleet) StopAgent(ctx context.Context, a *AgentBox) {
+	_ = a.Stop(ctx)
+	_ = a.keeper.Stop(ctx)
+}
+
+// keeperOf returns the agent that keeps a key.
+func (f *Fleet) keeperOf(organisation, key string) int {
+	id := ledger.KeyID{Organisation: organisation, Key: key}
+	return id.Range() % (f.Config.Engines + f.Config.Services)
+}
+
+const watchEvery = 100 * time.Millisecond
+
+// watchRevisions notes what each box has in force, until the function that it
+// returns is called.
+func (f *Fleet) watchRevisions() func() map[string][]int64 {
+	seen := map[string][]int64{}
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			for n, r := range f.revisions() {
+				if l := seen[n]; len(l) == 0 || l[len(l)-1] != r {
+					seen[n] = append(seen[n], r)
+				}
+			}
+			t := time.NewTimer(watchEvery)
+			select {
+			case <-t.C:
+			case <-stop:
+				t.Stop()
+				return
+			}
+		}
+	}()
+	return func() map[string][]int64 {
+		close(stop)
+		<-done
+		return seen
+	}
+}
+
+func (f *Fleet) mark(b *bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*b = true
+}
+
+// revisions returns what each live process has in force.
+func (f *Fleet) revisions() map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := map[string]int64{}
+	for _, e := range f.Entries {
+		if !e.dead {
+			m[e.Name] = e.Revision()
+		}
+	}
+	for _, a := range f.Agents {
+		if !a.dead && !a.replaced {
+			m[a.incarnation] = a.Revision()
+		}
+	}
+	return m
+}
+
+// inForceWithin is how soon an accepted revision must be in force everywhere.
+const inForceWithin = 4 * time.Second
+
+// late names the live processes on which a revision that was accepted long
+// enough ago is not in force.
+func (f *Fleet) late() (ls []string) {
+	p, err := f.Log.Read(context.Background(), 0, math.MaxInt)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	s := fold.New()
+	for _, r := range p.Records {
+		if time.Since(r.Time) >= inForceWithin {
+			s, _ = s.Apply(r)
+		}
+	}
+	for n, r := range f.revisions() {
+		if r < s.Revision() {
+			ls = append(ls, fmt.Sprintf("%s has revision %d in force, %d was accepted in time", n, r, s.Revision()))
+		}
+	}
+	return ls
+}
--- /dev/null
+++ b/internal/fleettest/matrix_test.go
@@ -0,0 +1,487 @@
+package fleettest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"regexp"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/config"
+	"github.com/hollowgrade/hollowgrade/fault"
+)
+
+// step is a moment in the life of a request. Its time is taken from a run of
+// the same request without a fault: time is virtual, so it comes again.
+type step struct {
+	name string
+	at   func(timeline) time.Duration // after the request was sent
+}
+
+// timeline holds the moments of a run without a fault, after it was sent.
+type timeline struct {
+	started, first, ended time.Duration
+	box                   int // agent that ran it
+}
+
+const (
+	way  = 1500 * time.Microsecond // between two boxes in the matrix
+	near = time.Millisecond        // between a caller and an entry
+)
+
+var steps = []step{
+	{"admit", func(timeline) time.Duration { return near / 2 }},
+	{"place", func(timeline) time.Duration { return near + way/2 }},
+	{"offer", func(l timeline) time.Duration { return l.started - 3*way/4 }},
+	{"queue", func(l timeline) time.Duration { return l.started - 50*time.Microsecond }},
+	{"start", func(l timeline) time.Duration { return l.started + 50*time.Microsecond }},
+	{"first token", func(l timeline) time.Duration { return l.first - near - way/2 }},
+	{"mid stream", func(l timeline) time.Duration { return (l.first + l.ended) / 2 }},
+	{"last frame", func(l timeline) time.Duration { return l.ended - near - way/2 }},
+	{"record", func(l timeline) time.Duration { return l.ended + way/2 }},
+}
+
+// trouble is a fault and the end of it.
+type trouble struct {
+	name   string
+	strike func(c *cell)
+	heal   func(c *cell)
+	lasts  time.Duration
+	// tells says that the entry can go on speaking to the caller.
+	tells bool
+	// planned says that it is a planned stop, which cuts off nothing.
+	planned bool
+}
+
+const (
+	brief  = 2 * time.Second
+	asleep = 4 * time.Second // longer than the lease on a range of keys
+)
+
+func nothing(*cell) {}
+
+var troubles = []trouble{
+	{name: "kill entry", strike: func(c *cell) { c.fleet.KillEntry(0) }, heal: func(c *cell) { c.fleet.StartEntry("entry-2") }, lasts: brief},
+	{name: "kill agent", strike: func(c *cell) { c.fleet.KillAgent(c.box) }, heal: nothing, tells: true},
+	{name: "kill agent and replace it", strike: func(c *cell) { c.fleet.KillAgent(c.box) }, heal: replaceAgent, lasts: brief, tells: true},
+	{name: "kill keeper", strike: func(c *cell) { c.fleet.KillAgent(c.keeper) }, heal: unlistKeeper, lasts: brief, tells: true},
+	{name: "kill upstream", strike: func(c *cell) { c.fleet.KillUpstream(c.box) }, heal: nothing, tells: true},
+	{name: "cut caller from entry", strike: cut(Caller, func(*cell) string { return EntryName(0) }), heal: mend(Caller, func(*cell) string { return EntryName(0) }), lasts: brief},
+	{name: "cut entry from agent", strike: cut(EntryName(0), boxName), heal: mend(EntryName(0), boxName), lasts: brief, tells: true},
+	{name: "cut agent from upstream", strike: cutUpstream, heal: mendUpstream, lasts: brief, tells: true},
+	{name: "freeze entry", strike: func(c *cell) { c.fleet.Entries[0].Freezer.Set(true) }, heal: func(c *cell) { c.fleet.Entries[0].Freezer.Set(false) }, lasts: asleep},
+	{name: "freeze agent", strike: func(c *cell) { c.fleet.Agents[c.box].Freezer.Set(true) }, heal: func(c *cell) { c.fleet.Agents[c.box].Freezer.Set(false) }, lasts: asleep, tells: true},
+	{name: "freeze keeper past its lease", strike: func(c *cell) { c.freezeKeeper() }, heal: func(c *cell) { c.fleet.Agents[c.keeper].Freezer.Set(false) }, lasts: 4 * asleep, tells: true},
+	{name: "freeze upstream", strike: freezeUpstream(true), heal: freezeUpstream(false), lasts: asleep, tells: true},
+	{name: "log down", strike: func(c *cell) { c.fleet.Log.SetOutage(true) }, heal: func(c *cell) { c.fleet.Log.SetOutage(false) }, lasts: asleep, tells: true},
+	{name: "log loses answers of racing operators", strike: raceOperators, heal: nothing, tells: true},
+	{name: "list lags behind a replaced agent", strike: func(c *cell) { c.fleet.Boxes.Hold(true); c.fleet.KillAgent(c.box) }, heal: replaceAgent, lasts: brief, tells: true},
+	{name: "drain entry", strike: func(c *cell) { c.ending.Go(func() { _ = c.fleet.Entries[0].Stop(c.stopping()) }) }, heal: nothing, tells: true, planned: true},
+	{name: "drain agent", strike: drainAgent, heal: nothing, tells: true, planned: true},
+}
+
+func boxName(c *cell) string { return c.fleet.Agents[c.box].Name }
+
+func cut(a string, b func(*cell) string) func(*cell) {
+	return func(c *cell) { c.fleet.Network.Cut(a, b(c)) }
+}
+
+func mend(a string, b func(*cell) string) func(*cell) {
+	return func(c *cell) { c.fleet.Network.Mend(a, b(c)) }
+}
+
+func cutUpstream(c *cell) {
+	if a := c.fleet.Agents[c.box]; a.Link != nil {
+		a.Link.SetCut(true)
+	} else {
+		c.fleet.Network.Cut(a.Name, UpstreamOf(a.Name))
+	}
+}
+
+func mendUpstream(c *cell) {
+	if a := c.fleet.Agents[c.box]; a.Link != nil {
+		a.Link.SetCut(false)
+	} else {
+		c.fleet.Network.Mend(a.Name, UpstreamOf(a.Name))
+	}
+}
+
+func freezeUpstream(on bool) func(*cell) {
+	return func(c *cell) {
+		if a := c.fleet.Agents[c.box]; a.Engine != nil {
+			a.Engine.Freeze(on)
+		} else {
+			c.fleet.Network.Freezer(UpstreamOf(a.Name)).Set(on)
+		}
+	}
+}
+
+// replaceAgent starts another process beside the same engine, at the same
+// address.
+func replaceAgent(c *cell) {
+	c.fleet.ReplaceAgent(c.box)
+}
+
+func unlistKeeper(c *cell) {
+	c.fleet.Unlist(c.fleet.Agents[c.keeper].Name)
+}
+
+func drainAgent(c *cell) {
+	a := c.fleet.Agents[c.box]
+	c.left[a.Name] = time.Now()
+	c.fleet.Boxes.Hold(true)
+	c.fleet.Unlist(a.Name)
+	// Not waited for: a process that is killed while it drains never ends.
+	c.ending.Go(func() { c.fleet.StopAgent(c.stopping(), a) })
+}
+
+// raceOperators publishes two changes of one item at once while the log takes
+// appends and loses its answers. One must win.
+func raceOperators(c *cell) {
+	c.fleet.Log.LoseAnswers(2)
+	errs := make([]error, 2)
+	var g sync.WaitGroup
+	for i := range errs {
+		g.Go(func() {
+			o := config.Organisation{Name: "raced", Keys: []string{config.KeyDigest(fmt.Sprint(i))}}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, errs[i] = config.Publish(ctx, c.fleet.Log, config.OrganisationKind, "raced", o, 0)
+		})
+	}
+	c.stop(func() {
+		g.Wait()
+		c.raced = append(c.raced, errs...)
+	})
+}
+
+// kind is a kind of request that goes through the matrix.
+type kind struct {
+	name string
+	call Call
+}
+
+var kinds = []kind{
+	{"repeatable", Call{Organisation: "a", Kind: "short", Prompt: strings.Repeat("abcd", 1000), Tokens: 24}},
+	{"in pieces", Call{Organisation: "a", Kind: "short", Prompt: strings.Repeat("efgh", 10_000), Tokens: 24}},
+	{"over two engines", Call{Organisation: "a", Kind: "long", Prompt: strings.Repeat("ijkl", 24_000), Tokens: 24}},
+	{"once", Call{Organisation: "a", Kind: "once", Prompt: strings.Repeat("mnop", 500), Tokens: 24, Key: "key-1"}},
+	{"once in pieces", Call{Organisation: "a", Kind: "once", Prompt: strings.Repeat("qrst", 12_000), Tokens: 24, Key: "key-3"}},
+	{"once at a service", Call{Organisation: "a", Kind: "once", Prompt: "receipt", Service: true, Key: "key-2"}},
+	{"repeatable at a service", Call{Organisation: "a", Kind: "short", Prompt: "lookup", Service: true}},
+}
+
+// cell is one run: a request, and faults at steps of its life.
+type cell struct {
+	fleet  *Fleet
+	kind   kind
+	box    int // agent that serves the request
+	keeper int // agent that keeps its key
+	left   map[string]time.Time
+	raced  []error
+	// survives says that a single fault left the entry able to speak, and that
+	// the request may run again: it must finish, not merely fail in order.
+	survives bool
+
+	group  sync.WaitGroup // what the verdict waits for
+	ending sync.WaitGroup // planned stops
+	mu     sync.Mutex
+}
+
+type blow struct {
+	step  step
+	fault trouble
+}
+
+func (c *cell) stop(f func()) {
+	c.group.Go(f)
+}
+
+func (c *cell) stopping() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	context.AfterFunc(ctx, cancel)
+	return ctx
+}
+
+// freezeKeeper also takes the keeper off the list, as the platform does with a
+// box that does not answer.
+func (c *cell) freezeKeeper() {
+	c.fleet.Agents[c.keeper].Freezer.Set(true)
+	c.fleet.Unlist(c.fleet.Agents[c.keeper].Name)
+}
+
+func matrixConfig() Config {
+	c := Small()
+	c.BoxDelay, c.HallDelay, c.Caller = way, way, near
+	return c
+}
+
+const (
+	resends = 8
+	resting = 4 * time.Second  // for sweeps to pass and agents to take over
+	longest = 25 * time.Second // for leases to expire
+)
+
+// resend sends a call with a key again, to the other entry, until its caller
+// knows how it ended. A caller without a key would do so too, but proves
+// nothing by it.
+func (c *cell) resend(a Answer) (as []Answer) {
+	for n := 0; n < resends && c.kind.call.Key != "" && a.Outcome != hollowgrade.Finished && a.Outcome != hollowgrade.Failed; n++ {
+		time.Sleep(max(time.Duration(a.RetryAfter*float64(time.Second)), 500*time.Millisecond))
+		d := c.kind.call
+		d.Entry = 1
+		d.Allowed = 5 * time.Second
+		a = c.fleet.Do(context.Background(), d)
+		as = append(as, a)
+	}
+	return as
+}
+
+// rest gives the fleet the time that its leases and sweeps may take to bring
+// memory back. What is not back then is lost for good.
+func (c *cell) rest() {
+	time.Sleep(resting)
+	for began := time.Now(); time.Since(began) < longest; time.Sleep(time.Second) {
+		if len(c.fleet.Collect().judgeMemory()) == 0 {
+			return
+		}
+	}
+}
+
+// run drives the cell and returns the evidence.
+func (c *cell) run(l timeline, blows []blow) Evidence {
+	f := c.fleet
+	c.left = map[string]time.Time{}
+	c.box, c.keeper = l.box, c.keeperOf()
+	began := time.Now()
+	call := c.kind.call
+	call.Allowed = 20 * time.Second
+	for _, b := range blows {
+		c.stop(func() {
+			time.Sleep(time.Until(began.Add(b.step.at(l))))
+			c.mu.Lock()
+			b.fault.strike(c)
+			c.mu.Unlock()
+			time.Sleep(b.fault.lasts)
+			c.mu.Lock()
+			b.fault.heal(c)
+			c.mu.Unlock()
+		})
+	}
+	watched := f.watchRevisions()
+	ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
+	defer cancel()
+	a := f.Do(ctx, call)
+	as := append([]Answer{a}, c.resend(a)...)
+	c.group.Wait()
+	c.rest()
+	e := f.Collect()
+	e.Answers, e.Left, e.Revisions = as, c.left, watched()
+	e.Late = f.late()
+	e.Excused, e.Planned = map[string]bool{}, len(blows) > 0
+	for _, b := range blows {
+		e.Planned = e.Planned && b.fault.planned
+		if !b.fault.tells {
+			e.Excused[call.Prompt] = true
+		}
+	}
+	return e
+}
+
+func (c *cell) keeperOf() int {
+	return c.fleet.keeperOf(c.kind.call.Organisation, c.kind.call.Key)
+}
+
+// judge turns the evidence into breaches, with those that only the matrix can
+// see: of two racing operators at most one has won, and the loser was told.
+func (c *cell) judge(e Evidence) (bs []Breach) {
+	bs = e.Breaches()
+	if c.survives && e.Answers[0].Outcome != hollowgrade.Finished {
+		a := e.Answers[0]
+		bs = append(bs, Breach{"a repeatable request survives a single fault", fmt.Sprintf("it ended as %q with %s %s", a.Outcome, a.Code, a.Message)})
+	}
+	won := 0
+	for _, err := range c.raced {
+		var f *fault.Error
+		switch {
+		case err == nil:
+			won++
+		case !errors.As(err, &f):
+			bs = append(bs, Breach{NeverReverts, "an operator was told nothing definite: " + err.Error()})
+		}
+	}
+	if won > 1 {
+		bs = append(bs, Breach{NeverReverts, "both racing operators were told that they won"})
+	}
+	return bs
+}
+
+// inMatrix runs one cell in a bubble of its own.
+func inMatrix(t *testing.T, k kind, l timeline, blows []blow) (e Evidence, bs []Breach) {
+	t.Helper()
+	defer runtime.GC()
+	defer runtime.GC()
+	synctest.Test(t, func(t *testing.T) {
+		f := New(matrixConfig())
+		c := &cell{fleet: f, kind: k}
+		defer c.ending.Wait()
+		defer f.Stop()
+		require.NoError(t, f.Prepare("a", "b"))
+		c.survives = len(blows) == 1 && blows[0].fault.tells && k.call.Key == ""
+		e = c.run(l, blows)
+		bs = c.judge(e)
+	})
+	return e, bs
+}
+
+// dryRun finds the moments of a request without a fault.
+func dryRun(t *testing.T, k kind) (l timeline) {
+	t.Helper()
+	e, bs := inMatrix(t, k, timeline{}, nil)
+	require.Empty(t, bs)
+	require.Len(t, e.Answers, 1)
+	a := e.Answers[0]
+	require.Equal(t, hollowgrade.Finished, a.Outcome, "%s %s", a.Code, a.Message)
+	rs := e.runsOf(a)
+	require.NotEmpty(t, rs)
+	last := rs[0]
+	for _, r := range rs {
+		if r.At.After(last.At) {
+			last = r
+		}
+	}
+	l.started, l.ended = last.At.Sub(a.Sent), a.Took()
+	l.first = l.ended
+	if !a.First.IsZero() {
+		l.first = a.First.Sub(a.Sent)
+	}
+	_, err := fmt.Sscanf(last.Box[strings.LastIndex(last.Box, "-")+1:], "%d", &l.box)
+	require.NoError(t, err)
+	if k.call.Service {
+		l.box += matrixConfig().Engines
+	}
+	return l
+}
+
+// pairs is the number of cells with two faults. All pairs at all steps would be
+// some 140,000 cells; this is a sample with a fixed seed.
+const pairs = 400
+
+// job is one cell of the table.
+type job struct {
+	kind  kind
+	blows []blow
+}
+
+func (j job) String() string {
+	var ss []string
+	for _, b := range j.blows {
+		ss = append(ss, b.step.name+": "+b.fault.name)
+	}
+	return j.kind.name + ", " + strings.Join(ss, ", ")
+}
+
+// table lists the cells: single faults whole, every step by every fault, and a
+// sample of the pairs.
+func table() (js []job) {
+	for _, k := range kinds {
+		for _, s := range steps {
+			for _, x := range troubles {
+				js = append(js, job{k, []blow{{s, x}}})
+			}
+		}
+	}
+	r := rand.New(rand.NewPCG(1, 1))
+	draw := func() blow { return blow{steps[r.IntN(len(steps))], troubles[r.IntN(len(troubles))]} }
+	for range pairs {
+		js = append(js, job{kinds[r.IntN(len(kinds))], []blow{draw(), draw()}})
+	}
+	return js
+}
+
+// The matrix runs in several processes of this test's own binary, since each
+// bubble of virtual time keeps one core busy at most. The parent sums up.
+const (
+	shardEnv = "HOLLOWGRADE_MATRIX_SHARD"
+	shards   = 8
+)
+
+var shardLine = regexp.MustCompile(`(?m)^shard: cells (\d+), broken (\d+)$`)
+
+func TestFaultMatrix(t *testing.T) {
+	if s := os.Getenv(shardEnv); s != "" {
+		n, err := strconv.Atoi(s)
+		require.NoError(t, err)
+		runShard(t, n)
+		return
+	}
+	exe, err := os.Executable()
+	require.NoError(t, err)
+	outs := make([][]byte, shards)
+	var g sync.WaitGroup
+	for i := range shards {
+		g.Go(func() {
+			c := exec.Command(exe, "-test.run=^TestFaultMatrix$", "-test.timeout=20m")
+			c.Env = append(os.Environ(), fmt.Sprintf("%s=%d", shardEnv, i))
+			outs[i], _ = c.CombinedOutput()
+		})
+	}
+	g.Wait()
+	cells, broken := 0, 0
+	for i, o := range outs {
+		m := shardLine.FindSubmatch(o)
+		if m == nil || string(m[2]) != "0" {
+			assert.Fail(t, "shard failed", "shard %d:\n%s", i, o)
+		}
+		if m != nil {
+			cells += number(t, m[1])
+			broken += number(t, m[2])
+		}
+	}
+	assert.Equal(t, len(table()), cells)
+	fmt.Printf("single faults: every step by every fault for %d kinds of request, no cell left out; pairs: a sample of %d, seed 1\n", len(kinds), pairs)
+	fmt.Printf("cells %d, held %d, broken %d\n", cells, cells-broken, broken)
+}
+
+func number(t *testing.T, b []byte) int {
+	t.Helper()
+	n, err := strconv.Atoi(string(b))
+	require.NoError(t, err)
+	return n
+}
+
+func runShard(t *testing.T, n int) {
+	t.Helper()
+	lines := map[string]timeline{}
+	for _, k := range kinds {
+		lines[k.name] = dryRun(t, k)
+	}
+	cells, broken := 0, 0
+	for i, j := range table() {
+		if i%shards != n {
+			continue
+		}
+		_, bs := inMatrix(t, j.kind, lines[j.kind.name], j.blows)
+		cells++
+		if len(bs) > 0 {
+			broken++
+		}
+		for _, b := range bs {
+			assert.Fail(t, b.String(), j.String())
+		}
+	}
+	fmt.Printf("shard: cells %d, broken %d\n", cells, broken)
+}
--- a/internal/standin/boxes.go
+++ b/internal/standin/boxes.go
@@ -17,6 +17,7 @@
 	clock hollowgrade.Clock
 
 	mu      sync.Mutex
+	held    []hollowgrade.Box // shown while it is not nil
 	lag     time.Duration
 	history []boxesAt
 }
@@ -31,11 +32,16 @@
 	return &Boxes{clock: k, lag: lag, history: []boxesAt{{at: k.Now().Add(-lag)}}}
 }
 
-// SetLag changes the age of what the list shows.
-func (b *Boxes) SetLag(d time.Duration) {
+// Hold makes the list go on showing what it shows now, or ends that. It stands
+// in for a lag that is longer than a test.
+func (b *Boxes) Hold(on bool) {
+	bs, _ := b.List(context.Background())
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lag = d
+	b.held = nil
+	if on {
+		b.held = append([]hollowgrade.Box{}, bs...)
+	}
 }
 
 // Set enters a box or changes it.
@@ -65,6 +71,9 @@
 func (b *Boxes) List(context.Context) ([]hollowgrade.Box, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.held != nil {
+		return slices.Clone(b.held), nil
+	}
 	old := b.clock.Now().Add(-b.lag)
 	for len(b.history) > 1 && !b.history[1].at.After(old) {
 		b.history = b.history[1:]
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -86,7 +86,8 @@
 // of the fault tests compare with what callers were told.
 type Run struct {
 	ID     string
-	Tokens int // tokens generated
+	At     time.Time // when the engine took it
+	Tokens int       // tokens generated
 	Ended  bool
 }
 
@@ -227,7 +228,7 @@
 		return nil, ErrNoMemory
 	}
 	s.run = len(e.runs)
-	e.runs = append(e.runs, Run{ID: g.ID})
+	e.runs = append(e.runs, Run{ID: g.ID, At: e.clock.Now()})
 	return s, nil
 }
 
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,10 +18,17 @@
 	delay time.Duration
 
 	mu   sync.Mutex
-	runs map[string]int // by body
+	runs []ServiceRun
 	down bool
 }
 
+// ServiceRun is one call that a service ran.
+type ServiceRun struct {
+	RequestID string
+	Body      string
+	At        time.Time
+}
+
 // Echo is the answer of the stand-in service.
 type Echo struct {
 	Method       string `json:"method"`
@@ -31,7 +39,7 @@
 
 // NewService returns a service that takes the delay for each call.
 func NewService(delay time.Duration, k hollowgrade.Clock) *Service {
-	return &Service{clock: k, delay: delay, runs: map[string]int{}}
+	return &Service{clock: k, delay: delay}
 }
 
 // SetDown makes the service break connections, or ends that.
@@ -41,15 +49,11 @@
 	s.down = on
 }
 
-// Runs returns how often a call with each body ran.
-func (s *Service) Runs() map[string]int {
+// Runs returns the calls that ran.
+func (s *Service) Runs() []ServiceRun {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := make(map[string]int, len(s.runs))
-	for k, n := range s.runs {
-		m[k] = n
-	}
-	return m
+	return slices.Clone(s.runs)
 }
 
 // ServeHTTP implements [http.Handler].
@@ -58,7 +62,7 @@
 	if err != nil {
 		return
 	}
-	if !s.note(string(b)) {
+	if !s.note(ServiceRun{RequestID: r.Header.Get("X-Request-Id"), Body: string(b), At: s.clock.Now()}) {
 		panic(http.ErrAbortHandler)
 	}
 	t := s.clock.NewTimer(s.delay)
@@ -77,12 +81,12 @@
 	})
 }
 
-func (s *Service) note(body string) bool {
+func (s *Service) note(r ServiceRun) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return false
 	}
-	s.runs[body]++
+	s.runs = append(s.runs, r)
 	return true
 }
