ledger: counts a key's window from the end that is known

Cause: the differential test TestKeysGrantOnce failed after 3 tries: a run whose hold had lapsed and whose end was told late was forgotten one window after the lapse, not after the end, so its key could be granted again within the window. Ruled out: refusing late settlements, which would throw the truth away. A late 'not run' now frees the key instead of being stored.

--- a/ledger/keys.go
+++ b/ledger/keys.go
@@ -170,7 +170,8 @@
 }
 
 // Settle notes how the run that the request claimed has ended. A run that did
-// not happen frees the key. It reports whether the record was the request's.
+// not happen frees the key. It reports whether the record has changed: it must be
+// the request's, and not have a definite end yet.
 func (k *Keys) Settle(id KeyID, request string, o hollowgrade.Outcome, answer []byte, now time.Time) bool {
 	p, ok := k.records[id]
 	if !ok || p.Request != request {
@@ -178,12 +179,14 @@
 	}
 	k.lapse(p, now)
 	switch {
-	case p.Outcome == hollowgrade.Unknown:
-		p.Outcome, p.Answer = o, answer
-	case p.Outcome != "":
-		return true
+	case p.Outcome != "" && p.Outcome != hollowgrade.Unknown:
+		return false
 	case o == hollowgrade.NotRun:
 		delete(k.records, id)
+	case p.Outcome == hollowgrade.Unknown:
+		// The window counts from the end that is known now. The record keeps its
+		// place in the order of forgetting, and those behind it wait for it.
+		p.Outcome, p.Answer, p.until = o, answer, now.Add(k.window)
 	default:
 		k.end(p, o, answer, now)
 	}
