fleettest: shows that bad input is refused clearly and loses nothing

Ruled out: a body that pauses for whole seconds, whose last write met the 30 s limit in the same instant and made the verdict flaky.

--- /dev/null
+++ b/internal/fleettest/input_test.go
@@ -0,0 +1,136 @@
+package fleettest
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/entry"
+	"github.com/hollowgrade/hollowgrade/fault"
+)
+
+// raw is a request of a caller who may do anything.
+type raw struct {
+	path, body string
+	header     map[string]string
+}
+
+func (f *Fleet) raw(t *testing.T, q raw) *http.Response {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://entry-0:80"+q.path, strings.NewReader(q.body))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+Bearer+"a")
+	for k, v := range q.header {
+		r.Header.Set(k, v)
+	}
+	res, err := f.client.Do(r)
+	require.NoError(t, err)
+	return res
+}
+
+// requireRefusal checks that an answer is a refusal of the documented shape.
+func requireRefusal(t *testing.T, c fault.Code, res *http.Response) {
+	t.Helper()
+	defer res.Body.Close()
+	var b entry.ErrorBody
+	require.NoError(t, json.NewDecoder(res.Body).Decode(&b))
+	require.Equal(t, c, b.Error.Code, b.Error.Message)
+	require.Equal(t, hollowgrade.NotRun, b.Error.Outcome)
+	require.NotEmpty(t, b.Error.Message)
+	require.Equal(t, res.Header.Get(entry.RequestHeader), b.Error.RequestID)
+	require.Equal(t, fault.Lookup(c).Status, res.StatusCode)
+}
+
+func TestBadInput(t *testing.T) {
+	const completions = entry.CompletionsPath
+	good := `{"model":"m","prompt":"p","max_tokens":2}`
+	cases := []struct {
+		name string
+		q    raw
+		code fault.Code
+	}{
+		{"no JSON", raw{completions, `{"model":`, nil}, fault.MalformedBody},
+		{"wrong type", raw{completions, `{"model":7,"prompt":"p"}`, nil}, fault.MalformedBody},
+		{"no prompt", raw{completions, `{"model":"m"}`, nil}, fault.MalformedBody},
+		{"negative max_tokens", raw{completions, `{"model":"m","prompt":"p","max_tokens":-1}`, nil}, fault.MalformedBody},
+		{"no messages", raw{entry.ChatPath, `{"model":"m"}`, nil}, fault.MalformedBody},
+		{"unknown model", raw{completions, `{"model":"x","prompt":"p"}`, nil}, fault.UnknownModel},
+		{"unknown service", raw{"/services/x/y", ``, nil}, fault.UnknownService},
+		{"unknown path", raw{"/v2", ``, nil}, fault.NoSuchPath},
+		{"body over the limit", raw{completions, `{"model":"m","prompt":"` + strings.Repeat("x", 9<<20) + `"}`, nil}, fault.BodyTooLarge},
+		{"no key", raw{completions, good, map[string]string{"Authorization": ""}}, fault.NoKey},
+		{"wrong key", raw{completions, good, map[string]string{"Authorization": "Bearer nobody"}}, fault.WrongKey},
+		{"negative allowed time", raw{completions, good, map[string]string{entry.AllowedHeader: "-1s"}}, fault.BadHeader},
+		{"allowed time that is none", raw{completions, good, map[string]string{entry.AllowedHeader: "soon"}}, fault.BadHeader},
+		{"kind too long", raw{completions, good, map[string]string{entry.KindHeader: strings.Repeat("k", 65)}}, fault.BadHeader},
+		{"no idempotency key", raw{completions, good, map[string]string{entry.KindHeader: "once"}}, fault.KeyNeeded},
+		{"prompt no group can hold", raw{completions, `{"model":"m","prompt":"` + strings.Repeat("x", 300_000) + `"}`, nil}, fault.PromptTooLong},
+		{"no time for the answer", raw{completions, `{"model":"m","prompt":"p","max_tokens":15000}`, nil}, fault.CannotMakeIt},
+	}
+	inBubble(t, Small(), func(t *testing.T, f *Fleet) {
+		for _, c := range cases {
+			t.Log(c.name)
+			requireRefusal(t, c.code, f.raw(t, c.q))
+		}
+		requireNothingRan(t, f)
+		// The entry is none the worse for it.
+		requireWhole(t, f.Do(context.Background(), Call{Organisation: "a", Prompt: "hello", Tokens: 4}))
+	})
+}
+
+func requireNothingRan(t *testing.T, f *Fleet) {
+	t.Helper()
+	e := f.Collect()
+	require.Empty(t, e.Runs)
+	require.Empty(t, e.judgeMemory())
+}
+
+// slow sends a body that never ends.
+type slow struct{}
+
+// Read implements [io.Reader].
+func (slow) Read(b []byte) (int, error) {
+	time.Sleep(700 * time.Millisecond)
+	b[0] = ' '
+	return 1, nil
+}
+
+func TestSlowBody(t *testing.T) {
+	inBubble(t, Small(), func(t *testing.T, f *Fleet) {
+		r, err := http.NewRequest(http.MethodPost, "http://entry-0:80"+entry.CompletionsPath, io.NopCloser(slow{}))
+		require.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer "+Bearer+"a")
+		res, err := f.client.Do(r)
+		require.NoError(t, err)
+		requireRefusal(t, fault.SlowBody, res)
+	})
+}
+
+func TestCallerGoesAway(t *testing.T) {
+	inBubble(t, Small(), func(t *testing.T, f *Fleet) {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		a := f.Do(ctx, Call{Organisation: "a", Prompt: strings.Repeat("x", 4000), Tokens: 200})
+		require.Empty(t, a.Outcome)
+		time.Sleep(100 * time.Millisecond)
+		e := f.Collect()
+		require.Len(t, e.Runs, 1, "it ran until its caller was gone")
+		require.Empty(t, e.judgeMemory(), "its memory is back before any sweep")
+	})
+}
+
+func TestOrganisationsCannotUseEachOthersKeys(t *testing.T) {
+	inBubble(t, Small(), func(t *testing.T, f *Fleet) {
+		c := Call{Organisation: "a", Kind: "once", Prompt: "receipt", Service: true, Key: "k"}
+		requireWhole(t, f.Do(context.Background(), c))
+		c.Organisation, c.Prompt = "b", "another"
+		requireWhole(t, f.Do(context.Background(), c))
+	})
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,99 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+)
+
+// serve starts a server on loopback and returns its address and the errors of
+// peers that it cut off.
+func serve(t *testing.T) (address string, cut chan error) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	cut = make(chan error, 1)
+	s := NewServer(func(_ context.Context, s *Stream, f *wire.Frame) error {
+		if err := s.Send(f); err != nil {
+			return err
+		}
+		_, err := s.Receive()
+		return err
+	}, func(_ net.Addr, err error) { cut <- err })
+	go func() { _ = s.Serve(context.Background(), l) }()
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.Close()
+	})
+	return l.Addr().String(), cut
+}
+
+func hello(box string) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{Box: box}}}
+}
+
+func requireEcho(t *testing.T, c *Conn, box string) *Stream {
+	t.Helper()
+	s, err := c.Open(hello(box))
+	require.NoError(t, err)
+	f, err := s.Receive()
+	require.NoError(t, err)
+	require.Equal(t, box, f.GetHello().GetBox())
+	return s
+}
+
+func dial(t *testing.T, address string) *Conn {
+	t.Helper()
+	c, err := Dial(context.Background(), TCP(), address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func TestBrokenFrame(t *testing.T) {
+	address, cut := serve(t)
+	good, bad := dial(t, address), dial(t, address)
+	requireEcho(t, good, "a")
+	s := requireEcho(t, bad, "b")
+
+	t.Run("a peer that sends nonsense is cut off and named", func(t *testing.T) {
+		_, err := s.raw.Write([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+		require.NoError(t, err)
+		require.ErrorIs(t, <-cut, ErrBroken)
+		<-bad.Closed()
+	})
+	t.Run("no other peer notices", func(t *testing.T) {
+		requireEcho(t, good, "c")
+	})
+}
+
+func TestTLSOnly(t *testing.T) {
+	require.True(t, Loopback("127.0.0.1:1"))
+	require.True(t, Loopback("[::1]:1"))
+	require.False(t, Loopback("0.0.0.0:1"))
+	require.False(t, Loopback("nonsense"))
+}
+
+func FuzzReceive(f *testing.F) {
+	f.Add([]byte{0})
+	f.Add([]byte{2, 8, 1})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s := &Stream{in: bufio.NewReader(bytes.NewReader(b))}
+		for {
+			m, err := s.Receive()
+			if err != nil {
+				require.True(t, errors.Is(err, ErrBroken) || isTransport(err) || err.Error() == "EOF", "%v", err)
+				return
+			}
+			require.NotNil(t, m.Body)
+		}
+	})
+}
--- /dev/null
+++ b/setting/setting_test.go
@@ -0,0 +1,65 @@
+package setting
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fault"
+)
+
+func requireMistake(t *testing.T, text, want string) {
+	t.Helper()
+	_, err := Parse("f.toml", []byte(text))
+	require.ErrorContains(t, err, want)
+	require.Equal(t, fault.BadSetting, fault.As(err, hollowgrade.Unknown).Code)
+}
+
+func TestParse(t *testing.T) {
+	t.Run("good settings", func(t *testing.T) {
+		_, err := Parse("f.toml", []byte("role = \"agent\"\nbox = \"b\"\npiece = 2048\nlong_share = 1\nsweep = \"2s\"\nmodels = [\"m\"]\n"))
+		require.NoError(t, err)
+	})
+	t.Run("a mistake in the TOML", func(t *testing.T) {
+		requireMistake(t, "role = \"entry\"\nbox = \n", "f.toml:2:")
+	})
+	t.Run("no role", func(t *testing.T) {
+		requireMistake(t, "box = \"b\"\n", "role must be entry or agent")
+	})
+	t.Run("an unknown key, with the like one", func(t *testing.T) {
+		requireMistake(t, "role = \"entry\"\nmaxRequests = 1\n", "f.toml:2: maxRequests is no setting of the role entry, max_requests is")
+	})
+	t.Run("a key of the other role", func(t *testing.T) {
+		requireMistake(t, "role = \"entry\"\npiece = 1\n", "f.toml:2: piece is no setting of the role entry")
+	})
+	t.Run("a wrong type", func(t *testing.T) {
+		requireMistake(t, "role = \"agent\"\n\npiece = \"big\"\n", "f.toml:3: piece must be a whole number")
+	})
+	t.Run("a value out of range", func(t *testing.T) {
+		requireMistake(t, "role = \"agent\"\nlong_share = 3.5\n", "f.toml:2: long_share is 3.5, allowed: 0.05 to 1")
+	})
+	t.Run("a value that is not in the list", func(t *testing.T) {
+		requireMistake(t, "role = \"agent\"\norder = \"lifo\"\n", "allowed: fair, fifo")
+	})
+	t.Run("a duration that is none", func(t *testing.T) {
+		requireMistake(t, "role = \"agent\"\nsweep = \"soon\"\n", "sweep must be a duration")
+	})
+}
+
+func TestDefaults(t *testing.T) {
+	a := DefaultAgent()
+	require.Equal(t, 4096, a.Piece)
+	require.Equal(t, 500*time.Millisecond, a.Heartbeat)
+	require.Equal(t, "fair", a.Order)
+}
+
+func TestEverySettingIsDocumented(t *testing.T) {
+	for r := range Roles() {
+		for _, d := range Docs(r) {
+			require.NotEmpty(t, d.Text, d.Key)
+			require.NotEmpty(t, d.Group, d.Key)
+		}
+	}
+}
