entry: never rewrites the name of a link that others read

Cause: the race detector, in the fault matrix: a report replaced the box's name under the lock while attempts read it for their messages without. Ruled out: taking the lock for each message. Conclusion: a link's box is fixed when it is made; what the agent says of itself stays in its status.

--- a/entry/link.go
+++ b/entry/link.go
@@ -26,7 +26,7 @@
 )
 
 // link is the connection to one agent, with what it last said of itself. The
-// entry's lock guards it.
+// entry's lock guards it, but for box, which never changes.
 type link struct {
 	box     hollowgrade.Box
 	cancel  context.CancelFunc
@@ -155,10 +155,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if l.status != nil && l.status.Incarnation != m.Incarnation {
-		e.prefixes.Forget(l.box.Name)
+		e.prefixes.Forget(l.box.Peer)
 	}
 	l.conn, l.status = c, m
-	l.box.Name, l.box.Hall = m.Box, m.Hall
+	if m.Hall == e.box.Hall {
+		l.load.Distance = 0
+	}
 	now := e.clock.Now()
 	for id, w := range l.sent {
 		// What was sent a round trip before the report is in the report.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -177,7 +177,7 @@
 	l.breaker.Allow(now)
 	l.note(q.request.ID, max(w.PromptTokens-l.load.CachedTokens, 1), now)
 	l.budget.Deposit()
-	e.prefixes.Note(q.prefixes, l.box.Name)
+	e.prefixes.Note(q.prefixes, l.box.Peer)
 	return l, l.conn, nil
 }
 
@@ -207,7 +207,7 @@
 			continue
 		}
 		l.load.Suspect = l.breaker.Open(now)
-		l.load.CachedTokens = e.prefixes.Cached(q.prefixes, l.box.Name) / bytesPerToken
+		l.load.CachedTokens = e.prefixes.Cached(q.prefixes, l.box.Peer) / bytesPerToken
 		ls = append(ls, l)
 		loads = append(loads, &l.load)
 	}
