sched: lets what holds memory go on, and pieces before new prompts

A prompt that held its memory waited for its next piece behind an overdue reservation which waited for that very memory; TestNoDeadlockBetweenHolderAndOverdue failed first, for both queues. What has begun now goes before what has not, within its class, and is charged to its organisation as a whole at the start: sharing an engine between two long prompts only made the first as late as the second. Ruled out: a leak of the dispatcher's accounts (printed: none).

--- a/agent/job.go
+++ b/agent/job.go
@@ -316,11 +316,22 @@
 		Class:        j.request.Decision.Class,
 		Priority:     j.request.Decision.Priority,
 		Cost:         a.cost(j),
+		Charge:       a.charge(j),
+		Resumes:      j.next > 0 || j.submit.Reservation != "",
 		LatestStart:  j.request.Deadline.Add(-a.serviceTime(j)),
 		Due:          now.Add(a.patience(j, now)),
 	}
 }
 
+// charge is the work that counts against the organisation's share: all of it
+// when the first piece is queued.
+func (a *Agent) charge(j *job) int {
+	if j.reserves {
+		return j.request.PromptTokens
+	}
+	return len(j.body) / bytesPerToken
+}
+
 // patience is how long the job may be passed over: the agent's limit, or half
 // of what is left of its allowed time if that is less.
 func (a *Agent) patience(j *job, now time.Time) time.Duration {
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -17,7 +17,9 @@
 	Organisation string
 	Class        hollowgrade.Class
 	Priority     int       // higher goes first within an organisation
-	Cost         int       // tokens of work, the currency of fair shares
+	Cost         int       // tokens of work that the next step gives to the upstream
+	Charge       int       // tokens charged to the organisation's share, Cost if 0
+	Resumes      bool      // goes on with what has begun: it holds its memory, and was charged for then
 	LatestStart  time.Time // the deadline less the predicted time of the run
 	Due          time.Time // from here on the item may not be passed over
 
@@ -57,6 +59,12 @@
 
 // Pop implements [Queue].
 func (f *FIFO) Pop(_ time.Time, fits func(*Item) bool) *Item {
+	for _, i := range f.items {
+		if i.Resumes && fits(i) {
+			f.Remove(i)
+			return i
+		}
+	}
 	if len(f.items) == 0 || !fits(f.items[0]) {
 		return nil
 	}
@@ -92,8 +100,10 @@
 // An item that has passed its Due time is overdue. Every second Pop serves the
 // oldest overdue item, so an item with n overdue items before it starts within
 // 2(n+1) starts. When the oldest overdue item does not fit, only the Instant
-// class goes on until it does: otherwise small requests would take each piece
-// of memory that comes free, and a large one would wait for ever.
+// class and what holds memory already go on until it does: otherwise small
+// requests would take each piece of memory that comes free, and a large one
+// would wait for ever; and were the holders of memory kept from their next
+// pieces, it would never come free.
 type Fair struct {
 	classes [hollowgrade.Classes]class
 	due     itemHeap
@@ -103,9 +113,13 @@
 }
 
 type class struct {
-	lanes  laneHeap
-	byName map[string]*lane
-	now    float64 // virtual time: start tag of the last item served
+	// resumed holds the further pieces of prompts that have begun. They go
+	// before what has not begun: sharing the engine between two long prompts
+	// only makes the first one as late as the second.
+	resumed itemHeap
+	lanes   laneHeap
+	byName  map[string]*lane
+	now     float64 // virtual time: start tag of the last item served
 }
 
 type lane struct {
@@ -121,6 +135,7 @@
 	f := &Fair{due: itemHeap{less: earlierDue}}
 	for c := range f.classes {
 		f.classes[c].byName = map[string]*lane{}
+		f.classes[c].resumed.less = arrivedFirst
 	}
 	return f
 }
@@ -128,16 +143,21 @@
 // Push implements [Queue].
 func (f *Fair) Push(i *Item) {
 	c := &f.classes[i.Class]
+	f.count++
+	i.order, i.gone = f.count, false
+	heap.Push(&f.due, i)
+	f.length++
+	if i.Resumes {
+		heap.Push(&c.resumed, i)
+		return
+	}
 	l, ok := c.byName[i.Organisation]
 	if !ok {
 		l = &lane{name: i.Organisation, items: itemHeap{less: lessSlack}, index: -1}
 		c.byName[i.Organisation] = l
 	}
-	f.count++
-	i.order, i.lane, i.gone = f.count, l, false
+	i.lane = l
 	heap.Push(&l.items, i)
-	heap.Push(&f.due, i)
-	f.length++
 	if l.index < 0 {
 		l.tag = max(l.tag, c.now)
 		l.order = f.count
@@ -156,8 +176,8 @@
 	if o != nil && !fits(o) {
 		last = hollowgrade.Instant
 	}
-	for c := hollowgrade.Instant; c <= last; c++ {
-		if i := f.classes[c].next(fits); i != nil {
+	for c := hollowgrade.Instant; c < hollowgrade.Classes; c++ {
+		if i := f.classes[c].next(fits, c <= last); i != nil {
 			return f.take(i)
 		}
 	}
@@ -175,8 +195,15 @@
 	return i
 }
 
-// next returns the item that the class would serve, without removing it.
-func (c *class) next(fits func(*Item) bool) (i *Item) {
+// next returns the item that the class would serve, without removing it. Unless
+// fresh, only what has begun may go on.
+func (c *class) next(fits func(*Item) bool, fresh bool) (i *Item) {
+	if r := c.resumed.first(); r != nil && fits(r) {
+		return r
+	}
+	if !fresh {
+		return nil
+	}
 	var passed []*lane
 	for len(c.lanes) > 0 && len(passed) < maxPassedOver && i == nil {
 		l := c.lanes[0]
@@ -209,9 +236,12 @@
 func (f *Fair) take(i *Item) *Item {
 	c := &f.classes[i.Class]
 	l := i.lane
-	c.now = max(c.now, l.tag)
-	l.tag += float64(max(i.Cost, 1))
 	f.drop(i)
+	if l == nil {
+		return i
+	}
+	c.now = max(c.now, l.tag)
+	l.tag += float64(max(i.Charge, i.Cost, 1))
 	if l.index >= 0 {
 		heap.Fix(&c.lanes, l.index)
 	}
@@ -243,7 +273,7 @@
 
 // Remove implements [Queue].
 func (f *Fair) Remove(i *Item) bool {
-	if i.gone || i.lane == nil {
+	if i.gone || i.order == 0 {
 		return false
 	}
 	f.drop(i)
@@ -271,6 +301,10 @@
 	return a.order < b.order
 }
 
+func arrivedFirst(a, b *Item) bool {
+	return a.order < b.order
+}
+
 func earlierDue(a, b *Item) bool {
 	if !a.Due.Equal(b.Due) {
 		return a.Due.Before(b.Due)
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -225,3 +225,17 @@
 		})
 	}
 }
+
+// A prompt that holds memory waits for its next piece, and an overdue request
+// waits for that memory: the former must go on, or neither ever does.
+func TestNoDeadlockBetweenHolderAndOverdue(t *testing.T) {
+	for _, q := range []Queue{NewFair(), NewFIFO()} {
+		big := item("a", hollowgrade.Background, 1, 0)
+		big.Due = t0
+		holder := item("b", hollowgrade.Background, 1, 0)
+		holder.Resumes = true
+		q.Push(big)
+		q.Push(holder)
+		require.Same(t, holder, q.Pop(t0, func(i *Item) bool { return i != big }), "%T", q)
+	}
+}
