--- a/agent/agent.go
+++ b/agent/agent.go
@@ -205,16 +205,16 @@
 
 // Start implements [kernel.Service].
 func (a *Agent) Start(context.Context, *kernel.Kernel) error {
-	a.group.Go(func() {
-		if err := a.server.Serve(a.ctx, a.listener); err != nil {
-			a.log.Error("peer listener failed", "err", err)
-		}
-	})
 	if a.engine != nil {
 		a.group.Go(a.sweepLoop)
 	} else {
 		a.reachable = true
 	}
+	a.group.Go(func() {
+		if err := a.server.Serve(a.ctx, a.listener); err != nil {
+			a.log.Error("peer listener failed", "err", err)
+		}
+	})
 	return nil
 }
 
