cmd: proves kills, freezes and planned stops with real processes

SIGTERM of entry and agent, SIGKILL of the agent or the engine that serves a stream (three times in its course), SIGSTOP and SIGCONT of the agent, SIGKILL of an entry: every stream whose entry lives is whole. The engine that serves is found by asking for holdings, so the signal meets the right process. Ruled out: the kind 'caption' for long answers, which its 8 s rightly refuse.

--- a/cmd/hollowgrade-standin/main.go
+++ b/cmd/hollowgrade-standin/main.go
@@ -63,12 +63,15 @@
 
 type engineCommand struct {
 	listen
-	Models []string `help:"Models it serves." default:"copy-1"`
+	Models []string      `help:"Models it serves." default:"copy-1"`
+	Step   time.Duration `help:"Time of a step without prefill." default:"8ms"`
 }
 
 // Run runs the command.
 func (c *engineCommand) Run() error {
-	e := standin.NewEngine(standin.DefaultEngine(c.Models...), hollowgrade.SystemClock())
+	d := standin.DefaultEngine(c.Models...)
+	d.StepBase = c.Step
+	e := standin.NewEngine(d, hollowgrade.SystemClock())
 	defer e.Stop()
 	return c.serve(e)
 }
--- a/cmd/hollowgrade/process_test.go
+++ b/cmd/hollowgrade/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/internal/standin"
+	"github.com/hollowgrade/hollowgrade/upstream"
 )
 
 // binaries are built once for all tests of this package.
@@ -49,7 +51,7 @@
 	lines chan string
 }
 
-func start(t *testing.T, path string, args ...string) *process {
+func start(t testing.TB, path string, args ...string) *process {
 	t.Helper()
 	p := &process{Cmd: exec.Command(path, args...), lines: make(chan string, 4096)}
 	out, err := p.StdoutPipe()
@@ -70,7 +72,7 @@
 }
 
 // await returns the first line that holds the text.
-func (p *process) await(t *testing.T, text string) string {
+func (p *process) await(t testing.TB, text string) string {
 	t.Helper()
 	for l := range p.lines {
 		if strings.Contains(l, text) {
@@ -82,42 +84,57 @@
 }
 
 // field returns a field of a JSON line.
-func field(t *testing.T, line, name string) string {
+func field(t testing.TB, line, name string) string {
 	t.Helper()
 	var m map[string]any
 	require.NoError(t, json.Unmarshal([]byte(line), &m))
 	return fmt.Sprint(m[name])
 }
 
-// fleet is the smallest whole fleet, each part a process of its own.
+// fleet is a whole fleet, each part a process of its own.
 type fleet struct {
 	platform string
-	entry    *process
-	agent    *process
-	engine   *process
-	callers  string
-	peers    string
+	entries  []*process
+	agents   []*process
+	engines  []*process
+	urls     []string // of engines
+	callers  []string // base URLs of entries
+	dead     map[int]bool
 }
 
-func startFleet(t *testing.T) *fleet {
+// startFleet starts entries, and engines each with its agent.
+func startFleet(t testing.TB, entries, engines int, step string) *fleet {
 	t.Helper()
-	f := &fleet{}
-	f.platform = start(t, binaries.standin, "platform").await(t, "http://")
-	f.engine = start(t, binaries.standin, "engine")
-	engine := f.engine.await(t, "http://")
-	f.agent = start(t, binaries.hollowgrade, "agent", "--box", "worker-1", "--hall", "hall-1", "--peers", "127.0.0.1:0",
-		"--platform-log", f.platform, "--platform-list", f.platform, "--engine", engine, "--models", "copy-1", "--log-poll", "50ms")
-	f.peers = field(t, f.agent.await(t, "agent starts"), "peers")
-	put(t, f.platform, hollowgrade.Box{Name: "worker-1", Role: hollowgrade.AgentRole, Hall: "hall-1", Peer: f.peers, State: hollowgrade.BoxLive})
+	f := &fleet{platform: start(t, binaries.standin, "platform").await(t, "http://"), dead: map[int]bool{}}
+	for i := range engines {
+		f.addEngine(t, i, step)
+	}
 	f.publish(t)
-	f.entry = start(t, binaries.hollowgrade, "entry", "--box", "entry-1", "--hall", "hall-1", "--callers", "127.0.0.1:0",
-		"--platform-log", f.platform, "--platform-list", f.platform, "--log-poll", "50ms")
-	f.callers = "http://" + field(t, f.entry.await(t, "entry starts"), "callers")
+	for i := range entries {
+		e := start(t, binaries.hollowgrade, "entry", "--box", fmt.Sprint("entry-", i), "--hall", "hall-1", "--callers", "127.0.0.1:0",
+			"--platform-log", f.platform, "--platform-list", f.platform, "--log-poll", "50ms", "--linger", "1s")
+		f.entries = append(f.entries, e)
+		f.callers = append(f.callers, "http://"+field(t, e.await(t, "entry starts"), "callers"))
+	}
 	f.awaitReady(t)
 	return f
 }
 
-func put(t *testing.T, platform string, b hollowgrade.Box) {
+func (f *fleet) addEngine(t testing.TB, i int, step string) {
+	t.Helper()
+	e := start(t, binaries.standin, "engine", "--step", step)
+	u := e.await(t, "http://")
+	box := fmt.Sprint("worker-", i)
+	a := start(t, binaries.hollowgrade, "agent", "--box", box, "--hall", "hall-1", "--peers", "127.0.0.1:0", "--max-running", "128",
+		"--platform-log", f.platform, "--platform-list", f.platform, "--engine", u, "--models", "copy-1", "--log-poll", "50ms")
+	f.engines, f.agents, f.urls = append(f.engines, e), append(f.agents, a), append(f.urls, u)
+	put(t, f.platform, hollowgrade.Box{
+		Name: box, Role: hollowgrade.AgentRole, Hall: "hall-1",
+		Peer: field(t, a.await(t, "agent starts"), "peers"), State: hollowgrade.BoxLive,
+	})
+}
+
+func put(t testing.TB, platform string, b hollowgrade.Box) {
 	t.Helper()
 	j, err := json.Marshal(b)
 	require.NoError(t, err)
@@ -131,40 +148,63 @@
 
 // publish publishes the example policy and an organisation by the operators'
 // commands.
-func (f *fleet) publish(t *testing.T) {
+func (f *fleet) publish(t testing.TB) {
 	t.Helper()
 	run(t, "policy", "publish", "--platform-log", f.platform, "default", "../../examples/policies/korrigan.expr")
 	run(t, "config", "publish", "--platform-log", f.platform, "../../examples/local/fleet.toml")
 }
 
-func run(t *testing.T, args ...string) string {
+func run(t testing.TB, args ...string) string {
 	t.Helper()
 	out, err := exec.Command(binaries.hollowgrade, args...).CombinedOutput()
 	require.NoError(t, err, string(out))
 	return string(out)
 }
 
-// awaitReady asks the readiness path until the entry is connected. Each answer
-// is awaited, so the loop is bounded by the entry's own progress.
-func (f *fleet) awaitReady(t *testing.T) {
+// awaitReady asks the readiness path until each entry is connected. Each answer
+// is awaited, so the loop is bounded by the entries' own progress.
+func (f *fleet) awaitReady(t testing.TB) {
+	t.Helper()
+	for _, c := range f.callers {
+		for !ready(t, c) {
+			continue
+		}
+	}
+}
+
+func ready(t testing.TB, callers string) bool {
+	t.Helper()
+	res, err := http.Get(callers + "/healthz/ready")
+	require.NoError(t, err)
+	require.NoError(t, res.Body.Close())
+	return res.StatusCode == http.StatusOK
+}
+
+// serving returns the number of the engine that holds a sequence now. Each look
+// is an answer awaited.
+func (f *fleet) serving(t testing.TB) int {
 	t.Helper()
 	for {
-		res, err := http.Get(f.callers + "/healthz/ready")
-		require.NoError(t, err)
-		require.NoError(t, res.Body.Close())
-		if res.StatusCode == http.StatusOK {
-			return
+		for i, u := range f.urls {
+			if f.dead[i] {
+				continue
+			}
+			hs, err := upstream.NewEngine(u, http.DefaultTransport).Holdings(context.Background())
+			require.NoError(t, err)
+			if len(hs) > 0 {
+				return i
+			}
 		}
 	}
 }
 
-func (f *fleet) complete(t *testing.T, prompt string, tokens int) *http.Response {
+func (f *fleet) complete(t testing.TB, entry int, prompt string, tokens int) *http.Response {
 	t.Helper()
 	b := fmt.Sprintf(`{"model":"copy-1","prompt":%q,"max_tokens":%d,"stream":true}`, prompt, tokens)
-	r, err := http.NewRequest(http.MethodPost, f.callers+"/v1/completions", strings.NewReader(b))
+	r, err := http.NewRequest(http.MethodPost, f.callers[entry]+"/v1/completions", strings.NewReader(b))
 	require.NoError(t, err)
 	r.Header.Set("Authorization", "Bearer demo-key-club-1")
-	r.Header.Set("Hollowgrade-Kind", "caption")
+	r.Header.Set("Hollowgrade-Kind", "segment")
 	res, err := http.DefaultClient.Do(r)
 	require.NoError(t, err)
 	return res
@@ -193,20 +233,89 @@
 	return ""
 }
 
-func TestProcesses(t *testing.T) {
-	f := startFleet(t)
+func requireAnswer(t *testing.T, prompt string, tokens int, res *http.Response) {
+	t.Helper()
+	defer res.Body.Close()
+	require.Equal(t, http.StatusOK, res.StatusCode)
+	require.Equal(t, standin.Answer(prompt, tokens), text(t, res.Body))
+}
 
+// firstEvent reads up to the first event, so that the stream is certainly in
+// its middle afterwards.
+func firstEvent(t *testing.T, res *http.Response) io.Reader {
+	t.Helper()
+	b := bufio.NewReader(res.Body)
+	_, err := b.Peek(1)
+	require.NoError(t, err)
+	return b
+}
+
+const (
+	step   = "8ms"
+	long   = 300 // tokens of an answer that is still running when a signal arrives
+	rounds = 3
+)
+
+func TestProcesses(t *testing.T) {
 	t.Run("a stream passes through entry, agent and engine", func(t *testing.T) {
-		res := f.complete(t, "Who scored?", 12)
-		defer res.Body.Close()
-		require.Equal(t, standin.Answer("Who scored?", 12), text(t, res.Body))
+		f := startFleet(t, 1, 1, step)
+		requireAnswer(t, "Who scored?", 12, f.complete(t, 0, "Who scored?", 12))
 	})
-
-	t.Run("a planned stop of the entry cuts off no stream", func(t *testing.T) {
-		res := f.complete(t, "Final whistle", 60)
-		defer res.Body.Close()
-		require.NoError(t, f.entry.Process.Signal(syscall.SIGTERM))
-		require.Equal(t, standin.Answer("Final whistle", 60), text(t, res.Body))
-		f.entry.await(t, `"msg":"stopped"`)
+	t.Run("SIGTERM of an entry cuts off no stream", func(t *testing.T) {
+		f := startFleet(t, 1, 1, step)
+		res := f.complete(t, 0, "Final whistle", long)
+		require.NoError(t, f.entries[0].Process.Signal(syscall.SIGTERM))
+		requireAnswer(t, "Final whistle", long, res)
+		f.entries[0].await(t, "stopped")
+	})
+	t.Run("SIGTERM of an agent cuts off no stream", func(t *testing.T) {
+		f := startFleet(t, 1, 2, step)
+		res := f.complete(t, 0, "Second half", long)
+		n := f.serving(t)
+		require.NoError(t, f.agents[n].Process.Signal(syscall.SIGTERM))
+		requireAnswer(t, "Second half", long, res)
+		f.agents[n].await(t, "stopped")
+	})
+	for _, victim := range []string{"agent", "engine"} {
+		t.Run("SIGKILL of the "+victim+" that serves, three times, in the middle of a stream", func(t *testing.T) {
+			f := startFleet(t, 1, rounds+1, step)
+			for i := range rounds {
+				prompt := fmt.Sprint("Round ", i)
+				res := f.complete(t, 0, prompt, long)
+				require.Equal(t, http.StatusOK, res.StatusCode)
+				b := firstEvent(t, res)
+				n := f.serving(t)
+				p := f.agents[n]
+				if victim == "engine" {
+					p = f.engines[n]
+				}
+				require.NoError(t, p.Process.Kill())
+				f.dead[n] = true
+				require.Equal(t, standin.Answer(prompt, long), text(t, b))
+				require.NoError(t, res.Body.Close())
+			}
+		})
+	}
+	t.Run("SIGSTOP of an agent, and SIGCONT", func(t *testing.T) {
+		f := startFleet(t, 1, 2, step)
+		res := f.complete(t, 0, "Half time", long)
+		b := firstEvent(t, res)
+		n := f.serving(t)
+		require.NoError(t, f.agents[n].Process.Signal(syscall.SIGSTOP))
+		// The stream goes on elsewhere, or waits for the agent: either way it
+		// is whole. A new one is answered meanwhile.
+		requireAnswer(t, "Meanwhile", 12, f.complete(t, 0, "Meanwhile", 12))
+		require.NoError(t, f.agents[n].Process.Signal(syscall.SIGCONT))
+		require.Equal(t, standin.Answer("Half time", long), text(t, b))
+		require.NoError(t, res.Body.Close())
+	})
+	t.Run("SIGKILL of an entry loses its streams, and the other entry serves on", func(t *testing.T) {
+		f := startFleet(t, 2, 1, step)
+		res := f.complete(t, 0, "Kick-off", long)
+		b := firstEvent(t, res)
+		require.NoError(t, f.entries[0].Process.Kill())
+		all, _ := io.ReadAll(b)
+		require.NotContains(t, string(all), "[DONE]")
+		requireAnswer(t, "Replay", 12, f.complete(t, 1, "Replay", 12))
 	})
 }
--- a/internal/fleettest/matrix_test.go
+++ b/internal/fleettest/matrix_test.go
@@ -164,6 +164,8 @@
 	}
 	c.stop(func() {
 		g.Wait()
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.raced = append(c.raced, errs...)
 	})
 }
