entry: looks at a bounded sample of upstreams for each placement

Lists of agents by what they serve are now made only when an agent comes, goes or changes; a placement looks at 32 in turn and at those that hold the longest beginnings of the prompt. Ruled out: a heap by predicted time, which every report would reorder.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,8 +70,10 @@
 	group  sync.WaitGroup
 
 	mu        sync.Mutex
-	links     map[string]*link // by peer address
-	order     []*link          // the same, in a fixed order
+	links     map[string]*link   // by peer address
+	order     []*link            // the same, in a fixed order
+	targets   map[string][]*link // connected agents by what they serve; nil if to be made anew
+	placeTurn int
 	prefixes  *sched.Prefixes
 	usage     map[string]*usage // by organisation
 	open      int               // requests and settlements of keys
@@ -323,7 +325,7 @@
 func (e *Entry) usageOf(organisation string) *usage {
 	u, ok := e.usage[organisation]
 	if !ok {
-		u = &usage{budget: retry.NewBudget(e.limits.RetryRatio, e.limits.RetrySaved)}
+		u = &usage{budget: newBudget(e.limits)}
 		e.usage[organisation] = u
 	}
 	return u
--- a/entry/group.go
+++ b/entry/group.go
@@ -74,10 +74,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	most := 0
-	for _, l := range e.order {
-		if l.serves(r) {
-			most = max(most, l.load.TotalTokens)
-		}
+	for _, l := range e.serving(target(r)) {
+		most = max(most, l.load.TotalTokens)
 	}
 	return most > 0 && r.Tokens() > most
 }
--- a/entry/link.go
+++ b/entry/link.go
@@ -73,6 +73,7 @@
 		if !listed[a] && (l.conn == nil || e.ctx.Err() != nil) {
 			l.cancel()
 			delete(e.links, a)
+			e.targets = nil
 			e.order = slices.DeleteFunc(e.order, func(o *link) bool { return o == l })
 		}
 	}
@@ -84,18 +85,27 @@
 		box:     b,
 		cancel:  cancel,
 		sent:    map[string]sentWork{},
-		breaker: retry.NewBreaker(breakerThreshold, breakerCooldown),
-		budget:  retry.NewBudget(e.limits.RetryRatio, e.limits.RetrySaved),
+		breaker: newBreaker(),
+		budget:  newBudget(e.limits),
 	}
 	if b.Hall != e.box.Hall {
 		l.load.Distance = hallDistance
 	}
 	e.links[b.Peer] = l
+	e.targets = nil
 	e.order = append(e.order, l)
 	slices.SortFunc(e.order, func(a, b *link) int { return strings.Compare(a.box.Peer, b.box.Peer) })
 	e.group.Go(func() { e.keepLink(ctx, l) })
 }
 
+func newBreaker() *retry.Breaker {
+	return retry.NewBreaker(breakerThreshold, breakerCooldown)
+}
+
+func newBudget(l Limits) *retry.Budget {
+	return retry.NewBudget(l.RetryRatio, l.RetrySaved)
+}
+
 // keepLink connects again and again until ctx ends.
 func (e *Entry) keepLink(ctx context.Context, l *link) {
 	b := backoff.NewExponentialBackOff()
@@ -157,6 +167,9 @@
 	if l.status != nil && l.status.Incarnation != m.Incarnation {
 		e.prefixes.Forget(l.box.Peer)
 	}
+	if l.status == nil || l.status.Service != m.Service || !slices.Equal(l.status.Models, m.Models) {
+		e.targets = nil
+	}
 	l.conn, l.status = c, m
 	if m.Hall == e.box.Hall {
 		l.load.Distance = 0
@@ -184,6 +197,7 @@
 func (e *Entry) lost(l *link) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.targets = nil
 	l.conn, l.status = nil, nil
 	clear(l.sent)
 	l.count()
@@ -213,6 +227,20 @@
 	}
 }
 
+// targets lists what the agent serves, as target names it.
+func (l *link) targets() (ts []string) {
+	if l.conn == nil || l.status == nil {
+		return nil
+	}
+	if l.status.Service != "" {
+		ts = append(ts, target(hollowgrade.Request{Service: l.status.Service}))
+	}
+	for _, m := range l.status.Models {
+		ts = append(ts, target(hollowgrade.Request{Model: m}))
+	}
+	return ts
+}
+
 func (l *link) serves(r hollowgrade.Request) bool {
 	if l.conn == nil || l.status == nil {
 		return false
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -199,21 +200,57 @@
 	return fault.New(fault.NoUpstream, "no upstream for %s is connected", target(r)).WithRetryAfter(shortRetry)
 }
 
-// candidates returns the agents that serve the request, with their loads.
+// sample bounds the upstreams that one placement looks at. Up to this many, all
+// are looked at; beyond, as many in turn, and those that hold the prefix.
+const sample = 32
+
+// candidates returns agents that serve the request, with their loads.
 func (e *Entry) candidates(q *query, tried map[*link]bool) (ls []*link, loads []*sched.Load) {
 	now := e.clock.Now()
-	for _, l := range e.order {
-		if tried[l] || !l.serves(q.request) {
-			continue
-		}
+	all := e.serving(target(q.request))
+	holders := e.prefixes.Holders(q.prefixes)
+	ls = make([]*link, 0, sample+len(holders))
+	loads = make([]*sched.Load, 0, sample+len(holders))
+	add := func(l *link) {
 		l.load.Suspect = l.breaker.Open(now)
-		l.load.CachedTokens = e.prefixes.Cached(q.prefixes, l.box.Peer) / bytesPerToken
+		l.load.CachedTokens = 0
 		ls = append(ls, l)
 		loads = append(loads, &l.load)
 	}
+	n := min(len(all), sample)
+	e.placeTurn += n
+	for i := range n {
+		if l := all[(e.placeTurn+i)%len(all)]; !tried[l] {
+			add(l)
+		}
+	}
+	for _, h := range holders {
+		l := e.links[h.Upstream]
+		if l == nil || tried[l] || !l.serves(q.request) {
+			continue
+		}
+		if !slices.Contains(ls, l) {
+			add(l)
+		}
+		l.load.CachedTokens = h.Bytes / bytesPerToken
+	}
 	return ls, loads
 }
 
+// serving returns the connected agents that serve a target. The lists are made
+// anew only when an agent came, went, or changed what it serves.
+func (e *Entry) serving(target string) []*link {
+	if e.targets == nil {
+		e.targets = map[string][]*link{}
+		for _, l := range e.order {
+			for _, t := range l.targets() {
+				e.targets[t] = append(e.targets[t], l)
+			}
+		}
+	}
+	return e.targets[target]
+}
+
 // foresee refuses what cannot end in time by the best that is known.
 func (e *Entry) foresee(q *query, l *sched.Load, w sched.Work) error {
 	if q.request.Service != "" {
--- a/sched/prefix.go
+++ b/sched/prefix.go
@@ -1,6 +1,10 @@
 package sched
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // PrefixBlock is the unit, in bytes, in which cached prefixes are compared.
 const PrefixBlock = 4096
@@ -56,17 +60,26 @@
 	}
 }
 
-// Cached returns, for an upstream, how many bytes of the prompt it is thought
-// to have.
-func (p *Prefixes) Cached(hs []uint64, upstream string) int {
-	for i := len(hs); i > 0; i-- {
+// Holder is an upstream that is thought to have the beginning of a prompt.
+type Holder struct {
+	Upstream string
+	Bytes    int // of the prompt
+}
+
+// maxHolders bounds the holders that are looked for.
+const maxHolders = 8
+
+// Holders returns the upstreams that are thought to have the longest beginnings
+// of the prompt, the longest first.
+func (p *Prefixes) Holders(hs []uint64) (found []Holder) {
+	for i := len(hs); i > 0 && len(found) < maxHolders; i-- {
 		for _, u := range p.holders(hs[i-1]) {
-			if u == upstream {
-				return i * PrefixBlock
+			if !slices.ContainsFunc(found, func(h Holder) bool { return h.Upstream == u }) {
+				found = append(found, Holder{Upstream: u, Bytes: i * PrefixBlock})
 			}
 		}
 	}
-	return 0
+	return found
 }
 
 func (p *Prefixes) holders(h uint64) []string {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -192,10 +192,10 @@
 	require.Len(t, hs, 3)
 	p := NewPrefixes(100)
 	p.Note(hs[:2], "a")
-	require.Equal(t, 2*PrefixBlock, p.Cached(hs, "a"))
-	require.Zero(t, p.Cached(hs, "b"))
+	p.Note(hs[:1], "b")
+	require.Equal(t, []Holder{{"a", 2 * PrefixBlock}, {"b", PrefixBlock}}, p.Holders(hs))
 	p.Forget("a")
-	require.Zero(t, p.Cached(hs, "a"))
+	require.Equal(t, []Holder{{"b", PrefixBlock}}, p.Holders(hs))
 }
 
 func TestRankMovesOnlyWhatWasTheLeavers(t *testing.T) {
