--- a/fold/record.go
+++ b/fold/record.go
@@ -86,6 +86,12 @@
 	ErrOrder     = errors.New("record is not the next one")
 )
 
+// WithDigest returns a copy of s whose digest is that of its items.
+func (s Snapshot) WithDigest() (n Snapshot, err error) {
+	s.Digest, err = digestItems(s.Items)
+	return s, err
+}
+
 func decode(b []byte) (e envelope, err error) {
 	if err = json.Unmarshal(b, &e); err != nil {
 		return e, fmt.Errorf("%w: %w", ErrMalformed, err)
--- a/fold/state.go
+++ b/fold/state.go
@@ -120,12 +120,7 @@
 
 // Snapshot returns the state as a record for the log or for a peer.
 func (s State) Snapshot() (n Snapshot, err error) {
-	is := s.all()
-	d, err := digestItems(is)
-	if err != nil {
-		return n, err
-	}
-	return Snapshot{Next: s.next, Items: is, Digest: d}, nil
+	return Snapshot{Next: s.next, Items: s.all()}.WithDigest()
 }
 
 // Restore returns the newer of s and the state in an encoded snapshot. An older
--- /dev/null
+++ b/kernel/kernel_test.go
@@ -0,0 +1,72 @@
+package kernel_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade/kernel"
+)
+
+// noisy tells when it is started and stopped.
+type noisy struct {
+	name string
+	fail bool
+	said *[]string
+}
+
+func (n noisy) Start(context.Context, *kernel.Kernel) error {
+	*n.said = append(*n.said, "start "+n.name)
+	if n.fail {
+		return errors.New("broken")
+	}
+	return nil
+}
+
+func (n noisy) Stop(context.Context) error {
+	*n.said = append(*n.said, "stop "+n.name)
+	return nil
+}
+
+func TestKernel(t *testing.T) {
+	ctx := context.Background()
+	t.Run("what was started is stopped when a later service fails", func(t *testing.T) {
+		var said []string
+		k := kernel.New()
+		k.Register("a", noisy{name: "a", said: &said})
+		k.Register("b", noisy{name: "b", fail: true, said: &said})
+		require.ErrorContains(t, k.Start(ctx), "start service b: broken")
+		require.Equal(t, []string{"start a", "start b", "stop a"}, said)
+	})
+	t.Run("a service is found by name and type", func(t *testing.T) {
+		k := kernel.New()
+		k.Register("a", noisy{name: "a"})
+		n, err := kernel.Find[noisy](k, "a")
+		require.NoError(t, err)
+		require.Equal(t, "a", n.name)
+		_, err = kernel.Find[noisy](k, "b")
+		require.Error(t, err)
+		_, err = kernel.Find[*noisy](k, "a")
+		require.Error(t, err)
+	})
+}
+
+func ExampleKernel() {
+	var said []string
+	k := kernel.New()
+	k.Register("log", noisy{name: "log", said: &said})
+	k.Register("server", noisy{name: "server", said: &said})
+	ctx := context.Background()
+	if err := k.Start(ctx); err != nil {
+		fmt.Println(err)
+	}
+	if err := k.Stop(ctx); err != nil {
+		fmt.Println(err)
+	}
+	fmt.Println(said)
+	// Output:
+	// [start log start server stop server stop log]
+}
