agent: makes engines ready for an event by rank, without a leader

Each agent ranks itself for the event among the agents on the list, takes one of its models, fetches at its own time in the first half of the lead and orders the engine with the event's revision as the fence. What an engine serves is now taken from its own report. Ruled out: a leader, and one common time.

--- a/agent/memory.go
+++ b/agent/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -212,6 +213,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.memory.SetTotal(l.TotalTokens)
+	if len(l.Models) > 0 && !slices.Equal(l.Models, a.models) {
+		a.models = l.Models
+		a.notify()
+	}
 	for _, e := range a.memory.Expired(a.clock.Now()) {
 		a.releaseLease(e.ID)
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -73,6 +73,7 @@
 	Ends     time.Time `json:"ends" toml:"ends"`
 	Models   []string  `json:"models,omitempty" toml:"models"`
 	Prepares Duration  `json:"prepares,omitempty" toml:"prepares"` // how long before the start loading begins
+	Revision int64     `json:"-" toml:"-"`                         // of its item; fences orders to engines
 }
 
 // Phase returns where the event stands at now.
@@ -170,7 +171,10 @@
 	case ServiceKind:
 		_, err = decode(i, c.Services)
 	case EventKind:
-		_, err = decode(i, c.Events)
+		var e Event
+		e, err = decode(i, c.Events)
+		e.Revision = i.Revision
+		c.Events[i.Name] = e
 	case ObjectiveKind:
 		_, err = decode(i, c.Objectives)
 	case KeyRangeKind:
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -52,12 +52,12 @@
 	Agents   []*node.AgentNode
 	Entries  []*node.EntryNode
 
-	logURL, boxesURL string
-	logger           *log.Logger
-	tune             func(*setting.Agent)
-	clock            hollowgrade.Clock
-	servers          []*http.Server
-	halls            int
+	logURL, boxesURL, storeURL string
+	logger                     *log.Logger
+	tune                       func(*setting.Agent)
+	clock                      hollowgrade.Clock
+	servers                    []*http.Server
+	halls                      int
 }
 
 const (
@@ -99,6 +99,9 @@
 	if f.boxesURL, err = f.serve(f.Boxes); err != nil {
 		return f, err
 	}
+	if f.storeURL, err = f.serve(f.Weights); err != nil {
+		return f, err
+	}
 	for i := range s.Engines {
 		if err = f.addEngine(ctx, i, s.Engine); err != nil {
 			return f, err
@@ -137,14 +140,15 @@
 
 func (f *Fleet) common(box, hall string) setting.Common {
 	return setting.Common{
-		Box:          box,
-		Hall:         hall,
-		Region:       "local",
-		Operators:    "127.0.0.1:0",
-		PlatformLog:  f.logURL,
-		PlatformList: f.boxesURL,
-		LogPoll:      demoPoll,
-		DrainTimeout: time.Minute,
+		Box:           box,
+		Hall:          hall,
+		Region:        "local",
+		Operators:     "127.0.0.1:0",
+		PlatformLog:   f.logURL,
+		PlatformList:  f.boxesURL,
+		PlatformStore: f.storeURL,
+		LogPoll:       demoPoll,
+		DrainTimeout:  time.Minute,
 	}
 }
 
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -122,6 +122,7 @@
 	Service  *standin.Service      // nil beside an engine
 	upstream hollowgrade.Service
 	keeper   *agent.Keeper
+	preparer *agent.Preparer
 	follower *fold.Follower
 	dead     bool
 	replaced bool
@@ -136,6 +137,7 @@
 	Network *standin.Network
 	Log     *standin.Log
 	Boxes   *standin.Boxes
+	Weights *standin.Weights
 	Entries []*EntryBox
 	Agents  []*AgentBox
 	client  *http.Client
@@ -150,6 +152,7 @@
 	f := &Fleet{Config: c, Log: standin.NewLog(0, hollowgrade.SystemClock())}
 	f.Network = standin.NewNetwork(f.delay)
 	f.Boxes = standin.NewBoxes(0, hollowgrade.SystemClock())
+	f.Weights = standin.NewWeights(time.Second, 1, hollowgrade.SystemClock())
 	f.client = &http.Client{Transport: &http.Transport{
 		DialContext:         f.dialCaller,
 		MaxIdleConnsPerHost: 256,
@@ -283,6 +286,11 @@
 	a.Agent = agent.New(b, a.incarnation, f.Network.Listen(a.Name), os...)
 	f.Boxes.Set(b)
 	_ = a.follower.Start(context.Background(), nil)
+	if a.Engine != nil {
+		a.preparer = agent.NewPreparer(a.Name, a.Link, f.Weights, clock, f.Config.Log, f.agents)
+		_ = a.preparer.Start(context.Background(), nil)
+		watch(a.follower, a.preparer.SetConfig)
+	}
 	watch(a.follower, a.keeper.SetConfig)
 	_ = a.keeper.Start(context.Background(), nil)
 	_ = a.Start(context.Background(), nil)
@@ -445,6 +453,9 @@
 	for _, a := range f.Agents {
 		_ = a.Stop(ctx)
 		_ = a.keeper.Stop(ctx)
+		if a.preparer != nil {
+			_ = a.preparer.Stop(ctx)
+		}
 		_ = a.follower.Stop(ctx)
 	}
 	for _, s := range f.stops {
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -7,6 +7,7 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/agent"
+	"github.com/hollowgrade/hollowgrade/config"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/platform"
 	"github.com/hollowgrade/hollowgrade/sched"
@@ -56,7 +57,13 @@
 	}
 	a := agent.New(b.Box, b.Incarnation, l, append(os, u)...)
 	n = &AgentNode{Node: b, Peers: b.Box.Peer, Agent: a}
-	b.Register("configuration", starter(func() { b.watch(k.SetConfig) }))
+	use := []func(*config.Config){k.SetConfig}
+	if c.Engine != "" {
+		r := agent.NewPreparer(b.Box.Name, engineClient(c), store(c.Common), b.clock, g, d.Agents)
+		use = append(use, r.SetConfig)
+		b.Register(PreparerService, r)
+	}
+	b.Register("configuration", starter(func() { b.watch(use...) }))
 	b.Register(KeeperService, k)
 	b.Register(AgentService, a)
 	o, err := newOperators(c.Operators, b, a.Ready)
@@ -68,9 +75,21 @@
 	return n, n.gauges()
 }
 
+func engineClient(c setting.Agent) *upstream.Engine {
+	return upstream.NewEngine(c.Engine, upstream.Transport(nil))
+}
+
+// store returns the weight store that the settings name, or nil.
+func store(c setting.Common) hollowgrade.WeightStore {
+	if c.PlatformStore == "" {
+		return nil
+	}
+	return platform.NewWeights(c.PlatformStore, nil)
+}
+
 func upstreamOption(c setting.Agent) (agent.Option, error) {
 	if c.Engine != "" {
-		return agent.WithEngine(upstream.NewEngine(c.Engine, upstream.Transport(nil)), c.Models...), nil
+		return agent.WithEngine(engineClient(c), c.Models...), nil
 	}
 	s, err := upstream.NewService(c.Service, upstream.ServiceTransport(nil))
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 const (
 	FollowerService  = "follower"
 	KeeperService    = "keeper"
+	PreparerService  = "preparer"
 	AgentService     = "agent"
 	EntryService     = "entry"
 	OperatorsService = "operators"
@@ -197,7 +198,7 @@
 }
 
 // watch compiles each new state and passes it on.
-func (n *Node) watch(use func(*config.Config)) {
+func (n *Node) watch(use ...func(*config.Config)) {
 	n.follower.Watch(func(s fold.State) {
 		if s.Revision() == 0 {
 			return
@@ -209,7 +210,9 @@
 		n.compiled.current = c
 		n.recorder.SetObjectives(c.Objectives)
 		n.log.Info("configuration in force", "revision", c.Revision)
-		use(c)
+		for _, u := range use {
+			u(c)
+		}
 	})
 }
 
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	limit *rate.Limiter
 
 	mu      sync.Mutex
+	out     bool
 	fetches []platform.FetchCall
 }
 
@@ -27,13 +29,30 @@
 	return &Weights{clock: k, limit: rate.NewLimiter(rate.Every(interval), burst)}
 }
 
+// SetOutage begins or ends an outage.
+func (s *Weights) SetOutage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.out = on
+}
+
+// Fetches returns what was fetched.
+func (s *Weights) Fetches() []platform.FetchCall {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.fetches)
+}
+
 // Fetch implements [hollowgrade.WeightStore].
 func (s *Weights) Fetch(_ context.Context, box, model string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out {
+		return ErrOutage
+	}
 	if !s.limit.AllowN(s.clock.Now(), 1) {
 		return ErrTooFast
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.fetches = append(s.fetches, platform.FetchCall{Box: box, Model: model})
 	return nil
 }
