--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -11,7 +11,8 @@
 // reportCommand reports on service levels.
 type reportCommand struct {
 	boxes
-	JSON bool `name:"json" help:"Print JSON."`
+	JSON bool `name:"json" help:"Print JSON." xor:"form"`
+	HTML bool `name:"html" help:"Print one self-contained page." xor:"form"`
 }
 
 // Run runs the command.
@@ -33,8 +34,11 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
+	switch {
+	case c.JSON:
 		return writeJSON(s.out, r)
+	case c.HTML:
+		return r.WriteHTML(s.out)
 	}
 	return r.WriteText(s.out)
 }
