--- a/internal/fleettest/check.go
+++ b/internal/fleettest/check.go
@@ -198,7 +198,10 @@
 		}
 		if a.Engine != nil && !a.dead && !a.replaced {
 			e.Used[a.Name] = a.Engine.Used()
-			e.Lost[a.Name] = a.Lost()
+			if !a.stopped {
+				// A stopped process sweeps no more, and its last figure is old.
+				e.Lost[a.Name] = a.Lost()
+			}
 		}
 	}
 	return e
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -126,6 +126,7 @@
 	follower *fold.Follower
 	dead     bool
 	replaced bool
+	stopped  bool
 }
 
 // Revision returns the revision in force.
@@ -492,6 +493,7 @@
 // StopAgent stops an agent as planned, with its keeper of keys.
 func (f *Fleet) StopAgent(ctx context.Context, a *AgentBox) {
 	_ = a.Stop(ctx)
+	f.mark(&a.stopped)
 	_ = a.keeper.Stop(ctx)
 }
 
--- a/sched/place.go
+++ b/sched/place.go
@@ -45,6 +45,10 @@
 	Total time.Duration // until the last token, with Wait
 }
 
+// memoryWait is the wait that is assumed where memory is short: about the time
+// of a prompt of middling length.
+const memoryWait = 2 * time.Second
+
 // Predict works out a [Prediction] from the load.
 func Predict(l *Load, w Work) (p Prediction) {
 	rate, step := l.PrefillRate, l.Step
@@ -60,9 +64,8 @@
 	}
 	p.Wait = seconds(float64(ahead) / rate)
 	if short := l.HeldTokens + w.PromptTokens + w.MaxTokens - l.TotalTokens; l.TotalTokens > 0 && short > 0 {
-		// Memory comes free as running answers end; half of one such answer
-		// is the wait to expect.
-		p.Wait += step * time.Duration(w.MaxTokens/2)
+		// Memory comes free only as running answers end, and nobody knows when.
+		p.Wait += memoryWait
 	}
 	fresh := max(w.PromptTokens-l.CachedTokens, 0)
 	p.First = p.Wait + 2*l.Distance + seconds(float64(fresh)/rate) + step
