--- a/agent/agent.go
+++ b/agent/agent.go
@@ -222,7 +222,9 @@
 // finished, for as long as ctx lasts.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.Drain()
-	a.linger(ctx)
+	// Entries need the time to hear of the drain. What they had sent before is
+	// refused with a definite answer meanwhile, so they can send it elsewhere.
+	hollowgrade.Sleep(ctx, a.clock, a.limits.Linger)
 	var err error
 	select {
 	case <-a.idle:
@@ -236,17 +238,6 @@
 	return err
 }
 
-// linger gives entries the time to hear of the drain. What they had sent before
-// is refused with a definite answer meanwhile, so they can send it elsewhere.
-func (a *Agent) linger(ctx context.Context) {
-	t := a.clock.NewTimer(a.limits.Linger)
-	defer t.Stop()
-	select {
-	case <-t.Chan():
-	case <-ctx.Done():
-	}
-}
-
 // Drain makes the agent refuse new work and say so to every entry. What has
 // been accepted goes on.
 func (a *Agent) Drain() {
--- a/agent/control.go
+++ b/agent/control.go
@@ -37,14 +37,7 @@
 		return true
 	case <-changed:
 	}
-	g := a.clock.NewTimer(minReportGap)
-	defer g.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-g.Chan():
-		return true
-	}
+	return hollowgrade.Sleep(ctx, a.clock, minReportGap)
 }
 
 func (a *Agent) status() (*wire.Status, <-chan struct{}) {
--- a/agent/keeper.go
+++ b/agent/keeper.go
@@ -136,14 +136,7 @@
 
 func (k *Keeper) loop(ctx context.Context) {
 	defer close(k.done)
-	for {
-		t := k.clock.NewTimer(k.times.Every)
-		select {
-		case <-t.Chan():
-		case <-ctx.Done():
-			t.Stop()
-			return
-		}
+	for hollowgrade.Sleep(ctx, k.clock, k.times.Every) {
 		k.takeRanges(ctx)
 	}
 }
--- a/agent/preparer.go
+++ b/agent/preparer.go
@@ -75,14 +75,7 @@
 
 func (p *Preparer) loop(ctx context.Context) {
 	defer close(p.done)
-	for {
-		t := p.clock.NewTimer(prepareEvery)
-		select {
-		case <-t.Chan():
-		case <-ctx.Done():
-			t.Stop()
-			return
-		}
+	for hollowgrade.Sleep(ctx, p.clock, prepareEvery) {
 		p.look(ctx)
 	}
 }
--- a/clock.go
+++ b/clock.go
@@ -1,6 +1,11 @@
 package hollowgrade
 
-import "github.com/jonboulle/clockwork"
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
 
 // Clock is the source of time of every part. It is passed in so that tests can
 // replace it; [SystemClock] is the real one.
@@ -13,3 +18,15 @@
 func SystemClock() Clock {
 	return clockwork.NewRealClock()
 }
+
+// Sleep waits for d on the clock. It returns false if ctx ended before.
+func Sleep(ctx context.Context, c Clock, d time.Duration) bool {
+	t := c.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -211,12 +211,7 @@
 	e.mu.Lock()
 	e.lingering = true
 	e.mu.Unlock()
-	t := e.clock.NewTimer(e.limits.Linger)
-	defer t.Stop()
-	select {
-	case <-t.Chan():
-	case <-ctx.Done():
-	}
+	hollowgrade.Sleep(ctx, e.clock, e.limits.Linger)
 }
 
 // Drain makes the entry refuse new requests and report itself not ready, so
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -166,12 +166,7 @@
 		if err == nil || e.ctx.Err() != nil {
 			return
 		}
-		t := e.clock.NewTimer(settleGap)
-		select {
-		case <-t.Chan():
-		case <-e.ctx.Done():
-			t.Stop()
-		}
+		hollowgrade.Sleep(e.ctx, e.clock, settleGap)
 	}
 	e.log.Warn("key not settled", "request", r.ID)
 }
--- a/entry/link.go
+++ b/entry/link.go
@@ -49,12 +49,7 @@
 func (e *Entry) linkLoop() {
 	for e.ctx.Err() == nil {
 		e.syncLinks(e.agents(e.ctx))
-		t := e.clock.NewTimer(listEvery)
-		select {
-		case <-t.Chan():
-		case <-e.ctx.Done():
-			t.Stop()
-		}
+		hollowgrade.Sleep(e.ctx, e.clock, listEvery)
 	}
 	e.syncLinks(nil)
 }
@@ -115,12 +110,7 @@
 		if e.useLink(ctx, l) {
 			b.Reset()
 		}
-		t := e.clock.NewTimer(b.NextBackOff())
-		select {
-		case <-t.Chan():
-		case <-ctx.Done():
-			t.Stop()
-		}
+		hollowgrade.Sleep(ctx, e.clock, b.NextBackOff())
 	}
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -143,17 +143,7 @@
 // sleep waits before the next attempt. It returns false when that would go
 // beyond the deadline.
 func (e *Entry) sleep(ctx context.Context, q *query, d time.Duration) bool {
-	if q.request.Remaining(e.clock.Now()) <= d {
-		return false
-	}
-	t := e.clock.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.Chan():
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return q.request.Remaining(e.clock.Now()) > d && hollowgrade.Sleep(ctx, e.clock, d)
 }
 
 // place picks an agent, and refuses the request at once if none could answer
--- a/fold/follower.go
+++ b/fold/follower.go
@@ -141,12 +141,7 @@
 		f.renew(ctx)
 		// The jitter keeps a thousand boxes from reading in step.
 		d := f.poll*3/4 + rand.N(f.poll/2+1)
-		t := f.clock.NewTimer(d)
-		select {
-		case <-t.Chan():
-		case <-ctx.Done():
-			t.Stop()
-		}
+		hollowgrade.Sleep(ctx, f.clock, d)
 	}
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/config"
 	"github.com/hollowgrade/hollowgrade/examples"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
@@ -164,10 +165,7 @@
 // and each range of idempotency keys has a keeper.
 func (f *Fleet) await(ctx context.Context, revision int64) error {
 	for !f.inForce(revision) {
-		t := f.clock.NewTimer(awaitEvery)
-		select {
-		case <-t.Chan():
-		case <-ctx.Done():
+		if !hollowgrade.Sleep(ctx, f.clock, awaitEvery) {
 			return ctx.Err()
 		}
 	}
@@ -233,5 +231,10 @@
 	say(w, "listening on %s, a key is %s; try:", f.URLs()[0], k)
 	say(w, `curl -sN %s/v1/completions -H 'Authorization: Bearer %s' -H 'Hollowgrade-Kind: draft' -d '{"model":"%s","prompt":"Write a line","max_tokens":8,"stream":true}'`,
 		f.URLs()[0], k, Model)
+	report := "hollowgrade report"
+	for _, e := range f.Entries {
+		report += " --box " + e.Operators
+	}
+	say(w, "%s", report)
 	<-ctx.Done()
 }
