--- a/internal/fleettest/caller.go
+++ b/internal/fleettest/caller.go
@@ -1,7 +1,6 @@
 package fleettest
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +11,7 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/entry"
+	"github.com/hollowgrade/hollowgrade/internal/load"
 	"github.com/hollowgrade/hollowgrade/internal/standin"
 )
 
@@ -54,13 +54,6 @@
 	return standin.Answer(c.Prompt, c.Tokens)
 }
 
-type completionCall struct {
-	Model     string `json:"model"`
-	Prompt    string `json:"prompt"`
-	MaxTokens int    `json:"max_tokens"`
-	Stream    bool   `json:"stream"`
-}
-
 func (f *Fleet) request(ctx context.Context, c Call) *http.Request {
 	url := fmt.Sprintf("http://%s:80", EntryName(c.Entry))
 	body := c.Prompt
@@ -68,7 +61,7 @@
 		url += entry.ServicesPath + Service + "/x"
 	} else {
 		url += entry.CompletionsPath
-		b, _ := json.Marshal(completionCall{Model: Model, Prompt: c.Prompt, MaxTokens: c.Tokens, Stream: true})
+		b, _ := json.Marshal(load.CompletionCall{Model: Model, Prompt: c.Prompt, MaxTokens: c.Tokens, Stream: true})
 		body = string(b)
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
@@ -136,45 +129,15 @@
 	a.Text, a.Outcome = e.Body, hollowgrade.Finished
 }
 
-type event struct {
-	entry.ErrorBody
-	Choices []struct {
-		Text         string  `json:"text"`
-		FinishReason *string `json:"finish_reason"`
-	} `json:"choices"`
-}
-
-const maxEvent = 1 << 20
-
 func (a *Answer) stream(b io.Reader) {
-	var text strings.Builder
-	defer func() { a.Text = text.String() }()
-	l := bufio.NewScanner(b)
-	l.Buffer(nil, maxEvent)
-	for l.Scan() {
-		d, ok := strings.CutPrefix(l.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if d == "[DONE]" {
-			a.Outcome = hollowgrade.Finished
-			return
-		}
-		var e event
-		if err := json.Unmarshal([]byte(d), &e); err != nil {
-			a.Code = "unreadable event"
-			return
-		}
-		if e.Error.Outcome != "" {
-			a.failed(e.ErrorBody)
-			return
-		}
-		if a.First.IsZero() {
-			a.First = time.Now()
-		}
-		if len(e.Choices) > 0 && e.Choices[0].FinishReason == nil {
-			text.WriteString(e.Choices[0].Text)
-		}
+	v := load.ReadStream(b)
+	a.Text, a.First = v.Text, v.First
+	switch {
+	case v.Whole:
+		a.Outcome = hollowgrade.Finished
+	case v.Failure.Outcome != "":
+		a.failed(entry.ErrorBody{Error: v.Failure})
+	default:
+		a.Code = v.Broken
 	}
-	a.Code = "the stream broke off"
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -9,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,13 +102,6 @@
 	}
 }
 
-type completionCall struct {
-	Model     string `json:"model"`
-	Prompt    string `json:"prompt"`
-	MaxTokens int    `json:"max_tokens"`
-	Stream    bool   `json:"stream"`
-}
-
 func (r *Runner) send(ctx context.Context, q Request, event string) (s Result) {
 	s.Request = q
 	began := time.Now()
@@ -156,7 +147,7 @@
 		body = []byte(fmt.Sprintf("call %d of %s, %016x", q.Index, q.Organisation.Name, q.seed))
 	} else {
 		prompt = q.PromptText()
-		body, err = json.Marshal(completionCall{Model: q.Kind.Model, Prompt: prompt, MaxTokens: q.Kind.MaxTokens, Stream: true})
+		body, err = json.Marshal(CompletionCall{Model: q.Kind.Model, Prompt: prompt, MaxTokens: q.Kind.MaxTokens, Stream: true})
 		if err != nil {
 			return nil, "", err
 		}
@@ -197,49 +188,21 @@
 	s.Outcome, s.Tokens = hollowgrade.Finished, len(v)
 }
 
-// event is any event of a stream.
-type event struct {
-	entry.ErrorBody
-	Choices []struct {
-		Text         string  `json:"text"`
-		FinishReason *string `json:"finish_reason"`
-	} `json:"choices"`
-}
-
-const maxEventBytes = 1 << 20
-
-// stream reads server-sent events up to the one that marks the end.
+// stream takes in a streamed answer.
 func (s *Result) stream(b io.Reader, began time.Time, prompt string, verify bool) {
-	var text strings.Builder
-	l := bufio.NewScanner(b)
-	l.Buffer(nil, maxEventBytes)
-	for l.Scan() {
-		d, ok := strings.CutPrefix(l.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if d == "[DONE]" {
-			s.finished(text.String(), prompt, verify)
-			return
-		}
-		var e event
-		if err := json.Unmarshal([]byte(d), &e); err != nil {
-			s.Outcome, s.Wrong = hollowgrade.Unknown, "an event cannot be read"
-			return
-		}
-		if e.Error.Outcome != "" {
-			s.Outcome, s.Code = e.Error.Outcome, string(e.Error.Code)
-			return
-		}
-		if s.Tokens == 0 {
-			s.FirstToken = time.Since(began)
-		}
-		if len(e.Choices) > 0 && e.Choices[0].FinishReason == nil {
-			text.WriteString(e.Choices[0].Text)
-			s.Tokens++
-		}
+	v := ReadStream(b)
+	s.Tokens = v.Tokens
+	if !v.First.IsZero() {
+		s.FirstToken = v.First.Sub(began)
+	}
+	switch {
+	case v.Whole:
+		s.finished(v.Text, prompt, verify)
+	case v.Failure.Outcome != "":
+		s.Outcome, s.Code = v.Failure.Outcome, string(v.Failure.Code)
+	default:
+		s.Outcome, s.Code = hollowgrade.Unknown, "connection: "+v.Broken
 	}
-	s.Outcome, s.Code = hollowgrade.Unknown, "connection: the stream broke off"
 }
 
 func (s *Result) finished(text, prompt string, verify bool) {
