demo: stops its processes at once and together

Cause: the demo ended with exit code 1: each of 24 processes lingered for seconds one after another, past the demo's 10 s for stopping. Nobody else sends requests to a demo, so it does not linger. TestRun runs a small demo whole. Ruled out: dropping the linger by default.

--- a/agent/keeper.go
+++ b/agent/keeper.go
@@ -47,7 +47,7 @@
 // DefaultKeyTimes returns times that suit boxes which are replaced a few
 // hundred times a day.
 func DefaultKeyTimes() KeyTimes {
-	return KeyTimes{Window: time.Hour, Lease: 2 * time.Minute, Grace: 10 * time.Second, Every: time.Second}
+	return KeyTimes{Window: 15 * time.Minute, Lease: 2 * time.Minute, Grace: 10 * time.Second, Every: time.Second}
 }
 
 // maxKeys bounds the records of one ledger, about 300 bytes each without the
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -180,6 +181,7 @@
 	s := setting.DefaultAgent()
 	s.Common = f.common(box, hall)
 	s.Peers = "127.0.0.1:0"
+	s.Linger = 0 // nobody else sends requests
 	f.tune(&s)
 	return s
 }
@@ -201,6 +203,7 @@
 	s := setting.DefaultEntry()
 	s.Common = f.common(fmt.Sprintf("entry-%d", i+1), f.hall(i))
 	s.Callers = "127.0.0.1:0"
+	s.Linger = 0
 	n, err := node.NewEntry(s, f.logger)
 	if err != nil {
 		return err
@@ -220,17 +223,28 @@
 	return us
 }
 
+// stopAll stops processes at the same time.
+func stopAll(ctx context.Context, ns []*node.Node) error {
+	errs := make([]error, len(ns))
+	var g sync.WaitGroup
+	for i, n := range ns {
+		g.Go(func() { errs[i] = n.Stop(ctx) })
+	}
+	g.Wait()
+	return errors.Join(errs...)
+}
+
 // Stop stops everything: entries first, then agents, then the stand-ins.
 func (f *Fleet) Stop(ctx context.Context) (err error) {
+	var entries, agents []*node.Node
 	for _, e := range f.Entries {
-		err = errors.Join(err, e.Stop(ctx))
+		entries = append(entries, e.Node)
 	}
 	for _, a := range f.Agents {
 		f.Boxes.Remove(a.Box.Name)
+		agents = append(agents, a.Node)
 	}
-	for _, a := range f.Agents {
-		err = errors.Join(err, a.Stop(ctx))
-	}
+	err = errors.Join(stopAll(ctx, entries), stopAll(ctx, agents))
 	for _, s := range f.servers {
 		_ = s.Close()
 	}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -66,7 +66,7 @@
 	Heartbeat     time.Duration `help:"Longest time between two reports to an entry." default:"500ms" min:"20ms" max:"1s" group:"limits"`
 	Linger        time.Duration `help:"How long a planned stop goes on answering entries that have not heard of it." default:"2s" min:"0s" group:"limits"`
 	Sweep         time.Duration `help:"Time between two comparisons of the memory ledger with the engine." default:"1s" min:"50ms" group:"limits"`
-	KeyWindow     time.Duration `help:"How long an idempotency key is remembered after its run." default:"1h" min:"1s" group:"keys"`
+	KeyWindow     time.Duration `help:"How long an idempotency key is remembered after its run; after a crash its keeper's successor answers that long with unknown." default:"15m" min:"1s" group:"keys"`
 	KeyLease      time.Duration `help:"How long a keeper of keys goes on without having read the log." default:"2m" min:"1s" group:"keys"`
 	KeyGrace      time.Duration `help:"How long a keeper of keys must be off the list before another takes its place." default:"10s" min:"100ms" group:"keys"`
 }
