agent: lets a policy's share bind long requests

Cause: share was read and checked, and bound nothing; a newcomer who reads the policy page would rely on it. Long requests join others on an engine only while all long ones hold less than the share, or than the agent's own limit. Ruled out: a share over the whole fleet, which no single agent knows.

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -115,12 +115,22 @@
 		return true
 	}
 	n := j.request.Tokens()
-	if a.long(n) && a.longHeld > 0 && float64(a.longHeld+n) > a.limits.LongShare*float64(a.memory.Total()) {
+	if a.long(n) && a.longHeld > 0 && float64(a.longHeld+n) > a.longShare(j)*float64(a.memory.Total()) {
 		return false
 	}
 	return a.memory.Fits(n)
 }
 
+// longShare is the part of the memory that long requests may hold together for
+// the job to join them: the agent's own limit, or the policy's if that is less.
+// A single long request is let in whatever its size.
+func (a *Agent) longShare(j *job) float64 {
+	if s := j.request.Decision.Share; s > 0 {
+		return min(s, a.limits.LongShare)
+	}
+	return a.limits.LongShare
+}
+
 // take enters the job's memory into the ledger when its first step is granted.
 func (a *Agent) take(j *job) {
 	if a.engine == nil || j.submit.Reservation != "" {
--- a/agent/job_test.go
+++ b/agent/job_test.go
@@ -28,3 +28,19 @@
 		requireOutcome(t, hollowgrade.Failed, afterStart(j, gone))
 	})
 }
+
+func TestPolicyShareBindsLongRequests(t *testing.T) {
+	a := New(hollowgrade.Box{}, "i", nil)
+	j := &job{}
+	t.Run("without a policy the agent's own limit holds", func(t *testing.T) {
+		require.Equal(t, a.limits.LongShare, a.longShare(j))
+	})
+	t.Run("a lower share binds", func(t *testing.T) {
+		j.request.Decision.Share = 0.25
+		require.Equal(t, 0.25, a.longShare(j))
+	})
+	t.Run("a higher share does not widen the limit", func(t *testing.T) {
+		j.request.Decision.Share = 1
+		require.Equal(t, a.limits.LongShare, a.longShare(j))
+	})
+}
--- a/cmd/hollowgrade/process_test.go
+++ b/cmd/hollowgrade/process_test.go
@@ -61,7 +61,10 @@
 	go func() {
 		defer close(p.lines)
 		for s := bufio.NewScanner(out); s.Scan(); {
-			p.lines <- s.Text()
+			select {
+			case p.lines <- s.Text():
+			default: // nobody waits for so many lines, and the process must not wait for us
+			}
 		}
 	}()
 	t.Cleanup(func() {
--- a/measure/report.go
+++ b/measure/report.go
@@ -217,7 +217,7 @@
 	}
 	for _, w := range burnWindows {
 		good, bad := within(o.Minutes, now, w)
-		b.Burn = append(b.Burn, Burn{Window: w.String(), Rate: rate(good, bad, o.Objective.Share)})
+		b.Burn = append(b.Burn, Burn{Window: short(w), Rate: rate(good, bad, o.Objective.Share)})
 	}
 	return b
 }
