--- a/agent/control.go
+++ b/agent/control.go
@@ -44,22 +44,22 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return &wire.Status{
-		Box:                 a.box.Name,
-		Incarnation:         a.incarnation,
-		Hall:                a.box.Hall,
-		Draining:            a.draining || !a.reachable,
-		Revision:            a.revision(),
-		Models:              a.models,
-		Service:             a.serviceName,
-		Queued:              int64(a.queue.Len()),
-		InstantQueuedTokens: int64(a.queued[hollowgrade.Instant] + a.prefill),
-		NormalQueuedTokens:  int64(a.queued[hollowgrade.Normal]),
-		QueuedTokens:        int64(a.queued[hollowgrade.Background]),
-		Running:             int64(a.running),
-		HeldTokens:          int64(a.memory.Used()),
-		TotalTokens:         int64(a.memory.Total()),
-		PrefillRate:         a.speed.prefillRate,
-		StepMicros:          a.speed.step.Microseconds(),
+		Box:                    a.box.Name,
+		Incarnation:            a.incarnation,
+		Hall:                   a.box.Hall,
+		Draining:               a.draining || !a.reachable,
+		Revision:               a.revision(),
+		Models:                 a.models,
+		Service:                a.serviceName,
+		Queued:                 int64(a.queue.Len()),
+		InstantQueuedTokens:    int64(a.queued[hollowgrade.Instant] + a.prefill),
+		NormalQueuedTokens:     int64(a.queued[hollowgrade.Normal]),
+		BackgroundQueuedTokens: int64(a.queued[hollowgrade.Background]),
+		Running:                int64(a.running),
+		HeldTokens:             int64(a.memory.Used()),
+		TotalTokens:            int64(a.memory.Total()),
+		PrefillRate:            a.speed.prefillRate,
+		StepMicros:             a.speed.step.Microseconds(),
 	}, a.changed
 }
 
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 
+	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/ledger"
 	"github.com/hollowgrade/hollowgrade/sched"
-
-	"github.com/hollowgrade/hollowgrade"
 )
 
 // await queues the job's next step and returns once it may be given to the
@@ -25,7 +23,7 @@
 	a.mu.Unlock()
 	select {
 	case <-j.grant:
-		return a.checkDeadline(ctx, j, i)
+		return a.checkDeadline(ctx, i)
 	case <-j.bounced:
 		return a.upstreamGone()
 	case <-ctx.Done():
@@ -61,7 +59,7 @@
 }
 
 // checkDeadline gives the grant back if the deadline passed together with it.
-func (a *Agent) checkDeadline(ctx context.Context, _ *job, i *sched.Item) error {
+func (a *Agent) checkDeadline(ctx context.Context, i *sched.Item) error {
 	if ctx.Err() == nil {
 		return nil
 	}
@@ -184,8 +182,3 @@
 	}
 	return nil
 }
-
-// String describes the agent in logs.
-func (a *Agent) String() string {
-	return fmt.Sprintf("agent %s (%s)", a.box.Name, a.box.Hall)
-}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -65,21 +65,20 @@
 	config EngineConfig
 	clock  hollowgrade.Clock
 
-	mu       sync.Mutex
-	down     bool
-	frozen   bool
-	wake     chan struct{}
-	stopped  chan struct{}
-	waiting  []*sequence
-	running  []*sequence
-	held     map[string]*holding
-	cache    prefixCache
-	used     int
-	fence    int64
-	models   []string
-	loads    []hollowgrade.EngineLoad // history, for the lag
-	runs     []Run
-	computed int
+	mu      sync.Mutex
+	down    bool
+	frozen  bool
+	wake    chan struct{}
+	stopped chan struct{}
+	waiting []*sequence
+	running []*sequence
+	held    map[string]*holding
+	cache   prefixCache
+	used    int
+	fence   int64
+	models  []string
+	loads   []hollowgrade.EngineLoad // history, for the lag
+	runs    []Run
 }
 
 // Run is one entry of the engine's own record of what ran, which the checkers
@@ -169,14 +168,6 @@
 	return slices.Clone(e.runs)
 }
 
-// Computed returns how many prompt tokens the engine has worked on, without
-// those that its prefix cache had.
-func (e *Engine) Computed() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.computed
-}
-
 // Generate implements [hollowgrade.Engine].
 func (e *Engine) Generate(ctx context.Context, g hollowgrade.Generation) (hollowgrade.TokenStream, error) {
 	e.mu.Lock()
@@ -326,7 +317,6 @@
 		s.prefilled += n
 		total += n
 	}
-	e.computed += total
 	return e.config.StepBase + time.Duration(float64(total)/e.config.PrefillRate*float64(time.Second)), true
 }
 
