--- a/internal/fleettest/caller.go
+++ b/internal/fleettest/caller.go
@@ -102,6 +102,26 @@
 	return a
 }
 
+// Mint asks an entry for an idempotency key.
+func (f *Fleet) Mint(i int, organisation string) string {
+	url := fmt.Sprintf("http://%s:80%s", EntryName(i), entry.KeysPath)
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, http.NoBody)
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+Bearer+organisation)
+	res, err := f.client.Do(r)
+	if err != nil {
+		panic(err)
+	}
+	defer res.Body.Close()
+	var m entry.MintReply
+	if err = json.NewDecoder(res.Body).Decode(&m); err != nil {
+		panic(err)
+	}
+	return m.Key
+}
+
 func (a *Answer) refused(b io.Reader) {
 	var e entry.ErrorBody
 	if err := json.NewDecoder(b).Decode(&e); err != nil {
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -22,6 +22,7 @@
 	"github.com/hollowgrade/hollowgrade/config"
 	"github.com/hollowgrade/hollowgrade/entry"
 	"github.com/hollowgrade/hollowgrade/fold"
+	"github.com/hollowgrade/hollowgrade/internal/node"
 	"github.com/hollowgrade/hollowgrade/internal/standin"
 	"github.com/hollowgrade/hollowgrade/ledger"
 	"github.com/hollowgrade/hollowgrade/peer"
@@ -143,9 +144,11 @@
 	Agents  []*AgentBox
 	client  *http.Client
 
-	mu      sync.Mutex
-	started int // processes, to number incarnations
-	stops   []func()
+	mu       sync.Mutex
+	requests int // that entries have ended
+	attempts int // at them
+	started  int // processes, to number incarnations
+	stops    []func()
 }
 
 // New starts a fleet. It must run inside a bubble.
@@ -237,8 +240,9 @@
 	return l.Log.Read(ctx, from, limit)
 }
 
-func (f *Fleet) follower(z *standin.Freezer) *fold.Follower {
-	return fold.NewFollower(frozenLog{f.Log, z}, fold.WithClock(z.Clock()), fold.WithLogger(f.Config.Log), fold.WithPoll(f.Config.Poll))
+func (f *Fleet) follower(name string, z *standin.Freezer) *fold.Follower {
+	return fold.NewFollower(frozenLog{f.Log, z}, fold.WithClock(z.Clock()), fold.WithLogger(f.Config.Log), fold.WithPoll(f.Config.Poll),
+		fold.WithPeers(node.Snapshots(f.agents, f.Network.Dial(name))))
 }
 
 func watch(w *fold.Follower, use func(*config.Config)) {
@@ -269,7 +273,7 @@
 func (f *Fleet) startBeside(o *AgentBox) *AgentBox {
 	a := &AgentBox{Name: o.Name, Engine: o.Engine, Service: o.Service, upstream: o.upstream, Freezer: f.Network.Freezer(o.Name)}
 	a.incarnation = f.incarnation(a.Name)
-	a.follower = f.follower(a.Freezer)
+	a.follower = f.follower(a.Name, a.Freezer)
 	clock, l := a.Freezer.Clock(), frozenLog{f.Log, a.Freezer}
 	b := hollowgrade.Box{Name: a.Name, Role: hollowgrade.AgentRole, Hall: f.hall(a.Name), Peer: a.Name, State: hollowgrade.BoxLive}
 	a.keeper = agent.NewKeeper(a.Name, a.incarnation, f.Config.KeyTimes, clock, f.Config.Log, l, a.follower, f.agents, f.Network.Dial(a.Name))
@@ -326,10 +330,11 @@
 func (f *Fleet) StartEntry(name string) *EntryBox {
 	e := &EntryBox{Name: name, Freezer: f.Network.Freezer(name)}
 	b := hollowgrade.Box{Name: name, Role: hollowgrade.EntryRole, Hall: f.hall(name), State: hollowgrade.BoxLive}
-	e.follower = f.follower(e.Freezer)
+	e.follower = f.follower(e.Name, e.Freezer)
 	e.Entry = entry.New(b, f.incarnation(name), f.Network.Listen(name), f.agents,
 		entry.WithClock(e.Freezer.Clock()), entry.WithLogger(f.Config.Log), entry.WithLimits(f.Config.Entry),
-		entry.WithDialer(peer.Dialer(f.Network.Dial(name))), entry.WithPlacement(f.Config.Placement()))
+		entry.WithDialer(peer.Dialer(f.Network.Dial(name))), entry.WithPlacement(f.Config.Placement()),
+		entry.WithObserver(f.count))
 	f.mu.Lock()
 	f.Entries = append(slices.Clone(f.Entries), e)
 	f.mu.Unlock()
@@ -340,6 +345,20 @@
 	return e
 }
 
+func (f *Fleet) count(o entry.Observation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests++
+	f.attempts += o.Attempts
+}
+
+// AttemptsPerRequest returns how many attempts the entries made for a request.
+func (f *Fleet) AttemptsPerRequest() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return float64(f.attempts) / float64(max(f.requests, 1))
+}
+
 // Prepare publishes a policy, a model, a service and the organisations.
 func (f *Fleet) Prepare(organisations ...string) error {
 	ctx := context.Background()
@@ -499,6 +518,9 @@
 
 // keeperOf returns the agent that keeps a key.
 func (f *Fleet) keeperOf(organisation, key string) int {
+	if box, _, _, ok := ledger.ParseMinted(key); ok {
+		return slices.IndexFunc(f.Agents, func(a *AgentBox) bool { return a.Name == box })
+	}
 	id := ledger.KeyID{Organisation: organisation, Key: key}
 	return id.Range() % (f.Config.Engines + f.Config.Services)
 }
--- a/internal/fleettest/matrix_test.go
+++ b/internal/fleettest/matrix_test.go
@@ -174,16 +174,18 @@
 type kind struct {
 	name string
 	call Call
+	mint bool // whether its key is made by an agent first
 }
 
 var kinds = []kind{
-	{"repeatable", Call{Organisation: "a", Kind: "short", Prompt: strings.Repeat("abcd", 1000), Tokens: 24}},
-	{"in pieces", Call{Organisation: "a", Kind: "short", Prompt: strings.Repeat("efgh", 10_000), Tokens: 24}},
-	{"over two engines", Call{Organisation: "a", Kind: "long", Prompt: strings.Repeat("ijkl", 24_000), Tokens: 24}},
-	{"once", Call{Organisation: "a", Kind: "once", Prompt: strings.Repeat("mnop", 500), Tokens: 24, Key: "key-1"}},
-	{"once in pieces", Call{Organisation: "a", Kind: "once", Prompt: strings.Repeat("qrst", 12_000), Tokens: 24, Key: "key-3"}},
-	{"once at a service", Call{Organisation: "a", Kind: "once", Prompt: "receipt", Service: true, Key: "key-2"}},
-	{"repeatable at a service", Call{Organisation: "a", Kind: "short", Prompt: "lookup", Service: true}},
+	{"repeatable", Call{Organisation: "a", Kind: "short", Prompt: strings.Repeat("abcd", 1000), Tokens: 24}, false},
+	{"in pieces", Call{Organisation: "a", Kind: "short", Prompt: strings.Repeat("efgh", 10_000), Tokens: 24}, false},
+	{"over two engines", Call{Organisation: "a", Kind: "long", Prompt: strings.Repeat("ijkl", 24_000), Tokens: 24}, false},
+	{"once", Call{Organisation: "a", Kind: "once", Prompt: strings.Repeat("mnop", 500), Tokens: 24, Key: "key-1"}, false},
+	{"once in pieces", Call{Organisation: "a", Kind: "once", Prompt: strings.Repeat("qrst", 12_000), Tokens: 24, Key: "key-3"}, false},
+	{"once with a minted key", Call{Organisation: "a", Kind: "once", Prompt: strings.Repeat("uvwx", 500), Tokens: 24}, true},
+	{"once at a service", Call{Organisation: "a", Kind: "once", Prompt: "receipt", Service: true, Key: "key-2"}, false},
+	{"repeatable at a service", Call{Organisation: "a", Kind: "short", Prompt: "lookup", Service: true}, false},
 }
 
 // cell is one run: a request, and faults at steps of its life.
@@ -266,6 +268,9 @@
 // run drives the cell and returns the evidence.
 func (c *cell) run(l timeline, blows []blow) Evidence {
 	f := c.fleet
+	if c.kind.mint {
+		c.kind.call.Key = f.Mint(0, c.kind.call.Organisation)
+	}
 	c.left = map[string]time.Time{}
 	c.box, c.keeper = l.box, c.keeperOf()
 	began := time.Now()
@@ -342,7 +347,7 @@
 		defer c.ending.Wait()
 		defer f.Stop()
 		require.NoError(t, f.Prepare("a", "b"))
-		c.survives = len(blows) == 1 && blows[0].fault.tells && k.call.Key == ""
+		c.survives = len(blows) == 1 && blows[0].fault.tells && k.call.Key == "" && !k.mint
 		e = c.run(l, blows)
 		bs = c.judge(e)
 	})
--- /dev/null
+++ b/internal/fleettest/outage_test.go
@@ -0,0 +1,55 @@
+package fleettest
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/config"
+	"github.com/hollowgrade/hollowgrade/fault"
+)
+
+// requireInForce checks that every live box has the revision.
+func requireInForce(t *testing.T, f *Fleet, revision int64) {
+	t.Helper()
+	for n, r := range f.revisions() {
+		require.Equal(t, revision, r, n)
+	}
+}
+
+// The log is out for far longer than any lease, and boxes are replaced meanwhile.
+func TestLogOutage(t *testing.T) {
+	inBubble(t, Small(), func(t *testing.T, f *Fleet) {
+		ctx := context.Background()
+		before := f.Entries[0].Revision()
+		f.Log.SetOutage(true)
+		time.Sleep(10 * time.Minute)
+		f.KillAgent(0)
+		f.ReplaceAgent(0)
+		f.KillEntry(0)
+		f.StartEntry("entry-2")
+		time.Sleep(10 * time.Second)
+
+		requireInForce(t, f, before)
+		requireWhole(t, f.Do(ctx, Call{Entry: 2, Organisation: "a", Prompt: "hello", Tokens: 8}))
+
+		// Callers' own keys are refused in truth, minted ones are served.
+		own := f.Do(ctx, Call{Entry: 2, Organisation: "a", Kind: "once", Prompt: "own", Service: true, Key: "own"})
+		require.Equal(t, string(fault.KeyOwnerAway), own.Code)
+		require.Equal(t, hollowgrade.Unknown, own.Outcome)
+		requireWhole(t, f.Do(ctx, Call{Entry: 2, Organisation: "a", Kind: "once", Prompt: "minted", Service: true, Key: f.Mint(2, "a")}))
+
+		f.Log.SetOutage(false)
+		time.Sleep(10 * time.Second) // key ranges of the dead are taken
+		o := config.Organisation{Name: "c", Keys: []string{config.KeyDigest("c")}}
+		r, err := config.Publish(ctx, f.Log, config.OrganisationKind, "c", o, config.Current)
+		require.NoError(t, err)
+		time.Sleep(inForceWithin)
+		for n, v := range f.revisions() {
+			require.GreaterOrEqual(t, v, r, n)
+		}
+	})
+}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"context"
-
 	"github.com/charmbracelet/log"
 
 	"github.com/hollowgrade/hollowgrade"
@@ -136,8 +134,3 @@
 	return n.metrics.Gauge("hollowgrade.queued", "Requests in the queue.",
 		func() float64 { return float64(n.Agent.Queued()) })
 }
-
-// Drain makes the agent refuse new work.
-func (n *AgentNode) Drain(context.Context) {
-	n.Agent.Drain()
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,7 +127,7 @@
 		fold.WithLogger(n.log),
 		fold.WithPoll(c.LogPoll),
 		fold.WithRenewal(c.LogRetention, turn),
-		fold.WithPeers(snapshots(d, dial)))
+		fold.WithPeers(Snapshots(d.Agents, dial)))
 	n.Register(FollowerService, n.follower)
 }
 
@@ -145,12 +145,12 @@
 	askedPeers  = 3 // for their configuration, while the log is out
 )
 
-// snapshots returns a function that asks a few agents for their newest
-// configuration.
-func snapshots(d *platform.Directory, dial peer.Dialer) func(context.Context, int64) [][]byte {
+// Snapshots returns a function that asks a few agents in turn for their newest
+// configuration. Agents returns the agents' boxes as the platform lists them.
+func Snapshots(agents func(context.Context) []hollowgrade.Box, dial peer.Dialer) func(context.Context, int64) [][]byte {
 	turn := 0
 	return func(ctx context.Context, newer int64) (bs [][]byte) {
-		as := d.Agents(ctx)
+		as := agents(ctx)
 		turn += askedPeers
 		for i := range min(askedPeers, len(as)) {
 			b, err := askSnapshot(ctx, dial, as[(turn+i)%len(as)].Peer, newer)
