entry: lets go of callers that do not read, and bounds connections

Listeners take max_connections (16,384) at once. Ruled out: a write timeout for the whole server, which would cut long streams.

--- a/entry/completions.go
+++ b/entry/completions.go
@@ -119,6 +119,7 @@
 	if err != nil {
 		return err
 	}
+	defer boundWrites(w, q.request)()
 	a := &answer{w: w, id: c.id, model: b.Model, shape: s, stream: b.Stream, prompt: q.request.PromptTokens}
 	q.sink = a
 	err = e.serve(r.Context(), q, c.organisation)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -132,6 +132,9 @@
 	return func(e *Entry) { e.observe = f }
 }
 
+// idleTimeout ends connections on which no request comes.
+const idleTimeout = 2 * time.Minute
+
 // prefixLimit bounds the memory of the prefix index: about 100 bytes each.
 const prefixLimit = 200_000
 
@@ -159,7 +162,7 @@
 	}
 	e.config.Store(&config.Config{})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.server = &http.Server{Handler: e.router(), ReadHeaderTimeout: e.limits.HeaderTimeout}
+	e.server = &http.Server{Handler: e.router(), ReadHeaderTimeout: e.limits.HeaderTimeout, IdleTimeout: idleTimeout}
 	return e
 }
 
--- a/entry/services.go
+++ b/entry/services.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	defer boundWrites(w, q.request)()
 	s := &passage{w: w}
 	q.sink = s
 	err = e.serve(r.Context(), q, c.organisation)
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -62,11 +62,12 @@
 }
 
 const (
-	serviceDelay  = 5 * time.Millisecond
-	weightsEvery  = 500 * time.Millisecond
-	weightsBurst  = 3
-	headerTimeout = 5 * time.Second
-	demoPoll      = 250 * time.Millisecond
+	serviceDelay   = 5 * time.Millisecond
+	weightsEvery   = 500 * time.Millisecond
+	weightsBurst   = 3
+	headerTimeout  = 5 * time.Second
+	demoPoll       = 250 * time.Millisecond
+	maxConnections = 16384
 )
 
 // FleetOption changes a fleet as it is made.
@@ -141,15 +142,16 @@
 
 func (f *Fleet) common(box, hall string) setting.Common {
 	return setting.Common{
-		Box:           box,
-		Hall:          hall,
-		Region:        "local",
-		Operators:     "127.0.0.1:0",
-		PlatformLog:   f.logURL,
-		PlatformList:  f.boxesURL,
-		PlatformStore: f.storeURL,
-		LogPoll:       demoPoll,
-		DrainTimeout:  time.Minute,
+		Box:            box,
+		Hall:           hall,
+		Region:         "local",
+		Operators:      "127.0.0.1:0",
+		PlatformLog:    f.logURL,
+		PlatformList:   f.boxesURL,
+		PlatformStore:  f.storeURL,
+		LogPoll:        demoPoll,
+		MaxConnections: maxConnections,
+		DrainTimeout:   time.Minute,
 	}
 }
 
--- a/internal/fleettest/input_test.go
+++ b/internal/fleettest/input_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -134,3 +135,25 @@
 		requireWhole(t, f.Do(context.Background(), c))
 	})
 }
+
+// A caller that asks for a long answer and never reads it is let go at its
+// deadline: a planned stop of its entry must not wait for it.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	inBubble(t, Small(), func(t *testing.T, f *Fleet) {
+		c, err := f.Network.Dial(Caller)(context.Background(), EntryName(0))
+		require.NoError(t, err)
+		defer c.Close()
+		// The first request lets the entry learn how fast the engines are.
+		requireWhole(t, f.Do(context.Background(), Call{Organisation: "a", Prompt: "p", Tokens: 300}))
+		time.Sleep(time.Second)
+		body := `{"model":"m","prompt":"p","max_tokens":1500,"stream":true}`
+		_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer %sa\r\n%s: 18s\r\nContent-Length: %d\r\n\r\n%s",
+			entry.CompletionsPath, Bearer, entry.AllowedHeader, len(body), body)
+		require.NoError(t, err)
+		time.Sleep(22 * time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		require.NoError(t, f.Entries[0].Stop(ctx))
+		require.Empty(t, f.Collect().judgeMemory())
+	})
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/net/netutil"
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/entry"
@@ -38,6 +39,8 @@
 	if err != nil {
 		return nil, err
 	}
+	callers := l.Addr().String()
+	l = netutil.LimitListener(l, c.MaxConnections)
 	d := directory(c.Common)
 	e := entry.New(b.Box, b.Incarnation, l, d.Agents,
 		entry.WithLogger(g),
@@ -45,7 +48,7 @@
 		entry.WithLimits(entryLimits(c)),
 		entry.WithPlacement(placement(c.Placement)),
 		entry.WithObserver(func(o entry.Observation) { b.sample(sampleOf(o)) }))
-	n = &EntryNode{Node: b, Callers: l.Addr().String(), Entry: e}
+	n = &EntryNode{Node: b, Callers: callers, Entry: e}
 	b.follow(c.Common, platform.NewLog(c.PlatformLog, nil), d, dialer(t))
 	b.Register("configuration", starter(func() { b.watch(e.SetConfig) }))
 	b.Register(EntryService, e)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
+	"golang.org/x/net/netutil"
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/config"
@@ -110,8 +111,12 @@
 		return nil, fault.New(fault.BadSetting, "peers is %s: beyond loopback set tls_cert, tls_key and tls_ca, or insecure = true", address)
 	}
 	l, err = listen(address)
-	if err != nil || t == nil {
-		return l, err
+	if err != nil {
+		return nil, err
+	}
+	l = netutil.LimitListener(l, c.MaxConnections)
+	if t == nil {
+		return l, nil
 	}
 	return t.Listener(l), nil
 }
