--- /dev/null
+++ b/entry/attempt_test.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+)
+
+// kept is a sink that keeps what a caller would receive.
+type kept struct {
+	passage
+	text string
+}
+
+// Token implements [sink].
+func (k *kept) Token(_ int, text string) error {
+	k.text += text
+	return nil
+}
+
+func tokens(attempt, offset int, text ...string) *wire.Tokens {
+	return &wire.Tokens{Attempt: int32(attempt), Offset: int64(offset), Text: text}
+}
+
+func requireCut(t *testing.T, err error) {
+	t.Helper()
+	require.Error(t, err)
+	require.Equal(t, fault.AnswerCut, fault.As(err, hollowgrade.Unknown).Code)
+}
+
+func TestPassTokens(t *testing.T) {
+	e := withLinks(0)
+	begin := func() (*query, *kept) {
+		k := &kept{}
+		q := &query{sink: k, request: hollowgrade.Request{Attempt: 2}}
+		require.NoError(t, e.passTokens(q, tokens(2, 0, "a", "b")))
+		return q, k
+	}
+	t.Run("the next tokens are passed on", func(t *testing.T) {
+		q, k := begin()
+		require.NoError(t, e.passTokens(q, tokens(2, 2, "c")))
+		require.Equal(t, "abc", k.text)
+	})
+	t.Run("a frame that comes twice counts once", func(t *testing.T) {
+		q, k := begin()
+		require.NoError(t, e.passTokens(q, tokens(2, 0, "a", "b")))
+		require.NoError(t, e.passTokens(q, tokens(2, 1, "b", "c")))
+		require.Equal(t, "abc", k.text)
+	})
+	t.Run("a late frame of an earlier attempt is dropped", func(t *testing.T) {
+		q, k := begin()
+		require.NoError(t, e.passTokens(q, tokens(1, 2, "x")))
+		require.Equal(t, "ab", k.text)
+	})
+	t.Run("a gap ends the attempt", func(t *testing.T) {
+		q, k := begin()
+		requireCut(t, e.passTokens(q, tokens(2, 3, "d")))
+		require.Equal(t, "ab", k.text)
+	})
+	t.Run("a final frame with another count is a failure", func(t *testing.T) {
+		q, _ := begin()
+		requireCut(t, finalError(q, &wire.Final{Outcome: string(hollowgrade.Finished), Count: 3}))
+		require.NoError(t, finalError(q, &wire.Final{Outcome: string(hollowgrade.Finished), Count: 2}))
+	})
+	t.Run("a code from a newer peer is an internal error", func(t *testing.T) {
+		q, _ := begin()
+		err := finalError(q, &wire.Final{Outcome: string(hollowgrade.Failed), Code: "HG9999"})
+		require.Equal(t, fault.Internal, fault.As(err, hollowgrade.Unknown).Code)
+	})
+}
+
+func TestMayRetry(t *testing.T) {
+	q := &query{}
+	q.request.Decision.Repeatable = true
+	lost := fault.New(fault.UpstreamLost, "lost")
+	require.True(t, mayRetry(q, lost.WithOutcome(hollowgrade.Failed)))
+	require.False(t, mayRetry(q, fault.New(fault.DeadlinePassed, "late")))
+	q.request.Decision.Repeatable = false
+	require.False(t, mayRetry(q, lost.WithOutcome(hollowgrade.Unknown)))
+	require.True(t, mayRetry(q, lost.WithOutcome(hollowgrade.NotRun)))
+}
--- /dev/null
+++ b/internal/fleettest/lease_test.go
@@ -0,0 +1,91 @@
+package fleettest
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/ledger"
+)
+
+// grants counts the keepers that would let one key run, each asked by another
+// request.
+func grants(f *Fleet, key string) (n int) {
+	for _, a := range f.Agents {
+		v := a.keeper.Claim(&wire.Claim{Organisation: "a", Key: key, Id: a.incarnation, HoldMicros: time.Minute.Microseconds()})
+		if ledger.Verdict(v.GetVerdict()) == ledger.Granted {
+			n++
+		}
+	}
+	return n
+}
+
+// A keeper is frozen; another process takes its range, and long after that the
+// first one wakes and is asked before it has read the log. Only the lease keeps
+// it from granting what its successor grants.
+func TestLeaseOfKeepersIsLoadBearing(t *testing.T) {
+	const (
+		key   = "k"
+		lease = 5 * time.Second // several polls of the log
+	)
+	for _, c := range []struct {
+		name  string
+		lease time.Duration // of the keeper that is frozen
+		want  int
+	}{
+		{"with the lease one keeper grants", lease, 1},
+		{"without it two would", 24 * time.Hour, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := Small()
+			g.KeyTimes.Lease, g.KeyTimes.Window = c.lease, 5*time.Second
+			inBubble(t, g, func(t *testing.T, f *Fleet) {
+				old := f.Agents[f.keeperOf("a", key)]
+				f.Config.KeyTimes.Lease = lease
+				next := f.StartAgent("engine-8", false)
+				for _, a := range f.Agents {
+					if a != next {
+						f.Unlist(a.Name)
+					}
+				}
+				old.Freezer.Set(true)
+				time.Sleep(40 * time.Second)
+				require.Equal(t, c.want, grants(f, key))
+			})
+		})
+	}
+}
+
+// The agent beside an engine dies and is replaced while the engine holds pieces
+// of a prompt for it. Only the sweep brings that memory back.
+func TestSweepIsLoadBearing(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		sweep time.Duration
+		held  bool
+	}{
+		{"with the sweep all memory comes back", time.Second, false},
+		{"without it some never would", 24 * time.Hour, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, Small(), func(t *testing.T, f *Fleet) {
+				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+				defer cancel()
+				f.Config.Limits.Sweep = c.sweep
+				go f.Do(ctx, Call{Organisation: "a", Kind: "long", Prompt: strings.Repeat("abcd", 18_000), Tokens: 16})
+				time.Sleep(250 * time.Millisecond)
+				i := slices.IndexFunc(f.Agents, func(a *AgentBox) bool { return a.Engine != nil && a.Engine.Used() > 0 })
+				require.GreaterOrEqual(t, i, 0)
+				f.KillAgent(i)
+				f.ReplaceAgent(i)
+				time.Sleep(time.Minute)
+				require.Equal(t, c.held, f.Agents[i].Engine.Used() > 0)
+			})
+		})
+	}
+}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -91,6 +91,10 @@
 	return checkBounds(e)
 }
 
+// pollsPerLease is how many reads of the log a keeper of keys must be able to
+// miss before its lease lapses.
+const pollsPerLease = 4
+
 // Validate checks what the tags cannot say.
 func (a *Agent) Validate() error {
 	if err := a.validate(); err != nil {
@@ -102,6 +106,9 @@
 	if a.Engine != "" && len(a.Models) == 0 {
 		return fmt.Errorf("models must name what the engine serves")
 	}
+	if a.KeyLease < pollsPerLease*a.LogPoll {
+		return fmt.Errorf("key_lease is %s, it must be at least %d times log_poll (%s), or it lapses between two reads", a.KeyLease, pollsPerLease, a.LogPoll)
+	}
 	if a.Service != "" && a.ServiceName == "" {
 		return fmt.Errorf("service_name must be set with service")
 	}
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -55,6 +55,14 @@
 	require.Equal(t, "fair", a.Order)
 }
 
+func TestLeaseMustOutlastPolls(t *testing.T) {
+	a := DefaultAgent()
+	a.Engine, a.Models = "http://127.0.0.1:1", []string{"m"}
+	require.NoError(t, a.Validate())
+	a.KeyLease = 2 * a.LogPoll
+	require.ErrorContains(t, a.Validate(), "key_lease")
+}
+
 func TestEverySettingIsDocumented(t *testing.T) {
 	for r := range Roles() {
 		for _, d := range Docs(r) {
