--- a/agent/memory.go
+++ b/agent/memory.go
@@ -226,9 +226,9 @@
 		if _, ok := a.jobs[h.ID]; ok {
 			continue
 		}
-		a.lost += h.Tokens
 		seen[h.ID] = a.suspects[h.ID] + 1
 		if seen[h.ID] >= orphanSweeps {
+			a.lost += h.Tokens
 			os = append(os, h)
 		}
 	}
@@ -236,8 +236,8 @@
 	return os
 }
 
-// Lost returns how many tokens the engine held at the last sweep that no lease
-// answered for.
+// Lost returns how many tokens the engine held at the last two sweeps that no
+// lease answered for.
 func (a *Agent) Lost() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- /dev/null
+++ b/agent/memory_test.go
@@ -0,0 +1,24 @@
+package agent
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+)
+
+// A holding can be seen between the release of its lease and its own: only one
+// that two sweeps in a row find without a lease is lost.
+func TestLostMemoryIsSeenTwice(t *testing.T) {
+	a := New(hollowgrade.Box{}, "i", nil)
+	load := hollowgrade.EngineLoad{TotalTokens: 100}
+	held := []hollowgrade.Holding{{ID: "x", Kind: hollowgrade.HeldExport, Tokens: 40}}
+
+	require.Empty(t, a.orphans(load, held))
+	require.Zero(t, a.Lost(), "it may be on its way out")
+	require.Len(t, a.orphans(load, held), 1)
+	require.Equal(t, 40, a.Lost())
+	require.Empty(t, a.orphans(load, nil))
+	require.Zero(t, a.Lost())
+}
