--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -8,7 +8,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -524,82 +523,3 @@
 	id := ledger.KeyID{Organisation: organisation, Key: key}
 	return id.Range() % (f.Config.Engines + f.Config.Services)
 }
-
-const watchEvery = 100 * time.Millisecond
-
-// watchRevisions notes what each box has in force, until the function that it
-// returns is called.
-func (f *Fleet) watchRevisions() func() map[string][]int64 {
-	seen := map[string][]int64{}
-	stop, done := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(done)
-		for {
-			for n, r := range f.revisions() {
-				if l := seen[n]; len(l) == 0 || l[len(l)-1] != r {
-					seen[n] = append(seen[n], r)
-				}
-			}
-			t := time.NewTimer(watchEvery)
-			select {
-			case <-t.C:
-			case <-stop:
-				t.Stop()
-				return
-			}
-		}
-	}()
-	return func() map[string][]int64 {
-		close(stop)
-		<-done
-		return seen
-	}
-}
-
-func (f *Fleet) mark(b *bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	*b = true
-}
-
-// revisions returns what each live process has in force.
-func (f *Fleet) revisions() map[string]int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	m := map[string]int64{}
-	for _, e := range f.Entries {
-		if !e.dead {
-			m[e.Name] = e.Revision()
-		}
-	}
-	for _, a := range f.Agents {
-		if !a.dead && !a.replaced {
-			m[a.incarnation] = a.Revision()
-		}
-	}
-	return m
-}
-
-// inForceWithin is how soon an accepted revision must be in force everywhere.
-const inForceWithin = 4 * time.Second
-
-// late names the live processes on which a revision that was accepted long
-// enough ago is not in force.
-func (f *Fleet) late() (ls []string) {
-	p, err := f.Log.Read(context.Background(), 0, math.MaxInt)
-	if err != nil {
-		return []string{err.Error()}
-	}
-	s := fold.New()
-	for _, r := range p.Records {
-		if time.Since(r.Time) >= inForceWithin {
-			s, _ = s.Apply(r)
-		}
-	}
-	for n, r := range f.revisions() {
-		if r < s.Revision() {
-			ls = append(ls, fmt.Sprintf("%s has revision %d in force, %d was accepted in time", n, r, s.Revision()))
-		}
-	}
-	return ls
-}
