--- a/cmd/hollowgrade-standin/main.go
+++ b/cmd/hollowgrade-standin/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/internal/standin"
-	"github.com/hollowgrade/hollowgrade/platform"
+	"github.com/hollowgrade/hollowgrade/standalone"
 )
 
 const headerTimeout = 5 * time.Second
@@ -54,10 +54,10 @@
 	k := hollowgrade.SystemClock()
 	m := http.NewServeMux()
 	l := standin.NewLog(c.Retention, k)
-	m.Handle(platform.PathAppend, l)
-	m.Handle(platform.PathRead, l)
-	m.Handle(platform.PathBoxes, standin.NewBoxes(c.Lag, k))
-	m.Handle(platform.PathFetch, standin.NewWeights(weightsEvery, weightsBurst, k))
+	m.Handle(standalone.PathAppend, l)
+	m.Handle(standalone.PathRead, l)
+	m.Handle(standalone.PathBoxes, standin.NewBoxes(c.Lag, k))
+	m.Handle(standalone.PathFetch, standin.NewWeights(weightsEvery, weightsBurst, k))
 	return c.serve(m)
 }
 
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -19,8 +19,8 @@
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/internal/node"
-	"github.com/hollowgrade/hollowgrade/platform"
 	"github.com/hollowgrade/hollowgrade/setting"
+	"github.com/hollowgrade/hollowgrade/standalone"
 )
 
 // configCommand groups the commands about settings and configuration.
@@ -147,7 +147,7 @@
 	if b.PlatformList == "" {
 		return as, nil
 	}
-	bs, err := platform.NewBoxes(b.PlatformList, nil).List(ctx)
+	bs, err := standalone.NewBoxes(b.PlatformList, nil).List(ctx)
 	if err != nil {
 		return as, err
 	}
--- a/internal/cli/policy.go
+++ b/internal/cli/policy.go
@@ -14,8 +14,8 @@
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/fold"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
-	"github.com/hollowgrade/hollowgrade/platform"
 	"github.com/hollowgrade/hollowgrade/policy"
+	"github.com/hollowgrade/hollowgrade/standalone"
 )
 
 // target is the log that operators' commands work on.
@@ -25,7 +25,7 @@
 }
 
 func (t target) log() hollowgrade.Log {
-	return platform.NewLog(t.PlatformLog, nil)
+	return standalone.NewLog(t.PlatformLog, nil)
 }
 
 func (t target) context(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -7,9 +7,9 @@
 	"github.com/hollowgrade/hollowgrade/agent"
 	"github.com/hollowgrade/hollowgrade/config"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
-	"github.com/hollowgrade/hollowgrade/platform"
 	"github.com/hollowgrade/hollowgrade/sched"
 	"github.com/hollowgrade/hollowgrade/setting"
+	"github.com/hollowgrade/hollowgrade/standalone"
 	"github.com/hollowgrade/hollowgrade/upstream"
 )
 
@@ -38,7 +38,7 @@
 	}
 	b.Box.Peer = l.Addr().String()
 	d := directory(c.Common)
-	p := platform.NewLog(c.PlatformLog, nil)
+	p := standalone.NewLog(c.PlatformLog, nil)
 	b.follow(c.Common, p, d, dialer(t))
 	k := agent.NewKeeper(b.Box.Name, b.Incarnation, keyTimes(c), b.clock, g, p, b.follower, d.Agents, dialer(t))
 	os := []agent.Option{
@@ -82,7 +82,7 @@
 	if c.PlatformStore == "" {
 		return nil
 	}
-	return platform.NewWeights(c.PlatformStore, nil)
+	return standalone.NewWeights(c.PlatformStore, nil)
 }
 
 func upstreamOption(c setting.Agent) (agent.Option, error) {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -11,9 +11,9 @@
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/kernel"
 	"github.com/hollowgrade/hollowgrade/measure"
-	"github.com/hollowgrade/hollowgrade/platform"
 	"github.com/hollowgrade/hollowgrade/sched"
 	"github.com/hollowgrade/hollowgrade/setting"
+	"github.com/hollowgrade/hollowgrade/standalone"
 )
 
 // EntryNode is a process of the role entry.
@@ -49,7 +49,7 @@
 		entry.WithPlacement(placement(c.Placement)),
 		entry.WithObserver(func(o entry.Observation) { b.sample(sampleOf(o)) }))
 	n = &EntryNode{Node: b, Callers: callers, Entry: e}
-	b.follow(c.Common, platform.NewLog(c.PlatformLog, nil), d, dialer(t))
+	b.follow(c.Common, standalone.NewLog(c.PlatformLog, nil), d, dialer(t))
 	b.Register("configuration", starter(func() { b.watch(e.SetConfig) }))
 	b.Register(EntryService, e)
 	o, err := newOperators(c.Operators, b, e.Ready)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,9 +22,9 @@
 	"github.com/hollowgrade/hollowgrade/kernel"
 	"github.com/hollowgrade/hollowgrade/measure"
 	"github.com/hollowgrade/hollowgrade/peer"
-	"github.com/hollowgrade/hollowgrade/platform"
 	"github.com/hollowgrade/hollowgrade/sched"
 	"github.com/hollowgrade/hollowgrade/setting"
+	"github.com/hollowgrade/hollowgrade/standalone"
 )
 
 // The names by which the services of a process find each other.
@@ -70,16 +70,16 @@
 }
 
 // directory returns who the agents are by the settings and the list.
-func directory(c setting.Common) *platform.Directory {
+func directory(c setting.Common) *standalone.Directory {
 	var bs hollowgrade.Boxes
 	if c.PlatformList != "" {
-		bs = platform.NewBoxes(c.PlatformList, nil)
+		bs = standalone.NewBoxes(c.PlatformList, nil)
 	}
 	var static []hollowgrade.Box
 	for _, a := range c.Agents {
 		static = append(static, hollowgrade.Box{Name: a, Role: hollowgrade.AgentRole, Peer: a, State: hollowgrade.BoxLive})
 	}
-	return platform.NewDirectory(bs, static)
+	return standalone.NewDirectory(bs, static)
 }
 
 // secure returns the certificates that the settings name, or nil if peers talk
@@ -122,7 +122,7 @@
 }
 
 // follow registers the follower of the log.
-func (n *Node) follow(c setting.Common, l hollowgrade.Log, d *platform.Directory, dial peer.Dialer) {
+func (n *Node) follow(c setting.Common, l hollowgrade.Log, d *standalone.Directory, dial peer.Dialer) {
 	turn := func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 		defer cancel()
--- a/internal/standin/boxes.go
+++ b/internal/standin/boxes.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
-	"github.com/hollowgrade/hollowgrade/platform"
+	"github.com/hollowgrade/hollowgrade/standalone"
 )
 
 // Boxes is a stand-in for the platform's list of boxes. What it shows is as old
@@ -83,7 +83,7 @@
 
 // ServeHTTP serves the list, and takes boxes in by PUT.
 func (b *Boxes) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != platform.PathBoxes {
+	if r.URL.Path != standalone.PathBoxes {
 		http.NotFound(w, r)
 		return
 	}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -14,7 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/hollowgrade/hollowgrade"
-	"github.com/hollowgrade/hollowgrade/platform"
+	"github.com/hollowgrade/hollowgrade/standalone"
 )
 
 // The errors of the platform's stand-ins.
@@ -134,15 +134,15 @@
 // ServeHTTP serves the log's protocol.
 func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
-	case platform.PathAppend:
+	case standalone.PathAppend:
 		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
 		o, err := l.Append(r.Context(), b)
-		platformReply(w, platform.AppendReply{Offset: o}, err)
-	case platform.PathRead:
+		platformReply(w, standalone.AppendReply{Offset: o}, err)
+	case standalone.PathRead:
 		from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 		limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
 		p, err := l.Read(r.Context(), from, limit)
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -10,7 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/hollowgrade/hollowgrade"
-	"github.com/hollowgrade/hollowgrade/platform"
+	"github.com/hollowgrade/hollowgrade/standalone"
 )
 
 // Weights is a stand-in for the rate-limited weight store.
@@ -20,7 +20,7 @@
 
 	mu      sync.Mutex
 	out     bool
-	fetches []platform.FetchCall
+	fetches []standalone.FetchCall
 }
 
 // NewWeights returns a store that allows one fetch for each interval, and a
@@ -37,7 +37,7 @@
 }
 
 // Fetches returns what was fetched.
-func (s *Weights) Fetches() []platform.FetchCall {
+func (s *Weights) Fetches() []standalone.FetchCall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Clone(s.fetches)
@@ -53,13 +53,13 @@
 	if !s.limit.AllowN(s.clock.Now(), 1) {
 		return ErrTooFast
 	}
-	s.fetches = append(s.fetches, platform.FetchCall{Box: box, Model: model})
+	s.fetches = append(s.fetches, standalone.FetchCall{Box: box, Model: model})
 	return nil
 }
 
 // ServeHTTP serves the store's protocol.
 func (s *Weights) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var c platform.FetchCall
+	var c standalone.FetchCall
 	if accept(w, r, &c) {
 		platformReply(w, struct{}{}, s.Fetch(r.Context(), c.Box, c.Model))
 	}
--- a/platform/platform.go
+++ b/standalone/standalone.go
@@ -1,6 +1,7 @@
-// Package platform implements the interfaces to the platform's log, box list
-// and weight store over HTTP with JSON.
-package platform
+// Package standalone implements the interfaces to an append-only log, a box list
+// and a weight store over HTTP with JSON, as the demo and the stand-ins speak
+// them. Deployments on the users' platform use package platform instead.
+package standalone
 
 import (
 	"bytes"
@@ -51,7 +52,7 @@
 }
 
 func (c client) call(ctx context.Context, method, path string, body []byte, reply any) (status int, err error) {
-	defer errs.Annotate(&err, "platform call %s", path)
+	defer errs.Annotate(&err, "call %s", path)
 	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, err
