--- /dev/null
+++ b/core/core.go
@@ -0,0 +1,274 @@
+package core
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/retry"
+)
+
+// Bounds are the promises of a deployment that the path has to keep.
+type Bounds struct {
+	KeyFreshness time.Duration // longest time for which a key may be taken as good without word of the configuration
+	Freshness    time.Duration // longest time for which a missing route or key is taken as gone
+	RetryRatio   float64       // repeats for each first send, over all processes and each window
+	RetrySlack   float64       // further repeats in each window, over all processes
+	RetryWindow  time.Duration
+}
+
+// freshnessMargin is taken off [Bounds.KeyFreshness] for clocks that differ in
+// speed and for the time between a caller's send and the check.
+const freshnessMargin = 300 * time.Millisecond
+
+// answerGrace is how much longer than an upstream the path waits at the end of
+// the allowed time, so that the upstream's own last word arrives. A caller has
+// to have its answer within half a second after the route's timeout.
+const answerGrace = 150 * time.Millisecond
+
+// Core is the path of calls to upstreams. It is safe for concurrent use.
+type Core struct {
+	exchanger hollowgrade.Exchanger
+	clock     hollowgrade.Clock
+	log       *log.Logger
+	bounds    atomic.Pointer[Bounds]
+	observe   func(Observation)
+	age       func() (time.Duration, bool)
+	processes func() int
+	fleet     *Fleet
+	catalog   atomic.Pointer[Catalog]
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Window // by service
+	open    int
+}
+
+// Observation is one call that has ended, for metrics.
+type Observation struct {
+	Organisation string
+	Route        string
+	Service      string
+	Outcome      hollowgrade.Outcome
+	Code         fault.Code
+	PromptTokens int
+	First        time.Duration // until the first part of the answer; zero if none came
+	Took         time.Duration
+	Attempts     int
+	Events       int
+}
+
+// Option changes a core as it is made.
+type Option func(*Core)
+
+// WithClock sets the clock.
+func WithClock(k hollowgrade.Clock) Option {
+	return func(c *Core) { c.clock = k }
+}
+
+// WithLogger sets the logger.
+func WithLogger(l *log.Logger) Option {
+	return func(c *Core) { c.log = l }
+}
+
+// WithBounds sets what the path has to keep.
+func WithBounds(b Bounds) Option {
+	return func(c *Core) { c.bounds.Store(&b) }
+}
+
+// WithObserver sets who is told of each call that has ended.
+func WithObserver(f func(Observation)) Option {
+	return func(c *Core) { c.observe = f }
+}
+
+// WithAge sets how the age of the configuration is known. Without it the
+// configuration counts as fresh.
+func WithAge(f func() (time.Duration, bool)) Option {
+	return func(c *Core) { c.age = f }
+}
+
+// WithProcesses sets how many processes share the retry budget.
+func WithProcesses(f func() int) Option {
+	return func(c *Core) { c.processes = f }
+}
+
+// New returns a core that sends calls through x. It has no configuration and no
+// upstreams yet.
+func New(x hollowgrade.Exchanger, os ...Option) *Core {
+	c := &Core{
+		exchanger: x,
+		clock:     hollowgrade.SystemClock(),
+		log:       log.Default(),
+		observe:   func(Observation) {},
+		age:       func() (time.Duration, bool) { return 0, true },
+		processes: func() int { return 1 },
+		budgets:   map[string]*retry.Window{},
+	}
+	c.SetBounds(DefaultBounds())
+	for _, o := range os {
+		o(c)
+	}
+	c.fleet = NewFleet(c.clock, c.log)
+	return c
+}
+
+// DefaultBounds returns bounds that suit most deployments.
+func DefaultBounds() Bounds {
+	return Bounds{
+		KeyFreshness: 5 * time.Second,
+		Freshness:    2 * time.Second,
+		RetryRatio:   0.1,
+		RetrySlack:   10,
+		RetryWindow:  10 * time.Second,
+	}
+}
+
+// SetBounds replaces what the path has to keep.
+func (c *Core) SetBounds(b Bounds) {
+	c.bounds.Store(&b)
+}
+
+// Fleet returns the table of upstreams.
+func (c *Core) Fleet() *Fleet {
+	return c.fleet
+}
+
+// Catalog returns the configuration in force, or nil.
+func (c *Core) Catalog() *Catalog {
+	return c.catalog.Load()
+}
+
+// SetCatalog puts a configuration in force. An older one never replaces a newer
+// one; it reports whether it is in force.
+func (c *Core) SetCatalog(n *Catalog) bool {
+	for {
+		old := c.catalog.Load()
+		if old != nil && n.Version <= old.Version {
+			return false
+		}
+		if c.catalog.CompareAndSwap(old, n) {
+			return true
+		}
+	}
+}
+
+// Open returns the number of calls that are not over.
+func (c *Core) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
+}
+
+func (c *Core) addOpen(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open += n
+}
+
+// budget returns the retry budget of a service at this process: its share of
+// what all processes may spend together.
+func (c *Core) budget(service string) *retry.Window {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.bounds.Load()
+	slack := b.RetrySlack / float64(max(c.processes(), 1))
+	w, ok := c.budgets[service]
+	if !ok {
+		w = retry.NewWindow(b.RetryWindow, b.RetryRatio, slack, c.clock.Now())
+		c.budgets[service] = w
+	}
+	w.SetSlack(slack)
+	return w
+}
+
+// Serve brings a call to its end and passes its answer to the sink. The error
+// is a [fault.Error]; when the sink has got a head before, the answer is cut.
+func (c *Core) Serve(ctx context.Context, call hollowgrade.Call, s hollowgrade.Sink) (err error) {
+	c.addOpen(1)
+	defer c.addOpen(-1)
+	f := &flow{core: c, call: call, sink: s, after: call.After, tried: map[string]bool{}}
+	defer func() { f.ended(err) }()
+	if err = c.admit(f); err != nil {
+		return err
+	}
+	f.deadline = call.Arrived.Add(f.allowed())
+	left := f.deadline.Sub(c.clock.Now())
+	if left <= 0 {
+		return fault.New(fault.DeadlinePassed, "the allowed time had passed before the call could be sent").WithOutcome(hollowgrade.NotRun)
+	}
+	// Deadlines of contexts follow the system's clock; what is left is counted
+	// on the clock of the process, which tests replace.
+	ctx, cancel := context.WithTimeoutCause(ctx, left+answerGrace, errOutOfTime)
+	defer cancel()
+	f.budget = c.budget(f.service.Name)
+	f.budget.First(c.clock.Now())
+	a := Attempts{Clock: c.clock, Max: f.route.MaxAttempts, Deadline: f.deadline}
+	return f.finish(a.Run(ctx, f))
+}
+
+// admit finds the route, the organisation and the service of a call, or refuses
+// it.
+func (c *Core) admit(f *flow) error {
+	f.catalog = c.catalog.Load()
+	if f.catalog == nil {
+		return fault.New(fault.NoConfiguration, "no configuration has been read yet").WithRetryAfter(shortRetry)
+	}
+	age, known := c.age()
+	f.age = age
+	var ok bool
+	if f.route, ok = f.catalog.Match(f.call.Host, f.call.Path); !ok {
+		return c.missing(f, fault.New(fault.NoRoute, "no route for %s%s", f.call.Host, f.call.Path))
+	}
+	if f.catalog.NeedsKey(f.route) {
+		if !known || age > c.bounds.Load().KeyFreshness-freshnessMargin {
+			return stale(f)
+		}
+		if f.organisation, ok = f.catalog.Owner(f.call.Key); !ok {
+			return c.missing(f, fault.New(fault.WrongKey, "the key belongs to no organisation"))
+		}
+	}
+	t, ok := f.route.target()
+	if !ok {
+		return fault.New(fault.NoUpstream, "the route %s leads to no service", f.route.Name).WithRetryAfter(shortRetry)
+	}
+	f.service = f.catalog.Services[t]
+	f.service.Name = t
+	return nil
+}
+
+// missing refuses a call for a route or a key that is not there. If the
+// configuration may be out of date, they may have been added since.
+func (c *Core) missing(f *flow, m *fault.Error) error {
+	if age, known := c.age(); !known || age > c.bounds.Load().Freshness {
+		return stale(f)
+	}
+	return m
+}
+
+func stale(f *flow) error {
+	return fault.New(fault.StaleConfig, "version %d was last confirmed %s ago", f.catalog.Version, f.age.Round(time.Millisecond)).
+		WithRetryAfter(shortRetry)
+}
+
+// target picks one of the route's services by weight.
+func (r Route) target() (service string, ok bool) {
+	sum := 0
+	for _, t := range r.Targets {
+		sum += t.Weight
+	}
+	if sum <= 0 {
+		return "", false
+	}
+	n := rand.IntN(sum)
+	for _, t := range r.Targets {
+		if n -= t.Weight; n < 0 {
+			return t.Service, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/core/flow.go
@@ -0,0 +1,365 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/retry"
+)
+
+// maxHeld is the size up to which the body of a plain answer is read whole
+// before any of it is passed on, so that an answer that is cut can still be
+// replaced by another.
+const maxHeld = 256 << 10
+
+// defaultAllowed bounds a call when neither its caller nor its route says how
+// long it may take.
+const defaultAllowed = 30 * time.Second
+
+var (
+	errOutOfTime = errors.New("the allowed time has passed")
+	errStalled   = errors.New("the upstream went silent")
+	errSink      = errors.New("caller is gone")
+)
+
+// flow is one call on its way. It implements [Work].
+type flow struct {
+	core         *Core
+	call         hollowgrade.Call
+	sink         hollowgrade.Sink
+	catalog      *Catalog
+	age          time.Duration // of the configuration when the call was admitted
+	route        Route
+	organisation Organisation
+	service      Service
+	budget       *retry.Window
+	deadline     time.Time
+
+	tried     map[string]bool // upstreams, by id
+	upstreams []string        // the same, in order
+	began     bool            // whether the caller has got a head
+	after     string          // id of the last event that the caller has
+	events    int
+	first     time.Duration // until the first part
+	failure   *answer       // an upstream's own failure, held back while another attempt may do better
+}
+
+// answer is a whole answer that is held back.
+type answer struct {
+	head hollowgrade.Head
+	body [][]byte
+}
+
+// allowed returns how long the call may take from its arrival on.
+func (f *flow) allowed() time.Duration {
+	d := defaultAllowed
+	if f.call.Patience > 0 {
+		d = f.call.Patience
+	}
+	if f.route.Timeout > 0 {
+		d = min(d, f.route.Timeout)
+	}
+	return d
+}
+
+// Repeatable implements [Work].
+func (f *flow) Repeatable() bool {
+	switch f.route.Repeat {
+	case Resume:
+		return !f.began || f.after != ""
+	case Again:
+		return !f.began
+	default:
+		return false
+	}
+}
+
+// Spend implements [Work].
+func (f *flow) Spend() bool {
+	return f.budget.Spend(f.core.clock.Now())
+}
+
+// Try implements [Work].
+func (f *flow) Try(ctx context.Context, n int) Try {
+	p := f.core.fleet.pick(f.service, f.call, f.tried)
+	if p == nil {
+		return Try{Err: fault.New(fault.NoUpstream, "no upstream of service %s can be tried, %d were", f.service.Name, len(f.tried)).
+			WithRetryAfter(shortRetry)}
+	}
+	m := p.member
+	f.tried[m.ID] = true
+	f.upstreams = append(f.upstreams, m.ID)
+	now := f.core.clock.Now()
+	f.core.log.Info("sent", "request", f.call.ID, "attempt", n, "upstream", m.ID, "service", f.service.Name,
+		"helpers", len(p.helpers), "reading_ms", p.reading.Milliseconds(), "after", f.after,
+		"left_ms", f.deadline.Sub(now).Milliseconds(), "version", f.catalog.Version, "age_ms", f.age.Milliseconds())
+	a := &attempt{flow: f, placed: p}
+	err := a.run(ctx)
+	f.core.fleet.over(p, a.wrote)
+	if err == nil {
+		return Try{Placed: true}
+	}
+	return f.judge(a, err)
+}
+
+// judge says what an attempt that failed came to, and tells the fleet.
+func (f *flow) judge(a *attempt, err error) Try {
+	t := Try{Placed: true, Free: errors.Is(err, hollowgrade.ErrNotSent)}
+	x := a.fault(err)
+	t.Err = x
+	switch x.Code {
+	case fault.UpstreamLost, fault.AnswerCut:
+		f.core.fleet.failed(a.placed.member, f.call.ID, err.Error())
+	}
+	f.core.log.Info("attempt failed", "request", f.call.ID, "upstream", a.placed.member.ID, "code", x.Code,
+		"outcome", x.Outcome, "events", f.events, "err", err)
+	return t
+}
+
+// finish gives the caller the upstream's own failure, if that is all there is.
+func (f *flow) finish(err error) error {
+	if err == nil || f.failure == nil || f.began {
+		return err
+	}
+	return f.pass(f.failure)
+}
+
+// pass passes a whole answer on.
+func (f *flow) pass(a *answer) error {
+	f.began = true
+	if err := f.sink.Head(a.head); err != nil {
+		return fault.New(fault.CallerGone, "%v", err)
+	}
+	for _, b := range a.body {
+		if err := f.sink.Part(b); err != nil {
+			return fault.New(fault.CallerGone, "%v", err)
+		}
+	}
+	return nil
+}
+
+// ended logs and counts a call.
+func (f *flow) ended(err error) {
+	o := Observation{
+		Organisation: f.organisation.Name,
+		Route:        f.route.Name,
+		Service:      f.service.Name,
+		Outcome:      hollowgrade.Finished,
+		PromptTokens: f.call.PromptTokens,
+		First:        f.first,
+		Took:         f.core.clock.Since(f.call.Arrived),
+		Attempts:     len(f.upstreams),
+		Events:       f.events,
+	}
+	v := int64(0)
+	if f.catalog != nil {
+		v = f.catalog.Version
+	}
+	if err != nil {
+		x := fault.As(err, hollowgrade.Unknown)
+		o.Outcome, o.Code = x.Outcome, x.Code
+	}
+	f.core.log.Info("request ended", "request", f.call.ID, "organisation", o.Organisation, "route", o.Route, "service", o.Service,
+		"repeat", f.route.Repeat.String(), "outcome", o.Outcome, "code", o.Code, "attempts", o.Attempts, "upstreams", f.upstreams,
+		"events", o.Events, "prompt_tokens", o.PromptTokens, "first_ms", o.First.Milliseconds(), "took_ms", o.Took.Milliseconds(),
+		"version", v, "age_ms", f.age.Milliseconds(), "err", err)
+	f.core.observe(o)
+}
+
+// attempt is one exchange for a flow.
+type attempt struct {
+	flow   *flow
+	placed *placed
+	wrote  bool // whether the answer has begun
+	head   hollowgrade.Head
+}
+
+func (a *attempt) sending() hollowgrade.Sending {
+	f := a.flow
+	s := hollowgrade.Sending{
+		Call:         f.call,
+		Upstream:     a.placed.member.Upstream,
+		Organisation: f.organisation.Name,
+		Left:         f.deadline.Sub(f.core.clock.Now()),
+		After:        f.after,
+	}
+	for _, h := range a.placed.helpers {
+		s.Helpers = append(s.Helpers, h.Address)
+	}
+	return s
+}
+
+// run opens the exchange and passes its answer on.
+func (a *attempt) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	w := newWatchdog(a.flow.core.clock, a.stall(), func() { cancel(errStalled) })
+	defer w.stop()
+	x, err := a.flow.core.exchanger.Open(ctx, a.sending())
+	if err != nil {
+		return cause(ctx, err)
+	}
+	defer x.Close()
+	a.head = x.Head()
+	a.flow.core.fleet.answered(a.placed.member, a.head)
+	if a.head.Stream && a.head.Success() {
+		return cause(ctx, a.stream(x, w))
+	}
+	return cause(ctx, a.whole(x))
+}
+
+// cause replaces an error that only tells that the exchange was ended by why it
+// was ended.
+func cause(ctx context.Context, err error) error {
+	if c := context.Cause(ctx); err != nil && c != nil && !errors.Is(err, errSink) {
+		return errors.Join(c, err)
+	}
+	return err
+}
+
+// fault says what a failed attempt came to.
+func (a *attempt) fault(err error) *fault.Error {
+	id := a.placed.member.ID
+	var x *fault.Error
+	switch {
+	case errors.As(err, &x):
+		return x
+	case errors.Is(err, errSink):
+		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.Failed)
+	case errors.Is(err, hollowgrade.ErrNotSent):
+		return fault.New(fault.UpstreamLost, "upstream %s could not be reached", id).WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetry)
+	case errors.Is(err, errStalled):
+		return fault.New(fault.UpstreamLost, "upstream %s went silent", id).WithOutcome(hollowgrade.Unknown)
+	case errors.Is(err, errOutOfTime):
+		return fault.New(fault.DeadlinePassed, "the allowed time passed").WithOutcome(hollowgrade.Unknown)
+	case errors.Is(err, context.Canceled):
+		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.Unknown)
+	case a.wrote:
+		return fault.New(fault.AnswerCut, "the answer of upstream %s was cut", id).WithOutcome(hollowgrade.Failed)
+	default:
+		return fault.New(fault.UpstreamLost, "upstream %s was lost", id).WithOutcome(hollowgrade.Unknown)
+	}
+}
+
+// whole takes an answer that is no stream.
+func (a *attempt) whole(x hollowgrade.Exchange) error {
+	f := a.flow
+	if a.head.NotRun {
+		return fault.New(fault.Overloaded, "upstream %s did not take the call, status %d", a.placed.member.ID, a.head.Status).
+			WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetry)
+	}
+	w := &answer{head: a.head}
+	for size := 0; ; {
+		p, err := x.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		w.body = append(w.body, p.Data)
+		if size += len(p.Data); size > maxHeld {
+			return a.long(x, w)
+		}
+	}
+	a.begin()
+	if !a.head.Success() && f.Repeatable() {
+		f.failure = w
+		return fault.New(fault.UpstreamFailed, "upstream %s answered with status %d", a.placed.member.ID, a.head.Status)
+	}
+	return f.pass(w)
+}
+
+// long passes on an answer that is too long to be held back.
+func (a *attempt) long(x hollowgrade.Exchange, w *answer) error {
+	a.begin()
+	if err := a.flow.pass(w); err != nil {
+		return errors.Join(errSink, err)
+	}
+	for {
+		p, err := x.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err = a.flow.sink.Part(p.Data); err != nil {
+			return errors.Join(errSink, err)
+		}
+	}
+}
+
+// begin notes that the answer has begun.
+func (a *attempt) begin() {
+	if a.wrote {
+		return
+	}
+	a.wrote = true
+	a.flow.core.fleet.read(a.placed)
+	if a.flow.first == 0 {
+		a.flow.first = a.flow.core.clock.Since(a.flow.call.Arrived)
+	}
+}
+
+// stream passes the events of a stream on. Under a head that was passed on
+// before, it goes on with what follows the last event.
+func (a *attempt) stream(x hollowgrade.Exchange, w *watchdog) error {
+	f := a.flow
+	for {
+		p, err := x.Next()
+		if errors.Is(err, io.EOF) {
+			return a.endStream()
+		}
+		if err != nil {
+			return err
+		}
+		w.reset(a.stallBetween())
+		a.begin()
+		if !newer(p.Event, f.after) {
+			continue
+		}
+		if err = f.passHead(a.head); err != nil {
+			return err
+		}
+		if err = f.sink.Part(p.Data); err != nil {
+			return errors.Join(errSink, err)
+		}
+		f.events++
+		if p.Event != "" {
+			f.after = p.Event
+		}
+	}
+}
+
+// endStream ends a stream that is whole. One without any event is whole too.
+func (a *attempt) endStream() error {
+	return a.flow.passHead(a.head)
+}
+
+func (f *flow) passHead(h hollowgrade.Head) error {
+	if f.began {
+		return nil
+	}
+	f.began = true
+	if err := f.sink.Head(h); err != nil {
+		return errors.Join(errSink, err)
+	}
+	return nil
+}
+
+// newer reports whether an event comes after the last one that the caller has.
+// Ids that are no numbers cannot be compared and pass.
+func newer(id, last string) bool {
+	i, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	l, err := strconv.ParseInt(last, 10, 64)
+	return err != nil || i > l
+}
--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 )
@@ -73,13 +74,17 @@
 	})
 }
 
-func TestMayRetry(t *testing.T) {
+func TestMayRepeat(t *testing.T) {
 	q := &query{}
+	a := &attempts{query: q}
 	q.request.Decision.Repeatable = true
 	lost := fault.New(fault.UpstreamLost, "lost")
-	require.True(t, mayRetry(q, lost.WithOutcome(hollowgrade.Failed)))
-	require.False(t, mayRetry(q, fault.New(fault.DeadlinePassed, "late")))
+	require.True(t, core.MayRepeat(lost.WithOutcome(hollowgrade.Failed), a.Repeatable()))
+	require.False(t, core.MayRepeat(fault.New(fault.DeadlinePassed, "late"), a.Repeatable()))
+	q.began = true
+	require.False(t, core.MayRepeat(lost.WithOutcome(hollowgrade.Failed), a.Repeatable()))
+	q.began = false
 	q.request.Decision.Repeatable = false
-	require.False(t, mayRetry(q, lost.WithOutcome(hollowgrade.Unknown)))
-	require.True(t, mayRetry(q, lost.WithOutcome(hollowgrade.NotRun)))
+	require.False(t, core.MayRepeat(lost.WithOutcome(hollowgrade.Unknown), a.Repeatable()))
+	require.True(t, core.MayRepeat(lost.WithOutcome(hollowgrade.NotRun), a.Repeatable()))
 }
--- a/entry/http.go
+++ b/entry/http.go
@@ -58,10 +58,14 @@
 	r.HandleFunc(KeysPath, e.handle(e.mintKey)).Methods(http.MethodPost)
 	r.PathPrefix(ServicesPath + "{name}").HandlerFunc(e.handle(e.callService))
 	r.HandleFunc(ReadyPath, e.serveReady)
-	none := e.handle(func(http.ResponseWriter, *http.Request, caller) error {
-		return fault.New(fault.NoSuchPath, "there is no such path or method")
+	r.NotFoundHandler = e.handle(func(http.ResponseWriter, *http.Request, caller) error {
+		return fault.New(fault.NoSuchPath, "there is no such path")
+	})
+	r.MethodNotAllowedHandler = e.handle(func(w http.ResponseWriter, r *http.Request, _ caller) error {
+		// Each path that is bound to a method takes POST alone.
+		w.Header().Set("Allow", http.MethodPost)
+		return fault.New(fault.WrongMethod, "the path does not take the method %s", r.Method)
 	})
-	r.NotFoundHandler, r.MethodNotAllowedHandler = none, none
 	return r
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -6,11 +6,11 @@
 	"slices"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/config"
+	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/peer"
 	"github.com/hollowgrade/hollowgrade/sched"
@@ -45,36 +45,38 @@
 
 // tryAll makes attempts until one ends the request.
 func (e *Entry) tryAll(ctx context.Context, q *query) error {
-	worst := hollowgrade.NotRun
-	tried := map[*link]bool{}
-	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = 20 * time.Millisecond
-	wait.MaxInterval = time.Second
-	for n := 1; ; n++ {
-		q.request = q.request.WithAttempt(n)
-		l, err := e.attemptOnce(ctx, q, tried)
-		if err == nil {
-			return nil
-		}
-		f := fault.As(err, hollowgrade.Unknown)
-		worst = worst.Worse(f.Outcome)
-		f = f.WithOutcome(worst)
-		if n >= e.limits.MaxAttempts || !mayRetry(q, f) || l == nil && f.Code != fault.GroupBusy {
-			return f
-		}
-		if l != nil {
-			tried[l] = true
-			if !e.spend(q, l) {
-				return spent(f)
-			}
-			if f.Outcome == hollowgrade.NotRun {
-				continue // another upstream can take it now
-			}
-		}
-		if !e.sleep(ctx, q, wait.NextBackOff()) {
-			return f
-		}
+	a := core.Attempts{Clock: e.clock, Max: e.limits.MaxAttempts, Deadline: q.request.Deadline}
+	return a.Run(ctx, &attempts{entry: e, query: q, tried: map[*link]bool{}})
+}
+
+// attempts implements [core.Work] for a request that goes through agents.
+type attempts struct {
+	entry *Entry
+	query *query
+	tried map[*link]bool
+	last  *link // that was asked last
+}
+
+// Try implements [core.Work].
+func (a *attempts) Try(ctx context.Context, n int) core.Try {
+	a.query.request = a.query.request.WithAttempt(n)
+	l, err := a.entry.attemptOnce(ctx, a.query, a.tried)
+	if l != nil {
+		a.tried[l] = true
+		a.last = l
 	}
+	return core.Try{Err: err, Placed: l != nil}
+}
+
+// Repeatable implements [core.Work]. A second run does no harm if the policy
+// says so, and if what the caller has so far can be gone on from.
+func (a *attempts) Repeatable() bool {
+	return a.query.request.Decision.Repeatable && !a.query.began
+}
+
+// Spend implements [core.Work].
+func (a *attempts) Spend() bool {
+	return a.entry.spend(a.query, a.last)
 }
 
 // attemptOnce places the request and makes one attempt. The link is that of the
@@ -104,22 +106,6 @@
 	}
 }
 
-// mayRetry reports whether another attempt could help and does no harm. What
-// did not run may always be tried elsewhere; what ran, or may have, only if the
-// policy says that a second run does no harm, and if what the caller has so far
-// can be gone on from.
-func mayRetry(q *query, f *fault.Error) bool {
-	switch f.Code {
-	case fault.UpstreamLost, fault.AnswerCut, fault.Overloaded, fault.Draining, fault.MayNotWait, fault.GroupBusy:
-	default:
-		return false
-	}
-	if f.Outcome == hollowgrade.NotRun {
-		return true
-	}
-	return q.request.Decision.Repeatable && !q.began
-}
-
 // spend takes a retry out of the budgets of the organisation and the upstream.
 func (e *Entry) spend(q *query, l *link) bool {
 	e.mu.Lock()
@@ -135,13 +121,8 @@
 	return true
 }
 
-func spent(f *fault.Error) error {
-	return fault.New(fault.RetriesSpent, "%s; not tried again: the retry budget is spent", f.Message).
-		WithOutcome(f.Outcome).WithRetryAfter(shortRetry)
-}
-
-// sleep waits before the next attempt. It returns false when that would go
-// beyond the deadline.
+// sleep waits before a keeper is asked again. It returns false when that would
+// go beyond the deadline.
 func (e *Entry) sleep(ctx context.Context, q *query, d time.Duration) bool {
 	return q.request.Remaining(e.clock.Now()) > d && hollowgrade.Sleep(ctx, e.clock, d)
 }
--- /dev/null
+++ b/exchange.go
@@ -0,0 +1,117 @@
+package hollowgrade
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Call is one request of a caller that an upstream gets unchanged, whatever it
+// asks for. It is immutable.
+type Call struct {
+	ID     string // the caller's own, one for each of its attempts
+	Host   string
+	Path   string // without the query
+	Method string
+	Target string // path and query as the caller sent them
+	Header http.Header
+	Body   []byte
+	// HasBody tells a body of no bytes from none.
+	HasBody bool
+	Key     string // API key, empty if the caller sent none
+	After   string // id of the last event of the answer that the caller already has
+	Model   string
+	// PromptTokens and MaxTokens are zero for calls that generate nothing.
+	PromptTokens int
+	MaxTokens    int
+	Arrived      time.Time     // when the call had been read, on the steady clock
+	Patience     time.Duration // how long the caller waits from Arrived on; 0 if it did not say
+}
+
+// Upstream is one back end as the platform's registry lists it.
+type Upstream struct {
+	ID       string // of this incarnation; a restart gets a new one
+	Service  string
+	Address  string
+	Hall     string // data hall
+	Slots    int    // requests that it works on at a time
+	Draining bool   // it is about to leave and must get no new work
+}
+
+// Sending is one attempt at a call, addressed to one upstream.
+type Sending struct {
+	Call         Call
+	Upstream     Upstream
+	Organisation string
+	Left         time.Duration // the upstream ends work after it
+	After        string        // id of the last event that the caller has
+	Helpers      []string      // addresses of upstreams that read parts of the prompt
+	Priority     int           // 0 is let in first
+}
+
+// ErrNotSent is in the chain of the error of [Exchanger.Open] when nothing of
+// the call has left, so that the upstream cannot have run it.
+var ErrNotSent = errors.New("nothing was sent")
+
+// ErrNotAnAnswer is in the chain of an error when the upstream sent bytes that
+// do not answer the call.
+var ErrNotAnAnswer = errors.New("not an answer to this call")
+
+// Exchanger sends calls to upstreams.
+type Exchanger interface {
+	// Open sends the call and returns once the head of its answer has come.
+	// Ending ctx ends the exchange, also later, and so cancels the work.
+	Open(ctx context.Context, s Sending) (Exchange, error)
+}
+
+// Exchange is the answer of an upstream on its way.
+type Exchange interface {
+	// Head returns the head of the answer.
+	Head() Head
+	// Next returns the next part: a whole event of a stream, or some bytes of
+	// any other body. It returns io.EOF after the last part of a whole answer
+	// and any other error when the answer is cut.
+	Next() (Part, error)
+	// Close gives the answer up; the upstream notices and ends its work.
+	io.Closer
+}
+
+// Head is the head of an answer.
+type Head struct {
+	Status  int
+	Header  http.Header // those that the caller is to get
+	NotRun  bool        // the upstream says that it has not run the call
+	Sealed  bool        // it carries the upstream's signature
+	Stream  bool        // the body is a series of events
+	Load    UpstreamLoad
+	HasLoad bool
+}
+
+// Success reports whether the answer is one that the caller asked for.
+func (h Head) Success() bool {
+	return h.Status >= http.StatusOK && h.Status < http.StatusMultipleChoices
+}
+
+// UpstreamLoad is what an upstream says of itself in the head of an answer.
+type UpstreamLoad struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Part is a part of the body of an answer.
+type Part struct {
+	Data  []byte
+	Event string // id of the event, empty if it has none
+}
+
+// Sink takes an answer on its way to the caller. An error of a method means
+// that the caller is gone.
+type Sink interface {
+	// Head passes the head of the answer on.
+	Head(h Head) error
+	// Part passes a part of its body on.
+	Part(b []byte) error
+}
--- a/fault/registry.go
+++ b/fault/registry.go
@@ -21,6 +21,9 @@
 	KeyNeeded         Code = "HG1009"
 	SlowBody          Code = "HG1010"
 	NoSuchPath        Code = "HG1011"
+	NoRoute           Code = "HG1012"
+	HeadersTooLarge   Code = "HG1013"
+	WrongMethod       Code = "HG1014"
 	Overloaded        Code = "HG2001"
 	CannotMakeIt      Code = "HG2002"
 	NoUpstream        Code = "HG2003"
@@ -29,12 +32,14 @@
 	NoConfiguration   Code = "HG2006"
 	MayNotWait        Code = "HG2007"
 	GroupBusy         Code = "HG2008"
+	StaleConfig       Code = "HG2009"
 	DeadlinePassed    Code = "HG3001"
 	UpstreamLost      Code = "HG3002"
 	AnswerCut         Code = "HG3003"
 	CallerGone        Code = "HG3004"
 	UpstreamRefused   Code = "HG3005"
 	RetriesSpent      Code = "HG3006"
+	UpstreamFailed    Code = "HG3007"
 	Internal          Code = "HG3099"
 	KeyRunning        Code = "HG4001"
 	KeyReused         Code = "HG4002"
@@ -52,7 +57,8 @@
 
 const (
 	first              = "0.1" // the release in which a code first stood
-	statusClientClosed = 499   // customary for a caller that went away
+	second             = "0.2"
+	statusClientClosed = 499 // customary for a caller that went away
 )
 
 // Registry lists every code.
@@ -68,6 +74,9 @@
 	{KeyNeeded, "An idempotency key is needed", "The policy says that this request may not be repeated, so it must carry an Idempotency-Key header of 1 to 256 printable characters, of which the caller makes a new one for each new request.", first, Caller, hollowgrade.NotRun, http.StatusBadRequest},
 	{SlowBody, "The body came too slowly", "The body had not arrived within the entry's body_timeout. Nothing was sent to an upstream.", first, Caller, hollowgrade.NotRun, http.StatusRequestTimeout},
 	{NoSuchPath, "No such path", "The entry serves /v1/completions, /v1/chat/completions and /services/NAME/... only.", first, Caller, hollowgrade.NotRun, http.StatusNotFound},
+	{NoRoute, "No route", "No route of the published configuration matches the host and the path. Nothing was sent to an upstream.", second, Caller, hollowgrade.NotRun, http.StatusNotFound},
+	{HeadersTooLarge, "The headers are over the limit", "The headers of the request are larger than the published limit. Nothing was sent to an upstream.", second, Caller, hollowgrade.NotRun, http.StatusRequestHeaderFieldsTooLarge},
+	{WrongMethod, "The path does not take this method", "The path exists, but not for this method. The Allow header lists those that it takes.", second, Caller, hollowgrade.NotRun, http.StatusMethodNotAllowed},
 	{Overloaded, "The fleet is full", "Each upstream that could take the request has a full queue. Come back after the time given.", first, Transient, hollowgrade.NotRun, http.StatusServiceUnavailable},
 	{CannotMakeIt, "The answer would come too late", "From the queues and from the measured speed of the engines, no upstream would finish within the allowed time, so the request was refused at once instead of failing later. Come back after the time given or allow more time.", first, Transient, hollowgrade.NotRun, http.StatusServiceUnavailable},
 	{NoUpstream, "No upstream is connected", "The entry has no connection to a live upstream that serves this model or service.", first, Operator, hollowgrade.NotRun, http.StatusServiceUnavailable},
@@ -76,12 +85,14 @@
 	{NoConfiguration, "No configuration is in force yet", "The box has not yet read a configuration from the platform's log or from a peer.", first, Operator, hollowgrade.NotRun, http.StatusServiceUnavailable},
 	{MayNotWait, "The request may not wait and there is no room now", "The policy says that this request may not queue, and every upstream is busy.", first, Transient, hollowgrade.NotRun, http.StatusServiceUnavailable},
 	{GroupBusy, "The group of engines could not be reserved in time", "The prompt needs the memory of several engines at once, and they did not come free together within the allowed time.", first, Transient, hollowgrade.NotRun, http.StatusServiceUnavailable},
+	{StaleConfig, "The configuration may be out of date", "The box has not been able to confirm for some time that its configuration is the newest, so it cannot tell whether the key still holds or whether a route is gone. Nothing was sent to an upstream. Another box may know; come back after the time given.", second, Transient, hollowgrade.NotRun, http.StatusServiceUnavailable},
 	{DeadlinePassed, "The allowed time has passed", "The request was given up at its deadline, and what ran of it was cancelled at the upstream. The outcome says whether any of it ran.", first, Transient, hollowgrade.Failed, http.StatusGatewayTimeout},
 	{UpstreamLost, "The upstream was lost", "The upstream, or the agent beside it, went away while the request was there, and the policy allows no second run.", first, Transient, hollowgrade.Unknown, http.StatusBadGateway},
 	{AnswerCut, "The answer was cut short", "The answer ended before its last token. What was received is not the whole answer.", first, Transient, hollowgrade.Failed, http.StatusBadGateway},
 	{CallerGone, "The caller went away", "The caller closed its connection before the answer was complete. The work was cancelled unless it carries an idempotency key.", first, Caller, hollowgrade.Failed, statusClientClosed},
 	{UpstreamRefused, "The upstream refused the request", "The upstream answered with an error of its own, which the message repeats.", first, Operator, hollowgrade.Failed, http.StatusBadGateway},
 	{RetriesSpent, "The retry budget is spent", "The request failed on one upstream and could have been tried on another, but too large a part of the recent traffic was retries already.", first, Transient, hollowgrade.Failed, http.StatusServiceUnavailable},
+	{UpstreamFailed, "The upstream failed on the request", "The upstream answered that it failed. It may have run a part of the request.", second, Transient, hollowgrade.Failed, http.StatusBadGateway},
 	{Internal, "Internal error", "Something happened that should not. The log of the box has the details under the request id.", first, Operator, hollowgrade.Unknown, http.StatusInternalServerError},
 	{KeyRunning, "A request with this key is running", "A request with the same idempotency key and the same body has been accepted and has not ended. Nothing was run again. Come back after the time given for its answer.", first, Transient, hollowgrade.Unknown, http.StatusConflict},
 	{KeyReused, "The key belongs to another body", "The idempotency key was used before with another body. Nothing was run for this request. Make a new key for a new request.", first, Caller, hollowgrade.NotRun, http.StatusUnprocessableEntity},
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,293 @@
+// Package feed keeps the newest record of each key of a topic of the
+// platform's store, and knows how fresh that view is. A process that the store
+// turns away learns records and freshness from processes that it serves.
+package feed
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/charmbracelet/log"
+
+	"github.com/hollowgrade/hollowgrade"
+)
+
+const (
+	// defaultWait is how long one read waits at the store for a record.
+	defaultWait = 1500 * time.Millisecond
+	// answerMargin is added to the wait before a read without an answer is
+	// given up: a few round trips, and the store's own time.
+	answerMargin = 700 * time.Millisecond
+	// newestTimeout bounds the reading of all newest records.
+	newestTimeout = 3 * time.Second
+	// The pauses between reads that fail.
+	firstPause = 100 * time.Millisecond
+	lastPause  = time.Second
+)
+
+// Change is a record that has become the newest of its key.
+type Change struct {
+	hollowgrade.KeyedRecord
+	// Regained says that the view had been stale for longer than a read's
+	// wait when the record came, so that it may tell of what went on unseen.
+	Regained bool
+}
+
+// Feed is a view of one topic. It is safe for concurrent use.
+type Feed struct {
+	name  string
+	topic hollowgrade.Topic
+	clock hollowgrade.Clock
+	log   *log.Logger
+	wait  time.Duration
+
+	mu       sync.Mutex
+	newest   map[string]hollowgrade.KeyedRecord
+	next     int64     // offset up to which all is known
+	fresh    time.Time // when the read was sent that reached the topic's end
+	synced   bool      // whether reading on from next is possible
+	away     bool      // whether the last read failed
+	watchers []func([]Change)
+}
+
+// Option changes a feed as it is made.
+type Option func(*Feed)
+
+// WithClock sets the clock.
+func WithClock(c hollowgrade.Clock) Option {
+	return func(f *Feed) { f.clock = c }
+}
+
+// WithLogger sets the logger.
+func WithLogger(l *log.Logger) Option {
+	return func(f *Feed) { f.log = l }
+}
+
+// WithWait sets how long one read waits at the store for a record. A view is
+// at most that much and the time of an answer old while the store serves.
+func WithWait(d time.Duration) Option {
+	return func(f *Feed) { f.wait = d }
+}
+
+// New returns a feed of the topic. Name is what logs and peers call it.
+func New(name string, t hollowgrade.Topic, os ...Option) *Feed {
+	f := &Feed{
+		name:   name,
+		topic:  t,
+		clock:  hollowgrade.SystemClock(),
+		log:    log.Default(),
+		wait:   defaultWait,
+		newest: map[string]hollowgrade.KeyedRecord{},
+	}
+	for _, o := range os {
+		o(f)
+	}
+	return f
+}
+
+// Name returns the name of the feed.
+func (f *Feed) Name() string {
+	return f.name
+}
+
+// Watch adds a function that is told of changes, in order, and first of all
+// that stand now. It is called under the feed's lock and must not call back.
+func (f *Feed) Watch(w func([]Change)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watchers = append(f.watchers, w)
+	cs := make([]Change, 0, len(f.newest))
+	for _, r := range f.newest {
+		cs = append(cs, Change{KeyedRecord: r})
+	}
+	if len(cs) > 0 {
+		w(cs)
+	}
+}
+
+// Fresh returns the latest moment of which it is known that the view had all
+// that stood in the topic; the zero time if there is none.
+func (f *Feed) Fresh() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fresh
+}
+
+// Age returns how long ago that moment was, and false if there is none.
+func (f *Feed) Age() (time.Duration, bool) {
+	t := f.Fresh()
+	return f.clock.Since(t), !t.IsZero()
+}
+
+// Run follows the topic until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	p := backoff.NewExponentialBackOff()
+	p.InitialInterval = firstPause
+	p.MaxInterval = lastPause
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			p.Reset()
+			f.regained()
+			continue
+		}
+		if errors.Is(err, hollowgrade.ErrTrimmed) {
+			f.log.Info("history of the topic is gone, reading its newest records", "feed", f.name)
+			continue
+		}
+		if ctx.Err() == nil {
+			f.lost(err)
+			hollowgrade.Sleep(ctx, f.clock, p.NextBackOff())
+		}
+	}
+}
+
+// step makes one read and takes what it gives.
+func (f *Feed) step(ctx context.Context) error {
+	f.mu.Lock()
+	next, synced := f.next, f.synced
+	f.mu.Unlock()
+	sent := f.clock.Now()
+	if !synced {
+		ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+		defer cancel()
+		p, err := f.topic.Newest(ctx)
+		if err == nil {
+			f.resync(p, sent)
+		}
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.wait+answerMargin)
+	defer cancel()
+	p, err := f.topic.Wait(ctx, next, f.wait)
+	switch {
+	case errors.Is(err, hollowgrade.ErrTrimmed):
+		f.mu.Lock()
+		f.synced = false
+		f.mu.Unlock()
+	case err == nil:
+		f.take(p, sent)
+	}
+	return err
+}
+
+// resync takes all newest records. A key that is not among them was dropped.
+func (f *Feed) resync(p hollowgrade.KeyedPage, sent time.Time) {
+	listed := map[string]bool{}
+	for _, r := range p.Records {
+		listed[r.Key] = true
+	}
+	f.mu.Lock()
+	for k, r := range f.newest {
+		if !listed[k] && !r.Dropped() && r.Offset < p.Next {
+			p.Records = append(p.Records, hollowgrade.KeyedRecord{Key: k, Offset: p.Next - 1})
+		}
+	}
+	f.synced = true
+	f.mu.Unlock()
+	f.take(p, sent)
+}
+
+// take puts records into the view. The read that gave them was sent at sent.
+func (f *Feed) take(p hollowgrade.KeyedPage, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	regained := f.away || !f.fresh.IsZero() && f.clock.Since(f.fresh) > 2*f.wait
+	cs := make([]Change, 0, len(p.Records))
+	for _, r := range p.Records {
+		if f.put(r) {
+			cs = append(cs, Change{KeyedRecord: r, Regained: regained})
+		}
+	}
+	f.next = max(f.next, p.Next)
+	if p.Next >= p.End && sent.After(f.fresh) {
+		f.fresh = sent
+	}
+	if len(cs) == 0 {
+		return
+	}
+	slices.SortFunc(cs, func(a, b Change) int { return cmp.Compare(a.Offset, b.Offset) })
+	for _, w := range f.watchers {
+		w(cs)
+	}
+}
+
+// put makes a record the newest of its key, unless it is older, and reports
+// whether that changes the key's value. The lock is held.
+func (f *Feed) put(r hollowgrade.KeyedRecord) bool {
+	old, ok := f.newest[r.Key]
+	if ok && old.Offset >= r.Offset {
+		return false
+	}
+	f.newest[r.Key] = r
+	if !ok {
+		return !r.Dropped()
+	}
+	return !bytes.Equal(old.Value, r.Value)
+}
+
+// Since returns the newest records from an offset on, and the view's age. Ok
+// is false when the view has never been complete.
+func (f *Feed) Since(from int64) (p hollowgrade.KeyedPage, age time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fresh.IsZero() {
+		return p, 0, false
+	}
+	for _, r := range f.newest {
+		if r.Offset >= from {
+			p.Records = append(p.Records, r)
+		}
+	}
+	p.Next, p.End = f.next, f.next
+	return p, f.clock.Since(f.fresh), true
+}
+
+// Next returns the offset up to which all is known.
+func (f *Feed) Next() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
+// Merge takes a page that a peer gave, complete as of fresh.
+func (f *Feed) Merge(p hollowgrade.KeyedPage, fresh time.Time) {
+	if p.Next < f.Next() {
+		return // the peer knows less
+	}
+	f.take(p, fresh)
+}
+
+func (f *Feed) lost(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		return
+	}
+	f.away = true
+	f.log.Warn("store lost", "feed", f.name, "next", f.next, "age_ms", f.ageMillis(), "err", err)
+}
+
+func (f *Feed) regained() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.away {
+		return
+	}
+	f.away = false
+	f.log.Info("store regained", "feed", f.name, "next", f.next, "age_ms", f.ageMillis())
+}
+
+// ageMillis returns the age for logs, -1 if there never was a complete view.
+func (f *Feed) ageMillis() int64 {
+	if f.fresh.IsZero() {
+		return -1
+	}
+	return f.clock.Since(f.fresh).Milliseconds()
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 type commands struct {
 	Entry   entryCommand   `cmd:"" help:"Serve callers."`
 	Agent   agentCommand   `cmd:"" help:"Serve entries beside one upstream."`
+	Gateway gatewayCommand `cmd:"" help:"Serve callers of the platform in front of its upstreams."`
 	Config  configCommand  `cmd:"" help:"Check settings; publish and look at the configuration."`
 	Policy  policyCommand  `cmd:"" help:"Check, compare, publish and show policies."`
 	Event   eventCommand   `cmd:"" help:"Create, list and show events."`
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -50,6 +53,75 @@
 	return runUntil(ctx, n.Node, c.DrainTimeout, g)
 }
 
+// gatewayCommand runs a gateway.
+type gatewayCommand struct {
+	Config setting.Flag `help:"Settings file." placeholder:"FILE"`
+	setting.Gateway
+}
+
+// reloadEvery is how often the settings file is looked at for a change that no
+// signal told of. Changes have to be in force within seconds.
+const reloadEvery = time.Second
+
+// Run runs the command.
+func (c *gatewayCommand) Run(ctx context.Context, s *streams) error {
+	w := node.NewLogWriter(s.out)
+	defer func() { _ = w.Close() }()
+	g, err := node.Logger(w, c.Verbosity)
+	if err != nil {
+		return err
+	}
+	n, err := node.NewGateway(c.Gateway, g)
+	if err != nil {
+		g.Error("gateway does not start", "box", c.Box, "err", err)
+		return err
+	}
+	g.Info("gateway starts", "box", c.Box, "hall", c.Hall, "callers", c.Callers, "readiness", c.Readiness, "peers", c.Peers,
+		"operators", n.Operators, "store", c.Store, "incarnation", n.Incarnation)
+	go watchSettings(ctx, string(c.Config), func() { _ = n.Reload(string(c.Config)) })
+	return runUntil(ctx, n.Node, n.Grace(), g)
+}
+
+// watchSettings calls reload at each SIGHUP and whenever the file has changed.
+func watchSettings(ctx context.Context, path string, reload func()) {
+	if path == "" {
+		return
+	}
+	h := make(chan os.Signal, 1)
+	signal.Notify(h, syscall.SIGHUP)
+	defer signal.Stop(h)
+	t := time.NewTicker(reloadEvery)
+	defer t.Stop()
+	last := fileMark(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h:
+		case <-t.C:
+			if fileMark(path) == last {
+				continue
+			}
+		}
+		last = fileMark(path)
+		reload()
+	}
+}
+
+// mark tells one state of a file from another.
+type mark struct {
+	size    int64
+	changed time.Time
+}
+
+func fileMark(path string) (m mark) {
+	i, err := os.Stat(path)
+	if err != nil {
+		return m // a file that is being replaced: it is looked at again
+	}
+	return mark{size: i.Size(), changed: i.ModTime()}
+}
+
 // runUntil runs a process until ctx ends, as by SIGTERM, and then drains it.
 func runUntil(ctx context.Context, n *node.Node, drain time.Duration, g *log.Logger) error {
 	if err := n.Start(ctx); err != nil {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -142,16 +142,18 @@
 
 func (f *Fleet) common(box, hall string) setting.Common {
 	return setting.Common{
-		Box:            box,
-		Hall:           hall,
-		Region:         "local",
-		Operators:      "127.0.0.1:0",
-		PlatformLog:    f.logURL,
-		PlatformList:   f.boxesURL,
-		PlatformStore:  f.storeURL,
-		LogPoll:        demoPoll,
-		MaxConnections: maxConnections,
-		DrainTimeout:   time.Minute,
+		Process: setting.Process{
+			Box:            box,
+			Hall:           hall,
+			Region:         "local",
+			Operators:      "127.0.0.1:0",
+			MaxConnections: maxConnections,
+			DrainTimeout:   time.Minute,
+		},
+		PlatformLog:   f.logURL,
+		PlatformList:  f.boxesURL,
+		PlatformStore: f.storeURL,
+		LogPoll:       demoPoll,
 	}
 }
 
--- /dev/null
+++ b/internal/node/gateway.go
@@ -0,0 +1,413 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/net/netutil"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/callers"
+	"github.com/hollowgrade/hollowgrade/core"
+	"github.com/hollowgrade/hollowgrade/feed"
+	"github.com/hollowgrade/hollowgrade/internal/errs"
+	"github.com/hollowgrade/hollowgrade/kernel"
+	"github.com/hollowgrade/hollowgrade/measure"
+	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/platform"
+	"github.com/hollowgrade/hollowgrade/setting"
+)
+
+// The names of the services of a gateway.
+const (
+	FeedsService     = "feeds"
+	PeersService     = "peers"
+	MembersService   = "members"
+	CallersService   = "callers"
+	ReadinessService = "readiness"
+)
+
+// The names by which gateways ask each other for feeds.
+const (
+	configFeed  = "config"
+	fleetFeed   = "fleet"
+	membersFeed = "members"
+)
+
+const (
+	// assumedGateways share the retry budget until the list of gateways is
+	// known, so that together they do not spend more than it allows.
+	assumedGateways = 8
+	// endMargin is what is left of the grace of a planned stop for the end of
+	// the process itself.
+	endMargin = 500 * time.Millisecond
+	// memoryShare is the part of the box's memory that the runtime keeps to.
+	memoryShare = 0.8
+	megabyte    = 1 << 20
+	// collectAt is how much the heap may grow between collections, in percent;
+	// the memory limit bounds it, and fewer collections cost less processor.
+	collectAt = 400
+)
+
+// GatewayNode is a process of the role gateway.
+type GatewayNode struct {
+	*Node
+	Core      *core.Core
+	Operators string
+	settings  atomic.Pointer[setting.Gateway]
+	callers   *callers.Server
+	config    *feed.Feed
+	members   *members
+}
+
+// NewGateway opens the listeners and puts a gateway together. Start brings it
+// up.
+func NewGateway(c setting.Gateway, g *log.Logger) (n *GatewayNode, err error) {
+	defer errs.Annotate(&err, "set up gateway %s", c.Box)
+	boundMemory(c.MemoryMB)
+	b, err := base(hollowgrade.GatewayRole, c.Process, g)
+	if err != nil {
+		return nil, err
+	}
+	s := platform.NewStore(c.Store)
+	n = &GatewayNode{Node: b, config: feed.New(configFeed, s.Config(), feed.WithLogger(g), feed.WithWait(c.ConfigWait))}
+	n.settings.Store(&c)
+	fleet := feed.New(fleetFeed, s.Workers(), feed.WithLogger(g), feed.WithWait(c.FleetWait))
+	others := feed.New(membersFeed, s.Members(), feed.WithLogger(g), feed.WithWait(c.MembersWait))
+	n.members = newMembers(c, s.Members(), g)
+	n.state = n.configState
+	n.Core = core.New(platform.NewWorkers(),
+		core.WithLogger(g),
+		core.WithBounds(bounds(c)),
+		core.WithAge(n.config.Age),
+		core.WithProcesses(n.members.count),
+		core.WithObserver(func(o core.Observation) { b.sample(callSample(o)) }))
+	n.config.Watch(n.takeConfig)
+	fleet.Watch(n.takeFleet)
+	others.Watch(n.members.take)
+	shared := []*feed.Feed{n.config, fleet}
+	relay := feed.NewRelay(n.members.addresses, shared, feed.WithRelayLogger(g))
+	b.Register(FeedsService, newRunner(n.config.Run, fleet.Run, others.Run, relay.Run))
+	if err = n.listen(c, shared, g); err != nil {
+		return nil, err
+	}
+	return n, n.gauges()
+}
+
+// listen opens the listeners and registers what serves them.
+func (n *GatewayNode) listen(c setting.Gateway, shared []*feed.Feed, g *log.Logger) error {
+	if c.Peers != "" {
+		l, err := listen(c.Peers)
+		if err != nil {
+			return err
+		}
+		n.Register(PeersService, newPeers(l, feed.Handler(shared), g))
+	}
+	n.Register(MembersService, n.members)
+	l, err := listen(c.Callers)
+	if err != nil {
+		return err
+	}
+	front := platform.NewFront(n.Core, n.limits, n.clock, g)
+	n.callers = callers.New(netutil.LimitListener(l, c.MaxConnections), front,
+		callers.WithLogger(g), callers.WithLinger(c.Linger), callers.WithLimits(n.connLimits))
+	l, err = listen(c.Readiness)
+	if err != nil {
+		return err
+	}
+	n.Register(ReadinessService, newHTTP(l, platform.Readiness(n.ready), g))
+	n.Register(CallersService, n.callers)
+	o, err := newOperators(c.Operators, n.Node, n.ready)
+	if err != nil {
+		return err
+	}
+	n.Operators = o.address()
+	n.Register(OperatorsService, o)
+	return nil
+}
+
+// boundMemory tells the runtime how much memory the box has.
+func boundMemory(mb int) {
+	if mb > 0 {
+		debug.SetGCPercent(collectAt)
+		debug.SetMemoryLimit(int64(memoryShare * float64(mb) * megabyte))
+	}
+}
+
+func bounds(c setting.Gateway) core.Bounds {
+	return core.Bounds{
+		KeyFreshness: c.KeyFreshness,
+		Freshness:    c.Freshness,
+		RetryRatio:   c.RetryRatio,
+		RetrySlack:   c.RetrySlack,
+		RetryWindow:  c.RetryWindow,
+	}
+}
+
+// Grace returns how long a planned stop may take.
+func (n *GatewayNode) Grace() time.Duration {
+	return n.settings.Load().Grace - endMargin
+}
+
+// Reload reads the settings file again and puts in force what can change while
+// the process runs.
+func (n *GatewayNode) Reload(path string) error {
+	old := n.settings.Load()
+	c, err := old.Reread(path)
+	if err != nil {
+		n.log.Error("settings not reloaded, the old ones stay in force", "path", path, "err", err)
+		return err
+	}
+	n.settings.Store(&c)
+	n.Core.SetBounds(bounds(c))
+	if l, err := log.ParseLevel(c.Verbosity); err == nil {
+		n.log.SetLevel(l)
+	}
+	restart := c.Callers != old.Callers || c.Readiness != old.Readiness || c.Peers != old.Peers || c.Store != old.Store
+	n.log.Info("settings reloaded", "path", path, "key_freshness_ms", c.KeyFreshness.Milliseconds(),
+		"retry_ratio", c.RetryRatio, "retry_slack", c.RetrySlack, "needs_restart", restart)
+	return nil
+}
+
+// ready reports whether the balancer should lead callers here, and if not, why.
+func (n *GatewayNode) ready() (ok bool, why string) {
+	age, known := n.config.Age()
+	switch {
+	case n.callers.Stopping():
+		return false, "stopping"
+	case n.Core.Catalog() == nil:
+		return false, "no configuration yet"
+	case n.Core.Fleet().Size() == 0:
+		return false, "no upstream is known"
+	case !known || age > n.settings.Load().KeyFreshness:
+		return false, "the configuration may be out of date"
+	default:
+		return true, ""
+	}
+}
+
+func (n *GatewayNode) limits() core.Limits {
+	if c := n.Core.Catalog(); c != nil {
+		return c.Limits
+	}
+	return core.Limits{}
+}
+
+func (n *GatewayNode) connLimits() callers.Limits {
+	l := n.limits()
+	return callers.Limits{HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+}
+
+func (n *GatewayNode) configState() ConfigState {
+	s := ConfigState{Next: n.config.Next(), Fresh: n.config.Fresh()}
+	if c := n.Core.Catalog(); c != nil {
+		s.Revision = c.Version
+	}
+	return s
+}
+
+// takeConfig puts a new configuration in force.
+func (n *GatewayNode) takeConfig(cs []feed.Change) {
+	for _, c := range cs {
+		if c.Key != platform.ConfigKey || c.Dropped() {
+			continue
+		}
+		k, err := platform.DecodeCatalog(c.Value)
+		if err != nil {
+			n.log.Error("configuration not used", "offset", c.Offset, "err", err)
+			continue
+		}
+		used := n.Core.SetCatalog(k)
+		n.log.Info("configuration read", "version", k.Version, "offset", c.Offset, "in_force", used, "bytes", len(c.Value))
+	}
+}
+
+// takeFleet puts changes of the registry into the table of upstreams.
+func (n *GatewayNode) takeFleet(cs []feed.Change) {
+	for _, c := range cs {
+		if c.Dropped() {
+			n.Core.Fleet().Drop(c.Key, c.Regained)
+			continue
+		}
+		u, err := platform.DecodeUpstream(c.KeyedRecord)
+		if err != nil {
+			n.log.Error("upstream not used", "offset", c.Offset, "err", err)
+			continue
+		}
+		n.Core.Fleet().Put(u)
+	}
+}
+
+func (n *GatewayNode) gauges() error {
+	return n.metrics.Gauge("hollowgrade.config_age", "Seconds since the configuration was last known to be the newest; -1 if never.", func() float64 {
+		age, ok := n.config.Age()
+		if !ok {
+			return -1
+		}
+		return age.Seconds()
+	})
+}
+
+func callSample(o core.Observation) measure.Sample {
+	return measure.Sample{
+		Organisation: o.Organisation,
+		Kind:         o.Route,
+		Outcome:      o.Outcome,
+		Code:         string(o.Code),
+		PromptTokens: o.PromptTokens,
+		FirstToken:   o.First,
+		Took:         o.Took,
+		Attempts:     o.Attempts,
+	}
+}
+
+// members knows the other gateways from the store and the settings.
+type members struct {
+	box, own string
+	seeds    []string
+	topic    hollowgrade.Topic
+	clock    hollowgrade.Clock
+	log      *log.Logger
+	runner   *runner
+
+	mu    sync.Mutex
+	known map[string]string // peer address by box
+}
+
+func newMembers(c setting.Gateway, t hollowgrade.Topic, g *log.Logger) *members {
+	m := &members{box: c.Box, own: c.Peers, seeds: c.Seeds, topic: t, clock: hollowgrade.SystemClock(), log: g, known: map[string]string{}}
+	m.runner = newRunner(m.join)
+	return m
+}
+
+// take puts changes of the members' topic into the list.
+func (m *members) take(cs []feed.Change) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range cs {
+		if c.Dropped() {
+			delete(m.known, c.Key)
+		} else {
+			m.known[c.Key] = string(c.Value)
+		}
+	}
+}
+
+// addresses returns the peer addresses of the other gateways.
+func (m *members) addresses() (as []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range m.known {
+		as = append(as, a)
+	}
+	as = append(as, m.seeds...)
+	slices.Sort(as)
+	return slices.DeleteFunc(slices.Compact(as), func(a string) bool { return a == m.own || a == "" })
+}
+
+// count returns how many gateways share what all may spend together.
+func (m *members) count() int {
+	return max(len(m.addresses())+1, assumedGateways)
+}
+
+const (
+	joinRetry   = 2 * time.Second
+	joinTimeout = 2 * time.Second
+)
+
+// join writes this process into the list, again until the store has taken it.
+func (m *members) join(ctx context.Context) {
+	for m.own != "" && ctx.Err() == nil {
+		err := m.put(ctx, []byte(m.own))
+		if err == nil {
+			return
+		}
+		m.log.Warn("could not join the list of gateways", "err", err)
+		hollowgrade.Sleep(ctx, m.clock, joinRetry)
+	}
+}
+
+func (m *members) put(ctx context.Context, v []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	return m.topic.Put(ctx, m.box, v)
+}
+
+// Start implements [kernel.Service].
+func (m *members) Start(ctx context.Context, k *kernel.Kernel) error {
+	return m.runner.Start(ctx, k)
+}
+
+// Stop implements [kernel.Service]. The entry of a process that ends without it
+// stays and costs those who ask it a connection that fails.
+func (m *members) Stop(ctx context.Context) error {
+	if err := m.runner.Stop(ctx); err != nil {
+		return err
+	}
+	if err := m.put(ctx, nil); err != nil {
+		m.log.Warn("could not leave the list of gateways", "err", err)
+	}
+	return nil
+}
+
+// runner is a service that runs functions until it is stopped.
+type runner struct {
+	run    []func(context.Context)
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+}
+
+func newRunner(fs ...func(context.Context)) *runner {
+	return &runner{run: fs}
+}
+
+// Start implements [kernel.Service].
+func (r *runner) Start(context.Context, *kernel.Kernel) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	for _, f := range r.run {
+		r.group.Go(func() { f(ctx) })
+	}
+	return nil
+}
+
+// Stop implements [kernel.Service].
+func (r *runner) Stop(context.Context) error {
+	r.cancel()
+	r.group.Wait()
+	return nil
+}
+
+// newPeers returns a service that answers other gateways.
+func newPeers(l net.Listener, h peer.Handler, g *log.Logger) kernel.Service {
+	s := peer.NewServer(h, func(a net.Addr, err error) {
+		g.Warn("peer cut off", "peer", a.String(), "err", err)
+	})
+	return newRunner(func(ctx context.Context) {
+		defer s.Close()
+		stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+		defer stop()
+		if err := s.Serve(ctx, l); err != nil {
+			g.Error("peers' listener failed", "err", err)
+		}
+	})
+}
+
+// newHTTP returns a service that serves a handler.
+func newHTTP(l net.Listener, h http.Handler, g *log.Logger) kernel.Service {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: operatorsHeaderTimeout}
+	return newRunner(func(ctx context.Context) {
+		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+		defer stop()
+		if err := s.Serve(l); ctx.Err() == nil {
+			g.Error("listener failed", "address", l.Addr().String(), "err", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/logwriter.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// logLines is how many lines may wait for the output. At 200 bytes a line
+	// it is under 1 MB.
+	logLines = 4096
+	// flushTime bounds how long a process that ends waits for its output.
+	flushTime = 500 * time.Millisecond
+)
+
+// LogWriter passes lines on to an output without ever blocking: when the output
+// does not keep up, lines are dropped and counted, and a line says how many
+// once there is room again.
+type LogWriter struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	total   atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewLogWriter returns a writer for the output. Close ends it.
+func NewLogWriter(out io.Writer) *LogWriter {
+	w := &LogWriter{out: out, lines: make(chan []byte, logLines), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements [io.Writer] for one line.
+func (w *LogWriter) Write(b []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), b...):
+	default:
+		w.dropped.Add(1)
+		w.total.Add(1)
+	}
+	return len(b), nil
+}
+
+// Dropped returns how many lines were dropped in all.
+func (w *LogWriter) Dropped() int64 {
+	return w.total.Load()
+}
+
+func (w *LogWriter) run() {
+	defer close(w.done)
+	for l := range w.lines {
+		if n := w.dropped.Swap(0); n > 0 {
+			fmt.Fprintf(w.out, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
+		}
+		// An output that fails has nobody left who could be told.
+		_, _ = w.out.Write(l)
+	}
+}
+
+// Close waits a little for what has not been written. Nothing may be written
+// afterwards.
+func (w *LogWriter) Close() error {
+	w.once.Do(func() { close(w.lines) })
+	select {
+	case <-w.done:
+	case <-time.After(flushTime):
+	}
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,7 +42,8 @@
 	*kernel.Kernel
 	Box         hollowgrade.Box
 	Incarnation string
-	follower    *fold.Follower
+	follower    *fold.Follower     // nil in roles that follow no log
+	state       func() ConfigState // of the configuration in force
 	compiled    *compiled
 	recorder    *measure.Recorder
 	metrics     *measure.Metrics
@@ -51,7 +52,7 @@
 }
 
 // base makes what all roles share.
-func base(r hollowgrade.Role, c setting.Common, g *log.Logger) (n *Node, err error) {
+func base(r hollowgrade.Role, c setting.Process, g *log.Logger) (n *Node, err error) {
 	k := hollowgrade.SystemClock()
 	m, err := measure.NewMetrics()
 	if err != nil {
@@ -133,6 +134,10 @@
 		fold.WithPoll(c.LogPoll),
 		fold.WithRenewal(c.LogRetention, turn),
 		fold.WithPeers(Snapshots(d.Agents, dial)))
+	n.state = func() ConfigState {
+		s := n.follower.State()
+		return ConfigState{Revision: s.Revision(), Next: s.Next(), Fresh: n.follower.Fresh()}
+	}
 	n.Register(FollowerService, n.follower)
 }
 
@@ -244,7 +249,7 @@
 
 // Revision returns the revision of the configuration in force.
 func (n *Node) Revision() int64 {
-	return n.follower.State().Revision()
+	return n.state().Revision
 }
 
 // Snapshot returns what the process has recorded of requests.
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -36,6 +36,13 @@
 	Reason      string           `json:"reason"`   // why it does not
 }
 
+// ConfigState is what a process knows of the configuration.
+type ConfigState struct {
+	Revision int64     // in force
+	Next     int64     // first offset of the log or topic that was not read
+	Fresh    time.Time // when the end was seen last; zero if never
+}
+
 const operatorsHeaderTimeout = 5 * time.Second
 
 // operators serves operators' tools on a listener apart from callers'.
@@ -72,17 +79,18 @@
 }
 
 func (o *operators) status() Status {
+	c := o.node.state()
 	s := Status{
 		Box:         o.node.Box.Name,
 		Role:        o.node.Box.Role,
 		Hall:        o.node.Box.Hall,
 		Incarnation: o.node.Incarnation,
-		Revision:    o.node.follower.State().Revision(),
-		Next:        o.node.follower.State().Next(),
+		Revision:    c.Revision,
+		Next:        c.Next,
 		LogAge:      -1,
 	}
-	if f := o.node.follower.Fresh(); !f.IsZero() {
-		s.LogAge = o.node.clock.Since(f).Seconds()
+	if !c.Fresh.IsZero() {
+		s.LogAge = o.node.clock.Since(c.Fresh).Seconds()
 	}
 	s.Ready, s.Reason = o.ready()
 	return s
--- a/platform.go
+++ b/platform.go
@@ -54,8 +54,9 @@
 
 // The roles of long-running processes.
 const (
-	EntryRole Role = "entry"
-	AgentRole Role = "agent"
+	EntryRole   Role = "entry"
+	AgentRole   Role = "agent"
+	GatewayRole Role = "gateway"
 )
 
 // Box is one machine on the platform's list.
--- a/setting/file.go
+++ b/setting/file.go
@@ -48,7 +48,7 @@
 	r, _ := f.values[RoleKey].(string)
 	f.Role = hollowgrade.Role(r)
 	if _, ok := Roles()[f.Role]; !ok {
-		return nil, f.fail(RoleKey, "must be entry or agent, it is %q", r)
+		return nil, f.fail(RoleKey, "must be entry, agent or gateway, it is %q", r)
 	}
 	ds := Docs(f.Role)
 	for _, k := range f.keys() {
@@ -117,6 +117,23 @@
 	return nil
 }
 
+// apply gives a settings struct the values of the file.
+func (f *File) apply(to any) error {
+	v := reflect.ValueOf(to).Elem()
+	for _, d := range Docs(f.Role) {
+		x, ok := f.values[d.Key]
+		if !ok {
+			continue
+		}
+		c, err := d.convert(x)
+		if err != nil {
+			return f.fail(d.Key, "%v", err)
+		}
+		v.FieldByIndex(d.field).Set(c)
+	}
+	return nil
+}
+
 // suggestion names the setting that the unknown key is most like.
 func suggestion(k string, ds []Doc) string {
 	for _, d := range ds {
--- /dev/null
+++ b/setting/gateway.go
@@ -0,0 +1,56 @@
+package setting
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade/fault"
+)
+
+// Gateway holds the settings of the role gateway.
+type Gateway struct {
+	Process
+	Callers      string        `help:"Address on which callers are served." required:"" group:"listen"`
+	Readiness    string        `help:"Address on which the platform's balancer asks whether the box is ready." required:"" group:"listen"`
+	Peers        string        `help:"Address on which other gateways ask what this one knows of the store; empty to serve none." group:"listen"`
+	Seeds        []string      `help:"Peer addresses of other gateways, to ask before the members are known. Some may be stale." group:"platform"`
+	Store        string        `help:"Address of the platform's store, as host:port." required:"" group:"platform"`
+	ConfigWait   time.Duration `help:"How long one read of the configuration waits at the store for a change." default:"1500ms" min:"100ms" max:"10s" group:"platform"`
+	FleetWait    time.Duration `help:"The same for the registry of upstreams." default:"2s" min:"100ms" max:"10s" group:"platform"`
+	MembersWait  time.Duration `help:"The same for the list of gateways." default:"20s" min:"100ms" max:"30s" group:"platform"`
+	KeyFreshness time.Duration `help:"Longest time for which a key is taken as good without word of the configuration: a key that was revoked that long ago admits nothing any more." default:"5s" min:"1s" group:"promises"`
+	Freshness    time.Duration `help:"Longest time for which a route or key that is missing is taken as gone rather than as not yet known." default:"2s" min:"100ms" group:"promises"`
+	RetryRatio   float64       `help:"Repeats for each first send to a service, over all gateways and each window." default:"0.2" min:"0" max:"1" group:"retries"`
+	RetrySlack   float64       `help:"Further repeats to a service in each window, over all gateways." default:"100" min:"0" group:"retries"`
+	RetryWindow  time.Duration `help:"Length of the window that repeats are counted in." default:"10s" min:"1s" group:"retries"`
+	Grace        time.Duration `help:"How long a planned stop may take in all; the platform kills the process after it." default:"8s" min:"1s" group:"limits"`
+	Linger       time.Duration `help:"How long a planned stop goes on taking connections, until the balancer leads elsewhere." default:"3s" min:"0s" group:"limits"`
+	MemoryMB     int           `name:"memory-mb" help:"Memory that the process may use, in MB; 0 to leave it unbounded." default:"0" min:"0" group:"limits"`
+}
+
+// Validate checks what the tags cannot say.
+func (g *Gateway) Validate() error {
+	if g.KeyFreshness <= g.ConfigWait {
+		return fmt.Errorf("key_freshness is %s, it must be longer than config_wait (%s), or keys admit nothing between two reads", g.KeyFreshness, g.ConfigWait)
+	}
+	if g.Linger >= g.Grace {
+		return fmt.Errorf("linger is %s, it must be shorter than grace (%s)", g.Linger, g.Grace)
+	}
+	return checkBounds(g)
+}
+
+// Reread returns the settings as the file now says, with the others kept.
+func (g Gateway) Reread(path string) (n Gateway, err error) {
+	f, err := Read(path)
+	if err != nil {
+		return g, err
+	}
+	n = g
+	if err = f.apply(&n); err != nil {
+		return g, err
+	}
+	if err = n.Validate(); err != nil {
+		return g, fault.New(fault.BadSetting, "%s: %v", path, err)
+	}
+	return n, nil
+}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -11,27 +11,32 @@
 	"github.com/hollowgrade/hollowgrade"
 )
 
-// Common holds the settings that all roles have.
-type Common struct {
+// Process holds the settings that all roles have.
+type Process struct {
 	Box            string        `help:"Name of this box, unique in the fleet." required:"" group:"place"`
 	Hall           string        `help:"Data hall that the box stands in." required:"" group:"place"`
 	Region         string        `help:"Region that the data hall belongs to." default:"local" group:"place"`
 	Operators      string        `help:"Address on which operators' tools read metrics, status, readiness and the report." default:"127.0.0.1:0" group:"listen"`
-	PlatformLog    string        `help:"Base URL of the platform's log." required:"" group:"platform"`
-	PlatformList   string        `help:"Base URL of the platform's list of boxes; empty if the agents are named in the settings." group:"platform"`
-	PlatformStore  string        `help:"Base URL of the platform's weight store; empty if models are never loaded for events." group:"platform"`
-	Agents         []string      `help:"Peer addresses of agents, beside those on the platform's list." group:"platform"`
-	LogPoll        time.Duration `help:"Time between two reads of the platform's log." default:"1s" min:"50ms" max:"4s" group:"platform"`
-	LogRetention   time.Duration `help:"How long the platform's log keeps records; the configuration is written anew when half of it has passed. 0 if it keeps them for ever." default:"0s" min:"0s" group:"platform"`
-	TLSCert        string        `name:"tls-cert" help:"File with the certificate of this box, for peers. It is read again when it changes." group:"peers"`
-	TLSKey         string        `name:"tls-key" help:"File with the key of the certificate." group:"peers"`
-	TLSCA          string        `name:"tls-ca" help:"File with the certificates of the authorities that peers must be signed by." group:"peers"`
-	Insecure       bool          `help:"Talk to peers without TLS beyond loopback." group:"peers"`
 	MaxConnections int           `help:"Connections that are open at once on the main listener; more have to wait." default:"16384" min:"1" group:"limits"`
 	DrainTimeout   time.Duration `help:"How long a planned stop waits for open requests." default:"10m" min:"0s" group:"limits"`
 	Verbosity      string        `help:"Least level of what is logged." default:"info" enum:"debug,info,warn,error" group:"logs"`
 }
 
+// Common holds the settings of roles that work with agents.
+type Common struct {
+	Process
+	PlatformLog   string        `help:"Base URL of the platform's log." required:"" group:"platform"`
+	PlatformList  string        `help:"Base URL of the platform's list of boxes; empty if the agents are named in the settings." group:"platform"`
+	PlatformStore string        `help:"Base URL of the platform's weight store; empty if models are never loaded for events." group:"platform"`
+	Agents        []string      `help:"Peer addresses of agents, beside those on the platform's list." group:"platform"`
+	LogPoll       time.Duration `help:"Time between two reads of the platform's log." default:"1s" min:"50ms" max:"4s" group:"platform"`
+	LogRetention  time.Duration `help:"How long the platform's log keeps records; the configuration is written anew when half of it has passed. 0 if it keeps them for ever." default:"0s" min:"0s" group:"platform"`
+	TLSCert       string        `name:"tls-cert" help:"File with the certificate of this box, for peers. It is read again when it changes." group:"peers"`
+	TLSKey        string        `name:"tls-key" help:"File with the key of the certificate." group:"peers"`
+	TLSCA         string        `name:"tls-ca" help:"File with the certificates of the authorities that peers must be signed by." group:"peers"`
+	Insecure      bool          `help:"Talk to peers without TLS beyond loopback." group:"peers"`
+}
+
 // Entry holds the settings of the role entry.
 type Entry struct {
 	Common
@@ -123,8 +128,9 @@
 // Roles returns an empty settings struct for each role.
 func Roles() map[hollowgrade.Role]any {
 	return map[hollowgrade.Role]any{
-		hollowgrade.EntryRole: &Entry{},
-		hollowgrade.AgentRole: &Agent{},
+		hollowgrade.EntryRole:   &Entry{},
+		hollowgrade.AgentRole:   &Agent{},
+		hollowgrade.GatewayRole: &Gateway{},
 	}
 }
 
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -26,7 +26,7 @@
 		requireMistake(t, "role = \"entry\"\nbox = \n", "f.toml:2:")
 	})
 	t.Run("no role", func(t *testing.T) {
-		requireMistake(t, "box = \"b\"\n", "role must be entry or agent")
+		requireMistake(t, "box = \"b\"\n", "role must be entry, agent or gateway")
 	})
 	t.Run("an unknown key, with the like one", func(t *testing.T) {
 		requireMistake(t, "role = \"entry\"\nmaxRequests = 1\n", "f.toml:2: maxRequests is no setting of the role entry, max_requests is")
