--- a/core/catalog.go
+++ b/core/catalog.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/hollowgrade/hollowgrade/engine"
 )
 
 // Repeat says how often the calls of a route may run.
@@ -55,8 +57,8 @@
 type Service struct {
 	Name           string
 	HealthPath     string
-	MaxConnections int     // of all callers together, at one upstream
-	Engine         *Engine // nil for a plain service
+	MaxConnections int             // of all callers together, at one upstream
+	Engine         *engine.Figures // nil for a plain service
 }
 
 // Limits bound what callers may send. A zero value bounds nothing.
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -115,7 +115,7 @@
 		require.Equal(t, "no", s.body.String())
 	})
 	t.Run("a cut answer is replaced", func(t *testing.T) {
-		cut := func(ctx context.Context, s hollowgrade.Sending) (hollowgrade.Exchange, error) {
+		cut := func(ctx context.Context, _ hollowgrade.Sending) (hollowgrade.Exchange, error) {
 			return &fakeExchange{ctx: ctx, head: hollowgrade.Head{Status: 200, Sealed: true}, parts: []hollowgrade.Part{{Data: []byte("hel")}}, end: io.ErrUnexpectedEOF}, nil
 		}
 		s, _, x := serve(t, "/again/", cut, status(200, "hello"))
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -22,12 +21,79 @@
 	lastAvoid  = 4 * time.Second
 )
 
+// Share is the part of an upstream's load that one process has given to it.
+type Share struct {
+	Open   int           // requests that are not over
+	Stakes Stakes        // what would be lost by pauses that are too long for them
+	Given  time.Duration // reading of prompts given to it since the process started
+	Tokens int           // memory that its requests hold
+}
+
+// Plus returns the sum of two shares.
+func (s Share) Plus(o Share) Share {
+	return Share{s.Open + o.Open, s.Stakes.plus(o.Stakes, 1), s.Given + o.Given, s.Tokens + o.Tokens}
+}
+
+// Minus returns s without o.
+func (s Share) Minus(o Share) Share {
+	return Share{s.Open - o.Open, s.Stakes.plus(o.Stakes, -1), s.Given - o.Given, s.Tokens - o.Tokens}
+}
+
+// pauseClasses are the pauses by which requests are told apart: one belongs to
+// the longest that is no longer than its pause goal.
+var pauseClasses = [...]time.Duration{
+	100 * time.Millisecond,
+	200 * time.Millisecond,
+	400 * time.Millisecond,
+	800 * time.Millisecond,
+	1600 * time.Millisecond,
+}
+
+// Stakes is the worth of requests by their class of pauses, in thousandths.
+type Stakes [len(pauseClasses)]int
+
+func (s Stakes) plus(o Stakes, sign int) Stakes {
+	for i := range s {
+		s[i] += sign * o[i]
+	}
+	return s
+}
+
+// stakeUnit is the worth of one thousandth.
+const stakeUnit = 1000
+
+// stake returns the stakes of one request.
+func stake(pause time.Duration, worth float64) (s Stakes) {
+	if pause <= 0 {
+		return s
+	}
+	at := 0
+	for i, c := range pauseClasses {
+		if c <= pause {
+			at = i
+		}
+	}
+	s[at] = int(worth * stakeUnit)
+	return s
+}
+
+// lost returns the worth of the requests that bear a pause of before and none of
+// after.
+func (s Stakes) lost(before, after time.Duration) (worth float64) {
+	for i, c := range pauseClasses {
+		if before <= c && after > c {
+			worth += float64(s[i]) / stakeUnit
+		}
+	}
+	return worth
+}
+
 // member is an upstream and what this process knows of it.
 type member struct {
 	hollowgrade.Upstream
-	open     int           // calls of this process that are not over
-	reading  time.Duration // work of prompts given to it that are not read yet
-	writing  int           // calls of this process that have begun to write
+	own      Share     // given by this process
+	others   Share     // given by others, by their own word
+	busy     time.Time // until when it reads what all processes have given to it
 	load     hollowgrade.UpstreamLoad
 	loadAt   time.Time
 	failures int // in a row
@@ -35,6 +101,25 @@
 	lapsed   time.Time // when its entry went; zero while it is listed
 }
 
+// total is the load that all processes have given to the upstream, as far as
+// this one knows.
+func (m *member) total() Share {
+	return m.own.Plus(m.others)
+}
+
+// reading returns how much the upstream has still to read.
+func (m *member) reading(now time.Time) time.Duration {
+	return max(m.busy.Sub(now), 0)
+}
+
+// give adds reading to what the upstream has to do.
+func (m *member) give(now time.Time, d time.Duration) {
+	if m.busy.Before(now) {
+		m.busy = now
+	}
+	m.busy = m.busy.Add(d)
+}
+
 // Fleet is the table of upstreams. It is safe for concurrent use.
 type Fleet struct {
 	clock hollowgrade.Clock
@@ -43,11 +128,22 @@
 	mu       sync.Mutex
 	members  map[string]*member
 	services map[string][]*member
+	views    map[string]*view // what other processes have given to upstreams, by box
+	changed  map[string]bool  // upstreams whose own share changed since [Fleet.Changes]
+	notify   chan struct{}
 }
 
 // NewFleet returns an empty table.
 func NewFleet(c hollowgrade.Clock, l *log.Logger) *Fleet {
-	return &Fleet{clock: c, log: l, members: map[string]*member{}, services: map[string][]*member{}}
+	return &Fleet{
+		clock:    c,
+		log:      l,
+		members:  map[string]*member{},
+		services: map[string][]*member{},
+		views:    map[string]*view{},
+		changed:  map[string]bool{},
+		notify:   make(chan struct{}, 1),
+	}
 }
 
 // Put adds an upstream or takes over what the registry now says of it.
@@ -61,6 +157,7 @@
 	if !ok {
 		m = &member{}
 		f.members[u.ID] = m
+		f.sumOthers(m, u.ID)
 	}
 	f.log.Info("upstream listed", "upstream", u.ID, "service", u.Service, "address", u.Address, "hall", u.Hall,
 		"draining", u.Draining, "was_draining", m.Draining, "new", !ok)
@@ -111,37 +208,6 @@
 	return !m.Draining && (m.lapsed.IsZero() || now.Sub(m.lapsed) < lapseGrace)
 }
 
-// ranked returns the usable upstreams of a service, the cheapest first; those
-// that failed lately come last. The lock is held.
-func (f *Fleet) ranked(service string, cost func(*member) float64) (ms []*member) {
-	now := f.clock.Now()
-	type scored struct {
-		m       *member
-		avoided bool
-		cost    float64
-		tie     int
-	}
-	var ss []scored
-	for _, m := range f.services[service] {
-		if f.usable(m, now) {
-			ss = append(ss, scored{m, now.Before(m.avoid), cost(m), rand.Int()})
-		}
-	}
-	slices.SortFunc(ss, func(a, b scored) int {
-		if a.avoided != b.avoided {
-			if b.avoided {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.tie, b.tie))
-	})
-	for _, s := range ss {
-		ms = append(ms, s.m)
-	}
-	return ms
-}
-
 // failed notes that an upstream failed a call, so that others are preferred for
 // a while.
 func (f *Fleet) failed(m *member, id, why string) {
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -9,10 +9,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/engine"
 )
 
 func engineService() Service {
-	return Service{Name: "e", Engine: &Engine{Slots: 16, Capacity: 450_000, Step: 925 * time.Microsecond, ReadRate: 256_000, PerMillion: 91700 * time.Nanosecond, Chunk: 2048, Stride: 46}}
+	return Service{Name: "e", Engine: &engine.Figures{Slots: 16, Capacity: 450_000, Step: 925 * time.Microsecond, ReadRate: 256_000, PerMillion: 91700 * time.Nanosecond, Chunk: 2048, Stride: 46}}
 }
 
 func newFleet(service string, n int) *Fleet {
@@ -24,56 +25,56 @@
 }
 
 func TestFleet(t *testing.T) {
-	plain := Service{Name: "s"}
+	plain := demand{service: Service{Name: "s"}}
 	none := map[string]bool{}
 	t.Run("one that drains gets nothing new", func(t *testing.T) {
 		f := newFleet("s", 2)
 		f.Put(hollowgrade.Upstream{ID: "u00", Service: "s", Slots: 4, Draining: true})
 		for range 10 {
-			require.Equal(t, "u01", f.pick(plain, hollowgrade.Call{}, none).member.ID)
+			require.Equal(t, "u01", f.pick(plain, none).member.ID)
 		}
 	})
 	t.Run("one whose entry is gone gets nothing new", func(t *testing.T) {
 		f := newFleet("s", 2)
 		f.Drop("u00", false)
-		require.Equal(t, "u01", f.pick(plain, hollowgrade.Call{}, none).member.ID)
+		require.Equal(t, "u01", f.pick(plain, none).member.ID)
 		f.Drop("u01", false)
-		require.Nil(t, f.pick(plain, hollowgrade.Call{}, none))
+		require.Nil(t, f.pick(plain, none))
 	})
 	t.Run("one that lapsed while the store was away is kept for two seconds", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("s", 1)
 			f.Drop("u00", true)
-			require.NotNil(t, f.pick(plain, hollowgrade.Call{}, none))
+			require.NotNil(t, f.pick(plain, none))
 			time.Sleep(lapseGrace)
-			require.Nil(t, f.pick(plain, hollowgrade.Call{}, none))
+			require.Nil(t, f.pick(plain, none))
 			f.Put(hollowgrade.Upstream{ID: "u00", Service: "s", Slots: 4})
-			require.NotNil(t, f.pick(plain, hollowgrade.Call{}, none))
+			require.NotNil(t, f.pick(plain, none))
 		})
 	})
 	t.Run("one that failed is tried last, and again after a while", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("s", 2)
 			f.failed(f.members["u00"], "c", "reset")
-			p := f.pick(plain, hollowgrade.Call{}, none)
+			p := f.pick(plain, none)
 			require.Equal(t, "u01", p.member.ID)
-			require.Equal(t, "u00", f.pick(plain, hollowgrade.Call{}, map[string]bool{"u01": true}).member.ID)
+			require.Equal(t, "u00", f.pick(plain, map[string]bool{"u01": true}).member.ID)
 			time.Sleep(firstAvoid)
-			require.Equal(t, "u00", f.pick(plain, hollowgrade.Call{}, map[string]bool{"u01": true}).member.ID)
+			require.Equal(t, "u00", f.pick(plain, map[string]bool{"u01": true}).member.ID)
 		})
 	})
 	t.Run("a service takes the one with the fewest requests", func(t *testing.T) {
 		f := newFleet("s", 3)
 		seen := map[string]int{}
 		for range 9 {
-			seen[f.pick(plain, hollowgrade.Call{}, none).member.ID]++
+			seen[f.pick(plain, none).member.ID]++
 		}
 		require.Equal(t, map[string]int{"u00": 3, "u01": 3, "u02": 3}, seen)
 	})
 	t.Run("an upstream's own word on its load counts", func(t *testing.T) {
 		f := newFleet("s", 2)
 		f.answered(f.members["u00"], hollowgrade.Head{Status: 200, HasLoad: true, Load: hollowgrade.UpstreamLoad{Running: 4, Waiting: 2, Slots: 4}})
-		require.Equal(t, "u01", f.pick(plain, hollowgrade.Call{}, none).member.ID)
+		require.Equal(t, "u01", f.pick(plain, none).member.ID)
 	})
 }
 
@@ -81,26 +82,133 @@
 	f := newFleet("e", 20)
 	var ps []*placed
 	for i := range 30 {
-		p := f.pick(engineService(), hollowgrade.Call{PromptTokens: i * 20_000}, map[string]bool{})
-		if i%2 == 0 {
-			f.read(p)
-		}
+		p := f.pick(demand{service: engineService(), prompt: i * 20_000, out: 100, goal: time.Second, pause: time.Second}, map[string]bool{})
 		ps = append(ps, p)
 	}
-	for i, p := range ps {
-		f.over(p, i%2 == 0)
+	for _, p := range ps {
+		f.over(p, true)
 	}
 	for id, m := range f.members {
-		require.Zero(t, m.open, id)
-		require.Zero(t, m.reading, id)
-		require.Zero(t, m.writing, id)
+		require.Equal(t, Share{Given: m.own.Given}, m.own, id)
 	}
 }
 
+func long(prompt int) demand {
+	return demand{service: engineService(), prompt: prompt, goal: 3 * time.Second, pause: 800 * time.Millisecond}
+}
+
+func short() demand {
+	return demand{service: engineService(), prompt: 5_000, goal: 300 * time.Millisecond, pause: 200 * time.Millisecond}
+}
+
 func TestLongPromptsAreSplit(t *testing.T) {
 	f := newFleet("e", 20)
-	require.Empty(t, f.pick(engineService(), hollowgrade.Call{PromptTokens: splitFrom - 1}, map[string]bool{}).helpers)
-	p := f.pick(engineService(), hollowgrade.Call{PromptTokens: 210_000}, map[string]bool{})
+	require.Empty(t, f.pick(long(splitFrom-1), nil).helpers)
+	f = newFleet("e", 20)
+	p := f.pick(long(210_000), nil)
 	require.Len(t, p.helpers, maxHelpers)
 	require.NotContains(t, p.helpers, p.member)
+	require.Equal(t, p.member.own.Given, p.helpers[0].own.Given)
+}
+
+func TestShortAndLongKeepApart(t *testing.T) {
+	spaced := func(f *Fleet, n int) (used map[string]int) {
+		used = map[string]int{}
+		for range n {
+			used[f.pick(short(), nil).member.ID]++
+			time.Sleep(100 * time.Millisecond)
+		}
+		return used
+	}
+	t.Run("short ones are packed", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			require.Equal(t, map[string]int{"u00": 10, "u01": 10}, spaced(newFleet("e", 18), 20))
+		})
+	})
+	t.Run("a long one leaves engines alone on which short ones write", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet("e", 18)
+			spaced(f, 20)
+			p := f.pick(long(210_000), nil)
+			for _, m := range append(p.helpers, p.member) {
+				require.Zero(t, m.own.Stakes.lost(0, 300*time.Millisecond), m.ID)
+			}
+			require.Len(t, p.helpers, 15)
+		})
+	})
+	t.Run("what was read is not waited for", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet("e", 18)
+			a := f.pick(long(210_000), nil)
+			require.NotZero(t, a.member.reading(time.Now()))
+			time.Sleep(time.Second)
+			require.Zero(t, a.member.reading(time.Now()))
+		})
+	})
+	t.Run("a short one leaves engines alone that read a long one", func(t *testing.T) {
+		f := newFleet("e", 18)
+		f.pick(long(210_000), nil)
+		p := f.pick(short(), nil)
+		require.Less(t, p.member.own.Given, 100*time.Millisecond)
+	})
+	t.Run("parts that hold nobody up go everywhere", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet("e", 18)
+			spaced(f, 100)
+			time.Sleep(time.Second)
+			require.Len(t, f.pick(long(45_000), nil).helpers, maxHelpers)
+		})
+	})
+	t.Run("memory that is full is avoided", func(t *testing.T) {
+		f := newFleet("e", 2)
+		a := f.pick(long(300_000), nil)
+		b := f.pick(long(300_000), nil)
+		require.NotEqual(t, a.member.ID, b.member.ID)
+	})
+}
+
+func TestViewsOfOthers(t *testing.T) {
+	t.Run("count like own work", func(t *testing.T) {
+		f := newFleet("e", 2)
+		f.TakeView("b", map[string]Share{"u00": {Open: 10}}, true)
+		require.Equal(t, "u01", f.pick(short(), nil).member.ID)
+	})
+	t.Run("are replaced and end", func(t *testing.T) {
+		f := newFleet("e", 2)
+		m := f.members["u00"]
+		f.TakeView("b", map[string]Share{"u00": {Open: 3}, "u01": {Open: 1}}, true)
+		f.TakeView("c", map[string]Share{"u00": {Open: 2}}, true)
+		require.Equal(t, 5, m.total().Open)
+		f.TakeView("b", map[string]Share{"u00": {Open: 1}}, false)
+		require.Equal(t, 3, m.total().Open)
+		require.Equal(t, 1, f.members["u01"].total().Open)
+		f.TakeView("b", map[string]Share{"u00": {Open: 1}}, true)
+		require.Zero(t, f.members["u01"].total().Open)
+		f.DropView("c")
+		require.Equal(t, 1, m.total().Open)
+	})
+	t.Run("are kept for upstreams that are listed later", func(t *testing.T) {
+		f := newFleet("e", 1)
+		f.TakeView("b", map[string]Share{"u09": {Open: 3}}, true)
+		f.Put(hollowgrade.Upstream{ID: "u09", Service: "e"})
+		require.Equal(t, 3, f.members["u09"].total().Open)
+	})
+	t.Run("are forgotten when they are not repeated", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet("e", 1)
+			f.TakeView("b", map[string]Share{"u00": {Open: 3}}, true)
+			time.Sleep(viewAge + 1)
+			f.pick(short(), nil)
+			require.Equal(t, 1, f.members["u00"].total().Open)
+		})
+	})
+	t.Run("changes are told once", func(t *testing.T) {
+		f := newFleet("e", 2)
+		p := f.pick(short(), nil)
+		<-f.Changed()
+		cs := f.Changes(false)
+		require.Equal(t, map[string]Share{p.member.ID: p.member.own}, cs)
+		require.Empty(t, f.Changes(false))
+		require.Len(t, f.Changes(true), 1)
+	})
 }
--- a/core/flow.go
+++ b/core/flow.go
@@ -40,6 +40,7 @@
 	budget       *retry.Window
 	deadline     time.Time
 
+	sent      int             // attempts of which something left
 	tried     map[string]bool // upstreams, by id
 	upstreams []string        // the same, in order
 	began     bool            // whether the caller has got a head
@@ -86,7 +87,7 @@
 
 // Try implements [Work].
 func (f *flow) Try(ctx context.Context, n int) Try {
-	p := f.core.fleet.pick(f.service, f.call, f.tried)
+	p := f.core.fleet.pick(newDemand(f.service, f.route, f.call), f.tried)
 	if p == nil {
 		return Try{Err: fault.New(fault.NoUpstream, "no upstream of service %s can be tried, %d were", f.service.Name, len(f.tried)).
 			WithRetryAfter(shortRetry)}
@@ -96,10 +97,13 @@
 	f.upstreams = append(f.upstreams, m.ID)
 	now := f.core.clock.Now()
 	f.core.log.Info("sent", "request", f.call.ID, "attempt", n, "upstream", m.ID, "service", f.service.Name,
-		"helpers", len(p.helpers), "reading_ms", p.reading.Milliseconds(), "after", f.after,
+		"helpers", len(p.helpers), "reading_ms", p.reading.Milliseconds(), "predicted_ms", p.first.Milliseconds(), "after", f.after,
 		"left_ms", f.deadline.Sub(now).Milliseconds(), "version", f.catalog.Version, "age_ms", f.age.Milliseconds())
 	a := &attempt{flow: f, placed: p}
 	err := a.run(ctx)
+	if !errors.Is(err, hollowgrade.ErrNotSent) {
+		f.sent++
+	}
 	f.core.fleet.over(p, a.wrote)
 	if err == nil {
 		return Try{Placed: true}
@@ -301,7 +305,6 @@
 		return
 	}
 	a.wrote = true
-	a.flow.core.fleet.read(a.placed)
 	if a.flow.first == 0 {
 		a.flow.first = a.flow.core.clock.Since(a.flow.call.Arrived)
 	}
@@ -319,7 +322,7 @@
 		if err != nil {
 			return err
 		}
-		w.reset(a.stallBetween())
+		w.reset(a.stall())
 		a.begin()
 		if !newer(p.Event, f.after) {
 			continue
--- a/core/place.go
+++ b/core/place.go
@@ -1,117 +1,314 @@
 package core
 
 import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/engine"
 )
 
 const (
 	// splitFrom is the prompt length from which reading is shared with helpers,
 	// and maxHelpers how many the engines take. Measured on the users' bench:
-	// wide even parts from 9,000 tokens on did best of five settings
-	// (docs/design/platform.md).
+	// even parts from 9,000 tokens on did best of five settings
+	// (docs/design/placement.md).
 	splitFrom  = 9_000
 	maxHelpers = 16
-	// perOpen is what each open call of this process costs in placement, beside
-	// the reading still to do: a request that writes lengthens each step by
-	// some microseconds, and a pass has about fifty.
-	perOpen = 2 * time.Millisecond
+	// packShare is the part of an engine's slots up to which requests that bear
+	// short pauses are packed on the same engines, so that long prompts find
+	// others on which they hold nobody up.
+	packShare = 0.625
+	// orderCost is by how much the last engine of the common order costs more
+	// than the first: more than what a few writers more make of a prediction, and
+	// less than a pause that is too long.
+	orderCost = 0.15
 	// loadAge is how long an upstream's own word on its load is believed.
 	loadAge = time.Second
+	// memoryShare is the part of an engine's memory that placement fills;
+	// beyond, the engine would preempt.
+	memoryShare = 0.95
+	// lateShare is the part of a request's worth that is lost when it is late.
+	lateShare = 0.75
+	// worthTokens is how many prompt tokens add as much to a request's worth as
+	// the request itself: operators value a long answer by its length.
+	worthTokens = 10_000
 )
 
+// passOverhead is by how much longer reading takes beside requests that write:
+// a pass reads what waits and plays its steps as well.
+const passOverhead = 1.15
+
 // placed is an upstream that was picked, with what its pick is accounted for.
 type placed struct {
 	member  *member
 	helpers []*member
-	reading time.Duration // at each of them
+	share   Share         // at the member
+	reading time.Duration // at it and each helper
+	first   time.Duration // predicted time until the first event
+}
+
+// demand is what placement looks at of a call.
+type demand struct {
+	service Service
+	prompt  int
+	out     int
+	goal    time.Duration
+	pause   time.Duration
+}
+
+func newDemand(s Service, r Route, c hollowgrade.Call) demand {
+	return demand{service: s, prompt: c.PromptTokens, out: c.MaxTokens, goal: r.Goal, pause: r.PauseGoal}
+}
+
+// worth estimates the worth of a request beside that of others.
+func (d demand) worth() float64 {
+	return 1 + float64(d.prompt)/worthTokens
 }
 
 // pick chooses the upstream for a call, and the helpers that read parts of its
 // prompt, and accounts for the work. It returns nil if there is none.
-func (f *Fleet) pick(s Service, c hollowgrade.Call, tried map[string]bool) *placed {
+func (f *Fleet) pick(d demand, tried map[string]bool) *placed {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	cost := plainCost(now)
-	if s.Engine != nil {
-		cost = engineCost
-	}
-	ms := f.ranked(s.Name, cost)
+	f.expireViews(now)
+	ms := f.candidates(d.service.Name, now)
 	p := &placed{}
-	for _, m := range ms {
-		if !tried[m.ID] {
-			p.member = m
-			break
+	switch {
+	case d.service.Engine == nil:
+		p = pickPlain(ms, tried, now)
+	case d.prompt >= splitFrom:
+		p = pickLong(ms, d, tried, now)
+	default:
+		p = pickShort(ms, d, tried, now)
+	}
+	if p == nil {
+		return nil
+	}
+	p.share = Share{Open: 1, Tokens: d.prompt + d.out, Stakes: stake(d.pause, d.worth())}
+	f.add(p.member, p.share)
+	f.give(p, now, 1)
+	return p
+}
+
+// candidates returns the usable upstreams of a service in an order that all
+// processes share. The lock is held.
+func (f *Fleet) candidates(service string, now time.Time) (ms []*member) {
+	for _, m := range f.services[service] {
+		if f.usable(m, now) {
+			ms = append(ms, m)
 		}
 	}
-	if p.member == nil {
+	return ms
+}
+
+// avoidCost keeps an upstream that failed lately behind all others, yet usable
+// when there is no other.
+const avoidCost = 1e9
+
+// cheapest returns the member that was not tried and costs least, or nil.
+func cheapest(ms []*member, tried map[string]bool, now time.Time, cost func(i int, m *member) float64) (best *member) {
+	least := 0.0
+	for i, m := range ms {
+		if tried[m.ID] {
+			continue
+		}
+		c := cost(i, m)
+		if now.Before(m.avoid) {
+			c += avoidCost
+		}
+		if best == nil || c < least {
+			best, least = m, c
+		}
+	}
+	return best
+}
+
+// pickPlain takes the upstream with the fewest requests for its slots, by its
+// own word and by what processes have given to it.
+func pickPlain(ms []*member, tried map[string]bool, now time.Time) *placed {
+	m := cheapest(ms, tried, now, func(_ int, m *member) float64 {
+		n := float64(m.total().Open)
+		if now.Sub(m.loadAt) < loadAge {
+			n = max(n, float64(m.load.Running+m.load.Waiting))
+		}
+		return n/float64(max(m.Slots, 1)) + rand.Float64()*tieShare
+	})
+	if m == nil {
+		return nil
+	}
+	return &placed{member: m}
+}
+
+// tieShare is a random part of costs that breaks ties without deciding between
+// costs that differ.
+const tieShare = 1e-3
+
+// state returns what an engine has to do, with one more request.
+func (m *member) state(d demand, now time.Time) engine.State {
+	t := m.total()
+	return engine.State{Writers: t.Open + 1, Context: t.Tokens + d.prompt, Reading: m.reading(now)}
+}
+
+// pickShort places a request whose prompt is read by one engine. Requests that
+// bear short pauses only are packed on the first engines of the common order
+// that have room, away from those that read long prompts.
+func pickShort(ms []*member, d demand, tried map[string]bool, now time.Time) *placed {
+	e := d.service.Engine
+	reading := e.Reading(d.prompt, 1)
+	pack := max(int(packShare*float64(e.Slots)), 1)
+	m := cheapest(ms, tried, now, func(i int, m *member) float64 {
+		s := m.state(d, now)
+		c := lateness(e.First(s, reading), d.goal)
+		if d.pause > 0 && e.Pause(s, reading) > d.pause {
+			c++ // it would begin within a pass that is too long for it
+		}
+		c += crowding(m.total().Open, pack, e.Slots)
+		c += memoryCost(m, d, e)
+		return c + orderCost*float64(i)/float64(len(ms))
+	})
+	if m == nil {
 		return nil
 	}
-	if s.Engine != nil {
-		p.helpers = helpers(ms, p.member, c, now)
-		p.reading = s.Engine.Reading(c.PromptTokens, 1+len(p.helpers))
+	return &placed{member: m, reading: reading, first: e.First(m.state(d, now), reading)}
+}
+
+// Predictions are off by a third now and then: an answer that is predicted well
+// within its goal will be in time, one that is predicted somewhat beyond it
+// will not.
+const (
+	surelyInTime = 0.5
+	surelyLate   = 1.1
+	perGoalMore  = 0.1 // cost of each further goal that it is late by
+)
+
+// lateness estimates the chance that a request is late, and rises slowly beyond
+// that, so that a late answer is still not put off further.
+func lateness(first, goal time.Duration) float64 {
+	if goal <= 0 {
+		return 0
+	}
+	r := float64(first) / float64(goal)
+	chance := min(max((r-surelyInTime)/(surelyLate-surelyInTime), 0), 1)
+	return chance + perGoalMore*r
+}
+
+// crowding is the cost of an engine's requests beyond those that are packed on
+// it. It is over 1 once the slots are full: then a request would wait for one.
+func crowding(open, pack, slots int) float64 {
+	switch {
+	case open < pack:
+		return 0
+	case open < slots:
+		return float64(open-pack+1) / float64(slots-pack+1)
+	default:
+		return float64(2 + open - slots)
+	}
+}
+
+// memoryCost is high where the request does not fit into an engine's memory.
+func memoryCost(m *member, d demand, e *engine.Figures) float64 {
+	if float64(m.total().Tokens+d.prompt+d.out) > memoryShare*float64(e.Capacity) {
+		return 3
 	}
-	p.member.open++
-	f.addReading(p, p.reading)
-	return p
+	return 0
 }
 
-// helpers returns the upstreams that share the reading of a long prompt.
-func helpers(ms []*member, first *member, c hollowgrade.Call, now time.Time) (hs []*member) {
-	if c.PromptTokens < splitFrom {
+// pickLong places a request whose prompt several engines read in even parts. It
+// weighs how soon the first event would come against how many requests would
+// see a pause that is too long for them.
+func pickLong(ms []*member, d demand, tried map[string]bool, now time.Time) *placed {
+	e := d.service.Engine
+	ms = slices.DeleteFunc(slices.Clone(ms), func(m *member) bool { return tried[m.ID] || now.Before(m.avoid) })
+	if len(ms) == 0 {
 		return nil
 	}
+	ms, reading := cheapestSet(ms, d, now)
+	p := &placed{reading: reading}
+	p.member = cheapest(ms, nil, now, func(_ int, m *member) float64 {
+		return memoryCost(m, d, e) + crowding(m.total().Open, 0, e.Slots) + float64(m.total().Tokens)/float64(e.Capacity)
+	})
 	for _, m := range ms {
-		if m != first && !now.Before(m.avoid) && len(hs) < maxHelpers {
-			hs = append(hs, m)
+		p.first = max(p.first, e.First(m.state(d, now), p.reading))
+		if m != p.member {
+			p.helpers = append(p.helpers, m)
 		}
 	}
-	return hs
+	return p
 }
 
-func (f *Fleet) addReading(p *placed, d time.Duration) {
-	p.member.reading += d
-	for _, h := range p.helpers {
-		h.reading += d
+// cheapestSet returns the engines that read a prompt in even parts at the least
+// cost, and how long a part takes. For each number of parts, and each bound on
+// what an engine has yet to read, it looks at those within the bound on which
+// the least is lost by longer pauses.
+func cheapestSet(ms []*member, d demand, now time.Time) (best []*member, part time.Duration) {
+	e := d.service.Engine
+	ms = slices.Clone(ms)
+	slices.SortStableFunc(ms, func(a, b *member) int { return cmp.Compare(a.reading(now), b.reading(now)) })
+	least := 0.0
+	for n := 1; n <= min(len(ms), 1+maxHelpers); n++ {
+		t := e.Reading(d.prompt, n)
+		harms := make([]harm, len(ms))
+		for i, m := range ms {
+			harms[i] = harm{m, m.harm(d, t, now)}
+		}
+		for within := n; within <= len(ms); within++ {
+			set, lost := leastHarm(harms[:within], n)
+			first := e.First(ms[within-1].state(d, now), t)
+			c := lost*lateShare + d.worth()*lateShare*lateness(first, d.goal)
+			if best == nil || c < least {
+				best, part, least = set, t, c
+			}
+		}
 	}
+	return best, part
 }
 
-// read notes that the prompt has been read and the answer begun.
-func (f *Fleet) read(p *placed) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.addReading(p, -p.reading)
-	p.reading = 0
-	p.member.writing++
+// harm is what is lost when a part of a prompt is read at an engine.
+type harm struct {
+	member *member
+	lost   float64
 }
 
-// over ends the account of a call.
-func (f *Fleet) over(p *placed, wrote bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.addReading(p, -p.reading)
-	p.reading = 0
-	p.member.open--
-	if wrote {
-		p.member.writing--
+// harm returns the worth of the requests at the engine that would see a pause
+// too long for them only because of the part.
+func (m *member) harm(d demand, part time.Duration, now time.Time) float64 {
+	s := m.state(d, now)
+	e := d.service.Engine
+	return m.total().Stakes.lost(e.Pause(s, 0), e.Pause(s, part))
+}
+
+// leastHarm returns the n engines at which the least is lost, and how much.
+func leastHarm(hs []harm, n int) (set []*member, lost float64) {
+	hs = slices.Clone(hs)
+	slices.SortStableFunc(hs, func(a, b harm) int { return cmp.Compare(a.lost, b.lost) })
+	for _, h := range hs[:n] {
+		set = append(set, h.member)
+		lost += h.lost
 	}
+	return set, lost
 }
 
-// engineCost is the time for which a new request would wait at an engine.
-func engineCost(m *member) float64 {
-	return float64(m.reading + time.Duration(m.open)*perOpen)
+// give accounts for the reading of a pick, or takes it back when the share is
+// negative. The lock is held.
+func (f *Fleet) give(p *placed, now time.Time, share float64) {
+	d := time.Duration(share * passOverhead * float64(p.reading))
+	for _, m := range append(p.helpers, p.member) {
+		m.give(now, d)
+		f.add(m, Share{Given: d})
+	}
 }
 
-// plainCost is the number of requests that a plain service has, by its own word
-// and by this process's count.
-func plainCost(now time.Time) func(*member) float64 {
-	return func(m *member) float64 {
-		n := float64(m.open)
-		if now.Sub(m.loadAt) < loadAge {
-			n = max(n, float64(m.load.Running+m.load.Waiting))
-		}
-		return n / float64(max(m.Slots, 1))
+// over ends the account of a call. What was not read, since the call ended
+// before its answer began, is taken back.
+func (f *Fleet) over(p *placed, began bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !began {
+		f.give(p, f.clock.Now(), -1)
 	}
+	f.add(p.member, Share{}.Minus(p.share))
 }
--- /dev/null
+++ b/core/share.go
@@ -0,0 +1,126 @@
+package core
+
+import "time"
+
+// viewAge is for how long the word of another process holds without being
+// repeated. What it gave to upstreams ends with it, if it died.
+const viewAge = 1500 * time.Millisecond
+
+// view is what one other process has given to upstreams, by its own word.
+type view struct {
+	shares map[string]Share
+	heard  time.Time
+}
+
+// Changed returns a channel that gets a value when this process's own shares
+// have changed.
+func (f *Fleet) Changed() <-chan struct{} {
+	return f.notify
+}
+
+// Changes returns the own shares that changed since the last call, or all that
+// are not zero.
+func (f *Fleet) Changes(all bool) map[string]Share {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cs := map[string]Share{}
+	for id := range f.changed {
+		if m := f.members[id]; m != nil {
+			cs[id] = m.own
+		}
+	}
+	clear(f.changed)
+	if !all {
+		return cs
+	}
+	for id, m := range f.members {
+		if m.own != (Share{}) {
+			cs[id] = m.own
+		}
+	}
+	return cs
+}
+
+// add changes the own share of an upstream. The lock is held.
+func (f *Fleet) add(m *member, s Share) {
+	m.own = m.own.Plus(s)
+	f.changed[m.ID] = true
+	select {
+	case f.notify <- struct{}{}:
+	default:
+	}
+}
+
+// TakeView takes another process's word on what it has given to upstreams. A
+// whole one replaces all that it said before.
+func (f *Fleet) TakeView(box string, shares map[string]Share, whole bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.views[box]
+	if v == nil {
+		v = &view{shares: map[string]Share{}}
+		f.views[box] = v
+	}
+	v.heard = f.clock.Now()
+	if whole {
+		for id := range v.shares {
+			if _, ok := shares[id]; !ok {
+				f.setView(v, id, Share{})
+			}
+		}
+	}
+	for id, s := range shares {
+		f.setView(v, id, s)
+	}
+}
+
+// setView replaces one share of a view. The lock is held.
+func (f *Fleet) setView(v *view, id string, s Share) {
+	old, known := v.shares[id]
+	if m := f.members[id]; m != nil {
+		m.others = m.others.Plus(s).Minus(old)
+		if more := s.Given - old.Given; known && more != 0 {
+			m.give(f.clock.Now(), more)
+		}
+	}
+	v.shares[id] = s
+	if s == (Share{}) {
+		delete(v.shares, id)
+	}
+}
+
+// sumOthers sets what others have given to an upstream that is new here. The
+// lock is held.
+func (f *Fleet) sumOthers(m *member, id string) {
+	for _, v := range f.views {
+		m.others = m.others.Plus(v.shares[id])
+	}
+}
+
+// DropView forgets the word of a process that is gone.
+func (f *Fleet) DropView(box string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dropView(box)
+}
+
+func (f *Fleet) dropView(box string) {
+	v := f.views[box]
+	if v == nil {
+		return
+	}
+	for id := range v.shares {
+		f.setView(v, id, Share{})
+	}
+	delete(f.views, box)
+}
+
+// expireViews forgets the words that were not repeated. The lock is held.
+func (f *Fleet) expireViews(now time.Time) {
+	for box, v := range f.views {
+		if now.Sub(v.heard) > viewAge {
+			f.log.Info("load of a peer forgotten", "peer", box, "age_ms", now.Sub(v.heard).Milliseconds())
+			f.dropView(box)
+		}
+	}
+}
--- a/core/watchdog.go
+++ b/core/watchdog.go
@@ -6,31 +6,31 @@
 	"github.com/hollowgrade/hollowgrade"
 )
 
+// A caller gives a stream up after a gap of the longest of two seconds, four
+// goals and eight pauses (the platform's pages). An upstream that has been
+// silent for a part of that is taken as dead or cut off, and the call is sent
+// elsewhere while the caller still waits.
 const (
-	// A call that may be repeated is sent elsewhere when its upstream has been
-	// silent for several times its goal: then the upstream is dead or cut off
-	// rather than busy. A caller gives a stream up after the longest of two
-	// seconds, four goals and eight pauses, so it has to be sooner than that.
-	stallGoals  = 3
-	stallPauses = 4
-	minStall    = 800 * time.Millisecond
+	giveUp        = 2 * time.Second
+	giveUpGoals   = 4
+	giveUpPauses  = 8
+	stallShare    = 0.55
+	plainStall    = 900 * time.Millisecond // for calls that may run again: 15 times the usual work of a plain service
+	plainGoalMore = 3
 )
 
-// stall returns how long the upstream may be silent before the answer begins,
-// 0 for ever. An answer that may not be repeated is waited for to the end.
+// stall returns how long the upstream may be silent, 0 for ever: an answer that
+// cannot be had elsewhere is waited for to the end.
 func (a *attempt) stall() time.Duration {
-	if !a.flow.Repeatable() {
+	f := a.flow
+	if !f.Repeatable() || f.sent+1 >= f.route.MaxAttempts || !f.budget.Allows(f.core.clock.Now()) {
 		return 0
 	}
-	return max(stallGoals*a.flow.route.Goal, minStall)
-}
-
-// stallBetween is the same between two events.
-func (a *attempt) stallBetween() time.Duration {
-	if a.flow.route.Repeat != Resume {
-		return 0
+	if f.route.Repeat != Resume {
+		return max(plainStall, plainGoalMore*f.route.Goal)
 	}
-	return max(stallPauses*a.flow.route.PauseGoal, minStall)
+	gap := max(giveUp, giveUpGoals*f.route.Goal, giveUpPauses*f.route.PauseGoal)
+	return time.Duration(stallShare * float64(gap))
 }
 
 // watchdog calls a function when nothing has happened for a while.
--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,64 @@
+// Package engine is a model of a model engine that batches continuously. From
+// the engine's published figures it works out how long a prompt takes to read,
+// how long a pass takes while requests write, and when a new request would get
+// its first tokens. It is pure: no clock, no I/O.
+package engine
+
+import "time"
+
+// Figures are the published figures of an engine.
+type Figures struct {
+	Slots          int
+	Capacity       int           // tokens that its memory holds
+	Step           time.Duration // of one token step with nobody writing
+	StepPerWriter  time.Duration // more for each request that writes
+	StepPerContext time.Duration // more for each 1,000 tokens of context of those that write
+	ReadRate       float64       // prompt tokens a second
+	PerMillion     time.Duration // for a million pairs of a prompt token and one before it
+	Chunk          int           // prompt tokens read in one step at the most
+	Stride         int           // steps of one pass while requests write
+	UsualPrompt    int           // mean tokens of a prompt
+}
+
+const (
+	pairsPerMillion  = 1e6  // the unit of [Figures.PerMillion]
+	contextPerFigure = 1000 // the unit of [Figures.StepPerContext]
+)
+
+// Reading returns how long engines take to read a prompt of n tokens, split
+// evenly over a number of them: the tokens themselves, and the pairs of each
+// with those before it.
+func (f *Figures) Reading(n, engines int) time.Duration {
+	t := float64(n)
+	tokens := t / f.ReadRate * float64(time.Second)
+	pairs := t * t / 2 / pairsPerMillion * float64(f.PerMillion)
+	return time.Duration((tokens + pairs) / float64(max(engines, 1)))
+}
+
+// State is what an engine has to do.
+type State struct {
+	Writers int           // requests that write, or will once they are read
+	Context int           // tokens of context of those
+	Reading time.Duration // of prompts, still to be done
+}
+
+// Pass returns how long one pass takes without any reading: while requests
+// write, events come that far apart.
+func (f *Figures) Pass(s State) time.Duration {
+	step := f.Step + time.Duration(s.Writers)*f.StepPerWriter +
+		time.Duration(float64(s.Context)/contextPerFigure*float64(f.StepPerContext))
+	return time.Duration(max(f.Stride, 1)) * step
+}
+
+// First returns when the first event of a request would come that adds reading
+// to the engine: what is being read, its own, half a pass until it is let in,
+// and the pass that writes it.
+func (f *Figures) First(s State, reading time.Duration) time.Duration {
+	return s.Reading + reading + f.Pass(s)*3/2
+}
+
+// Pause returns the longest pause that a request that writes there sees when
+// reading is added: a pass reads all that waits.
+func (f *Figures) Pause(s State, reading time.Duration) time.Duration {
+	return f.Pass(s) + s.Reading + reading
+}
--- /dev/null
+++ b/engine/engine_test.go
@@ -0,0 +1,34 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var some = Figures{
+	Slots: 16, Capacity: 450_000, Step: 925 * time.Microsecond, StepPerWriter: 5 * time.Microsecond,
+	StepPerContext: 2540 * time.Nanosecond, ReadRate: 256_000, PerMillion: 91_700 * time.Nanosecond, Chunk: 2048, Stride: 46,
+}
+
+func requireMillis(t *testing.T, want float64, d time.Duration) {
+	t.Helper()
+	require.InDelta(t, want, float64(d)/float64(time.Millisecond), 0.1)
+}
+
+func TestReading(t *testing.T) {
+	requireMillis(t, 0, some.Reading(0, 1))
+	requireMillis(t, 20.7, some.Reading(5_000, 1)) // 19.5 + 1.1
+	requireMillis(t, 268.6, some.Reading(45_000, 1))
+	requireMillis(t, 2842.3, some.Reading(210_000, 1))
+	requireMillis(t, 167.2, some.Reading(210_000, 17))
+}
+
+func TestPass(t *testing.T) {
+	requireMillis(t, 42.55, some.Pass(State{}))
+	// 10 writers of 6,500 tokens: 46 x (0.925 + 0.05 + 0.1651).
+	requireMillis(t, 52.4, some.Pass(State{Writers: 10, Context: 65_000}))
+	requireMillis(t, 42.55+100, some.Pause(State{Reading: 60 * time.Millisecond}, 40*time.Millisecond))
+	requireMillis(t, 60+40+63.8, some.First(State{Reading: 60 * time.Millisecond}, 40*time.Millisecond))
+}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
 	"github.com/hollowgrade/hollowgrade/peer"
 )
 
@@ -191,7 +192,7 @@
 		})
 	})
 	t.Run("what was dropped in forgotten history is found", func(t *testing.T) {
-		bubble(t, func(t *testing.T, k *fakeTopic, f *Feed, v *view) {
+		bubble(t, func(t *testing.T, k *fakeTopic, _ *Feed, v *view) {
 			put(t, k, "a", "1")
 			put(t, k, "b", "1")
 			k.set(func() { k.down = true })
@@ -247,7 +248,10 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := peer.NewServer(Handler(fs), func(net.Addr, error) {})
+	h := func(_ context.Context, s *peer.Stream, first *wire.Frame) error {
+		return Serve(s, first.GetFeedRequest(), fs)
+	}
+	s := peer.NewServer(h, func(net.Addr, error) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	var g sync.WaitGroup
 	g.Go(func() { _ = s.Serve(ctx, l) })
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"time"
@@ -190,15 +189,3 @@
 	}
 	return &wire.Frame{Body: &wire.Frame_FeedReply{FeedReply: m}}
 }
-
-// Handler returns a handler for peers that answers requests for feeds and
-// nothing else.
-func Handler(fs []*Feed) peer.Handler {
-	return func(_ context.Context, s *peer.Stream, first *wire.Frame) error {
-		q := first.GetFeedRequest()
-		if q == nil {
-			return fmt.Errorf("%w: feeds are served here and nothing else", peer.ErrBroken)
-		}
-		return Serve(s, q, fs)
-	}
-}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -18,7 +19,9 @@
 	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/feed"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
 	"github.com/hollowgrade/hollowgrade/kernel"
+	"github.com/hollowgrade/hollowgrade/loadview"
 	"github.com/hollowgrade/hollowgrade/measure"
 	"github.com/hollowgrade/hollowgrade/peer"
 	"github.com/hollowgrade/hollowgrade/platform"
@@ -94,7 +97,8 @@
 	others.Watch(n.members.take)
 	shared := []*feed.Feed{n.config, fleet}
 	relay := feed.NewRelay(n.members.addresses, shared, feed.WithRelayLogger(g))
-	b.Register(FeedsService, newRunner(n.config.Run, fleet.Run, others.Run, relay.Run))
+	sharer := loadview.New(c.Box, n.Core.Fleet(), n.members.addresses, loadview.WithLogger(g))
+	b.Register(FeedsService, newRunner(n.config.Run, fleet.Run, others.Run, relay.Run, sharer.Run))
 	if err = n.listen(c, shared, g); err != nil {
 		return nil, err
 	}
@@ -108,7 +112,7 @@
 		if err != nil {
 			return err
 		}
-		n.Register(PeersService, newPeers(l, feed.Handler(shared), g))
+		n.Register(PeersService, newPeers(l, n.answerPeers(shared), g))
 	}
 	n.Register(MembersService, n.members)
 	l, err := listen(c.Callers)
@@ -133,6 +137,20 @@
 	return nil
 }
 
+// answerPeers returns the handler for other gateways.
+func (n *GatewayNode) answerPeers(shared []*feed.Feed) peer.Handler {
+	return func(_ context.Context, s *peer.Stream, first *wire.Frame) error {
+		switch b := first.Body.(type) {
+		case *wire.Frame_FeedRequest:
+			return feed.Serve(s, b.FeedRequest, shared)
+		case *wire.Frame_LoadView:
+			return loadview.Take(s, b.LoadView, n.Core.Fleet())
+		default:
+			return fmt.Errorf("%w: gateways ask for feeds or tell their load", peer.ErrBroken)
+		}
+	}
+}
+
 // boundMemory tells the runtime how much memory the box has.
 func boundMemory(mb int) {
 	if mb > 0 {
--- /dev/null
+++ b/loadview/loadview.go
@@ -0,0 +1,258 @@
+// Package loadview tells other gateways what this one has given to upstreams,
+// and takes their word on the same. Each upstream is used by many gateways at
+// once; what it says of itself lags, and does not tell what it has yet to read.
+package loadview
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/core"
+	"github.com/hollowgrade/hollowgrade/internal/errs"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/peer"
+)
+
+const (
+	// pause is the least time between two messages to a peer. It bounds what a
+	// busy gateway sends; a view is that much out of date.
+	pause = 25 * time.Millisecond
+	// repeatEvery is how often a gateway says all anew, so that what it said
+	// does not expire, and a message that came to nothing is made good.
+	repeatEvery = 500 * time.Millisecond
+	// dialTimeout and dialEvery bound the tries to reach a peer.
+	dialTimeout = 500 * time.Millisecond
+	dialEvery   = time.Second
+)
+
+// Sharer tells peers of a fleet's own shares.
+type Sharer struct {
+	box   string
+	fleet *core.Fleet
+	peers func() []string
+	dial  peer.Dialer
+	clock hollowgrade.Clock
+	log   *log.Logger
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// link is the way to one peer.
+type link struct {
+	pending map[string]core.Share
+	whole   bool // whether pending is all there is to say
+	wake    chan struct{}
+	cancel  context.CancelFunc
+}
+
+// Option changes a sharer as it is made.
+type Option func(*Sharer)
+
+// WithClock sets the clock.
+func WithClock(c hollowgrade.Clock) Option {
+	return func(s *Sharer) { s.clock = c }
+}
+
+// WithLogger sets the logger.
+func WithLogger(l *log.Logger) Option {
+	return func(s *Sharer) { s.log = l }
+}
+
+// WithDialer sets how peers are reached.
+func WithDialer(d peer.Dialer) Option {
+	return func(s *Sharer) { s.dial = d }
+}
+
+// New returns a sharer for the gateway box. Peers returns the addresses of the
+// other gateways; it is asked anew each second.
+func New(box string, f *core.Fleet, peers func() []string, os ...Option) *Sharer {
+	s := &Sharer{
+		box:   box,
+		fleet: f,
+		peers: peers,
+		dial:  peer.TCP(),
+		clock: hollowgrade.SystemClock(),
+		log:   log.Default(),
+		links: map[string]*link{},
+	}
+	for _, o := range os {
+		o(s)
+	}
+	return s
+}
+
+// Run tells peers until ctx ends.
+func (s *Sharer) Run(ctx context.Context) {
+	var g sync.WaitGroup
+	defer g.Wait()
+	t := s.clock.NewTicker(repeatEvery)
+	defer t.Stop()
+	s.sync(ctx, &g)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-t.Chan():
+			s.sync(ctx, &g)
+			s.spread(s.fleet.Changes(true), true)
+		case <-s.fleet.Changed():
+			s.spread(s.fleet.Changes(false), false)
+			hollowgrade.Sleep(ctx, s.clock, pause)
+		}
+	}
+}
+
+// sync keeps a link for each peer there is.
+func (s *Sharer) sync(ctx context.Context, g *sync.WaitGroup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	there := map[string]bool{}
+	for _, a := range s.peers() {
+		there[a] = true
+		if s.links[a] != nil {
+			continue
+		}
+		c, cancel := context.WithCancel(ctx)
+		l := &link{wake: make(chan struct{}, 1), cancel: cancel, pending: map[string]core.Share{}, whole: true}
+		s.links[a] = l
+		g.Go(func() { s.keep(c, a, l) })
+	}
+	for a, l := range s.links {
+		if !there[a] {
+			l.cancel()
+			delete(s.links, a)
+		}
+	}
+}
+
+// spread gives each link what there is to say.
+func (s *Sharer) spread(cs map[string]core.Share, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.links {
+		if whole {
+			clear(l.pending)
+			l.whole = true
+		}
+		for id, c := range cs {
+			l.pending[id] = c
+		}
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// take returns what a link has to say, as a frame.
+func (s *Sharer) take(l *link) *wire.Frame {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := &wire.LoadView{Box: s.box, Whole: l.whole}
+	for id, c := range l.pending {
+		m.Shares = append(m.Shares, &wire.LoadShare{
+			Upstream:    id,
+			Open:        int32(c.Open),
+			Stakes:      encodeStakes(c.Stakes),
+			GivenMicros: c.Given.Microseconds(),
+			Tokens:      int64(c.Tokens),
+		})
+	}
+	clear(l.pending)
+	l.whole = false
+	return &wire.Frame{Body: &wire.Frame_LoadView{LoadView: m}}
+}
+
+// keep holds a connection to a peer and opens it again when it breaks.
+func (s *Sharer) keep(ctx context.Context, address string, l *link) {
+	for ctx.Err() == nil {
+		if err := s.tell(ctx, address, l); err != nil && ctx.Err() == nil {
+			s.log.Debug("peer does not hear of our load", "peer", address, "err", err)
+		}
+		hollowgrade.Sleep(ctx, s.clock, dialEvery)
+	}
+}
+
+func (s *Sharer) tell(ctx context.Context, address string, l *link) (err error) {
+	defer errs.Annotate(&err, "tell peer %s of the load", address)
+	d, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := peer.Dial(d, s.dial, address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	t, err := c.Open(s.take(l))
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.Closed():
+			return fmt.Errorf("connection closed")
+		case <-l.wake:
+		}
+		if err = t.Send(s.take(l)); err != nil {
+			return err
+		}
+	}
+}
+
+// Take takes a peer's word until its stream ends, and forgets it then. It is a
+// part of a [peer.Handler].
+func Take(s *peer.Stream, first *wire.LoadView, f *core.Fleet) error {
+	defer f.DropView(first.Box)
+	for m := first; ; {
+		f.TakeView(first.Box, shares(m), m.Whole)
+		n, err := s.Receive()
+		if err != nil {
+			return err
+		}
+		if m = n.GetLoadView(); m == nil {
+			return fmt.Errorf("%w: a load was due", peer.ErrBroken)
+		}
+	}
+}
+
+func shares(m *wire.LoadView) map[string]core.Share {
+	ss := make(map[string]core.Share, len(m.Shares))
+	for _, c := range m.Shares {
+		ss[c.Upstream] = core.Share{
+			Open:   int(c.Open),
+			Stakes: decodeStakes(c.Stakes),
+			Given:  time.Duration(c.GivenMicros) * time.Microsecond,
+			Tokens: int(c.Tokens),
+		}
+	}
+	return ss
+}
+
+// encodeStakes leaves out the classes at the end in which nothing is at stake.
+func encodeStakes(s core.Stakes) (ns []int32) {
+	for i, n := range s {
+		if n == 0 {
+			continue
+		}
+		for len(ns) < i {
+			ns = append(ns, 0)
+		}
+		ns = append(ns, int32(n))
+	}
+	return ns
+}
+
+func decodeStakes(ns []int32) (s core.Stakes) {
+	for i, n := range ns[:min(len(ns), len(s))] {
+		s[i] = int(n)
+	}
+	return s
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -57,17 +57,30 @@
 	w.slack = n
 }
 
-// Spend takes one repeat, and reports whether there was one.
-func (w *Window) Spend(now time.Time) bool {
+// Allows reports whether there is a repeat to spend.
+func (w *Window) Allows(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	i := w.slide(now)
+	w.slide(now)
+	return w.allows()
+}
+
+// allows does the sum. The lock is held.
+func (w *Window) allows() bool {
 	f, a := 0, 0
 	for j := range windowParts {
 		f += w.firsts[j]
 		a += w.again[j]
 	}
-	if float64(a+1) > w.ratio*float64(f)+w.slack {
+	return float64(a+1) <= w.ratio*float64(f)+w.slack
+}
+
+// Spend takes one repeat, and reports whether there was one.
+func (w *Window) Spend(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	i := w.slide(now)
+	if !w.allows() {
 		return false
 	}
 	w.again[i]++
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -9,7 +9,7 @@
 
 func TestWindow(t *testing.T) {
 	start := time.Now()
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	t.Run("ratio and slack", func(t *testing.T) {
 		w := NewWindow(10*time.Second, 0.2, 2, start)
 		for range 10 {
