--- a/core/flow.go
+++ b/core/flow.go
@@ -21,6 +21,10 @@
 // long it may take.
 const defaultAllowed = 30 * time.Second
 
+// memoryTries bounds the attempts for which memory is not free: each costs an
+// order at every engine that it asks.
+const memoryTries = 2
+
 var (
 	errOutOfTime = errors.New("the allowed time has passed")
 	errStalled   = errors.New("the upstream went silent")
@@ -41,6 +45,7 @@
 	deadline     time.Time
 
 	sent      int             // attempts of which something left
+	noMemory  int             // attempts for which memory was not free
 	tried     map[string]bool // upstreams, by id
 	upstreams []string        // the same, in order
 	began     bool            // whether the caller has got a head
@@ -87,7 +92,12 @@
 
 // Try implements [Work].
 func (f *flow) Try(ctx context.Context, n int) Try {
-	p := f.core.fleet.pick(newDemand(f.service, f.route, f.call), f.tried)
+	d := newDemand(f.service, f.route, f.call, f.deadline.Sub(f.core.clock.Now()))
+	d.begun = f.began
+	p := f.core.fleet.pick(d, f.tried)
+	if p != nil && p.refused {
+		return Try{Err: f.refuse(p)}
+	}
 	if p == nil {
 		return Try{Err: fault.New(fault.NoUpstream, "no upstream of service %s can be tried, %d were", f.service.Name, len(f.tried)).
 			WithRetryAfter(shortRetry)}
@@ -103,7 +113,8 @@
 	defer t.end()
 	if err != nil {
 		f.core.fleet.over(p, false)
-		return Try{Err: err, Placed: true, Free: true}
+		f.noMemory++
+		return Try{Err: err, Placed: f.noMemory < memoryTries, Free: true}
 	}
 	a := &attempt{flow: f, placed: p, helpers: t.helpersOf(p)}
 	err = a.run(ctx)
@@ -117,6 +128,19 @@
 	return f.judge(a, err)
 }
 
+// refuse says that a long prompt is not worth what it would take from others
+// now.
+func (f *flow) refuse(p *placed) error {
+	f.core.log.Info("not sent", "request", f.call.ID, "prompt_tokens", f.call.PromptTokens, "predicted_ms", p.first.Milliseconds(),
+		"goal_ms", f.route.Goal.Milliseconds(), "engines", 1+len(p.helpers))
+	return fault.New(fault.CannotMakeIt, "the first event would come after %s, and the engines are needed for others", p.first.Round(time.Millisecond)).
+		WithRetryAfter(min(max(p.first/2, shortRetry), longRetry))
+}
+
+// longRetry is when to come back at the latest: the engines' backlog of a burst
+// is read within seconds.
+const longRetry = 4 * time.Second
+
 // judge says what an attempt that failed came to, and tells the fleet.
 func (f *flow) judge(a *attempt, err error) Try {
 	t := Try{Placed: true, Free: errors.Is(err, hollowgrade.ErrNotSent)}
--- a/core/place.go
+++ b/core/place.go
@@ -50,6 +50,7 @@
 	share   Share         // at the member
 	reading time.Duration // at it and each helper
 	first   time.Duration // predicted time until the first event
+	refused bool          // what it would take from others is worth more than it
 }
 
 // demand is what placement looks at of a call.
@@ -59,10 +60,25 @@
 	out     int
 	goal    time.Duration
 	pause   time.Duration
+	left    time.Duration // until the call has to end
+	again   bool          // it seems to have been refused before
+	begun   bool          // the caller has a part of its answer
 }
 
-func newDemand(s Service, r Route, c hollowgrade.Call) demand {
-	return demand{service: s, prompt: c.PromptTokens, out: c.MaxTokens, goal: r.Goal, pause: r.PauseGoal}
+// againShare is the part of a route's time that a call which was refused before
+// has left at the most.
+const againShare = 0.97
+
+func newDemand(s Service, r Route, c hollowgrade.Call, left time.Duration) demand {
+	return demand{
+		service: s,
+		prompt:  c.PromptTokens,
+		out:     c.MaxTokens,
+		goal:    r.Goal,
+		pause:   r.PauseGoal,
+		left:    left,
+		again:   c.Patience > 0 && float64(c.Patience) < againShare*float64(r.Timeout),
+	}
 }
 
 // worth estimates the worth of a request beside that of others.
@@ -87,8 +103,8 @@
 	default:
 		p = pickShort(ms, d, tried, now)
 	}
-	if p == nil {
-		return nil
+	if p == nil || p.refused {
+		return p
 	}
 	p.share = Share{Open: 1, Tokens: d.prompt + d.out - p.tokens*len(p.holders), Stakes: stake(d.pause, d.worth())}
 	for _, m := range p.holders {
@@ -231,6 +247,7 @@
 	if len(ms) == 0 || len(ms) < keepers(d, e) {
 		return nil
 	}
+	backlog := meanReading(ms, now)
 	ms, reading := cheapestSet(ms, d, now)
 	p := &placed{reading: reading}
 	p.member = cheapest(ms, nil, now, func(_ int, m *member) float64 {
@@ -243,9 +260,48 @@
 		}
 	}
 	p.keep(d, e)
+	p.refused = !d.worthwhile(p.first, backlog)
 	return p
 }
 
+// What a second of an engine's reading is worth to others depends on how much
+// all engines have still to read: nothing while they are idle, and the worth of
+// prompts of middling length, which read best for their worth among the long
+// ones, once a second or more waits everywhere. Measured in rounds
+// (docs/design/placement.md).
+const (
+	engineSecond  = 6.0
+	saturatedFrom = time.Second
+	// refusedAgain is the part of its worth that is lost beside it when a call
+	// that came back after a refusal is refused again.
+	refusedAgain = 0.3
+)
+
+// worthwhile reports whether a long prompt is worth the reading that it takes.
+func (d demand) worthwhile(first, backlog time.Duration) bool {
+	if d.begun {
+		return true
+	}
+	if first > d.left {
+		return false
+	}
+	gain := d.worth() * (1 - lateShare*lateness(first, d.goal))
+	if d.again {
+		gain += refusedAgain * d.worth()
+	}
+	share := min(float64(backlog)/float64(saturatedFrom), 1)
+	work := d.service.Engine.Reading(d.prompt, 1).Seconds()
+	return gain >= share*engineSecond*work
+}
+
+// meanReading returns how much engines have still to read on average.
+func meanReading(ms []*member, now time.Time) (d time.Duration) {
+	for _, m := range ms {
+		d += m.reading(now)
+	}
+	return d / time.Duration(max(len(ms), 1))
+}
+
 // keep picks the helpers that keep parts of a prompt that is too long for the
 // memory of one engine: those with the most memory free.
 func (p *placed) keep(d demand, e *engine.Figures) {
