--- a/core/flow.go
+++ b/core/flow.go
@@ -21,6 +21,22 @@
 // long it may take.
 const defaultAllowed = 30 * time.Second
 
+// A pass reads all that waits, so parts of two long prompts that are given to an
+// engine at once make both late. The second is held back until the first is
+// nearly read, for a part of its goal at the most.
+const (
+	holdShare = 0.7
+	holdGoals = 0.25
+)
+
+// hold waits until what was given to the picked engines before is nearly read.
+func (f *flow) hold(ctx context.Context, p *placed) {
+	d := min(time.Duration(holdShare*float64(p.wait)), time.Duration(holdGoals*float64(f.route.Goal)))
+	if d > 0 {
+		hollowgrade.Sleep(ctx, f.core.clock, d)
+	}
+}
+
 // memoryTries bounds the attempts for which memory is not free: each costs an
 // order at every engine that it asks.
 const memoryTries = 2
@@ -109,6 +125,7 @@
 	f.core.log.Info("sent", "request", f.call.ID, "attempt", n, "upstream", m.ID, "service", f.service.Name,
 		"helpers", len(p.helpers), "reading_ms", p.reading.Milliseconds(), "predicted_ms", p.first.Milliseconds(), "after", f.after,
 		"left_ms", f.deadline.Sub(now).Milliseconds(), "version", f.catalog.Version, "age_ms", f.age.Milliseconds())
+	f.hold(ctx, p)
 	t, err := f.core.setAside(ctx, f.call.ID, n, p)
 	defer t.end()
 	if err != nil {
--- a/core/place.go
+++ b/core/place.go
@@ -50,6 +50,8 @@
 	share   Share         // at the member
 	reading time.Duration // at it and each helper
 	first   time.Duration // predicted time until the first event
+	cost    float64       // what is lost by long reads, by worth
+	wait    time.Duration // until what was given before is read at all of them
 	refused bool          // what it would take from others is worth more than it
 }
 
@@ -99,7 +101,7 @@
 	case d.service.Engine == nil:
 		p = pickPlain(ms, tried, now)
 	case d.prompt >= splitFrom:
-		p = pickLong(ms, d, tried, now)
+		p = pickLongOrShort(ms, d, tried, now)
 	default:
 		p = pickShort(ms, d, tried, now)
 	}
@@ -238,6 +240,47 @@
 	return 0
 }
 
+// pickLongOrShort places a request whose prompt several engines may read. An
+// answer whose prompt was split makes each step of its engine longer, so that
+// splitting costs more the busier the engines are.
+func pickLongOrShort(ms []*member, d demand, tried map[string]bool, now time.Time) *placed {
+	l := pickLong(ms, d, tried, now)
+	e := d.service.Engine
+	if l == nil || keepers(d, e) > 1 {
+		return l
+	}
+	s := pickShort(ms, d, tried, now)
+	if s == nil {
+		return l
+	}
+	alone := s.member.harm(d, s.reading, now)*lateShare + d.worth()*lateShare*lateness(s.first, d.goal)
+	split := l.cost + busyShare(ms, e, now)*engineSecond*e.Hops(d.out).Seconds()
+	if alone <= split {
+		return s
+	}
+	return l
+}
+
+// busyShare is how much a second of an engine is needed by others, from 0 to 1:
+// by what waits to be read, or by the slots that are taken.
+func busyShare(ms []*member, e *engine.Figures, now time.Time) float64 {
+	open := 0
+	for _, m := range ms {
+		open += m.total().Open
+	}
+	slots := float64(open)/float64(max(e.Slots*len(ms), 1))/fullFrom - 1
+	reading := float64(meanReading(ms, now)) / float64(saturatedFrom)
+	return min(max(slots, reading, leastBusy), 1)
+}
+
+const (
+	// fullFrom is the part of all slots from which on slots are counted as
+	// needed; at twice as much they are needed wholly.
+	fullFrom = 0.45
+	// leastBusy is the least of what a second of an engine is counted as.
+	leastBusy = 0.1
+)
+
 // pickLong places a request whose prompt several engines read in even parts. It
 // weighs how soon the first event would come against how many requests would
 // see a pause that is too long for them.
@@ -248,12 +291,13 @@
 		return nil
 	}
 	backlog := meanReading(ms, now)
-	ms, reading := cheapestSet(ms, d, now)
-	p := &placed{reading: reading}
+	ms, reading, cost := cheapestSet(ms, d, now)
+	p := &placed{reading: reading, cost: cost}
 	p.member = cheapest(ms, nil, now, func(_ int, m *member) float64 {
 		return memoryCost(m, d, e) + crowding(m.total().Open, 0, e.Slots) + float64(m.total().Tokens)/float64(e.Capacity)
 	})
 	for _, m := range ms {
+		p.wait = max(p.wait, m.reading(now))
 		p.first = max(p.first, e.First(m.state(d, now), p.reading))
 		if m != p.member {
 			p.helpers = append(p.helpers, m)
@@ -270,8 +314,8 @@
 // ones, once a second or more waits everywhere. Measured in rounds
 // (docs/design/placement.md).
 const (
-	engineSecond  = 6.0
-	saturatedFrom = time.Second
+	engineSecond  = 8.0
+	saturatedFrom = 600 * time.Millisecond
 	// refusedAgain is the part of its worth that is lost beside it when a call
 	// that came back after a refusal is refused again.
 	refusedAgain = 0.3
@@ -316,14 +360,13 @@
 }
 
 // cheapestSet returns the engines that read a prompt in even parts at the least
-// cost, and how long a part takes. For each number of parts, and each bound on
+// cost, how long a part takes, and the cost. For each number of parts, and each bound on
 // what an engine has yet to read, it looks at those within the bound on which
 // the least is lost by longer pauses.
-func cheapestSet(ms []*member, d demand, now time.Time) (best []*member, part time.Duration) {
+func cheapestSet(ms []*member, d demand, now time.Time) (best []*member, part time.Duration, least float64) {
 	e := d.service.Engine
 	ms = slices.Clone(ms)
 	slices.SortStableFunc(ms, func(a, b *member) int { return cmp.Compare(a.reading(now), b.reading(now)) })
-	least := 0.0
 	for n := keepers(d, e); n <= min(len(ms), 1+maxHelpers); n++ {
 		t := e.Reading(d.prompt, n)
 		harms := make([]harm, len(ms))
@@ -339,7 +382,7 @@
 			}
 		}
 	}
-	return best, part
+	return best, part, least
 }
 
 // harm is what is lost when a part of a prompt is read at an engine.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -17,7 +17,9 @@
 	PerMillion     time.Duration // for a million pairs of a prompt token and one before it
 	Chunk          int           // prompt tokens read in one step at the most
 	Stride         int           // steps of one pass while requests write
+	Hop            time.Duration // more for each step of a request whose prompt several engines read
 	UsualPrompt    int           // mean tokens of a prompt
+	UsualAnswer    int           // mean tokens of an answer
 }
 
 const (
@@ -35,6 +37,16 @@
 	return time.Duration((tokens + pairs) / float64(max(engines, 1)))
 }
 
+// Hops returns by how much steps of an engine are longer, all in all, for an
+// answer of n tokens whose prompt several engines have read. N is the most that
+// was asked for; answers are rarely longer than usual.
+func (f *Figures) Hops(n int) time.Duration {
+	if f.UsualAnswer > 0 {
+		n = min(n, f.UsualAnswer)
+	}
+	return time.Duration(n) * f.Hop
+}
+
 // State is what an engine has to do.
 type State struct {
 	Writers int           // requests that write, or will once they are read
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -25,6 +25,13 @@
 	requireMillis(t, 167.2, some.Reading(210_000, 17))
 }
 
+func TestHops(t *testing.T) {
+	f := some
+	f.Hop, f.UsualAnswer = 100*time.Microsecond, 1540
+	requireMillis(t, 154, f.Hops(4000))
+	requireMillis(t, 10, f.Hops(100))
+}
+
 func TestPass(t *testing.T) {
 	requireMillis(t, 42.55, some.Pass(State{}))
 	// 10 writers of 6,500 tokens: 46 x (0.925 + 0.05 + 0.1651).
