core: refuses long prompts also for the pauses that they cost

What is lost by pauses now counts towards refusing, and a pause of over a second costs more than one that is late. Also: a caller that left while a connection was being opened made the upstream look lost ('upstream avoided ... context canceled'); TestCallerThatLeavesBeforeAnythingIsSent failed first with HG3002. Ruled out: wrong predictions (predicted and seen first events of long prompts are within a tenth for most in the log).

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -218,6 +219,23 @@
 	})
 }
 
+// Found in the logs of korrigan-replay scale-1: callers that left while a
+// connection was being opened made healthy upstreams look lost.
+func TestCallerThatLeavesBeforeAnythingIsSent(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fakeUpstreams{replies: []reply{func(ctx context.Context, _ hollowgrade.Sending) (hollowgrade.Exchange, error) {
+		cancel()
+		<-ctx.Done()
+		return nil, fmt.Errorf("%w: %w", hollowgrade.ErrNotSent, ctx.Err())
+	}}}
+	c := newCore(f)
+	x := fault.As(c.Serve(ctx, call("/once/"), &fakeSink{}), hollowgrade.Unknown)
+	requireFault(t, x, fault.CallerGone, hollowgrade.NotRun)
+	for _, m := range c.fleet.members {
+		require.Zero(t, m.failures, m.ID)
+	}
+}
+
 func TestAdmission(t *testing.T) {
 	age, known := time.Duration(0), true
 	c := newCore(&fakeUpstreams{replies: []reply{status(200, "x")}}, WithAge(func() (time.Duration, bool) { return age, known }))
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -77,6 +77,15 @@
 	return s
 }
 
+// Requests that bear short pauses are sent elsewhere, or given up by their
+// callers, when a pause lasts much longer still: then the rest of their worth is
+// lost, and their prompt is read again.
+const (
+	resentAfter = time.Second
+	resentClass = 400 * time.Millisecond // those that bear longer pauses wait longer
+	resentShare = 0.5
+)
+
 // lost returns the worth of the requests that bear a pause of before and none of
 // after.
 func (s Stakes) lost(before, after time.Duration) (worth float64) {
@@ -84,6 +93,9 @@
 		if before <= c && after > c {
 			worth += float64(s[i]) / stakeUnit
 		}
+		if c <= resentClass && before <= resentAfter && after > resentAfter {
+			worth += resentShare * float64(s[i]) / stakeUnit
+		}
 	}
 	return worth
 }
--- a/core/flow.go
+++ b/core/flow.go
@@ -280,6 +280,10 @@
 		return x
 	case errors.Is(err, errSink):
 		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.Failed)
+	case errors.Is(err, hollowgrade.ErrNotSent) && errors.Is(err, context.Canceled):
+		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.NotRun)
+	case errors.Is(err, hollowgrade.ErrNotSent) && errors.Is(err, errOutOfTime):
+		return fault.New(fault.DeadlinePassed, "the allowed time passed before the call could be sent").WithOutcome(hollowgrade.NotRun)
 	case errors.Is(err, hollowgrade.ErrNotSent):
 		return fault.New(fault.UpstreamLost, "upstream %s could not be reached", id).WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetry)
 	case errors.Is(err, errStalled):
--- a/core/place.go
+++ b/core/place.go
@@ -304,7 +304,7 @@
 		}
 	}
 	p.keep(d, e)
-	p.refused = !d.worthwhile(p.first, backlog)
+	p.refused = !d.worthwhile(p.first, p.cost, backlog)
 	return p
 }
 
@@ -322,14 +322,15 @@
 )
 
 // worthwhile reports whether a long prompt is worth the reading that it takes.
-func (d demand) worthwhile(first, backlog time.Duration) bool {
+// Cost is what is lost by it, its own lateness among it.
+func (d demand) worthwhile(first time.Duration, cost float64, backlog time.Duration) bool {
 	if d.begun {
 		return true
 	}
 	if first > d.left {
 		return false
 	}
-	gain := d.worth() * (1 - lateShare*lateness(first, d.goal))
+	gain := d.worth() - cost
 	if d.again {
 		gain += refusedAgain * d.worth()
 	}
