--- a/core/core.go
+++ b/core/core.go
@@ -65,6 +65,7 @@
 	Code         fault.Code
 	PromptTokens int
 	First        time.Duration // until the first part of the answer; zero if none came
+	Predicted    time.Duration // the same as predicted when it was placed; zero for plain services
 	Took         time.Duration
 	Attempts     int
 	Events       int
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -185,6 +185,52 @@
 	})
 }
 
+// Found in the logs of korrigan-replay scale-1: the budget was spent by others
+// between an upstream's last event and the end of the patience with it, and the
+// stream was ended although its upstream might have gone on.
+func TestSilenceIsWaitedForWhenNothingElseIsLeft(t *testing.T) {
+	late := func(ctx context.Context, _ hollowgrade.Sending) (hollowgrade.Exchange, error) {
+		return &lateExchange{fakeExchange: fakeExchange{ctx: ctx, head: hollowgrade.Head{Status: 200, Sealed: true, Stream: true}, end: io.EOF}, after: 3 * time.Second}, nil
+	}
+	t.Run("the budget was spent meanwhile", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeUpstreams{replies: []reply{late}}
+			c := newCore(f, WithBounds(Bounds{KeyFreshness: time.Minute, Freshness: time.Minute, RetrySlack: 1.2, RetryWindow: time.Minute}))
+			go func() {
+				time.Sleep(500 * time.Millisecond)
+				c.budget("s").Spend(time.Now())
+			}()
+			require.NoError(t, c.Serve(context.Background(), call("/resume/"), &fakeSink{}))
+			require.Len(t, f.sendings(), 1)
+		})
+	})
+	t.Run("there is no other upstream", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeUpstreams{replies: []reply{late}}
+			c := newCore(f)
+			c.Fleet().Drop("u2", false)
+			c.Fleet().Drop("u3", false)
+			require.NoError(t, c.Serve(context.Background(), call("/resume/"), &fakeSink{}))
+			require.Len(t, f.sendings(), 1)
+		})
+	})
+}
+
+// lateExchange says nothing for a while before its first part.
+type lateExchange struct {
+	fakeExchange
+	after time.Duration
+}
+
+func (x *lateExchange) Next() (hollowgrade.Part, error) {
+	select {
+	case <-time.After(x.after):
+		return x.fakeExchange.Next()
+	case <-x.ctx.Done():
+		return hollowgrade.Part{}, x.ctx.Err()
+	}
+}
+
 func TestEnds(t *testing.T) {
 	t.Run("at the caller's deadline", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -220,6 +220,15 @@
 	return !m.Draining && (m.lapsed.IsZero() || now.Sub(m.lapsed) < lapseGrace)
 }
 
+// another reports whether a service has an upstream beside those that were
+// tried.
+func (f *Fleet) another(service string, tried map[string]bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	return slices.ContainsFunc(f.services[service], func(m *member) bool { return !tried[m.ID] && f.usable(m, now) })
+}
+
 // failed notes that an upstream failed a call, so that others are preferred for
 // a while.
 func (f *Fleet) failed(m *member, id, why string) {
--- a/core/flow.go
+++ b/core/flow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
@@ -62,12 +63,14 @@
 
 	sent      int             // attempts of which something left
 	noMemory  int             // attempts for which memory was not free
+	paid      atomic.Bool     // whether the next retry has been taken out of the budget
 	tried     map[string]bool // upstreams, by id
 	upstreams []string        // the same, in order
 	began     bool            // whether the caller has got a head
 	after     string          // id of the last event that the caller has
 	events    int
 	first     time.Duration // until the first part
+	predicted time.Duration // the same as predicted for the first attempt
 	failure   *answer       // an upstream's own failure, held back while another attempt may do better
 }
 
@@ -103,6 +106,9 @@
 
 // Spend implements [Work].
 func (f *flow) Spend() bool {
+	if f.paid.CompareAndSwap(true, false) {
+		return true
+	}
 	return f.budget.Spend(f.core.clock.Now())
 }
 
@@ -133,6 +139,9 @@
 		f.noMemory++
 		return Try{Err: err, Placed: f.noMemory < memoryTries, Free: true}
 	}
+	if n == 1 {
+		f.predicted = p.first
+	}
 	a := &attempt{flow: f, placed: p, helpers: t.helpersOf(p)}
 	err = a.run(ctx)
 	if !errors.Is(err, hollowgrade.ErrNotSent) {
@@ -203,6 +212,7 @@
 		Outcome:      hollowgrade.Finished,
 		PromptTokens: f.call.PromptTokens,
 		First:        f.first,
+		Predicted:    f.predicted,
 		Took:         f.core.clock.Since(f.call.Arrived),
 		Attempts:     len(f.upstreams),
 		Events:       f.events,
@@ -247,7 +257,13 @@
 func (a *attempt) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	w := newWatchdog(a.flow.core.clock, a.stall(), func() { cancel(errStalled) })
+	w := newWatchdog(a.flow.core.clock, a.stall(), func() bool {
+		if !a.flow.leave() {
+			return false
+		}
+		cancel(errStalled)
+		return true
+	})
 	defer w.stop()
 	x, err := a.flow.core.exchanger.Open(ctx, a.sending())
 	if err != nil {
--- a/core/watchdog.go
+++ b/core/watchdog.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"sync"
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
@@ -24,7 +25,7 @@
 // cannot be had elsewhere is waited for to the end.
 func (a *attempt) stall() time.Duration {
 	f := a.flow
-	if !f.Repeatable() || f.sent+1 >= f.route.MaxAttempts || !f.budget.Allows(f.core.clock.Now()) {
+	if !f.Repeatable() || f.sent+1 >= f.route.MaxAttempts {
 		return 0
 	}
 	if f.route.Repeat != Resume {
@@ -38,15 +39,29 @@
 	return max(d, predictedMore*a.placed.first)
 }
 
-// watchdog calls a function when nothing has happened for a while.
+// leave reports whether a silent upstream may be left for another: there has to
+// be one, and a retry in the budget, which is taken out at once.
+func (f *flow) leave() bool {
+	if !f.core.fleet.another(f.service.Name, f.tried) || !f.budget.Spend(f.core.clock.Now()) {
+		return false
+	}
+	f.paid.Store(true)
+	return true
+}
+
+// watchdog calls a function when nothing has happened for a while, and again as
+// long as the function returns false.
 type watchdog struct {
 	clock hollowgrade.Clock
-	bark  func()
+	bark  func() bool
+
+	mu    sync.Mutex
 	timer hollowgrade.Timer
+	ended bool
 }
 
 // newWatchdog returns a watchdog that barks after d, never if d is 0.
-func newWatchdog(c hollowgrade.Clock, d time.Duration, bark func()) *watchdog {
+func newWatchdog(c hollowgrade.Clock, d time.Duration, bark func() bool) *watchdog {
 	w := &watchdog{clock: c, bark: bark}
 	w.reset(d)
 	return w
@@ -54,14 +69,29 @@
 
 // reset begins the wait anew.
 func (w *watchdog) reset(d time.Duration) {
-	w.stop()
-	if d > 0 {
-		w.timer = w.clock.AfterFunc(d, w.bark)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.halt()
+	if d <= 0 || w.ended {
+		return
 	}
+	w.timer = w.clock.AfterFunc(d, func() {
+		if !w.bark() {
+			w.reset(d)
+		}
+	})
 }
 
-// stop ends the wait.
+// stop ends the wait for good.
 func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	w.halt()
+}
+
+// halt ends the wait that runs. The lock is held.
+func (w *watchdog) halt() {
 	if w.timer != nil {
 		w.timer.Stop()
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -151,7 +151,10 @@
 // step makes one read and takes what it gives.
 func (f *Feed) step(ctx context.Context) error {
 	f.mu.Lock()
-	next, synced := f.next, f.synced
+	next, synced, wait := f.next, f.synced, f.wait
+	if f.away {
+		wait = 0 // how fresh the view is has to be known at once
+	}
 	f.mu.Unlock()
 	sent := f.clock.Now()
 	if !synced {
@@ -163,9 +166,9 @@
 		}
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.wait+answerMargin)
+	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
-	p, err := f.topic.Wait(ctx, next, f.wait)
+	p, err := f.topic.Wait(ctx, next, wait)
 	switch {
 	case errors.Is(err, hollowgrade.ErrTrimmed):
 		f.mu.Lock()
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -191,6 +191,16 @@
 			require.Equal(t, 1, v.regained, "a drop that went on unseen is told as such")
 		})
 	})
+	t.Run("once the store is back it is fresh without waiting for a change", func(t *testing.T) {
+		bubble(t, func(t *testing.T, k *fakeTopic, f *Feed, _ *view) {
+			k.set(func() { k.down = true })
+			time.Sleep(10 * time.Second)
+			k.set(func() { k.down = false })
+			time.Sleep(lastPause * 3 / 2)
+			age, _ := f.Age()
+			require.LessOrEqual(t, age, lastPause*3/2)
+		})
+	})
 	t.Run("what was dropped in forgotten history is found", func(t *testing.T) {
 		bubble(t, func(t *testing.T, k *fakeTopic, _ *Feed, v *view) {
 			put(t, k, "a", "1")
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -24,9 +24,9 @@
 	// askedPeers is how many peers are asked at a time, so that one that is
 	// dead or cut off itself does not hold the answer up.
 	askedPeers = 3
-	// defaultStale is the age from which on peers are asked: a read's wait and
-	// its answer fit into it while the store serves.
-	defaultStale = 2500 * time.Millisecond
+	// staleMargin is by how much a view may be older than a read waits before
+	// peers are asked: a read that gets no answer is given up after as much.
+	staleMargin = answerMargin + 100*time.Millisecond
 )
 
 // Relay brings feeds up to date from peers while the store turns this process
@@ -37,7 +37,6 @@
 	dial  peer.Dialer
 	clock hollowgrade.Clock
 	log   *log.Logger
-	stale time.Duration
 }
 
 // RelayOption changes a relay as it is made.
@@ -67,7 +66,6 @@
 		dial:  peer.TCP(),
 		clock: hollowgrade.SystemClock(),
 		log:   log.Default(),
-		stale: defaultStale,
 	}
 	for _, o := range os {
 		o(r)
@@ -93,7 +91,7 @@
 // behind returns the feeds that are stale.
 func (r *Relay) behind() (fs []*Feed) {
 	for _, f := range r.feeds {
-		if age, ok := f.Age(); !ok || age > r.stale {
+		if age, ok := f.Age(); !ok || age > f.wait+staleMargin {
 			fs = append(fs, f)
 		}
 	}
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -76,6 +76,9 @@
 		g.Error("gateway does not start", "box", c.Box, "err", err)
 		return err
 	}
+	if err = n.WatchLog(w); err != nil {
+		return err
+	}
 	g.Info("gateway starts", "box", c.Box, "hall", c.Hall, "callers", c.Callers, "readiness", c.Readiness, "peers", c.Peers,
 		"operators", n.Operators, "store", c.Store, "incarnation", n.Incarnation)
 	go watchSettings(ctx, string(c.Config), func() { _ = n.Reload(string(c.Config)) })
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -264,6 +264,13 @@
 	}
 }
 
+// WatchLog adds a gauge of the log lines that were dropped.
+func (n *GatewayNode) WatchLog(w *LogWriter) error {
+	return n.metrics.Gauge("hollowgrade.log_dropped", "Log lines dropped since the output did not keep up.", func() float64 {
+		return float64(w.Dropped())
+	})
+}
+
 func (n *GatewayNode) gauges() error {
 	return n.metrics.Gauge("hollowgrade.config_age", "Seconds since the configuration was last known to be the newest; -1 if never.", func() float64 {
 		age, ok := n.config.Age()
@@ -282,6 +289,7 @@
 		Code:         string(o.Code),
 		PromptTokens: o.PromptTokens,
 		FirstToken:   o.First,
+		Predicted:    o.Predicted,
 		Took:         o.Took,
 		Attempts:     o.Attempts,
 	}
--- a/measure/otel.go
+++ b/measure/otel.go
@@ -23,6 +23,7 @@
 	first    metric.Float64Histogram
 	took     metric.Float64Histogram
 	attempts metric.Int64Counter
+	ratio    metric.Float64Histogram
 }
 
 // NewMetrics returns instruments that a Prometheus endpoint can read.
@@ -44,6 +45,10 @@
 	if m.first, err = m.meter.Float64Histogram("hollowgrade.first_token", metric.WithUnit("s"), bounds, metric.WithDescription("Time to first token, by prompt length.")); err != nil {
 		return nil, err
 	}
+	ratios := metric.WithExplicitBucketBoundaries(0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 3, 5, 10, 30)
+	if m.ratio, err = m.meter.Float64Histogram("hollowgrade.prediction_ratio", ratios, metric.WithDescription("Time to first token as seen over as predicted when the request was placed, by prompt length.")); err != nil {
+		return nil, err
+	}
 	m.took, err = m.meter.Float64Histogram("hollowgrade.took", metric.WithUnit("s"), bounds, metric.WithDescription("Time until the final answer, by kind."))
 	return m, err
 }
@@ -65,6 +70,9 @@
 	m.requests.Add(ctx, 1, metric.WithAttributes(kind, attribute.String("outcome", string(s.Outcome)), attribute.String("code", s.Code)))
 	m.attempts.Add(ctx, int64(s.Attempts))
 	m.took.Record(ctx, s.Took.Seconds(), metric.WithAttributes(kind))
+	if s.FirstToken > 0 && s.Predicted > 0 {
+		m.ratio.Record(ctx, float64(s.FirstToken)/float64(s.Predicted), metric.WithAttributes(attribute.String("length", Bucket(s.PromptTokens))))
+	}
 	if s.FirstToken > 0 {
 		m.first.Record(ctx, s.FirstToken.Seconds(), metric.WithAttributes(attribute.String("length", Bucket(s.PromptTokens))))
 	}
--- a/measure/recorder.go
+++ b/measure/recorder.go
@@ -51,6 +51,7 @@
 	Ideal        time.Duration // the time to first token that an idle fleet would give, zero if not known
 	Took         time.Duration
 	Attempts     int
+	Predicted    time.Duration // time to first token as predicted when it was placed, zero if it was not
 }
 
 // The range of the histograms. Times are in microseconds, slowdowns in
--- a/retry/window.go
+++ b/retry/window.go
@@ -66,14 +66,6 @@
 	w.slack = n
 }
 
-// Allows reports whether there is a repeat to spend.
-func (w *Window) Allows(now time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.slide(now)
-	return w.allows(now)
-}
-
 // allows does the sum. The lock is held.
 func (w *Window) allows(now time.Time) bool {
 	f, a := 0, 0
--- a/setting/gateway.go
+++ b/setting/gateway.go
@@ -15,8 +15,8 @@
 	Peers        string        `help:"Address on which other gateways ask what this one knows of the store; empty to serve none." group:"listen"`
 	Seeds        []string      `help:"Peer addresses of other gateways, to ask before the members are known. Some may be stale." group:"platform"`
 	Store        string        `help:"Address of the platform's store, as host:port." required:"" group:"platform"`
-	ConfigWait   time.Duration `help:"How long one read of the configuration waits at the store for a change." default:"1500ms" min:"100ms" max:"10s" group:"platform"`
-	FleetWait    time.Duration `help:"The same for the registry of upstreams." default:"2s" min:"100ms" max:"10s" group:"platform"`
+	ConfigWait   time.Duration `help:"How long one read of the configuration waits at the store for a change. Each read has its price; keys admit nothing once the last one is key_freshness old." default:"2500ms" min:"100ms" max:"10s" group:"platform"`
+	FleetWait    time.Duration `help:"The same for the registry of upstreams." default:"3s" min:"100ms" max:"10s" group:"platform"`
 	MembersWait  time.Duration `help:"The same for the list of gateways." default:"20s" min:"100ms" max:"30s" group:"platform"`
 	KeyFreshness time.Duration `help:"Longest time for which a key is taken as good without word of the configuration: a key that was revoked that long ago admits nothing any more." default:"5s" min:"1s" group:"promises"`
 	Freshness    time.Duration `help:"Longest time for which a route or key that is missing is taken as gone rather than as not yet known." default:"2s" min:"100ms" group:"promises"`
