setting: a read of the configuration waits less than half as long as keys stay fresh

Ruled out: the store (no 'store lost' in the log). The wait follows from key_freshness now; tests in setting.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	s := platform.NewStore(c.Store)
-	n = &GatewayNode{Node: b, config: feed.New(configFeed, s.Config(), feed.WithLogger(g), feed.WithWait(c.ConfigWait))}
+	n = &GatewayNode{Node: b, config: feed.New(configFeed, s.Config(), feed.WithLogger(g), feed.WithWait(c.ReadWait()))}
 	n.settings.Store(&c)
 	fleet := feed.New(fleetFeed, s.Workers(), feed.WithLogger(g), feed.WithWait(c.FleetWait))
 	others := feed.New(membersFeed, s.Members(), feed.WithLogger(g), feed.WithWait(c.MembersWait))
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -71,3 +71,26 @@
 		}
 	}
 }
+
+func TestGateway(t *testing.T) {
+	g := DefaultGateway()
+	require.NoError(t, g.Validate())
+	t.Run("keys are admitted while a read waits", func(t *testing.T) {
+		g := g
+		g.ConfigWait = 5 * time.Second
+		require.Equal(t, 2100*time.Millisecond, g.ReadWait())
+		g.KeyFreshness = time.Second
+		require.Equal(t, 100*time.Millisecond, g.ReadWait())
+		require.NoError(t, g.Validate())
+	})
+	t.Run("a planned stop must end in time", func(t *testing.T) {
+		g := g
+		g.Linger = g.Grace
+		require.ErrorContains(t, g.Validate(), "linger")
+	})
+	t.Run("bounds", func(t *testing.T) {
+		g := g
+		g.RetryRatio = 2
+		require.ErrorContains(t, g.Validate(), "retry_ratio is 2, allowed: 0 to 1")
+	})
+}
