feed: some gateways read the store, the others ask them

Readers are the first by rendezvous rank; the others ask all readers each 0.4 s on kept connections and read the store themselves after 0.9 s without word. Also a data race: the registry's word on an upstream was read without the lock while an attempt was sent (found by the race detector in TestGatewayServes).

--- a/core/flow.go
+++ b/core/flow.go
@@ -124,11 +124,11 @@
 		return Try{Err: fault.New(fault.NoUpstream, "no upstream of service %s can be tried, %d were", f.service.Name, len(f.tried)).
 			WithRetryAfter(shortRetry)}
 	}
-	m := p.member
-	f.tried[m.ID] = true
-	f.upstreams = append(f.upstreams, m.ID)
+	u := p.upstream()
+	f.tried[u.ID] = true
+	f.upstreams = append(f.upstreams, u.ID)
 	now := f.core.clock.Now()
-	f.core.log.Info("sent", "request", f.call.ID, "attempt", n, "upstream", m.ID, "service", f.service.Name,
+	f.core.log.Info("sent", "request", f.call.ID, "attempt", n, "upstream", u.ID, "service", f.service.Name,
 		"helpers", len(p.helpers), "reading_ms", p.reading.Milliseconds(), "predicted_ms", p.first.Milliseconds(), "after", f.after,
 		"left_ms", f.deadline.Sub(now).Milliseconds(), "version", f.catalog.Version, "age_ms", f.age.Milliseconds())
 	f.hold(ctx, p)
@@ -176,7 +176,7 @@
 	case fault.UpstreamLost, fault.AnswerCut:
 		f.core.fleet.failed(a.placed.member, f.call.ID, err.Error())
 	}
-	f.core.log.Info("attempt failed", "request", f.call.ID, "upstream", a.placed.member.ID, "code", x.Code,
+	f.core.log.Info("attempt failed", "request", f.call.ID, "upstream", a.placed.upstream().ID, "code", x.Code,
 		"outcome", x.Outcome, "events", f.events, "err", err)
 	return t
 }
@@ -245,7 +245,7 @@
 	f := a.flow
 	return hollowgrade.Sending{
 		Call:         f.call,
-		Upstream:     a.placed.member.Upstream,
+		Upstream:     a.placed.upstream(),
 		Organisation: f.organisation.Name,
 		Left:         f.deadline.Sub(f.core.clock.Now()),
 		After:        f.after,
@@ -289,7 +289,7 @@
 
 // fault says what a failed attempt came to.
 func (a *attempt) fault(err error) *fault.Error {
-	id := a.placed.member.ID
+	id := a.placed.upstream().ID
 	var x *fault.Error
 	switch {
 	case errors.As(err, &x):
@@ -319,7 +319,7 @@
 func (a *attempt) whole(x hollowgrade.Exchange) error {
 	f := a.flow
 	if a.head.NotRun {
-		return fault.New(fault.Overloaded, "upstream %s did not take the call, status %d", a.placed.member.ID, a.head.Status).
+		return fault.New(fault.Overloaded, "upstream %s did not take the call, status %d", a.placed.upstream().ID, a.head.Status).
 			WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetry)
 	}
 	w := &answer{head: a.head}
@@ -339,7 +339,7 @@
 	a.begin()
 	if !a.head.Success() && f.Repeatable() {
 		f.failure = w
-		return fault.New(fault.UpstreamFailed, "upstream %s answered with status %d", a.placed.member.ID, a.head.Status)
+		return fault.New(fault.UpstreamFailed, "upstream %s answered with status %d", a.placed.upstream().ID, a.head.Status)
 	}
 	return f.pass(w)
 }
--- a/core/place.go
+++ b/core/place.go
@@ -45,14 +45,20 @@
 type placed struct {
 	member  *member
 	helpers []*member
-	holders []*member     // those of the helpers that keep a part of the prompt
-	tokens  int           // that each of them keeps
-	share   Share         // at the member
-	reading time.Duration // at it and each helper
-	first   time.Duration // predicted time until the first event
-	cost    float64       // what is lost by long reads, by worth
-	wait    time.Duration // until what was given before is read at all of them
-	refused bool          // what it would take from others is worth more than it
+	at      map[*member]hollowgrade.Upstream // what the registry said of each of them
+	holders []*member                        // those of the helpers that keep a part of the prompt
+	tokens  int                              // that each of them keeps
+	share   Share                            // at the member
+	reading time.Duration                    // at it and each helper
+	first   time.Duration                    // predicted time until the first event
+	cost    float64                          // what is lost by long reads, by worth
+	wait    time.Duration                    // until what was given before is read at all of them
+	refused bool                             // what it would take from others is worth more than it
+}
+
+// upstream returns what the registry said of the picked upstream.
+func (p *placed) upstream() hollowgrade.Upstream {
+	return p.at[p.member]
 }
 
 // demand is what placement looks at of a call.
@@ -108,6 +114,10 @@
 	if p == nil || p.refused {
 		return p
 	}
+	p.at = map[*member]hollowgrade.Upstream{p.member: p.member.Upstream}
+	for _, m := range p.helpers {
+		p.at[m] = m.Upstream
+	}
 	p.share = Share{Open: 1, Tokens: d.prompt + d.out - p.tokens*len(p.holders), Stakes: stake(d.pause, d.worth())}
 	for _, m := range p.holders {
 		f.add(m, Share{Tokens: p.tokens})
--- a/core/ticket.go
+++ b/core/ticket.go
@@ -41,6 +41,7 @@
 	id      string
 	request string
 	holders []*member
+	at      map[*member]hollowgrade.Upstream
 	tokens  int // at each holder
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
@@ -52,9 +53,9 @@
 	if len(p.holders) == 0 {
 		return nil, nil
 	}
-	t = &tickets{core: c, id: fmt.Sprintf("%s.%d", request, n), request: request, holders: p.holders, tokens: p.tokens}
+	t = &tickets{core: c, id: fmt.Sprintf("%s.%d", request, n), request: request, holders: p.holders, at: p.at, tokens: p.tokens}
 	es := t.each(func(m *member) error {
-		return c.reserver.Reserve(ctx, m.Upstream, t.id, t.tokens, ticketHold)
+		return c.reserver.Reserve(ctx, p.at[m], t.id, t.tokens, ticketHold)
 	})
 	err = errors.Join(es...)
 	c.log.Info("memory asked for", "request", request, "ticket", t.id, "engines", len(t.holders), "tokens", t.tokens, "err", err)
@@ -84,7 +85,7 @@
 func (t *tickets) renew(ctx context.Context) {
 	for hollowgrade.Sleep(ctx, t.core.clock, ticketRenew) {
 		es := t.each(func(m *member) error {
-			return t.core.reserver.Reserve(ctx, m.Upstream, t.id, t.tokens, ticketHold)
+			return t.core.reserver.Reserve(ctx, t.at[m], t.id, t.tokens, ticketHold)
 		})
 		if err := errors.Join(es...); err != nil && ctx.Err() == nil {
 			t.core.log.Warn("memory not renewed", "request", t.request, "ticket", t.id, "err", err)
@@ -108,7 +109,7 @@
 func (t *tickets) free() {
 	es := t.each(func(m *member) (err error) {
 		for range releaseTries {
-			if err = t.core.reserver.Release(context.Background(), m.Upstream, t.id); err == nil {
+			if err = t.core.reserver.Release(context.Background(), t.at[m], t.id); err == nil {
 				return nil
 			}
 		}
@@ -124,12 +125,12 @@
 	if t != nil {
 		for _, m := range t.holders {
 			kept[m] = true
-			hs = append(hs, hollowgrade.Helper{Address: m.Address, Ticket: t.id})
+			hs = append(hs, hollowgrade.Helper{Address: p.at[m].Address, Ticket: t.id})
 		}
 	}
 	for _, m := range p.helpers {
 		if !kept[m] {
-			hs = append(hs, hollowgrade.Helper{Address: m.Address})
+			hs = append(hs, hollowgrade.Helper{Address: p.at[m].Address})
 		}
 	}
 	return hs
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -26,6 +26,9 @@
 	answerMargin = 700 * time.Millisecond
 	// newestTimeout bounds the reading of all newest records.
 	newestTimeout = 3 * time.Second
+	// followPause is how often a process that does not read the store looks
+	// whether it has to.
+	followPause = 100 * time.Millisecond
 	// The pauses between reads that fail.
 	firstPause = 100 * time.Millisecond
 	lastPause  = time.Second
@@ -43,6 +46,7 @@
 type Feed struct {
 	name  string
 	topic hollowgrade.Topic
+	reads func() bool // whether this process reads the store itself just now
 	clock hollowgrade.Clock
 	log   *log.Logger
 	wait  time.Duration
@@ -75,11 +79,18 @@
 	return func(f *Feed) { f.wait = d }
 }
 
+// WithReader sets whether this process reads the store itself. While it does
+// not, the view lives on what peers tell; it is read once in any case.
+func WithReader(f func() bool) Option {
+	return func(d *Feed) { d.reads = f }
+}
+
 // New returns a feed of the topic. Name is what logs and peers call it.
 func New(name string, t hollowgrade.Topic, os ...Option) *Feed {
 	f := &Feed{
 		name:   name,
 		topic:  t,
+		reads:  func() bool { return true },
 		clock:  hollowgrade.SystemClock(),
 		log:    log.Default(),
 		wait:   defaultWait,
@@ -131,6 +142,10 @@
 	p.InitialInterval = firstPause
 	p.MaxInterval = lastPause
 	for ctx.Err() == nil {
+		if f.complete() && !f.reads() {
+			hollowgrade.Sleep(ctx, f.clock, followPause)
+			continue
+		}
 		err := f.step(ctx)
 		if err == nil {
 			p.Reset()
@@ -148,11 +163,16 @@
 	}
 }
 
+// complete reports whether the view has ever been complete.
+func (f *Feed) complete() bool {
+	return !f.Fresh().IsZero()
+}
+
 // step makes one read and takes what it gives.
 func (f *Feed) step(ctx context.Context) error {
 	f.mu.Lock()
 	next, synced, wait := f.next, f.synced, f.wait
-	if f.away {
+	if f.away || f.clock.Since(f.fresh) > f.wait+answerMargin {
 		wait = 0 // how fresh the view is has to be known at once
 	}
 	f.mu.Unlock()
@@ -252,6 +272,13 @@
 	return p, f.clock.Since(f.fresh), true
 }
 
+// lostNow reports whether the last read of the store failed.
+func (f *Feed) lostNow() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.away
+}
+
 // Next returns the offset up to which all is known.
 func (f *Feed) Next() int64 {
 	f.mu.Lock()
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -279,25 +281,117 @@
 	known := New("f", newTopic(), WithLogger(quiet))
 	known.Merge(page(5, hollowgrade.KeyedRecord{Key: "a", Value: []byte("1"), Offset: 4}), time.Now().Add(-time.Second))
 	address := served(t, known)
+	relay := func(fs ...*Feed) *Relay {
+		r := NewRelay("self:1", func() []string { return nil }, WithRelayLogger(quiet))
+		r.Add(fs...)
+		return r
+	}
 	f := New("f", newTopic(), WithLogger(quiet))
 	unknown := New("g", newTopic(), WithLogger(quiet))
 	v := watch(f)
-	r := NewRelay(func() []string { return nil }, []*Feed{f, unknown}, WithRelayLogger(quiet))
+	r := relay(f, unknown)
 	require.Len(t, r.behind(), 2)
-	require.NoError(t, r.exchange(context.Background(), address, r.behind()))
+	require.NoError(t, r.exchange(context.Background(), address))
 	require.Equal(t, "map[a:1]", v.all())
 	age, ok := f.Age()
 	require.True(t, ok)
 	require.GreaterOrEqual(t, age, time.Second, "the peer's own age counts")
 	require.Len(t, r.behind(), 1)
 	t.Run("a peer that is not there", func(t *testing.T) {
-		require.Error(t, r.exchange(context.Background(), "127.0.0.1:1", r.behind()))
+		require.Error(t, r.exchange(context.Background(), "127.0.0.1:1"))
 	})
 	t.Run("a peer that has never seen the topic says nothing", func(t *testing.T) {
 		f := New("f", newTopic(), WithLogger(quiet))
 		empty := New("f", newTopic(), WithLogger(quiet))
-		require.NoError(t, r.exchange(context.Background(), served(t, empty), []*Feed{f}))
+		r := relay(f)
+		require.NoError(t, r.exchange(context.Background(), served(t, empty)))
 		_, ok := f.Age()
 		require.False(t, ok)
+		require.True(t, r.told.IsZero())
+	})
+	// Found on korrigan-replay trouble-3: both readers were cut off from the store
+	// right before a change, and went on telling what they knew.
+	t.Run("a peer that has lost the store tells only those who know nothing", func(t *testing.T) {
+		lost := New("f", newTopic(), WithLogger(quiet))
+		lost.Merge(page(5, hollowgrade.KeyedRecord{Key: "a", Value: []byte("1"), Offset: 4}), time.Now())
+		lost.lost(errDown)
+		a := served(t, lost)
+		f := New("f", newTopic(), WithLogger(quiet))
+		f.Merge(page(2), time.Now().Add(-time.Second))
+		r := relay(f)
+		require.NoError(t, r.exchange(context.Background(), a))
+		require.True(t, r.told.IsZero())
+		require.Equal(t, int64(2), f.Next())
+		n := New("f", newTopic(), WithLogger(quiet))
+		require.NoError(t, relay(n).exchange(context.Background(), a))
+		require.Equal(t, int64(5), n.Next())
+	})
+	t.Run("a connection is kept, and opened again after it broke", func(t *testing.T) {
+		r := relay(New("f", newTopic(), WithLogger(quiet)))
+		require.NoError(t, r.exchange(context.Background(), address))
+		c := r.conns[address]
+		require.NoError(t, r.exchange(context.Background(), address))
+		require.Equal(t, c, r.conns[address])
+		require.NoError(t, c.Close())
+		require.Error(t, r.exchange(context.Background(), address))
+		require.NoError(t, r.exchange(context.Background(), address))
+	})
+}
+
+func TestReaders(t *testing.T) {
+	all := func(n int) (as []string) {
+		for i := range n {
+			as = append(as, fmt.Sprintf("10.0.0.%d:1", i))
+		}
+		return as
+	}
+	relay := func(self string, n int) *Relay {
+		return NewRelay(self, func() []string { return all(n) }, WithRelayLogger(log.New(io.Discard)))
+	}
+	t.Run("all agree on them", func(t *testing.T) {
+		for n, want := range map[int]int{1: 1, 2: 2, 5: 4, 28: 6, 60: 12} {
+			rs := relay(all(n)[0], n).readers()
+			require.Len(t, rs, want)
+			for _, a := range all(n) {
+				require.Equal(t, rs, relay(a, n).readers())
+			}
+		}
+	})
+	t.Run("they read, the others only when nobody tells them", func(t *testing.T) {
+		rs := relay("10.0.0.0:1", 5).readers()
+		for _, a := range all(5) {
+			r := relay(a, 5)
+			reader := slices.Contains(rs, a)
+			require.True(t, r.Reads(), "nobody has told anything yet")
+			r.told = time.Now()
+			require.Equal(t, reader, r.Reads())
+			require.Equal(t, !reader, len(r.toAsk()) == len(rs))
+			r.told = time.Now().Add(-2 * lostAfter)
+			require.True(t, r.Reads())
+		}
+	})
+	t.Run("a process that is told does not read", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			k := newTopic()
+			var reads atomic.Bool
+			reads.Store(true)
+			f := New("f", k, WithLogger(log.New(io.Discard)), WithWait(time.Second), WithReader(reads.Load))
+			v := watch(f)
+			var g sync.WaitGroup
+			g.Go(func() { f.Run(ctx) })
+			synctest.Wait()
+			reads.Store(false)
+			time.Sleep(2 * time.Second)
+			put(t, k, "a", "1")
+			require.Equal(t, "map[]", v.all())
+			reads.Store(true)
+			time.Sleep(2 * followPause)
+			require.Equal(t, "map[a:1]", v.all())
+			age, _ := f.Age()
+			require.Less(t, age, time.Second)
+			cancel()
+			g.Wait()
+		})
 	})
 }
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -1,10 +1,13 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -13,30 +16,47 @@
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/sched"
 )
 
 const (
-	// relayEvery is how often a stale process asks its peers. Several asks fit
-	// into the time for which a stale configuration still admits keys.
-	relayEvery = 400 * time.Millisecond
-	// relayTimeout bounds one ask: a connection and an answer within a region.
-	relayTimeout = 700 * time.Millisecond
-	// askedPeers is how many peers are asked at a time, so that one that is
-	// dead or cut off itself does not hold the answer up.
+	// askEvery is how often a process asks its peers. What changes reaches it
+	// that much later than the reader that tells it, well within the seconds in
+	// which changes have to be in force.
+	askEvery = 400 * time.Millisecond
+	// askTimeout bounds one ask: a connection and an answer within a region.
+	askTimeout = 700 * time.Millisecond
+	// askedPeers is how many peers a stale process asks at a time, so that one
+	// that is dead or cut off itself does not hold the answer up.
 	askedPeers = 3
-	// staleMargin is by how much a view may be older than a read waits before
-	// peers are asked: a read that gets no answer is given up after as much.
-	staleMargin = answerMargin + 100*time.Millisecond
+	// staleMargin is by how much a view may be older than two reads wait before
+	// any peers are asked, not just readers.
+	staleMargin = 300 * time.Millisecond
+	// lostAfter is how long a process goes without word from a reader before it
+	// reads the store itself.
+	lostAfter = 900 * time.Millisecond
+	// fewestReaders read the store, however few processes there are, and one in
+	// perReader beyond. A third of all processes may be cut off from the store at
+	// once, and the others have to learn of a change within two seconds: there
+	// have to be so many readers that hardly ever all of them are among those.
+	fewestReaders = 4
+	perReader     = 5
 )
 
-// Relay brings feeds up to date from peers while the store turns this process
-// away.
+// Relay keeps feeds up to date from peers: a few processes read the store, and
+// the others ask those. It also helps a process that the store turns away.
 type Relay struct {
+	self  string
 	feeds []*Feed
 	peers func() []string
 	dial  peer.Dialer
 	clock hollowgrade.Clock
 	log   *log.Logger
+
+	mu    sync.Mutex
+	conns map[string]*peer.Conn
+	told  time.Time // when a reader last told what is fresh
+	reads bool      // what Reads last said
 }
 
 // RelayOption changes a relay as it is made.
@@ -57,15 +77,17 @@
 	return func(r *Relay) { r.dial = d }
 }
 
-// NewRelay returns a relay for feeds. Peers returns the addresses of processes
-// that may know more; it is asked anew each time.
-func NewRelay(peers func() []string, fs []*Feed, os ...RelayOption) *Relay {
+// NewRelay returns a relay for the process with the address self. Peers returns
+// the addresses of the others; it is asked anew each time. Feeds are added with
+// [Relay.Add].
+func NewRelay(self string, peers func() []string, os ...RelayOption) *Relay {
 	r := &Relay{
-		feeds: fs,
+		self:  self,
 		peers: peers,
 		dial:  peer.TCP(),
 		clock: hollowgrade.SystemClock(),
 		log:   log.Default(),
+		conns: map[string]*peer.Conn{},
 	}
 	for _, o := range os {
 		o(r)
@@ -73,60 +95,144 @@
 	return r
 }
 
-// Run asks peers whenever a feed is stale, until ctx ends.
+// Add adds feeds. It is called before Run.
+func (r *Relay) Add(fs ...*Feed) {
+	r.feeds = append(r.feeds, fs...)
+}
+
+// readers returns the processes that read the store, the same for all that know
+// the same members.
+func (r *Relay) readers() []string {
+	as := append(r.peers(), r.self)
+	slices.SortFunc(as, func(a, b string) int {
+		return cmp.Or(cmp.Compare(sched.Rank(readersSubject, b), sched.Rank(readersSubject, a)), cmp.Compare(a, b))
+	})
+	as = slices.Compact(as)
+	return as[:min(max(fewestReaders, (len(as)+perReader-1)/perReader), len(as))]
+}
+
+// readersSubject is what processes are ranked for.
+const readersSubject = "store"
+
+// Reads reports whether this process has to read the store itself: it is one of
+// the readers, or none of them has told it anything for a while.
+func (r *Relay) Reads() bool {
+	reader := slices.Contains(r.readers(), r.self)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reads := reader || r.clock.Since(r.told) > lostAfter
+	if reads != r.reads {
+		r.reads = reads
+		r.log.Info("reading of the store changed", "reads", reads, "reader", reader, "told_ms", r.clock.Since(r.told).Milliseconds())
+	}
+	return reads
+}
+
+// Run asks peers until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	for hollowgrade.Sleep(ctx, r.clock, relayEvery) {
-		fs := r.behind()
-		if len(fs) == 0 {
-			continue
-		}
-		as := r.peers()
-		rand.Shuffle(len(as), func(i, j int) { as[i], as[j] = as[j], as[i] })
-		for _, a := range as[:min(askedPeers, len(as))] {
-			go r.ask(ctx, a, fs)
+	for hollowgrade.Sleep(ctx, r.clock, askEvery) {
+		for _, a := range r.toAsk() {
+			go r.ask(ctx, a)
 		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+// toAsk returns the peers to ask now: the readers, unless this process is one;
+// and any when the view is stale.
+func (r *Relay) toAsk() (as []string) {
+	rs := r.readers()
+	if !slices.Contains(rs, r.self) {
+		as = rs
+	}
+	if len(r.behind()) == 0 {
+		return as
+	}
+	ps := r.peers()
+	rand.Shuffle(len(ps), func(i, j int) { ps[i], ps[j] = ps[j], ps[i] })
+	return append(as, ps[:min(askedPeers, len(ps))]...)
 }
 
 // behind returns the feeds that are stale.
 func (r *Relay) behind() (fs []*Feed) {
 	for _, f := range r.feeds {
-		if age, ok := f.Age(); !ok || age > f.wait+staleMargin {
+		if age, ok := f.Age(); !ok || age > 2*f.wait+staleMargin {
 			fs = append(fs, f)
 		}
 	}
 	return fs
 }
 
-func (r *Relay) ask(ctx context.Context, address string, fs []*Feed) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+func (r *Relay) ask(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	if err := r.exchange(ctx, address, fs); err != nil {
+	if err := r.exchange(ctx, address); err != nil && ctx.Err() == nil {
 		r.log.Debug("peer did not tell what it knows of the store", "peer", address, "err", err)
 	}
 }
 
-func (r *Relay) exchange(ctx context.Context, address string, fs []*Feed) (err error) {
-	defer errs.Annotate(&err, "ask peer %s for feeds", address)
-	sent := r.clock.Now()
+// conn returns the kept connection to a peer, or opens one.
+func (r *Relay) conn(ctx context.Context, address string) (*peer.Conn, error) {
+	r.mu.Lock()
+	c := r.conns[address]
+	r.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
 	c, err := peer.Dial(ctx, r.dial, address)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o := r.conns[address]; o != nil {
+		return o, c.Close()
+	}
+	r.conns[address] = c
+	return c, nil
+}
+
+// drop forgets a connection on which an exchange failed.
+func (r *Relay) drop(address string, c *peer.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.conns[address] == c {
+		delete(r.conns, address)
+	}
+	_ = c.Close()
+}
+
+func (r *Relay) exchange(ctx context.Context, address string) (err error) {
+	defer errs.Annotate(&err, "ask peer %s for feeds", address)
+	c, err := r.conn(ctx, address)
 	if err != nil {
 		return err
 	}
-	defer c.Close()
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	defer stop()
+	defer func() {
+		if err != nil {
+			r.drop(address, c)
+		}
+	}()
+	sent := r.clock.Now()
 	q := &wire.FeedRequest{}
-	for _, f := range fs {
+	for _, f := range r.feeds {
 		q.Positions = append(q.Positions, &wire.FeedPosition{Feed: f.Name(), Next: f.Next()})
 	}
 	s, err := c.Open(&wire.Frame{Body: &wire.Frame_FeedRequest{FeedRequest: q}})
 	if err != nil {
 		return err
 	}
-	for {
+	defer s.Abort()
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	for n := 0; ; n++ {
 		m, err := s.Receive()
 		if errors.Is(err, io.EOF) {
+			r.heard(n)
 			return nil
 		}
 		if err != nil {
@@ -136,14 +242,24 @@
 		if p == nil {
 			return errors.New("peer sent a frame that is not due")
 		}
-		r.merge(address, p, fs, sent)
+		r.merge(address, p, sent)
 	}
 }
 
+// heard notes that a peer has told n feeds, if that leaves none of them stale.
+func (r *Relay) heard(n int) {
+	if n < len(r.feeds) || len(r.behind()) > 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.told = r.clock.Now()
+}
+
 // merge takes a peer's reply. What the peer knew as of some time before it
 // answered it knew at the latest that long after the request was sent.
-func (r *Relay) merge(address string, m *wire.FeedReply, fs []*Feed, sent time.Time) {
-	for _, f := range fs {
+func (r *Relay) merge(address string, m *wire.FeedReply, sent time.Time) {
+	for _, f := range r.feeds {
 		if f.Name() != m.Feed {
 			continue
 		}
@@ -153,7 +269,7 @@
 			p.Records = append(p.Records, hollowgrade.KeyedRecord{Key: k.Key, Value: k.Value, Offset: k.Offset})
 		}
 		f.Merge(p, sent.Add(-time.Duration(m.AgeMicros)*time.Microsecond))
-		if after, ok := f.Age(); ok && after < before {
+		if after, ok := f.Age(); ok && after < before && (before > 2*f.wait+staleMargin || len(p.Records) > 0) {
 			r.log.Info("learned from a peer", "feed", f.name, "peer", address, "next", m.Next, "records", len(p.Records),
 				"age_ms", after.Milliseconds(), "age_before_ms", before.Milliseconds())
 		}
@@ -169,8 +285,8 @@
 				continue
 			}
 			p, age, ok := f.Since(o.Next)
-			if !ok {
-				continue
+			if !ok || f.lostNow() && o.Next > 0 {
+				continue // the store's newest is not known here, and the peer knows something
 			}
 			if err = s.Send(reply(f.Name(), p, age)); err != nil {
 				return err
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -80,11 +80,12 @@
 		return nil, err
 	}
 	s := platform.NewStore(c.Store)
-	n = &GatewayNode{Node: b, config: feed.New(configFeed, s.Config(), feed.WithLogger(g), feed.WithWait(c.ReadWait()))}
+	n = &GatewayNode{Node: b, members: newMembers(c, s.Members(), g)}
 	n.settings.Store(&c)
-	fleet := feed.New(fleetFeed, s.Workers(), feed.WithLogger(g), feed.WithWait(c.FleetWait))
-	others := feed.New(membersFeed, s.Members(), feed.WithLogger(g), feed.WithWait(c.MembersWait))
-	n.members = newMembers(c, s.Members(), g)
+	relay := feed.NewRelay(c.Peers, n.members.addresses, feed.WithRelayLogger(g))
+	n.config = feed.New(configFeed, s.Config(), feed.WithLogger(g), feed.WithWait(c.ReadWait()), feed.WithReader(relay.Reads))
+	fleet := feed.New(fleetFeed, s.Workers(), feed.WithLogger(g), feed.WithWait(c.FleetWait), feed.WithReader(relay.Reads))
+	others := feed.New(membersFeed, s.Members(), feed.WithLogger(g), feed.WithWait(c.MembersWait), feed.WithReader(relay.Reads))
 	n.state = n.configState
 	w := platform.NewWorkers()
 	n.Core = core.New(w, w,
@@ -96,8 +97,8 @@
 	n.config.Watch(n.takeConfig)
 	fleet.Watch(n.takeFleet)
 	others.Watch(n.members.take)
-	shared := []*feed.Feed{n.config, fleet}
-	relay := feed.NewRelay(n.members.addresses, shared, feed.WithRelayLogger(g))
+	shared := []*feed.Feed{n.config, fleet, others}
+	relay.Add(shared...)
 	sharer := loadview.New(c.Box, n.Core.Fleet(), n.members.addresses, loadview.WithLogger(g))
 	b.Register(FeedsService, newRunner(n.config.Run, fleet.Run, others.Run, relay.Run, sharer.Run))
 	if err = n.listen(c, shared, g); err != nil {
