core, feed: sends nothing to an upstream that began to leave while a call was held back

Ruled out: a late change (7 ms), a call held up on its way. A record of this box that a late write has replaced is written again (test).

--- a/core/fleet.go
+++ b/core/fleet.go
@@ -220,6 +220,16 @@
 	return !m.Draining && (m.lapsed.IsZero() || now.Sub(m.lapsed) < lapseGrace)
 }
 
+// stillUsable reports whether a pick that was made a while ago may still be
+// given the call.
+func (f *Fleet) stillUsable(p *placed) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	unusable := func(m *member) bool { return f.members[m.ID] != m || !f.usable(m, now) }
+	return !unusable(p.member) && !slices.ContainsFunc(p.helpers, unusable)
+}
+
 // another reports whether a service has an upstream beside those that were
 // tried.
 func (f *Fleet) another(service string, tried map[string]bool) bool {
--- a/core/flow.go
+++ b/core/flow.go
@@ -30,12 +30,16 @@
 	holdGoals = 0.25
 )
 
-// hold waits until what was given to the picked engines before is nearly read.
-func (f *flow) hold(ctx context.Context, p *placed) {
+// hold waits until what was given to the picked engines before is nearly read,
+// and returns how long that was.
+func (f *flow) hold(ctx context.Context, p *placed) time.Duration {
 	d := min(time.Duration(holdShare*float64(p.wait)), time.Duration(holdGoals*float64(f.route.Goal)))
-	if d > 0 {
-		hollowgrade.Sleep(ctx, f.core.clock, d)
+	if d <= 0 {
+		return 0
 	}
+	begin := f.core.clock.Now()
+	hollowgrade.Sleep(ctx, f.core.clock, d)
+	return f.core.clock.Since(begin)
 }
 
 // memoryTries bounds the attempts for which memory is not free: each costs an
@@ -117,43 +121,62 @@
 	d := newDemand(f.service, f.route, f.call, f.deadline.Sub(f.core.clock.Now()))
 	d.begun = f.began
 	p := f.core.fleet.pick(d, f.tried)
-	if p != nil && p.refused {
-		return Try{Err: f.refuse(p)}
-	}
 	if p == nil {
 		return Try{Err: fault.New(fault.NoUpstream, "no upstream of service %s can be tried, %d were", f.service.Name, len(f.tried)).
 			WithRetryAfter(shortRetry)}
 	}
+	if p.refused {
+		return Try{Err: f.refuse(p)}
+	}
 	u := p.upstream()
 	f.tried[u.ID] = true
 	f.upstreams = append(f.upstreams, u.ID)
-	now := f.core.clock.Now()
-	f.core.log.Info("sent", "request", f.call.ID, "attempt", n, "upstream", u.ID, "service", f.service.Name,
-		"helpers", len(p.helpers), "reading_ms", p.reading.Milliseconds(), "predicted_ms", p.first.Milliseconds(), "after", f.after,
-		"left_ms", f.deadline.Sub(now).Milliseconds(), "version", f.catalog.Version, "age_ms", f.age.Milliseconds())
-	f.hold(ctx, p)
-	t, err := f.core.setAside(ctx, f.call.ID, n, p)
-	defer t.end()
+	if n == 1 {
+		f.predicted = p.first
+	}
+	a := &attempt{flow: f, placed: p, number: n}
+	err := f.prepare(ctx, a)
+	defer a.tickets.end()
 	if err != nil {
 		f.core.fleet.over(p, false)
-		f.noMemory++
 		return Try{Err: err, Placed: f.noMemory < memoryTries, Free: true}
 	}
-	if n == 1 {
-		f.predicted = p.first
-	}
-	a := &attempt{flow: f, placed: p, helpers: t.helpersOf(p)}
 	err = a.run(ctx)
+	f.core.fleet.over(p, a.wrote)
 	if !errors.Is(err, hollowgrade.ErrNotSent) {
 		f.sent++
 	}
-	f.core.fleet.over(p, a.wrote)
 	if err == nil {
 		return Try{Placed: true}
 	}
 	return f.judge(a, err)
 }
 
+// prepare does what comes between the pick of an attempt and its sending. The
+// upstreams may have begun to leave meanwhile.
+func (f *flow) prepare(ctx context.Context, a *attempt) (err error) {
+	p := a.placed
+	a.held = f.hold(ctx, p)
+	if a.tickets, err = f.core.setAside(ctx, f.call.ID, a.number, p); err != nil {
+		f.noMemory++
+		return err
+	}
+	if !f.core.fleet.stillUsable(p) {
+		f.core.log.Info("not sent", "request", f.call.ID, "attempt", a.number, "upstream", p.upstream().ID, "why", "it or a helper began to leave")
+		return fault.New(fault.Draining, "upstream %s or a helper began to leave before the call was sent", p.upstream().ID)
+	}
+	return nil
+}
+
+// logSent tells of a sending.
+func (f *flow) logSent(a *attempt, left time.Duration) {
+	p := a.placed
+	f.core.log.Info("sent", "request", f.call.ID, "attempt", a.number, "upstream", p.upstream().ID, "service", f.service.Name,
+		"helpers", len(p.helpers), "reading_ms", p.reading.Milliseconds(), "predicted_ms", p.first.Milliseconds(),
+		"held_ms", a.held.Milliseconds(), "after", f.after, "left_ms", left.Milliseconds(),
+		"version", f.catalog.Version, "age_ms", f.age.Milliseconds())
+}
+
 // refuse says that a long prompt is not worth what it would take from others
 // now.
 func (f *flow) refuse(p *placed) error {
@@ -236,20 +259,24 @@
 type attempt struct {
 	flow    *flow
 	placed  *placed
-	helpers []hollowgrade.Helper
-	wrote   bool // whether the answer has begun
+	number  int // of the attempt, counted from 1
+	tickets *tickets
+	held    time.Duration // how long the sending was held back
+	wrote   bool          // whether the answer has begun
 	head    hollowgrade.Head
 }
 
 func (a *attempt) sending() hollowgrade.Sending {
 	f := a.flow
+	left := f.deadline.Sub(f.core.clock.Now())
+	f.logSent(a, left)
 	return hollowgrade.Sending{
 		Call:         f.call,
 		Upstream:     a.placed.upstream(),
 		Organisation: f.organisation.Name,
-		Left:         f.deadline.Sub(f.core.clock.Now()),
+		Left:         left,
 		After:        f.after,
-		Helpers:      a.helpers,
+		Helpers:      a.tickets.helpersOf(a.placed),
 	}
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -57,6 +57,7 @@
 	fresh    time.Time // when the read was sent that reached the topic's end
 	synced   bool      // whether reading on from next is possible
 	away     bool      // whether the last read failed
+	failed   time.Time // when a read failed last
 	watchers []func([]Change)
 }
 
@@ -221,7 +222,7 @@
 func (f *Feed) take(p hollowgrade.KeyedPage, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	regained := f.away || !f.fresh.IsZero() && f.clock.Since(f.fresh) > 2*f.wait
+	regained := f.doubtful()
 	cs := make([]Change, 0, len(p.Records))
 	for _, r := range p.Records {
 		if f.put(r) {
@@ -241,6 +242,20 @@
 	}
 }
 
+// doubtFor is for how long after a read that failed a change may tell of what
+// the store did while it was away: entries that lapsed then are back within two
+// seconds of its return.
+const doubtFor = 3 * time.Second
+
+// doubtful reports whether changes that come now may tell of what went on
+// unseen. The lock is held.
+func (f *Feed) doubtful() bool {
+	if !f.failed.IsZero() && f.clock.Since(f.failed) < doubtFor {
+		return true
+	}
+	return !f.fresh.IsZero() && f.clock.Since(f.fresh) > 2*f.wait+doubtFor
+}
+
 // put makes a record the newest of its key, unless it is older, and reports
 // whether that changes the key's value. The lock is held.
 func (f *Feed) put(r hollowgrade.KeyedRecord) bool {
@@ -272,11 +287,12 @@
 	return p, f.clock.Since(f.fresh), true
 }
 
-// lostNow reports whether the last read of the store failed.
+// lostNow reports whether the last read of the store failed, and no peer has
+// told of it since.
 func (f *Feed) lostNow() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.away
+	return f.away && f.fresh.Before(f.failed)
 }
 
 // Next returns the offset up to which all is known.
@@ -297,6 +313,7 @@
 func (f *Feed) lost(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.failed = f.clock.Now()
 	if f.away {
 		return
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -230,6 +230,29 @@
 	return hollowgrade.KeyedPage{Records: rs, Next: next, End: next}
 }
 
+// Found by an incident on sbn-push (inc-f68e): a gateway whose own last read had
+// failed long ago, and which had followed others since, took each upstream that
+// left for one that had lapsed.
+func TestAnOldFailureCastsNoDoubtOnChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New("f", newTopic(), WithLogger(log.New(io.Discard)), WithWait(time.Second))
+		v := watch(f)
+		f.Merge(page(1, hollowgrade.KeyedRecord{Key: "a", Value: []byte("1")}), time.Now())
+		f.lost(errDown)
+		drop := func(offset int64) int {
+			v.regained = 0
+			f.Merge(page(offset+1, hollowgrade.KeyedRecord{Key: "a", Value: []byte(fmt.Sprint("v", offset)), Offset: offset}), time.Now())
+			return v.regained
+		}
+		require.Equal(t, 1, drop(1), "right after a failure")
+		for range 10 {
+			time.Sleep(time.Second)
+			f.Merge(page(2), time.Now())
+		}
+		require.Zero(t, drop(2), "long after it, and fresh all the while")
+	})
+}
+
 func TestMerge(t *testing.T) {
 	now := time.Now()
 	f := New("f", newTopic(), WithLogger(log.New(io.Discard)))
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -296,95 +295,6 @@
 	}
 }
 
-// members knows the other gateways from the store and the settings.
-type members struct {
-	box, own string
-	seeds    []string
-	topic    hollowgrade.Topic
-	clock    hollowgrade.Clock
-	log      *log.Logger
-	runner   *runner
-
-	mu    sync.Mutex
-	known map[string]string // peer address by box
-}
-
-func newMembers(c setting.Gateway, t hollowgrade.Topic, g *log.Logger) *members {
-	m := &members{box: c.Box, own: c.Peers, seeds: c.Seeds, topic: t, clock: hollowgrade.SystemClock(), log: g, known: map[string]string{}}
-	m.runner = newRunner(m.join)
-	return m
-}
-
-// take puts changes of the members' topic into the list.
-func (m *members) take(cs []feed.Change) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, c := range cs {
-		if c.Dropped() {
-			delete(m.known, c.Key)
-		} else {
-			m.known[c.Key] = string(c.Value)
-		}
-	}
-}
-
-// addresses returns the peer addresses of the other gateways.
-func (m *members) addresses() (as []string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, a := range m.known {
-		as = append(as, a)
-	}
-	as = append(as, m.seeds...)
-	slices.Sort(as)
-	return slices.DeleteFunc(slices.Compact(as), func(a string) bool { return a == m.own || a == "" })
-}
-
-// count returns how many gateways share what all may spend together.
-func (m *members) count() int {
-	return max(len(m.addresses())+1, assumedGateways)
-}
-
-const (
-	joinRetry   = 2 * time.Second
-	joinTimeout = 2 * time.Second
-)
-
-// join writes this process into the list, again until the store has taken it.
-func (m *members) join(ctx context.Context) {
-	for m.own != "" && ctx.Err() == nil {
-		err := m.put(ctx, []byte(m.own))
-		if err == nil {
-			return
-		}
-		m.log.Warn("could not join the list of gateways", "err", err)
-		hollowgrade.Sleep(ctx, m.clock, joinRetry)
-	}
-}
-
-func (m *members) put(ctx context.Context, v []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	return m.topic.Put(ctx, m.box, v)
-}
-
-// Start implements [kernel.Service].
-func (m *members) Start(ctx context.Context, k *kernel.Kernel) error {
-	return m.runner.Start(ctx, k)
-}
-
-// Stop implements [kernel.Service]. The entry of a process that ends without it
-// stays and costs those who ask it a connection that fails.
-func (m *members) Stop(ctx context.Context) error {
-	if err := m.runner.Stop(ctx); err != nil {
-		return err
-	}
-	if err := m.put(ctx, nil); err != nil {
-		m.log.Warn("could not leave the list of gateways", "err", err)
-	}
-	return nil
-}
-
 // runner is a service that runs functions until it is stopped.
 type runner struct {
 	run    []func(context.Context)
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -249,6 +249,18 @@
 	require.Equal(t, 401, st)
 }
 
+// A write of an earlier life of a box may be done by the store seconds late.
+func TestLateWriteOfAnEarlierLifeIsMadeGood(t *testing.T) {
+	s := newScene(t, platformtest.Echo)
+	box := s.gateway.Box.Name
+	listed := func() bool { return s.store.Value("keyed.members", box) == s.gateway.peers }
+	require.Eventually(t, listed, 20*time.Second, time.Millisecond)
+	s.store.Put("keyed.members", box, []byte("10.9.9.9:1"))
+	require.Eventually(t, listed, 20*time.Second, time.Millisecond)
+	s.store.Put("keyed.members", box, nil)
+	require.Eventually(t, listed, 20*time.Second, time.Millisecond)
+}
+
 // causes returns what the log says of a request, as msg and code.
 func causes(ls []map[string]any) (cs []string) {
 	for _, l := range ls {
--- /dev/null
+++ b/internal/node/members.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/feed"
+	"github.com/hollowgrade/hollowgrade/kernel"
+	"github.com/hollowgrade/hollowgrade/setting"
+)
+
+const (
+	// joinRetry is the pause before a record of this process is written again.
+	// A write without an answer may still be done some seconds later.
+	joinRetry   = 2 * time.Second
+	joinTimeout = 2 * time.Second
+)
+
+// members knows the other gateways from the store and the settings, and keeps
+// this one in the list. It is a service.
+type members struct {
+	box, own string
+	seeds    []string
+	topic    hollowgrade.Topic
+	clock    hollowgrade.Clock
+	log      *log.Logger
+	runner   *runner
+	missing  chan struct{} // gets a value when the list does not have this process
+
+	mu    sync.Mutex
+	known map[string]string // peer address by box
+}
+
+func newMembers(c setting.Gateway, t hollowgrade.Topic, g *log.Logger) *members {
+	m := &members{
+		box:     c.Box,
+		own:     c.Peers,
+		seeds:   c.Seeds,
+		topic:   t,
+		clock:   hollowgrade.SystemClock(),
+		log:     g,
+		missing: make(chan struct{}, 1),
+		known:   map[string]string{},
+	}
+	m.runner = newRunner(m.join)
+	m.miss()
+	return m
+}
+
+// miss asks for this process's record to be written.
+func (m *members) miss() {
+	select {
+	case m.missing <- struct{}{}:
+	default:
+	}
+}
+
+// take puts changes of the members' topic into the list. A write of an earlier
+// life of this box may be done late and hide the present one: then the record
+// is written again.
+func (m *members) take(cs []feed.Change) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range cs {
+		if c.Dropped() {
+			delete(m.known, c.Key)
+		} else {
+			m.known[c.Key] = string(c.Value)
+		}
+		if c.Key == m.box && string(c.Value) != m.own {
+			m.log.Warn("the list of gateways has another address for this box", "box", m.box, "address", string(c.Value), "own", m.own)
+			m.miss()
+		}
+	}
+}
+
+// addresses returns the peer addresses of the other gateways.
+func (m *members) addresses() (as []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range m.known {
+		as = append(as, a)
+	}
+	as = append(as, m.seeds...)
+	slices.Sort(as)
+	return slices.DeleteFunc(slices.Compact(as), func(a string) bool { return a == m.own || a == "" })
+}
+
+// count returns how many gateways share what all may spend together.
+func (m *members) count() int {
+	return max(len(m.addresses())+1, assumedGateways)
+}
+
+// join writes this process into the list, and again whenever it is missing.
+func (m *members) join(ctx context.Context) {
+	for m.own != "" {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.missing:
+		}
+		if err := m.put(ctx, []byte(m.own)); err != nil && ctx.Err() == nil {
+			m.log.Warn("could not join the list of gateways", "err", err)
+			m.miss()
+			hollowgrade.Sleep(ctx, m.clock, joinRetry)
+		}
+	}
+}
+
+func (m *members) put(ctx context.Context, v []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	return m.topic.Put(ctx, m.box, v)
+}
+
+// Start implements [kernel.Service].
+func (m *members) Start(ctx context.Context, k *kernel.Kernel) error {
+	return m.runner.Start(ctx, k)
+}
+
+// Stop implements [kernel.Service]. The entry of a process that ends without it
+// stays and costs those who ask it a connection that fails.
+func (m *members) Stop(ctx context.Context) error {
+	if err := m.runner.Stop(ctx); err != nil {
+		return err
+	}
+	if m.own == "" {
+		return nil
+	}
+	if err := m.put(ctx, nil); err != nil {
+		m.log.Warn("could not leave the list of gateways", "err", err)
+	}
+	return nil
+}
