--- a/core/flow.go
+++ b/core/flow.go
@@ -30,10 +30,15 @@
 	holdGoals = 0.25
 )
 
+// holdFor returns how long the sending of a pick is held back.
+func (p *placed) holdFor(goal time.Duration) time.Duration {
+	return min(time.Duration(holdShare*float64(p.wait)), time.Duration(holdGoals*float64(goal)))
+}
+
 // hold waits until what was given to the picked engines before is nearly read,
 // and returns how long that was.
 func (f *flow) hold(ctx context.Context, p *placed) time.Duration {
-	d := min(time.Duration(holdShare*float64(p.wait)), time.Duration(holdGoals*float64(f.route.Goal)))
+	d := p.holdFor(f.route.Goal)
 	if d <= 0 {
 		return 0
 	}
--- /dev/null
+++ b/core/plan.go
@@ -0,0 +1,42 @@
+package core
+
+import (
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+)
+
+// Plan is what a fleet decides for one call, for tools that play the decisions
+// without sending anything.
+type Plan struct {
+	Upstream string        // id
+	Helpers  []string      // ids of the upstreams that read parts of the prompt
+	Hold     time.Duration // for which the sending is held back
+	Refused  bool          // it would take more from others than it is worth
+	Predict  time.Duration // first event, as predicted
+
+	placed *placed
+}
+
+// Plan decides for a call as [Core.Serve] does, and accounts for it. It returns
+// false if there is no upstream. What was planned and not refused is ended with
+// [Fleet.Done].
+func (f *Fleet) Plan(s Service, r Route, c hollowgrade.Call, left time.Duration) (p Plan, ok bool) {
+	x := f.pick(newDemand(s, r, c, left), nil)
+	if x == nil {
+		return p, false
+	}
+	if x.refused {
+		return Plan{Refused: true, Predict: x.first}, true
+	}
+	p = Plan{Upstream: x.member.ID, Hold: x.holdFor(r.Goal), Predict: x.first, placed: x}
+	for _, h := range x.helpers {
+		p.Helpers = append(p.Helpers, h.ID)
+	}
+	return p, true
+}
+
+// Done ends the account of a plan. Began says whether its answer had begun.
+func (f *Fleet) Done(p Plan, began bool) {
+	f.over(p.placed, began)
+}
--- /dev/null
+++ b/experiment/engine.go
@@ -0,0 +1,116 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/hollowgrade/hollowgrade/engine"
+)
+
+// job is one request on its way.
+type job struct {
+	kind    *Kind
+	prompt  int
+	answer  int // tokens
+	arrived time.Duration
+	parts   int // of its prompt that are not read yet
+	split   bool
+	written int
+	first   time.Duration // when its first event came
+	last    time.Duration // when its last event came
+	pause   time.Duration // longest between two events
+	done    func(now time.Duration)
+}
+
+// part is a piece of a prompt that an engine has to read.
+type part struct {
+	job  *job
+	work time.Duration
+	home *pool // engine that writes the answer
+}
+
+// pool is one engine: it plays passes, each over all that waits.
+type pool struct {
+	id      string
+	figures *engine.Figures
+	play    *play
+	reading []part
+	writing []*job
+	queue   []*job // read, waiting for a slot
+	busy    bool
+	slow    float64
+}
+
+// read gives a part of a prompt to the engine.
+func (p *pool) read(x part) {
+	p.reading = append(p.reading, x)
+	p.wake()
+}
+
+// wake begins a pass if none is under way.
+func (p *pool) wake() {
+	if p.busy {
+		return
+	}
+	for len(p.queue) > 0 && len(p.writing) < p.figures.Slots {
+		p.writing = append(p.writing, p.queue[0])
+		p.queue = p.queue[1:]
+	}
+	if len(p.reading) == 0 && len(p.writing) == 0 {
+		return
+	}
+	p.busy = true
+	reading, writing := p.reading, p.writing
+	p.reading = nil
+	p.play.after(p.pass(reading, writing), func() { p.end(reading, writing) })
+}
+
+// pass returns how long a pass takes.
+func (p *pool) pass(reading []part, writing []*job) (d time.Duration) {
+	for _, x := range reading {
+		d += x.work
+	}
+	if len(writing) > 0 {
+		s := engine.State{Writers: len(writing)}
+		for _, j := range writing {
+			s.Context += j.prompt + j.written
+			if j.split {
+				d += p.figures.Hops(p.figures.Stride)
+			}
+		}
+		d += p.figures.Pass(s)
+	}
+	return time.Duration(p.slow * float64(d))
+}
+
+// end ends a pass: parts are read, and each request that writes has an event
+// more.
+func (p *pool) end(reading []part, writing []*job) {
+	p.busy = false
+	now := p.play.now
+	for _, x := range reading {
+		if x.job.parts--; x.job.parts == 0 {
+			x.home.queue = append(x.home.queue, x.job)
+			x.home.wake()
+		}
+	}
+	p.writing = nil
+	for _, j := range writing {
+		if p.event(j, now); j.written < j.answer {
+			p.writing = append(p.writing, j)
+		} else {
+			j.done(now)
+		}
+	}
+	p.wake()
+}
+
+// event notes an event of a request.
+func (p *pool) event(j *job, now time.Duration) {
+	j.written += p.figures.Stride
+	if j.first == 0 {
+		j.first = now
+	} else {
+		j.pause = max(j.pause, now-j.last)
+	}
+	j.last = now
+}
--- /dev/null
+++ b/experiment/file.go
@@ -0,0 +1,144 @@
+// Package experiment plays a fleet of model engines in virtual time, on the
+// decisions that gateways really make, and compares ways of deciding side by
+// side. Engines play the arithmetic of package engine.
+package experiment
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/hollowgrade/hollowgrade/engine"
+	"github.com/hollowgrade/hollowgrade/internal/errs"
+)
+
+// File says what is played.
+type File struct {
+	Seed     uint64        `toml:"seed"`
+	Duration time.Duration `toml:"duration"` // of arrivals
+	Gateways int           `toml:"gateways"`
+	View     time.Duration `toml:"view"` // how late gateways hear of each other's load
+	Engines  Engines       `toml:"engines"`
+	Kinds    []Kind        `toml:"kind"`
+	Bursts   []Burst       `toml:"burst"`
+	Slow     []Slow        `toml:"slow"`
+	Variants []Variant     `toml:"variant"`
+}
+
+// Engines is the pool.
+type Engines struct {
+	Count          int           `toml:"count"`
+	Slots          int           `toml:"slots"`
+	Capacity       int           `toml:"capacity"`
+	Step           time.Duration `toml:"step"`
+	StepPerWriter  time.Duration `toml:"step_per_writer"`
+	StepPerContext time.Duration `toml:"step_per_context"`
+	ReadRate       float64       `toml:"read_rate"`
+	PerMillion     time.Duration `toml:"per_million_pairs"`
+	Stride         int           `toml:"stride"`
+	Hop            time.Duration `toml:"hop"`
+	UsualPrompt    int           `toml:"usual_prompt"`
+	UsualAnswer    int           `toml:"usual_answer"`
+}
+
+// figures returns the same as package engine has it.
+func (e Engines) figures() *engine.Figures {
+	return &engine.Figures{
+		Slots:          e.Slots,
+		Capacity:       e.Capacity,
+		Step:           e.Step,
+		StepPerWriter:  e.StepPerWriter,
+		StepPerContext: e.StepPerContext,
+		ReadRate:       e.ReadRate,
+		PerMillion:     e.PerMillion,
+		Stride:         e.Stride,
+		Hop:            e.Hop,
+		UsualPrompt:    e.UsualPrompt,
+		UsualAnswer:    e.UsualAnswer,
+	}
+}
+
+// Kind is one kind of request.
+type Kind struct {
+	Name      string        `toml:"name"`
+	Rate      float64       `toml:"rate"`   // a second
+	Prompt    float64       `toml:"prompt"` // mean tokens
+	Spread    float64       `toml:"spread"` // standard deviation over mean; sizes are log-normal
+	PromptMax float64       `toml:"prompt_max"`
+	Answer    float64       `toml:"answer"` // mean tokens
+	Goal      time.Duration `toml:"goal"`   // until the first event
+	Pause     time.Duration `toml:"pause"`  // longest between events
+	Allowed   time.Duration `toml:"allowed"`
+	Worth     float64       `toml:"worth"`
+	Late      float64       `toml:"late"` // worth of a late answer
+}
+
+// Burst multiplies the rate of a kind for a while.
+type Burst struct {
+	Kind string        `toml:"kind"`
+	X    float64       `toml:"x"`
+	At   time.Duration `toml:"at"`
+	For  time.Duration `toml:"for"`
+}
+
+// Slow makes engines slower for a while, which nobody is told.
+type Slow struct {
+	Engines int           `toml:"engines"`
+	X       float64       `toml:"x"`
+	At      time.Duration `toml:"at"`
+	For     time.Duration `toml:"for"`
+}
+
+// The ways of deciding.
+const (
+	Worth         = "worth"          // as gateways do
+	LeastRequests = "least_requests" // fewest open requests of this gateway
+	LeastReading  = "least_reading"  // least reading given by this gateway; 16 helpers for long prompts
+	RoundRobin    = "round_robin"
+)
+
+// Variant is one way of deciding.
+type Variant struct {
+	Name      string `toml:"name"`
+	Decisions string `toml:"decisions"`
+	Alone     bool   `toml:"alone"` // gateways hear nothing of each other
+}
+
+// Read reads and checks a file.
+func Read(path string) (f File, err error) {
+	defer errs.Annotate(&err, "%s", path)
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return f, err
+	}
+	d := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields()
+	if err = d.Decode(&f); err != nil {
+		return f, err
+	}
+	return f, f.check()
+}
+
+// check reports what cannot be played.
+func (f File) check() error {
+	switch {
+	case f.Duration <= 0:
+		return fmt.Errorf("duration must be positive")
+	case f.Gateways < 1:
+		return fmt.Errorf("gateways must be at least 1")
+	case f.Engines.Count < 1 || f.Engines.Slots < 1 || f.Engines.Stride < 1 || f.Engines.ReadRate <= 0 || f.Engines.Step <= 0:
+		return fmt.Errorf("engines needs count, slots, stride, read_rate and step")
+	case len(f.Kinds) == 0 || len(f.Variants) == 0:
+		return fmt.Errorf("there must be at least one kind and one variant")
+	}
+	for _, v := range f.Variants {
+		switch v.Decisions {
+		case Worth, LeastRequests, LeastReading, RoundRobin:
+		default:
+			return fmt.Errorf("variant %s: decisions is %q, allowed: %s, %s, %s, %s", v.Name, v.Decisions, Worth, LeastRequests, LeastReading, RoundRobin)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/experiment/play.go
@@ -0,0 +1,290 @@
+package experiment
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/core"
+)
+
+// service is the name of the pool in decisions.
+const service = "engines"
+
+// event is something that happens at a moment.
+type event struct {
+	at  time.Duration
+	seq int // keeps events of one moment in order
+	do  func()
+}
+
+// events is a heap by time.
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements [heap.Interface].
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements [heap.Interface].
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// play is one run of one variant.
+type play struct {
+	file     File
+	variant  Variant
+	random   *rand.Rand
+	now      time.Duration
+	seq      int
+	events   events
+	clock    *clockwork.FakeClock
+	engines  map[string]*pool
+	deciders []decider
+	results  []Result
+}
+
+// Result is one request that has ended.
+type Result struct {
+	Kind    string        `json:"kind"`
+	Prompt  int           `json:"prompt"`
+	Arrived time.Duration `json:"arrived"`
+	First   time.Duration `json:"first"` // zero if none came
+	Pause   time.Duration `json:"pause"`
+	Refused bool          `json:"refused"`
+	Owed    float64       `json:"owed"`
+	Earned  float64       `json:"earned"`
+}
+
+// after lets something happen later.
+func (p *play) after(d time.Duration, do func()) {
+	p.seq++
+	heap.Push(&p.events, event{p.now + d, p.seq, do})
+}
+
+// Play plays one variant. The same file gives the same result.
+func Play(f File, v Variant) []Result {
+	p := &play{
+		file:    f,
+		variant: v,
+		random:  rand.New(rand.NewPCG(f.Seed, f.Seed)),
+		clock:   clockwork.NewFakeClock(),
+		engines: map[string]*pool{},
+	}
+	ids := make([]string, f.Engines.Count)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("engine-%03d", i)
+		p.engines[ids[i]] = &pool{id: ids[i], figures: f.Engines.figures(), play: p, slow: 1}
+	}
+	for range f.Gateways {
+		p.deciders = append(p.deciders, p.newDecider(ids))
+	}
+	for i := range f.Kinds {
+		p.arrive(&f.Kinds[i])
+	}
+	for _, s := range f.Slow {
+		p.slowDown(s, ids)
+	}
+	if f.View > 0 && !v.Alone {
+		p.after(f.View, p.spread)
+	}
+	p.run()
+	return p.results
+}
+
+// drainTime is how much longer than the arrivals a run lasts at the most.
+const drainTime = 30 * time.Second
+
+func (p *play) run() {
+	for len(p.events) > 0 {
+		e := heap.Pop(&p.events).(event)
+		if e.at > p.file.Duration+drainTime {
+			return
+		}
+		p.clock.Advance(e.at - p.now)
+		p.now = e.at
+		e.do()
+	}
+}
+
+// arrive lets the requests of a kind arrive, one after the other.
+func (p *play) arrive(k *Kind) {
+	rate := k.Rate
+	for _, b := range p.file.Bursts {
+		if b.Kind == k.Name && p.now >= b.At && p.now < b.At+b.For {
+			rate *= b.X
+		}
+	}
+	if rate <= 0 {
+		p.after(time.Second, func() { p.arrive(k) })
+		return
+	}
+	gap := time.Duration(p.random.ExpFloat64() / rate * float64(time.Second))
+	// Rates change with bursts, so a long gap is drawn anew.
+	if gap > time.Second {
+		p.after(time.Second, func() { p.arrive(k) })
+		return
+	}
+	p.after(gap, func() {
+		if p.now > p.file.Duration {
+			return
+		}
+		p.request(k)
+		p.arrive(k)
+	})
+}
+
+// size draws a size with the given mean and spread.
+func (p *play) size(mean, spread, most float64) int {
+	s2 := math.Log(1 + spread*spread)
+	n := mean * math.Exp(math.Sqrt(s2)*p.random.NormFloat64()-s2/2)
+	if most > 0 {
+		n = min(n, most)
+	}
+	return max(int(n), 1)
+}
+
+// answerSpread is the spread of the length of answers.
+const answerSpread = 0.6
+
+func (p *play) request(k *Kind) {
+	j := &job{
+		kind:    k,
+		prompt:  p.size(k.Prompt, k.Spread, k.PromptMax),
+		answer:  p.size(k.Answer, answerSpread, 0),
+		arrived: p.now,
+	}
+	g := p.deciders[p.random.IntN(len(p.deciders))]
+	p.place(g, j, k.Allowed)
+}
+
+// owed is the worth of a request by its size, as users count it.
+func (j *job) owed() float64 {
+	size := float64(j.prompt+10*j.answer) / (j.kind.Prompt + 10*j.kind.Answer)
+	return min(j.kind.Worth*(0.3+0.7*size), 4*j.kind.Worth)
+}
+
+func (p *play) place(g decider, j *job, left time.Duration) {
+	d, ok := g.decide(j, left)
+	if !ok || d.Refused {
+		p.results = append(p.results, Result{Kind: j.kind.Name, Prompt: j.prompt, Arrived: j.arrived, Refused: true, Owed: j.owed()})
+		return
+	}
+	j.done = func(now time.Duration) {
+		g.done(d)
+		p.results = append(p.results, j.result(now))
+	}
+	p.after(d.Hold, func() { p.send(j, d) })
+}
+
+func (p *play) send(j *job, d core.Plan) {
+	home := p.engines[d.Upstream]
+	j.parts = 1 + len(d.Helpers)
+	j.split = len(d.Helpers) > 0
+	work := home.figures.Reading(j.prompt, j.parts)
+	home.read(part{j, work, home})
+	for _, h := range d.Helpers {
+		p.engines[h].read(part{j, work, home})
+	}
+}
+
+// result judges a request that has ended.
+func (j *job) result(now time.Duration) Result {
+	r := Result{Kind: j.kind.Name, Prompt: j.prompt, Arrived: j.arrived, First: j.first - j.arrived, Pause: j.pause, Owed: j.owed()}
+	switch {
+	case now-j.arrived > j.kind.Allowed:
+	case r.First <= j.kind.Goal && j.pause <= j.kind.Pause:
+		r.Earned = r.Owed
+	default:
+		r.Earned = r.Owed * j.kind.Late / j.kind.Worth
+	}
+	return r
+}
+
+func (p *play) slowDown(s Slow, ids []string) {
+	set := func(x float64) func() {
+		return func() {
+			for _, id := range ids[:min(s.Engines, len(ids))] {
+				p.engines[id].slow = x
+			}
+		}
+	}
+	p.after(s.At, set(s.X))
+	p.after(s.At+s.For, set(1))
+}
+
+// spread lets gateways hear of each other's load.
+func (p *play) spread() {
+	for i, a := range p.deciders {
+		cs := a.changes()
+		if len(cs) == 0 {
+			continue
+		}
+		for j, b := range p.deciders {
+			if i != j {
+				b.hear(fmt.Sprint(i), cs)
+			}
+		}
+	}
+	if p.now < p.file.Duration+drainTime {
+		p.after(p.file.View, p.spread)
+	}
+}
+
+// decider decides for one gateway.
+type decider interface {
+	decide(j *job, left time.Duration) (core.Plan, bool)
+	done(d core.Plan)
+	changes() map[string]core.Share
+	hear(from string, cs map[string]core.Share)
+}
+
+func (p *play) newDecider(ids []string) decider {
+	if p.variant.Decisions != Worth {
+		return &naive{way: p.variant.Decisions, ids: ids, open: map[string]int{}, reading: map[string]time.Duration{}, figures: p.file.Engines.figures()}
+	}
+	f := core.NewFleet(p.clock, log.New(io.Discard))
+	for _, id := range ids {
+		f.Put(hollowgrade.Upstream{ID: id, Service: service, Slots: p.file.Engines.Slots})
+	}
+	return &gateway{fleet: f, service: core.Service{Name: service, Engine: p.file.Engines.figures()}}
+}
+
+// gateway decides as gateways do.
+type gateway struct {
+	fleet   *core.Fleet
+	service core.Service
+}
+
+func (g *gateway) decide(j *job, left time.Duration) (core.Plan, bool) {
+	r := core.Route{Goal: j.kind.Goal, PauseGoal: j.kind.Pause, Timeout: j.kind.Allowed}
+	c := hollowgrade.Call{PromptTokens: j.prompt, MaxTokens: j.answer, Patience: left}
+	return g.fleet.Plan(g.service, r, c, left)
+}
+
+func (g *gateway) done(d core.Plan) {
+	g.fleet.Done(d, true)
+}
+
+func (g *gateway) changes() map[string]core.Share {
+	return g.fleet.Changes(true)
+}
+
+func (g *gateway) hear(from string, cs map[string]core.Share) {
+	g.fleet.TakeView(from, cs, true)
+}
