experiment: plays a fleet in virtual time and compares ways of deciding

A discrete-event run: arrivals, engines that play the arithmetic of package engine, and core.Fleet's own decisions on a fake clock; text, JSON and an SVG. Ruled out: testing/synctest (tests only). First faults of the tool, found by its tests: an engine that began a pass while it ended one, and requests that were not counted.

--- a/config/config.go
+++ b/config/config.go
@@ -30,6 +30,11 @@
 // Duration is a length of time that is written as "1m30s".
 type Duration time.Duration
 
+// Std returns the duration as the standard type.
+func (d Duration) Std() time.Duration {
+	return time.Duration(d)
+}
+
 // MarshalText implements [encoding.TextMarshaler].
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(time.Duration(d).String()), nil
--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -18,6 +18,7 @@
 	first   time.Duration // when its first event came
 	last    time.Duration // when its last event came
 	pause   time.Duration // longest between two events
+	began   func()
 	done    func(now time.Duration)
 }
 
@@ -82,17 +83,10 @@
 	return time.Duration(p.slow * float64(d))
 }
 
-// end ends a pass: parts are read, and each request that writes has an event
-// more.
+// end ends a pass: each request that writes has an event more, and parts are
+// read. The engine counts as busy until its own lists are in order again.
 func (p *pool) end(reading []part, writing []*job) {
-	p.busy = false
 	now := p.play.now
-	for _, x := range reading {
-		if x.job.parts--; x.job.parts == 0 {
-			x.home.queue = append(x.home.queue, x.job)
-			x.home.wake()
-		}
-	}
 	p.writing = nil
 	for _, j := range writing {
 		if p.event(j, now); j.written < j.answer {
@@ -101,6 +95,13 @@
 			j.done(now)
 		}
 	}
+	for _, x := range reading {
+		if x.job.parts--; x.job.parts == 0 {
+			x.home.queue = append(x.home.queue, x.job)
+			x.home.wake()
+		}
+	}
+	p.busy = false
 	p.wake()
 }
 
@@ -109,6 +110,7 @@
 	j.written += p.figures.Stride
 	if j.first == 0 {
 		j.first = now
+		j.began()
 	} else {
 		j.pause = max(j.pause, now-j.last)
 	}
--- a/experiment/file.go
+++ b/experiment/file.go
@@ -7,41 +7,41 @@
 	"bytes"
 	"fmt"
 	"os"
-	"time"
 
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/hollowgrade/hollowgrade/config"
 	"github.com/hollowgrade/hollowgrade/engine"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 )
 
 // File says what is played.
 type File struct {
-	Seed     uint64        `toml:"seed"`
-	Duration time.Duration `toml:"duration"` // of arrivals
-	Gateways int           `toml:"gateways"`
-	View     time.Duration `toml:"view"` // how late gateways hear of each other's load
-	Engines  Engines       `toml:"engines"`
-	Kinds    []Kind        `toml:"kind"`
-	Bursts   []Burst       `toml:"burst"`
-	Slow     []Slow        `toml:"slow"`
-	Variants []Variant     `toml:"variant"`
+	Seed     uint64          `toml:"seed"`
+	Duration config.Duration `toml:"duration"` // of arrivals
+	Gateways int             `toml:"gateways"`
+	View     config.Duration `toml:"view"` // how late gateways hear of each other's load
+	Engines  Engines         `toml:"engines"`
+	Kinds    []Kind          `toml:"kind"`
+	Bursts   []Burst         `toml:"burst"`
+	Slow     []Slow          `toml:"slow"`
+	Variants []Variant       `toml:"variant"`
 }
 
 // Engines is the pool.
 type Engines struct {
-	Count          int           `toml:"count"`
-	Slots          int           `toml:"slots"`
-	Capacity       int           `toml:"capacity"`
-	Step           time.Duration `toml:"step"`
-	StepPerWriter  time.Duration `toml:"step_per_writer"`
-	StepPerContext time.Duration `toml:"step_per_context"`
-	ReadRate       float64       `toml:"read_rate"`
-	PerMillion     time.Duration `toml:"per_million_pairs"`
-	Stride         int           `toml:"stride"`
-	Hop            time.Duration `toml:"hop"`
-	UsualPrompt    int           `toml:"usual_prompt"`
-	UsualAnswer    int           `toml:"usual_answer"`
+	Count          int             `toml:"count"`
+	Slots          int             `toml:"slots"`
+	Capacity       int             `toml:"capacity"`
+	Step           config.Duration `toml:"step"`
+	StepPerWriter  config.Duration `toml:"step_per_writer"`
+	StepPerContext config.Duration `toml:"step_per_context"`
+	ReadRate       float64         `toml:"read_rate"`
+	PerMillion     config.Duration `toml:"per_million_pairs"`
+	Stride         int             `toml:"stride"`
+	Hop            config.Duration `toml:"hop"`
+	UsualPrompt    int             `toml:"usual_prompt"`
+	UsualAnswer    int             `toml:"usual_answer"`
 }
 
 // figures returns the same as package engine has it.
@@ -49,13 +49,13 @@
 	return &engine.Figures{
 		Slots:          e.Slots,
 		Capacity:       e.Capacity,
-		Step:           e.Step,
-		StepPerWriter:  e.StepPerWriter,
-		StepPerContext: e.StepPerContext,
+		Step:           e.Step.Std(),
+		StepPerWriter:  e.StepPerWriter.Std(),
+		StepPerContext: e.StepPerContext.Std(),
 		ReadRate:       e.ReadRate,
-		PerMillion:     e.PerMillion,
+		PerMillion:     e.PerMillion.Std(),
 		Stride:         e.Stride,
-		Hop:            e.Hop,
+		Hop:            e.Hop.Std(),
 		UsualPrompt:    e.UsualPrompt,
 		UsualAnswer:    e.UsualAnswer,
 	}
@@ -63,33 +63,33 @@
 
 // Kind is one kind of request.
 type Kind struct {
-	Name      string        `toml:"name"`
-	Rate      float64       `toml:"rate"`   // a second
-	Prompt    float64       `toml:"prompt"` // mean tokens
-	Spread    float64       `toml:"spread"` // standard deviation over mean; sizes are log-normal
-	PromptMax float64       `toml:"prompt_max"`
-	Answer    float64       `toml:"answer"` // mean tokens
-	Goal      time.Duration `toml:"goal"`   // until the first event
-	Pause     time.Duration `toml:"pause"`  // longest between events
-	Allowed   time.Duration `toml:"allowed"`
-	Worth     float64       `toml:"worth"`
-	Late      float64       `toml:"late"` // worth of a late answer
+	Name      string          `toml:"name"`
+	Rate      float64         `toml:"rate"`   // a second
+	Prompt    float64         `toml:"prompt"` // mean tokens
+	Spread    float64         `toml:"spread"` // standard deviation over mean; sizes are log-normal
+	PromptMax float64         `toml:"prompt_max"`
+	Answer    float64         `toml:"answer"` // mean tokens
+	Goal      config.Duration `toml:"goal"`   // until the first event
+	Pause     config.Duration `toml:"pause"`  // longest between events
+	Allowed   config.Duration `toml:"allowed"`
+	Worth     float64         `toml:"worth"`
+	Late      float64         `toml:"late"` // worth of a late answer
 }
 
 // Burst multiplies the rate of a kind for a while.
 type Burst struct {
-	Kind string        `toml:"kind"`
-	X    float64       `toml:"x"`
-	At   time.Duration `toml:"at"`
-	For  time.Duration `toml:"for"`
+	Kind string          `toml:"kind"`
+	X    float64         `toml:"x"`
+	At   config.Duration `toml:"at"`
+	For  config.Duration `toml:"for"`
 }
 
 // Slow makes engines slower for a while, which nobody is told.
 type Slow struct {
-	Engines int           `toml:"engines"`
-	X       float64       `toml:"x"`
-	At      time.Duration `toml:"at"`
-	For     time.Duration `toml:"for"`
+	Engines int             `toml:"engines"`
+	X       float64         `toml:"x"`
+	At      config.Duration `toml:"at"`
+	For     config.Duration `toml:"for"`
 }
 
 // The ways of deciding.
--- a/experiment/naive.go
+++ b/experiment/naive.go
@@ -58,9 +58,12 @@
 	}
 }
 
+func (n *naive) began(d core.Plan) {
+	n.account(d, -d.Predict)
+}
+
 func (n *naive) done(d core.Plan) {
 	n.open[d.Upstream]--
-	n.account(d, -d.Predict)
 }
 
 func (n *naive) changes() map[string]core.Share {
--- a/experiment/play.go
+++ b/experiment/play.go
@@ -1,11 +1,13 @@
 package experiment
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -56,6 +58,7 @@
 	clock    *clockwork.FakeClock
 	engines  map[string]*pool
 	deciders []decider
+	open     map[*job]bool
 	results  []Result
 }
 
@@ -85,6 +88,7 @@
 		random:  rand.New(rand.NewPCG(f.Seed, f.Seed)),
 		clock:   clockwork.NewFakeClock(),
 		engines: map[string]*pool{},
+		open:    map[*job]bool{},
 	}
 	ids := make([]string, f.Engines.Count)
 	for i := range ids {
@@ -101,9 +105,13 @@
 		p.slowDown(s, ids)
 	}
 	if f.View > 0 && !v.Alone {
-		p.after(f.View, p.spread)
+		p.after(f.View.Std(), p.spread)
 	}
 	p.run()
+	for j := range p.open {
+		p.results = append(p.results, j.result(math.MaxInt64))
+	}
+	slices.SortStableFunc(p.results, func(a, b Result) int { return cmp.Compare(a.Arrived, b.Arrived) })
 	return p.results
 }
 
@@ -113,7 +121,7 @@
 func (p *play) run() {
 	for len(p.events) > 0 {
 		e := heap.Pop(&p.events).(event)
-		if e.at > p.file.Duration+drainTime {
+		if e.at > p.file.Duration.Std()+drainTime {
 			return
 		}
 		p.clock.Advance(e.at - p.now)
@@ -126,7 +134,7 @@
 func (p *play) arrive(k *Kind) {
 	rate := k.Rate
 	for _, b := range p.file.Bursts {
-		if b.Kind == k.Name && p.now >= b.At && p.now < b.At+b.For {
+		if b.Kind == k.Name && p.now >= b.At.Std() && p.now < (b.At+b.For).Std() {
 			rate *= b.X
 		}
 	}
@@ -141,7 +149,7 @@
 		return
 	}
 	p.after(gap, func() {
-		if p.now > p.file.Duration {
+		if p.now > p.file.Duration.Std() {
 			return
 		}
 		p.request(k)
@@ -170,7 +178,7 @@
 		arrived: p.now,
 	}
 	g := p.deciders[p.random.IntN(len(p.deciders))]
-	p.place(g, j, k.Allowed)
+	p.place(g, j, k.Allowed.Std())
 }
 
 // owed is the worth of a request by its size, as users count it.
@@ -185,7 +193,10 @@
 		p.results = append(p.results, Result{Kind: j.kind.Name, Prompt: j.prompt, Arrived: j.arrived, Refused: true, Owed: j.owed()})
 		return
 	}
+	p.open[j] = true
+	j.began = func() { g.began(d) }
 	j.done = func(now time.Duration) {
+		delete(p.open, j)
 		g.done(d)
 		p.results = append(p.results, j.result(now))
 	}
@@ -205,10 +216,10 @@
 
 // result judges a request that has ended.
 func (j *job) result(now time.Duration) Result {
-	r := Result{Kind: j.kind.Name, Prompt: j.prompt, Arrived: j.arrived, First: j.first - j.arrived, Pause: j.pause, Owed: j.owed()}
+	r := Result{Kind: j.kind.Name, Prompt: j.prompt, Arrived: j.arrived, First: max(j.first-j.arrived, 0), Pause: j.pause, Owed: j.owed()}
 	switch {
-	case now-j.arrived > j.kind.Allowed:
-	case r.First <= j.kind.Goal && j.pause <= j.kind.Pause:
+	case now-j.arrived > j.kind.Allowed.Std():
+	case r.First <= j.kind.Goal.Std() && j.pause <= j.kind.Pause.Std():
 		r.Earned = r.Owed
 	default:
 		r.Earned = r.Owed * j.kind.Late / j.kind.Worth
@@ -224,8 +235,8 @@
 			}
 		}
 	}
-	p.after(s.At, set(s.X))
-	p.after(s.At+s.For, set(1))
+	p.after(s.At.Std(), set(s.X))
+	p.after((s.At + s.For).Std(), set(1))
 }
 
 // spread lets gateways hear of each other's load.
@@ -241,14 +252,15 @@
 			}
 		}
 	}
-	if p.now < p.file.Duration+drainTime {
-		p.after(p.file.View, p.spread)
+	if p.now < p.file.Duration.Std()+drainTime {
+		p.after(p.file.View.Std(), p.spread)
 	}
 }
 
 // decider decides for one gateway.
 type decider interface {
 	decide(j *job, left time.Duration) (core.Plan, bool)
+	began(d core.Plan)
 	done(d core.Plan)
 	changes() map[string]core.Share
 	hear(from string, cs map[string]core.Share)
@@ -272,11 +284,13 @@
 }
 
 func (g *gateway) decide(j *job, left time.Duration) (core.Plan, bool) {
-	r := core.Route{Goal: j.kind.Goal, PauseGoal: j.kind.Pause, Timeout: j.kind.Allowed}
+	r := core.Route{Goal: j.kind.Goal.Std(), PauseGoal: j.kind.Pause.Std(), Timeout: j.kind.Allowed.Std()}
 	c := hollowgrade.Call{PromptTokens: j.prompt, MaxTokens: j.answer, Patience: left}
 	return g.fleet.Plan(g.service, r, c, left)
 }
 
+func (g *gateway) began(core.Plan) {}
+
 func (g *gateway) done(d core.Plan) {
 	g.fleet.Done(d, true)
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,16 +26,17 @@
 
 // commands lists all commands.
 type commands struct {
-	Entry   entryCommand   `cmd:"" help:"Serve callers."`
-	Agent   agentCommand   `cmd:"" help:"Serve entries beside one upstream."`
-	Gateway gatewayCommand `cmd:"" help:"Serve callers of the platform in front of its upstreams."`
-	Config  configCommand  `cmd:"" help:"Check settings; publish and look at the configuration."`
-	Policy  policyCommand  `cmd:"" help:"Check, compare, publish and show policies."`
-	Event   eventCommand   `cmd:"" help:"Create, list and show events."`
-	Report  reportCommand  `cmd:"" help:"Report on service levels, from the boxes' own records."`
-	Explain explainCommand `cmd:"" help:"Explain a code or a setting."`
-	Load    loadCommand    `cmd:"" help:"Send a load to running entries."`
-	Demo    demoCommand    `cmd:"" help:"Run one event with all roles and stand-ins in one process."`
+	Entry      entryCommand      `cmd:"" help:"Serve callers."`
+	Agent      agentCommand      `cmd:"" help:"Serve entries beside one upstream."`
+	Gateway    gatewayCommand    `cmd:"" help:"Serve callers of the platform in front of its upstreams."`
+	Config     configCommand     `cmd:"" help:"Check settings; publish and look at the configuration."`
+	Policy     policyCommand     `cmd:"" help:"Check, compare, publish and show policies."`
+	Event      eventCommand      `cmd:"" help:"Create, list and show events."`
+	Report     reportCommand     `cmd:"" help:"Report on service levels, from the boxes' own records."`
+	Explain    explainCommand    `cmd:"" help:"Explain a code or a setting."`
+	Experiment experimentCommand `cmd:"" help:"Play a fleet in virtual time and compare ways of deciding."`
+	Load       loadCommand       `cmd:"" help:"Send a load to running entries."`
+	Demo       demoCommand       `cmd:"" help:"Run one event with all roles and stand-ins in one process."`
 }
 
 // streams is where a command writes.
