--- a/core/core.go
+++ b/core/core.go
@@ -27,6 +27,10 @@
 // speed and for the time between a caller's send and the check.
 const freshnessMargin = 300 * time.Millisecond
 
+// assumedProcesses share the retry budget at the least: the list of processes
+// may not be known yet.
+const assumedProcesses = 8
+
 // budgetShare is the part of the retry budget that is used. The rest is for
 // windows of processes that do not begin at the same moment.
 const budgetShare = 0.9
@@ -100,7 +104,8 @@
 	return func(c *Core) { c.age = f }
 }
 
-// WithProcesses sets how many processes share the retry budget.
+// WithProcesses sets how the number of processes is known that share the
+// upstreams and the retry budget, this one among them.
 func WithProcesses(f func() int) Option {
 	return func(c *Core) { c.processes = f }
 }
@@ -124,6 +129,7 @@
 	}
 	c.started = c.clock.Now()
 	c.fleet = NewFleet(c.clock, c.log)
+	c.fleet.SetPeers(func() int { return c.processes() - 1 })
 	return c
 }
 
@@ -133,7 +139,7 @@
 		KeyFreshness: 5 * time.Second,
 		Freshness:    2 * time.Second,
 		RetryRatio:   0.1,
-		RetrySlack:   10,
+		RetrySlack:   40,
 		RetryWindow:  10 * time.Second,
 	}
 }
@@ -186,7 +192,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	b := c.bounds.Load()
-	slack := budgetShare * b.RetrySlack / float64(max(c.processes(), 1))
+	slack := budgetShare * b.RetrySlack / float64(max(c.processes(), assumedProcesses))
 	w, ok := c.budgets[service]
 	if !ok {
 		w = retry.NewWindow(b.RetryWindow, budgetShare*b.RetryRatio, slack, c.started)
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -143,6 +143,7 @@
 	views    map[string]*view // what other processes have given to upstreams, by box
 	changed  map[string]bool  // upstreams whose own share changed since [Fleet.Changes]
 	notify   chan struct{}
+	peers    func() int // other processes that give work to the same upstreams
 }
 
 // NewFleet returns an empty table.
@@ -155,9 +156,18 @@
 		views:    map[string]*view{},
 		changed:  map[string]bool{},
 		notify:   make(chan struct{}, 1),
+		peers:    func() int { return 0 },
 	}
 }
 
+// SetPeers sets how the number of other processes is known that give work to the
+// same upstreams. Those of which nothing is heard are allowed for.
+func (f *Fleet) SetPeers(peers func() int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers = peers
+}
+
 // Put adds an upstream or takes over what the registry now says of it.
 func (f *Fleet) Put(u hollowgrade.Upstream) {
 	f.mu.Lock()
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -127,6 +127,17 @@
 			require.Equal(t, map[string]int{"u00": 10, "u01": 10}, spaced(newFleet("e", 18), 20))
 		})
 	})
+	t.Run("fewer are packed when others are not heard of", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet("e", 18)
+			f.SetPeers(func() int { return 4 })
+			require.Equal(t, map[string]int{"u00": 2, "u01": 2}, spaced(f, 4))
+			for _, box := range []string{"b", "c", "d", "e"} {
+				f.TakeView(box, nil, true)
+			}
+			require.Equal(t, map[string]int{"u00": 6}, spaced(f, 6))
+		})
+	})
 	t.Run("a long one leaves engines alone on which short ones write", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("e", 18)
--- a/core/place.go
+++ b/core/place.go
@@ -107,9 +107,9 @@
 	case d.service.Engine == nil:
 		p = pickPlain(ms, tried, now)
 	case d.prompt >= splitFrom:
-		p = pickLongOrShort(ms, d, tried, now)
+		p = f.pickLongOrShort(ms, d, tried, now)
 	default:
-		p = pickShort(ms, d, tried, now)
+		p = f.pickShort(ms, d, tried, now)
 	}
 	if p == nil || p.refused {
 		return p
@@ -189,10 +189,10 @@
 // pickShort places a request whose prompt is read by one engine. Requests that
 // bear short pauses only are packed on the first engines of the common order
 // that have room, away from those that read long prompts.
-func pickShort(ms []*member, d demand, tried map[string]bool, now time.Time) *placed {
+func (f *Fleet) pickShort(ms []*member, d demand, tried map[string]bool, now time.Time) *placed {
 	e := d.service.Engine
 	reading := e.Reading(d.prompt, 1)
-	pack := max(int(packShare*float64(e.Slots)), 1)
+	pack := max(int(packShare*f.seen()*float64(e.Slots)), 1)
 	m := cheapest(ms, tried, now, func(i int, m *member) float64 {
 		s := m.state(d, now)
 		c := lateness(e.First(s, reading), d.goal)
@@ -218,6 +218,14 @@
 	perGoalMore  = 0.1 // cost of each further goal that it is late by
 )
 
+// seen returns the part of all processes whose load is known here, its own among
+// them. Without it a process that hears of nobody would pack as many requests on
+// the first engines as all are meant to together. The lock is held.
+func (f *Fleet) seen() float64 {
+	known := float64(len(f.views) + 1)
+	return known / max(known, float64(f.peers()+1))
+}
+
 // lateness estimates the chance that a request is late, and rises slowly beyond
 // that, so that a late answer is still not put off further.
 func lateness(first, goal time.Duration) float64 {
@@ -253,13 +261,13 @@
 // pickLongOrShort places a request whose prompt several engines may read. An
 // answer whose prompt was split makes each step of its engine longer, so that
 // splitting costs more the busier the engines are.
-func pickLongOrShort(ms []*member, d demand, tried map[string]bool, now time.Time) *placed {
+func (f *Fleet) pickLongOrShort(ms []*member, d demand, tried map[string]bool, now time.Time) *placed {
 	l := pickLong(ms, d, tried, now)
 	e := d.service.Engine
 	if l == nil || keepers(d, e) > 1 {
 		return l
 	}
-	s := pickShort(ms, d, tried, now)
+	s := f.pickShort(ms, d, tried, now)
 	if s == nil {
 		return l
 	}
--- a/experiment/play.go
+++ b/experiment/play.go
@@ -271,6 +271,7 @@
 		return &naive{way: p.variant.Decisions, ids: ids, open: map[string]int{}, reading: map[string]time.Duration{}, figures: p.file.Engines.figures()}
 	}
 	f := core.NewFleet(p.clock, log.New(io.Discard))
+	f.SetPeers(func() int { return p.file.Gateways - 1 })
 	for _, id := range ids {
 		f.Put(hollowgrade.Upstream{ID: id, Service: service, Slots: p.file.Engines.Slots})
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -44,9 +44,6 @@
 )
 
 const (
-	// assumedGateways share the retry budget until the list of gateways is
-	// known, so that together they do not spend more than it allows.
-	assumedGateways = 8
 	// endMargin is what is left of the grace of a planned stop for the end of
 	// the process itself.
 	endMargin = 500 * time.Millisecond
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -91,9 +91,9 @@
 	return slices.DeleteFunc(slices.Compact(as), func(a string) bool { return a == m.own || a == "" })
 }
 
-// count returns how many gateways share what all may spend together.
+// count returns how many gateways there are.
 func (m *members) count() int {
-	return max(len(m.addresses())+1, assumedGateways)
+	return len(m.addresses()) + 1
 }
 
 // join writes this process into the list, and again whenever it is missing.
