core, loadview: bounds what a placement looks at and what gateways tell each other

Harms are sorted once for each number of parts, at most 64 engines are weighed, and heartbeats are empty but for every tenth. Also a fault found by reading: dropping a peer's view took back the reading that it had given, so that engines looked idle; tests for it and for package loadview.

--- /dev/null
+++ b/core/bench_test.go
@@ -0,0 +1,28 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkPick measures one placement by the number of engines; docs/CAPACITY.md
+// has what it showed.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{18, 60, 180, 600} {
+		for name, d := range map[string]demand{"short": short(), "long": long(210_000)} {
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				f := newFleet("e", n)
+				for range 4 * n {
+					f.pick(short(), nil)
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					p := f.pick(d, nil)
+					if !p.refused {
+						f.over(p, false)
+					}
+				}
+			})
+		}
+	}
+}
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -200,6 +200,19 @@
 		f.DropView("c")
 		require.Equal(t, 1, m.total().Open)
 	})
+	t.Run("reading goes on after whoever gave it is gone", func(t *testing.T) {
+		f := newFleet("e", 1)
+		m := f.members["u00"]
+		f.TakeView("b", map[string]Share{"u00": {Open: 1, Given: time.Hour}}, true)
+		require.Zero(t, m.reading(time.Now()), "what was given before is not known to be unread")
+		f.TakeView("b", map[string]Share{"u00": {Open: 2, Given: time.Hour + time.Minute}}, false)
+		require.InDelta(t, 60, m.reading(time.Now()).Seconds(), 1)
+		f.TakeView("b", map[string]Share{"u00": {Open: 2, Given: time.Hour + 40*time.Second}}, false)
+		require.InDelta(t, 40, m.reading(time.Now()).Seconds(), 1, "some was taken back")
+		f.DropView("b")
+		require.Zero(t, m.total().Open)
+		require.InDelta(t, 40, m.reading(time.Now()).Seconds(), 1)
+	})
 	t.Run("are kept for upstreams that are listed later", func(t *testing.T) {
 		f := newFleet("e", 1)
 		f.TakeView("b", map[string]Share{"u09": {Open: 3}}, true)
--- a/core/place.go
+++ b/core/place.go
@@ -379,24 +379,23 @@
 }
 
 // cheapestSet returns the engines that read a prompt in even parts at the least
-// cost, how long a part takes, and the cost. For each number of parts, and each bound on
-// what an engine has yet to read, it looks at those within the bound on which
-// the least is lost by longer pauses.
+// cost, how long a part takes, and the cost. For each number of parts, and each
+// bound on what an engine has yet to read, it looks at those within the bound on
+// which the least is lost by longer pauses.
 func cheapestSet(ms []*member, d demand, now time.Time) (best []*member, part time.Duration, least float64) {
 	e := d.service.Engine
-	ms = slices.Clone(ms)
-	slices.SortStableFunc(ms, func(a, b *member) int { return cmp.Compare(a.reading(now), b.reading(now)) })
+	ms = leastBurdened(ms, d, now)
 	for n := keepers(d, e); n <= min(len(ms), 1+maxHelpers); n++ {
 		t := e.Reading(d.prompt, n)
-		harms := make([]harm, len(ms))
-		for i, m := range ms {
-			harms[i] = harm{m, m.harm(d, t, now)}
-		}
+		hs := harms(ms, d, t, now)
 		for within := n; within <= len(ms); within++ {
-			set, lost := leastHarm(harms[:within], n)
 			first := e.First(ms[within-1].state(d, now), t)
-			c := lost*lateShare + d.worth()*lateShare*lateness(first, d.goal)
-			if best == nil || c < least {
+			late := d.worth() * lateShare * lateness(first, d.goal)
+			if best != nil && late >= least {
+				break // it only becomes later with what has more to read
+			}
+			set, lost := leastHarm(hs, n, within)
+			if c := lost*lateShare + late; best == nil || c < least {
 				best, part, least = set, t, c
 			}
 		}
@@ -404,12 +403,42 @@
 	return best, part, least
 }
 
+// setSample bounds the engines that a long prompt is weighed against: several
+// times as many as can read parts of it.
+const setSample = 64
+
+// leastBurdened returns engines by what they have to read, the least first; of
+// many, those at which a part of the prompt does the least harm.
+func leastBurdened(ms []*member, d demand, now time.Time) []*member {
+	ms = slices.Clone(ms)
+	if len(ms) > setSample {
+		hs := harms(ms, d, d.service.Engine.Reading(d.prompt, 1+maxHelpers), now)
+		for i, h := range hs[:setSample] {
+			ms[i] = h.member
+		}
+		ms = ms[:setSample]
+	}
+	slices.SortStableFunc(ms, func(a, b *member) int { return cmp.Compare(a.reading(now), b.reading(now)) })
+	return ms
+}
+
 // harm is what is lost when a part of a prompt is read at an engine.
 type harm struct {
 	member *member
+	place  int // of the engine in the order by what it has to read
 	lost   float64
 }
 
+// harms returns what is lost at each engine, the least first.
+func harms(ms []*member, d demand, part time.Duration, now time.Time) []harm {
+	hs := make([]harm, len(ms))
+	for i, m := range ms {
+		hs[i] = harm{m, i, m.harm(d, part, now)}
+	}
+	slices.SortStableFunc(hs, func(a, b harm) int { return cmp.Compare(a.lost, b.lost) })
+	return hs
+}
+
 // harm returns the worth of the requests at the engine that would see a pause
 // too long for them only because of the part.
 func (m *member) harm(d demand, part time.Duration, now time.Time) float64 {
@@ -418,13 +447,15 @@
 	return m.total().Stakes.lost(e.Pause(s, 0), e.Pause(s, part))
 }
 
-// leastHarm returns the n engines at which the least is lost, and how much.
-func leastHarm(hs []harm, n int) (set []*member, lost float64) {
-	hs = slices.Clone(hs)
-	slices.SortStableFunc(hs, func(a, b harm) int { return cmp.Compare(a.lost, b.lost) })
-	for _, h := range hs[:n] {
-		set = append(set, h.member)
-		lost += h.lost
+// leastHarm returns the n engines at which the least is lost among the first in
+// the order by what they have to read, and how much is.
+func leastHarm(hs []harm, n, within int) (set []*member, lost float64) {
+	set = make([]*member, 0, n)
+	for _, h := range hs {
+		if h.place < within && len(set) < n {
+			set = append(set, h.member)
+			lost += h.lost
+		}
 	}
 	return set, lost
 }
--- a/core/share.go
+++ b/core/share.go
@@ -24,15 +24,27 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	cs := map[string]Share{}
+	if all {
+		cs = f.shares()
+	}
 	for id := range f.changed {
 		if m := f.members[id]; m != nil {
 			cs[id] = m.own
 		}
 	}
 	clear(f.changed)
-	if !all {
-		return cs
-	}
+	return cs
+}
+
+// Shares returns all own shares that are not zero.
+func (f *Fleet) Shares() map[string]Share {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.shares()
+}
+
+func (f *Fleet) shares() map[string]Share {
+	cs := map[string]Share{}
 	for id, m := range f.members {
 		if m.own != (Share{}) {
 			cs[id] = m.own
@@ -52,7 +64,8 @@
 }
 
 // TakeView takes another process's word on what it has given to upstreams. A
-// whole one replaces all that it said before.
+// whole one replaces all that it said before. The name is that of one life of
+// the process: what it counts begins anew with each.
 func (f *Fleet) TakeView(box string, shares map[string]Share, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -65,7 +78,7 @@
 	if whole {
 		for id := range v.shares {
 			if _, ok := shares[id]; !ok {
-				f.setView(v, id, Share{})
+				f.forget(v, id)
 			}
 		}
 	}
@@ -74,7 +87,8 @@
 	}
 }
 
-// setView replaces one share of a view. The lock is held.
+// setView replaces one share of a view. Reading that was given since counts from
+// now on; less than before means that some was taken back. The lock is held.
 func (f *Fleet) setView(v *view, id string, s Share) {
 	old, known := v.shares[id]
 	if m := f.members[id]; m != nil {
@@ -84,9 +98,15 @@
 		}
 	}
 	v.shares[id] = s
-	if s == (Share{}) {
-		delete(v.shares, id)
+}
+
+// forget drops one share of a view. What was given is still being read. The lock
+// is held.
+func (f *Fleet) forget(v *view, id string) {
+	if m := f.members[id]; m != nil {
+		m.others = m.others.Minus(v.shares[id])
 	}
+	delete(v.shares, id)
 }
 
 // sumOthers sets what others have given to an upstream that is new here. The
@@ -97,6 +117,16 @@
 	}
 }
 
+// Others returns what other processes have given to an upstream, by their word.
+func (f *Fleet) Others(id string) Share {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[id]; m != nil {
+		return m.others
+	}
+	return Share{}
+}
+
 // DropView forgets the word of a process that is gone.
 func (f *Fleet) DropView(box string) {
 	f.mu.Lock()
@@ -110,7 +140,7 @@
 		return
 	}
 	for id := range v.shares {
-		f.setView(v, id, Share{})
+		f.forget(v, id)
 	}
 	delete(f.views, box)
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -95,7 +95,7 @@
 	others.Watch(n.members.take)
 	shared := []*feed.Feed{n.config, fleet, others}
 	relay.Add(shared...)
-	sharer := loadview.New(c.Box, n.Core.Fleet(), n.members.addresses, loadview.WithLogger(g))
+	sharer := loadview.New(c.Box+"/"+b.Incarnation, n.Core.Fleet(), n.members.addresses, loadview.WithLogger(g))
 	b.Register(FeedsService, newRunner(n.config.Run, fleet.Run, others.Run, relay.Run, sharer.Run))
 	if err = n.listen(c, shared, g); err != nil {
 		return nil, err
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -22,9 +22,11 @@
 	// pause is the least time between two messages to a peer. It bounds what a
 	// busy gateway sends; a view is that much out of date.
 	pause = 25 * time.Millisecond
-	// repeatEvery is how often a gateway says all anew, so that what it said
-	// does not expire, and a message that came to nothing is made good.
-	repeatEvery = 500 * time.Millisecond
+	// heartbeat is how often a gateway says something, so that what it said does
+	// not expire, and wholeEvery how many of these say all anew, so that a mistake
+	// does not last.
+	heartbeat  = 500 * time.Millisecond
+	wholeEvery = 10
 	// dialTimeout and dialEvery bound the tries to reach a peer.
 	dialTimeout = 500 * time.Millisecond
 	dialEvery   = time.Second
@@ -69,7 +71,7 @@
 	return func(s *Sharer) { s.dial = d }
 }
 
-// New returns a sharer for the gateway box. Peers returns the addresses of the
+// New returns a sharer. Box names one life of the gateway. Peers returns the addresses of the
 // other gateways; it is asked anew each second.
 func New(box string, f *core.Fleet, peers func() []string, os ...Option) *Sharer {
 	s := &Sharer{
@@ -91,15 +93,17 @@
 func (s *Sharer) Run(ctx context.Context) {
 	var g sync.WaitGroup
 	defer g.Wait()
-	t := s.clock.NewTicker(repeatEvery)
+	t := s.clock.NewTicker(heartbeat)
 	defer t.Stop()
 	s.sync(ctx, &g)
-	for ctx.Err() == nil {
+	for n := 1; ctx.Err() == nil; {
 		select {
 		case <-ctx.Done():
 		case <-t.Chan():
 			s.sync(ctx, &g)
-			s.spread(s.fleet.Changes(true), true)
+			whole := n%wholeEvery == 0
+			s.spread(s.fleet.Changes(whole), whole)
+			n++
 		case <-s.fleet.Changed():
 			s.spread(s.fleet.Changes(false), false)
 			hollowgrade.Sleep(ctx, s.clock, pause)
@@ -118,7 +122,7 @@
 			continue
 		}
 		c, cancel := context.WithCancel(ctx)
-		l := &link{wake: make(chan struct{}, 1), cancel: cancel, pending: map[string]core.Share{}, whole: true}
+		l := &link{wake: make(chan struct{}, 1), cancel: cancel, pending: map[string]core.Share{}}
 		s.links[a] = l
 		g.Go(func() { s.keep(c, a, l) })
 	}
@@ -149,6 +153,14 @@
 	}
 }
 
+// begin lets a link that has just been connected say all there is.
+func (s *Sharer) begin(l *link) {
+	cs := s.fleet.Shares()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.pending, l.whole = cs, true
+}
+
 // take returns what a link has to say, as a frame.
 func (s *Sharer) take(l *link) *wire.Frame {
 	s.mu.Lock()
@@ -189,6 +201,7 @@
 	defer c.Close()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
+	s.begin(l)
 	t, err := c.Open(s.take(l))
 	if err != nil {
 		return err
