--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -72,7 +72,7 @@
 		} else {
 			m.known[c.Key] = string(c.Value)
 		}
-		if c.Key == m.box && string(c.Value) != m.own {
+		if c.Key == m.box && string(c.Value) != m.own && m.own != "" {
 			m.log.Warn("the list of gateways has another address for this box", "box", m.box, "address", string(c.Value), "own", m.own)
 			m.miss()
 		}
