core: picks of one moment spread over several engines

The first engines that together have room for some more count alike now, and chance decides among equals.

--- a/core/place.go
+++ b/core/place.go
@@ -193,6 +193,7 @@
 	e := d.service.Engine
 	reading := e.Reading(d.prompt, 1)
 	pack := max(int(packShare*f.seen()*float64(e.Slots)), 1)
+	lane := laneWidth(ms, pack)
 	m := cheapest(ms, tried, now, func(i int, m *member) float64 {
 		s := m.state(d, now)
 		c := lateness(e.First(s, reading), d.goal)
@@ -201,7 +202,7 @@
 		}
 		c += crowding(m.total().Open, pack, e.Slots)
 		c += memoryCost(m, d, e)
-		return c + orderCost*float64(i)/float64(len(ms))
+		return c + orderCost*float64(max(i-lane+1, 0))/float64(len(ms)) + spreadShare*rand.Float64()
 	})
 	if m == nil {
 		return nil
@@ -218,6 +219,33 @@
 	perGoalMore  = 0.1 // cost of each further goal that it is late by
 )
 
+// Requests that come to many gateways at one moment, before they have heard of
+// each other's picks, would all go to the same engine. So the first engines of
+// the common order that have this much room together count alike, and chance
+// decides among those of about the same cost.
+const (
+	leastRoom   = 2    // requests
+	roomShare   = 0.05 // of those that are open
+	spreadShare = 0.1  // of a request's worth, less than a pause that is too long
+)
+
+// laneWidth returns how many engines of the common order count alike.
+func laneWidth(ms []*member, pack int) (n int) {
+	open := 0
+	for _, m := range ms {
+		open += m.total().Open
+	}
+	need := max(leastRoom, int(roomShare*float64(open)))
+	for _, m := range ms {
+		if need <= 0 {
+			break
+		}
+		need -= max(pack-m.total().Open, 0)
+		n++
+	}
+	return n
+}
+
 // seen returns the part of all processes whose load is known here, its own among
 // them. Without it a process that hears of nobody would pack as many requests on
 // the first engines as all are meant to together. The lock is held.
