--- a/core/fleet.go
+++ b/core/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -143,7 +144,8 @@
 	views    map[string]*view // what other processes have given to upstreams, by box
 	changed  map[string]bool  // upstreams whose own share changed since [Fleet.Changes]
 	notify   chan struct{}
-	peers    func() int // other processes that give work to the same upstreams
+	peers    func() int     // other processes that give work to the same upstreams
+	chance   func() float64 // from 0 to 1
 }
 
 // NewFleet returns an empty table.
@@ -157,6 +159,7 @@
 		changed:  map[string]bool{},
 		notify:   make(chan struct{}, 1),
 		peers:    func() int { return 0 },
+		chance:   rand.Float64,
 	}
 }
 
@@ -168,6 +171,14 @@
 	f.peers = peers
 }
 
+// SetChance replaces the random numbers from 0 to 1 that decide among equals, so
+// that a run can be repeated.
+func (f *Fleet) SetChance(chance func() float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.chance = chance
+}
+
 // Put adds an upstream or takes over what the registry now says of it.
 func (f *Fleet) Put(u hollowgrade.Upstream) {
 	f.mu.Lock()
--- a/core/place.go
+++ b/core/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -105,7 +104,7 @@
 	p := &placed{}
 	switch {
 	case d.service.Engine == nil:
-		p = pickPlain(ms, tried, now)
+		p = f.pickPlain(ms, tried, now)
 	case d.prompt >= splitFrom:
 		p = f.pickLongOrShort(ms, d, tried, now)
 	default:
@@ -162,13 +161,13 @@
 
 // pickPlain takes the upstream with the fewest requests for its slots, by its
 // own word and by what processes have given to it.
-func pickPlain(ms []*member, tried map[string]bool, now time.Time) *placed {
+func (f *Fleet) pickPlain(ms []*member, tried map[string]bool, now time.Time) *placed {
 	m := cheapest(ms, tried, now, func(_ int, m *member) float64 {
 		n := float64(m.total().Open)
 		if now.Sub(m.loadAt) < loadAge {
 			n = max(n, float64(m.load.Running+m.load.Waiting))
 		}
-		return n/float64(max(m.Slots, 1)) + rand.Float64()*tieShare
+		return n/float64(max(m.Slots, 1)) + f.chance()*tieShare
 	})
 	if m == nil {
 		return nil
@@ -202,7 +201,7 @@
 		}
 		c += crowding(m.total().Open, pack, e.Slots)
 		c += memoryCost(m, d, e)
-		return c + orderCost*float64(max(i-lane+1, 0))/float64(len(ms)) + spreadShare*rand.Float64()
+		return c + orderCost*float64(max(i-lane+1, 0))/float64(len(ms)) + spreadShare*f.chance()
 	})
 	if m == nil {
 		return nil
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"reflect"
 	"testing"
 	"time"
 
@@ -26,9 +27,11 @@
 func TestPlayRepeats(t *testing.T) {
 	f := load(t)
 	f.Duration = config.Duration(5 * time.Second)
-	a, b := Play(f, f.Variants[3]), Play(f, f.Variants[3])
-	require.NotEmpty(t, a)
-	require.Equal(t, a, b)
+	for _, v := range f.Variants {
+		a, b := Play(f, v), Play(f, v)
+		require.NotEmpty(t, a)
+		require.True(t, reflect.DeepEqual(a, b), v.Name)
+	}
 }
 
 // A request alone takes what the model predicts, within a pass.
--- a/experiment/play.go
+++ b/experiment/play.go
@@ -95,8 +95,8 @@
 		ids[i] = fmt.Sprintf("engine-%03d", i)
 		p.engines[ids[i]] = &pool{id: ids[i], figures: f.Engines.figures(), play: p, slow: 1}
 	}
-	for range f.Gateways {
-		p.deciders = append(p.deciders, p.newDecider(ids))
+	for i := range f.Gateways {
+		p.deciders = append(p.deciders, p.newDecider(uint64(i), ids))
 	}
 	for i := range f.Kinds {
 		p.arrive(&f.Kinds[i])
@@ -266,11 +266,12 @@
 	hear(from string, cs map[string]core.Share)
 }
 
-func (p *play) newDecider(ids []string) decider {
+func (p *play) newDecider(number uint64, ids []string) decider {
 	if p.variant.Decisions != Worth {
 		return &naive{way: p.variant.Decisions, ids: ids, open: map[string]int{}, reading: map[string]time.Duration{}, figures: p.file.Engines.figures()}
 	}
 	f := core.NewFleet(p.clock, log.New(io.Discard))
+	f.SetChance(rand.New(rand.NewPCG(p.file.Seed, number)).Float64)
 	f.SetPeers(func() int { return p.file.Gateways - 1 })
 	for _, id := range ids {
 		f.Put(hollowgrade.Upstream{ID: id, Service: service, Slots: p.file.Engines.Slots})
