--- /dev/null
+++ b/core/exchange.go
@@ -0,0 +1,216 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fault"
+)
+
+// attempt is one exchange for a flow.
+type attempt struct {
+	flow    *flow
+	placed  *placed
+	number  int // of the attempt, counted from 1
+	tickets *tickets
+	held    time.Duration // how long the sending was held back
+	wrote   bool          // whether the answer has begun
+	head    hollowgrade.Head
+}
+
+func (a *attempt) sending() hollowgrade.Sending {
+	f := a.flow
+	left := f.deadline.Sub(f.core.clock.Now())
+	f.logSent(a, left)
+	return hollowgrade.Sending{
+		Call:         f.call,
+		Upstream:     a.placed.upstream(),
+		Organisation: f.organisation.Name,
+		Left:         left,
+		After:        f.after,
+		Helpers:      a.tickets.helpersOf(a.placed),
+	}
+}
+
+// run opens the exchange and passes its answer on.
+func (a *attempt) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	w := newWatchdog(a.flow.core.clock, a.stall(), func() bool {
+		if !a.flow.leave() {
+			return false
+		}
+		cancel(errStalled)
+		return true
+	})
+	defer w.stop()
+	x, err := a.flow.core.exchanger.Open(ctx, a.sending())
+	if err != nil {
+		return cause(ctx, err)
+	}
+	defer x.Close()
+	a.head = x.Head()
+	a.flow.core.fleet.answered(a.placed.member, a.head)
+	if a.head.Stream && a.head.Success() {
+		return cause(ctx, a.stream(x, w))
+	}
+	return cause(ctx, a.whole(x))
+}
+
+// cause replaces an error that only tells that the exchange was ended by why it
+// was ended.
+func cause(ctx context.Context, err error) error {
+	if c := context.Cause(ctx); err != nil && c != nil && !errors.Is(err, errSink) {
+		return errors.Join(c, err)
+	}
+	return err
+}
+
+// fault says what a failed attempt came to.
+func (a *attempt) fault(err error) *fault.Error {
+	id := a.placed.upstream().ID
+	var x *fault.Error
+	switch {
+	case errors.As(err, &x):
+		return x
+	case errors.Is(err, errSink):
+		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.Failed)
+	case errors.Is(err, hollowgrade.ErrNotSent) && errors.Is(err, context.Canceled):
+		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.NotRun)
+	case errors.Is(err, hollowgrade.ErrNotSent) && errors.Is(err, errOutOfTime):
+		return fault.New(fault.DeadlinePassed, "the allowed time passed before the call could be sent").WithOutcome(hollowgrade.NotRun)
+	case errors.Is(err, hollowgrade.ErrNotSent):
+		return fault.New(fault.UpstreamLost, "upstream %s could not be reached", id).WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetry)
+	case errors.Is(err, errStalled):
+		return fault.New(fault.UpstreamLost, "upstream %s went silent", id).WithOutcome(hollowgrade.Unknown)
+	case errors.Is(err, errOutOfTime):
+		return fault.New(fault.DeadlinePassed, "the allowed time passed").WithOutcome(hollowgrade.Unknown)
+	case errors.Is(err, context.Canceled):
+		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.Unknown)
+	case a.wrote:
+		return fault.New(fault.AnswerCut, "the answer of upstream %s was cut", id).WithOutcome(hollowgrade.Failed)
+	default:
+		return fault.New(fault.UpstreamLost, "upstream %s was lost", id).WithOutcome(hollowgrade.Unknown)
+	}
+}
+
+// whole takes an answer that is no stream.
+func (a *attempt) whole(x hollowgrade.Exchange) error {
+	f := a.flow
+	if a.head.NotRun {
+		return fault.New(fault.Overloaded, "upstream %s did not take the call, status %d", a.placed.upstream().ID, a.head.Status).
+			WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetry)
+	}
+	w := &answer{head: a.head}
+	for size := 0; ; {
+		p, err := x.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		w.body = append(w.body, p.Data)
+		if size += len(p.Data); size > maxHeld {
+			return a.long(x, w)
+		}
+	}
+	a.begin()
+	if !a.head.Success() && f.Repeatable() {
+		f.failure = w
+		return fault.New(fault.UpstreamFailed, "upstream %s answered with status %d", a.placed.upstream().ID, a.head.Status)
+	}
+	return f.pass(w)
+}
+
+// long passes on an answer that is too long to be held back.
+func (a *attempt) long(x hollowgrade.Exchange, w *answer) error {
+	a.begin()
+	if err := a.flow.pass(w); err != nil {
+		return errors.Join(errSink, err)
+	}
+	for {
+		p, err := x.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err = a.flow.sink.Part(p.Data); err != nil {
+			return errors.Join(errSink, err)
+		}
+	}
+}
+
+// begin notes that the answer has begun.
+func (a *attempt) begin() {
+	if a.wrote {
+		return
+	}
+	a.wrote = true
+	if a.flow.first == 0 {
+		a.flow.first = a.flow.core.clock.Since(a.flow.call.Arrived)
+	}
+}
+
+// stream passes the events of a stream on. Under a head that was passed on
+// before, it goes on with what follows the last event.
+func (a *attempt) stream(x hollowgrade.Exchange, w *watchdog) error {
+	f := a.flow
+	for {
+		p, err := x.Next()
+		if errors.Is(err, io.EOF) {
+			return a.endStream()
+		}
+		if err != nil {
+			return err
+		}
+		w.reset(a.stall())
+		a.begin()
+		if !newer(p.Event, f.after) {
+			continue
+		}
+		if err = f.passHead(a.head); err != nil {
+			return err
+		}
+		if err = f.sink.Part(p.Data); err != nil {
+			return errors.Join(errSink, err)
+		}
+		f.events++
+		if p.Event != "" {
+			f.after = p.Event
+		}
+	}
+}
+
+// endStream ends a stream that is whole. One without any event is whole too.
+func (a *attempt) endStream() error {
+	return a.flow.passHead(a.head)
+}
+
+func (f *flow) passHead(h hollowgrade.Head) error {
+	if f.began {
+		return nil
+	}
+	f.began = true
+	if err := f.sink.Head(h); err != nil {
+		return errors.Join(errSink, err)
+	}
+	return nil
+}
+
+// newer reports whether an event comes after the last one that the caller has.
+// Ids that are no numbers cannot be compared and pass.
+func newer(id, last string) bool {
+	i, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	l, err := strconv.ParseInt(last, 10, 64)
+	return err != nil || i > l
+}
