core, feed: drops what could be derived or stood twice

Cause: read over once more. The flow counted the sendings that core.Attempts counts; Try is told now how many are left. The age of the configuration was asked for twice for one call; Core counted open calls that nobody reads (callers.Server counts them). Memory that was not free at all engines was given back while the caller waited, now beside it like any other release. Readers were ranked by two hashes for each comparison of a sort that runs some thirty times a second; once for each peer now, and a stale process no longer asks a reader twice at once. Ruled out: any change of a decision.

--- a/core/attempts.go
+++ b/core/attempts.go
@@ -25,8 +25,9 @@
 
 // Work is a request that attempts are made at.
 type Work interface {
-	// Try makes the n-th attempt, counted from 1.
-	Try(ctx context.Context, n int) Try
+	// Try makes the n-th attempt, counted from 1. Left is how many may still be
+	// sent, this one among them.
+	Try(ctx context.Context, n, left int) Try
 	// Repeatable reports whether a further run would do no harm, given what the
 	// caller has received so far.
 	Repeatable() bool
@@ -57,18 +58,18 @@
 	p := backoff.NewExponentialBackOff()
 	p.InitialInterval = firstPause
 	p.MaxInterval = lastPause
-	for n, sent := 1, 0; ; n++ {
-		t := w.Try(ctx, n)
+	for n, left := 1, a.Max; ; n++ {
+		t := w.Try(ctx, n, left)
 		if t.Err == nil {
 			return nil
 		}
 		if !t.Free {
-			sent++
+			left--
 		}
 		f := fault.As(t.Err, hollowgrade.Unknown)
 		worst = worst.Worse(f.Outcome)
 		f = f.WithOutcome(worst)
-		if sent >= a.Max || ctx.Err() != nil || !MayRepeat(f, w.Repeatable()) || !t.Placed && f.Code != fault.GroupBusy {
+		if left <= 0 || ctx.Err() != nil || !MayRepeat(f, w.Repeatable()) || !t.Placed && f.Code != fault.GroupBusy {
 			return f
 		}
 		if t.Placed && !t.Free && !w.Spend() {
--- a/core/core.go
+++ b/core/core.go
@@ -57,7 +57,6 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window // by service
-	open    int
 }
 
 // Observation is one call that has ended, for metrics.
@@ -173,19 +172,6 @@
 	}
 }
 
-// Open returns the number of calls that are not over.
-func (c *Core) Open() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.open
-}
-
-func (c *Core) addOpen(n int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.open += n
-}
-
 // budget returns the retry budget of a service at this process: its share of
 // what all processes may spend together.
 func (c *Core) budget(service string) *retry.Window {
@@ -205,8 +191,6 @@
 // Serve brings a call to its end and passes its answer to the sink. The error
 // is a [fault.Error]; when the sink has got a head before, the answer is cut.
 func (c *Core) Serve(ctx context.Context, call hollowgrade.Call, s hollowgrade.Sink) (err error) {
-	c.addOpen(1)
-	defer c.addOpen(-1)
 	f := &flow{core: c, call: call, sink: s, after: call.After, tried: map[string]bool{}}
 	defer func() { f.ended(err) }()
 	if err = c.admit(f); err != nil {
@@ -234,18 +218,25 @@
 	if f.catalog == nil {
 		return fault.New(fault.NoConfiguration, "no configuration has been read yet").WithRetryAfter(shortRetry)
 	}
-	age, known := c.age()
-	f.age = age
-	var ok bool
+	known, ok := false, false
+	f.age, known = c.age()
+	missing := func(m *fault.Error) error {
+		// If the configuration may be out of date, a route or key that is not
+		// there may have been added since.
+		if !known || f.age > c.bounds.Load().Freshness {
+			return stale(f)
+		}
+		return m
+	}
 	if f.route, ok = f.catalog.Match(f.call.Host, f.call.Path); !ok {
-		return c.missing(f, fault.New(fault.NoRoute, "no route for %s%s", f.call.Host, f.call.Path))
+		return missing(fault.New(fault.NoRoute, "no route for %s%s", f.call.Host, f.call.Path))
 	}
 	if f.catalog.NeedsKey(f.route) {
-		if !known || age > c.bounds.Load().KeyFreshness-freshnessMargin {
+		if !known || f.age > c.bounds.Load().KeyFreshness-freshnessMargin {
 			return stale(f)
 		}
 		if f.organisation, ok = f.catalog.Owner(f.call.Key); !ok {
-			return c.missing(f, fault.New(fault.WrongKey, "the key belongs to no organisation"))
+			return missing(fault.New(fault.WrongKey, "the key belongs to no organisation"))
 		}
 	}
 	t, ok := f.route.target()
@@ -257,15 +248,6 @@
 	return nil
 }
 
-// missing refuses a call for a route or a key that is not there. If the
-// configuration may be out of date, they may have been added since.
-func (c *Core) missing(f *flow, m *fault.Error) error {
-	if age, known := c.age(); !known || age > c.bounds.Load().Freshness {
-		return stale(f)
-	}
-	return m
-}
-
 func stale(f *flow) error {
 	return fault.New(fault.StaleConfig, "version %d was last confirmed %s ago", f.catalog.Version, f.age.Round(time.Millisecond)).
 		WithRetryAfter(shortRetry)
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -15,7 +15,8 @@
 type attempt struct {
 	flow    *flow
 	placed  *placed
-	number  int // of the attempt, counted from 1
+	number  int  // of the attempt, counted from 1
+	last    bool // whether no other may be sent after it
 	tickets *tickets
 	held    time.Duration // how long the sending was held back
 	wrote   bool          // whether the answer has begun
@@ -165,7 +166,7 @@
 	for {
 		p, err := x.Next()
 		if errors.Is(err, io.EOF) {
-			return a.endStream()
+			return f.passHead(a.head) // a stream without any event is whole too
 		}
 		if err != nil {
 			return err
@@ -188,11 +189,6 @@
 	}
 }
 
-// endStream ends a stream that is whole. One without any event is whole too.
-func (a *attempt) endStream() error {
-	return a.flow.passHead(a.head)
-}
-
 func (f *flow) passHead(h hollowgrade.Head) error {
 	if f.began {
 		return nil
--- a/core/flow.go
+++ b/core/flow.go
@@ -69,7 +69,6 @@
 	budget       *retry.Window
 	deadline     time.Time
 
-	sent      int             // attempts of which something left
 	noMemory  int             // attempts for which memory was not free
 	paid      atomic.Bool     // whether the next retry has been taken out of the budget
 	tried     map[string]bool // upstreams, by id
@@ -121,7 +120,7 @@
 }
 
 // Try implements [Work].
-func (f *flow) Try(ctx context.Context, n int) Try {
+func (f *flow) Try(ctx context.Context, n, left int) Try {
 	d := newDemand(f.service, f.route, f.call, f.deadline.Sub(f.core.clock.Now()))
 	d.begun = f.began
 	p := f.core.fleet.pick(d, f.tried)
@@ -138,7 +137,7 @@
 	if n == 1 {
 		f.predicted = p.first
 	}
-	a := &attempt{flow: f, placed: p, number: n}
+	a := &attempt{flow: f, placed: p, number: n, last: left == 1}
 	err := f.prepare(ctx, a)
 	defer a.tickets.end()
 	if err != nil {
@@ -147,9 +146,6 @@
 	}
 	err = a.run(ctx)
 	f.core.fleet.over(p, a.wrote)
-	if !errors.Is(err, hollowgrade.ErrNotSent) {
-		f.sent++
-	}
 	if err == nil {
 		return Try{Placed: true}
 	}
--- a/core/place.go
+++ b/core/place.go
@@ -99,7 +99,7 @@
 	now := f.clock.Now()
 	f.expireViews(now)
 	ms := f.candidates(d.service.Name, now)
-	p := &placed{}
+	var p *placed
 	switch {
 	case d.service.Engine == nil:
 		p = f.pickPlain(ms, tried, now)
@@ -207,15 +207,6 @@
 	return &placed{member: m, reading: reading, first: e.First(m.state(d, now), reading)}
 }
 
-// Predictions are off by a third now and then: an answer that is predicted well
-// within its goal will be in time, one that is predicted somewhat beyond it
-// will not.
-const (
-	surelyInTime = 0.5
-	surelyLate   = 1.1
-	perGoalMore  = 0.1 // cost of each further goal that it is late by
-)
-
 // Requests that come to many gateways at one moment, before they have heard of
 // each other's picks, would all go to the same engine. So the first engines of
 // the common order that have this much room together count alike, and chance
@@ -251,6 +242,15 @@
 	return known / max(known, float64(f.peers()+1))
 }
 
+// Predictions are off by a third now and then: an answer that is predicted well
+// within its goal will be in time, one that is predicted somewhat beyond it
+// will not.
+const (
+	surelyInTime = 0.5
+	surelyLate   = 1.1
+	perGoalMore  = 0.1 // cost of each further goal that it is late by
+)
+
 // lateness estimates the chance that a request is late, and rises slowly beyond
 // that, so that a late answer is still not put off further.
 func lateness(first, goal time.Duration) float64 {
--- a/core/ticket.go
+++ b/core/ticket.go
@@ -59,13 +59,13 @@
 	})
 	err = errors.Join(es...)
 	c.log.Info("memory asked for", "request", request, "ticket", t.id, "engines", len(t.holders), "tokens", t.tokens, "err", err)
+	r, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	t.cancel = cancel
 	if err != nil {
-		t.free()
+		t.end()
 		return nil, fault.New(fault.Overloaded, "memory for the prompt was not free at %d engines", len(t.holders)).
 			WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetry)
 	}
-	r, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	t.cancel = cancel
 	t.group.Go(func() { t.renew(r) })
 	return t, nil
 }
--- a/core/watchdog.go
+++ b/core/watchdog.go
@@ -25,7 +25,7 @@
 // cannot be had elsewhere is waited for to the end.
 func (a *attempt) stall() time.Duration {
 	f := a.flow
-	if !f.Repeatable() || f.sent+1 >= f.route.MaxAttempts {
+	if !f.Repeatable() || a.last {
 		return 0
 	}
 	if f.route.Repeat != Resume {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -58,7 +58,7 @@
 }
 
 // Try implements [core.Work].
-func (a *attempts) Try(ctx context.Context, n int) core.Try {
+func (a *attempts) Try(ctx context.Context, n, _ int) core.Try {
 	a.query.request = a.query.request.WithAttempt(n)
 	l, err := a.entry.attemptOnce(ctx, a.query, a.tried)
 	if l != nil {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -37,8 +37,9 @@
 // Change is a record that has become the newest of its key.
 type Change struct {
 	hollowgrade.KeyedRecord
-	// Regained says that the view had been stale for longer than a read's
-	// wait when the record came, so that it may tell of what went on unseen.
+	// Regained says that a read had failed not long before the record came, or
+	// that the view was stale, so that it may tell of what the store did while it
+	// was away.
 	Regained bool
 }
 
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -104,9 +104,11 @@
 // the same members.
 func (r *Relay) readers() []string {
 	as := append(r.peers(), r.self)
-	slices.SortFunc(as, func(a, b string) int {
-		return cmp.Or(cmp.Compare(sched.Rank(readersSubject, b), sched.Rank(readersSubject, a)), cmp.Compare(a, b))
-	})
+	ranks := make(map[string]uint64, len(as))
+	for _, a := range as {
+		ranks[a] = sched.Rank(readersSubject, a)
+	}
+	slices.SortFunc(as, func(a, b string) int { return cmp.Or(cmp.Compare(ranks[b], ranks[a]), cmp.Compare(a, b)) })
 	as = slices.Compact(as)
 	return as[:min(max(fewestReaders, (len(as)+perReader-1)/perReader), len(as))]
 }
@@ -152,7 +154,7 @@
 	if len(r.behind()) == 0 {
 		return as
 	}
-	ps := r.peers()
+	ps := slices.DeleteFunc(r.peers(), func(a string) bool { return slices.Contains(as, a) })
 	rand.Shuffle(len(ps), func(i, j int) { ps[i], ps[j] = ps[j], ps[i] })
 	return append(as, ps[:min(askedPeers, len(ps))]...)
 }
