--- a/entry/completions.go
+++ b/entry/completions.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/callers"
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 	"github.com/hollowgrade/hollowgrade/sched"
@@ -119,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	defer boundWrites(w, q.request)()
+	defer callers.BoundWrites(w, q.request.Deadline)()
 	a := &answer{w: w, id: c.id, model: b.Model, shape: s, stream: b.Stream, prompt: q.request.PromptTokens}
 	q.sink = a
 	err = e.serve(r.Context(), q, c.organisation)
--- a/entry/http.go
+++ b/entry/http.go
@@ -178,19 +178,6 @@
 	}
 }
 
-// writeSlack is the time beyond its deadline that a request's last bytes may
-// take to their caller.
-const writeSlack = time.Second
-
-// boundWrites makes sure that a caller who does not read cannot hold its request
-// open beyond the allowed time. The function that it returns ends the bound,
-// since the connection may carry further requests.
-func boundWrites(w http.ResponseWriter, q hollowgrade.Request) (end func()) {
-	c := http.NewResponseController(w)
-	_ = c.SetWriteDeadline(q.Deadline.Add(writeSlack))
-	return func() { _ = c.SetWriteDeadline(time.Time{}) }
-}
-
 // decide applies the organisation's policy and what the caller asks for by
 // headers.
 func (e *Entry) decide(r *http.Request, c caller, q hollowgrade.Request) (hollowgrade.Request, error) {
--- a/entry/services.go
+++ b/entry/services.go
@@ -8,20 +8,21 @@
 	"github.com/gorilla/mux"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/callers"
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 )
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // ownHeaders are for the entry and not for the service behind it. A bearer key
 // must never leave it.
 var ownHeaders = []string{"Authorization", "Content-Length", "Host"}
 
+// organisationHeader tells a service whose call it is.
+const organisationHeader = "Hollowgrade-Organisation"
+
+// setHeaders are set by the entry alone, whatever a caller or a service says.
+var setHeaders = []string{RequestHeader, organisationHeader}
+
 // callService serves a call to a plain service.
 func (e *Entry) callService(w http.ResponseWriter, r *http.Request, c caller) error {
 	n := mux.Vars(r)["name"]
@@ -37,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	defer boundWrites(w, q.request)()
+	defer callers.BoundWrites(w, q.request.Deadline)()
 	s := &passage{w: w}
 	q.sink = s
 	err = e.serve(r.Context(), q, c.organisation)
@@ -59,9 +60,8 @@
 		p += "?" + r.URL.RawQuery
 	}
 	h := &wire.ServiceHead{Method: r.Method, Path: p}
-	drop := dropped(r.Header)
-	for n, vs := range r.Header {
-		if slices.Contains(drop, n) || slices.Contains(ownHeaders, n) {
+	for n, vs := range hollowgrade.EndToEnd(r.Header) {
+		if slices.Contains(ownHeaders, n) || slices.Contains(setHeaders, n) {
 			continue
 		}
 		for _, v := range vs {
@@ -70,23 +70,10 @@
 	}
 	h.Headers = append(h.Headers,
 		&wire.Header{Name: RequestHeader, Value: c.id},
-		&wire.Header{Name: "Hollowgrade-Organisation", Value: c.organisation.Name})
+		&wire.Header{Name: organisationHeader, Value: c.organisation.Name})
 	return h
 }
 
-// dropped lists the headers that end at this connection: the customary ones
-// and those that the Connection header names.
-func dropped(h http.Header) []string {
-	ns := slices.Clone(hopHeaders)
-	ns = append(ns, RequestHeader, "Hollowgrade-Organisation")
-	for _, v := range h.Values("Connection") {
-		for n := range strings.SplitSeq(v, ",") {
-			ns = append(ns, http.CanonicalHeaderKey(strings.TrimSpace(n)))
-		}
-	}
-	return ns
-}
-
 // passage is the sink of a plain service's answer.
 type passage struct {
 	w     http.ResponseWriter
@@ -104,9 +91,8 @@
 	for _, v := range h.Headers {
 		from.Add(v.Name, v.Value)
 	}
-	drop := dropped(from)
-	for n, vs := range from {
-		if !slices.Contains(drop, n) {
+	for n, vs := range hollowgrade.EndToEnd(from) {
+		if !slices.Contains(setHeaders, n) {
 			p.w.Header()[n] = vs
 		}
 	}
