feed, core: doubt about an upstream that left ends before the box is held to it again

The store had turned one gateway away until 23.5 s; for 3 s after its last failed read it took each upstream that left for one that may have lapsed, and used it for 2 s more, so until 26.8 s, while it counts as in touch again from 26.5 s. The doubt has an end of its own now, 2.8 s after the last failure, and upstreams that lapsed are no longer kept in the table for ever. The new test cannot be written against the former signature, where a drop was in doubt or not; the arithmetic above stands for its failing first.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -208,8 +208,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := &fakeUpstreams{replies: []reply{late}}
 			c := newCore(f)
-			c.Fleet().Drop("u2", false)
-			c.Fleet().Drop("u3", false)
+			c.Fleet().Drop("u2", time.Time{})
+			c.Fleet().Drop("u3", time.Time{})
 			require.NoError(t, c.Serve(context.Background(), call("/resume/"), &fakeSink{}))
 			require.Len(t, f.sendings(), 1)
 		})
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -111,7 +111,7 @@
 	loadAt   time.Time
 	failures int // in a row
 	avoid    time.Time
-	lapsed   time.Time // when its entry went; zero while it is listed
+	lapses   time.Time // until when it is used although its entry went; zero while it is listed
 }
 
 // total is the load that all processes have given to the upstream, as far as
@@ -133,6 +133,11 @@
 	m.busy = m.busy.Add(d)
 }
 
+// lapsed reports whether the upstream's entry went and did not come back in time.
+func (m *member) lapsed(now time.Time) bool {
+	return !m.lapses.IsZero() && !now.Before(m.lapses)
+}
+
 // Fleet is the table of upstreams. It is safe for concurrent use.
 type Fleet struct {
 	clock hollowgrade.Clock
@@ -184,7 +189,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m, ok := f.members[u.ID]
-	if ok && m.Upstream == u && m.lapsed.IsZero() {
+	if ok && m.Upstream == u && m.lapses.IsZero() {
 		return
 	}
 	if !ok {
@@ -195,33 +200,42 @@
 	f.log.Info("upstream listed", "upstream", u.ID, "service", u.Service, "address", u.Address, "hall", u.Hall,
 		"draining", u.Draining, "was_draining", m.Draining, "new", !ok)
 	m.Upstream = u
-	m.lapsed = time.Time{}
+	m.lapses = time.Time{}
 	f.rebuild()
 }
 
 // Drop removes an upstream whose entry has gone. When the entry may have gone
 // for want of a heartbeat while the store was away, the upstream is kept for a
-// little longer.
-func (f *Fleet) Drop(id string, mayReturn bool) {
+// little longer, until mayReturn at the most.
+func (f *Fleet) Drop(id string, mayReturn time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m, ok := f.members[id]
 	if !ok {
 		return
 	}
-	f.log.Info("upstream unlisted", "upstream", id, "service", m.Service, "may_return", mayReturn)
-	if mayReturn {
-		m.lapsed = f.clock.Now()
+	f.log.Info("upstream unlisted", "upstream", id, "service", m.Service, "may_return", !mayReturn.IsZero())
+	if !mayReturn.IsZero() {
+		m.lapses = f.clock.Now().Add(lapseGrace)
+		if mayReturn.Before(m.lapses) {
+			m.lapses = mayReturn
+		}
 		return
 	}
 	delete(f.members, id)
 	f.rebuild()
 }
 
-// rebuild makes the lists by service anew. The lock is held.
+// rebuild makes the lists by service anew, without upstreams that lapsed. The
+// lock is held.
 func (f *Fleet) rebuild() {
 	f.services = map[string][]*member{}
-	for _, m := range f.members {
+	now := f.clock.Now()
+	for id, m := range f.members {
+		if m.lapsed(now) {
+			delete(f.members, id)
+			continue
+		}
 		f.services[m.Service] = append(f.services[m.Service], m)
 	}
 	for _, l := range f.services {
@@ -238,7 +252,7 @@
 
 // usable reports whether a member may be given new work. The lock is held.
 func (f *Fleet) usable(m *member, now time.Time) bool {
-	return !m.Draining && (m.lapsed.IsZero() || now.Sub(m.lapsed) < lapseGrace)
+	return !m.Draining && !m.lapsed(now)
 }
 
 // stillUsable reports whether a pick that was made a while ago may still be
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -36,15 +36,15 @@
 	})
 	t.Run("one whose entry is gone gets nothing new", func(t *testing.T) {
 		f := newFleet("s", 2)
-		f.Drop("u00", false)
+		f.Drop("u00", time.Time{})
 		require.Equal(t, "u01", f.pick(plain, none).member.ID)
-		f.Drop("u01", false)
+		f.Drop("u01", time.Time{})
 		require.Nil(t, f.pick(plain, none))
 	})
 	t.Run("one that lapsed while the store was away is kept for two seconds", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("s", 1)
-			f.Drop("u00", true)
+			f.Drop("u00", time.Now().Add(time.Hour))
 			require.NotNil(t, f.pick(plain, none))
 			time.Sleep(lapseGrace)
 			require.Nil(t, f.pick(plain, none))
@@ -52,6 +52,21 @@
 			require.NotNil(t, f.pick(plain, none))
 		})
 	})
+	// Found by hunt on sbn-push, trouble-1 --seed 1014552827330: a gateway that the
+	// store had turned away took an upstream that left, 1.2 s after, for one that
+	// had lapsed, and used it until 2.17 s after it had left.
+	t.Run("and not beyond the time for which that can be the cause", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet("s", 1)
+			f.Drop("u00", time.Now().Add(1500*time.Millisecond))
+			time.Sleep(1499 * time.Millisecond)
+			require.NotNil(t, f.pick(plain, none))
+			time.Sleep(time.Millisecond)
+			require.Nil(t, f.pick(plain, none))
+			f.Put(hollowgrade.Upstream{ID: "u01", Service: "s", Slots: 4})
+			require.Equal(t, 1, f.Size(), "it is not kept for ever")
+		})
+	})
 	t.Run("one that failed is tried last, and again after a while", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("s", 2)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -37,10 +37,10 @@
 // Change is a record that has become the newest of its key.
 type Change struct {
 	hollowgrade.KeyedRecord
-	// Regained says that a read had failed not long before the record came, or
-	// that the view was stale, so that it may tell of what the store did while it
-	// was away.
-	Regained bool
+	// MayReturn is until when a dropped key may come back by itself: a read had
+	// failed not long before the record came, or the view was stale, so that it
+	// may tell of what the store did while it was away. It is zero otherwise.
+	MayReturn time.Time
 }
 
 // Feed is a view of one topic. It is safe for concurrent use.
@@ -223,11 +223,11 @@
 func (f *Feed) take(p hollowgrade.KeyedPage, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	regained := f.doubtful()
+	doubt := f.doubt()
 	cs := make([]Change, 0, len(p.Records))
 	for _, r := range p.Records {
 		if f.put(r) {
-			cs = append(cs, Change{KeyedRecord: r, Regained: regained})
+			cs = append(cs, Change{KeyedRecord: r, MayReturn: doubt})
 		}
 	}
 	f.next = max(f.next, p.Next)
@@ -245,16 +245,21 @@
 
 // doubtFor is for how long after a read that failed a change may tell of what
 // the store did while it was away: entries that lapsed then are back within two
-// seconds of its return.
-const doubtFor = 3 * time.Second
-
-// doubtful reports whether changes that come now may tell of what went on
-// unseen. The lock is held.
-func (f *Feed) doubtful() bool {
-	if !f.failed.IsZero() && f.clock.Since(f.failed) < doubtFor {
-		return true
+// seconds of its return. From three seconds on a box that reaches the store again
+// is held to what the registry says, so doubt has to end before.
+const doubtFor = 2800 * time.Millisecond
+
+// doubt returns until when changes that come now may tell of what went on
+// unseen; zero if they do not. The lock is held.
+func (f *Feed) doubt() time.Time {
+	now := f.clock.Now()
+	if until := f.failed.Add(doubtFor); !f.failed.IsZero() && now.Before(until) {
+		return until
 	}
-	return !f.fresh.IsZero() && f.clock.Since(f.fresh) > 2*f.wait+doubtFor
+	if !f.fresh.IsZero() && now.Sub(f.fresh) > 2*f.wait+doubtFor {
+		return now.Add(doubtFor)
+	}
+	return time.Time{}
 }
 
 // put makes a record the newest of its key, unless it is older, and reports
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -119,7 +119,7 @@
 			} else {
 				v.values[c.Key] = string(c.Value)
 			}
-			if c.Regained {
+			if !c.MayReturn.IsZero() {
 				v.regained++
 			}
 		}
@@ -245,6 +245,7 @@
 			return v.regained
 		}
 		require.Equal(t, 1, drop(1), "right after a failure")
+		require.Equal(t, time.Now().Add(doubtFor), f.doubt(), "until a box counts as in touch again")
 		for range 10 {
 			time.Sleep(time.Second)
 			f.Merge(page(2), time.Now())
