core: counts the first reading that another gateway gives to an engine

Cause: a share of an upstream that a gateway told for the first time was taken as a baseline, so its reading did not count. Now only what stood at the first whole word is a baseline. Tests: TestViewsOfOthers (failed first).

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -173,6 +173,7 @@
 		}
 		w.reset(a.stall())
 		a.begin()
+		f.noteEvent()
 		if !newer(p.Event, f.after) {
 			continue
 		}
@@ -189,6 +190,15 @@
 	}
 }
 
+// noteEvent keeps the longest pause between two events, over all attempts.
+func (f *flow) noteEvent() {
+	now := f.core.clock.Now()
+	if !f.heard.IsZero() {
+		f.pause = max(f.pause, now.Sub(f.heard))
+	}
+	f.heard = now
+}
+
 func (f *flow) passHead(h hollowgrade.Head) error {
 	if f.began {
 		return nil
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -237,6 +237,24 @@
 		f.DropView("c")
 		require.Equal(t, 1, m.total().Open)
 	})
+	// Found on scale-1 of sbn-push-grown: the first prompt that each of 28 gateways
+	// gave to an engine was left out, so that many gave theirs to the same engines.
+	t.Run("the first reading that another gives to an engine counts", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet("e", 2)
+			f.TakeView("b", nil, true)
+			f.TakeView("b", map[string]Share{"u00": {Open: 1, Given: 2 * time.Second}}, false)
+			require.Equal(t, 2*time.Second, f.members["u00"].reading(time.Now()))
+			f.TakeView("b", map[string]Share{"u00": {Open: 1, Given: 2 * time.Second}, "u01": {Open: 1, Given: time.Second}}, true)
+			require.Equal(t, time.Second, f.members["u01"].reading(time.Now()))
+		})
+	})
+	t.Run("reading from before all was heard does not count", func(t *testing.T) {
+		f := newFleet("e", 2)
+		f.TakeView("b", map[string]Share{"u00": {Open: 1, Given: time.Hour}}, false)
+		f.TakeView("b", map[string]Share{"u01": {Open: 1, Given: time.Hour}}, false)
+		require.Zero(t, f.members["u01"].reading(time.Now()))
+	})
 	t.Run("reading goes on after whoever gave it is gone", func(t *testing.T) {
 		f := newFleet("e", 1)
 		m := f.members["u00"]
--- a/core/flow.go
+++ b/core/flow.go
@@ -77,6 +77,8 @@
 	after     string          // id of the last event that the caller has
 	events    int
 	first     time.Duration // until the first part
+	heard     time.Time     // when the last event came
+	pause     time.Duration // longest between two events
 	predicted time.Duration // the same as predicted for the first attempt
 	failure   *answer       // an upstream's own failure, held back while another attempt may do better
 }
@@ -172,11 +174,19 @@
 func (f *flow) logSent(a *attempt, left time.Duration) {
 	p := a.placed
 	f.core.log.Info("sent", "request", f.call.ID, "attempt", a.number, "upstream", p.upstream().ID, "service", f.service.Name,
-		"helpers", len(p.helpers), "reading_ms", p.reading.Milliseconds(), "predicted_ms", p.first.Milliseconds(),
+		"helpers", ids(p.helpers), "reading_ms", p.reading.Milliseconds(), "predicted_ms", p.first.Milliseconds(),
 		"held_ms", a.held.Milliseconds(), "after", f.after, "left_ms", left.Milliseconds(),
 		"version", f.catalog.Version, "age_ms", f.age.Milliseconds())
 }
 
+// ids returns the ids of upstreams, for logs.
+func ids(ms []*member) (s []string) {
+	for _, m := range ms {
+		s = append(s, m.ID)
+	}
+	return s
+}
+
 // refuse says that a long prompt is not worth what it would take from others
 // now.
 func (f *flow) refuse(p *placed) error {
@@ -250,7 +260,8 @@
 	}
 	f.core.log.Info("request ended", "request", f.call.ID, "organisation", o.Organisation, "route", o.Route, "service", o.Service,
 		"repeat", f.route.Repeat.String(), "outcome", o.Outcome, "code", o.Code, "attempts", o.Attempts, "upstreams", f.upstreams,
-		"events", o.Events, "prompt_tokens", o.PromptTokens, "first_ms", o.First.Milliseconds(), "took_ms", o.Took.Milliseconds(),
+		"events", o.Events, "prompt_tokens", o.PromptTokens, "first_ms", o.First.Milliseconds(),
+		"pause_ms", f.pause.Milliseconds(), "took_ms", o.Took.Milliseconds(),
 		"version", v, "age_ms", f.age.Milliseconds(), "err", err)
 	f.core.observe(o)
 }
--- a/core/share.go
+++ b/core/share.go
@@ -10,6 +10,7 @@
 type view struct {
 	shares map[string]Share
 	heard  time.Time
+	whole  bool // whether all that stood at some moment has been heard: what it names anew is new
 }
 
 // Changed returns a channel that gets a value when this process's own shares
@@ -85,15 +86,18 @@
 	for id, s := range shares {
 		f.setView(v, id, s)
 	}
+	v.whole = v.whole || whole
 }
 
 // setView replaces one share of a view. Reading that was given since counts from
-// now on; less than before means that some was taken back. The lock is held.
+// now on; less than before means that some was taken back. Of what was given
+// before the first whole word of the process it is not known how much is still unread.
+// The lock is held.
 func (f *Fleet) setView(v *view, id string, s Share) {
 	old, known := v.shares[id]
 	if m := f.members[id]; m != nil {
 		m.others = m.others.Plus(s).Minus(old)
-		if more := s.Given - old.Given; known && more != 0 {
+		if more := s.Given - old.Given; (known || v.whole) && more != 0 {
 			m.give(f.clock.Now(), more)
 		}
 	}
