--- a/core/exchange.go
+++ b/core/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 	"time"
@@ -103,6 +104,7 @@
 func (a *attempt) whole(x hollowgrade.Exchange) error {
 	f := a.flow
 	if a.head.NotRun {
+		a.blame()
 		return fault.New(fault.Overloaded, "upstream %s did not take the call, status %d", a.placed.upstream().ID, a.head.Status).
 			WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetry)
 	}
@@ -128,6 +130,16 @@
 	return f.pass(w)
 }
 
+// blame lets others be preferred to the upstream for whose sake a call was not
+// taken: the one that answered, or a helper that is gone, drains or is full.
+func (a *attempt) blame() {
+	for m, u := range a.placed.at {
+		if a.head.AtFault == u.ID || a.head.AtFault == u.Address {
+			a.flow.core.fleet.failed(m, a.flow.call.ID, fmt.Sprintf("named by %s as at fault for status %d", a.placed.upstream().ID, a.head.Status))
+		}
+	}
+}
+
 // long passes on an answer that is too long to be held back.
 func (a *attempt) long(x hollowgrade.Exchange, w *answer) error {
 	a.begin()
--- a/core/ticket_test.go
+++ b/core/ticket_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,12 @@
 
 // oversized sends a prompt of 900,000 tokens to engines of 450,000.
 func oversized(t *testing.T, f *fakeUpstreams, engines int) *fault.Error {
+	t.Helper()
+	return prompt(t, f, engines, 900_000)
+}
+
+// prompt sends a prompt to engines of 450,000.
+func prompt(t *testing.T, f *fakeUpstreams, engines, tokens int) *fault.Error {
 	t.Helper()
 	c := New(f, f, WithLogger(quiet()))
 	c.started = c.started.Add(-time.Minute)
@@ -25,7 +32,7 @@
 		c.Fleet().Put(hollowgrade.Upstream{ID: id, Service: "e", Address: id + ":1"})
 	}
 	k := call("/x")
-	k.PromptTokens, k.MaxTokens, k.Patience = 900_000, 1_000, 15*time.Second
+	k.PromptTokens, k.MaxTokens, k.Patience = tokens, 1_000, 15*time.Second
 	err := c.Serve(context.Background(), k, &fakeSink{})
 	if err == nil {
 		return nil
@@ -91,3 +98,30 @@
 		require.Empty(t, f.sendings())
 	})
 }
+
+// Found on scale-1 of sbn-push-grown: an engine that drained unseen was a helper
+// of both attempts, and the call was refused although all others were well.
+func TestAHelperThatIsAtFaultIsLeftOut(t *testing.T) {
+	for _, name := range []string{"id", "address"} {
+		t.Run("named by "+name, func(t *testing.T) {
+			bad := ""
+			f := &fakeUpstreams{replies: []reply{
+				func(ctx context.Context, s hollowgrade.Sending) (hollowgrade.Exchange, error) {
+					bad = s.Helpers[0].Address
+					x := &fakeExchange{ctx: ctx, head: hollowgrade.Head{Status: 503, NotRun: true, AtFault: bad}, end: io.EOF}
+					if name == "id" {
+						x.head.AtFault = strings.TrimSuffix(bad, ":1")
+					}
+					return x, nil
+				},
+				events(1, 1, io.EOF),
+			}}
+			require.Nil(t, prompt(t, f, 18, 300_000))
+			require.Len(t, f.sendings(), 2)
+			for _, h := range f.sendings()[1].Helpers {
+				require.NotEqual(t, bad, h.Address)
+			}
+			require.NotEqual(t, bad, f.sendings()[1].Upstream.Address)
+		})
+	}
+}
--- a/exchange.go
+++ b/exchange.go
@@ -106,6 +106,9 @@
 	Stream  bool        // the body is a series of events
 	Load    UpstreamLoad
 	HasLoad bool
+	// AtFault is the id or the address of the upstream for whose sake the call was
+	// not taken, which may be a helper; empty if the answer does not name it.
+	AtFault string
 }
 
 // Success reports whether the answer is one that the caller asked for.
