core: takes reading back only while it can still wait

Cause: an attempt that ended before its answer began took all of its reading back, also after 8.8 s, when that reading had passed in time; what it took then was that of others, and drafts went to engines that were seconds behind. Test: TestReadingIsTakenBackOnlyWhileItWaits (failed first).

--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -110,6 +110,25 @@
 	}
 }
 
+// Found on scale-1 of sbn-push-grown: seven long prompts that were given up after
+// 8.8 s took their reading back, and with it that of others.
+func TestReadingIsTakenBackOnlyWhileItWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("e", 1)
+		m := f.members["u00"]
+		p := f.pick(long(splitFrom-1), nil)
+		f.over(p, false)
+		require.Zero(t, m.reading(time.Now()), "refused at once")
+		p = f.pick(long(splitFrom-1), nil)
+		time.Sleep(8 * time.Second)
+		f.pick(long(splitFrom-1), nil)
+		rest := m.reading(time.Now())
+		require.NotZero(t, rest)
+		f.over(p, false)
+		require.Equal(t, rest, m.reading(time.Now()))
+	})
+}
+
 func long(prompt int) demand {
 	return demand{service: engineService(), prompt: prompt, goal: 3 * time.Second, pause: 800 * time.Millisecond, left: 15 * time.Second}
 }
--- a/core/place.go
+++ b/core/place.go
@@ -47,6 +47,7 @@
 	tokens  int                              // that each of them keeps
 	share   Share                            // at the member
 	reading time.Duration                    // at it and each helper
+	since   time.Time                        // when it was picked
 	first   time.Duration                    // predicted time until the first event
 	cost    float64                          // what is lost by long reads, by worth
 	wait    time.Duration                    // until what was given before is read at all of them
@@ -120,7 +121,8 @@
 		f.add(m, Share{Tokens: p.tokens})
 	}
 	f.add(p.member, p.share)
-	f.give(p, now, 1)
+	p.since = now
+	f.give(p, now, p.reading)
 	return p
 }
 
@@ -283,23 +285,24 @@
 	return 0
 }
 
-// give accounts for the reading of a pick, or takes it back when the share is
-// negative. The lock is held.
-func (f *Fleet) give(p *placed, now time.Time, share float64) {
-	d := time.Duration(share * passOverhead * float64(p.reading))
+// give accounts for reading at the engines of a pick, or takes it back when it
+// is negative. The lock is held.
+func (f *Fleet) give(p *placed, now time.Time, reading time.Duration) {
+	d := time.Duration(passOverhead * float64(reading))
 	for _, m := range append(p.helpers, p.member) {
 		m.give(now, d)
 		f.add(m, Share{Given: d})
 	}
 }
 
-// over ends the account of a call. What was not read, since the call ended
-// before its answer began, is taken back.
+// over ends the account of a call. What can't have been read yet, since the call
+// ended before its answer began, is taken back. The rest has passed in time.
 func (f *Fleet) over(p *placed, began bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !began {
-		f.give(p, f.clock.Now(), -1)
+		now := f.clock.Now()
+		f.give(p, now, -max(p.reading-now.Sub(p.since), 0))
 	}
 	f.add(p.member, Share{}.Minus(p.share))
 	for _, m := range p.holders {
