feed: paces reads of the store when records come in bursts

Tests: TestFeed (a burst with few reads; failed first). The test that changes are known at once now waits for the pause between reads after the second change, as that is new behaviour; that one change arrives at once is still tested.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -26,6 +26,10 @@
 	answerMargin = 700 * time.Millisecond
 	// newestTimeout bounds the reading of all newest records.
 	newestTimeout = 3 * time.Second
+	// readPause is the least time from a read that gave records to the next one.
+	// Records come in bursts, each read has its price, and what changed has to be
+	// in force within two seconds.
+	readPause = 250 * time.Millisecond
 	// followPause is how often a process that does not read the store looks
 	// whether it has to.
 	followPause = 100 * time.Millisecond
@@ -148,10 +152,14 @@
 			hollowgrade.Sleep(ctx, f.clock, followPause)
 			continue
 		}
-		err := f.step(ctx)
+		sent := f.clock.Now()
+		records, err := f.step(ctx, sent)
 		if err == nil {
 			p.Reset()
 			f.regained()
+			if records > 0 {
+				hollowgrade.Sleep(ctx, f.clock, readPause-f.clock.Since(sent))
+			}
 			continue
 		}
 		if errors.Is(err, hollowgrade.ErrTrimmed) {
@@ -170,15 +178,15 @@
 	return !f.Fresh().IsZero()
 }
 
-// step makes one read and takes what it gives.
-func (f *Feed) step(ctx context.Context) error {
+// step makes one read, sent at sent, and takes what it gives. It returns how many
+// records that were.
+func (f *Feed) step(ctx context.Context, sent time.Time) (records int, err error) {
 	f.mu.Lock()
 	next, synced, wait := f.next, f.synced, f.wait
 	if f.away || f.clock.Since(f.fresh) > f.wait+answerMargin {
 		wait = 0 // how fresh the view is has to be known at once
 	}
 	f.mu.Unlock()
-	sent := f.clock.Now()
 	if !synced {
 		ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 		defer cancel()
@@ -186,7 +194,7 @@
 		if err == nil {
 			f.resync(p, sent)
 		}
-		return err
+		return len(p.Records), err
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
@@ -199,7 +207,7 @@
 	case err == nil:
 		f.take(p, sent)
 	}
-	return err
+	return len(p.Records), err
 }
 
 // resync takes all newest records. A key that is not among them was dropped.
