--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -31,6 +31,7 @@
 const (
 	FeedsService     = "feeds"
 	PeersService     = "peers"
+	PacketsService   = "packets"
 	MembersService   = "members"
 	CallersService   = "callers"
 	ReadinessService = "readiness"
@@ -64,6 +65,7 @@
 	callers   *callers.Server
 	config    *feed.Feed
 	members   *members
+	taker     *loadview.Taker
 }
 
 // NewGateway opens the listeners and puts a gateway together. Start brings it
@@ -95,7 +97,17 @@
 	others.Watch(n.members.take)
 	shared := []*feed.Feed{n.config, fleet, others}
 	relay.Add(shared...)
-	sharer := loadview.New(c.Box+"/"+b.Incarnation, n.Core.Fleet(), n.members.addresses, loadview.WithLogger(g))
+	n.taker = loadview.NewTaker(n.Core.Fleet())
+	share := []loadview.Option{loadview.WithLogger(g)}
+	if c.Peers != "" {
+		p, err := peer.ListenPackets(c.Peers)
+		if err != nil {
+			return nil, err
+		}
+		b.Register(PacketsService, newPackets(p, n.taker, g))
+		share = append(share, loadview.WithPackets(p))
+	}
+	sharer := loadview.New(c.Box+"/"+b.Incarnation, n.Core.Fleet(), n.members.addresses, share...)
 	b.Register(FeedsService, newRunner(n.config.Run, fleet.Run, others.Run, relay.Run, sharer.Run))
 	if err = n.listen(c, shared, g); err != nil {
 		return nil, err
@@ -142,7 +154,7 @@
 		case *wire.Frame_FeedRequest:
 			return feed.Serve(s, b.FeedRequest, shared)
 		case *wire.Frame_LoadView:
-			return loadview.Take(s, b.LoadView, n.Core.Fleet())
+			return n.taker.Stream(s, b.LoadView)
 		default:
 			return fmt.Errorf("%w: gateways ask for feeds or tell their load", peer.ErrBroken)
 		}
@@ -335,6 +347,21 @@
 	})
 }
 
+// newPackets returns a service that takes packets of other gateways.
+func newPackets(p *peer.Packets, t *loadview.Taker, g *log.Logger) kernel.Service {
+	return newRunner(func(ctx context.Context) {
+		stop := context.AfterFunc(ctx, func() { _ = p.Close() })
+		defer stop()
+		p.Serve(func(f *wire.Frame) {
+			if m := f.GetLoadView(); m != nil {
+				t.Packet(m)
+			}
+		}, func(a net.Addr, err error) {
+			g.Debug("packet not read", "peer", a.String(), "err", err)
+		})
+	})
+}
+
 // newHTTP returns a service that serves a handler.
 func newHTTP(l net.Listener, h http.Handler, g *log.Logger) kernel.Service {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: operatorsHeaderTimeout}
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -1,12 +1,19 @@
 // Package loadview tells other gateways what this one has given to upstreams,
 // and takes their word on the same. Each upstream is used by many gateways at
 // once; what it says of itself lags, and does not tell what it has yet to read.
+//
+// A change goes to each peer at once in a packet, which may get lost. What changed
+// since the last heartbeat goes with the next one, on a stream, and all there is
+// every few heartbeats. So a view is wrong for half a second at the most.
 package loadview
 
 import (
 	"context"
 	"fmt"
+	"maps"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -30,6 +37,9 @@
 	// dialTimeout and dialEvery bound the tries to reach a peer.
 	dialTimeout = 500 * time.Millisecond
 	dialEvery   = time.Second
+	// packetShares is how many upstreams one packet tells of: a share takes 45
+	// bytes at the most, a packet 1,400.
+	packetShares = 28
 )
 
 // Sharer tells peers of a fleet's own shares.
@@ -41,6 +51,9 @@
 	clock hollowgrade.Clock
 	log   *log.Logger
 
+	packets  *peer.Packets // nil if all goes on streams
+	sequence atomic.Uint64 // of the last message
+
 	mu    sync.Mutex
 	links map[string]*link
 }
@@ -49,6 +62,8 @@
 type link struct {
 	pending map[string]core.Share
 	whole   bool // whether pending is all there is to say
+	packets netip.AddrPort
+	up      bool // whether the peer has a stream, and so takes packets
 	wake    chan struct{}
 	cancel  context.CancelFunc
 }
@@ -71,6 +86,11 @@
 	return func(s *Sharer) { s.dial = d }
 }
 
+// WithPackets lets changes go in packets, at once; without it they go on streams.
+func WithPackets(p *peer.Packets) Option {
+	return func(s *Sharer) { s.packets = p }
+}
+
 // New returns a sharer. Box names one life of the gateway. Peers returns the addresses of the
 // other gateways; it is asked anew each second.
 func New(box string, f *core.Fleet, peers func() []string, os ...Option) *Sharer {
@@ -105,7 +125,7 @@
 			s.spread(s.fleet.Changes(whole), whole)
 			n++
 		case <-s.fleet.Changed():
-			s.spread(s.fleet.Changes(false), false)
+			s.change(s.fleet.Changes(false))
 			hollowgrade.Sleep(ctx, s.clock, pause)
 		}
 	}
@@ -122,7 +142,7 @@
 			continue
 		}
 		c, cancel := context.WithCancel(ctx)
-		l := &link{wake: make(chan struct{}, 1), cancel: cancel, pending: map[string]core.Share{}}
+		l := &link{packets: s.packetAddress(a), wake: make(chan struct{}, 1), cancel: cancel, pending: map[string]core.Share{}}
 		s.links[a] = l
 		g.Go(func() { s.keep(c, a, l) })
 	}
@@ -134,8 +154,66 @@
 	}
 }
 
-// spread gives each link what there is to say.
+// packetAddress returns where a peer takes packets: at the same address as
+// connections.
+func (s *Sharer) packetAddress(a string) netip.AddrPort {
+	p, err := netip.ParseAddrPort(a)
+	if err != nil && s.packets != nil {
+		s.log.Warn("peer gets no packets, only streams", "peer", a, "err", err)
+	}
+	return p
+}
+
+// change tells of changes at once: in packets to those that take them, and with
+// the next heartbeat in any case.
+func (s *Sharer) change(cs map[string]core.Share) {
+	if s.packets == nil {
+		s.spread(cs, false)
+		return
+	}
+	to := s.note(cs, false)
+	if len(to) == 0 || len(cs) == 0 {
+		return
+	}
+	for _, f := range s.frames(cs) {
+		if err := s.packets.Send(f, to); err != nil {
+			s.log.Debug("packet not sent, the next heartbeat tells the same", "err", err)
+		}
+	}
+}
+
+// frames returns shares as frames that fit into packets.
+func (s *Sharer) frames(cs map[string]core.Share) (fs []*wire.Frame) {
+	part := make(map[string]core.Share, packetShares)
+	for id, c := range cs {
+		part[id] = c
+		if len(part) == packetShares {
+			fs = append(fs, s.frame(part, false))
+			clear(part)
+		}
+	}
+	if len(part) > 0 {
+		fs = append(fs, s.frame(part, false))
+	}
+	return fs
+}
+
+// spread lets each link say what there is to say.
 func (s *Sharer) spread(cs map[string]core.Share, whole bool) {
+	s.note(cs, whole)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.links {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// note keeps for each link what it has to say the next time, and returns where
+// packets can tell it earlier.
+func (s *Sharer) note(cs map[string]core.Share, whole bool) (to []netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.links {
@@ -143,14 +221,12 @@
 			clear(l.pending)
 			l.whole = true
 		}
-		for id, c := range cs {
-			l.pending[id] = c
-		}
-		select {
-		case l.wake <- struct{}{}:
-		default:
+		maps.Copy(l.pending, cs)
+		if l.up && l.packets.IsValid() {
+			to = append(to, l.packets)
 		}
 	}
+	return to
 }
 
 // begin lets a link that has just been connected say all there is.
@@ -161,12 +237,26 @@
 	l.pending, l.whole = cs, true
 }
 
+func (s *Sharer) setUp(l *link, up bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.up = up
+}
+
 // take returns what a link has to say, as a frame.
 func (s *Sharer) take(l *link) *wire.Frame {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := &wire.LoadView{Box: s.box, Whole: l.whole}
-	for id, c := range l.pending {
+	f := s.frame(l.pending, l.whole)
+	clear(l.pending)
+	l.whole = false
+	return f
+}
+
+// frame returns a message.
+func (s *Sharer) frame(cs map[string]core.Share, whole bool) *wire.Frame {
+	m := &wire.LoadView{Box: s.box, Whole: whole, Sequence: s.sequence.Add(1)}
+	for id, c := range cs {
 		m.Shares = append(m.Shares, &wire.LoadShare{
 			Upstream:    id,
 			Open:        int32(c.Open),
@@ -175,8 +265,6 @@
 			Tokens:      int64(c.Tokens),
 		})
 	}
-	clear(l.pending)
-	l.whole = false
 	return &wire.Frame{Body: &wire.Frame_LoadView{LoadView: m}}
 }
 
@@ -206,6 +294,8 @@
 	if err != nil {
 		return err
 	}
+	s.setUp(l, true)
+	defer s.setUp(l, false)
 	for {
 		select {
 		case <-ctx.Done():
@@ -220,22 +310,6 @@
 	}
 }
 
-// Take takes a peer's word until its stream ends, and forgets it then. It is a
-// part of a [peer.Handler].
-func Take(s *peer.Stream, first *wire.LoadView, f *core.Fleet) error {
-	defer f.DropView(first.Box)
-	for m := first; ; {
-		f.TakeView(first.Box, shares(m), m.Whole)
-		n, err := s.Receive()
-		if err != nil {
-			return err
-		}
-		if m = n.GetLoadView(); m == nil {
-			return fmt.Errorf("%w: a load was due", peer.ErrBroken)
-		}
-	}
-}
-
 func shares(m *wire.LoadView) map[string]core.Share {
 	ss := make(map[string]core.Share, len(m.Shares))
 	for _, c := range m.Shares {
--- a/loadview/loadview_test.go
+++ b/loadview/loadview_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -24,19 +25,33 @@
 	return f
 }
 
+func packets(t testing.TB, address string) *peer.Packets {
+	t.Helper()
+	p, err := peer.ListenPackets(address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = p.Close() })
+	return p
+}
+
 // serve lets a fleet take views of others, and returns its address.
-func serve(t *testing.T, f *core.Fleet) string {
+func serve(t testing.TB, f *core.Fleet) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	k := NewTaker(f)
 	s := peer.NewServer(func(_ context.Context, s *peer.Stream, first *wire.Frame) error {
-		return Take(s, first.GetLoadView(), f)
+		return k.Stream(s, first.GetLoadView())
 	}, func(net.Addr, error) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	var g sync.WaitGroup
 	g.Go(func() { _ = s.Serve(ctx, l) })
+	p := packets(t, l.Addr().String())
+	g.Go(func() {
+		p.Serve(func(f *wire.Frame) { k.Packet(f.GetLoadView()) }, func(net.Addr, error) {})
+	})
 	t.Cleanup(func() {
 		cancel()
+		_ = p.Close()
 		_ = l.Close()
 		s.Close()
 		g.Wait()
@@ -45,11 +60,12 @@
 }
 
 // run lets a fleet tell others, until the function that it returns is called.
-func run(t *testing.T, f *core.Fleet, address string) (stop func()) {
+func run(t *testing.T, f *core.Fleet, address string, os ...Option) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var g sync.WaitGroup
-	s := New("a", f, func() []string { return []string{address, "127.0.0.1:1"} }, WithLogger(log.New(io.Discard)))
+	os = append(os, WithLogger(log.New(io.Discard)))
+	s := New("a", f, func() []string { return []string{address, "127.0.0.1:1"} }, os...)
 	g.Go(func() { s.Run(ctx) })
 	stop = sync.OnceFunc(func() {
 		cancel()
@@ -64,7 +80,7 @@
 	route   = core.Route{Goal: time.Minute, PauseGoal: 300 * time.Millisecond}
 )
 
-func plan(t *testing.T, f *core.Fleet) core.Plan {
+func plan(t testing.TB, f *core.Fleet) core.Plan {
 	t.Helper()
 	p, ok := f.Plan(service, route, hollowgrade.Call{PromptTokens: 100, MaxTokens: 5}, time.Hour)
 	require.True(t, ok)
@@ -77,9 +93,22 @@
 }
 
 func TestLoadIsToldAndForgotten(t *testing.T) {
+	t.Run("on streams", func(t *testing.T) { requireTold(t) })
+	t.Run("in packets", func(t *testing.T) { requireTold(t, WithPackets(packets(t, "127.0.0.1:0"))) })
+	t.Run("in packets that are all lost", func(t *testing.T) {
+		p := packets(t, "127.0.0.1:0")
+		require.NoError(t, p.Close())
+		requireTold(t, WithPackets(p))
+	})
+}
+
+// requireTold shows that a fleet hears what another one gives to upstreams, until
+// that ends.
+func requireTold(t *testing.T, os ...Option) {
+	t.Helper()
 	a, b := newFleet(), newFleet()
 	first := plan(t, a) // before they are connected
-	stop := run(t, a, serve(t, b))
+	stop := run(t, a, serve(t, b), os...)
 	requireOthers(t, b, 1)
 	second := plan(t, a)
 	requireOthers(t, b, 2)
@@ -101,3 +130,46 @@
 	}
 	require.Equal(t, core.Stakes{1, 2, 3, 4, 5}, decodeStakes([]int32{1, 2, 3, 4, 5, 6}), "classes of a newer peer are passed over")
 }
+
+func word(sequence uint64, whole bool, open ...int32) *wire.LoadView {
+	m := &wire.LoadView{Box: "b", Sequence: sequence, Whole: whole}
+	for i, n := range open {
+		if n >= 0 {
+			m.Shares = append(m.Shares, &wire.LoadShare{Upstream: fmt.Sprint(i), Open: n})
+		}
+	}
+	return m
+}
+
+func TestWordsThatOvertakeEachOther(t *testing.T) {
+	f := core.NewFleet(hollowgrade.SystemClock(), log.New(io.Discard))
+	for i := range 2 {
+		f.Put(hollowgrade.Upstream{ID: fmt.Sprint(i), Service: "s"})
+	}
+	requireOpen := func(t *testing.T, open ...int) {
+		t.Helper()
+		for i, n := range open {
+			require.Equal(t, n, f.Others(fmt.Sprint(i)).Open, "upstream %d", i)
+		}
+	}
+	k := NewTaker(f)
+	k.Packet(word(1, false, 7))
+	requireOpen(t, 0, 0)
+	o := k.begin("b")
+	k.take(word(2, true, 1, 1))
+	requireOpen(t, 1, 1)
+	k.take(word(5, false, 3))
+	k.take(word(4, false, 2, 2))
+	requireOpen(t, 3, 2)
+	k.take(word(3, true))
+	requireOpen(t, 3, 2)
+	k.take(word(6, true, -1, 2))
+	requireOpen(t, 0, 2)
+	newer := k.begin("b")
+	k.end("b", o)
+	requireOpen(t, 0, 2)
+	k.end("b", newer)
+	requireOpen(t, 0, 0)
+	k.Packet(word(7, false, 1))
+	requireOpen(t, 0, 0)
+}
--- /dev/null
+++ b/loadview/taker.go
@@ -0,0 +1,93 @@
+package loadview
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/hollowgrade/hollowgrade/core"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/peer"
+)
+
+// Taker takes the words of peers into a fleet. It is safe for concurrent use.
+type Taker struct {
+	fleet *core.Fleet
+
+	mu    sync.Mutex
+	boxes map[string]*order // those that have a stream
+}
+
+// order is what is known of the messages of one life of a peer: those that come
+// late must not undo later ones.
+type order struct {
+	last  uint64            // the latest that has come
+	share map[string]uint64 // the same for each upstream
+}
+
+// NewTaker returns a taker for a fleet.
+func NewTaker(f *core.Fleet) *Taker {
+	return &Taker{fleet: f, boxes: map[string]*order{}}
+}
+
+// Stream takes a peer's word until its stream ends, and forgets it then. It is a
+// part of a [peer.Handler].
+func (t *Taker) Stream(s *peer.Stream, first *wire.LoadView) error {
+	o := t.begin(first.Box)
+	defer t.end(first.Box, o)
+	for m := first; ; {
+		t.take(m)
+		n, err := s.Receive()
+		if err != nil {
+			return err
+		}
+		if m = n.GetLoadView(); m == nil || m.Box != first.Box {
+			return fmt.Errorf("%w: a load of %s was due", peer.ErrBroken, first.Box)
+		}
+	}
+}
+
+// Packet takes a peer's word that came in a packet. Without a stream of the peer
+// it is not taken: nothing would tell when it ends.
+func (t *Taker) Packet(m *wire.LoadView) {
+	t.take(m)
+}
+
+func (t *Taker) begin(box string) *order {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := &order{share: map[string]uint64{}}
+	t.boxes[box] = o
+	return o
+}
+
+// end forgets a peer, unless it has a newer stream.
+func (t *Taker) end(box string, o *order) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.boxes[box] != o {
+		return
+	}
+	delete(t.boxes, box)
+	t.fleet.DropView(box)
+}
+
+func (t *Taker) take(m *wire.LoadView) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.boxes[m.Box]
+	if o == nil {
+		return
+	}
+	ss := shares(m)
+	for id := range ss {
+		if m.Sequence < o.share[id] {
+			delete(ss, id)
+			continue
+		}
+		o.share[id] = m.Sequence
+	}
+	// One that was overtaken cannot tell what has come since.
+	whole := m.Whole && m.Sequence >= o.last
+	o.last = max(o.last, m.Sequence)
+	t.fleet.TakeView(m.Box, ss, whole)
+}
