core: weighs long prompts against slots that are short

Cause: whether a long prompt is worth its reading looked only at reading that waits. Ruled out: engines avoided for failures, false accounts of reading (sums of what was sent say the same). Test: TestLongPromptsThatCostOthersMore (failed first).

--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -332,6 +332,16 @@
 		require.True(t, refused(huge, 2*time.Second))
 		require.False(t, refused(long(100_000), 500*time.Millisecond))
 	})
+	// Found on scale-2 of korrigan-replay-grown: 17 engines read long prompts while
+	// short ones waited for slots at the others.
+	t.Run("are refused while slots are short, although nothing waits to be read", func(t *testing.T) {
+		f := newFleet("e", 18)
+		f.TakeView("b", map[string]Share{}, true)
+		for id := range f.members {
+			f.TakeView("b", map[string]Share{id: {Open: 15}}, false)
+		}
+		require.True(t, f.pick(huge, nil).refused)
+	})
 	t.Run("are taken when their stream has begun", func(t *testing.T) {
 		huge.begun = true
 		require.False(t, refused(huge, 2*time.Second))
--- a/core/split.go
+++ b/core/split.go
@@ -58,7 +58,7 @@
 	if len(ms) == 0 || len(ms) < keepers(d, e) {
 		return nil
 	}
-	backlog := meanReading(ms, now)
+	busy := busyShare(ms, e, now)
 	ms, reading, cost := cheapestSet(ms, d, now)
 	p := &placed{reading: reading, cost: cost}
 	p.member = cheapest(ms, nil, now, func(_ int, m *member) float64 {
@@ -72,7 +72,7 @@
 		}
 	}
 	p.keep(d, e)
-	p.refused = !d.worthwhile(p.first, p.cost, backlog)
+	p.refused = !d.worthwhile(p.first, p.cost, busy)
 	return p
 }
 
@@ -90,8 +90,9 @@
 )
 
 // worthwhile reports whether a long prompt is worth the reading that it takes.
-// Cost is what is lost by it, its own lateness among it.
-func (d demand) worthwhile(first time.Duration, cost float64, backlog time.Duration) bool {
+// Cost is what is lost by it, its own lateness among it, busy how much a second of
+// an engine is needed by others.
+func (d demand) worthwhile(first time.Duration, cost, busy float64) bool {
 	if d.begun {
 		return true
 	}
@@ -102,9 +103,8 @@
 	if d.again {
 		gain += refusedAgain * d.worth()
 	}
-	share := min(float64(backlog)/float64(saturatedFrom), 1)
 	work := d.service.Engine.Reading(d.prompt, 1).Seconds()
-	return gain >= share*engineSecond*work
+	return gain >= busy*engineSecond*work
 }
 
 // meanReading returns how much engines have still to read on average.
