--- a/core/fleet.go
+++ b/core/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -109,7 +111,8 @@
 	busy     time.Time // until when it reads what all processes have given to it
 	load     hollowgrade.UpstreamLoad
 	loadAt   time.Time
-	failures int // in a row
+	failures int // that it was avoided for, in a row
+	errors   int // failures of its own, in a row
 	avoid    time.Time
 	lapses   time.Time // until when it is used although its entry went; zero while it is listed
 }
@@ -279,6 +282,11 @@
 func (f *Fleet) failed(m *member, id, why string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.avoid(m, id, why)
+}
+
+// avoid is failed with the lock held.
+func (f *Fleet) avoid(m *member, id, why string) {
 	d := min(firstAvoid<<min(m.failures, 3), lastAvoid)
 	m.failures++
 	m.avoid = f.clock.Now().Add(d)
@@ -286,12 +294,27 @@
 		"failures", m.failures, "for_ms", d.Milliseconds())
 }
 
-// answered notes that an upstream gave an answer, and its load if it told it.
-func (f *Fleet) answered(m *member, h hollowgrade.Head) {
+// An upstream that fails each call is never busy, so that ever more would go to
+// it. Plain services fail now and then by themselves, on the users' sheets one
+// call in seven; engines do not.
+const (
+	engineErrors = 1
+	plainErrors  = 3
+)
+
+// answered notes that an upstream gave an answer to a call, and its load if it
+// told it. After some failures of its own in a row it is avoided.
+func (f *Fleet) answered(m *member, id string, engine bool, h hollowgrade.Head) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if h.Success() {
-		m.failures = 0
+	switch {
+	case h.Success():
+		m.failures, m.errors = 0, 0
+	case h.Status >= http.StatusInternalServerError && h.Status != http.StatusGatewayTimeout && !h.NotRun:
+		m.errors++
+		if m.errors >= plainErrors || engine && m.errors >= engineErrors {
+			f.avoid(m, id, fmt.Sprintf("status %d, %d in a row", h.Status, m.errors))
+		}
 	}
 	if h.HasLoad {
 		m.load, m.loadAt = h.Load, f.clock.Now()
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -67,6 +67,27 @@
 			require.Equal(t, 1, f.Size(), "it is not kept for ever")
 		})
 	})
+	// Found on scale-2 of korrigan-replay-grown: four engines that failed all calls
+	// got ever more of them, since they were never busy.
+	t.Run("one that fails calls in a row is avoided", func(t *testing.T) {
+		fails := hollowgrade.Head{Status: 500}
+		f := newFleet("s", 2)
+		for n := range plainErrors {
+			require.False(t, f.members["u00"].avoid.After(time.Now()), "after %d", n)
+			f.answered(f.members["u00"], "c", false, fails)
+		}
+		require.True(t, f.members["u00"].avoid.After(time.Now()))
+		f.answered(f.members["u01"], "c", true, fails)
+		require.True(t, f.members["u01"].avoid.After(time.Now()), "engines do not fail by themselves")
+		f = newFleet("s", 1)
+		for range 2 * plainErrors {
+			f.answered(f.members["u00"], "c", false, fails)
+			f.answered(f.members["u00"], "c", false, hollowgrade.Head{Status: 200})
+			f.answered(f.members["u00"], "c", true, hollowgrade.Head{Status: 504})
+			f.answered(f.members["u00"], "c", true, hollowgrade.Head{Status: 503, NotRun: true})
+		}
+		require.False(t, f.members["u00"].avoid.After(time.Now()))
+	})
 	t.Run("one that failed is tried last, and again after a while", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("s", 2)
@@ -88,7 +109,7 @@
 	})
 	t.Run("an upstream's own word on its load counts", func(t *testing.T) {
 		f := newFleet("s", 2)
-		f.answered(f.members["u00"], hollowgrade.Head{Status: 200, HasLoad: true, Load: hollowgrade.UpstreamLoad{Running: 4, Waiting: 2, Slots: 4}})
+		f.answered(f.members["u00"], "c", false, hollowgrade.Head{Status: 200, HasLoad: true, Load: hollowgrade.UpstreamLoad{Running: 4, Waiting: 2, Slots: 4}})
 		require.Equal(t, "u01", f.pick(plain, none).member.ID)
 	})
 }
