soak: gateways as real processes among stand-ins, with faults from outside

What: internal/soak plays the plan of a seed: processes killed, paused, stopped and reloaded by signals, proxies before the store and workers that delay, reset, silence and cut one way, a store that is busy, away, loses answers and forgets, workers that crash and leave, configurations that change. Callers keep connections open. Each second and at the end the promises are checked from what callers and workers saw; 26 made-up histories show that each check finds its breach and nothing else. Not covered: clocks (would need privileges), memory set aside (no engine stand-in).

--- /dev/null
+++ b/internal/soak/breach_test.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// at returns a moment of a made-up history.
+func at(seconds float64) time.Time {
+	return time.Unix(1_000_000, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// wellServed adds a request that ran once and was served.
+func wellServed(h *history, id string, sent float64) *request {
+	q := &request{
+		id: id, path: "/once/" + id, key: "k", body: "b", sent: at(sent), ended: at(sent + 0.1), once: true,
+		status: 200, sealed: true, whole: true, answer: "answer to " + id, want: "answer to " + id,
+	}
+	h.requests[id] = q
+	h.runs = append(h.runs, run{id: id, worker: "w", path: q.path, body: q.body, organisation: "o", at: at(sent + 0.05)})
+	return q
+}
+
+// TestPlantedBreaches shows that each check finds a breach that was planted into a
+// history in which nothing else is wrong.
+func TestPlantedBreaches(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		plant func(h *history, q *request)
+		want  string // beginning of the one line that tells it; nothing is wrong if empty
+	}{
+		{"none", func(*history, *request) {}, ""},
+		{"no signature", func(_ *history, q *request) { q.sealed = false }, "MIXED"},
+		{"another's answer", func(_ *history, q *request) { q.answer = "answer to x" }, "MIXED"},
+		{"short and looks whole", func(_ *history, q *request) { q.answer = "answer" }, "MIXED"},
+		{"short and cut", func(_ *history, q *request) { q.answer, q.whole, q.err = "answer", false, "EOF" }, ""},
+		{"wrong before the cut", func(_ *history, q *request) { q.answer, q.whole, q.err = "answex", false, "EOF" }, "ORDER"},
+		{"ran twice", func(h *history, _ *request) { h.runs = append(h.runs, h.runs[0]) }, "TWICE"},
+		{"refused once before it ran", func(h *history, _ *request) {
+			h.runs = append(h.runs, h.runs[0])
+			h.runs[0].refused = true
+		}, ""},
+		{"called not run", func(_ *history, q *request) { q.status = 503 }, "REFUSED"},
+		{"called unknown", func(_ *history, q *request) { q.status = 502 }, ""},
+		{"nobody asked", func(h *history, q *request) { delete(h.requests, q.id) }, "UNASKED"},
+		{"changed path", func(h *history, _ *request) { h.runs[0].path = "/once/y" }, "UNASKED"},
+		{"changed body", func(h *history, _ *request) { h.runs[0].body = "" }, "UNASKED"},
+		{"another organisation", func(h *history, _ *request) { h.runs[0].organisation = "p" }, "UNASKED"},
+		{"key handed on", func(h *history, _ *request) { h.runs[0].key = true }, "UNASKED"},
+		{"key revoked long before", func(h *history, _ *request) { h.revoked["k"] = at(10 - 5.1) }, "CONFIG"},
+		{"key revoked just before", func(h *history, _ *request) { h.revoked["k"] = at(10 - 4.9) }, ""},
+		{"worker left long before", func(h *history, _ *request) { h.leaving["w"] = at(10 - 2.1) }, "DRAIN"},
+		{"worker left just before", func(h *history, _ *request) { h.leaving["w"] = at(10 - 1.8) }, ""},
+		{"worker left long before, disturbed", func(h *history, _ *request) {
+			h.leaving["w"] = at(10 - 2.1)
+			h.spans = []span{{what: silenceStore, from: at(4), to: at(6)}}
+		}, ""},
+		{"route gone again", func(h *history, q *request) {
+			q.probe = "/once/"
+			p := *q
+			p.id, p.status, p.sent, p.ended = "late", 404, at(11), at(11.1)
+			h.requests[p.id] = &p
+		}, "CONFIG"},
+		{"route gone in another life", func(h *history, q *request) {
+			q.probe = "/once/"
+			p := *q
+			p.id, p.status, p.sent, p.ended, p.life = "late", 404, at(11), at(11.1), 2
+			h.requests[p.id] = &p
+		}, ""},
+		{"route not in force", func(h *history, q *request) {
+			q.probe, q.status = "/added/", 404
+			h.runs = nil
+			h.added["/added/"] = at(10 - 2.1)
+		}, "CONFIG"},
+		{"cut by a planned stop", func(h *history, q *request) {
+			q.status, q.whole, q.err = 0, false, "EOF"
+			h.spans = []span{{what: stopGateway, from: at(9), to: at(15)}}
+		}, "LOST"},
+		{"cut by a kill", func(h *history, q *request) {
+			q.status, q.whole, q.err = 0, false, "EOF"
+			h.spans = []span{{what: stopGateway, from: at(9), to: at(15)}, {what: killGateway, from: at(10), to: at(11)}}
+		}, ""},
+		{"too many repeats", func(h *history, q *request) {
+			q.once = false
+			for range 30 {
+				h.runs = append(h.runs, h.runs[0])
+			}
+		}, "BUDGET"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHistory()
+			c.plant(h, wellServed(h, "q", 10))
+			bs := h.check()
+			if c.want == "" {
+				require.Empty(t, bs)
+				return
+			}
+			require.Len(t, bs, 1)
+			require.True(t, strings.HasPrefix(bs[0], c.want), bs[0])
+		})
+	}
+}
+
+func TestPlanIsThatOfItsSeed(t *testing.T) {
+	require.Equal(t, newPlan(7, time.Minute), newPlan(7, time.Minute))
+	require.NotEqual(t, newPlan(7, time.Minute), newPlan(8, time.Minute))
+	seen := map[kind]bool{}
+	for seed := range uint64(20) {
+		for _, s := range newPlan(seed, time.Minute) {
+			seen[s.what] = true
+		}
+	}
+	require.Len(t, seen, int(kinds), "each kind comes")
+}
--- /dev/null
+++ b/internal/soak/callers_test.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade/platform/platformtest"
+)
+
+const (
+	patience  = 3500 * time.Millisecond
+	callPause = 25 * time.Millisecond // between two requests of a caller, on average
+)
+
+func hash(s string) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, s) // never fails
+	return h.Sum64()
+}
+
+// refusedConnection reports whether an error says that nobody listened.
+func refusedConnection(err string) bool {
+	return strings.Contains(err, "connection refused") || strings.Contains(err, "i/o timeout")
+}
+
+// call sends requests until ctx ends. Each caller keeps its connections open.
+func (w *world) call(ctx context.Context, seed uint64, caller int) {
+	r := rand.New(rand.NewPCG(seed, uint64(caller)+1))
+	transports := make([]*http.Transport, len(w.gates))
+	for i := range transports {
+		transports[i] = &http.Transport{}
+		defer transports[i].CloseIdleConnections()
+	}
+	for n := 0; ctx.Err() == nil; n++ {
+		g := r.IntN(len(w.gates))
+		q := w.newRequest(r, seed, caller, n, g)
+		w.send(transports[g], q)
+		time.Sleep(time.Duration(r.Int64N(int64(2 * callPause))))
+	}
+}
+
+// newRequest draws a request and notes it before it is sent.
+func (w *world) newRequest(r *rand.Rand, seed uint64, caller, n, g int) *request {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	kind := []string{"once", "again", "stream", "probe"}[r.IntN(4)]
+	q := &request{
+		id:      fmt.Sprintf("%s-%d-%d-%d", kind, seed, caller, n),
+		key:     fmt.Sprint("key-", r.IntN(keysGiven)),
+		gateway: g,
+		life:    w.gates[g].lives(),
+		once:    kind == "once",
+		sent:    time.Now(),
+	}
+	q.path = "/" + kind + "/" + q.id
+	q.body = strings.Repeat(q.id+" ", r.IntN(200))
+	q.want = "answer to " + q.id
+	switch kind {
+	case "stream":
+		q.want = ""
+		for i := range events {
+			q.want += platformtest.Event(i + 1)
+		}
+	case "probe":
+		if len(w.routes) == 0 {
+			q.path = "/again/" + q.id
+			break
+		}
+		q.probe = w.routes[len(w.routes)-1-r.IntN(min(len(w.routes), 3))]
+		q.path = q.probe + q.id
+		q.key = "key-0"
+	}
+	w.history.requests[q.id] = q
+	return q
+}
+
+// send sends a request and notes what came of it.
+func (w *world) send(t *http.Transport, q *request) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience+2*time.Second)
+	defer cancel()
+	h, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.gates[q.gateway].callers+q.path, strings.NewReader(q.body))
+	if err != nil {
+		w.t.Errorf("request %s: %v", q.id, err)
+		return
+	}
+	h.Host = "h"
+	h.GetBody = nil // the transport must not send it again by itself
+	h.Header.Set("Attempt-Id", q.id)
+	h.Header.Set("Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
+	h.Header.Set("Authorization", "Bearer "+q.key)
+	a, err := t.RoundTrip(h)
+	body := []byte(nil)
+	if err == nil {
+		body, err = io.ReadAll(a.Body)
+		_ = a.Body.Close()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	q.ended, q.whole, q.answer = time.Now(), err == nil, string(body)
+	if a != nil {
+		q.status, q.sealed = a.StatusCode, a.Header.Get("Response-Seal") != ""
+	}
+	if err != nil {
+		q.err = err.Error()
+	}
+}
+
+// served sends one request that may run again and reports whether it was served.
+func (w *world) served(g int, id string) bool {
+	id = strings.ReplaceAll(id, " ", "-")
+	q := &request{id: id, path: "/again/" + id, key: "key-0", gateway: g, life: w.gates[g].lives(), want: "answer to " + id, sent: time.Now()}
+	w.mu.Lock()
+	w.history.requests[id] = q
+	w.mu.Unlock()
+	t := &http.Transport{DisableKeepAlives: true}
+	w.send(t, q)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return success(q) && q.whole
+}
--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,273 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// The bounds that gateways are held to; the settings of the processes have the
+// same.
+const (
+	keyFreshness = 5 * time.Second // a key admits nothing this long after it was revoked
+	drainWithin  = 2 * time.Second // a worker gets nothing new this long after it said that it leaves
+	applyWithin  = 2 * time.Second // a change is in force this long after it was written
+	backSlack    = 250 * time.Millisecond
+	touchAfter   = 3 * time.Second // what is bounded in time holds this long after a fault
+	grace        = 4 * time.Second // of a planned stop
+	retryRatio   = 0.2
+	retrySlack   = 16
+	retryWindow  = 10 * time.Second
+)
+
+// request is what a caller sent and got.
+type request struct {
+	id, path, key, body string
+	gateway, life       int // that it was sent to
+	sent, ended         time.Time
+	status              int // 0 without an answer
+	sealed, whole       bool
+	answer, want        string // body that came, and what a worker would have sent
+	err                 string
+	once                bool // may run once at the most
+	probe               string
+}
+
+// run is what a worker saw.
+type run struct {
+	id, worker, path, body, organisation string
+	at                                   time.Time
+	refused, key                         bool
+}
+
+// span is a time in which something was disturbed.
+type span struct {
+	what     kind
+	gateway  int // that it was done to, -1 if it was another thing
+	from, to time.Time
+}
+
+// history is all that was seen.
+type history struct {
+	requests map[string]*request
+	runs     []run
+	spans    []span
+	revoked  map[string]time.Time // keys
+	leaving  map[string]time.Time // workers
+	added    map[string]time.Time // paths of routes
+}
+
+func newHistory() *history {
+	return &history{requests: map[string]*request{}, revoked: map[string]time.Time{}, leaving: map[string]time.Time{}, added: map[string]time.Time{}}
+}
+
+// calm reports whether nothing was disturbed shortly before or within a time.
+func (h *history) calm(from, to time.Time) bool {
+	return !slices.ContainsFunc(h.spans, func(s span) bool {
+		return !s.what.planned() && s.from.Before(to) && s.to.Add(touchAfter).After(from)
+	})
+}
+
+// check returns the promises that were broken, one line each.
+func (h *history) check() (bs []string) {
+	for _, c := range []func() []string{h.mixed, h.ranMore, h.refused, h.unasked, h.revokedRan, h.drained, h.gone, h.late, h.cut, h.budget} {
+		bs = append(bs, c()...)
+	}
+	return bs
+}
+
+// each calls a check for each request that has ended.
+func (h *history) each(c func(q *request) string) (bs []string) {
+	for _, q := range h.requests {
+		if q.ended.IsZero() {
+			continue
+		}
+		if b := c(q); b != "" {
+			bs = append(bs, fmt.Sprintf("%s: request %s for %s at gateway %d, sent %s, status %d, %s",
+				b, q.id, q.path, q.gateway, q.sent.Format("05.000"), q.status, q.err))
+		}
+	}
+	slices.Sort(bs)
+	return bs
+}
+
+func success(q *request) bool {
+	return q.status >= 200 && q.status < 300
+}
+
+// mixed finds answers that are another request's, or not whole and look it.
+func (h *history) mixed() []string {
+	return h.each(func(q *request) string {
+		switch {
+		case success(q) && !q.sealed:
+			return "MIXED, no worker's signature"
+		case success(q) && q.whole && q.answer != q.want:
+			return fmt.Sprintf("MIXED, got %q", q.answer)
+		case success(q) && !q.whole && len(q.answer) <= len(q.want) && q.answer != q.want[:len(q.answer)]:
+			return fmt.Sprintf("ORDER, got %q", q.answer)
+		}
+		return ""
+	})
+}
+
+// ran returns how often each request ran.
+func (h *history) ran() map[string]int {
+	n := map[string]int{}
+	for _, r := range h.runs {
+		if !r.refused {
+			n[r.id]++
+		}
+	}
+	return n
+}
+
+func (h *history) ranMore() []string {
+	n := h.ran()
+	return h.each(func(q *request) string {
+		if q.once && n[q.id] > 1 {
+			return fmt.Sprintf("TWICE, ran %d times", n[q.id])
+		}
+		return ""
+	})
+}
+
+// refused finds requests that were called not run and ran.
+func (h *history) refused() []string {
+	n := h.ran()
+	return h.each(func(q *request) string {
+		if q.once && n[q.id] > 0 && slices.Contains([]int{408, 421, 429, 503}, q.status) {
+			return "REFUSED, yet it ran"
+		}
+		return ""
+	})
+}
+
+// eachRun calls a check for each run that was not refused.
+func (h *history) eachRun(c func(r run, q *request) string) (bs []string) {
+	for _, r := range h.runs {
+		if r.refused {
+			continue
+		}
+		if b := c(r, h.requests[r.id]); b != "" {
+			bs = append(bs, fmt.Sprintf("%s: request %s at worker %s, %s", b, r.id, r.worker, r.at.Format("05.000")))
+		}
+	}
+	return bs
+}
+
+// unasked finds runs that nobody asked for so.
+func (h *history) unasked() []string {
+	return h.eachRun(func(r run, q *request) string {
+		switch {
+		case q == nil:
+			return "UNASKED, no caller sent it"
+		case r.path != q.path || r.body != q.body:
+			return fmt.Sprintf("UNASKED, changed to %s %q", r.path, r.body)
+		case r.organisation != "o" || r.key:
+			return fmt.Sprintf("UNASKED, organisation %q, key handed on: %t", r.organisation, r.key)
+		}
+		return ""
+	})
+}
+
+func (h *history) revokedRan() []string {
+	return h.eachRun(func(_ run, q *request) string {
+		if q == nil {
+			return ""
+		}
+		if at, ok := h.revoked[q.key]; ok && q.sent.After(at.Add(keyFreshness)) {
+			return fmt.Sprintf("CONFIG, key revoked %s before it was sent", q.sent.Sub(at))
+		}
+		return ""
+	})
+}
+
+func (h *history) drained() []string {
+	return h.eachRun(func(r run, _ *request) string {
+		at, ok := h.leaving[r.worker]
+		if ok && r.at.After(at.Add(drainWithin)) && h.calm(at, r.at) {
+			return fmt.Sprintf("DRAIN, %s after it began to leave", r.at.Sub(at))
+		}
+		return ""
+	})
+}
+
+// gone finds probes that a gateway refused although it had served the same route
+// before in the same life.
+func (h *history) gone() []string {
+	type place struct {
+		gateway, life int
+		path          string
+	}
+	first := map[place]time.Time{}
+	for _, q := range h.requests {
+		p := place{q.gateway, q.life, q.probe}
+		if t, ok := first[p]; q.probe != "" && success(q) && (!ok || q.ended.Before(t)) {
+			first[p] = q.ended
+		}
+	}
+	return h.each(func(q *request) string {
+		t, ok := first[place{q.gateway, q.life, q.probe}]
+		if q.probe != "" && ok && q.status == 404 && q.sent.After(t.Add(backSlack)) {
+			return "CONFIG, it has gone back"
+		}
+		return ""
+	})
+}
+
+// late finds probes of a route that should be in force and is not.
+func (h *history) late() []string {
+	return h.each(func(q *request) string {
+		at, ok := h.added[q.probe]
+		if q.probe != "" && ok && q.status == 404 && q.sent.After(at.Add(applyWithin)) && h.calm(at, q.ended) {
+			return fmt.Sprintf("CONFIG, not in force %s after it was written", q.sent.Sub(at))
+		}
+		return ""
+	})
+}
+
+// cut finds requests that a planned stop cut off.
+func (h *history) cut() []string {
+	return h.each(func(q *request) string {
+		for _, s := range h.spans {
+			stopped := s.what == stopGateway && s.gateway == q.gateway && q.ended.After(s.from) && q.sent.Before(s.to) && q.ended.Before(s.from.Add(grace))
+			if stopped && q.status == 0 && q.err != "" && !refusedConnection(q.err) && h.calm(q.sent, q.ended) && h.ran()[q.id] > 0 {
+				return "LOST, a planned stop cut it off"
+			}
+		}
+		return ""
+	})
+}
+
+// budget finds windows with more repeats than are allowed.
+func (h *history) budget() (bs []string) {
+	rs := slices.Clone(h.runs)
+	slices.SortFunc(rs, func(a, b run) int { return a.at.Compare(b.at) })
+	seen := map[string]bool{}
+	repeat := make([]bool, len(rs))
+	for i, r := range rs {
+		repeat[i] = seen[r.id]
+		seen[r.id] = true
+	}
+	for i, from := 0, 0; i < len(rs); i++ {
+		for rs[i].at.Sub(rs[from].at) > retryWindow {
+			from++
+		}
+		again, sent := 0, 0
+		for _, x := range repeat[from : i+1] {
+			if x {
+				again++
+			}
+		}
+		for _, q := range h.requests {
+			if q.sent.After(rs[from].at.Add(-retryWindow)) && q.sent.Before(rs[i].at) {
+				sent++
+			}
+		}
+		if float64(again) > retryRatio*float64(sent)+retrySlack {
+			return []string{fmt.Sprintf("BUDGET, %d repeats within %s, %d requests", again, retryWindow, sent)}
+		}
+		i += 9 // each tenth window shows it as well
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/plan_test.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// kind is a kind of fault.
+type kind int
+
+const (
+	killGateway kind = iota // SIGKILL, started again after a while
+	pauseGateway
+	stopGateway // SIGTERM, started again after its end
+	reloadGateway
+	silenceStore // for one gateway
+	resetStore   // for one gateway
+	busyStore
+	awayStore
+	loseAnswers // of the store
+	compactStore
+	delayWorker
+	resetWorker
+	silenceWorker
+	deafenWorker // requests arrive, answers do not
+	crashWorker  // another one takes its place
+	drainWorker  // the same, announced
+	revokeKey
+	addRoute
+	kinds
+)
+
+var kindNames = [kinds]string{
+	"kill gateway", "pause gateway", "stop gateway", "reload gateway", "silence store", "reset store", "store busy", "store away",
+	"store loses answers", "store forgets", "delay worker", "reset worker", "silence worker", "deafen worker", "crash worker",
+	"drain worker", "revoke key", "add route",
+}
+
+func (k kind) String() string {
+	return kindNames[k]
+}
+
+// planned work disturbs no promise; everything else does.
+func (k kind) planned() bool {
+	return k == stopGateway || k == reloadGateway || k == drainWorker || k == revokeKey || k == addRoute
+}
+
+// step is one fault of a plan.
+type step struct {
+	at    time.Duration
+	lasts time.Duration
+	what  kind
+	which int // gateway, worker or key, taken modulo their number
+}
+
+func (s step) String() string {
+	return fmt.Sprintf("%5.2f s to %5.2f s  %s %d", s.at.Seconds(), (s.at + s.lasts).Seconds(), s.what, s.which)
+}
+
+const (
+	// The pauses between steps are shorter than most faults last, so that these
+	// overlap.
+	leastGap, mostGap = 50 * time.Millisecond, 900 * time.Millisecond
+	shortest, longest = 300 * time.Millisecond, 3 * time.Second
+	// After some faults nothing is disturbed for a while but by one piece of planned
+	// work, so that promises for calm times are tested as well.
+	calmEvery = 12
+	calmPause = 5 * time.Second
+	seriesOf  = 3 // steps of one kind in a row, now and then
+)
+
+// newPlan returns the steps that a seed stands for.
+func newPlan(seed uint64, length time.Duration) (ss []step) {
+	r := rand.New(rand.NewPCG(seed, 0))
+	span := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(r.Int64N(int64(most-least)))
+	}
+	for at, n := span(leastGap, mostGap), 0; at < length; n++ {
+		k := kind(r.IntN(int(kinds)))
+		for range 1 + r.IntN(seriesOf)*r.IntN(2) {
+			ss = append(ss, step{at: at, lasts: span(shortest, longest), what: k, which: r.IntN(1000)})
+			at += span(leastGap, mostGap)
+		}
+		if n%calmEvery == calmEvery-1 {
+			at += calmPause
+			ss = append(ss, step{at: at, lasts: shortest, what: kind([]kind{stopGateway, drainWorker, revokeKey, addRoute}[r.IntN(4)]), which: r.IntN(1000)})
+			at += calmPause
+		}
+	}
+	return ss
+}
+
+func describe(ss []step) string {
+	var b strings.Builder
+	for _, s := range ss {
+		fmt.Fprintln(&b, s)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// way is how a proxy treats bytes.
+type way int32
+
+const (
+	pass way = iota
+	delay
+	silence // nothing gets through until it ends
+	deafen  // nothing comes back until it ends
+)
+
+const (
+	delayFor = 150 * time.Millisecond
+	lookAt   = 10 * time.Millisecond // how often held bytes look whether they may go on
+)
+
+// proxy leads connections to a target and harms them on request.
+type proxy struct {
+	listener net.Listener
+	target   string
+	way      atomic.Int32
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+func newProxy(t testing.TB, target string) *proxy {
+	t.Helper()
+	var k net.ListenConfig
+	l, err := k.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	go p.accept()
+	t.Cleanup(p.close)
+	return p
+}
+
+func (p *proxy) address() string {
+	return p.listener.Addr().String()
+}
+
+func (p *proxy) set(w way) {
+	p.way.Store(int32(w))
+}
+
+// reset breaks all connections off.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.set(pass)
+	p.reset()
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	d := net.Dialer{Timeout: time.Second}
+	u, err := d.DialContext(context.Background(), "tcp", p.target)
+	if err != nil {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // as a machine without a listener does
+		}
+		_ = c.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[c], p.conns[u] = true, true
+	p.mu.Unlock()
+	go p.copy(u, c, false)
+	p.copy(c, u, true)
+}
+
+// copy passes bytes on in one direction until either side ends.
+func (p *proxy) copy(to, from net.Conn, back bool) {
+	defer func() {
+		_ = to.Close()
+		_ = from.Close()
+		p.mu.Lock()
+		delete(p.conns, to)
+		delete(p.conns, from)
+		p.mu.Unlock()
+	}()
+	b := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(b)
+		for w := way(p.way.Load()); w == silence || w == deafen && back; w = way(p.way.Load()) {
+			time.Sleep(lookAt)
+		}
+		if way(p.way.Load()) == delay {
+			time.Sleep(delayFor)
+		}
+		if _, werr := to.Write(b[:n]); err != nil || werr != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,158 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	seeds    = flag.String("seeds", "1", "seeds to play, as numbers and ranges: 1,5,10-59")
+	length   = flag.Duration("length", 15*time.Second, "how long faults are made for each seed")
+	gateways = flag.Int("gateways", 3, "gateways of each run")
+	workers  = flag.Int("workers", 5, "workers of each run")
+	callers  = flag.Int("callers", 10, "callers of each run")
+)
+
+// recoverWithin is how soon all is served again once nothing is disturbed.
+const recoverWithin = 12 * time.Second
+
+// lookEvery is how often promises are checked while a run goes on.
+const lookEvery = time.Second
+
+// build builds the program that is tested.
+func build(t testing.TB) string {
+	t.Helper()
+	b := filepath.Join(t.TempDir(), "hollowgrade")
+	out, err := exec.Command("go", "build", "-o", b, "../../cmd/hollowgrade").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return b
+}
+
+func parseSeeds(t testing.TB, s string) (ns []uint64) {
+	t.Helper()
+	for p := range strings.SplitSeq(s, ",") {
+		a, b, isRange := strings.Cut(p, "-")
+		if !isRange {
+			b = a
+		}
+		from, err := strconv.ParseUint(a, 10, 64)
+		require.NoError(t, err)
+		to, err := strconv.ParseUint(b, 10, 64)
+		require.NoError(t, err)
+		for n := from; n <= to; n++ {
+			ns = append(ns, n)
+		}
+	}
+	return ns
+}
+
+func TestSoak(t *testing.T) {
+	b := build(t)
+	for _, s := range parseSeeds(t, *seeds) {
+		t.Run(fmt.Sprint("seed ", s), func(t *testing.T) { play(t, b, s) })
+	}
+}
+
+// play plays the plan of one seed.
+func play(t *testing.T, binary string, seed uint64) {
+	w := newWorld(t, binary, size{*gateways, *workers, *callers})
+	defer w.close()
+	p := newPlan(seed, *length)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w.awaitServing(t, "at the start")
+	begin := time.Now()
+	var cs, fs sync.WaitGroup
+	for i := range *callers {
+		cs.Go(func() { w.call(ctx, seed, i) })
+	}
+	for _, s := range p {
+		fs.Go(func() {
+			time.Sleep(s.at - time.Since(begin))
+			w.apply(s)
+		})
+	}
+	bs := w.watch(&fs)
+	if len(bs) == 0 {
+		w.heal()
+		w.awaitServing(t, "after the last fault")
+	}
+	cancel()
+	cs.Wait()
+	w.report(t, seed, p, bs)
+}
+
+// watch checks promises until all faults are over or one is broken.
+func (w *world) watch(fs *sync.WaitGroup) (bs []string) {
+	over := make(chan struct{})
+	go func() {
+		fs.Wait()
+		close(over)
+	}()
+	for {
+		select {
+		case <-over:
+			return w.check()
+		case <-time.After(lookEvery):
+			if bs = w.check(); len(bs) > 0 {
+				<-over // faults use the world
+				return bs
+			}
+		}
+	}
+}
+
+func (w *world) check() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.history.check()
+}
+
+// awaitServing waits until each gateway serves.
+func (w *world) awaitServing(t *testing.T, when string) {
+	t.Helper()
+	until := time.Now().Add(recoverWithin)
+	for i := range w.gates {
+		for n := 0; ; n++ {
+			if w.served(i, fmt.Sprintf("again-%d-%d-%s", i, n, when)) {
+				break
+			}
+			if time.Now().After(until) {
+				require.Fail(t, "RECOVER: a gateway does not serve", "%s, %s, logs in %s", w.gates[i].name, when, w.logs)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+// report says what a run came to. Logs are kept when something was broken.
+func (w *world) report(t *testing.T, seed uint64, p []step, bs []string) {
+	t.Helper()
+	bs = append(bs, w.check()...)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ok := 0
+	for _, q := range w.history.requests {
+		if success(q) && q.whole {
+			ok++
+		}
+	}
+	t.Logf("seed %d: %d faults, %d requests, %d served, %d arrivals at workers, %d promises broken",
+		seed, len(p), len(w.history.requests), ok, len(w.history.runs), len(bs))
+	if len(bs) == 0 && !t.Failed() {
+		require.NoError(t, os.RemoveAll(w.logs))
+		return
+	}
+	require.Empty(t, bs, "seed %d, logs in %s, plan:\n%s", seed, w.logs, describe(p))
+}
--- /dev/null
+++ b/internal/soak/world_test.go
@@ -0,0 +1,420 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade/platform/platformtest"
+)
+
+// size is how many processes and stand-ins a world has.
+type size struct {
+	gateways, workers, callers int
+}
+
+const (
+	events    = 12 // of a stream
+	keysKept  = 3  // keys that are never revoked
+	keysGiven = 40 // keys in all
+)
+
+// gateway is one real process, and the proxy through which it sees the store.
+type gateway struct {
+	mu      sync.Mutex
+	name    string
+	config  string
+	callers string
+	ready   string
+	store   *proxy
+	cmd     *exec.Cmd // nil while it is down
+	exited  chan struct{}
+	life    int
+}
+
+// worker is a stand-in behind a proxy, whose address the registry has.
+type worker struct {
+	*platformtest.Worker
+	proxy *proxy
+}
+
+// world is all that a run has.
+type world struct {
+	t      testing.TB
+	binary string
+	logs   string
+	store  *platformtest.Store
+	gates  []*gateway
+
+	mu      sync.Mutex
+	history *history
+	workers []*worker
+	made    int // workers
+	version int
+	keys    []string
+	routes  []string // that were added
+}
+
+func newWorld(t testing.TB, binary string, z size) *world {
+	t.Helper()
+	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory()}
+	t.Cleanup(w.store.Close)
+	w.logs = filepath.Join(os.TempDir(), "hollowgrade-soak", fmt.Sprint(os.Getpid(), "-", time.Now().UnixNano()))
+	require.NoError(t, os.MkdirAll(w.logs, 0o755))
+	for i := range keysGiven {
+		w.keys = append(w.keys, fmt.Sprint("key-", i))
+	}
+	w.configure()
+	for range z.workers {
+		w.addWorker()
+	}
+	var seeds []string
+	for i := range z.gateways {
+		w.gates = append(w.gates, w.newGateway(i, &seeds))
+	}
+	for _, g := range w.gates {
+		w.start(g)
+	}
+	return w
+}
+
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	var k net.ListenConfig
+	l, err := k.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (w *world) newGateway(i int, seeds *[]string) *gateway {
+	g := &gateway{
+		name:    fmt.Sprint("box-", i),
+		callers: freeAddress(w.t),
+		ready:   freeAddress(w.t),
+		store:   newProxy(w.t, w.store.Address()),
+		config:  filepath.Join(w.logs, fmt.Sprint("box-", i, ".toml")),
+	}
+	peers := freeAddress(w.t)
+	*seeds = append(*seeds, peers)
+	text := fmt.Sprintf(`role = "gateway"
+box = %q
+hall = "z1"
+callers = %q
+readiness = %q
+peers = %q
+seeds = ["%s"]
+store = %q
+key_freshness = %q
+freshness = %q
+grace = %q
+linger = "1s"
+retry_ratio = %g
+retry_slack = %d
+retry_window = %q
+`, g.name, g.callers, g.ready, peers, strings.Join(*seeds, `", "`), g.store.address(), keyFreshness, applyWithin, grace,
+		retryRatio, retrySlack, retryWindow)
+	require.NoError(w.t, os.WriteFile(g.config, []byte(text), 0o600))
+	return g
+}
+
+// start starts a gateway's process. It is ended by its own id, and only then.
+func (w *world) start(g *gateway) {
+	out, err := os.OpenFile(filepath.Join(w.logs, g.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		w.t.Errorf("log of %s: %v", g.name, err)
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := exec.Command(w.binary, "gateway", "--config", g.config)
+	c.Stdout, c.Stderr = out, out
+	if err = c.Start(); err != nil {
+		w.t.Errorf("start %s: %v", g.name, err)
+		return
+	}
+	done := make(chan struct{})
+	g.cmd, g.exited = c, done
+	g.life++
+	go func() {
+		_ = c.Wait() // how it ended is in its log
+		_ = out.Close()
+		close(done)
+	}()
+}
+
+// signal sends a signal to a gateway's process, if it has one, and returns a
+// channel that is closed when that has ended.
+func (g *gateway) signal(s syscall.Signal) chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cmd != nil {
+		_ = g.cmd.Process.Signal(s) // it may have ended already
+	}
+	return g.exited
+}
+
+func (g *gateway) lives() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.life
+}
+
+// alive reports whether the process runs.
+func (g *gateway) alive() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// configure writes the configuration anew. The lock is held, or nobody else has
+// the world yet.
+func (w *world) configure() {
+	w.version++
+	var routes []string
+	route := func(path, more string) {
+		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":"h","pathPrefix":%q,"timeoutMs":4000,"goalLatencyMs":300,"service":"s",%s}`, path, path, more))
+	}
+	route("/once/", `"kind":"unsafe","maxAttempts":2`)
+	route("/again/", `"kind":"safe","maxAttempts":2`)
+	route("/stream/", `"kind":"streaming","resumable":true,"gap_aim_ms":200,"maxAttempts":3`)
+	for _, p := range w.routes {
+		route(p, `"kind":"safe","maxAttempts":2`)
+	}
+	w.store.Put("keyed.op", "config", []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"o","apiKeys":["%s"]}]}`, w.version, strings.Join(routes, ","), strings.Join(w.keys, `","`))))
+}
+
+// addWorker starts a worker and lists it.
+func (w *world) addWorker() {
+	id := fmt.Sprint("i-", w.made)
+	w.made++
+	k := &worker{Worker: platformtest.NewWorker(id, w.behave)}
+	k.proxy = newProxy(w.t, k.Address())
+	w.workers = append(w.workers, k)
+	w.list(k, "ready")
+}
+
+func (w *world) list(k *worker, state string) {
+	r := k.Record("s", state)
+	r["address"] = k.proxy.address()
+	w.store.PutJSON("keyed.servers", k.ID, r)
+}
+
+// behave answers a request as its id says, so that a seed's load misbehaves the
+// same way again.
+func (w *world) behave(k *platformtest.Worker, c net.Conn, r *http.Request) {
+	id := r.Header.Get("Attempt-Id")
+	luck := hash(k.ID+id) % 100
+	body := ""
+	for i, q := range k.Seen() {
+		if q == r {
+			body = k.Bodies()[i]
+		}
+	}
+	w.mu.Lock()
+	w.history.runs = append(w.history.runs, run{
+		id: id, worker: k.ID, path: r.URL.Path, body: body, organisation: r.Header.Get("Tenant"), at: time.Now(),
+		refused: luck < 3 || r.Header.Get("Expect-Instance") != k.ID, key: r.Header.Get("Authorization") != "",
+	})
+	w.mu.Unlock()
+	switch {
+	case r.Header.Get("Expect-Instance") != k.ID:
+		platformtest.Misdirected(k, c, r)
+	case luck < 3:
+		platformtest.Shed(k, c, r)
+	case luck < 5:
+		platformtest.Reset(k, c, r)
+	case luck < 7:
+		platformtest.Answer(http.StatusInternalServerError, "no")(k, c, r)
+	case luck < 8:
+		platformtest.Hang(k, c, r)
+	default:
+		time.Sleep(time.Duration(luck) * time.Millisecond)
+		answer(id, luck)(k, c, r)
+	}
+}
+
+func answer(id string, luck uint64) platformtest.Behaviour {
+	switch {
+	case !strings.HasPrefix(id, "stream"):
+		return platformtest.Answer(http.StatusOK, "answer to "+id)
+	case luck < 20:
+		return platformtest.Stream(events, int(luck)-7)
+	default:
+		return platformtest.Stream(events, 0)
+	}
+}
+
+// disturb notes a fault, so that what is bounded in time is not held to it.
+func (w *world) disturb(k kind, gateway int, from, to time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.history.spans = append(w.history.spans, span{k, gateway, from, to})
+}
+
+// apply does one step and returns when it is over.
+func (w *world) apply(s step) {
+	from := time.Now()
+	i := s.which % len(w.gates)
+	g := w.gates[i]
+	// What it takes to recover belongs to the fault: a process to start, a view to
+	// be read again.
+	w.disturb(s.what, i, from, from.Add(s.lasts+2*time.Second))
+	switch s.what {
+	case killGateway:
+		<-g.signal(syscall.SIGKILL)
+		time.Sleep(s.lasts)
+		w.start(g)
+	case pauseGateway:
+		g.signal(syscall.SIGSTOP)
+		time.Sleep(s.lasts)
+		g.signal(syscall.SIGCONT)
+	case stopGateway:
+		w.stop(g)
+	case reloadGateway:
+		g.signal(syscall.SIGHUP)
+	case silenceStore:
+		w.during(g.store, silence, s.lasts)
+	case resetStore:
+		g.store.reset()
+	case busyStore:
+		w.mode(platformtest.Busy, s.lasts)
+	case awayStore:
+		w.mode(platformtest.Away, s.lasts)
+	case loseAnswers:
+		w.mode(platformtest.LosingAll, s.lasts)
+	case compactStore:
+		w.store.Compact("keyed.op")
+		w.store.Compact("keyed.servers")
+	default:
+		w.applyToWorkers(s)
+	}
+}
+
+// stop ends a gateway as the platform does, and starts it again.
+func (w *world) stop(g *gateway) {
+	done := g.signal(syscall.SIGTERM)
+	select {
+	case <-done:
+	case <-time.After(grace):
+		<-g.signal(syscall.SIGKILL)
+	}
+	if !g.alive() {
+		w.start(g)
+	}
+}
+
+func (w *world) during(p *proxy, y way, d time.Duration) {
+	p.set(y)
+	time.Sleep(d)
+	p.set(pass)
+}
+
+func (w *world) mode(m platformtest.Mode, d time.Duration) {
+	w.store.SetMode(m)
+	time.Sleep(d)
+	w.store.SetMode(platformtest.Serving)
+}
+
+func (w *world) applyToWorkers(s step) {
+	w.mu.Lock()
+	k := w.workers[s.which%len(w.workers)]
+	w.mu.Unlock()
+	switch s.what {
+	case delayWorker:
+		w.during(k.proxy, delay, s.lasts)
+	case resetWorker:
+		k.proxy.reset()
+	case silenceWorker:
+		w.during(k.proxy, silence, s.lasts)
+	case deafenWorker:
+		w.during(k.proxy, deafen, s.lasts)
+	case crashWorker:
+		w.replace(k)
+		k.Close()
+		time.Sleep(s.lasts)
+		w.store.Put("keyed.servers", k.ID, nil)
+	case drainWorker:
+		w.replace(k)
+		w.list(k, "draining")
+		w.mu.Lock()
+		w.history.leaving[k.ID] = time.Now()
+		w.mu.Unlock()
+		time.Sleep(drainWithin + s.lasts)
+		w.store.Put("keyed.servers", k.ID, nil)
+		time.Sleep(grace) // what it has is finished
+		k.Close()
+	case revokeKey, addRoute:
+		w.change(s)
+	}
+}
+
+// replace puts a new worker in the place of one that leaves.
+func (w *world) replace(k *worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.workers = slices.DeleteFunc(w.workers, func(x *worker) bool { return x == k })
+	w.addWorker()
+}
+
+// change writes a new version of the configuration.
+func (w *world) change(s step) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	revoked, added := "", ""
+	if s.what == revokeKey && len(w.keys) > keysKept {
+		i := keysKept + s.which%(len(w.keys)-keysKept)
+		revoked = w.keys[i]
+		w.keys = slices.Delete(w.keys, i, i+1)
+	} else {
+		added = fmt.Sprintf("/added-%d/", w.version)
+		w.routes = append(w.routes, added)
+	}
+	w.configure()
+	if revoked != "" {
+		w.history.revoked[revoked] = time.Now()
+	} else {
+		w.history.added[added] = time.Now()
+	}
+}
+
+// heal ends all faults that last: each gateway runs.
+func (w *world) heal() {
+	for _, g := range w.gates {
+		g.signal(syscall.SIGCONT)
+		if !g.alive() {
+			w.start(g)
+		}
+	}
+}
+
+// close ends what was started.
+func (w *world) close() {
+	for _, g := range w.gates {
+		<-g.signal(syscall.SIGKILL)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range w.workers {
+		k.Close()
+	}
+}
