feed: a process asks some readers at a time; a test waits for what it looks at

Cause: each process asked all readers every 0.4 s, a fifth of all processes, so asks grew with the square: 28,000 a second at 420. Now three at a time, others each time. Test: TestReaders (failed first).

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -160,23 +161,29 @@
 	synctest.Wait()
 }
 
+// pause lets a feed read again after it has read records.
+func pause() {
+	time.Sleep(readPause)
+	synctest.Wait()
+}
+
 func TestFeed(t *testing.T) {
 	t.Run("the newest of each key is known", func(t *testing.T) {
 		bubble(t, func(t *testing.T, k *fakeTopic, _ *Feed, v *view) {
 			put(t, k, "a", "1")
 			put(t, k, "b", "1")
 			put(t, k, "a", "2")
-			time.Sleep(readPause)
+			pause()
 			require.Equal(t, "map[a:2 b:1]", v.all())
 			put(t, k, "b", "")
-			time.Sleep(readPause)
+			pause()
 			require.Equal(t, "map[a:2]", v.all())
 			require.Zero(t, v.regained)
 		})
 	})
 	t.Run("one change arrives at once, a burst of them with few reads", func(t *testing.T) {
 		bubble(t, func(t *testing.T, k *fakeTopic, _ *Feed, v *view) {
-			time.Sleep(readPause)
+			pause()
 			put(t, k, "a", "1")
 			require.Equal(t, "map[a:1]", v.all())
 			before := k.reads
@@ -184,7 +191,7 @@
 				put(t, k, "a", fmt.Sprint(i))
 				time.Sleep(5 * time.Millisecond)
 			}
-			time.Sleep(readPause)
+			pause()
 			require.Equal(t, "map[a:199]", v.all())
 			require.LessOrEqual(t, k.reads-before, 6)
 		})
@@ -410,11 +417,29 @@
 			require.True(t, r.Reads(), "nobody has told anything yet")
 			r.told = time.Now()
 			require.Equal(t, reader, r.Reads())
-			require.Equal(t, !reader, len(r.toAsk()) == len(rs))
+			require.Equal(t, reader, len(r.toAsk()) == 0)
 			r.told = time.Now().Add(-2 * lostAfter)
 			require.True(t, r.Reads())
 		}
 	})
+	t.Run("the others ask some of them at a time, and all in turn", func(t *testing.T) {
+		rs := relay("10.0.0.0:1", 60).readers()
+		for _, a := range all(60) {
+			if slices.Contains(rs, a) {
+				continue
+			}
+			asked := map[string]bool{}
+			for range 200 {
+				as := relay(a, 60).toAsk()
+				require.Len(t, as, askedPeers)
+				for _, x := range as {
+					asked[x] = true
+				}
+			}
+			require.Len(t, asked, len(rs))
+			require.Subset(t, rs, slices.Collect(maps.Keys(asked)))
+		}
+	})
 	t.Run("a process that is told does not read", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -26,8 +26,9 @@
 	askEvery = 400 * time.Millisecond
 	// askTimeout bounds one ask: a connection and an answer within a region.
 	askTimeout = 700 * time.Millisecond
-	// askedPeers is how many peers a stale process asks at a time, so that one
-	// that is dead or cut off itself does not hold the answer up.
+	// askedPeers is how many readers a process asks at a time, and how many peers
+	// beside them while it is stale: some may be dead or cut off themselves. All
+	// readers would be asks that grow with the square of the processes.
 	askedPeers = 3
 	// staleMargin is by how much a view may be older than two reads wait before
 	// any peers are asked, not just readers.
@@ -144,19 +145,22 @@
 	}
 }
 
-// toAsk returns the peers to ask now: the readers, unless this process is one;
+// toAsk returns the peers to ask now: some readers, unless this process is one;
 // and any when the view is stale.
 func (r *Relay) toAsk() (as []string) {
-	rs := r.readers()
-	if !slices.Contains(rs, r.self) {
-		as = rs
+	if rs := r.readers(); !slices.Contains(rs, r.self) {
+		as = some(rs)
 	}
 	if len(r.behind()) == 0 {
 		return as
 	}
-	ps := slices.DeleteFunc(r.peers(), func(a string) bool { return slices.Contains(as, a) })
-	rand.Shuffle(len(ps), func(i, j int) { ps[i], ps[j] = ps[j], ps[i] })
-	return append(as, ps[:min(askedPeers, len(ps))]...)
+	return append(as, some(slices.DeleteFunc(r.peers(), func(a string) bool { return slices.Contains(as, a) }))...)
+}
+
+// some returns as many of the peers as are asked at a time, others each time.
+func some(as []string) []string {
+	rand.Shuffle(len(as), func(i, j int) { as[i], as[j] = as[j], as[i] })
+	return as[:min(askedPeers, len(as))]
 }
 
 // behind returns the feeds that are stale.
