soak: faults that overlap do not start a gateway twice

Faults of the soak, not of the product; no promise was broken. Now a gateway is started only when it does not run, and stand-ins are closed without the lock.

--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -130,15 +130,19 @@
 	return g
 }
 
-// start starts a gateway's process. It is ended by its own id, and only then.
+// start starts a gateway's process, unless another fault that overlaps has done
+// so. It is ended by its own id.
 func (w *world) start(g *gateway) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.running() {
+		return
+	}
 	out, err := os.OpenFile(filepath.Join(w.logs, g.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		w.t.Errorf("log of %s: %v", g.name, err)
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	c := exec.Command(w.binary, "gateway", "--config", g.config)
 	c.Stdout, c.Stderr = out, out
 	if err = c.Start(); err != nil {
@@ -172,10 +176,11 @@
 	return g.life
 }
 
-// alive reports whether the process runs.
-func (g *gateway) alive() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// running reports whether the process runs. The lock is held.
+func (g *gateway) running() bool {
+	if g.cmd == nil {
+		return false
+	}
 	select {
 	case <-g.exited:
 		return false
@@ -318,9 +323,7 @@
 	case <-time.After(grace):
 		<-g.signal(syscall.SIGKILL)
 	}
-	if !g.alive() {
-		w.start(g)
-	}
+	w.start(g)
 }
 
 func (w *world) during(p *proxy, y way, d time.Duration) {
@@ -401,9 +404,7 @@
 func (w *world) heal() {
 	for _, g := range w.gates {
 		g.signal(syscall.SIGCONT)
-		if !g.alive() {
-			w.start(g)
-		}
+		w.start(g)
 	}
 }
 
@@ -413,8 +414,9 @@
 		<-g.signal(syscall.SIGKILL)
 	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, k := range w.workers {
-		k.Close()
+	ks := slices.Clone(w.workers)
+	w.mu.Unlock()
+	for _, k := range ks {
+		k.Close() // waits for answers under way, and these need the lock
 	}
 }
