--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -42,9 +43,11 @@
 	return kindNames[k]
 }
 
-// planned work disturbs no promise; everything else does.
+// plannedWork disturbs no promise; everything else does.
+var plannedWork = []kind{stopGateway, reloadGateway, drainWorker, revokeKey, addRoute}
+
 func (k kind) planned() bool {
-	return k == stopGateway || k == reloadGateway || k == drainWorker || k == revokeKey || k == addRoute
+	return slices.Contains(plannedWork, k)
 }
 
 // step is one fault of a plan.
@@ -85,7 +88,7 @@
 		}
 		if n%calmEvery == calmEvery-1 {
 			at += calmPause
-			ss = append(ss, step{at: at, lasts: shortest, what: kind([]kind{stopGateway, drainWorker, revokeKey, addRoute}[r.IntN(4)]), which: r.IntN(1000)})
+			ss = append(ss, step{at: at, lasts: shortest, what: plannedWork[r.IntN(len(plannedWork))], which: r.IntN(1000)})
 			at += calmPause
 		}
 	}
