core, loadview: tells the other gateways which engine was named as at fault

Ruled out: telling of engines that failed or were silent, since that may be the link of one gateway, and its word would turn all others away; what an engine says holds for all.

--- a/core/fleet.go
+++ b/core/fleet.go
@@ -114,6 +114,7 @@
 	failures int // that it was avoided for, in a row
 	errors   int // failures of its own, in a row
 	avoid    time.Time
+	blamed   time.Time // until when others are told to avoid it too
 	lapses   time.Time // until when it is used although its entry went; zero while it is listed
 }
 
@@ -294,6 +295,52 @@
 		"failures", m.failures, "for_ms", d.Milliseconds())
 }
 
+// blame notes that an engine named a member as at fault for not taking a call.
+// That holds for every process, so others are told.
+func (f *Fleet) blame(m *member, id, why string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.avoid(m, id, why)
+	m.blamed = m.avoid
+	f.change(m)
+}
+
+// Blamed returns the upstreams that engines have named as at fault to this
+// process, and for how long yet they are to be avoided.
+func (f *Fleet) Blamed() map[string]time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	bs := map[string]time.Duration{}
+	for id, m := range f.members {
+		if d := m.blamed.Sub(now); d > 0 {
+			bs[id] = d
+		}
+	}
+	return bs
+}
+
+// TakeBlame takes the word of another process, by its box, that an upstream is
+// at fault.
+func (f *Fleet) TakeBlame(box, id string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[id]
+	if m == nil {
+		return
+	}
+	now := f.clock.Now()
+	until := now.Add(min(d, lastAvoid))
+	if !until.After(m.avoid) {
+		return
+	}
+	if !now.Before(m.avoid) {
+		f.log.Info("upstream avoided", "upstream", id, "service", m.Service, "why", "named as at fault to another gateway",
+			"peer", box, "for_ms", d.Milliseconds())
+	}
+	m.avoid = until
+}
+
 // An upstream that fails each call is never busy, so that ever more would go to
 // it. Plain services fail now and then by themselves, on the users' sheets one
 // call in seven; engines do not.
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -88,6 +88,28 @@
 		}
 		require.False(t, f.members["u00"].avoid.After(time.Now()))
 	})
+	// Found by inc-f456 of sbn-push-grown: while the store was away each of 28
+	// gateways found out for itself that four engines were leaving.
+	t.Run("one that an engine named as at fault is avoided by others too, for as long", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			a, b := newFleet("e", 2), newFleet("e", 2)
+			a.blame(a.members["u00"], "c", "named by u01")
+			<-a.Changed()
+			require.Contains(t, a.Changes(false), "u00")
+			for id, d := range a.Blamed() {
+				b.TakeBlame("a", id, d)
+			}
+			require.Empty(t, b.Blamed(), "what others say is not told again")
+			require.Equal(t, "u01", b.pick(long(30_000), nil).member.ID)
+			time.Sleep(firstAvoid)
+			require.Empty(t, a.Blamed())
+			require.False(t, time.Now().Before(b.members["u00"].avoid))
+			b.TakeBlame("a", "u00", time.Hour)
+			time.Sleep(lastAvoid)
+			require.False(t, time.Now().Before(b.members["u00"].avoid), "no word of a peer lasts")
+			b.TakeBlame("a", "unknown", time.Hour)
+		})
+	})
 	t.Run("one that failed is tried last, and again after a while", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("s", 2)
--- a/core/share.go
+++ b/core/share.go
@@ -57,6 +57,11 @@
 // add changes the own share of an upstream. The lock is held.
 func (f *Fleet) add(m *member, s Share) {
 	m.own = m.own.Plus(s)
+	f.change(m)
+}
+
+// change lets others be told of an upstream. The lock is held.
+func (f *Fleet) change(m *member) {
 	f.changed[m.ID] = true
 	select {
 	case f.notify <- struct{}{}:
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -256,6 +256,7 @@
 // frame returns a message.
 func (s *Sharer) frame(cs map[string]core.Share, whole bool) *wire.Frame {
 	m := &wire.LoadView{Box: s.box, Whole: whole, Sequence: s.sequence.Add(1)}
+	blamed := s.fleet.Blamed()
 	for id, c := range cs {
 		m.Shares = append(m.Shares, &wire.LoadShare{
 			Upstream:    id,
@@ -263,6 +264,7 @@
 			Stakes:      encodeStakes(c.Stakes),
 			GivenMicros: c.Given.Microseconds(),
 			Tokens:      int64(c.Tokens),
+			AvoidMillis: blamed[id].Milliseconds(),
 		})
 	}
 	return &wire.Frame{Body: &wire.Frame_LoadView{LoadView: m}}
--- a/loadview/taker.go
+++ b/loadview/taker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
@@ -90,4 +91,9 @@
 	whole := m.Whole && m.Sequence >= o.last
 	o.last = max(o.last, m.Sequence)
 	t.fleet.TakeView(m.Box, ss, whole)
+	for _, c := range m.Shares {
+		if _, ok := ss[c.Upstream]; ok && c.AvoidMillis > 0 {
+			t.fleet.TakeBlame(m.Box, c.Upstream, time.Duration(c.AvoidMillis)*time.Millisecond)
+		}
+	}
 }
