--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -26,3 +26,15 @@
 		}
 	}
 }
+
+// BenchmarkList measures how long it takes to list a number of upstreams, as after
+// the start of a process.
+func BenchmarkList(b *testing.B) {
+	for _, n := range []int{60, 600, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				newFleet("e", n)
+			}
+		})
+	}
+}
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -150,6 +150,7 @@
 	mu       sync.Mutex
 	members  map[string]*member
 	services map[string][]*member
+	outdated bool             // whether services is to be made anew
 	views    map[string]*view // what other processes have given to upstreams, by box
 	changed  map[string]bool  // upstreams whose own share changed since [Fleet.Changes]
 	notify   chan struct{}
@@ -205,7 +206,7 @@
 		"draining", u.Draining, "was_draining", m.Draining, "new", !ok)
 	m.Upstream = u
 	m.lapses = time.Time{}
-	f.rebuild()
+	f.outdated = true
 }
 
 // Drop removes an upstream whose entry has gone. When the entry may have gone
@@ -227,12 +228,23 @@
 		return
 	}
 	delete(f.members, id)
-	f.rebuild()
+	f.outdated = true
+}
+
+// of returns the upstreams of a service, by their ids. Lists are made anew when
+// they are looked at, not with each change: after its start a process hears of
+// thousands of upstreams at once. The lock is held.
+func (f *Fleet) of(service string) []*member {
+	if f.outdated {
+		f.rebuild()
+	}
+	return f.services[service]
 }
 
 // rebuild makes the lists by service anew, without upstreams that lapsed. The
 // lock is held.
 func (f *Fleet) rebuild() {
+	f.outdated = false
 	f.services = map[string][]*member{}
 	now := f.clock.Now()
 	for id, m := range f.members {
@@ -251,6 +263,7 @@
 func (f *Fleet) Size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.rebuild()
 	return len(f.members)
 }
 
@@ -275,7 +288,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	return slices.ContainsFunc(f.services[service], func(m *member) bool { return !tried[m.ID] && f.usable(m, now) })
+	return slices.ContainsFunc(f.of(service), func(m *member) bool { return !tried[m.ID] && f.usable(m, now) })
 }
 
 // failed notes that an upstream failed a call, so that others are preferred for
--- a/core/place.go
+++ b/core/place.go
@@ -129,7 +129,7 @@
 // candidates returns the usable upstreams of a service in an order that all
 // processes share. The lock is held.
 func (f *Fleet) candidates(service string, now time.Time) (ms []*member) {
-	for _, m := range f.services[service] {
+	for _, m := range f.of(service) {
 		if f.usable(m, now) {
 			ms = append(ms, m)
 		}
