loadview: a packet tells of 20 upstreams

Cause: found on reading the diff: 28 shares of the largest size are over the 1,400 bytes of a packet, which was then not sent; the next heartbeat told the same half a second later. Test: TestFramesFitIntoPackets (failed first).

--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -37,9 +37,9 @@
 	// dialTimeout and dialEvery bound the tries to reach a peer.
 	dialTimeout = 500 * time.Millisecond
 	dialEvery   = time.Second
-	// packetShares is how many upstreams one packet tells of: a share takes 45
-	// bytes at the most, a packet 1,400.
-	packetShares = 28
+	// packetShares is how many upstreams one packet tells of: a share takes some
+	// 50 bytes where ids are of a usual length, a packet 1,400.
+	packetShares = 20
 )
 
 // Sharer tells peers of a fleet's own shares.
--- a/loadview/loadview_test.go
+++ b/loadview/loadview_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/core"
@@ -180,3 +181,17 @@
 	k.Packet(word(8, false, 1))
 	requireOpen(t, 0, 0)
 }
+
+func TestFramesFitIntoPackets(t *testing.T) {
+	cs := map[string]core.Share{}
+	for i := range 100 {
+		cs[fmt.Sprintf("i-%016d", i)] = core.Share{Open: 1 << 20, Stakes: core.Stakes{1 << 20, 1 << 20, 1 << 20, 1 << 20, 1 << 20}, Given: 24 * time.Hour, Tokens: 1 << 24}
+	}
+	s := New("box-of-a-long-name-in-a-data-hall/incarnation", newFleet(), func() []string { return nil })
+	told := 0
+	for _, f := range s.frames(cs) {
+		require.LessOrEqual(t, proto.Size(f), peer.MaxPacket)
+		told += len(f.GetLoadView().Shares)
+	}
+	require.Equal(t, len(cs), told)
+}
