--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -90,13 +91,24 @@
 	return w
 }
 
+// Ports of gateways are taken from below those that the system gives to outgoing
+// connections, or one of these has a port by the time when its gateway starts
+// again.
+const firstPort, lastPort = 12_000, 32_000
+
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	var k net.ListenConfig
-	l, err := k.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range lastPort - firstPort {
+		a := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := k.Listen(context.Background(), "tcp", a)
+		if err == nil {
+			require.NoError(t, l.Close())
+			return a
+		}
+	}
+	require.Fail(t, "no port is free")
+	return ""
 }
 
 func (w *world) newGateway(i int, seeds *[]string) *gateway {
