core: expected decisions for 400 drawn situations

Cause: the decisions are to move into a package of their own, with every decision as it is. Ruled out: relying on the tests of single rules, which leave most combinations of load, memory, views and avoided engines out.

--- /dev/null
+++ b/core/golden_test.go
@@ -0,0 +1,120 @@
+package core
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/engine"
+)
+
+var update = flag.Bool("update", false, "write the files of expected results anew")
+
+// goldenPlans is how many drawn situations the expected file has.
+const goldenPlans = 400
+
+// drawnFigures are the published figures of two kinds of engines.
+func drawnFigures(r *rand.Rand) *engine.Figures {
+	f := &engine.Figures{
+		Slots: 16, Capacity: 450_000, Step: 925 * time.Microsecond, StepPerWriter: 5 * time.Microsecond,
+		StepPerContext: 2540 * time.Nanosecond, ReadRate: 256_000, PerMillion: 91_700 * time.Nanosecond, Chunk: 2048,
+		Stride: 46, Hop: 100 * time.Microsecond, UsualPrompt: 13_000, UsualAnswer: 1540,
+	}
+	if r.IntN(2) == 0 {
+		f.Slots, f.Capacity, f.Step, f.ReadRate, f.PerMillion, f.Stride = 12, 405_000, 1310*time.Microsecond, 154_000, 162*time.Microsecond, 34
+	}
+	return f
+}
+
+// drawnDemand is a call of one of three kinds, or one for a plain service.
+func drawnDemand(r *rand.Rand) demand {
+	d := demand{service: Service{Name: "e", Engine: drawnFigures(r)}, left: time.Duration(r.IntN(15_000)) * time.Millisecond}
+	switch r.IntN(7) {
+	case 0:
+		d.service.Engine = nil
+		d.goal = 300 * time.Millisecond
+	case 1, 2:
+		d.prompt, d.out, d.goal, d.pause = 500+r.IntN(20_000), 1500, 300*time.Millisecond, 250*time.Millisecond
+	case 3, 4:
+		d.prompt, d.out, d.goal, d.pause = 10_000+r.IntN(90_000), 900, 1500*time.Millisecond, 600*time.Millisecond
+	default:
+		d.prompt, d.out, d.goal, d.pause = 60_000+r.IntN(840_000), 700, 3*time.Second, time.Second
+	}
+	d.again = r.IntN(3) == 0
+	d.begun = r.IntN(20) == 0
+	return d
+}
+
+// drawnFleet is a fleet of engines that have much or little to do.
+func drawnFleet(r *rand.Rand, now time.Time) *Fleet {
+	f := newFleet("e", 1+r.IntN(30))
+	if r.IntN(5) == 0 {
+		f = newFleet("e", 60+r.IntN(60))
+	}
+	f.SetChance(r.Float64)
+	f.SetPeers(func() int { return 4 })
+	f.TakeView("b", nil, true)
+	busy := r.Float64()
+	for i := range len(f.members) {
+		m := f.members[fmt.Sprintf("u%02d", i)]
+		n := int(busy * float64(r.IntN(20)))
+		s := Share{Open: n, Tokens: n * (2000 + r.IntN(20_000))}
+		for range n {
+			s.Stakes = s.Stakes.plus(stake([]time.Duration{250, 600, 1000}[r.IntN(3)]*time.Millisecond, 1+3*r.Float64()), 1)
+		}
+		f.setView(f.views["b"], m.ID, s)
+		if r.Float64() < busy {
+			m.give(now, time.Duration(r.IntN(2500))*time.Millisecond)
+		}
+		if r.IntN(12) == 0 {
+			m.avoid = now.Add(time.Second)
+		}
+		if r.IntN(4) == 0 {
+			m.load, m.loadAt = hollowgrade.UpstreamLoad{Running: r.IntN(6), Waiting: r.IntN(3)}, now
+		}
+	}
+	return f
+}
+
+// describe writes a decision as one line.
+func describe(p *placed) string {
+	if p == nil {
+		return "none"
+	}
+	return fmt.Sprintf("%s helpers %s holders %s of %d reading %s first %s wait %s cost %.4f refused %v", p.member.ID,
+		strings.Join(ids(p.helpers), ","), strings.Join(ids(p.holders), ","), p.tokens, p.reading, p.first, p.wait, p.cost, p.refused)
+}
+
+// The decisions for drawn situations are those of the file. A change of policy
+// writes it anew, with -update; one that only moves code does not change it.
+func TestDecisionsAreThoseOfTheFile(t *testing.T) {
+	path := filepath.Join("testdata", "plans.txt")
+	synctest.Test(t, func(t *testing.T) {
+		var b bytes.Buffer
+		for seed := range uint64(goldenPlans) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			f := drawnFleet(r, time.Now())
+			tried := map[string]bool{}
+			if r.IntN(6) == 0 {
+				tried["u00"] = true
+			}
+			fmt.Fprintf(&b, "%d %s\n", seed, describe(f.pick(drawnDemand(r), tried)))
+		}
+		if *update {
+			require.NoError(t, os.WriteFile(path, b.Bytes(), 0o600))
+		}
+		want, err := os.ReadFile(path)
+		require.NoError(t, err)
+		require.Equal(t, strings.Split(string(want), "\n"), strings.Split(b.String(), "\n"))
+	})
+}
