--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -3,22 +3,24 @@
 import (
 	"fmt"
 	"testing"
+
+	"github.com/hollowgrade/hollowgrade/placement"
 )
 
 // BenchmarkPick measures one placement by the number of engines; docs/CAPACITY.md
 // has what it showed.
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{18, 60, 180, 600} {
-		for name, d := range map[string]demand{"short": short(), "long": long(210_000)} {
+		for name, d := range map[string]placement.Request{"short": short(), "long": long(210_000)} {
 			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
 				f := newFleet("e", n)
 				for range 4 * n {
-					f.pick(short(), nil)
+					f.pick("e", short(), nil)
 				}
 				b.ReportAllocs()
 				for b.Loop() {
-					p := f.pick(d, nil)
-					if !p.refused {
+					p := f.pick("e", d, nil)
+					if !p.Refused {
 						f.over(p, false)
 					}
 				}
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -238,7 +238,7 @@
 		f := &fakeUpstreams{replies: []reply{events(1, 2, io.EOF)}}
 		c := New(f, f, WithLogger(quiet()))
 		r := Route{Name: "r", Host: "h", Prefix: "/", Repeat: Resume, Stream: true, Timeout: 10 * time.Second, Goal: 3 * time.Second, PauseGoal: 800 * time.Millisecond, Targets: []Target{{"e", 1}}, MaxAttempts: 2}
-		c.SetCatalog(NewCatalog(1, []Route{r}, []Service{engineService()}, nil, Limits{}))
+		c.SetCatalog(NewCatalog(1, []Route{r}, []Service{{Name: "e", Engine: figures()}}, nil, Limits{}))
 		for _, id := range []string{"u1", "u2"} {
 			c.Fleet().Put(hollowgrade.Upstream{ID: id, Service: "e", Address: id + ":1"})
 		}
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -15,7 +15,7 @@
 // attempt is one exchange for a flow.
 type attempt struct {
 	flow    *flow
-	placed  *placed
+	pick    *pick
 	number  int  // of the attempt, counted from 1
 	last    bool // whether no other may be sent after it
 	tickets *tickets
@@ -30,11 +30,11 @@
 	f.logSent(a, left)
 	return hollowgrade.Sending{
 		Call:         f.call,
-		Upstream:     a.placed.upstream(),
+		Upstream:     a.pick.upstream(),
 		Organisation: f.organisation.Name,
 		Left:         left,
 		After:        f.after,
-		Helpers:      a.tickets.helpersOf(a.placed),
+		Helpers:      a.tickets.helpersOf(a.pick),
 	}
 }
 
@@ -56,7 +56,7 @@
 	}
 	defer x.Close()
 	a.head = x.Head()
-	a.flow.core.fleet.answered(a.placed.member, a.flow.call.ID, a.flow.service.Engine != nil, a.head)
+	a.flow.core.fleet.answered(a.pick.member, a.flow.call.ID, a.flow.service.Engine != nil, a.head)
 	if a.head.Stream && a.head.Success() {
 		return cause(ctx, a.stream(x, w))
 	}
@@ -74,7 +74,7 @@
 
 // fault says what a failed attempt came to.
 func (a *attempt) fault(err error) *fault.Error {
-	id := a.placed.upstream().ID
+	id := a.pick.upstream().ID
 	var x *fault.Error
 	switch {
 	case errors.As(err, &x):
@@ -105,7 +105,7 @@
 	f := a.flow
 	if a.head.NotRun {
 		a.blame()
-		return fault.New(fault.Overloaded, "upstream %s did not take the call, status %d", a.placed.upstream().ID, a.head.Status).
+		return fault.New(fault.Overloaded, "upstream %s did not take the call, status %d", a.pick.upstream().ID, a.head.Status).
 			WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetry)
 	}
 	w := &answer{head: a.head}
@@ -125,7 +125,7 @@
 	a.begin()
 	if !a.head.Success() && f.Repeatable() {
 		f.failure = w
-		return fault.New(fault.UpstreamFailed, "upstream %s answered with status %d", a.placed.upstream().ID, a.head.Status)
+		return fault.New(fault.UpstreamFailed, "upstream %s answered with status %d", a.pick.upstream().ID, a.head.Status)
 	}
 	return f.pass(w)
 }
@@ -133,9 +133,9 @@
 // blame lets others be preferred to the upstream for whose sake a call was not
 // taken: the one that answered, or a helper that is gone, drains or is full.
 func (a *attempt) blame() {
-	for m, u := range a.placed.at {
+	for m, u := range a.pick.at {
 		if a.head.AtFault == u.ID || a.head.AtFault == u.Address {
-			a.flow.core.fleet.blame(m, a.flow.call.ID, fmt.Sprintf("named by %s as at fault for status %d", a.placed.upstream().ID, a.head.Status))
+			a.flow.core.fleet.blame(m, a.flow.call.ID, fmt.Sprintf("named by %s as at fault for status %d", a.pick.upstream().ID, a.head.Status))
 		}
 	}
 }
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/placement"
 )
 
 const (
@@ -26,81 +27,20 @@
 
 // Share is the part of an upstream's load that one process has given to it.
 type Share struct {
-	Open   int           // requests that are not over
-	Stakes Stakes        // what would be lost by pauses that are too long for them
-	Given  time.Duration // reading of prompts given to it since the process started
-	Tokens int           // memory that its requests hold
+	Open   int              // requests that are not over
+	Stakes placement.Stakes // what would be lost by pauses that are too long for them
+	Given  time.Duration    // reading of prompts given to it since the process started
+	Tokens int              // memory that its requests hold
 }
 
 // Plus returns the sum of two shares.
 func (s Share) Plus(o Share) Share {
-	return Share{s.Open + o.Open, s.Stakes.plus(o.Stakes, 1), s.Given + o.Given, s.Tokens + o.Tokens}
+	return Share{s.Open + o.Open, s.Stakes.Plus(o.Stakes), s.Given + o.Given, s.Tokens + o.Tokens}
 }
 
 // Minus returns s without o.
 func (s Share) Minus(o Share) Share {
-	return Share{s.Open - o.Open, s.Stakes.plus(o.Stakes, -1), s.Given - o.Given, s.Tokens - o.Tokens}
-}
-
-// pauseClasses are the pauses by which requests are told apart: one belongs to
-// the longest that is no longer than its pause goal.
-var pauseClasses = [...]time.Duration{
-	100 * time.Millisecond,
-	200 * time.Millisecond,
-	400 * time.Millisecond,
-	800 * time.Millisecond,
-	1600 * time.Millisecond,
-}
-
-// Stakes is the worth of requests by their class of pauses, in thousandths.
-type Stakes [len(pauseClasses)]int
-
-func (s Stakes) plus(o Stakes, sign int) Stakes {
-	for i := range s {
-		s[i] += sign * o[i]
-	}
-	return s
-}
-
-// stakeUnit is the worth of one thousandth.
-const stakeUnit = 1000
-
-// stake returns the stakes of one request.
-func stake(pause time.Duration, worth float64) (s Stakes) {
-	if pause <= 0 {
-		return s
-	}
-	at := 0
-	for i, c := range pauseClasses {
-		if c <= pause {
-			at = i
-		}
-	}
-	s[at] = int(worth * stakeUnit)
-	return s
-}
-
-// Requests that bear short pauses are sent elsewhere, or given up by their
-// callers, when a pause lasts much longer still: then the rest of their worth is
-// lost, and their prompt is read again.
-const (
-	resentAfter = time.Second
-	resentClass = 400 * time.Millisecond // those that bear longer pauses wait longer
-	resentShare = 0.5
-)
-
-// lost returns the worth of the requests that bear a pause of before and none of
-// after.
-func (s Stakes) lost(before, after time.Duration) (worth float64) {
-	for i, c := range pauseClasses {
-		if before <= c && after > c {
-			worth += float64(s[i]) / stakeUnit
-		}
-		if c <= resentClass && before <= resentAfter && after > resentAfter {
-			worth += resentShare * float64(s[i]) / stakeUnit
-		}
-	}
-	return worth
+	return Share{s.Open - o.Open, s.Stakes.Minus(o.Stakes), s.Given - o.Given, s.Tokens - o.Tokens}
 }
 
 // member is an upstream and what this process knows of it.
@@ -144,18 +84,20 @@
 
 // Fleet is the table of upstreams. It is safe for concurrent use.
 type Fleet struct {
-	clock hollowgrade.Clock
-	log   *log.Logger
-
-	mu       sync.Mutex
-	members  map[string]*member
-	services map[string][]*member
-	outdated bool             // whether services is to be made anew
-	views    map[string]*view // what other processes have given to upstreams, by box
-	changed  map[string]bool  // upstreams whose own share changed since [Fleet.Changes]
-	notify   chan struct{}
-	peers    func() int     // other processes that give work to the same upstreams
-	chance   func() float64 // from 0 to 1
+	clock  hollowgrade.Clock
+	log    *log.Logger
+	policy *placement.Policy
+
+	mu         sync.Mutex
+	members    map[string]*member
+	services   map[string][]*member
+	outdated   bool             // whether services is to be made anew
+	views      map[string]*view // what other processes have given to upstreams, by box
+	changed    map[string]bool  // upstreams whose own share changed since [Fleet.Changes]
+	notify     chan struct{}
+	peers      func() int            // other processes that give work to the same upstreams
+	chance     func() float64        // from 0 to 1
+	candidates []placement.Candidate // of the last decision, kept to be filled anew
 }
 
 // NewFleet returns an empty table.
@@ -163,6 +105,7 @@
 	return &Fleet{
 		clock:    c,
 		log:      l,
+		policy:   placement.New(),
 		members:  map[string]*member{},
 		services: map[string][]*member{},
 		views:    map[string]*view{},
@@ -274,7 +217,7 @@
 
 // stillUsable reports whether a pick that was made a while ago may still be
 // given the call.
-func (f *Fleet) stillUsable(p *placed) bool {
+func (f *Fleet) stillUsable(p *pick) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -10,10 +10,17 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/engine"
+	"github.com/hollowgrade/hollowgrade/placement"
 )
 
-func engineService() Service {
-	return Service{Name: "e", Engine: &engine.Figures{Slots: 16, Capacity: 450_000, Step: 925 * time.Microsecond, ReadRate: 256_000, PerMillion: 91700 * time.Nanosecond, Chunk: 2048, Stride: 46}}
+// What decisions of package placement are expected to keep to.
+const (
+	longestAlone = 8_999 // tokens of a prompt that one engine reads
+	mostHelpers  = 16
+)
+
+func figures() *engine.Figures {
+	return &engine.Figures{Slots: 16, Capacity: 450_000, Step: 925 * time.Microsecond, ReadRate: 256_000, PerMillion: 91700 * time.Nanosecond, Chunk: 2048, Stride: 46}
 }
 
 func newFleet(service string, n int) *Fleet {
@@ -25,31 +32,31 @@
 }
 
 func TestFleet(t *testing.T) {
-	plain := demand{service: Service{Name: "s"}}
+	plain := placement.Request{}
 	none := map[string]bool{}
 	t.Run("one that drains gets nothing new", func(t *testing.T) {
 		f := newFleet("s", 2)
 		f.Put(hollowgrade.Upstream{ID: "u00", Service: "s", Slots: 4, Draining: true})
 		for range 10 {
-			require.Equal(t, "u01", f.pick(plain, none).member.ID)
+			require.Equal(t, "u01", f.pick("s", plain, none).member.ID)
 		}
 	})
 	t.Run("one whose entry is gone gets nothing new", func(t *testing.T) {
 		f := newFleet("s", 2)
 		f.Drop("u00", time.Time{})
-		require.Equal(t, "u01", f.pick(plain, none).member.ID)
+		require.Equal(t, "u01", f.pick("s", plain, none).member.ID)
 		f.Drop("u01", time.Time{})
-		require.Nil(t, f.pick(plain, none))
+		require.Nil(t, f.pick("s", plain, none))
 	})
 	t.Run("one that lapsed while the store was away is kept for two seconds", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("s", 1)
 			f.Drop("u00", time.Now().Add(time.Hour))
-			require.NotNil(t, f.pick(plain, none))
+			require.NotNil(t, f.pick("s", plain, none))
 			time.Sleep(lapseGrace)
-			require.Nil(t, f.pick(plain, none))
+			require.Nil(t, f.pick("s", plain, none))
 			f.Put(hollowgrade.Upstream{ID: "u00", Service: "s", Slots: 4})
-			require.NotNil(t, f.pick(plain, none))
+			require.NotNil(t, f.pick("s", plain, none))
 		})
 	})
 	// Found by hunt on sbn-push, trouble-1 --seed 1014552827330: a gateway that the
@@ -60,9 +67,9 @@
 			f := newFleet("s", 1)
 			f.Drop("u00", time.Now().Add(1500*time.Millisecond))
 			time.Sleep(1499 * time.Millisecond)
-			require.NotNil(t, f.pick(plain, none))
+			require.NotNil(t, f.pick("s", plain, none))
 			time.Sleep(time.Millisecond)
-			require.Nil(t, f.pick(plain, none))
+			require.Nil(t, f.pick("s", plain, none))
 			f.Put(hollowgrade.Upstream{ID: "u01", Service: "s", Slots: 4})
 			require.Equal(t, 1, f.Size(), "it is not kept for ever")
 		})
@@ -100,7 +107,7 @@
 				b.TakeBlame("a", id, d)
 			}
 			require.Empty(t, b.Blamed(), "what others say is not told again")
-			require.Equal(t, "u01", b.pick(long(30_000), nil).member.ID)
+			require.Equal(t, "u01", b.pick("e", long(30_000), nil).member.ID)
 			time.Sleep(firstAvoid)
 			require.Empty(t, a.Blamed())
 			require.False(t, time.Now().Before(b.members["u00"].avoid))
@@ -114,34 +121,34 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("s", 2)
 			f.failed(f.members["u00"], "c", "reset")
-			p := f.pick(plain, none)
+			p := f.pick("s", plain, none)
 			require.Equal(t, "u01", p.member.ID)
-			require.Equal(t, "u00", f.pick(plain, map[string]bool{"u01": true}).member.ID)
+			require.Equal(t, "u00", f.pick("s", plain, map[string]bool{"u01": true}).member.ID)
 			time.Sleep(firstAvoid)
-			require.Equal(t, "u00", f.pick(plain, map[string]bool{"u01": true}).member.ID)
+			require.Equal(t, "u00", f.pick("s", plain, map[string]bool{"u01": true}).member.ID)
 		})
 	})
 	t.Run("a service takes the one with the fewest requests", func(t *testing.T) {
 		f := newFleet("s", 3)
 		seen := map[string]int{}
 		for range 9 {
-			seen[f.pick(plain, none).member.ID]++
+			seen[f.pick("s", plain, none).member.ID]++
 		}
 		require.Equal(t, map[string]int{"u00": 3, "u01": 3, "u02": 3}, seen)
 	})
 	t.Run("an upstream's own word on its load counts", func(t *testing.T) {
 		f := newFleet("s", 2)
 		f.answered(f.members["u00"], "c", false, hollowgrade.Head{Status: 200, HasLoad: true, Load: hollowgrade.UpstreamLoad{Running: 4, Waiting: 2, Slots: 4}})
-		require.Equal(t, "u01", f.pick(plain, none).member.ID)
+		require.Equal(t, "u01", f.pick("s", plain, none).member.ID)
 	})
 }
 
 func TestAccountsEndAtZero(t *testing.T) {
 	f := newFleet("e", 20)
-	var ps []*placed
+	var ps []*pick
 	for i := range 30 {
-		p := f.pick(demand{service: engineService(), prompt: i * 20_000, out: 100, goal: time.Second, pause: time.Second, left: time.Hour}, map[string]bool{})
-		if !p.refused {
+		p := f.pick("e", placement.Request{Engine: figures(), Prompt: i * 20_000, Answer: 100, Goal: time.Second, Pause: time.Second, Left: time.Hour}, map[string]bool{})
+		if !p.Refused {
 			ps = append(ps, p)
 		}
 	}
@@ -159,12 +166,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("e", 1)
 		m := f.members["u00"]
-		p := f.pick(long(splitFrom-1), nil)
+		p := f.pick("e", long(longestAlone), nil)
 		f.over(p, false)
 		require.Zero(t, m.reading(time.Now()), "refused at once")
-		p = f.pick(long(splitFrom-1), nil)
+		p = f.pick("e", long(longestAlone), nil)
 		time.Sleep(8 * time.Second)
-		f.pick(long(splitFrom-1), nil)
+		f.pick("e", long(longestAlone), nil)
 		rest := m.reading(time.Now())
 		require.NotZero(t, rest)
 		f.over(p, false)
@@ -172,20 +179,20 @@
 	})
 }
 
-func long(prompt int) demand {
-	return demand{service: engineService(), prompt: prompt, goal: 3 * time.Second, pause: 800 * time.Millisecond, left: 15 * time.Second}
+func long(prompt int) placement.Request {
+	return placement.Request{Engine: figures(), Prompt: prompt, Goal: 3 * time.Second, Pause: 800 * time.Millisecond, Left: 15 * time.Second}
 }
 
-func short() demand {
-	return demand{service: engineService(), prompt: 5_000, goal: 300 * time.Millisecond, pause: 200 * time.Millisecond, left: 10 * time.Second}
+func short() placement.Request {
+	return placement.Request{Engine: figures(), Prompt: 5_000, Goal: 300 * time.Millisecond, Pause: 200 * time.Millisecond, Left: 10 * time.Second}
 }
 
 func TestLongPromptsAreSplit(t *testing.T) {
 	f := newFleet("e", 20)
-	require.Empty(t, f.pick(long(splitFrom-1), nil).helpers)
+	require.Empty(t, f.pick("e", long(longestAlone), nil).helpers)
 	f = newFleet("e", 20)
-	p := f.pick(long(210_000), nil)
-	require.Len(t, p.helpers, maxHelpers)
+	p := f.pick("e", long(210_000), nil)
+	require.Len(t, p.helpers, mostHelpers)
 	require.NotContains(t, p.helpers, p.member)
 	require.Equal(t, p.member.own.Given, p.helpers[0].own.Given)
 }
@@ -207,7 +214,7 @@
 	for range 20 {
 		f := newFleet("e", 60)
 		f.TakeView("b", map[string]Share{"u00": {Open: 9}, "u01": {Open: 8}}, true)
-		used[f.pick(short(), nil).member.ID]++
+		used[f.pick("e", short(), nil).member.ID]++
 	}
 	require.Greater(t, len(used), 2)
 }
@@ -216,7 +223,7 @@
 	spaced := func(f *Fleet, n int) (used map[string]int) {
 		used = map[string]int{}
 		for range n {
-			used[f.pick(short(), nil).member.ID]++
+			used[f.pick("e", short(), nil).member.ID]++
 			time.Sleep(100 * time.Millisecond)
 		}
 		return used
@@ -241,9 +248,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("e", 18)
 			spaced(f, 20)
-			p := f.pick(long(210_000), nil)
+			p := f.pick("e", long(210_000), nil)
 			for _, m := range append(p.helpers, p.member) {
-				require.Zero(t, m.own.Stakes.lost(0, 300*time.Millisecond), m.ID)
+				require.Zero(t, m.own.Stakes.Lost(0, 300*time.Millisecond), m.ID)
 			}
 			require.GreaterOrEqual(t, len(p.helpers), 4)
 		})
@@ -251,7 +258,7 @@
 	t.Run("what was read is not waited for", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("e", 18)
-			a := f.pick(long(210_000), nil)
+			a := f.pick("e", long(210_000), nil)
 			require.NotZero(t, a.member.reading(time.Now()))
 			time.Sleep(time.Second)
 			require.Zero(t, a.member.reading(time.Now()))
@@ -259,8 +266,8 @@
 	})
 	t.Run("a short one leaves engines alone that read a long one", func(t *testing.T) {
 		f := newFleet("e", 18)
-		f.pick(long(210_000), nil)
-		p := f.pick(short(), nil)
+		f.pick("e", long(210_000), nil)
+		p := f.pick("e", short(), nil)
 		require.Less(t, p.member.own.Given, 100*time.Millisecond)
 	})
 	t.Run("parts that hold nobody up go everywhere", func(t *testing.T) {
@@ -268,13 +275,13 @@
 			f := newFleet("e", 18)
 			spaced(f, 100)
 			time.Sleep(time.Second)
-			require.Len(t, f.pick(long(45_000), nil).helpers, maxHelpers)
+			require.Len(t, f.pick("e", long(45_000), nil).helpers, mostHelpers)
 		})
 	})
 	t.Run("memory that is full is avoided", func(t *testing.T) {
 		f := newFleet("e", 2)
-		a := f.pick(long(300_000), nil)
-		b := f.pick(long(300_000), nil)
+		a := f.pick("e", long(300_000), nil)
+		b := f.pick("e", long(300_000), nil)
 		require.NotEqual(t, a.member.ID, b.member.ID)
 	})
 }
@@ -283,7 +290,7 @@
 	t.Run("count like own work", func(t *testing.T) {
 		f := newFleet("e", 2)
 		f.TakeView("b", map[string]Share{"u00": {Open: 10}}, true)
-		require.Equal(t, "u01", f.pick(short(), nil).member.ID)
+		require.Equal(t, "u01", f.pick("e", short(), nil).member.ID)
 	})
 	t.Run("are replaced and end", func(t *testing.T) {
 		f := newFleet("e", 2)
@@ -341,13 +348,13 @@
 			f := newFleet("e", 1)
 			f.TakeView("b", map[string]Share{"u00": {Open: 3}}, true)
 			time.Sleep(viewAge + 1)
-			f.pick(short(), nil)
+			f.pick("e", short(), nil)
 			require.Equal(t, 1, f.members["u00"].total().Open)
 		})
 	})
 	t.Run("changes are told once", func(t *testing.T) {
 		f := newFleet("e", 2)
-		p := f.pick(short(), nil)
+		p := f.pick("e", short(), nil)
 		<-f.Changed()
 		cs := f.Changes(false)
 		require.Equal(t, map[string]Share{p.member.ID: p.member.own}, cs)
@@ -362,10 +369,10 @@
 			m.give(time.Now(), d)
 		}
 	}
-	refused := func(d demand, backlog time.Duration) bool {
+	refused := func(d placement.Request, backlog time.Duration) bool {
 		f := newFleet("e", 18)
 		fill(f, backlog)
-		return f.pick(d, nil).refused
+		return f.pick("e", d, nil).Refused
 	}
 	huge := long(900_000)
 	t.Run("are taken while engines are free", func(t *testing.T) {
@@ -383,15 +390,15 @@
 		for id := range f.members {
 			f.TakeView("b", map[string]Share{id: {Open: 15}}, false)
 		}
-		require.True(t, f.pick(huge, nil).refused)
+		require.True(t, f.pick("e", huge, nil).Refused)
 	})
 	t.Run("are taken when their stream has begun", func(t *testing.T) {
-		huge.begun = true
+		huge.Begun = true
 		require.False(t, refused(huge, 2*time.Second))
 	})
 	t.Run("are refused when they cannot begin in time", func(t *testing.T) {
 		d := long(210_000)
-		d.left = time.Second
+		d.Left = time.Second
 		require.True(t, refused(d, 5*time.Second))
 	})
 	t.Run("short ones never are", func(t *testing.T) {
--- a/core/flow.go
+++ b/core/flow.go
@@ -20,29 +20,14 @@
 // long it may take.
 const defaultAllowed = 30 * time.Second
 
-// A pass reads all that waits, so parts of two long prompts that are given to an
-// engine at once make both late. The second is held back until the first is
-// nearly read, for a quarter of its goal at the most: what is held for longer
-// counts as held up on the users' side.
-const (
-	holdShare = 0.7
-	holdGoals = 0.25
-)
-
-// holdFor returns how long the sending of a pick is held back.
-func (p *placed) holdFor(goal time.Duration) time.Duration {
-	return min(time.Duration(holdShare*float64(p.wait)), time.Duration(holdGoals*float64(goal)))
-}
-
 // hold waits until what was given to the picked engines before is nearly read,
 // and returns how long that was.
-func (f *flow) hold(ctx context.Context, p *placed) time.Duration {
-	d := p.holdFor(f.route.Goal)
-	if d <= 0 {
+func (f *flow) hold(ctx context.Context, p *pick) time.Duration {
+	if p.Hold <= 0 {
 		return 0
 	}
 	begin := f.core.clock.Now()
-	hollowgrade.Sleep(ctx, f.core.clock, d)
+	hollowgrade.Sleep(ctx, f.core.clock, p.Hold)
 	return f.core.clock.Since(begin)
 }
 
@@ -123,23 +108,23 @@
 
 // Try implements [Work].
 func (f *flow) Try(ctx context.Context, n, left int) Try {
-	d := newDemand(f.service, f.route, f.call, f.deadline.Sub(f.core.clock.Now()))
-	d.begun = f.began
-	p := f.core.fleet.pick(d, f.tried)
+	r := newRequest(f.service, f.route, f.call, f.deadline.Sub(f.core.clock.Now()))
+	r.Begun = f.began
+	p := f.core.fleet.pick(f.service.Name, r, f.tried)
 	if p == nil {
 		return Try{Err: fault.New(fault.NoUpstream, "no upstream of service %s can be tried, %d were", f.service.Name, len(f.tried)).
 			WithRetryAfter(shortRetry)}
 	}
-	if p.refused {
+	if p.Refused {
 		return Try{Err: f.refuse(p)}
 	}
 	u := p.upstream()
 	f.tried[u.ID] = true
 	f.upstreams = append(f.upstreams, u.ID)
 	if n == 1 {
-		f.predicted = p.first
+		f.predicted = p.First
 	}
-	a := &attempt{flow: f, placed: p, number: n, last: left == 1}
+	a := &attempt{flow: f, pick: p, number: n, last: left == 1}
 	err := f.prepare(ctx, a)
 	defer a.tickets.end()
 	if err != nil {
@@ -157,7 +142,7 @@
 // prepare does what comes between the pick of an attempt and its sending. The
 // upstreams may have begun to leave meanwhile.
 func (f *flow) prepare(ctx context.Context, a *attempt) (err error) {
-	p := a.placed
+	p := a.pick
 	a.held = f.hold(ctx, p)
 	if a.tickets, err = f.core.setAside(ctx, f.call.ID, a.number, p); err != nil {
 		f.noMemory++
@@ -172,9 +157,9 @@
 
 // logSent tells of a sending.
 func (f *flow) logSent(a *attempt, left time.Duration) {
-	p := a.placed
+	p := a.pick
 	f.core.log.Info("sent", "request", f.call.ID, "attempt", a.number, "upstream", p.upstream().ID, "service", f.service.Name,
-		"helpers", ids(p.helpers), "reading_ms", p.reading.Milliseconds(), "predicted_ms", p.first.Milliseconds(),
+		"helpers", ids(p.helpers), "reading_ms", p.Reading.Milliseconds(), "predicted_ms", p.First.Milliseconds(),
 		"held_ms", a.held.Milliseconds(), "after", f.after, "left_ms", left.Milliseconds(),
 		"version", f.catalog.Version, "age_ms", f.age.Milliseconds())
 }
@@ -189,11 +174,11 @@
 
 // refuse says that a long prompt is not worth what it would take from others
 // now.
-func (f *flow) refuse(p *placed) error {
-	f.core.log.Info("not sent", "request", f.call.ID, "prompt_tokens", f.call.PromptTokens, "predicted_ms", p.first.Milliseconds(),
+func (f *flow) refuse(p *pick) error {
+	f.core.log.Info("not sent", "request", f.call.ID, "prompt_tokens", f.call.PromptTokens, "predicted_ms", p.First.Milliseconds(),
 		"goal_ms", f.route.Goal.Milliseconds(), "engines", 1+len(p.helpers))
-	return fault.New(fault.CannotMakeIt, "the first event would come after %s, and the engines are needed for others", p.first.Round(time.Millisecond)).
-		WithRetryAfter(min(max(p.first/2, shortRetry), longRetry))
+	return fault.New(fault.CannotMakeIt, "the first event would come after %s, and the engines are needed for others", p.First.Round(time.Millisecond)).
+		WithRetryAfter(min(max(p.First/2, shortRetry), longRetry))
 }
 
 // longRetry is when to come back at the latest: the engines' backlog of a burst
@@ -207,9 +192,9 @@
 	t.Err = x
 	switch x.Code {
 	case fault.UpstreamLost, fault.AnswerCut:
-		f.core.fleet.failed(a.placed.member, f.call.ID, err.Error())
+		f.core.fleet.failed(a.pick.member, f.call.ID, err.Error())
 	}
-	f.core.log.Info("attempt failed", "request", f.call.ID, "upstream", a.placed.upstream().ID, "code", x.Code,
+	f.core.log.Info("attempt failed", "request", f.call.ID, "upstream", a.pick.upstream().ID, "code", x.Code,
 		"outcome", x.Outcome, "events", f.events, "err", err)
 	return t
 }
--- a/core/golden_test.go
+++ b/core/golden_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/engine"
+	"github.com/hollowgrade/hollowgrade/placement"
 )
 
 var update = flag.Bool("update", false, "write the files of expected results anew")
@@ -36,22 +37,22 @@
 	return f
 }
 
-// drawnDemand is a call of one of three kinds, or one for a plain service.
-func drawnDemand(r *rand.Rand) demand {
-	d := demand{service: Service{Name: "e", Engine: drawnFigures(r)}, left: time.Duration(r.IntN(15_000)) * time.Millisecond}
+// drawnRequest is a call of one of three kinds, or one for a plain service.
+func drawnRequest(r *rand.Rand) placement.Request {
+	d := placement.Request{Engine: drawnFigures(r), Left: time.Duration(r.IntN(15_000)) * time.Millisecond}
 	switch r.IntN(7) {
 	case 0:
-		d.service.Engine = nil
-		d.goal = 300 * time.Millisecond
+		d.Engine = nil
+		d.Goal = 300 * time.Millisecond
 	case 1, 2:
-		d.prompt, d.out, d.goal, d.pause = 500+r.IntN(20_000), 1500, 300*time.Millisecond, 250*time.Millisecond
+		d.Prompt, d.Answer, d.Goal, d.Pause = 500+r.IntN(20_000), 1500, 300*time.Millisecond, 250*time.Millisecond
 	case 3, 4:
-		d.prompt, d.out, d.goal, d.pause = 10_000+r.IntN(90_000), 900, 1500*time.Millisecond, 600*time.Millisecond
+		d.Prompt, d.Answer, d.Goal, d.Pause = 10_000+r.IntN(90_000), 900, 1500*time.Millisecond, 600*time.Millisecond
 	default:
-		d.prompt, d.out, d.goal, d.pause = 60_000+r.IntN(840_000), 700, 3*time.Second, time.Second
+		d.Prompt, d.Answer, d.Goal, d.Pause = 60_000+r.IntN(840_000), 700, 3*time.Second, time.Second
 	}
-	d.again = r.IntN(3) == 0
-	d.begun = r.IntN(20) == 0
+	d.Again = r.IntN(3) == 0
+	d.Begun = r.IntN(20) == 0
 	return d
 }
 
@@ -70,7 +71,8 @@
 		n := int(busy * float64(r.IntN(20)))
 		s := Share{Open: n, Tokens: n * (2000 + r.IntN(20_000))}
 		for range n {
-			s.Stakes = s.Stakes.plus(stake([]time.Duration{250, 600, 1000}[r.IntN(3)]*time.Millisecond, 1+3*r.Float64()), 1)
+			c := placement.Request{Pause: []time.Duration{250, 600, 1000}[r.IntN(3)] * time.Millisecond, Prompt: int(30_000 * r.Float64())}
+			s.Stakes = s.Stakes.Plus(c.Stakes())
 		}
 		f.setView(f.views["b"], m.ID, s)
 		if r.Float64() < busy {
@@ -87,12 +89,12 @@
 }
 
 // describe writes a decision as one line.
-func describe(p *placed) string {
+func describe(p *pick) string {
 	if p == nil {
 		return "none"
 	}
 	return fmt.Sprintf("%s helpers %s holders %s of %d reading %s first %s wait %s cost %.4f refused %v", p.member.ID,
-		strings.Join(ids(p.helpers), ","), strings.Join(ids(p.holders), ","), p.tokens, p.reading, p.first, p.wait, p.cost, p.refused)
+		strings.Join(ids(p.helpers), ","), strings.Join(ids(p.keepers), ","), p.Kept, p.Reading, p.First, p.Wait, p.Cost, p.Refused)
 }
 
 // The decisions for drawn situations are those of the file. A change of policy
@@ -108,7 +110,7 @@
 			if r.IntN(6) == 0 {
 				tried["u00"] = true
 			}
-			fmt.Fprintf(&b, "%d %s\n", seed, describe(f.pick(drawnDemand(r), tried)))
+			fmt.Fprintf(&b, "%d %s\n", seed, describe(f.pick("e", drawnRequest(r), tried)))
 		}
 		if *update {
 			require.NoError(t, os.WriteFile(path, b.Bytes(), 0o600))
--- a/core/plan.go
+++ b/core/plan.go
@@ -15,21 +15,21 @@
 	Refused  bool          // it would take more from others than it is worth
 	Predict  time.Duration // first event, as predicted
 
-	placed *placed
+	pick *pick
 }
 
 // Plan decides for a call as [Core.Serve] does, and accounts for it. It returns
 // false if there is no upstream. What was planned and not refused is ended with
 // [Fleet.Done].
 func (f *Fleet) Plan(s Service, r Route, c hollowgrade.Call, left time.Duration) (p Plan, ok bool) {
-	x := f.pick(newDemand(s, r, c, left), nil)
+	x := f.pick(s.Name, newRequest(s, r, c, left), nil)
 	if x == nil {
 		return p, false
 	}
-	if x.refused {
-		return Plan{Refused: true, Predict: x.first}, true
+	if x.Refused {
+		return Plan{Refused: true, Predict: x.First}, true
 	}
-	p = Plan{Upstream: x.member.ID, Hold: x.holdFor(r.Goal), Predict: x.first, placed: x}
+	p = Plan{Upstream: x.member.ID, Hold: x.Hold, Predict: x.First, pick: x}
 	for _, h := range x.helpers {
 		p.Helpers = append(p.Helpers, h.ID)
 	}
@@ -38,5 +38,5 @@
 
 // Done ends the account of a plan. Began says whether its answer had begun.
 func (f *Fleet) Done(p Plan, began bool) {
-	f.over(p.placed, began)
+	f.over(p.pick, began)
 }
--- a/core/ticket.go
+++ b/core/ticket.go
@@ -8,14 +8,10 @@
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
-	"github.com/hollowgrade/hollowgrade/engine"
 	"github.com/hollowgrade/hollowgrade/fault"
 )
 
 const (
-	// partShare is the part of an engine's memory that one prompt takes at the
-	// most; a longer prompt is kept at several.
-	partShare = 0.45
 	// ticketHold is for how long memory is set aside at a time. Memory whose
 	// release got lost is free again after it, and it has to be within the
 	// deployment's bound, 4 s after the request is over.
@@ -26,55 +22,46 @@
 	releaseTries = 2
 )
 
-// keepers returns at how many engines a prompt has to be kept.
-func keepers(d demand, e *engine.Figures) int {
-	if float64(d.prompt+d.out) <= memoryShare*float64(e.Capacity) {
-		return 1
-	}
-	part := partShare * float64(e.Capacity)
-	return int(float64(d.prompt+d.out)/part) + 1
-}
-
 // tickets is memory that is set aside at several engines for one prompt.
 type tickets struct {
 	core    *Core
 	id      string
 	request string
-	holders []*member
+	keepers []*member
 	at      map[*member]hollowgrade.Upstream
-	tokens  int // at each holder
+	tokens  int // at each keeper
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 }
 
-// setAside sets memory aside at the holders of a pick. It returns nil if the
+// setAside sets memory aside at the keepers of a pick. It returns nil if the
 // prompt needs none.
-func (c *Core) setAside(ctx context.Context, request string, n int, p *placed) (t *tickets, err error) {
-	if len(p.holders) == 0 {
+func (c *Core) setAside(ctx context.Context, request string, n int, p *pick) (t *tickets, err error) {
+	if len(p.keepers) == 0 {
 		return nil, nil
 	}
-	t = &tickets{core: c, id: fmt.Sprintf("%s.%d", request, n), request: request, holders: p.holders, at: p.at, tokens: p.tokens}
+	t = &tickets{core: c, id: fmt.Sprintf("%s.%d", request, n), request: request, keepers: p.keepers, at: p.at, tokens: p.Kept}
 	es := t.each(func(m *member) error {
 		return c.reserver.Reserve(ctx, p.at[m], t.id, t.tokens, ticketHold)
 	})
 	err = errors.Join(es...)
-	c.log.Info("memory asked for", "request", request, "ticket", t.id, "engines", len(t.holders), "tokens", t.tokens, "err", err)
+	c.log.Info("memory asked for", "request", request, "ticket", t.id, "engines", len(t.keepers), "tokens", t.tokens, "err", err)
 	r, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	t.cancel = cancel
 	if err != nil {
 		t.end()
-		return nil, fault.New(fault.Overloaded, "memory for the prompt was not free at %d engines", len(t.holders)).
+		return nil, fault.New(fault.Overloaded, "memory for the prompt was not free at %d engines", len(t.keepers)).
 			WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetry)
 	}
 	t.group.Go(func() { t.renew(r) })
 	return t, nil
 }
 
-// each calls a function for each holder at once.
+// each calls a function for each keeper at once.
 func (t *tickets) each(f func(m *member) error) []error {
-	es := make([]error, len(t.holders))
+	es := make([]error, len(t.keepers))
 	var g sync.WaitGroup
-	for i, m := range t.holders {
+	for i, m := range t.keepers {
 		g.Go(func() { es[i] = f(m) })
 	}
 	g.Wait()
@@ -115,15 +102,15 @@
 		}
 		return err
 	})
-	t.core.log.Info("memory freed", "request", t.request, "ticket", t.id, "engines", len(t.holders), "err", errors.Join(es...))
+	t.core.log.Info("memory freed", "request", t.request, "ticket", t.id, "engines", len(t.keepers), "err", errors.Join(es...))
 }
 
 // helpersOf lists the engines that read parts for a pick, those that keep parts
 // first.
-func (t *tickets) helpersOf(p *placed) (hs []hollowgrade.Helper) {
+func (t *tickets) helpersOf(p *pick) (hs []hollowgrade.Helper) {
 	kept := map[*member]bool{}
 	if t != nil {
-		for _, m := range t.holders {
+		for _, m := range t.keepers {
 			kept[m] = true
 			hs = append(hs, hollowgrade.Helper{Address: p.at[m].Address, Ticket: t.id})
 		}
--- a/core/ticket_test.go
+++ b/core/ticket_test.go
@@ -27,7 +27,7 @@
 	c := New(f, f, WithLogger(quiet()))
 	c.started = c.started.Add(-time.Minute)
 	r := Route{Name: "r", Host: "h", Prefix: "/", Repeat: Resume, Stream: true, Timeout: 20 * time.Second, Goal: 3 * time.Second, PauseGoal: 800 * time.Millisecond, Targets: []Target{{"e", 1}}, MaxAttempts: 2}
-	c.SetCatalog(NewCatalog(1, []Route{r}, []Service{engineService()}, nil, Limits{}))
+	c.SetCatalog(NewCatalog(1, []Route{r}, []Service{{Name: "e", Engine: figures()}}, nil, Limits{}))
 	for id := range newFleet("e", engines).members {
 		c.Fleet().Put(hollowgrade.Upstream{ID: id, Service: "e", Address: id + ":1"})
 	}
@@ -60,7 +60,7 @@
 			synctest.Wait()
 			require.Zero(t, f.held())
 			s := f.sendings()[0]
-			require.Len(t, s.Helpers, maxHelpers)
+			require.Len(t, s.Helpers, mostHelpers)
 			for i, h := range s.Helpers {
 				require.Equal(t, i < 4, h.Ticket != "", "those that keep parts come first")
 			}
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -23,6 +23,7 @@
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/placement"
 )
 
 const (
@@ -326,7 +327,7 @@
 }
 
 // encodeStakes leaves out the classes at the end in which nothing is at stake.
-func encodeStakes(s core.Stakes) (ns []int32) {
+func encodeStakes(s placement.Stakes) (ns []int32) {
 	for i, n := range s {
 		if n == 0 {
 			continue
@@ -339,7 +340,7 @@
 	return ns
 }
 
-func decodeStakes(ns []int32) (s core.Stakes) {
+func decodeStakes(ns []int32) (s placement.Stakes) {
 	for i, n := range ns[:min(len(ns), len(s))] {
 		s[i] = int(n)
 	}
--- a/loadview/loadview_test.go
+++ b/loadview/loadview_test.go
@@ -18,6 +18,7 @@
 	"github.com/hollowgrade/hollowgrade/engine"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/placement"
 )
 
 func newFleet() *core.Fleet {
@@ -126,10 +127,10 @@
 }
 
 func TestStakesOverTheWire(t *testing.T) {
-	for _, s := range []core.Stakes{{}, {1}, {0, 0, 7}, {1, 2, 3, 4, 5}} {
+	for _, s := range []placement.Stakes{{}, {1}, {0, 0, 7}, {1, 2, 3, 4, 5}} {
 		require.Equal(t, s, decodeStakes(encodeStakes(s)))
 	}
-	require.Equal(t, core.Stakes{1, 2, 3, 4, 5}, decodeStakes([]int32{1, 2, 3, 4, 5, 6}), "classes of a newer peer are passed over")
+	require.Equal(t, placement.Stakes{1, 2, 3, 4, 5}, decodeStakes([]int32{1, 2, 3, 4, 5, 6}), "classes of a newer peer are passed over")
 }
 
 func word(sequence uint64, whole bool, open ...int32) *wire.LoadView {
@@ -185,7 +186,7 @@
 func TestFramesFitIntoPackets(t *testing.T) {
 	cs := map[string]core.Share{}
 	for i := range 100 {
-		cs[fmt.Sprintf("i-%016d", i)] = core.Share{Open: 1 << 20, Stakes: core.Stakes{1 << 20, 1 << 20, 1 << 20, 1 << 20, 1 << 20}, Given: 24 * time.Hour, Tokens: 1 << 24}
+		cs[fmt.Sprintf("i-%016d", i)] = core.Share{Open: 1 << 20, Stakes: placement.Stakes{1 << 20, 1 << 20, 1 << 20, 1 << 20, 1 << 20}, Given: 24 * time.Hour, Tokens: 1 << 24}
 	}
 	s := New("box-of-a-long-name-in-a-data-hall/incarnation", newFleet(), func() []string { return nil })
 	told := 0
--- /dev/null
+++ b/placement/long.go
@@ -0,0 +1,255 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade/engine"
+)
+
+const (
+	// splitFrom is the prompt length from which reading is shared with helpers,
+	// and maxHelpers how many the engines take. Even parts from 9,000 tokens on
+	// did best of five settings (docs/design/placement.md).
+	splitFrom  = 9_000
+	maxHelpers = 16
+	// lateShare is the part of a call's worth that is lost when it is late.
+	lateShare = 0.75
+)
+
+// longOrShort places a call whose prompt several engines may read. An answer
+// whose prompt was split makes each step of its engine longer, so that splitting
+// costs more the busier the engines are.
+func (p *Policy) longOrShort(s Snapshot, r Request) (Plan, bool) {
+	l, ok := p.long(s, r)
+	e := r.Engine
+	if !ok || keepers(r, e) > 1 {
+		return l, ok
+	}
+	a, ok := p.short(s, r)
+	if !ok {
+		return l, true
+	}
+	alone := s.Candidates[a.Target].harm(r, a.Reading)*lateShare + r.Worth()*lateShare*lateness(a.First, r.Goal)
+	split := l.Cost + busyShare(s.Candidates, e)*engineSecond*e.Hops(r.Answer).Seconds()
+	if alone <= split {
+		return a, true
+	}
+	return l, true
+}
+
+// busyShare is how much a second of an engine is needed by others, from 0 to 1:
+// by what waits to be read, or by the slots that are taken.
+func busyShare(cs []Candidate, e *engine.Figures) float64 {
+	slots := float64(openCalls(cs))/float64(max(e.Slots*len(cs), 1))/fullFrom - 1
+	reading := float64(meanReading(cs)) / float64(saturatedFrom)
+	return min(max(slots, reading, leastBusy), 1)
+}
+
+// meanReading returns how much engines have still to read on average.
+func meanReading(cs []Candidate) (d time.Duration) {
+	for i := range cs {
+		d += cs[i].Reading
+	}
+	return d / time.Duration(max(len(cs), 1))
+}
+
+const (
+	// fullFrom is the part of all slots from which on slots are counted as
+	// needed; at twice as much they are needed wholly.
+	fullFrom = 0.45
+	// leastBusy is the least of what a second of an engine is counted as.
+	leastBusy = 0.1
+)
+
+// long places a call whose prompt several engines read in even parts. It weighs
+// how soon the first event would come against how many calls would see a pause
+// that is too long for them.
+func (p *Policy) long(s Snapshot, r Request) (l Plan, ok bool) {
+	e := r.Engine
+	cs, at := usable(s.Candidates)
+	if len(cs) == 0 || len(cs) < keepers(r, e) {
+		return l, false
+	}
+	l.Busy = busyShare(cs, e)
+	set, reading, cost := cheapestSet(cs, r)
+	l.Reading, l.Cost = reading, cost
+	target := cheapestOf(cs, set, r)
+	for _, i := range set {
+		l.Wait = max(l.Wait, cs[i].Reading)
+		l.First = max(l.First, e.First(cs[i].state(r), l.Reading))
+		if i != target {
+			l.Helpers = append(l.Helpers, i)
+		}
+	}
+	l.keep(cs, r)
+	l.Refused = !r.worthwhile(l.First, l.Cost, l.Busy)
+	l.Target = at[target]
+	translate(l.Helpers, at)
+	translate(l.Keepers, at)
+	return l, true
+}
+
+// usable returns the candidates that may read parts of a prompt, and where each of
+// them stands among all.
+func usable(all []Candidate) (cs []Candidate, at []int) {
+	cs = make([]Candidate, 0, len(all))
+	at = make([]int, 0, len(all))
+	for i := range all {
+		if !all[i].Tried && !all[i].Avoided {
+			cs = append(cs, all[i])
+			at = append(at, i)
+		}
+	}
+	return cs, at
+}
+
+// translate replaces indices by those of the same candidates among all.
+func translate(is, at []int) {
+	for i := range is {
+		is[i] = at[is[i]]
+	}
+}
+
+// cheapestOf returns the engine of a set that answers: the one with room in its
+// slots and its memory.
+func cheapestOf(cs []Candidate, set []int, r Request) (best int) {
+	least := 0.0
+	for n, i := range set {
+		c := &cs[i]
+		x := memoryCost(c, r) + crowding(c.Open, 0, r.Engine.Slots) + float64(c.Tokens)/float64(r.Engine.Capacity)
+		if n == 0 || x < least {
+			best, least = i, x
+		}
+	}
+	return best
+}
+
+// What a second of an engine's reading is worth to others depends on how much
+// all engines have still to read: nothing while they are idle, and the worth of
+// prompts of middling length, which read best for their worth among the long
+// ones, once some reading waits everywhere. Rounds with 5 to 12 and with 0.5 to
+// 1 s differed by less than the noise (docs/design/placement.md).
+const (
+	engineSecond  = 8.0
+	saturatedFrom = 600 * time.Millisecond
+	// refusedAgain is the part of its worth that is lost beside it when a call
+	// that came back after a refusal is refused again.
+	refusedAgain = 0.3
+)
+
+// worthwhile reports whether a long prompt is worth the reading that it takes.
+// Cost is what is lost by it, its own lateness among it, busy how much a second of
+// an engine is needed by others.
+func (r Request) worthwhile(first time.Duration, cost, busy float64) bool {
+	if r.Begun {
+		return true
+	}
+	if first > r.Left {
+		return false
+	}
+	gain := r.Worth() - cost
+	if r.Again {
+		gain += refusedAgain * r.Worth()
+	}
+	work := r.Engine.Reading(r.Prompt, 1).Seconds()
+	return gain >= busy*engineSecond*work
+}
+
+// keep picks the helpers that keep parts of a prompt that is too long for the
+// memory of one engine: those with the most memory free.
+func (l *Plan) keep(cs []Candidate, r Request) {
+	n := keepers(r, r.Engine)
+	if n == 1 {
+		return
+	}
+	l.Keepers = slices.Clone(l.Helpers)
+	slices.SortStableFunc(l.Keepers, func(a, b int) int { return cmp.Compare(cs[a].Tokens, cs[b].Tokens) })
+	l.Keepers = l.Keepers[:min(n-1, len(l.Keepers))]
+	l.Kept = (r.Prompt + n - 1) / n
+}
+
+// cheapestSet returns the engines that read a prompt in even parts at the least
+// cost, how long a part takes, and the cost. For each number of parts, and each
+// bound on what an engine has yet to read, it looks at those within the bound on
+// which the least is lost by longer pauses.
+func cheapestSet(cs []Candidate, r Request) (best []int, part time.Duration, least float64) {
+	e := r.Engine
+	is := leastBurdened(cs, r)
+	for n := keepers(r, e); n <= min(len(is), 1+maxHelpers); n++ {
+		t := e.Reading(r.Prompt, n)
+		hs := harms(cs, is, r, t)
+		for within := n; within <= len(is); within++ {
+			first := e.First(cs[is[within-1]].state(r), t)
+			late := r.Worth() * lateShare * lateness(first, r.Goal)
+			if best != nil && late >= least {
+				break // it only becomes later with what has more to read
+			}
+			set, lost := leastHarm(hs, n, within)
+			if c := lost*lateShare + late; best == nil || c < least {
+				best, part, least = set, t, c
+			}
+		}
+	}
+	return best, part, least
+}
+
+// setSample bounds the engines that a long prompt is weighed against: several
+// times as many as can read parts of it.
+const setSample = 64
+
+// leastBurdened returns engines by what they have to read, the least first; of
+// many, those at which a part of the prompt does the least harm.
+func leastBurdened(cs []Candidate, r Request) []int {
+	is := make([]int, len(cs))
+	for i := range is {
+		is[i] = i
+	}
+	if len(is) > setSample {
+		hs := harms(cs, is, r, r.Engine.Reading(r.Prompt, 1+maxHelpers))
+		for i, h := range hs[:setSample] {
+			is[i] = h.engine
+		}
+		is = is[:setSample]
+	}
+	slices.SortStableFunc(is, func(a, b int) int { return cmp.Compare(cs[a].Reading, cs[b].Reading) })
+	return is
+}
+
+// harm is what is lost when a part of a prompt is read at an engine.
+type harm struct {
+	engine int
+	place  int // of the engine in the order by what it has to read
+	lost   float64
+}
+
+// harms returns what is lost at each engine, the least first.
+func harms(cs []Candidate, is []int, r Request, part time.Duration) []harm {
+	hs := make([]harm, len(is))
+	for place, i := range is {
+		hs[place] = harm{i, place, cs[i].harm(r, part)}
+	}
+	slices.SortStableFunc(hs, func(a, b harm) int { return cmp.Compare(a.lost, b.lost) })
+	return hs
+}
+
+// harm returns the worth of the calls at the engine that would see a pause too
+// long for them only because of the part.
+func (c *Candidate) harm(r Request, part time.Duration) float64 {
+	s := c.state(r)
+	return c.Stakes.Lost(r.Engine.Pause(s, 0), r.Engine.Pause(s, part))
+}
+
+// leastHarm returns the n engines at which the least is lost among the first in
+// the order by what they have to read, and how much is.
+func leastHarm(hs []harm, n, within int) (set []int, lost float64) {
+	set = make([]int, 0, n)
+	for _, h := range hs {
+		if h.place < within && len(set) < n {
+			set = append(set, h.engine)
+			lost += h.lost
+		}
+	}
+	return set, lost
+}
--- /dev/null
+++ b/placement/short.go
@@ -0,0 +1,132 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/hollowgrade/hollowgrade/engine"
+)
+
+const (
+	// packShare is the part of an engine's slots up to which calls that bear
+	// short pauses are packed on the same engines, so that long prompts find
+	// others on which they hold nobody up.
+	packShare = 0.625
+	// orderCost is by how much the last engine of the common order costs more
+	// than the first: more than what a few writers more make of a prediction, and
+	// less than a pause that is too long.
+	orderCost = 0.15
+	// memoryShare is the part of an engine's memory that placement fills;
+	// beyond, the engine would preempt.
+	memoryShare = 0.95
+)
+
+// short places a call whose prompt is read by one engine. Calls that bear short
+// pauses only are packed on the first engines of the common order that have room,
+// away from those that read long prompts.
+func (p *Policy) short(s Snapshot, r Request) (l Plan, ok bool) {
+	e := r.Engine
+	cs := s.Candidates
+	l.Reading = e.Reading(r.Prompt, 1)
+	pack := max(int(packShare*s.Heard*float64(e.Slots)), 1)
+	lane := laneWidth(cs, pack)
+	l.Target = cheapest(cs, func(i int, c *Candidate) float64 {
+		t := c.state(r)
+		x := lateness(e.First(t, l.Reading), r.Goal)
+		if r.Pause > 0 && e.Pause(t, l.Reading) > r.Pause {
+			x++ // it would begin within a pass that is too long for it
+		}
+		x += crowding(c.Open, pack, e.Slots)
+		x += memoryCost(c, r)
+		return x + orderCost*float64(max(i-lane+1, 0))/float64(len(cs)) + spreadShare*s.Chance()
+	})
+	if l.Target < 0 {
+		return l, false
+	}
+	l.First = e.First(cs[l.Target].state(r), l.Reading)
+	return l, true
+}
+
+// Calls that come to many gateways at one moment, before they have heard of
+// each other's picks, would all go to the same engine. So the first engines of
+// the common order that have this much room together count alike, and chance
+// decides among those of about the same cost.
+const (
+	leastRoom   = 2    // calls
+	roomShare   = 0.05 // of those that are open
+	spreadShare = 0.1  // of a call's worth, less than a pause that is too long
+)
+
+// laneWidth returns how many engines of the common order count alike.
+func laneWidth(cs []Candidate, pack int) (n int) {
+	need := max(leastRoom, int(roomShare*float64(openCalls(cs))))
+	for i := range cs {
+		if need <= 0 {
+			break
+		}
+		need -= max(pack-cs[i].Open, 0)
+		n++
+	}
+	return n
+}
+
+// openCalls returns how many calls the candidates have together.
+func openCalls(cs []Candidate) (n int) {
+	for i := range cs {
+		n += cs[i].Open
+	}
+	return n
+}
+
+// Predictions are off by a third now and then: an answer that is predicted well
+// within its goal will be in time, one that is predicted somewhat beyond it
+// will not.
+const (
+	surelyInTime = 0.5
+	surelyLate   = 1.1
+	perGoalMore  = 0.1 // cost of each further goal that it is late by
+)
+
+// lateness estimates the chance that a call is late, and rises slowly beyond
+// that, so that a late answer is still not put off further.
+func lateness(first, goal time.Duration) float64 {
+	if goal <= 0 {
+		return 0
+	}
+	r := float64(first) / float64(goal)
+	chance := min(max((r-surelyInTime)/(surelyLate-surelyInTime), 0), 1)
+	return chance + perGoalMore*r
+}
+
+// crowding is the cost of an engine's calls beyond those that are packed on it.
+// It is over 1 once the slots are full: then a call would wait for one.
+func crowding(open, pack, slots int) float64 {
+	switch {
+	case open < pack:
+		return 0
+	case open < slots:
+		return float64(open-pack+1) / float64(slots-pack+1)
+	default:
+		return float64(2 + open - slots)
+	}
+}
+
+// memoryCost is high where the call does not fit into an engine's memory.
+func memoryCost(c *Candidate, r Request) float64 {
+	if float64(c.Tokens+r.Prompt+r.Answer) > memoryShare*float64(r.Engine.Capacity) {
+		return 3
+	}
+	return 0
+}
+
+// partShare is the part of an engine's memory that one prompt takes at the most;
+// a longer prompt is kept at several.
+const partShare = 0.45
+
+// keepers returns at how many engines a prompt has to be kept.
+func keepers(r Request, e *engine.Figures) int {
+	if float64(r.Prompt+r.Answer) <= memoryShare*float64(e.Capacity) {
+		return 1
+	}
+	part := partShare * float64(e.Capacity)
+	return int(float64(r.Prompt+r.Answer)/part) + 1
+}
