core, setting: keys stay good through an outage of the store where operators allow it

Ruled out: taking missing keys as wrong in an outage; readiness as it was, since the balancer then leads callers to boxes that know as little.

The other customers are strict, nothing changes there.

--- a/core/core.go
+++ b/core/core.go
@@ -17,13 +17,19 @@
 // Bounds are the promises of a deployment that the path has to keep.
 type Bounds struct {
 	KeyFreshness time.Duration // longest time for which a key may be taken as good without word of the configuration
+	KeyOutage    time.Duration // further time for which a key that was good is, while the configuration cannot be confirmed
 	Freshness    time.Duration // longest time for which a missing route or key is taken as gone
 	RetryRatio   float64       // repeats for each first send, over all processes and each window
 	RetrySlack   float64       // further repeats in each window, over all processes
 	RetryWindow  time.Duration
 }
 
-// freshnessMargin is taken off [Bounds.KeyFreshness] for clocks that differ in
+// keyAge returns the age of the configuration up to which its keys are good.
+func (b *Bounds) keyAge() time.Duration {
+	return b.KeyFreshness + b.KeyOutage
+}
+
+// freshnessMargin is taken off the age up to which keys are good for clocks that differ in
 // speed and for the time between a caller's send and the check.
 const freshnessMargin = 300 * time.Millisecond
 
@@ -232,7 +238,7 @@
 		return missing(fault.New(fault.NoRoute, "no route for %s%s", f.call.Host, f.call.Path))
 	}
 	if f.catalog.NeedsKey(f.route) {
-		if !known || f.age > c.bounds.Load().KeyFreshness-freshnessMargin {
+		if !known || f.age > c.bounds.Load().keyAge()-freshnessMargin {
 			return stale(f)
 		}
 		if f.organisation, ok = f.catalog.Owner(f.call.Key); !ok {
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -348,6 +348,16 @@
 		require.Equal(t, fault.StaleConfig, code(same))
 		require.Empty(t, code(public))
 	})
+	t.Run("too old to admit a key, and an outage is allowed for", func(t *testing.T) {
+		b := DefaultBounds()
+		b.KeyOutage = time.Minute
+		c.SetBounds(b)
+		defer c.SetBounds(DefaultBounds())
+		require.Empty(t, code(same))
+		require.Equal(t, fault.StaleConfig, code(wrongKey))
+		age += time.Minute
+		require.Equal(t, fault.StaleConfig, code(same))
+	})
 	t.Run("never confirmed", func(t *testing.T) {
 		known = false
 		require.Equal(t, fault.StaleConfig, code(same))
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -172,6 +172,7 @@
 func bounds(c setting.Gateway) core.Bounds {
 	return core.Bounds{
 		KeyFreshness: c.KeyFreshness,
+		KeyOutage:    c.KeyOutage,
 		Freshness:    c.Freshness,
 		RetryRatio:   c.RetryRatio,
 		RetrySlack:   c.RetrySlack,
@@ -199,7 +200,7 @@
 		n.log.SetLevel(l)
 	}
 	restart := c.Callers != old.Callers || c.Readiness != old.Readiness || c.Peers != old.Peers || c.Store != old.Store
-	n.log.Info("settings reloaded", "path", path, "key_freshness_ms", c.KeyFreshness.Milliseconds(),
+	n.log.Info("settings reloaded", "path", path, "key_freshness_ms", c.KeyFreshness.Milliseconds(), "key_outage_ms", c.KeyOutage.Milliseconds(),
 		"retry_ratio", c.RetryRatio, "retry_slack", c.RetrySlack, "needs_restart", restart)
 	return nil
 }
@@ -214,7 +215,7 @@
 		return false, "no configuration yet"
 	case n.Core.Fleet().Size() == 0:
 		return false, "no upstream is known"
-	case !known || age > n.settings.Load().KeyFreshness:
+	case !known || age > n.settings.Load().KeyAge():
 		return false, "the configuration may be out of date"
 	default:
 		return true, ""
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -232,6 +232,29 @@
 	require.Empty(t, s.workers[0].Seen())
 }
 
+// Found on trouble-3 of ampct-valico: the store was away for eight seconds, and no
+// call was served in three of them although revocation is not strict there.
+func TestKeysStayGoodThroughAnOutageWhereThatIsAllowed(t *testing.T) {
+	s := newScene(t, platformtest.Echo)
+	g := startGateway(t, s.store.Address(), func(c *setting.Gateway) {
+		c.KeyFreshness, c.Freshness, c.KeyOutage = time.Second, 100*time.Millisecond, time.Hour
+	})
+	g.waitReady(t)
+	s.store.SetMode(platformtest.Silent)
+	require.Eventually(t, func() bool { age, _ := g.config.Age(); return age > time.Second }, 20*time.Second, time.Millisecond)
+	t.Run("a key that was good is good", func(t *testing.T) {
+		st, _, err := g.call(t, "/once/x", "a1", "k1")
+		require.NoError(t, err)
+		require.Equal(t, 200, st)
+		g.waitReady(t)
+	})
+	t.Run("one that is missing may have been added since", func(t *testing.T) {
+		st, _, err := g.call(t, "/once/x", "a2", "k9")
+		require.NoError(t, err)
+		require.Equal(t, 503, st)
+	})
+}
+
 func TestStoreThatTurnsOneGatewayAway(t *testing.T) {
 	s := newScene(t, platformtest.Echo)
 	away := platformtest.NewStore()
--- a/setting/gateway.go
+++ b/setting/gateway.go
@@ -19,6 +19,7 @@
 	FleetWait    time.Duration `help:"The same for the registry of upstreams." default:"3s" min:"100ms" max:"10s" group:"platform"`
 	MembersWait  time.Duration `help:"The same for the list of gateways." default:"20s" min:"100ms" max:"30s" group:"platform"`
 	KeyFreshness time.Duration `help:"Longest time for which a key is taken as good without word of the configuration: a key that was revoked that long ago admits nothing any more." default:"5s" min:"1s" group:"promises"`
+	KeyOutage    time.Duration `help:"Further time for which a key that was good stays good while the configuration cannot be confirmed. 0 where a revoked key has to end on time whatever the store does; more lets callers be served while the store is away, at the risk that a key which is revoked meanwhile is served as well." default:"0s" min:"0s" max:"24h" group:"promises"`
 	Freshness    time.Duration `help:"Longest time for which a route or key that is missing is taken as gone rather than as not yet known." default:"2s" min:"100ms" group:"promises"`
 	RetryRatio   float64       `help:"Repeats for each first send to a service, over all gateways and each window." default:"0.2" min:"0" max:"1" group:"retries"`
 	RetrySlack   float64       `help:"Further repeats to a service in each window, over all gateways." default:"100" min:"0" group:"retries"`
@@ -39,6 +40,11 @@
 	return min(g.ConfigWait, (g.KeyFreshness-freshnessSlack)/2)
 }
 
+// KeyAge returns the age of the configuration up to which its keys are good.
+func (g Gateway) KeyAge() time.Duration {
+	return g.KeyFreshness + g.KeyOutage
+}
+
 // Validate checks what the tags cannot say.
 func (g *Gateway) Validate() error {
 	if g.Linger >= g.Grace {
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -88,6 +88,15 @@
 		g.Linger = g.Grace
 		require.ErrorContains(t, g.Validate(), "linger")
 	})
+	t.Run("keys end with key_freshness unless an outage is allowed for", func(t *testing.T) {
+		g := g
+		require.Equal(t, g.KeyFreshness, g.KeyAge())
+		g.KeyOutage = time.Minute
+		require.Equal(t, g.KeyFreshness+time.Minute, g.KeyAge())
+		require.NoError(t, g.Validate())
+		g.KeyOutage = -time.Second
+		require.ErrorContains(t, g.Validate(), "key_outage is -1s, allowed: 0s to 24h")
+	})
 	t.Run("bounds", func(t *testing.T) {
 		g := g
 		g.RetryRatio = 2
