--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -233,6 +233,26 @@
 			requirePacked(t, spaced(newFleet("e", 18), 20), 10, 12)
 		})
 	})
+	// Found in the logs of scale-1 of ampct-valico: 24 short calls were open on eight
+	// engines, three on each, since chance made up for the order of the engines.
+	t.Run("by chance they do not spread beyond those with room", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet("e", 18)
+			for range 200 {
+				p := f.pick("e", short(), nil)
+				time.Sleep(80 * time.Millisecond)
+				time.AfterFunc(2*time.Second, func() { f.over(p, true) })
+			}
+			used := 0
+			for _, m := range f.members {
+				if m.own.Open > 0 {
+					used++
+				}
+			}
+			require.LessOrEqual(t, used, 4)
+			time.Sleep(3 * time.Second)
+		})
+	})
 	t.Run("fewer are packed when others are not heard of", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("e", 18)
--- a/placement/short.go
+++ b/placement/short.go
@@ -44,7 +44,10 @@
 		}
 		x += crowding(c.Open, pack, e.Slots)
 		x += memoryCost(c, r)
-		return x + order*float64(max(i-lane+1, 0))/float64(len(cs)) + spread*s.Chance()
+		if i >= lane {
+			x += spread + order*float64(i-lane+1)/float64(len(cs))
+		}
+		return x + spread*s.Chance()
 	})
 	if l.Target < 0 {
 		return l, false
@@ -86,7 +89,10 @@
 // Calls that come to many gateways at one moment, before they have heard of
 // each other's picks, would all go to the same engine. So the first engines of
 // the common order that have this much room together count alike, and chance
-// decides among those of about the same cost.
+// decides among those of about the same cost. Those beyond cost more than chance
+// makes up: without it 24 open calls were on eight engines, and fewer were free to
+// read (0.86 of the worth on quiet days of the third customer, 0.90 with it, three
+// runs each).
 const (
 	leastRoom   = 2    // calls
 	roomShare   = 0.05 // of those that are open
