placement: engines that count alike have room for each other gateway

Engines that count alike now have room for four calls together, or for one of each other process where there are more. Ruled out: a smaller step beyond the engines with room, which leaves it to chance.

--- a/core/place.go
+++ b/core/place.go
@@ -109,7 +109,8 @@
 	for _, m := range ms {
 		f.candidates = append(f.candidates, m.candidate(tried[m.ID], now))
 	}
-	return placement.Snapshot{Candidates: f.candidates, Heard: f.heard(), Chance: f.chance}
+	others := max(len(f.views), f.peers())
+	return placement.Snapshot{Candidates: f.candidates, Others: others, Heard: float64(len(f.views)+1) / float64(others+1), Chance: f.chance}
 }
 
 // candidate returns what is known of the upstream.
@@ -130,13 +131,6 @@
 	return c
 }
 
-// heard returns the part of all processes whose load is known here, its own among
-// them. The lock is held.
-func (f *Fleet) heard() float64 {
-	known := float64(len(f.views) + 1)
-	return known / max(known, float64(f.peers()+1))
-}
-
 // give accounts for reading at the engines of a pick, or takes it back when it
 // is negative. The lock is held.
 func (f *Fleet) give(p *pick, now time.Time, reading time.Duration) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -55,6 +55,7 @@
 // Snapshot is what is known at a moment.
 type Snapshot struct {
 	Candidates []Candidate    // of one service, in an order that all processes share
+	Others     int            // other processes that give work to the same upstreams
 	Heard      float64        // part of all processes whose load is known, this one among them
 	Chance     func() float64 // from 0 to 1, decides among equals
 }
--- a/placement/short.go
+++ b/placement/short.go
@@ -28,7 +28,7 @@
 	cs := s.Candidates
 	l.Reading = e.Reading(r.Prompt, 1)
 	pack := max(int(packShare*s.Heard*float64(e.Slots)), 1)
-	lane := laneWidth(cs, pack)
+	lane := laneWidth(s, pack)
 	spread, order := spreadShare, orderCost
 	if !p.has(Spreading) {
 		spread = 0
@@ -94,14 +94,15 @@
 // read (0.86 of the worth on quiet days of the third customer, 0.90 with it, three
 // runs each).
 const (
-	leastRoom   = 2    // calls
+	leastRoom   = 4    // calls; more where there are more other processes, each of which may have picked once unheard
 	roomShare   = 0.05 // of those that are open
 	spreadShare = 0.1  // of a call's worth, less than a pause that is too long
 )
 
 // laneWidth returns how many engines of the common order count alike.
-func laneWidth(cs []Candidate, pack int) (n int) {
-	need := max(leastRoom, int(roomShare*float64(openCalls(cs))))
+func laneWidth(s Snapshot, pack int) (n int) {
+	cs := s.Candidates
+	need := max(leastRoom, s.Others, int(roomShare*float64(openCalls(cs))))
 	for i := range cs {
 		if need <= 0 {
 			break
