--- a/core/flow.go
+++ b/core/flow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -177,11 +178,19 @@
 // now.
 func (f *flow) refuse(p *pick) error {
 	f.core.log.Info("not sent", "request", f.call.ID, "prompt_tokens", f.call.PromptTokens, "predicted_ms", p.First.Milliseconds(),
-		"goal_ms", f.route.Goal.Milliseconds(), "engines", 1+len(p.helpers))
+		"goal_ms", f.route.Goal.Milliseconds(), "engines", 1+len(p.helpers), "waited_ms", p.request.Waited.Milliseconds(),
+		"again", p.request.Again, "worth", round(p.request.Worth()), "cost", round(p.Cost), "price", round(p.Price),
+		"work_ms", f.service.Engine.Reading(f.call.PromptTokens, 1).Milliseconds(), "backlog_ms", p.Backlog.Milliseconds(),
+		"slots_taken", round(p.Taken), "come_back_ms", p.ComeBack.Milliseconds(), "peers_heard", f.core.fleet.Heard())
 	return fault.New(fault.CannotMakeIt, "the first event would come after %s, and the engines are needed for others", p.First.Round(time.Millisecond)).
 		WithRetryAfter(p.ComeBack)
 }
 
+// round returns a figure as logs have it, to two places.
+func round(x float64) float64 {
+	return math.Round(x*100) / 100
+}
+
 // judge says what an attempt that failed came to, and tells the fleet.
 func (f *flow) judge(a *attempt, err error) Try {
 	t := Try{Placed: true, Free: errors.Is(err, hollowgrade.ErrNotSent)}
@@ -242,7 +251,8 @@
 	}
 	f.core.log.Info("request ended", "request", f.call.ID, "organisation", o.Organisation, "route", o.Route, "service", o.Service,
 		"repeat", f.route.Repeat.String(), "outcome", o.Outcome, "code", o.Code, "attempts", o.Attempts, "upstreams", f.upstreams,
-		"events", o.Events, "prompt_tokens", o.PromptTokens, "first_ms", o.First.Milliseconds(),
+		"events", o.Events, "prompt_tokens", o.PromptTokens, "goal_ms", f.route.Goal.Milliseconds(), "first_ms", o.First.Milliseconds(),
+		"pause_goal_ms", f.route.PauseGoal.Milliseconds(),
 		"pause_ms", f.pause.Milliseconds(), "took_ms", o.Took.Milliseconds(),
 		"version", v, "age_ms", f.age.Milliseconds(), "err", err)
 	f.core.observe(o)
--- a/core/place.go
+++ b/core/place.go
@@ -17,6 +17,7 @@
 // pick is an upstream that was chosen for a call, with what is accounted for it.
 type pick struct {
 	placement.Plan
+	request placement.Request
 	member  *member
 	helpers []*member
 	keepers []*member                        // those of the helpers that keep a part of the prompt
@@ -66,7 +67,7 @@
 	if !ok {
 		return nil
 	}
-	p := &pick{Plan: l, member: ms[l.Target], helpers: at(ms, l.Helpers), keepers: at(ms, l.Keepers), since: now}
+	p := &pick{Plan: l, request: r, member: ms[l.Target], helpers: at(ms, l.Helpers), keepers: at(ms, l.Keepers), since: now}
 	if l.Refused {
 		return p
 	}
--- a/placement/long.go
+++ b/placement/long.go
@@ -47,7 +47,7 @@
 // busyShare is how much a second of an engine is needed by others, from 0 to 1:
 // by what waits to be read, or by the slots that are taken.
 func busyShare(cs []Candidate, e *engine.Figures) float64 {
-	slots := float64(openCalls(cs))/float64(max(e.Slots*len(cs), 1))/fullFrom - 1
+	slots := slotShare(cs, e)/fullFrom - 1
 	reading := float64(meanReading(cs)) / float64(saturatedFrom)
 	return min(max(slots, reading, leastBusy), 1)
 }
@@ -98,14 +98,17 @@
 }
 
 // usable returns the candidates that may read parts of a prompt, and where each of
-// them stands among all.
+// them stands among all. Those that failed lately are used when there are no others.
 func usable(all []Candidate) (cs []Candidate, at []int) {
-	cs = make([]Candidate, 0, len(all))
-	at = make([]int, 0, len(all))
-	for i := range all {
-		if !all[i].Tried && !all[i].Avoided {
-			cs = append(cs, all[i])
-			at = append(at, i)
+	for _, avoided := range []bool{false, true} {
+		for i := range all {
+			if !all[i].Tried && all[i].Avoided == avoided {
+				cs = append(cs, all[i])
+				at = append(at, i)
+			}
+		}
+		if len(cs) > 0 {
+			break
 		}
 	}
 	return cs, at
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -72,6 +72,8 @@
 	Hold    time.Duration // for which the sending is held back
 	Cost    float64       // worth that is lost by it, its own lateness among it
 	Price   float64       // worth of a second of an engine to others
+	Backlog time.Duration // that engines have still to read on average
+	Taken   float64       // part of the slots that are taken
 	Refused bool          // what it would take from others is worth more than it
 	// ComeBack is when the caller of a refused call should come back.
 	ComeBack time.Duration
@@ -142,9 +144,17 @@
 	if p.has(Holding) {
 		l.Hold = time.Duration(holdShare * float64(l.Wait))
 	}
+	if r.Engine != nil {
+		l.Backlog, l.Taken = meanReading(s.Candidates), slotShare(s.Candidates, r.Engine)
+	}
 	return l, ok
 }
 
+// slotShare returns the part of the engines' slots that is taken.
+func slotShare(cs []Candidate, e *engine.Figures) float64 {
+	return float64(openCalls(cs)) / float64(max(e.Slots*len(cs), 1))
+}
+
 // holdShare is the part of the reading that was given to the engines before for
 // which the sending of a call is held back. A pass reads all that waits, so parts
 // of two long prompts that wait at an engine at once make both late. What is held
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -142,6 +142,19 @@
 	require.Zero(t, requirePlan(t, New(Without(Holding)), s, r).Hold)
 }
 
+func TestEnginesThatFailedLately(t *testing.T) {
+	s := snapshot(18, Candidate{Avoided: true})
+	t.Run("are used when there are no others", func(t *testing.T) {
+		l := requirePlan(t, New(), s, season())
+		require.NotEmpty(t, l.Helpers)
+	})
+	t.Run("are left alone when there are", func(t *testing.T) {
+		s.Candidates[3].Avoided, s.Candidates[7].Avoided = false, false
+		l := requirePlan(t, New(), s, season())
+		require.Subset(t, []int{3, 7}, append(l.Helpers, l.Target))
+	})
+}
+
 func TestNoUpstream(t *testing.T) {
 	for _, r := range []Request{brief(), season(), {}} {
 		_, ok := New().Place(snapshot(0, Candidate{}), r)
--- a/placement/short.go
+++ b/placement/short.go
@@ -71,7 +71,7 @@
 // at twice the load that engines bear 0.33 of the worth was served and not 0.39, on
 // engines of few slots 0.51 and not 0.68 (hollowgrade experiment, eight seeds).
 func slotsTaken(cs []Candidate, e *engine.Figures) bool {
-	return openCalls(cs) >= e.Slots*len(cs)
+	return slotShare(cs, e) >= 1
 }
 
 // slotWait returns how long a call waits for a slot: those that write give theirs
