--- a/internal/cli/losses.go
+++ b/internal/cli/losses.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"io"
 	"os"
 
@@ -21,12 +22,11 @@
 	if len(c.Logs) > 0 {
 		var rs []io.Reader
 		for _, p := range c.Logs {
-			f, err := os.Open(p)
+			b, err := os.ReadFile(p)
 			if err != nil {
 				return err
 			}
-			defer f.Close()
-			rs = append(rs, f)
+			rs = append(rs, bytes.NewReader(b))
 		}
 		in = io.MultiReader(rs...)
 	}
