placement: what is at stake is lost little by little around the pause goal

Hypothesis: the harm of a part had a sharp edge at the pause goal of those that write at an engine, but pauses are predicted from what is known to be read, and more comes meanwhile; so parts were packed up to the edge and went over it. Now the chance rises from 0.7 to 1.1 of the goal, for those that write there and for the call that is placed.

--- a/placement/short.go
+++ b/placement/short.go
@@ -39,8 +39,8 @@
 	l.Target = cheapest(cs, func(i int, c *Candidate) float64 {
 		t := c.state(r)
 		x := r.lateness(e.First(t, l.Reading))
-		if r.Pause > 0 && e.Pause(t, l.Reading) > r.Pause {
-			x++ // it would begin within a pass that is too long for it
+		if r.Pause > 0 {
+			x += tooLong(e.Pause(t, l.Reading), r.Pause) // it would begin within a pass that is too long for it
 		}
 		x += crowding(c.Open, pack, e.Slots)
 		x += memoryCost(c, r)
--- a/placement/stakes.go
+++ b/placement/stakes.go
@@ -86,16 +86,30 @@
 	resentShare = 0.5
 )
 
-// Lost returns the worth of the calls that bear a pause of before and none of
-// after.
+// A pause is predicted from what is known to be read, and more may come meanwhile: a
+// prompt of 5,000 tokens more makes it longer by a tenth of what short answers bear.
+// So what is at stake is lost little by little. With a sharp edge at the goal the
+// experiment set earned 0.773 of the worth, with edges from 0.7 to 1.1 of it 0.789
+// (0.9 to 1.1: 0.778, 0.5 to 1.1: 0.776; six seeds).
+const (
+	surelyBorne  = 0.7 // of the pause goal
+	surelyTooFar = 1.1
+)
+
+// tooLong estimates the chance that a pause is too long for a call with the goal.
+func tooLong(pause, goal time.Duration) float64 {
+	x := float64(pause) / float64(goal)
+	return min(max((x-surelyBorne)/(surelyTooFar-surelyBorne), 0), 1)
+}
+
+// Lost returns the worth of the calls that is lost by a pause of after where they
+// had one of before.
 func (s *Stakes) Lost(before, after time.Duration) (worth float64) {
 	for i, c := range pauseClasses {
 		if s[i] == 0 {
 			continue
 		}
-		if before <= c && after > c {
-			worth += float64(s[i]) / stakeUnit
-		}
+		worth += (tooLong(after, c) - tooLong(before, c)) * float64(s[i]) / stakeUnit
 		if c <= resentClass && before <= resentAfter && after > resentAfter {
 			worth += resentShare * float64(s[i]) / stakeUnit
 		}
