placement: room for all candidates at once

A decision for a long prompt before 600 engines took 555 KB in 82 allocations (BenchmarkPick/long/600), since the list of engines grew as it was filled.

--- a/placement/long.go
+++ b/placement/long.go
@@ -100,6 +100,8 @@
 // usable returns the candidates that may read parts of a prompt, and where each of
 // them stands among all. Those that failed lately are used when there are no others.
 func usable(all []Candidate) (cs []Candidate, at []int) {
+	cs = make([]Candidate, 0, len(all))
+	at = make([]int, 0, len(all))
 	for _, avoided := range []bool{false, true} {
 		for i := range all {
 			if !all[i].Tried && all[i].Avoided == avoided {
