placement: a call that is late already costs no more than what a late answer loses

Since goals count from the first try, the small cost of each further goal, meant to order sets of engines, went over the worth itself. It orders sets as before; the cost that decides is bounded. Test: TestCallsThatAreLateAlreadyAreServedWhereNobodyIsHarmed, red before. Ruled out: no cost for lateness at all, since a late answer is worth a quarter.

Kept: they are served.

--- a/placement/long.go
+++ b/placement/long.go
@@ -220,9 +220,12 @@
 // cheapestSet returns the engines that read a prompt in even parts at the least
 // cost, how long a part takes, and the cost. For each number of parts, and each
 // bound on what an engine has yet to read, it looks at those within the bound on
-// which the least is lost by longer pauses.
-func (p *Policy) cheapestSet(cs []Candidate, r Request) (best []int, part time.Duration, least float64) {
+// which the least is lost by longer pauses. Among sets with which the call is late
+// the sooner is taken, but no more than what a late answer loses is counted as cost: a
+// call that is late already was refused on idle engines else.
+func (p *Policy) cheapestSet(cs []Candidate, r Request) (best []int, part time.Duration, cost float64) {
 	e := r.Engine
+	least := 0.0
 	is := p.leastBurdened(cs, r)
 	for n := keepers(r, e); n <= min(len(is), 1+maxHelpers); n++ {
 		t := e.Reading(r.Prompt, n)
@@ -236,10 +239,11 @@
 			set, lost := leastHarm(hs, n, within)
 			if c := lost*lateShare + late; best == nil || c < least {
 				best, part, least = set, t, c
+				cost = lost*lateShare + r.Worth()*lateShare*min(r.lateness(first), 1)
 			}
 		}
 	}
-	return best, part, least
+	return best, part, cost
 }
 
 // setSample bounds the engines that a long prompt is weighed against: several
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -102,6 +102,18 @@
 	require.Greater(t, late.Cost, fresh.Cost, "it is late whatever is done, so it is worth less")
 }
 
+// Found in the logs of scale-2 of ampct-valico: callers that came back late were
+// refused again, since lateness cost them more than they were worth.
+func TestCallsThatAreLateAlreadyAreServedWhereNobodyIsHarmed(t *testing.T) {
+	for _, tokens := range []int{16_000, 44_000, 250_000} {
+		r := season()
+		r.Prompt, r.Waited, r.Again = tokens, 12*time.Second, true
+		l := requirePlan(t, New(), snapshot(18, Candidate{}), r)
+		require.Less(t, l.Cost, r.Worth(), tokens)
+		require.False(t, l.Refused, tokens)
+	}
+}
+
 func TestLongAnswersComeFromFewEngines(t *testing.T) {
 	s := snapshot(18, Candidate{})
 	targets := map[int]bool{}
