--- a/placement/long.go
+++ b/placement/long.go
@@ -155,12 +155,12 @@
 	return best
 }
 
-// What a second of an engine's reading is worth to others depends on how much
-// all engines have still to read: nothing while they are idle, and the worth of
-// a second of a prompt of referencePrompt tokens once some reading waits
-// everywhere. So it follows from how fast engines read: a fixed price that suits one
-// kind is twice too high for engines half as fast. Over fifteen deployments of the
-// experiment set it earns 0.744 of the worth, the best fixed price 0.736.
+// What a second of an engine's reading is worth to others: that of a second of a
+// prompt of referencePrompt tokens once some reading waits everywhere, less in
+// proportion before, and a twentieth while engines are idle. So it follows from how
+// fast engines read: a fixed price that suits one kind is twice too high for engines
+// half as fast. Over fifteen deployments of the experiment set it earns 0.744 of the
+// worth, the best fixed price 0.736.
 const (
 	referencePrompt = 100_000 // tokens; one prompt in fifty is longer (docs/CAPACITY.md)
 	saturatedFrom   = 600 * time.Millisecond
