feed, peer, platform: what is thrown away while others' views are asked for

Cause: the failure of an ask was a debug line, and nothing said how many bytes of an answer had come before it was cut. No change of logic. Ruled out by it: a lack of processor or memory, and a configuration that is not taken; a record of 794 KB is under every bound of size. Conclusion: whole records in answers that are bounded in time but not in size, asked for again from the beginning, several copies at a time.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -353,6 +353,18 @@
 	return l.Addr().String()
 }
 
+func requireTold(t *testing.T, r *Relay, address string) {
+	t.Helper()
+	_, err := r.exchange(context.Background(), address)
+	require.NoError(t, err)
+}
+
+func requireSilent(t *testing.T, r *Relay, address string) {
+	t.Helper()
+	_, err := r.exchange(context.Background(), address)
+	require.Error(t, err)
+}
+
 func TestRelay(t *testing.T) {
 	quiet := log.New(io.Discard)
 	known := New("f", newTopic(), WithLogger(quiet))
@@ -368,20 +380,20 @@
 	v := watch(f)
 	r := relay(f, unknown)
 	require.Len(t, r.behind(), 2)
-	require.NoError(t, r.exchange(context.Background(), address))
+	requireTold(t, r, address)
 	require.Equal(t, "map[a:1]", v.all())
 	age, ok := f.Age()
 	require.True(t, ok)
 	require.GreaterOrEqual(t, age, time.Second, "the peer's own age counts")
 	require.Len(t, r.behind(), 1)
 	t.Run("a peer that is not there", func(t *testing.T) {
-		require.Error(t, r.exchange(context.Background(), "127.0.0.1:1"))
+		requireSilent(t, r, "127.0.0.1:1")
 	})
 	t.Run("a peer that has never seen the topic says nothing", func(t *testing.T) {
 		f := New("f", newTopic(), WithLogger(quiet))
 		empty := New("f", newTopic(), WithLogger(quiet))
 		r := relay(f)
-		require.NoError(t, r.exchange(context.Background(), served(t, empty)))
+		requireTold(t, r, served(t, empty))
 		_, ok := f.Age()
 		require.False(t, ok)
 		require.True(t, r.told.IsZero())
@@ -396,22 +408,22 @@
 		f := New("f", newTopic(), WithLogger(quiet))
 		f.Merge(page(2), time.Now().Add(-time.Second))
 		r := relay(f)
-		require.NoError(t, r.exchange(context.Background(), a))
+		requireTold(t, r, a)
 		require.True(t, r.told.IsZero())
 		require.Equal(t, int64(2), f.Next())
 		n := New("f", newTopic(), WithLogger(quiet))
-		require.NoError(t, relay(n).exchange(context.Background(), a))
+		requireTold(t, relay(n), a)
 		require.Equal(t, int64(5), n.Next())
 	})
 	t.Run("a connection is kept, and opened again after it broke", func(t *testing.T) {
 		r := relay(New("f", newTopic(), WithLogger(quiet)))
-		require.NoError(t, r.exchange(context.Background(), address))
+		requireTold(t, r, address)
 		c := r.conns[address]
-		require.NoError(t, r.exchange(context.Background(), address))
+		requireTold(t, r, address)
 		require.Equal(t, c, r.conns[address])
 		require.NoError(t, c.Close())
-		require.Error(t, r.exchange(context.Background(), address))
-		require.NoError(t, r.exchange(context.Background(), address))
+		requireSilent(t, r, address)
+		requireTold(t, r, address)
 	})
 }
 
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -36,6 +37,10 @@
 	// lostAfter is how long a process goes without word from a reader before it
 	// reads the store itself.
 	lostAfter = 900 * time.Millisecond
+	// toldBytes is from how many bytes on an answer that was cut has a line in the
+	// log. An ask in vain of a peer that is away has none: there are many of them,
+	// and "store lost" and the view's age say what matters.
+	toldBytes = 16 << 10
 	// fewestReaders read the store, however few processes there are, and one in
 	// perReader beyond. A third of all processes may be cut off from the store at
 	// once, and the others have to learn of a change within two seconds: there
@@ -54,6 +59,8 @@
 	clock hollowgrade.Clock
 	log   *log.Logger
 
+	received, wasted atomic.Int64 // bytes of answers of peers; of those that were cut
+
 	mu    sync.Mutex
 	conns map[string]*peer.Conn
 	told  time.Time // when a reader last told what is fresh
@@ -174,11 +181,26 @@
 }
 
 func (r *Relay) ask(ctx context.Context, address string) {
+	sent := r.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	if err := r.exchange(ctx, address); err != nil && ctx.Err() == nil {
-		r.log.Debug("peer did not tell what it knows of the store", "peer", address, "err", err)
+	n, err := r.exchange(ctx, address)
+	r.received.Add(n)
+	if err == nil {
+		return
 	}
+	r.wasted.Add(n)
+	if n >= toldBytes {
+		r.log.Warn("answer of a peer was cut", "peer", address, "bytes", n, "took_ms", r.clock.Since(sent).Milliseconds(), "err", errors.Join(ctx.Err(), err))
+		return
+	}
+	r.log.Debug("peer did not tell what it knows of the store", "peer", address, "err", err)
+}
+
+// Received returns how many bytes peers have told, and how many of these were
+// of answers that were cut and told nothing.
+func (r *Relay) Received() (all, wasted int64) {
+	return r.received.Load(), r.wasted.Load()
 }
 
 // conn returns the kept connection to a peer, or opens one.
@@ -212,11 +234,12 @@
 	_ = c.Close()
 }
 
-func (r *Relay) exchange(ctx context.Context, address string) (err error) {
+// exchange asks a peer and takes what it tells. It returns how many bytes came.
+func (r *Relay) exchange(ctx context.Context, address string) (bytes int64, err error) {
 	defer errs.Annotate(&err, "ask peer %s for feeds", address)
 	c, err := r.conn(ctx, address)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer func() {
 		if err != nil {
@@ -230,7 +253,7 @@
 	}
 	s, err := c.Open(&wire.Frame{Body: &wire.Frame_FeedRequest{FeedRequest: q}})
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer s.Abort()
 	stop := context.AfterFunc(ctx, s.Abort)
@@ -239,14 +262,14 @@
 		m, err := s.Receive()
 		if errors.Is(err, io.EOF) {
 			r.heard(n)
-			return nil
+			return s.Received(), nil
 		}
 		if err != nil {
-			return err
+			return s.Received(), err
 		}
 		p := m.GetFeedReply()
 		if p == nil {
-			return errors.New("peer sent a frame that is not due")
+			return s.Received(), errors.New("peer sent a frame that is not due")
 		}
 		r.merge(address, p, sent)
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -113,7 +114,7 @@
 	if err = n.listen(c, shared, g); err != nil {
 		return nil, err
 	}
-	return n, n.gauges()
+	return n, n.gauges(relay)
 }
 
 // listen opens the listeners and registers what serves them.
@@ -282,14 +283,29 @@
 	})
 }
 
-func (n *GatewayNode) gauges() error {
-	return n.metrics.Gauge("hollowgrade.config_age", "Seconds since the configuration was last known to be the newest; -1 if never.", func() float64 {
-		age, ok := n.config.Age()
-		if !ok {
-			return -1
-		}
-		return age.Seconds()
-	})
+func (n *GatewayNode) gauges(r *feed.Relay) error {
+	return errors.Join(
+		n.metrics.Gauge("hollowgrade.config_age", "Seconds since the configuration was last known to be the newest; -1 if never.", func() float64 {
+			age, ok := n.config.Age()
+			if !ok {
+				return -1
+			}
+			return age.Seconds()
+		}),
+		n.metrics.Gauge("hollowgrade.config_version", "Version of the configuration in force; 0 if none.", func() float64 {
+			if c := n.Core.Catalog(); c != nil {
+				return float64(c.Version)
+			}
+			return 0
+		}),
+		n.metrics.Gauge("hollowgrade.peer_bytes", "Bytes that other gateways have told of the store since the start.", func() float64 {
+			all, _ := r.Received()
+			return float64(all)
+		}),
+		n.metrics.Gauge("hollowgrade.peer_bytes_wasted", "Those of them that were of answers that were cut, and told nothing.", func() float64 {
+			_, wasted := r.Received()
+			return float64(wasted)
+		}))
 }
 
 func callSample(o core.Observation) measure.Sample {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -120,15 +121,36 @@
 // Stream is one exchange of frames. One goroutine may send while another
 // receives.
 type Stream struct {
-	raw *yamux.Stream
-	in  *bufio.Reader
-	out *bufio.Writer
+	raw      *yamux.Stream
+	in       *bufio.Reader
+	out      *bufio.Writer
+	received atomic.Int64 // bytes
 }
 
 const bufferBytes = 4 << 10
 
 func newStream(y *yamux.Stream) *Stream {
-	return &Stream{raw: y, in: bufio.NewReaderSize(y, bufferBytes), out: bufio.NewWriterSize(y, bufferBytes)}
+	s := &Stream{raw: y, out: bufio.NewWriterSize(y, bufferBytes)}
+	s.in = bufio.NewReaderSize(counted{y, &s.received}, bufferBytes)
+	return s
+}
+
+// counted counts what is read.
+type counted struct {
+	io.Reader
+	n *atomic.Int64
+}
+
+func (c counted) Read(b []byte) (n int, err error) {
+	n, err = c.Reader.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// Received returns how many bytes have come on the stream, those of a frame that
+// is not whole yet among them.
+func (s *Stream) Received() int64 {
+	return s.received.Load()
 }
 
 // Send writes one frame.
