feed: large values are brought by themselves, whole or in part, from one peer

Cause: answers of peers held whole records and had a bound in time and none in size; three copies at a time shared a narrow link, each was cut and asked for again from the beginning. Reads of the store had such a bound as well. Now an answer holds 16 KB of a topic at the most and names a large record; its value comes from one peer at a time, compressed or as what differs from the value before, in pieces, each of which has to make way within a second; what came before a peer was lost is kept. Readers are one hall after another, wide links first; at most 16 read topics with large records. A read of the store goes on as long as its answer keeps coming. Watchers are told without the view's lock. A gateway that has known for long of a newer configuration decides no call. Ruled out: a longer time for an answer (any bound in time without one in size fails at some size), fewer peers asked at once (0.8 MB would pass, 4 MB not). The test moved to a package of its own, since yamux keeps timers for all sessions in one pool, which bubbles must not share: that is what crashed the runtime before. Its Put and Wait speak the changed interface, its assertions are as they were.

--- a/core/core.go
+++ b/core/core.go
@@ -33,6 +33,10 @@
 // speed and for the time between a caller's send and the check.
 const freshnessMargin = 300 * time.Millisecond
 
+// outdatedMargin is taken off the time within which a change has to be in force: a
+// gateway hears of it from a reader up to that much after it is confirmed.
+const outdatedMargin = time.Second
+
 // assumedProcesses share the retry budget at the least: the list of processes
 // may not be known yet.
 const assumedProcesses = 8
@@ -55,6 +59,7 @@
 	bounds    atomic.Pointer[Bounds]
 	observe   func(Observation)
 	age       func() (time.Duration, bool)
+	outdated  func() time.Duration
 	processes func() int
 	fleet     *Fleet
 	catalog   atomic.Pointer[Catalog]
@@ -109,6 +114,13 @@
 	return func(c *Core) { c.age = f }
 }
 
+// WithOutdated sets how it is known for how long the configuration in force has been
+// older than the newest one; 0 while that is not known to be so. Without it the
+// configuration counts as the newest.
+func WithOutdated(f func() time.Duration) Option {
+	return func(c *Core) { c.outdated = f }
+}
+
 // WithProcesses sets how the number of processes is known that share the
 // upstreams and the retry budget, this one among them.
 func WithProcesses(f func() int) Option {
@@ -125,6 +137,7 @@
 		log:       log.Default(),
 		observe:   func(Observation) {},
 		age:       func() (time.Duration, bool) { return 0, true },
+		outdated:  func() time.Duration { return 0 },
 		processes: func() int { return 1 },
 		budgets:   map[string]*retry.Window{},
 	}
@@ -159,6 +172,15 @@
 	return c.fleet
 }
 
+// Outdated reports whether a newer configuration has been known for too long for the
+// one in force to decide about calls. It guards calls on routes without keys, which
+// ask for no freshness: an outage of the store makes nothing outdated, since nobody
+// knows of a newer one then.
+func (c *Core) Outdated() bool {
+	b := c.bounds.Load()
+	return c.outdated() > max(b.Freshness-outdatedMargin, b.Freshness/2)
+}
+
 // Catalog returns the configuration in force, or nil.
 func (c *Core) Catalog() *Catalog {
 	return c.catalog.Load()
@@ -234,6 +256,9 @@
 		}
 		return m
 	}
+	if c.Outdated() {
+		return stale(f)
+	}
 	if f.route, ok = f.catalog.Match(f.call.Host, f.call.Path); !ok {
 		return missing(fault.New(fault.NoRoute, "no route for %s%s", f.call.Host, f.call.Path))
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -21,14 +21,21 @@
 const (
 	// defaultWait is how long one read waits at the store for a record.
 	defaultWait = 1500 * time.Millisecond
-	// answerMargin is added to the wait before a read without an answer is
-	// given up: a few round trips, and the store's own time.
+	// answerMargin is how long a read may take beyond its wait until its answer
+	// begins, and how long nothing more of an answer may come: a few round trips,
+	// and the store's own time. The answer as a whole has no bound in time. With one
+	// of 2.2 s, reads of a configuration of 0.8 MB were cut after 655 to 770 KB on a
+	// link of 20 Mbit/s that was in use otherwise, and begun anew for good.
 	answerMargin = 700 * time.Millisecond
-	// newestTimeout bounds the reading of all newest records. 3,000 upstreams are
-	// 1 MB as the store encodes them; 300 processes that start at once share its
-	// 80 MB a second, which takes 4 s, and three times that is left for what else
-	// it does. One that gives up sooner begins anew and makes it worse.
-	newestTimeout = 12 * time.Second
+	// newestMargin is the same for the reading of all newest records, which the store
+	// begins to answer later while many start: 300 processes that read 1 MB each,
+	// 3,000 upstreams, share its 80 MB a second, which takes 4 s.
+	newestMargin = 8 * time.Second
+	// DefaultMaxValue is the size in bytes of the largest value that is taken.
+	DefaultMaxValue = 8 << 20
+	// keptBases is how many earlier values of a key are kept where they are large, so
+	// that a peer that is a few changes behind is sent what differs.
+	keptBases = 3
 	// readPause is the least time from a read that gave records to the next one.
 	// Records come in bursts, each read has its price, and what changed has to be
 	// in force within two seconds.
@@ -44,12 +51,19 @@
 // Change is a record that has become the newest of its key.
 type Change struct {
 	hollowgrade.KeyedRecord
+	// From is the process that told it; empty for the store itself.
+	From string
 	// MayReturn is until when a dropped key may come back by itself: a read had
 	// failed not long before the record came, or the view was stale, so that it
 	// may tell of what the store did while it was away. It is zero otherwise.
 	MayReturn time.Time
 }
 
+// Source names in logs where the record came from.
+func (c Change) Source() string {
+	return source(c.From)
+}
+
 // Feed is a view of one topic. It is safe for concurrent use.
 type Feed struct {
 	name  string
@@ -58,15 +72,30 @@
 	clock hollowgrade.Clock
 	log   *log.Logger
 	wait  time.Duration
+	most  int // bytes of the largest value that is taken
 
-	mu       sync.Mutex
-	newest   map[string]hollowgrade.KeyedRecord
-	next     int64     // offset up to which all is known
-	fresh    time.Time // when the read was sent that reached the topic's end
-	synced   bool      // whether reading on from next is possible
-	away     bool      // whether the last read failed
-	failed   time.Time // when a read failed last
+	// order is held while a page is taken, so that watchers are told of one after
+	// another. A watcher may take long over a large value, and mu is not held
+	// meanwhile: each call that comes asks for the view's age.
+	order    sync.Mutex
 	watchers []func([]Change)
+
+	mu      sync.Mutex
+	newest  map[string]hollowgrade.KeyedRecord
+	earlier map[string][]hollowgrade.KeyedRecord // large values before the newest, latest first
+	next    int64                                // offset up to which all is known
+	missing []missing                            // records that are known to be there and are not taken yet, by offset
+	fresh   time.Time                            // when the read was sent that reached the topic's end
+	synced  bool                                 // whether reading on from next is possible
+	away    bool                                 // whether the last read failed
+	failed  time.Time                            // when a read failed last
+	forms   forms
+}
+
+// missing is a record that a peer has told of, without its value.
+type missing struct {
+	offset int64
+	heard  time.Time // when this process first heard of it
 }
 
 // Option changes a feed as it is made.
@@ -94,16 +123,23 @@
 	return func(d *Feed) { d.reads = f }
 }
 
+// WithMaxValue sets the size in bytes of the largest value that is taken.
+func WithMaxValue(n int) Option {
+	return func(f *Feed) { f.most = n }
+}
+
 // New returns a feed of the topic. Name is what logs and peers call it.
 func New(name string, t hollowgrade.Topic, os ...Option) *Feed {
 	f := &Feed{
-		name:   name,
-		topic:  t,
-		reads:  func() bool { return true },
-		clock:  hollowgrade.SystemClock(),
-		log:    log.Default(),
-		wait:   defaultWait,
-		newest: map[string]hollowgrade.KeyedRecord{},
+		name:    name,
+		topic:   t,
+		reads:   func() bool { return true },
+		clock:   hollowgrade.SystemClock(),
+		log:     log.Default(),
+		wait:    defaultWait,
+		most:    DefaultMaxValue,
+		newest:  map[string]hollowgrade.KeyedRecord{},
+		earlier: map[string][]hollowgrade.KeyedRecord{},
 	}
 	for _, o := range os {
 		o(f)
@@ -117,18 +153,24 @@
 }
 
 // Watch adds a function that is told of changes, in order, and first of all
-// that stand now. It is called under the feed's lock and must not call back.
+// that stand now. It must not add a watcher or merge a page.
 func (f *Feed) Watch(w func([]Change)) {
+	f.order.Lock()
+	defer f.order.Unlock()
+	f.watchers = append(f.watchers, w)
+	if cs := f.standing(); len(cs) > 0 {
+		w(cs)
+	}
+}
+
+// standing returns the newest records as changes.
+func (f *Feed) standing() (cs []Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.watchers = append(f.watchers, w)
-	cs := make([]Change, 0, len(f.newest))
 	for _, r := range f.newest {
 		cs = append(cs, Change{KeyedRecord: r})
 	}
-	if len(cs) > 0 {
-		w(cs)
-	}
+	return cs
 }
 
 // Fresh returns the latest moment of which it is known that the view had all
@@ -191,17 +233,13 @@
 	}
 	f.mu.Unlock()
 	if !synced {
-		ctx, cancel := context.WithTimeout(ctx, newestTimeout)
-		defer cancel()
-		p, err := f.topic.Newest(ctx)
+		p, err := f.topic.Newest(ctx, newestMargin)
 		if err == nil {
 			f.resync(p, sent)
 		}
 		return len(p.Records), err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
-	defer cancel()
-	p, err := f.topic.Wait(ctx, next, wait)
+	p, err := f.topic.Wait(ctx, next, wait, answerMargin)
 	switch {
 	case errors.Is(err, hollowgrade.ErrTrimmed):
 		f.mu.Lock()
@@ -230,28 +268,61 @@
 	f.take(p, sent)
 }
 
-// take puts records into the view. The read that gave them was sent at sent.
+// take puts records into the view. The read that gave them was sent at sent. The
+// view is as fresh as that once watchers have been told: what they put in force is
+// what its age is asked for.
 func (f *Feed) take(p hollowgrade.KeyedPage, sent time.Time) {
+	f.order.Lock()
+	defer f.order.Unlock()
+	if cs := f.keep(p); len(cs) > 0 {
+		for _, w := range f.watchers {
+			w(cs)
+		}
+	}
+	f.confirm(p, sent)
+}
+
+// keep puts records into the view and returns what they change, by offset.
+func (f *Feed) keep(p hollowgrade.KeyedPage) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	doubt := f.doubt()
 	cs := make([]Change, 0, len(p.Records))
 	for _, r := range p.Records {
-		if f.put(r) {
-			cs = append(cs, Change{KeyedRecord: r, MayReturn: doubt})
+		if f.fits(r.Key, r.Offset, len(r.Value), p.From) && f.put(r) {
+			cs = append(cs, Change{KeyedRecord: r, From: p.From, MayReturn: doubt})
 		}
 	}
 	f.next = max(f.next, p.Next)
+	slices.SortFunc(cs, func(a, b Change) int { return cmp.Compare(a.Offset, b.Offset) })
+	return cs
+}
+
+// confirm notes that watchers know all of a page.
+func (f *Feed) confirm(p hollowgrade.KeyedPage, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.missing = slices.DeleteFunc(f.missing, func(m missing) bool { return m.offset < f.next })
 	if p.Next >= p.End && sent.After(f.fresh) {
 		f.fresh = sent
 	}
-	if len(cs) == 0 {
-		return
+}
+
+// fits reports whether a value may be taken, and says so where it may not.
+func (f *Feed) fits(key string, offset int64, bytes int, from string) bool {
+	if bytes <= f.most {
+		return true
 	}
-	slices.SortFunc(cs, func(a, b Change) int { return cmp.Compare(a.Offset, b.Offset) })
-	for _, w := range f.watchers {
-		w(cs)
+	f.log.Error("value not taken", "feed", f.name, "key", key, "offset", offset, "bytes", bytes, "allowed", f.most, "from", source(from), "why", "larger than the settings allow")
+	return false
+}
+
+// source names where a page came from in logs.
+func source(from string) string {
+	if from == "" {
+		return "store"
 	}
+	return from
 }
 
 // doubtFor is for how long after a read that failed a change may tell of what
@@ -281,29 +352,13 @@
 		return false
 	}
 	f.newest[r.Key] = r
+	f.keepBase(old)
 	if !ok {
 		return !r.Dropped()
 	}
 	return !bytes.Equal(old.Value, r.Value)
 }
 
-// Since returns the newest records from an offset on, and the view's age. Ok
-// is false when the view has never been complete.
-func (f *Feed) Since(from int64) (p hollowgrade.KeyedPage, age time.Duration, ok bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.fresh.IsZero() {
-		return p, 0, false
-	}
-	for _, r := range f.newest {
-		if r.Offset >= from {
-			p.Records = append(p.Records, r)
-		}
-	}
-	p.Next, p.End = f.next, f.next
-	return p, f.clock.Since(f.fresh), true
-}
-
 // lostNow reports whether the last read of the store failed, and no peer has
 // told of it since.
 func (f *Feed) lostNow() bool {
@@ -319,6 +374,17 @@
 	return f.next
 }
 
+// Outdated returns for how long it has been known that the topic holds a record
+// which is not in the view; 0 if none is known.
+func (f *Feed) Outdated() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.missing) == 0 {
+		return 0
+	}
+	return f.clock.Since(f.missing[0].heard)
+}
+
 // Merge takes a page that a peer gave, complete as of fresh.
 func (f *Feed) Merge(p hollowgrade.KeyedPage, fresh time.Time) {
 	if p.Next < f.Next() {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -56,7 +56,7 @@
 	t.changed = make(chan struct{})
 }
 
-func (t *fakeTopic) Newest(ctx context.Context) (p hollowgrade.KeyedPage, err error) {
+func (t *fakeTopic) Newest(ctx context.Context, _ time.Duration) (p hollowgrade.KeyedPage, err error) {
 	select {
 	case <-time.After(t.slow):
 	case <-ctx.Done():
@@ -81,7 +81,7 @@
 	return p, nil
 }
 
-func (t *fakeTopic) Wait(ctx context.Context, from int64, d time.Duration) (p hollowgrade.KeyedPage, err error) {
+func (t *fakeTopic) Wait(ctx context.Context, from int64, d, _ time.Duration) (p hollowgrade.KeyedPage, err error) {
 	until := time.After(d)
 	t.mu.Lock()
 	t.reads++
@@ -337,9 +337,8 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	h := func(_ context.Context, s *peer.Stream, first *wire.Frame) error {
-		return Serve(s, first.GetFeedRequest(), fs)
-	}
+	v := NewServer(0, fs...)
+	h := func(_ context.Context, s *peer.Stream, first *wire.Frame) error { return v.Serve(s, first) }
 	s := peer.NewServer(h, func(net.Addr, error) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	var g sync.WaitGroup
--- /dev/null
+++ b/feed/readers.go
@@ -0,0 +1,73 @@
+package feed
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/hollowgrade/hollowgrade/sched"
+)
+
+const (
+	// fewestReaders read the store, however few processes there are, and one in
+	// perReader beyond. A third of all processes may be cut off from the store at
+	// once, and the others have to learn of a change within two seconds: there
+	// have to be so many readers that hardly ever all of them are among those.
+	fewestReaders = 4
+	perReader     = 5
+	// mostOfLarge readers read a topic with large records, however many processes
+	// there are: each read gives a whole record, and the store's reads share 80 MB a
+	// second. Sixteen copies of 4 MB take it 0.8 s, the 84 of a fifth of 420 would
+	// take it 4.2 s. The other readers ask these.
+	mostOfLarge = 16
+	// readersSubject is what processes are ranked for.
+	readersSubject = "store"
+)
+
+// Place says where a process is.
+type Place struct {
+	Hall string
+	Link float64 // Mbit/s of its box's link, 0 if not known
+}
+
+// ranked is a process and what decides about its rank as a reader.
+type ranked struct {
+	address string
+	place   Place
+	rank    uint64
+	turn    int // place among the processes of its hall
+}
+
+// readers returns the processes that read the store, first those that read topics
+// with large records, the same for all that know the same members. Halls have
+// readers by turns, so that few have none and have to ask beyond; within a hall
+// wide links go first, since a reader tells the others.
+func (r *Relay) readers() (as []string) {
+	all := append(r.peers(), r.self)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	rs := make([]ranked, len(all))
+	for i, a := range all {
+		rs[i] = ranked{address: a, place: r.places(a), rank: sched.Rank(readersSubject, a)}
+	}
+	slices.SortFunc(rs, byLink)
+	turns := map[string]int{}
+	for i := range rs {
+		rs[i].turn = turns[rs[i].place.Hall]
+		turns[rs[i].place.Hall]++
+	}
+	slices.SortStableFunc(rs, func(a, b ranked) int { return cmp.Compare(a.turn, b.turn) })
+	n := min(max(fewestReaders, (len(rs)+perReader-1)/perReader), len(rs))
+	for _, x := range rs[:n] {
+		as = append(as, x.address)
+	}
+	return as
+}
+
+func byLink(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.place.Link, a.place.Link), cmp.Compare(b.rank, a.rank), cmp.Compare(a.address, b.address))
+}
+
+// readersOfLarge returns those of the readers that read topics with large records.
+func readersOfLarge(rs []string) []string {
+	return rs[:min(mostOfLarge, len(rs))]
+}
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -17,7 +16,6 @@
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 	"github.com/hollowgrade/hollowgrade/peer"
-	"github.com/hollowgrade/hollowgrade/sched"
 )
 
 const (
@@ -25,7 +23,9 @@
 	// that much later than the reader that tells it, well within the seconds in
 	// which changes have to be in force.
 	askEvery = 400 * time.Millisecond
-	// askTimeout bounds one ask: a connection and an answer within a region.
+	// askTimeout bounds one ask: a connection and an answer within a region. An
+	// answer has at most pageBytes for each topic, so that this bound holds on any
+	// link; what is larger is brought by itself and has no bound in time.
 	askTimeout = 700 * time.Millisecond
 	// askedPeers is how many readers a process asks at a time, and how many peers
 	// beside them while it is stale: some may be dead or cut off themselves. All
@@ -41,30 +41,29 @@
 	// log. An ask in vain of a peer that is away has none: there are many of them,
 	// and "store lost" and the view's age say what matters.
 	toldBytes = 16 << 10
-	// fewestReaders read the store, however few processes there are, and one in
-	// perReader beyond. A third of all processes may be cut off from the store at
-	// once, and the others have to learn of a change within two seconds: there
-	// have to be so many readers that hardly ever all of them are among those.
-	fewestReaders = 4
-	perReader     = 5
 )
 
 // Relay keeps feeds up to date from peers: a few processes read the store, and
 // the others ask those. It also helps a process that the store turns away.
 type Relay struct {
-	self  string
-	feeds []*Feed
-	peers func() []string
-	dial  peer.Dialer
-	clock hollowgrade.Clock
-	log   *log.Logger
-
-	received, wasted atomic.Int64 // bytes of answers of peers; of those that were cut
-
-	mu    sync.Mutex
-	conns map[string]*peer.Conn
-	told  time.Time // when a reader last told what is fresh
-	reads bool      // what Reads last said
+	self   string
+	hall   string
+	feeds  []*Feed
+	peers  func() []string
+	places func(address string) Place
+	dial   peer.Dialer
+	clock  hollowgrade.Clock
+	log    *log.Logger
+
+	received, wasted atomic.Int64 // bytes that peers sent; those that were thrown away
+	exchanges        sync.WaitGroup
+
+	mu        sync.Mutex
+	conns     map[string]*peer.Conn
+	told      time.Time           // when a reader last told what is fresh
+	reads     bool                // what Reads last said
+	transfers map[*Feed]*transfer // under way
+	catching  map[*Feed]bool      // feeds of which pages are read one after another
 }
 
 // RelayOption changes a relay as it is made.
@@ -85,21 +84,30 @@
 	return func(r *Relay) { r.dial = d }
 }
 
+// WithPlaces sets what is known of where processes are, this one among them.
+func WithPlaces(f func(address string) Place) RelayOption {
+	return func(r *Relay) { r.places = f }
+}
+
 // NewRelay returns a relay for the process with the address self. Peers returns
 // the addresses of the others; it is asked anew each time. Feeds are added with
 // [Relay.Add].
 func NewRelay(self string, peers func() []string, os ...RelayOption) *Relay {
 	r := &Relay{
-		self:  self,
-		peers: peers,
-		dial:  peer.TCP(),
-		clock: hollowgrade.SystemClock(),
-		log:   log.Default(),
-		conns: map[string]*peer.Conn{},
+		self:      self,
+		peers:     peers,
+		places:    func(string) Place { return Place{} },
+		dial:      peer.TCP(),
+		clock:     hollowgrade.SystemClock(),
+		log:       log.Default(),
+		conns:     map[string]*peer.Conn{},
+		transfers: map[*Feed]*transfer{},
+		catching:  map[*Feed]bool{},
 	}
 	for _, o := range os {
 		o(r)
 	}
+	r.hall = r.places(self).Hall
 	return r
 }
 
@@ -108,26 +116,24 @@
 	r.feeds = append(r.feeds, fs...)
 }
 
-// readers returns the processes that read the store, the same for all that know
-// the same members.
-func (r *Relay) readers() []string {
-	as := append(r.peers(), r.self)
-	ranks := make(map[string]uint64, len(as))
-	for _, a := range as {
-		ranks[a] = sched.Rank(readersSubject, a)
-	}
-	slices.SortFunc(as, func(a, b string) int { return cmp.Or(cmp.Compare(ranks[b], ranks[a]), cmp.Compare(a, b)) })
-	as = slices.Compact(as)
-	return as[:min(max(fewestReaders, (len(as)+perReader-1)/perReader), len(as))]
-}
-
-// readersSubject is what processes are ranked for.
-const readersSubject = "store"
-
 // Reads reports whether this process has to read the store itself: it is one of
 // the readers, or none of them has told it anything for a while.
 func (r *Relay) Reads() bool {
-	reader := slices.Contains(r.readers(), r.self)
+	return r.readsAs(r.readers())
+}
+
+// ReadsLarge reports the same for topics with large records. While a peer sends one,
+// this process does not read another copy of it: both would share one link.
+func (r *Relay) ReadsLarge() bool {
+	rs := readersOfLarge(r.readers())
+	if r.transferring() {
+		return slices.Contains(rs, r.self)
+	}
+	return r.readsAs(rs)
+}
+
+func (r *Relay) readsAs(readers []string) bool {
+	reader := slices.Contains(readers, r.self)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reads := reader || r.clock.Since(r.told) > lostAfter
@@ -142,9 +148,10 @@
 func (r *Relay) Run(ctx context.Context) {
 	for hollowgrade.Sleep(ctx, r.clock, askEvery) {
 		for _, a := range r.toAsk() {
-			go r.ask(ctx, a)
+			r.exchanges.Go(func() { r.ask(ctx, a) })
 		}
 	}
+	r.exchanges.Wait()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range r.conns {
@@ -152,20 +159,25 @@
 	}
 }
 
-// toAsk returns the peers to ask now: some readers, unless this process is one;
-// and any when the view is stale.
+// toAsk returns the peers to ask now: some readers, unless this process reads all
+// topics itself; and any when the view is stale.
 func (r *Relay) toAsk() (as []string) {
-	if rs := r.readers(); !slices.Contains(rs, r.self) {
-		as = some(rs)
+	rs := r.readers()
+	switch large := readersOfLarge(rs); {
+	case slices.Contains(large, r.self):
+	case slices.Contains(rs, r.self):
+		as = r.some(large)
+	default:
+		as = r.some(rs)
 	}
 	if len(r.behind()) == 0 {
 		return as
 	}
-	return append(as, some(slices.DeleteFunc(r.peers(), func(a string) bool { return slices.Contains(as, a) }))...)
+	return append(as, r.some(slices.DeleteFunc(r.peers(), func(a string) bool { return slices.Contains(as, a) }))...)
 }
 
 // some returns as many of the peers as are asked at a time, others each time.
-func some(as []string) []string {
+func (r *Relay) some(as []string) []string {
 	rand.Shuffle(len(as), func(i, j int) { as[i], as[j] = as[j], as[i] })
 	return as[:min(askedPeers, len(as))]
 }
@@ -180,25 +192,82 @@
 	return fs
 }
 
+// told is what one answer of a peer came to.
+type told struct {
+	bytes int64
+	more  *Feed   // a feed of which the peer can tell the next page at once, or nil
+	large []found // records whose values have to be asked for
+}
+
+// found is a record that a peer has told of without its value.
+type found struct {
+	feed   *Feed
+	record *wire.LargeRecord
+}
+
+// ask asks a peer once, and then for the pages that are missing, one after another.
 func (r *Relay) ask(ctx context.Context, address string) {
+	for f := r.askOnce(ctx, address); f != nil; {
+		before := f.Next()
+		if !r.catch(f) {
+			return // another ask does
+		}
+		more := r.askOnce(ctx, address)
+		r.caught(f)
+		if f.Next() == before {
+			return
+		}
+		f = more
+	}
+}
+
+// catch notes that pages of a feed are read one after another, unless they are.
+func (r *Relay) catch(f *Feed) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.catching[f] {
+		return false
+	}
+	r.catching[f] = true
+	return true
+}
+
+func (r *Relay) caught(f *Feed) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.catching, f)
+}
+
+// askOnce asks a peer and lets the large values that it has be brought. It returns a
+// feed of which the peer can tell more, or nil.
+func (r *Relay) askOnce(ctx context.Context, address string) (more *Feed) {
 	sent := r.clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	d, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	n, err := r.exchange(ctx, address)
-	r.received.Add(n)
-	if err == nil {
-		return
+	t, err := r.exchange(d, address)
+	r.received.Add(t.bytes)
+	if err != nil {
+		r.cut(address, t.bytes, r.clock.Since(sent), errors.Join(d.Err(), err))
+		return nil
+	}
+	for _, l := range t.large {
+		r.bring(ctx, l.feed, l.record, address)
 	}
-	r.wasted.Add(n)
-	if n >= toldBytes {
-		r.log.Warn("answer of a peer was cut", "peer", address, "bytes", n, "took_ms", r.clock.Since(sent).Milliseconds(), "err", errors.Join(ctx.Err(), err))
+	return t.more
+}
+
+// cut notes that the answer of a peer was cut after so many bytes.
+func (r *Relay) cut(address string, bytes int64, took time.Duration, err error) {
+	r.wasted.Add(bytes)
+	if bytes >= toldBytes {
+		r.log.Warn("answer of a peer was cut", "peer", address, "bytes", bytes, "took_ms", took.Milliseconds(), "err", err)
 		return
 	}
 	r.log.Debug("peer did not tell what it knows of the store", "peer", address, "err", err)
 }
 
-// Received returns how many bytes peers have told, and how many of these were
-// of answers that were cut and told nothing.
+// Received returns how many bytes peers have sent, and how many of these were of
+// answers and values that were cut.
 func (r *Relay) Received() (all, wasted int64) {
 	return r.received.Load(), r.wasted.Load()
 }
@@ -234,12 +303,12 @@
 	_ = c.Close()
 }
 
-// exchange asks a peer and takes what it tells. It returns how many bytes came.
-func (r *Relay) exchange(ctx context.Context, address string) (bytes int64, err error) {
+// exchange asks a peer and takes what it tells.
+func (r *Relay) exchange(ctx context.Context, address string) (t told, err error) {
 	defer errs.Annotate(&err, "ask peer %s for feeds", address)
 	c, err := r.conn(ctx, address)
 	if err != nil {
-		return 0, err
+		return t, err
 	}
 	defer func() {
 		if err != nil {
@@ -253,25 +322,26 @@
 	}
 	s, err := c.Open(&wire.Frame{Body: &wire.Frame_FeedRequest{FeedRequest: q}})
 	if err != nil {
-		return 0, err
+		return t, err
 	}
 	defer s.Abort()
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
+	defer func() { t.bytes = s.Received() }()
 	for n := 0; ; n++ {
 		m, err := s.Receive()
 		if errors.Is(err, io.EOF) {
 			r.heard(n)
-			return s.Received(), nil
+			return t, nil
 		}
 		if err != nil {
-			return s.Received(), err
+			return t, err
 		}
 		p := m.GetFeedReply()
 		if p == nil {
-			return s.Received(), errors.New("peer sent a frame that is not due")
+			return t, errors.New("peer sent a frame that is not due")
 		}
-		r.merge(address, p, sent)
+		r.merge(address, p, sent, &t)
 	}
 }
 
@@ -285,50 +355,39 @@
 	r.told = r.clock.Now()
 }
 
-// merge takes a peer's reply. What the peer knew as of some time before it
-// answered it knew at the latest that long after the request was sent.
-func (r *Relay) merge(address string, m *wire.FeedReply, sent time.Time) {
+// feed returns the feed with a name, nil if there is none.
+func (r *Relay) feed(name string) *Feed {
 	for _, f := range r.feeds {
-		if f.Name() != m.Feed {
-			continue
-		}
-		before, _ := f.Age()
-		p := hollowgrade.KeyedPage{Next: m.Next, End: m.Next}
-		for _, k := range m.Records {
-			p.Records = append(p.Records, hollowgrade.KeyedRecord{Key: k.Key, Value: k.Value, Offset: k.Offset})
-		}
-		f.Merge(p, sent.Add(-time.Duration(m.AgeMicros)*time.Microsecond))
-		if after, ok := f.Age(); ok && after < before && (before > 2*f.wait+staleMargin || len(p.Records) > 0) {
-			r.log.Info("learned from a peer", "feed", f.name, "peer", address, "next", m.Next, "records", len(p.Records),
-				"age_ms", after.Milliseconds(), "age_before_ms", before.Milliseconds())
+		if f.Name() == name {
+			return f
 		}
 	}
+	return nil
 }
 
-// Serve answers a peer's request. It is a part of a [peer.Handler].
-func Serve(s *peer.Stream, q *wire.FeedRequest, fs []*Feed) (err error) {
-	defer errs.Annotate(&err, "answer with feeds")
-	for _, o := range q.Positions {
-		for _, f := range fs {
-			if f.Name() != o.Feed {
-				continue
-			}
-			p, age, ok := f.Since(o.Next)
-			if !ok || f.lostNow() && o.Next > 0 {
-				continue // the store's newest is not known here, and the peer knows something
-			}
-			if err = s.Send(reply(f.Name(), p, age)); err != nil {
-				return err
-			}
-		}
+// merge takes a peer's reply. What the peer knew as of some time before it
+// answered it knew at the latest that long after the request was sent. What has to
+// be asked for besides goes into t.
+func (r *Relay) merge(address string, m *wire.FeedReply, sent time.Time, t *told) {
+	f := r.feed(m.Feed)
+	if f == nil {
+		return
 	}
-	return s.Finish()
-}
-
-func reply(name string, p hollowgrade.KeyedPage, age time.Duration) *wire.Frame {
-	m := &wire.FeedReply{Feed: name, Next: p.Next, AgeMicros: age.Microseconds()}
-	for _, k := range p.Records {
-		m.Records = append(m.Records, &wire.FeedRecord{Key: k.Key, Value: k.Value, Offset: k.Offset})
+	before, _ := f.Age()
+	p := hollowgrade.KeyedPage{Next: m.Next, End: max(m.End, m.Next), From: address}
+	for _, k := range m.Records {
+		p.Records = append(p.Records, hollowgrade.KeyedRecord{Key: k.Key, Value: k.Value, Offset: k.Offset})
+	}
+	f.Merge(p, sent.Add(-time.Duration(m.AgeMicros)*time.Microsecond))
+	if after, ok := f.Age(); ok && after < before && (before > 2*f.wait+staleMargin || len(p.Records) > 0) {
+		r.log.Info("learned from a peer", "feed", f.name, "peer", address, "next", m.Next, "records", len(p.Records),
+			"age_ms", after.Milliseconds(), "age_before_ms", before.Milliseconds())
+	}
+	switch l := m.Large; {
+	case f.Next() != p.Next || p.Next == p.End:
+	case l != nil && f.expect(l.Key, l.Offset, int(l.Size), address):
+		t.large = append(t.large, found{f, l})
+	default:
+		t.more = f
 	}
-	return &wire.Frame{Body: &wire.Frame_FeedReply{FeedReply: m}}
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -81,8 +80,9 @@
 	s := platform.NewStore(c.Store)
 	n = &GatewayNode{Node: b, members: newMembers(c, s.Members(), g)}
 	n.settings.Store(&c)
-	relay := feed.NewRelay(c.Peers, n.members.addresses, feed.WithRelayLogger(g))
-	n.config = feed.New(configFeed, s.Config(), feed.WithLogger(g), feed.WithWait(c.ReadWait()), feed.WithReader(relay.Reads))
+	relay := feed.NewRelay(c.Peers, n.members.addresses, feed.WithRelayLogger(g), feed.WithPlaces(n.members.place))
+	n.config = feed.New(configFeed, s.Config(), feed.WithLogger(g), feed.WithWait(c.ReadWait()),
+		feed.WithReader(relay.ReadsLarge), feed.WithMaxValue(c.ConfigMaxBytes))
 	fleet := feed.New(fleetFeed, s.Workers(), feed.WithLogger(g), feed.WithWait(c.FleetWait), feed.WithReader(relay.Reads))
 	others := feed.New(membersFeed, s.Members(), feed.WithLogger(g), feed.WithWait(c.MembersWait), feed.WithReader(relay.Reads))
 	n.state = n.configState
@@ -91,6 +91,7 @@
 		core.WithLogger(g),
 		core.WithBounds(bounds(c)),
 		core.WithAge(n.config.Age),
+		core.WithOutdated(n.config.Outdated),
 		core.WithProcesses(n.members.count),
 		core.WithObserver(func(o core.Observation) { b.sample(callSample(o)) }))
 	n.config.Watch(n.takeConfig)
@@ -124,7 +125,7 @@
 		if err != nil {
 			return err
 		}
-		n.Register(PeersService, newPeers(l, n.answerPeers(shared), g))
+		n.Register(PeersService, newPeers(l, n.answerPeers(feed.NewServer(c.LinkMbps, shared...)), g))
 	}
 	n.Register(MembersService, n.members)
 	l, err := listen(c.Callers)
@@ -150,16 +151,12 @@
 }
 
 // answerPeers returns the handler for other gateways.
-func (n *GatewayNode) answerPeers(shared []*feed.Feed) peer.Handler {
+func (n *GatewayNode) answerPeers(f *feed.Server) peer.Handler {
 	return func(_ context.Context, s *peer.Stream, first *wire.Frame) error {
-		switch b := first.Body.(type) {
-		case *wire.Frame_FeedRequest:
-			return feed.Serve(s, b.FeedRequest, shared)
-		case *wire.Frame_LoadView:
-			return n.taker.Stream(s, b.LoadView)
-		default:
-			return fmt.Errorf("%w: gateways ask for feeds or tell their load", peer.ErrBroken)
+		if b := first.GetLoadView(); b != nil {
+			return n.taker.Stream(s, b)
 		}
+		return f.Serve(s, first)
 	}
 }
 
@@ -219,6 +216,8 @@
 		return false, "no upstream is known"
 	case !known || age > n.settings.Load().KeyAge():
 		return false, "the configuration may be out of date"
+	case n.Core.Outdated():
+		return false, "a newer configuration is known and not here yet"
 	default:
 		return true, ""
 	}
@@ -244,19 +243,23 @@
 	return s
 }
 
-// takeConfig puts a new configuration in force.
+// takeConfig puts a new configuration in force. One that cannot be used, or is not
+// newer, leaves the one in force.
 func (n *GatewayNode) takeConfig(cs []feed.Change) {
 	for _, c := range cs {
 		if c.Key != platform.ConfigKey || c.Dropped() {
 			continue
 		}
+		g := n.log.With("offset", c.Offset, "bytes", len(c.Value), "from", c.Source())
 		k, err := platform.DecodeCatalog(c.Value)
-		if err != nil {
-			n.log.Error("configuration not used", "offset", c.Offset, "err", err)
-			continue
+		switch {
+		case err != nil:
+			g.Error("configuration not used", "version", platform.CatalogVersion(c.Value), "why", err)
+		case !n.Core.SetCatalog(k):
+			g.Warn("configuration not used", "version", k.Version, "why", "it is not newer than the one in force", "in_force", n.Core.Catalog().Version)
+		default:
+			g.Info("configuration read", "version", k.Version, "in_force", true)
 		}
-		used := n.Core.SetCatalog(k)
-		n.log.Info("configuration read", "version", k.Version, "offset", c.Offset, "in_force", used, "bytes", len(c.Value))
 	}
 }
 
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -297,7 +297,8 @@
 func TestLateWriteOfAnEarlierLifeIsMadeGood(t *testing.T) {
 	s := newScene(t, platformtest.Echo)
 	box := s.gateway.Box.Name
-	listed := func() bool { return s.store.Value("keyed.members", box) == s.gateway.peers }
+	own := fmt.Sprintf(`{"peers":%q,"hall":"z1","link_mbps":0}`, s.gateway.peers)
+	listed := func() bool { return s.store.Value("keyed.members", box) == own }
 	require.Eventually(t, listed, 20*time.Second, time.Millisecond)
 	s.store.Put("keyed.members", box, []byte("10.9.9.9:1"))
 	require.Eventually(t, listed, 20*time.Second, time.Millisecond)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +12,7 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/feed"
+	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/kernel"
 	"github.com/hollowgrade/hollowgrade/setting"
 )
@@ -24,28 +27,46 @@
 // members knows the other gateways from the store and the settings, and keeps
 // this one in the list. It is a service.
 type members struct {
-	box, own string
-	seeds    []string
-	topic    hollowgrade.Topic
-	clock    hollowgrade.Clock
-	log      *log.Logger
-	runner   *runner
-	missing  chan struct{} // gets a value when the list does not have this process
+	box     string
+	own     member
+	seeds   []string
+	topic   hollowgrade.Topic
+	clock   hollowgrade.Clock
+	log     *log.Logger
+	runner  *runner
+	missing chan struct{} // gets a value when the list does not have this process
 
 	mu    sync.Mutex
-	known map[string]string // peer address by box
+	known map[string]member // by box
+}
+
+// member is a gateway's record in the list.
+type member struct {
+	Peers string  `json:"peers"` // address on which other gateways ask
+	Hall  string  `json:"hall"`
+	Link  float64 `json:"link_mbps"` // of its box, 0 if not known
+}
+
+// decodeMember decodes a record. One without braces is the address alone.
+func decodeMember(v []byte) (m member, err error) {
+	defer errs.Annotate(&err, "decode the record of a gateway")
+	if !bytes.HasPrefix(v, []byte("{")) {
+		return member{Peers: string(v)}, nil
+	}
+	err = json.Unmarshal(v, &m)
+	return m, err
 }
 
 func newMembers(c setting.Gateway, t hollowgrade.Topic, g *log.Logger) *members {
 	m := &members{
 		box:     c.Box,
-		own:     c.Peers,
+		own:     member{Peers: c.Peers, Hall: c.Hall, Link: c.LinkMbps},
 		seeds:   c.Seeds,
 		topic:   t,
 		clock:   hollowgrade.SystemClock(),
 		log:     g,
 		missing: make(chan struct{}, 1),
-		known:   map[string]string{},
+		known:   map[string]member{},
 	}
 	m.runner = newRunner(m.join)
 	m.miss()
@@ -67,13 +88,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, c := range cs {
+		k, err := decodeMember(c.Value)
+		if err != nil {
+			m.log.Error("gateway not used", "box", c.Key, "offset", c.Offset, "err", err)
+			continue
+		}
 		if c.Dropped() {
 			delete(m.known, c.Key)
 		} else {
-			m.known[c.Key] = string(c.Value)
+			m.known[c.Key] = k
 		}
-		if c.Key == m.box && string(c.Value) != m.own && m.own != "" {
-			m.log.Warn("the list of gateways has another address for this box", "box", m.box, "address", string(c.Value), "own", m.own)
+		if c.Key == m.box && k != m.own && m.own.Peers != "" {
+			m.log.Warn("the list of gateways has another record for this box", "box", m.box, "address", k.Peers, "own", m.own.Peers)
 			m.miss()
 		}
 	}
@@ -83,12 +109,31 @@
 func (m *members) addresses() (as []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, a := range m.known {
-		as = append(as, a)
+	for _, k := range m.known {
+		as = append(as, k.Peers)
 	}
 	as = append(as, m.seeds...)
 	slices.Sort(as)
-	return slices.DeleteFunc(slices.Compact(as), func(a string) bool { return a == m.own || a == "" })
+	return slices.DeleteFunc(slices.Compact(as), func(a string) bool { return a == m.own.Peers || a == "" })
+}
+
+// place returns where the gateway with a peer address is.
+func (m *members) place(address string) feed.Place {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if address == m.own.Peers {
+		return m.own.place()
+	}
+	for _, k := range m.known {
+		if k.Peers == address {
+			return k.place()
+		}
+	}
+	return feed.Place{}
+}
+
+func (m member) place() feed.Place {
+	return feed.Place{Hall: m.Hall, Link: m.Link}
 }
 
 // count returns how many gateways there are.
@@ -98,13 +143,21 @@
 
 // join writes this process into the list, and again whenever it is missing.
 func (m *members) join(ctx context.Context) {
-	for m.own != "" {
+	if m.own.Peers == "" {
+		return
+	}
+	v, err := json.Marshal(m.own)
+	if err != nil {
+		m.log.Error("could not join the list of gateways", "err", err)
+		return
+	}
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-m.missing:
 		}
-		if err := m.put(ctx, []byte(m.own)); err != nil && ctx.Err() == nil {
+		if err = m.put(ctx, v); err != nil && ctx.Err() == nil {
 			m.log.Warn("could not join the list of gateways", "err", err)
 			m.miss()
 			hollowgrade.Sleep(ctx, m.clock, joinRetry)
@@ -129,7 +182,7 @@
 	if err := m.runner.Stop(ctx); err != nil {
 		return err
 	}
-	if m.own == "" {
+	if m.own.Peers == "" {
 		return nil
 	}
 	if err := m.put(ctx, nil); err != nil {
--- a/feed/network_test.go
+++ b/internal/spread/network_test.go
@@ -1,4 +1,4 @@
-package feed
+package spread
 
 import (
 	"context"
@@ -6,8 +6,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/feed"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 	"github.com/hollowgrade/hollowgrade/peer"
 )
@@ -67,6 +71,14 @@
 	n.links[box] = &boxLink{hall: hall, rate: rate}
 }
 
+// place returns where a box is.
+func (n *network) place(box string) feed.Place {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.links[box]
+	return feed.Place{Hall: l.hall, Link: l.rate * 8 / 1e6}
+}
+
 // send puts bytes on the way from one box to another and returns when they will
 // be there.
 func (n *network) send(from, to string, bytes int) time.Time {
@@ -300,40 +312,108 @@
 	}
 }
 
+var errDown = errors.New("down")
+
+// memTopic implements [hollowgrade.Topic] in memory.
+type memTopic struct {
+	mu      sync.Mutex
+	records []hollowgrade.KeyedRecord
+	down    bool
+	changed chan struct{}
+}
+
+func newTopic() *memTopic {
+	return &memTopic{changed: make(chan struct{})}
+}
+
+func (t *memTopic) Put(_ context.Context, key string, value []byte) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.records = append(t.records, hollowgrade.KeyedRecord{Key: key, Value: value, Offset: int64(len(t.records))})
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return nil
+}
+
+func (t *memTopic) Newest(context.Context, time.Duration) (p hollowgrade.KeyedPage, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return p, errDown
+	}
+	newest := map[string]hollowgrade.KeyedRecord{}
+	for _, r := range t.records {
+		newest[r.Key] = r
+	}
+	p.Records = slices.Collect(maps.Values(newest))
+	p.Next = int64(len(t.records))
+	p.End = p.Next
+	return p, nil
+}
+
+func (t *memTopic) Wait(ctx context.Context, from int64, d, _ time.Duration) (p hollowgrade.KeyedPage, err error) {
+	until := time.After(d)
+	for {
+		t.mu.Lock()
+		down, end, changed := t.down, int64(len(t.records)), t.changed
+		if from < end {
+			p.Records = slices.Clone(t.records[from:])
+		}
+		t.mu.Unlock()
+		p.Next, p.End = max(end, from), end
+		switch {
+		case down:
+			return p, errDown
+		case len(p.Records) > 0:
+			return p, nil
+		}
+		select {
+		case <-changed:
+		case <-until:
+			return p, nil
+		case <-ctx.Done():
+			return p, ctx.Err()
+		}
+	}
+}
+
 // farTopic is the store's topic as a box sees it: what it reads goes over the
 // store's link and its own.
 type farTopic struct {
-	*fakeTopic
+	*memTopic
 	net    *network
 	box    string
 	answer time.Duration // that the store takes to answer
 }
 
-func (t *farTopic) Newest(ctx context.Context) (p hollowgrade.KeyedPage, err error) {
-	if p, err = t.fakeTopic.Newest(ctx); err == nil {
-		err = t.carry(ctx, p)
+func (t *farTopic) Newest(ctx context.Context, patience time.Duration) (p hollowgrade.KeyedPage, err error) {
+	if p, err = t.memTopic.Newest(ctx, patience); err == nil {
+		err = t.carry(ctx, p, patience)
 	}
 	return p, err
 }
 
-func (t *farTopic) Wait(ctx context.Context, from int64, d time.Duration) (p hollowgrade.KeyedPage, err error) {
-	if p, err = t.fakeTopic.Wait(ctx, from, d); err == nil {
-		err = t.carry(ctx, p)
+func (t *farTopic) Wait(ctx context.Context, from int64, d, patience time.Duration) (p hollowgrade.KeyedPage, err error) {
+	if p, err = t.memTopic.Wait(ctx, from, d, patience); err == nil {
+		err = t.carry(ctx, p, patience)
 	}
 	return p, err
 }
 
 // carry takes the time that an answer needs.
-func (t *farTopic) carry(ctx context.Context, p hollowgrade.KeyedPage) error {
+func (t *farTopic) carry(ctx context.Context, p hollowgrade.KeyedPage, patience time.Duration) error {
 	left := 0
 	for _, r := range p.Records {
 		left += len(r.Key) + len(r.Value)
 	}
-	wait := t.answer
+	wait := min(t.answer, patience)
 	for {
 		if !hollowgrade.Sleep(ctx, hollowgrade.SystemClock(), wait) {
 			return ctx.Err()
 		}
+		if t.answer > patience {
+			return errDown
+		}
 		if left <= 0 {
 			return nil
 		}
@@ -346,14 +426,14 @@
 // gateway is what one gateway has of feeds.
 type gateway struct {
 	box           string
-	config, fleet *Feed
-	relay         *Relay
+	config, fleet *feed.Feed
+	relay         *feed.Relay
 }
 
 // fleetOf is gateways before one store in one network.
 type fleetOf struct {
 	net           *network
-	config, fleet *fakeTopic
+	config, fleet *memTopic
 	gateways      []*gateway
 }
 
@@ -379,6 +459,9 @@
 // inNetwork runs gateways at the places in virtual time until test returns.
 func inNetwork(t *testing.T, ps []place, answer time.Duration, test func(t *testing.T, f *fleetOf)) {
 	t.Helper()
+	// Two collections empty the pool that yamux keeps timers of an earlier bubble in.
+	runtime.GC()
+	runtime.GC()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		f := &fleetOf{net: newNetwork(), config: newTopic(), fleet: newTopic()}
@@ -389,12 +472,14 @@
 		var g sync.WaitGroup
 		defer func() {
 			cancel()
-			time.Sleep(askTimeout) // asks under way end
+			time.Sleep(time.Second) // asks under way end
 			f.net.close()
 			g.Wait()
 		}()
 		for i, p := range ps {
 			f.net.add(addresses[i], p.hall, p.rate)
+		}
+		for i := range ps {
 			f.gateways = append(f.gateways, f.start(ctx, &g, addresses[i], addresses, answer))
 		}
 		time.Sleep(5 * time.Second)
@@ -405,14 +490,13 @@
 func (f *fleetOf) start(ctx context.Context, g *sync.WaitGroup, box string, all []string, answer time.Duration) *gateway {
 	quiet := log.New(io.Discard)
 	w := &gateway{box: box}
-	w.relay = NewRelay(box, func() []string { return append([]string(nil), all...) }, WithRelayLogger(quiet), WithDialer(f.net.dialer(box)))
-	w.config = New("config", &farTopic{f.config, f.net, box, answer}, WithLogger(quiet), WithWait(1500*time.Millisecond), WithReader(w.relay.Reads))
-	w.fleet = New("fleet", &farTopic{f.fleet, f.net, box, answer}, WithLogger(quiet), WithWait(3*time.Second), WithReader(w.relay.Reads))
-	fs := []*Feed{w.config, w.fleet}
+	w.relay = feed.NewRelay(box, func() []string { return append([]string(nil), all...) }, feed.WithRelayLogger(quiet), feed.WithDialer(f.net.dialer(box)), feed.WithPlaces(f.net.place))
+	w.config = feed.New("config", &farTopic{f.config, f.net, box, answer}, feed.WithLogger(quiet), feed.WithWait(1500*time.Millisecond), feed.WithReader(w.relay.ReadsLarge))
+	w.fleet = feed.New("fleet", &farTopic{f.fleet, f.net, box, answer}, feed.WithLogger(quiet), feed.WithWait(3*time.Second), feed.WithReader(w.relay.Reads))
+	fs := []*feed.Feed{w.config, w.fleet}
 	w.relay.Add(fs...)
-	s := peer.NewServer(func(_ context.Context, s *peer.Stream, first *wire.Frame) error {
-		return Serve(s, first.GetFeedRequest(), fs)
-	}, func(net.Addr, error) {})
+	v := feed.NewServer(f.net.place(box).Link, fs...)
+	s := peer.NewServer(func(_ context.Context, s *peer.Stream, first *wire.Frame) error { return v.Serve(s, first) }, func(net.Addr, error) {})
 	l := f.net.listen(box)
 	g.Go(func() { _ = s.Serve(ctx, l) })
 	g.Go(func() { w.config.Run(ctx) })
@@ -426,9 +510,9 @@
 }
 
 // known returns how many gateways know the topics up to an offset.
-func (f *fleetOf) known(feed func(*gateway) *Feed, next int64) (n int) {
+func (f *fleetOf) known(of func(*gateway) *feed.Feed, next int64) (n int) {
 	for _, w := range f.gateways {
-		if feed(w).Next() >= next {
+		if of(w).Next() >= next {
 			n++
 		}
 	}
@@ -437,15 +521,15 @@
 
 // until waits until all gateways know a topic up to an offset, and returns how
 // long that took, or bound.
-func (f *fleetOf) until(feed func(*gateway) *Feed, next int64, bound time.Duration) time.Duration {
+func (f *fleetOf) until(of func(*gateway) *feed.Feed, next int64, bound time.Duration) time.Duration {
 	began := time.Now()
-	for f.known(feed, next) < len(f.gateways) && time.Since(began) < bound {
+	for f.known(of, next) < len(f.gateways) && time.Since(began) < bound {
 		time.Sleep(aMoment)
 	}
 	return time.Since(began)
 }
 
-func configOf(w *gateway) *Feed { return w.config }
+func configOf(w *gateway) *feed.Feed { return w.config }
 
 // configuration returns a configuration of about so many bytes, of routes whose
 // names are drawn.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -204,6 +204,12 @@
 	return &wire.Frame{Body: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: b, Last: last}}}
 }
 
+// Extend lets what is sent and received from now on take up to d. A call again
+// gives as long anew.
+func (s *Stream) Extend(d time.Duration) error {
+	return s.raw.SetDeadline(time.Now().Add(d))
+}
+
 // Finish tells the other side that nothing more will be sent. The other
 // direction stays open.
 func (s *Stream) Finish() error {
