feed, platform, core, node: tests of values that are cut, damaged, too large or old

These play each way in which a value may fail to come, busy peers, excerpts of 3,000 upstreams, a watcher that takes long, readers of halls, long answers of the store, configurations that are not used (one line: version, bytes, from whom, why), and calls while a newer configuration is known. Ruled out: nothing new.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -362,6 +362,18 @@
 		known = false
 		require.Equal(t, fault.StaleConfig, code(same))
 	})
+	// A call on a route without a key was handled by a version that had been replaced
+	// eight seconds before: freshness is asked for with keys only.
+	t.Run("older than one that is known", func(t *testing.T) {
+		age, known = 0, true
+		c.outdated = func() time.Duration { return DefaultBounds().Freshness - outdatedMargin + time.Millisecond }
+		defer func() { c.outdated = func() time.Duration { return 0 } }()
+		require.Equal(t, fault.StaleConfig, code(public))
+		require.Equal(t, fault.StaleConfig, code(same))
+		require.True(t, c.Outdated())
+		c.outdated = func() time.Duration { return DefaultBounds().Freshness - outdatedMargin }
+		require.Empty(t, code(public), "for a moment it decides on")
+	})
 	t.Run("no configuration", func(t *testing.T) {
 		err := New(&fakeUpstreams{}, &fakeUpstreams{}, WithLogger(quiet())).Serve(context.Background(), call("/again/"), &fakeSink{})
 		require.Equal(t, fault.NoConfiguration, fault.As(err, hollowgrade.Unknown).Code)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -335,21 +334,8 @@
 // served is a feed that a peer serves over loopback.
 func served(t *testing.T, fs ...*Feed) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	v := NewServer(0, fs...)
-	h := func(_ context.Context, s *peer.Stream, first *wire.Frame) error { return v.Serve(s, first) }
-	s := peer.NewServer(h, func(net.Addr, error) {})
-	ctx, cancel := context.WithCancel(context.Background())
-	var g sync.WaitGroup
-	g.Go(func() { _ = s.Serve(ctx, l) })
-	t.Cleanup(func() {
-		cancel()
-		_ = l.Close()
-		s.Close()
-		g.Wait()
-	})
-	return l.Addr().String()
+	return listening(t, func(_ context.Context, s *peer.Stream, first *wire.Frame) error { return v.Serve(s, first) })
 }
 
 func requireTold(t *testing.T, r *Relay, address string) {
--- /dev/null
+++ b/feed/transfer_test.go
@@ -0,0 +1,406 @@
+package feed
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/peer"
+)
+
+// large returns a value of so many bytes that says which one it is.
+func large(n, size int) []byte {
+	var b strings.Builder
+	for i := 0; b.Len() < size; i++ {
+		fmt.Fprintf(&b, "route %d of version %d;", i*7919%100_003, n)
+	}
+	return []byte(b.String())
+}
+
+// holding returns a feed whose newest record of "k" is the value at the offset.
+func holding(offset int64, value []byte, os ...Option) *Feed {
+	f := New("f", newTopic(), append([]Option{WithLogger(log.New(io.Discard))}, os...)...)
+	f.Merge(page(offset+1, hollowgrade.KeyedRecord{Key: "k", Value: value, Offset: offset}), time.Now())
+	return f
+}
+
+// logged is a log that can be read while it is written.
+type logged struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logged) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *logged) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// relayOf returns a relay for a feed, and its log.
+func relayOf(t *testing.T, f *Feed, os ...RelayOption) (*Relay, *logged) {
+	t.Helper()
+	l := &logged{}
+	r := NewRelay("self:1", func() []string { return nil }, append([]RelayOption{WithRelayLogger(log.New(l))}, os...)...)
+	r.Add(f)
+	t.Cleanup(r.exchanges.Wait)
+	return r, l
+}
+
+// requireBrought asks a peer and waits until the feed has the value.
+func requireBrought(t *testing.T, r *Relay, f *Feed, address string, value []byte) {
+	t.Helper()
+	r.ask(context.Background(), address)
+	require.Eventually(t, func() bool { v, _ := f.value("k"); return bytes.Equal(v.Value, value) }, 10*time.Second, time.Millisecond)
+	r.exchanges.Wait()
+}
+
+// requireKept asks a peer and requires that the feed keeps its value.
+func requireKept(t *testing.T, r *Relay, f *Feed, address string, value []byte) {
+	t.Helper()
+	r.ask(context.Background(), address)
+	r.exchanges.Wait()
+	v, _ := f.value("k")
+	require.Equal(t, len(value), len(v.Value))
+	require.True(t, bytes.Equal(value, v.Value))
+}
+
+// scripted listens as a peer that answers requests for feeds like the feed, and
+// requests for values by a function.
+func scripted(t *testing.T, f *Feed, give func(s *peer.Stream, q *wire.ValueRequest) error) string {
+	t.Helper()
+	v := NewServer(0, f)
+	return listening(t, func(_ context.Context, s *peer.Stream, first *wire.Frame) error {
+		if q := first.GetValueRequest(); q != nil {
+			return give(s, q)
+		}
+		return v.Serve(s, first)
+	})
+}
+
+func sendHead(s *peer.Stream, h *wire.ValueHead) error {
+	return s.Send(&wire.Frame{Body: &wire.Frame_ValueHead{ValueHead: h}})
+}
+
+func TestLargeValues(t *testing.T) {
+	old, value := large(1, 300_000), large(2, 400_000)
+	newer := holding(7, value)
+	address := served(t, newer)
+	t.Run("are brought whole by a process that has none", func(t *testing.T) {
+		f := New("f", newTopic(), WithLogger(log.New(io.Discard)))
+		r, l := relayOf(t, f)
+		requireBrought(t, r, f, address, value)
+		require.Equal(t, int64(8), f.Next())
+		require.Contains(t, l.String(), "value received")
+		_, ok := f.Age()
+		require.True(t, ok, "the peer says how fresh it is right after")
+		require.Zero(t, f.Outdated())
+	})
+	t.Run("are brought as what differs", func(t *testing.T) {
+		changed := bytes.Replace(value, []byte("version 2"), []byte("version 3"), 1)
+		p := holding(7, value)
+		p.Merge(page(9, hollowgrade.KeyedRecord{Key: "k", Value: changed, Offset: 8}), time.Now())
+		f := holding(7, value)
+		r, l := relayOf(t, f)
+		requireBrought(t, r, f, served(t, p), changed)
+		require.Contains(t, l.String(), "difference=true")
+		all, wasted := r.Received()
+		require.Less(t, all, int64(2000), "bytes for one word of 400 KB")
+		require.Zero(t, wasted)
+	})
+	t.Run("are brought whole where the peer does not know the value before", func(t *testing.T) {
+		f := holding(3, old)
+		r, l := relayOf(t, f)
+		requireBrought(t, r, f, address, value)
+		require.Contains(t, l.String(), "difference=false")
+	})
+	t.Run("come from a peer that read them from another", func(t *testing.T) {
+		middle := New("f", newTopic(), WithLogger(log.New(io.Discard)))
+		r, _ := relayOf(t, middle)
+		requireBrought(t, r, middle, address, value)
+		last := New("f", newTopic(), WithLogger(log.New(io.Discard)))
+		r, _ = relayOf(t, last)
+		requireBrought(t, r, last, served(t, middle), value)
+	})
+}
+
+// The value itself counts, not how it came: each of these answers leaves the one
+// before, and one line says what was wrong and who sent it.
+func TestValuesThatAreNotTaken(t *testing.T) {
+	old, value := large(1, 300_000), large(2, 400_000)
+	o, err := encode(value, nil)
+	require.NoError(t, err)
+	head := func() *wire.ValueHead {
+		return &wire.ValueHead{Offset: 7, Size: int64(len(value)), Sum: 1, Form: o.sum, FormSize: int64(len(o.bytes))}
+	}
+	for name, c := range map[string]struct {
+		change func(h *wire.ValueHead)
+		bytes  []byte
+		why    string
+	}{
+		"cut short":            {func(*wire.ValueHead) {}, o.bytes[:len(o.bytes)/2], "cut after"},
+		"of another sum":       {func(*wire.ValueHead) {}, o.bytes, "not the value"},
+		"not to be decoded":    {func(*wire.ValueHead) {}, bytes.Repeat([]byte("x"), len(o.bytes)), "not the value"},
+		"of another size":      {func(h *wire.ValueHead) { h.Size = 10 }, o.bytes, "not the value"},
+		"older than announced": {func(h *wire.ValueHead) { h.Offset = 6 }, nil, "it has offset 6"},
+		"larger than allowed":  {func(h *wire.ValueHead) { h.Size = DefaultMaxValue + 1 }, nil, "allowed"},
+		"more than announced":  {func(h *wire.ValueHead) { h.FormSize = 10 }, o.bytes, "not due"},
+		"from the middle":      {func(h *wire.ValueHead) { h.From = 99 }, nil, "goes on from"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := scripted(t, holding(7, value), func(s *peer.Stream, _ *wire.ValueRequest) error {
+				h := head()
+				c.change(h)
+				if err := sendHead(s, h); err != nil {
+					return err
+				}
+				if err := sendForm(s, c.bytes); err != nil {
+					return err
+				}
+				return s.Finish()
+			})
+			f := holding(3, old)
+			r, l := relayOf(t, f)
+			requireKept(t, r, f, a, old)
+			require.Contains(t, l.String(), "value of a peer not taken")
+			require.Contains(t, l.String(), c.why)
+			require.Contains(t, l.String(), a)
+			require.Positive(t, f.Outdated(), "it is known that there is a newer one")
+		})
+	}
+	t.Run("announced as larger than allowed", func(t *testing.T) {
+		l := &logged{}
+		f := holding(3, old, WithMaxValue(350_000), WithLogger(log.New(l)))
+		r, _ := relayOf(t, f)
+		requireKept(t, r, f, served(t, holding(7, value)), old)
+		require.Contains(t, l.String(), "larger than the settings allow")
+		require.Zero(t, f.Outdated(), "it will never be in force here")
+		require.Equal(t, int64(8), f.Next())
+	})
+	t.Run("read from the store and larger than allowed", func(t *testing.T) {
+		l := &logged{}
+		f := holding(3, old, WithMaxValue(350_000), WithLogger(log.New(l)))
+		f.Merge(page(8, hollowgrade.KeyedRecord{Key: "k", Value: value, Offset: 7}), time.Now())
+		v, _ := f.value("k")
+		require.Equal(t, int64(3), v.Offset)
+		require.Contains(t, l.String(), "from=store")
+	})
+}
+
+func TestTransferThatIsCutGoesOnElsewhere(t *testing.T) {
+	value := make([]byte, 400_000) // that nothing compresses
+	_, _ = rand.NewChaCha8([32]byte{}).Read(value)
+	o, err := encode(value, nil)
+	require.NoError(t, err)
+	const sent = 2 * chunkBytes
+	cut := scripted(t, holding(7, value), func(s *peer.Stream, _ *wire.ValueRequest) error {
+		err := sendHead(s, &wire.ValueHead{Offset: 7, Size: int64(len(value)), Form: o.sum, FormSize: int64(len(o.bytes))})
+		if err != nil {
+			return err
+		}
+		return sendForm(s, o.bytes[:sent])
+	})
+	f := New("f", newTopic(), WithLogger(log.New(io.Discard)))
+	r, _ := relayOf(t, f)
+	r.ask(context.Background(), cut)
+	r.exchanges.Wait()
+	require.Equal(t, int64(7), f.Next(), "all before it is known")
+	var from atomic.Int64
+	whole := holding(7, value)
+	server := NewServer(0, whole)
+	requireBrought(t, r, f, scripted(t, whole, func(s *peer.Stream, q *wire.ValueRequest) error {
+		from.Store(q.From)
+		return server.give(s, q)
+	}), value)
+	require.Equal(t, int64(sent), from.Load(), "it goes on from where the first was cut")
+}
+
+func TestBusyPeerNamesOthers(t *testing.T) {
+	value := large(2, 400_000)
+	f := holding(7, value)
+	s := NewServer(0, f)
+	for s.enter() {
+	}
+	require.Equal(t, fewestSlots, s.busy)
+	for _, h := range []holder{
+		{address: "far:1", hall: "b", feed: "f", key: "k", offset: 7},
+		{address: "old:1", hall: "a", feed: "f", key: "k", offset: 6},
+		{address: "near:1", hall: "a", feed: "f", key: "k", offset: 7},
+		{address: "self:1", hall: "a", feed: "f", key: "k", offset: 7},
+	} {
+		s.note(h)
+	}
+	a := listening(t, func(_ context.Context, t *peer.Stream, first *wire.Frame) error { return s.Serve(t, first) })
+	c, err := peer.Dial(context.Background(), peer.TCP(), a)
+	require.NoError(t, err)
+	defer c.Close()
+	q, err := c.Open(&wire.Frame{Body: &wire.Frame_ValueRequest{ValueRequest: &wire.ValueRequest{Feed: "f", Key: "k", Address: "self:1", Hall: "a"}}})
+	require.NoError(t, err)
+	m, err := q.Receive()
+	require.NoError(t, err)
+	require.True(t, m.GetValueHead().GetBusy())
+	require.Equal(t, []string{"near:1", "far:1"}, m.GetValueHead().GetHolders())
+	t.Run("who asks goes there, or comes back", func(t *testing.T) {
+		other := served(t, holding(7, value))
+		s.note(holder{address: other, feed: "f", key: "k", offset: 7})
+		n := New("f", newTopic(), WithLogger(log.New(io.Discard)))
+		r, l := relayOf(t, n)
+		requireBrought(t, r, n, a, value)
+		require.Contains(t, l.String(), other)
+	})
+}
+
+func TestExcerptsAreBounded(t *testing.T) {
+	f := New("f", newTopic(), WithLogger(log.New(io.Discard)))
+	var rs []hollowgrade.KeyedRecord
+	const records = 3000
+	for i := range records {
+		rs = append(rs, hollowgrade.KeyedRecord{Key: fmt.Sprint("upstream-", i), Value: large(i, 300), Offset: int64(i)})
+	}
+	f.Merge(page(records, rs...), time.Now())
+	t.Run("each answer has a bound in size", func(t *testing.T) {
+		for from, n := int64(0), 0; from < records; n++ {
+			p, ok := f.excerptFrom(from)
+			require.True(t, ok)
+			bytes := 0
+			for _, r := range p.Records {
+				bytes += len(r.Key) + len(r.Value)
+			}
+			require.LessOrEqual(t, bytes, pageBytes)
+			require.Greater(t, p.Next, from)
+			require.Equal(t, int64(records), p.End)
+			from = p.Next
+		}
+	})
+	t.Run("a process that knows nothing has them all with one ask", func(t *testing.T) {
+		n := New("f", newTopic(), WithLogger(log.New(io.Discard)))
+		r, _ := relayOf(t, n)
+		r.ask(context.Background(), served(t, f))
+		require.Equal(t, int64(records), n.Next())
+		require.Len(t, n.newest, records)
+		_, ok := n.Age()
+		require.True(t, ok)
+	})
+	t.Run("one that does not reach the end makes nobody fresh", func(t *testing.T) {
+		p, _ := f.excerptFrom(0)
+		m := reply("f", p).GetFeedReply()
+		require.Equal(t, unknownAge.Microseconds(), m.AgeMicros, "for processes that do not know of an end")
+		require.Less(t, m.Next, m.End)
+	})
+}
+
+// While a watcher compiles a value of some MB, calls go on asking for the view's age.
+func TestAgeIsToldWhileAWatcherWorks(t *testing.T) {
+	f := holding(3, large(1, 20_000))
+	working, done := make(chan struct{}), make(chan struct{})
+	before := f.Fresh()
+	f.watchers = append(f.watchers, func([]Change) { close(working); <-done })
+	go f.Merge(page(9, hollowgrade.KeyedRecord{Key: "k", Value: large(2, 20_000), Offset: 8}), time.Now().Add(time.Hour))
+	<-working
+	require.Equal(t, before, f.Fresh(), "not fresher before it is in force")
+	require.Equal(t, int64(9), f.Next(), "peers can have it already")
+	close(done)
+	require.Eventually(t, func() bool { return f.Fresh().After(before) }, 10*time.Second, time.Millisecond)
+}
+
+func TestReadersOfHalls(t *testing.T) {
+	places := map[string]Place{}
+	var all []string
+	for i := range 28 {
+		a := fmt.Sprintf("10.0.0.%d:1", i)
+		all = append(all, a)
+		places[a] = Place{Hall: fmt.Sprint("hall-", i%4), Link: 20}
+		if i >= 20 {
+			places[a] = Place{Hall: fmt.Sprint("hall-", i%4), Link: 200}
+		}
+	}
+	r := NewRelay(all[0], func() []string { return append([]string(nil), all...) }, WithPlaces(func(a string) Place { return places[a] }))
+	rs := r.readers()
+	require.Len(t, rs, 6)
+	halls := map[string]int{}
+	for _, a := range rs {
+		require.InDelta(t, 200, places[a].Link, 0, "wide links read for the others")
+		halls[places[a].Hall]++
+	}
+	require.Len(t, halls, 4, "each hall has a reader")
+	t.Run("few read topics with large records", func(t *testing.T) {
+		var many []string
+		for i := range 420 {
+			many = append(many, fmt.Sprintf("10.1.%d.%d:1", i/250, i%250))
+		}
+		r := NewRelay(many[0], func() []string { return append([]string(nil), many...) })
+		rs := r.readers()
+		require.Len(t, rs, 84)
+		require.Len(t, readersOfLarge(rs), mostOfLarge)
+	})
+}
+
+func BenchmarkForm(b *testing.B) {
+	value := large(2, 4_000_000)
+	changed := bytes.Replace(value, []byte("version 2"), []byte("version 3"), 1)
+	for name, base := range map[string][]byte{"whole": nil, "difference": value} {
+		b.Run(name, func(b *testing.B) {
+			var o form
+			for b.Loop() {
+				var err error
+				if o, err = encode(changed, base); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(o.bytes)), "B/value")
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	o, err := encode([]byte("abc"), []byte("ab"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(o.bytes, []byte("ab"), 3)
+	f.Fuzz(func(t *testing.T, b, base []byte, size int) {
+		if size < 0 || size > 1<<16 {
+			return
+		}
+		v, err := decode(b, base, size, 0)
+		if err == nil && len(v) != size {
+			t.Fatalf("%d bytes where %d were announced", len(v), size)
+		}
+	})
+}
+
+// listening serves a handler on loopback until the test ends.
+func listening(t *testing.T, h peer.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := peer.NewServer(h, func(net.Addr, error) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	var g sync.WaitGroup
+	g.Go(func() { _ = s.Serve(ctx, l) })
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Close()
+		s.Close()
+		g.Wait()
+	})
+	return l.Addr().String()
+}
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -41,6 +41,13 @@
 	return l.b.Write(b)
 }
 
+// String returns all that was written.
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // of returns the lines with a request's id, in order.
 func (l *lines) of(id string) (ls []map[string]any) {
 	l.mu.Lock()
@@ -218,6 +225,66 @@
 	})
 }
 
+// A configuration that cannot be used leaves the one in force, with one line on it.
+func TestConfigurationsThatAreNotUsed(t *testing.T) {
+	whole := fmt.Sprintf(gatewayConfig, 7, 5000, `"k1"`)
+	for name, c := range map[string]struct{ record, why string }{
+		"cut short":           {whole[:len(whole)/2], "unexpected end"},
+		"not decodable":       {`{"version":7,"routes":5}`, "cannot unmarshal"},
+		"without a version":   {`{"routes":[]}`, "no version"},
+		"older":               {fmt.Sprintf(gatewayConfig, 1, 5000, `"k9"`), "not newer"},
+		"larger than allowed": {whole + strings.Repeat(" ", 70_000), "larger than the settings allow"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene(t, platformtest.Echo)
+			g := startGateway(t, s.store.Address(), func(c *setting.Gateway) { c.ConfigMaxBytes = 65_536 })
+			g.waitReady(t)
+			s.configure(2, 5000, "k1")
+			s.store.Put("keyed.op", "config", []byte(c.record))
+			require.Eventually(t, func() bool { return strings.Contains(g.log.String(), c.why) }, 20*time.Second, time.Millisecond)
+			require.EqualValues(t, 2, g.Core.Catalog().Version)
+			line := lineWith(g.log.String(), c.why)
+			for _, part := range []string{"not ", `"bytes":` + fmt.Sprint(len(c.record)), `"from":"`, `"offset":`} {
+				require.Contains(t, line, part)
+			}
+			st, _, err := g.call(t, "/once/x", "a1", "k1")
+			require.NoError(t, err)
+			require.Equal(t, 200, st)
+		})
+	}
+}
+
+// lineWith returns the first line of a log that has a text.
+func lineWith(log, text string) string {
+	for l := range strings.Lines(log) {
+		if strings.Contains(l, text) {
+			return l
+		}
+	}
+	return ""
+}
+
+func TestRecordsOfGateways(t *testing.T) {
+	for name, c := range map[string]struct {
+		record string
+		want   member
+		fails  bool
+	}{
+		"as written now":               {record: `{"peers":"10.0.0.1:1","hall":"z1","link_mbps":20}`, want: member{Peers: "10.0.0.1:1", Hall: "z1", Link: 20}},
+		"of a version that wrote less": {record: "10.0.0.1:1", want: member{Peers: "10.0.0.1:1"}},
+		"with a field from later on":   {record: `{"peers":"10.0.0.1:1","rack":"r1"}`, want: member{Peers: "10.0.0.1:1"}},
+		"cut":                          {record: `{"peers":"10.0`, fails: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, err := decodeMember([]byte(c.record))
+			require.Equal(t, c.fails, err != nil)
+			if !c.fails {
+				require.Equal(t, c.want, m)
+			}
+		})
+	}
+}
+
 func TestKeysAdmitNothingOnceNobodyCanTell(t *testing.T) {
 	s := newScene(t, platformtest.Echo)
 	g := startGateway(t, s.store.Address(), func(c *setting.Gateway) {
