--- a/feed/relay.go
+++ b/feed/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -176,9 +175,13 @@
 	return append(as, r.some(slices.DeleteFunc(r.peers(), func(a string) bool { return slices.Contains(as, a) }))...)
 }
 
-// some returns as many of the peers as are asked at a time, others each time.
+// some returns as many of the peers as are asked at a time, others each time. One of
+// the own hall is among them if there is one, so that what is large comes from there.
 func (r *Relay) some(as []string) []string {
-	rand.Shuffle(len(as), func(i, j int) { as[i], as[j] = as[j], as[i] })
+	shuffle(as)
+	if i := slices.IndexFunc(as, r.near); i > 0 {
+		as[0], as[i] = as[i], as[0]
+	}
 	return as[:min(askedPeers, len(as))]
 }
 
--- a/internal/spread/network_test.go
+++ b/internal/spread/network_test.go
@@ -27,16 +27,16 @@
 )
 
 const (
-	segmentBytes = 16 << 10               // that a link carries at a time
-	windowBytes  = 256 << 10              // that may be under way on one
-	dialTime     = 2 * time.Millisecond   // that a connection takes to come up
-	storeRate    = 80 << 20               // bytes a second that the store's reads share
-	storeBox     = "store"                // its name in the network
-	narrow       = 20e6 / 8               // bytes a second of a link of 20 Mbit/s
-	wide         = 200e6 / 8              // and of one of 200
-	answer       = 4 * time.Millisecond   // that the store takes to answer
-	inForce      = 2 * time.Second        // within which a change has to be known everywhere
-	aMoment      = 100 * time.Millisecond // how often it is looked
+	segmentBytes = 16 << 10              // that a link carries at a time
+	windowBytes  = 256 << 10             // that may be under way on one
+	dialTime     = 2 * time.Millisecond  // that a connection takes to come up
+	storeRate    = 80 << 20              // bytes a second that the store's reads share
+	storeBox     = "store"               // its name in the network
+	narrow       = 20e6 / 8              // bytes a second of a link of 20 Mbit/s
+	wide         = 200e6 / 8             // and of one of 200
+	answer       = 4 * time.Millisecond  // that the store takes to answer
+	inForce      = 2 * time.Second       // within which a change has to be known everywhere
+	aMoment      = 10 * time.Millisecond // how often it is looked
 )
 
 // network is a network of boxes in virtual time. Each box has a link with a
