spread: what else is under way beside a large configuration, storms, lost readers, slow stores

Cause: the mend was tested for one change alone. Figures (virtual time, 28 gateways, 4 MB): an engine that leaves is known everywhere within 1 s meanwhile, the configuration's age stays under 4.2 s; ten changes 0.33 s apart are in force 2 s after the last with less than 0.8 MB over a narrow link; 4 MB that nothing compresses within 4 s; readers that are lost while they send, and a store that takes 600 ms to answer, within 4 and 2 s; 3,000 upstreams page by page within 4 s.

--- a/internal/spread/network_test.go
+++ b/internal/spread/network_test.go
@@ -130,6 +130,22 @@
 	}
 }
 
+// cut ends all connections of a box, and lets it have no new ones.
+func (n *network) cut(box string) {
+	n.mu.Lock()
+	delete(n.listeners, box)
+	var cs []*conn
+	for _, c := range n.conns {
+		if c.out.from == box || c.out.to == box {
+			cs = append(cs, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range cs {
+		_ = c.Close()
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade/feed"
 )
 
 // inTest runs a part of a benchmark as a test: virtual time is for tests only.
@@ -46,3 +50,103 @@
 		}
 	}
 }
+
+func fleetFeedOf(w *gateway) *feed.Feed { return w.fleet }
+
+// oldest returns the highest age of the gateways' configuration.
+func (f *fleetOf) oldest() (d time.Duration) {
+	for _, w := range f.gateways {
+		age, _ := w.config.Age()
+		d = max(d, age)
+	}
+	return d
+}
+
+func putConfig(t *testing.T, f *fleetOf, value string) {
+	t.Helper()
+	require.NoError(t, f.config.Put(context.Background(), "config", []byte(value)))
+}
+
+func TestNothingElseWaitsForALargeConfiguration(t *testing.T) {
+	inNetwork(t, grown(28), answer, func(t *testing.T, f *fleetOf) {
+		// A key is good for 5 s after the configuration was last confirmed, 0.8 s of which
+		// are kept for the way of answers.
+		const keysGood = 4200 * time.Millisecond
+		putConfig(t, f, configuration(seeded(), 4_000_000))
+		for next := int64(1); f.known(configOf, 1) < len(f.gateways); next++ {
+			require.NoError(t, f.fleet.Put(context.Background(), fmt.Sprint("upstream-", next), []byte("draining")))
+			require.LessOrEqual(t, f.until(fleetFeedOf, next, 10*time.Second), time.Second, "an engine that leaves is known")
+			require.Less(t, f.oldest(), keysGood)
+			require.Less(t, next, int64(10))
+		}
+		for _, w := range f.gateways {
+			require.Zero(t, w.config.Outdated())
+		}
+	})
+}
+
+// Changes that come faster than a whole copy passes a narrow link: what differs is small,
+// and versions in between need not be brought.
+func TestStormOfLargeConfigurations(t *testing.T) {
+	inNetwork(t, grown(28), answer, func(t *testing.T, f *fleetOf) {
+		f.net.resetCounts()
+		c := configuration(seeded(), 4_000_000)
+		const changes = 10
+		for i := range changes {
+			putConfig(t, f, strings.Replace(c, `"version":1`, fmt.Sprint(`"version":`, i+2), 1))
+			time.Sleep(330 * time.Millisecond)
+		}
+		require.LessOrEqual(t, f.until(configOf, changes, 20*time.Second), inForce)
+		narrowest, _ := f.net.counts()
+		require.Less(t, narrowest, int64(800_000), "bytes over a narrow link: the first copy, compressed, and what differs")
+	})
+}
+
+func TestLargeConfigurationThatNothingCompresses(t *testing.T) {
+	inNetwork(t, grown(28), answer, func(t *testing.T, f *fleetOf) {
+		f.net.resetCounts()
+		b := make([]byte, 4_000_000)
+		_, _ = rand.NewChaCha8([32]byte{}).Read(b)
+		putConfig(t, f, string(b))
+		// One copy alone takes 1.6 s of a narrow link.
+		require.LessOrEqual(t, f.until(configOf, 1, 20*time.Second), 2*inForce)
+		narrowest, _ := f.net.counts()
+		require.Less(t, narrowest, int64(len(b)*5/4))
+	})
+}
+
+// The readers that were asked go away while they send.
+func TestLargeConfigurationWhileReadersAreLost(t *testing.T) {
+	inNetwork(t, grown(28), answer, func(t *testing.T, f *fleetOf) {
+		putConfig(t, f, configuration(seeded(), 4_000_000))
+		for f.known(configOf, 1) == 0 {
+			time.Sleep(aMoment)
+		}
+		for _, w := range f.gateways {
+			if w.config.Next() > 0 && f.known(configOf, 1) < 4 {
+				f.net.cut(w.box)
+			}
+		}
+		require.LessOrEqual(t, f.until(configOf, 1, 20*time.Second), 2*inForce)
+	})
+}
+
+func TestLargeConfigurationAndASlowStore(t *testing.T) {
+	inNetwork(t, grown(28), 600*time.Millisecond, func(t *testing.T, f *fleetOf) {
+		putConfig(t, f, configuration(seeded(), 4_000_000))
+		require.LessOrEqual(t, f.until(configOf, 1, 20*time.Second), inForce)
+	})
+}
+
+// 3,000 upstreams are 0.9 MB: a page of them is bounded as well, for a gateway that the
+// store turns away as for one that asks readers.
+func TestManyRecordsAreToldPageByPage(t *testing.T) {
+	inNetwork(t, grown(28), answer, func(t *testing.T, f *fleetOf) {
+		const records = 3000
+		r := seeded()
+		for i := range records {
+			require.NoError(t, f.fleet.Put(context.Background(), fmt.Sprint("upstream-", i), []byte(configuration(r, 200))))
+		}
+		require.LessOrEqual(t, f.until(fleetFeedOf, records, 20*time.Second), 2*inForce)
+	})
+}
