--- a/core/core.go
+++ b/core/core.go
@@ -257,7 +257,8 @@
 		return m
 	}
 	if c.Outdated() {
-		return stale(f)
+		return fault.New(fault.StaleConfig, "a newer configuration than version %d has been known for %s", f.catalog.Version, c.outdated().Round(time.Millisecond)).
+			WithRetryAfter(shortRetry)
 	}
 	if f.route, ok = f.catalog.Match(f.call.Host, f.call.Path); !ok {
 		return missing(fault.New(fault.NoRoute, "no route for %s%s", f.call.Host, f.call.Path))
