soak, setting: links of a given rate, links between gateways, large configurations

Cause: no soak had a link with a rate, none harmed links between gateways, and configurations had a dozen routes. With three gateways all of them read the store, so that none asked another: six are the default now. A gateway may announce another peer address than it listens on (setting announce), which is how a proxy stands before it, and how a box behind a mapped port is reached. Ruled out: nothing.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -80,7 +80,7 @@
 	s := platform.NewStore(c.Store)
 	n = &GatewayNode{Node: b, members: newMembers(c, s.Members(), g)}
 	n.settings.Store(&c)
-	relay := feed.NewRelay(c.Peers, n.members.addresses, feed.WithRelayLogger(g), feed.WithPlaces(n.members.place))
+	relay := feed.NewRelay(c.PeerAddress(), n.members.addresses, feed.WithRelayLogger(g), feed.WithPlaces(n.members.place))
 	n.config = feed.New(configFeed, s.Config(), feed.WithLogger(g), feed.WithWait(c.ReadWait()),
 		feed.WithReader(relay.ReadsLarge), feed.WithMaxValue(c.ConfigMaxBytes))
 	fleet := feed.New(fleetFeed, s.Workers(), feed.WithLogger(g), feed.WithWait(c.FleetWait), feed.WithReader(relay.Reads))
@@ -198,7 +198,7 @@
 	if l, err := log.ParseLevel(c.Verbosity); err == nil {
 		n.log.SetLevel(l)
 	}
-	restart := c.Callers != old.Callers || c.Readiness != old.Readiness || c.Peers != old.Peers || c.Store != old.Store
+	restart := c.Callers != old.Callers || c.Readiness != old.Readiness || c.PeerAddress() != old.PeerAddress() || c.Peers != old.Peers || c.Store != old.Store
 	n.log.Info("settings reloaded", "path", path, "key_freshness_ms", c.KeyFreshness.Milliseconds(), "key_outage_ms", c.KeyOutage.Milliseconds(),
 		"retry_ratio", c.RetryRatio, "retry_slack", c.RetrySlack, "needs_restart", restart)
 	return nil
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -60,7 +60,7 @@
 func newMembers(c setting.Gateway, t hollowgrade.Topic, g *log.Logger) *members {
 	m := &members{
 		box:     c.Box,
-		own:     member{Peers: c.Peers, Hall: c.Hall, Link: c.LinkMbps},
+		own:     member{Peers: c.PeerAddress(), Hall: c.Hall, Link: c.LinkMbps},
 		seeds:   c.Seeds,
 		topic:   t,
 		clock:   hollowgrade.SystemClock(),
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -30,13 +30,17 @@
 	drainWorker  // the same, announced
 	revokeKey
 	addRoute
+	growConfig   // by routes that make it large
+	silencePeers // of one gateway, as others reach it
+	resetPeers
+	delayPeers
 	kinds
 )
 
 var kindNames = [kinds]string{
 	"kill gateway", "pause gateway", "stop gateway", "reload gateway", "silence store", "reset store", "store busy", "store away",
 	"store loses answers", "store forgets", "delay worker", "reset worker", "silence worker", "deafen worker", "crash worker",
-	"drain worker", "revoke key", "add route",
+	"drain worker", "revoke key", "add route", "grow configuration", "silence peers", "reset peers", "delay peers",
 }
 
 func (k kind) String() string {
@@ -44,7 +48,7 @@
 }
 
 // plannedWork disturbs no promise; everything else does.
-var plannedWork = []kind{stopGateway, reloadGateway, drainWorker, revokeKey, addRoute}
+var plannedWork = []kind{stopGateway, reloadGateway, drainWorker, revokeKey, addRoute, growConfig}
 
 func (k kind) planned() bool {
 	return slices.Contains(plannedWork, k)
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -31,9 +31,11 @@
 	listener net.Listener
 	target   string
 	way      atomic.Int32
+	rate     float64 // bytes a second towards the dialling side, 0 for no bound
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	free  time.Time // when the link has carried what it was given
 }
 
 func newProxy(t testing.TB, target string) *proxy {
@@ -100,6 +102,21 @@
 	p.copy(c, u, true)
 }
 
+// carry waits until the link, which all connections share, has carried n bytes.
+func (p *proxy) carry(n int) {
+	if p.rate <= 0 {
+		return
+	}
+	p.mu.Lock()
+	if now := time.Now(); p.free.Before(now) {
+		p.free = now
+	}
+	p.free = p.free.Add(time.Duration(float64(n) / p.rate * float64(time.Second)))
+	d := time.Until(p.free)
+	p.mu.Unlock()
+	time.Sleep(d)
+}
+
 // copy passes bytes on in one direction until either side ends.
 func (p *proxy) copy(to, from net.Conn, back bool) {
 	defer func() {
@@ -119,6 +136,9 @@
 		if way(p.way.Load()) == delay {
 			time.Sleep(delayFor)
 		}
+		if back {
+			p.carry(n)
+		}
 		if _, werr := to.Write(b[:n]); err != nil || werr != nil {
 			return
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,7 +19,8 @@
 var (
 	seeds    = flag.String("seeds", "1", "seeds to play, as numbers and ranges: 1,5,10-59")
 	length   = flag.Duration("length", 15*time.Second, "how long faults are made for each seed")
-	gateways = flag.Int("gateways", 3, "gateways of each run")
+	// Of six gateways four read the store, and two have large values from these.
+	gateways = flag.Int("gateways", 6, "gateways of each run")
 	workers  = flag.Int("workers", 5, "workers of each run")
 	callers  = flag.Int("callers", 10, "callers of each run")
 )
@@ -136,6 +137,18 @@
 	}
 }
 
+// logged returns how often the gateways' logs have a text.
+func (w *world) logged(text string) (n int) {
+	for _, g := range w.gates {
+		b, err := os.ReadFile(filepath.Join(w.logs, g.name+".log"))
+		if err != nil {
+			w.t.Errorf("log of %s: %v", g.name, err)
+		}
+		n += strings.Count(string(b), text)
+	}
+	return n
+}
+
 // report says what a run came to. Logs are kept when something was broken.
 func (w *world) report(t *testing.T, seed uint64, p []step, bs []string) {
 	t.Helper()
@@ -148,8 +161,8 @@
 			ok++
 		}
 	}
-	t.Logf("seed %d: %d faults, %d requests, %d served, %d arrivals at workers, %d promises broken",
-		seed, len(p), len(w.history.requests), ok, len(w.history.runs), len(bs))
+	t.Logf("seed %d: %d faults, %d requests, %d served, %d arrivals at workers, %d large values from peers, %d promises broken",
+		seed, len(p), len(w.history.requests), ok, len(w.history.runs), w.logged("value received"), len(bs))
 	if len(bs) == 0 && !t.Failed() {
 		require.NoError(t, os.RemoveAll(w.logs))
 		return
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -30,6 +30,13 @@
 	events    = 12 // of a stream
 	keysKept  = 3  // keys that are never revoked
 	keysGiven = 40 // keys in all
+	// narrow is the rate of some gateways' links, 20 Mbit/s. A configuration with
+	// mostFiller routes has 0.6 MB, and takes a quarter of a second there.
+	narrow        = 20e6 / 8
+	fillerAtATime = 1400
+	mostFiller    = 4200
+	wideEvery     = 3 // gateways, of which one has a link without a bound
+	narrowMbits   = 20
 )
 
 // gateway is one real process, and the proxy through which it sees the store.
@@ -40,6 +47,7 @@
 	callers string
 	ready   string
 	store   *proxy
+	peers   *proxy    // through which others reach it
 	cmd     *exec.Cmd // nil while it is down
 	exited  chan struct{}
 	life    int
@@ -66,6 +74,7 @@
 	version int
 	keys    []string
 	routes  []string // that were added
+	filler  int      // further routes, which nobody calls
 }
 
 func newWorld(t testing.TB, binary string, z size) *world {
@@ -120,13 +129,20 @@
 		config:  filepath.Join(w.logs, fmt.Sprint("box-", i, ".toml")),
 	}
 	peers := freeAddress(w.t)
-	*seeds = append(*seeds, peers)
+	g.peers = newProxy(w.t, peers)
+	link := 0
+	if i%wideEvery != 0 {
+		g.store.rate, g.peers.rate, link = narrow, narrow, narrowMbits
+	}
+	*seeds = append(*seeds, g.peers.address())
 	text := fmt.Sprintf(`role = "gateway"
 box = %q
 hall = "z1"
 callers = %q
 readiness = %q
 peers = %q
+announce = %q
+link_mbps = %d
 seeds = ["%s"]
 store = %q
 key_freshness = %q
@@ -136,7 +152,7 @@
 retry_ratio = %g
 retry_slack = %d
 retry_window = %q
-`, g.name, g.callers, g.ready, peers, strings.Join(*seeds, `", "`), g.store.address(), keyFreshness, applyWithin, grace,
+`, g.name, g.callers, g.ready, peers, g.peers.address(), link, strings.Join(*seeds, `", "`), g.store.address(), keyFreshness, applyWithin, grace,
 		retryRatio, retrySlack, retryWindow)
 	require.NoError(w.t, os.WriteFile(g.config, []byte(text), 0o600))
 	return g
@@ -215,6 +231,9 @@
 	for _, p := range w.routes {
 		route(p, `"kind":"safe","maxAttempts":2`)
 	}
+	for i := range w.filler {
+		route(fmt.Sprintf("/filler-%x/", hash(fmt.Sprint(i))), `"kind":"safe","maxAttempts":2`)
+	}
 	w.store.Put("keyed.op", "config", []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
  "tenants":[{"name":"o","apiKeys":["%s"]}]}`, w.version, strings.Join(routes, ","), strings.Join(w.keys, `","`))))
@@ -313,6 +332,12 @@
 		w.during(g.store, silence, s.lasts)
 	case resetStore:
 		g.store.reset()
+	case silencePeers:
+		w.during(g.peers, silence, s.lasts)
+	case resetPeers:
+		g.peers.reset()
+	case delayPeers:
+		w.during(g.peers, delay, s.lasts)
 	case busyStore:
 		w.mode(platformtest.Busy, s.lasts)
 	case awayStore:
@@ -378,7 +403,7 @@
 		w.store.Put("keyed.servers", k.ID, nil)
 		time.Sleep(grace) // what it has is finished
 		k.Close()
-	case revokeKey, addRoute:
+	case revokeKey, addRoute, growConfig:
 		w.change(s)
 	}
 }
@@ -404,6 +429,9 @@
 		added = fmt.Sprintf("/added-%d/", w.version)
 		w.routes = append(w.routes, added)
 	}
+	if s.what == growConfig {
+		w.filler = min(w.filler+fillerAtATime, mostFiller)
+	}
 	w.configure()
 	if revoked != "" {
 		w.history.revoked[revoked] = time.Now()
--- a/setting/gateway.go
+++ b/setting/gateway.go
@@ -1,6 +1,7 @@
 package setting
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -13,6 +14,7 @@
 	Callers        string        `help:"Address on which callers are served." required:"" group:"listen"`
 	Readiness      string        `help:"Address on which the platform's balancer asks whether the box is ready." required:"" group:"listen"`
 	Peers          string        `help:"Address on which other gateways ask what this one knows of the store; empty to serve none." group:"listen"`
+	Announce       string        `help:"Peer address that other gateways are told, where they reach this one at another than it listens on; empty for the same." group:"listen"`
 	Seeds          []string      `help:"Peer addresses of other gateways, to ask before the members are known. Some may be stale." group:"platform"`
 	Store          string        `help:"Address of the platform's store, as host:port." required:"" group:"platform"`
 	ConfigWait     time.Duration `help:"How long one read of the configuration waits at the store for a change; less where key_freshness asks for it. Each read has its price; keys admit nothing once the last one is key_freshness old." default:"1500ms" min:"100ms" max:"10s" group:"platform"`
@@ -42,6 +44,15 @@
 	return min(g.ConfigWait, (g.KeyFreshness-freshnessSlack)/2)
 }
 
+// PeerAddress returns the address at which other gateways reach this one, empty if
+// they do not.
+func (g Gateway) PeerAddress() string {
+	if g.Peers == "" {
+		return ""
+	}
+	return cmp.Or(g.Announce, g.Peers)
+}
+
 // KeyAge returns the age of the configuration up to which its keys are good.
 func (g Gateway) KeyAge() time.Duration {
 	return g.KeyFreshness + g.KeyOutage
