feed: a reader that the store does not answer asks the other readers

Ruled out: large values (24 KB, brought in 4 ms once it asked), the store's own slowness (the four others had it within 0.3 s).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -28,9 +28,9 @@
 	// link of 20 Mbit/s that was in use otherwise, and begun anew for good.
 	answerMargin = 700 * time.Millisecond
 	// newestMargin is the same for the reading of all newest records, which the store
-	// begins to answer later while many start: 300 processes that read 1 MB each,
-	// 3,000 upstreams, share its 80 MB a second, which takes 4 s.
-	newestMargin = 8 * time.Second
+	// begins to answer later while many start. A start that falls into an outage waits
+	// that long for an answer that never comes; peers tell meanwhile.
+	newestMargin = 3 * time.Second
 	// DefaultMaxValue is the size in bytes of the largest value that is taken.
 	DefaultMaxValue = 8 << 20
 	// keptBases is how many earlier values of a key are kept where they are large, so
@@ -80,16 +80,17 @@
 	order    sync.Mutex
 	watchers []func([]Change)
 
-	mu      sync.Mutex
-	newest  map[string]hollowgrade.KeyedRecord
-	earlier map[string][]hollowgrade.KeyedRecord // large values before the newest, latest first
-	next    int64                                // offset up to which all is known
-	missing []missing                            // records that are known to be there and are not taken yet, by offset
-	fresh   time.Time                            // when the read was sent that reached the topic's end
-	synced  bool                                 // whether reading on from next is possible
-	away    bool                                 // whether the last read failed
-	failed  time.Time                            // when a read failed last
-	forms   forms
+	mu       sync.Mutex
+	newest   map[string]hollowgrade.KeyedRecord
+	earlier  map[string][]hollowgrade.KeyedRecord // large values before the newest, latest first
+	next     int64                                // offset up to which all is known
+	missing  []missing                            // records that are known to be there and are not taken yet, by offset
+	fresh    time.Time                            // when the read was sent that reached the topic's end
+	synced   bool                                 // whether reading on from next is possible
+	away     bool                                 // whether the last read failed
+	failed   time.Time                            // when a read failed last
+	answered time.Time                            // when the store answered a read last
+	forms    forms
 }
 
 // missing is a record that a peer has told of, without its value.
@@ -404,9 +405,18 @@
 	f.log.Warn("store lost", "feed", f.name, "next", f.next, "age_ms", f.ageMillis(), "err", err)
 }
 
+// served reports whether the store answers reads of this process: one has been
+// answered as lately as a read may take.
+func (f *Feed) served() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.away && f.clock.Since(f.answered) <= f.wait+answerMargin+readPause
+}
+
 func (f *Feed) regained() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.answered = f.clock.Now()
 	if !f.away {
 		return
 	}
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -159,15 +159,16 @@
 }
 
 // toAsk returns the peers to ask now: some readers, unless this process reads all
-// topics itself; and any when the view is stale.
+// topics itself and the store answers it; and any when the view is stale. A reader that
+// started while the store was silent asked nobody, and had a change 3.3 s late.
 func (r *Relay) toAsk() (as []string) {
 	rs := r.readers()
-	switch large := readersOfLarge(rs); {
-	case slices.Contains(large, r.self):
-	case slices.Contains(rs, r.self):
-		as = r.some(large)
-	default:
+	large := readersOfLarge(rs)
+	switch {
+	case !slices.Contains(rs, r.self):
 		as = r.some(rs)
+	case !slices.Contains(large, r.self), !r.served():
+		as = r.some(slices.DeleteFunc(large, func(a string) bool { return a == r.self }))
 	}
 	if len(r.behind()) == 0 {
 		return as
@@ -175,6 +176,11 @@
 	return append(as, r.some(slices.DeleteFunc(r.peers(), func(a string) bool { return slices.Contains(as, a) }))...)
 }
 
+// served reports whether the store answers this process on all topics.
+func (r *Relay) served() bool {
+	return !slices.ContainsFunc(r.feeds, func(f *Feed) bool { return !f.served() })
+}
+
 // some returns as many of the peers as are asked at a time, others each time. One of
 // the own hall is among them if there is one, so that what is large comes from there.
 func (r *Relay) some(as []string) []string {
--- a/internal/spread/network_test.go
+++ b/internal/spread/network_test.go
@@ -400,6 +400,7 @@
 	net    *network
 	box    string
 	answer time.Duration // that the store takes to answer
+	silent func(box string) bool
 }
 
 func (t *farTopic) Newest(ctx context.Context, patience time.Duration) (p hollowgrade.KeyedPage, err error) {
@@ -423,11 +424,14 @@
 		left += len(r.Key) + len(r.Value)
 	}
 	wait := min(t.answer, patience)
+	if t.silent(t.box) {
+		wait = patience
+	}
 	for {
 		if !hollowgrade.Sleep(ctx, hollowgrade.SystemClock(), wait) {
 			return ctx.Err()
 		}
-		if t.answer > patience {
+		if t.answer > patience || t.silent(t.box) {
 			return errDown
 		}
 		if left <= 0 {
@@ -449,6 +453,7 @@
 // fleetOf is gateways before one store in one network.
 type fleetOf struct {
 	net           *network
+	silent        func(box string) bool // whether the store says nothing to a box
 	config, fleet *memTopic
 	gateways      []*gateway
 }
@@ -472,18 +477,23 @@
 	return ps
 }
 
+// address returns the address of a gateway.
+func address(i int) string {
+	return fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)
+}
+
 // inNetwork runs gateways at the places in virtual time until test returns.
-func inNetwork(t *testing.T, ps []place, answer time.Duration, test func(t *testing.T, f *fleetOf)) {
+func inNetwork(t *testing.T, ps []place, answer time.Duration, test func(t *testing.T, f *fleetOf), prepare ...func(f *fleetOf)) {
 	t.Helper()
 	// Two collections empty the pool that yamux keeps timers of an earlier bubble in.
 	runtime.GC()
 	runtime.GC()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		f := &fleetOf{net: newNetwork(), config: newTopic(), fleet: newTopic()}
+		f := &fleetOf{net: newNetwork(), silent: func(string) bool { return false }, config: newTopic(), fleet: newTopic()}
 		addresses := make([]string, len(ps))
 		for i := range ps {
-			addresses[i] = fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)
+			addresses[i] = address(i)
 		}
 		var g sync.WaitGroup
 		defer func() {
@@ -495,6 +505,9 @@
 		for i, p := range ps {
 			f.net.add(addresses[i], p.hall, p.rate)
 		}
+		for _, p := range prepare {
+			p(f)
+		}
 		for i := range ps {
 			f.gateways = append(f.gateways, f.start(ctx, &g, addresses[i], addresses, answer))
 		}
@@ -507,8 +520,8 @@
 	quiet := log.New(io.Discard)
 	w := &gateway{box: box}
 	w.relay = feed.NewRelay(box, func() []string { return append([]string(nil), all...) }, feed.WithRelayLogger(quiet), feed.WithDialer(f.net.dialer(box)), feed.WithPlaces(f.net.place))
-	w.config = feed.New("config", &farTopic{f.config, f.net, box, answer}, feed.WithLogger(quiet), feed.WithWait(1500*time.Millisecond), feed.WithReader(w.relay.ReadsLarge))
-	w.fleet = feed.New("fleet", &farTopic{f.fleet, f.net, box, answer}, feed.WithLogger(quiet), feed.WithWait(3*time.Second), feed.WithReader(w.relay.Reads))
+	w.config = feed.New("config", &farTopic{f.config, f.net, box, answer, f.silent}, feed.WithLogger(quiet), feed.WithWait(1500*time.Millisecond), feed.WithReader(w.relay.ReadsLarge))
+	w.fleet = feed.New("fleet", &farTopic{f.fleet, f.net, box, answer, f.silent}, feed.WithLogger(quiet), feed.WithWait(3*time.Second), feed.WithReader(w.relay.Reads))
 	fs := []*feed.Feed{w.config, w.fleet}
 	w.relay.Add(fs...)
 	v := feed.NewServer(f.net.place(box).Link, fs...)
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -138,6 +138,29 @@
 	})
 }
 
+// A gateway was started while the store said nothing to it. It was to read the store for
+// others, so that it asked nobody, and waited eight seconds for the answer to its first
+// read: a change that all others had was in force there 3.3 s after it was confirmed, and
+// a call was handled by the version before.
+//
+// Evidence: its log has no read of the store between its start and a change that it learned
+// from a peer, once its view was older than two reads take.
+func TestReaderToWhichTheStoreSaysNothing(t *testing.T) {
+	const all = 5
+	for i := range all {
+		t.Run(fmt.Sprint("gateway ", i), func(t *testing.T) {
+			silent := func(f *fleetOf) { f.silent = func(box string) bool { return box == address(i) } }
+			inNetwork(t, grown(all), answer, func(t *testing.T, f *fleetOf) {
+				for n := range int64(5) {
+					putConfig(t, f, fmt.Sprint("version ", n))
+					require.LessOrEqual(t, f.until(configOf, n+1, 20*time.Second), time.Second)
+					time.Sleep(700 * time.Millisecond)
+				}
+			}, silent)
+		})
+	}
+}
+
 // 3,000 upstreams are 0.9 MB: a page of them is bounded as well, for a gateway that the
 // store turns away as for one that asks readers.
 func TestManyRecordsAreToldPageByPage(t *testing.T) {
