--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -37,7 +37,8 @@
 	missing chan struct{} // gets a value when the list does not have this process
 
 	mu    sync.Mutex
-	known map[string]member // by box
+	known map[string]member     // by box
+	where map[string]feed.Place // by peer address; it is asked for each gateway many times a second
 }
 
 // member is a gateway's record in the list.
@@ -68,6 +69,7 @@
 		missing: make(chan struct{}, 1),
 		known:   map[string]member{},
 	}
+	m.index()
 	m.runner = newRunner(m.join)
 	m.miss()
 	return m
@@ -87,6 +89,7 @@
 func (m *members) take(cs []feed.Change) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer m.index()
 	for _, c := range cs {
 		k, err := decodeMember(c.Value)
 		if err != nil {
@@ -121,15 +124,17 @@
 func (m *members) place(address string) feed.Place {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if address == m.own.Peers {
-		return m.own.place()
-	}
+	return m.where[address]
+}
+
+// index notes where gateways are. The lock is held, or nobody else has the members
+// yet.
+func (m *members) index() {
+	m.where = map[string]feed.Place{}
 	for _, k := range m.known {
-		if k.Peers == address {
-			return k.place()
-		}
+		m.where[k.Peers] = k.place()
 	}
-	return feed.Place{}
+	m.where[m.own.Peers] = m.own.place()
 }
 
 func (m member) place() feed.Place {
