--- /dev/null
+++ b/internal/spread/fleet_test.go
@@ -0,0 +1,317 @@
+package spread
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/feed"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/peer"
+)
+
+const (
+	answer  = 4 * time.Millisecond  // that the store takes to answer
+	inForce = 2 * time.Second       // within which a change has to be known everywhere
+	aMoment = 10 * time.Millisecond // how often it is looked
+)
+
+var errDown = errors.New("down")
+
+// memTopic implements [hollowgrade.Topic] in memory.
+type memTopic struct {
+	mu      sync.Mutex
+	records []hollowgrade.KeyedRecord
+	down    bool
+	changed chan struct{}
+}
+
+func newTopic() *memTopic {
+	return &memTopic{changed: make(chan struct{})}
+}
+
+func (t *memTopic) Put(_ context.Context, key string, value []byte) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.records = append(t.records, hollowgrade.KeyedRecord{Key: key, Value: value, Offset: int64(len(t.records))})
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return nil
+}
+
+func (t *memTopic) Newest(context.Context, time.Duration) (p hollowgrade.KeyedPage, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return p, errDown
+	}
+	newest := map[string]hollowgrade.KeyedRecord{}
+	for _, r := range t.records {
+		newest[r.Key] = r
+	}
+	p.Records = slices.Collect(maps.Values(newest))
+	p.Next = int64(len(t.records))
+	p.End = p.Next
+	return p, nil
+}
+
+func (t *memTopic) Wait(ctx context.Context, from int64, d, _ time.Duration) (p hollowgrade.KeyedPage, err error) {
+	until := time.After(d)
+	for {
+		t.mu.Lock()
+		down, end, changed := t.down, int64(len(t.records)), t.changed
+		if from < end {
+			p.Records = slices.Clone(t.records[from:])
+		}
+		t.mu.Unlock()
+		p.Next, p.End = max(end, from), end
+		switch {
+		case down:
+			return p, errDown
+		case len(p.Records) > 0:
+			return p, nil
+		}
+		select {
+		case <-changed:
+		case <-until:
+			return p, nil
+		case <-ctx.Done():
+			return p, ctx.Err()
+		}
+	}
+}
+
+// farTopic is the store's topic as a box sees it: what it reads goes over the
+// store's link and its own.
+type farTopic struct {
+	*memTopic
+	net    *network
+	box    string
+	answer time.Duration // that the store takes to answer
+	silent func(box string) bool
+}
+
+func (t *farTopic) Newest(ctx context.Context, patience time.Duration) (p hollowgrade.KeyedPage, err error) {
+	if p, err = t.memTopic.Newest(ctx, patience); err == nil {
+		err = t.carry(ctx, p, patience)
+	}
+	return p, err
+}
+
+func (t *farTopic) Wait(ctx context.Context, from int64, d, patience time.Duration) (p hollowgrade.KeyedPage, err error) {
+	if p, err = t.memTopic.Wait(ctx, from, d, patience); err == nil {
+		err = t.carry(ctx, p, patience)
+	}
+	return p, err
+}
+
+// carry takes the time that an answer needs.
+func (t *farTopic) carry(ctx context.Context, p hollowgrade.KeyedPage, patience time.Duration) error {
+	left := 0
+	for _, r := range p.Records {
+		left += len(r.Key) + len(r.Value)
+	}
+	wait := min(t.answer, patience)
+	if t.silent(t.box) {
+		wait = patience
+	}
+	for {
+		if !hollowgrade.Sleep(ctx, hollowgrade.SystemClock(), wait) {
+			return ctx.Err()
+		}
+		if t.answer > patience || t.silent(t.box) {
+			return errDown
+		}
+		if left <= 0 {
+			return nil
+		}
+		k := min(left, segmentBytes)
+		wait = time.Until(t.net.send(storeBox, t.box, k))
+		left -= k
+	}
+}
+
+// gateway is what one gateway has of feeds.
+type gateway struct {
+	box           string
+	config, fleet *feed.Feed
+	relay         *feed.Relay
+}
+
+// fleetOf is gateways before one store in one network.
+type fleetOf struct {
+	net           *network
+	silent        func(box string) bool // whether the store says nothing to a box
+	config, fleet *memTopic
+	gateways      []*gateway
+}
+
+// place is where a gateway is.
+type place struct {
+	hall string
+	rate float64
+}
+
+// grown returns places as a fleet of n gateways has them: four halls, of every
+// seven gateways two with a wide link.
+func grown(n int) (ps []place) {
+	for i := range n {
+		p := place{hall: fmt.Sprint("hall-", i%4), rate: narrow}
+		if i/4%7 < 2 {
+			p.rate = wide
+		}
+		ps = append(ps, p)
+	}
+	return ps
+}
+
+// address returns the address of a gateway.
+func address(i int) string {
+	return fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)
+}
+
+// inNetwork runs gateways at the places in virtual time until test returns.
+func inNetwork(t *testing.T, ps []place, answer time.Duration, test func(t *testing.T, f *fleetOf), prepare ...func(f *fleetOf)) {
+	t.Helper()
+	// Two collections empty the pool that yamux keeps timers of an earlier bubble in.
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := &fleetOf{net: newNetwork(), silent: func(string) bool { return false }, config: newTopic(), fleet: newTopic()}
+		addresses := make([]string, len(ps))
+		for i := range ps {
+			addresses[i] = address(i)
+		}
+		var g sync.WaitGroup
+		defer func() {
+			cancel()
+			time.Sleep(time.Second) // asks under way end
+			f.net.close()
+			g.Wait()
+		}()
+		for i, p := range ps {
+			f.net.add(addresses[i], p.hall, p.rate)
+		}
+		for _, p := range prepare {
+			p(f)
+		}
+		for i := range ps {
+			f.gateways = append(f.gateways, f.start(ctx, &g, addresses[i], addresses, answer))
+		}
+		time.Sleep(5 * time.Second)
+		test(t, f)
+	})
+}
+
+func (f *fleetOf) start(ctx context.Context, g *sync.WaitGroup, box string, all []string, answer time.Duration) *gateway {
+	quiet := log.New(io.Discard)
+	w := &gateway{box: box}
+	w.relay = feed.NewRelay(box, func() []string { return append([]string(nil), all...) }, feed.WithRelayLogger(quiet), feed.WithDialer(f.net.dialer(box)), feed.WithPlaces(f.net.place))
+	w.config = feed.New("config", &farTopic{f.config, f.net, box, answer, f.silent}, feed.WithLogger(quiet), feed.WithWait(1500*time.Millisecond), feed.WithReader(w.relay.ReadsLarge))
+	w.fleet = feed.New("fleet", &farTopic{f.fleet, f.net, box, answer, f.silent}, feed.WithLogger(quiet), feed.WithWait(3*time.Second), feed.WithReader(w.relay.Reads))
+	fs := []*feed.Feed{w.config, w.fleet}
+	w.relay.Add(fs...)
+	v := feed.NewServer(f.net.place(box).Link, fs...)
+	s := peer.NewServer(func(_ context.Context, s *peer.Stream, first *wire.Frame) error { return v.Serve(s, first) }, func(net.Addr, error) {})
+	l := f.net.listen(box)
+	g.Go(func() { _ = s.Serve(ctx, l) })
+	g.Go(func() { w.config.Run(ctx) })
+	g.Go(func() { w.fleet.Run(ctx) })
+	g.Go(func() {
+		w.relay.Run(ctx)
+		_ = l.Close()
+		s.Close()
+	})
+	return w
+}
+
+// known returns how many gateways know the topics up to an offset.
+func (f *fleetOf) known(of func(*gateway) *feed.Feed, next int64) (n int) {
+	for _, w := range f.gateways {
+		if of(w).Next() >= next {
+			n++
+		}
+	}
+	return n
+}
+
+// until waits until all gateways know a topic up to an offset, and returns how
+// long that took, or bound.
+func (f *fleetOf) until(of func(*gateway) *feed.Feed, next int64, bound time.Duration) time.Duration {
+	began := time.Now()
+	for f.known(of, next) < len(f.gateways) && time.Since(began) < bound {
+		time.Sleep(aMoment)
+	}
+	return time.Since(began)
+}
+
+func configOf(w *gateway) *feed.Feed { return w.config }
+
+// configuration returns a configuration of about so many bytes, of routes whose
+// names are drawn.
+func configuration(r *rand.Rand, bytes int) string {
+	var b strings.Builder
+	b.WriteString(`{"version":1,"routes":[`)
+	for i := 0; b.Len() < bytes; i++ {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"name":"r-%s","host":"%s.example","pathPrefix":"/%s/","kind":"safe","timeoutMs":1000,"goalLatencyMs":1000,"priority":2,"service":"%s","maxAttempts":2,"public":true}`,
+			word(r), word(r)[:2], word(r), word(r)[:1])
+	}
+	b.WriteString(`]}`)
+	return b.String()
+}
+
+func word(r *rand.Rand) string {
+	b := make([]byte, 8)
+	for i := range b {
+		b[i] = "abcdefghijklmnopqrstuvwxyz0123456789"[r.IntN(36)]
+	}
+	return string(b)
+}
+
+func seeded() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// The configuration had grown to 0.8 MB. Calls on a route that a change had moved
+// were still handled the old way eight seconds after the change was confirmed, at
+// gateways with a link of 20 Mbit/s; they never had the change until the day ended.
+//
+// A gateway asks three peers each 400 ms and gives an answer 700 ms, however large
+// it is. An answer held whole records. On such a link one copy takes 0.32 s, three
+// at a time 0.96 s: each answer was cut, thrown away, and asked for again from the
+// beginning, which kept the link full. The gateway's own read of the store, which
+// had a bound in time as well, was cut on the same link.
+//
+// Evidence: each of these gateways received 2.3 MB a second for 38 s, its whole link,
+// and 81 to 91 MB in all; 40 to 56 answers a second were cut in the fleet, two thirds
+// of them after exactly the 256 KB of one stream's window; reads of the store were cut
+// after 655 to 770 of 794 KB.
+func TestLargeConfigurationReachesAllGateways(t *testing.T) {
+	inNetwork(t, grown(28), answer, func(t *testing.T, f *fleetOf) {
+		f.net.resetCounts()
+		c := configuration(seeded(), 800_000)
+		require.NoError(t, f.config.Put(context.Background(), "config", []byte(c)))
+		took := f.until(configOf, 1, 20*time.Second)
+		narrowest, _ := f.net.counts()
+		require.Equal(t, len(f.gateways), f.known(configOf, 1), "gateways that know the change after %s", took)
+		require.LessOrEqual(t, took, inForce)
+		require.Less(t, narrowest, int64(len(c)*3/2), "bytes that a narrow gateway received")
+	})
+}
