--- a/feed/excerpt.go
+++ b/feed/excerpt.go
@@ -67,20 +67,16 @@
 // whether the value has to be asked for.
 func (f *Feed) expect(key string, offset int64, size int, from string) bool {
 	f.mu.Lock()
-	known := f.newest[key]
-	fits := true
-	if known.Offset < offset || known.Key == "" {
-		if fits = f.fits(key, offset, size, from); fits {
-			f.miss(offset)
-		}
+	known, ok := f.newest[key]
+	wanted := (!ok || known.Offset < offset) && f.fits(key, offset, size, from)
+	if wanted {
+		f.miss(offset)
 	}
 	f.mu.Unlock()
-	if fits && (known.Offset < offset || known.Key == "") {
-		return true
+	if !wanted { // the view has a later value already, or never takes this one
+		f.Merge(hollowgrade.KeyedPage{Next: offset + 1, End: offset + 2, From: from}, time.Time{})
 	}
-	// The view has a later value already, or never takes this one.
-	f.Merge(hollowgrade.KeyedPage{Next: offset + 1, End: offset + 2, From: from}, time.Time{})
-	return false
+	return wanted
 }
 
 // takeValue takes a record that a peer sent for the missing one at an offset. All
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -60,7 +60,8 @@
 	mu        sync.Mutex
 	conns     map[string]*peer.Conn
 	told      time.Time           // when a reader last told what is fresh
-	reads     bool                // what Reads last said
+	reads     reading             // what Reads last said
+	large     reading             // what ReadsLarge last said
 	transfers map[*Feed]*transfer // under way
 	catching  map[*Feed]bool      // feeds of which pages are read one after another
 }
@@ -118,7 +119,7 @@
 // Reads reports whether this process has to read the store itself: it is one of
 // the readers, or none of them has told it anything for a while.
 func (r *Relay) Reads() bool {
-	return r.readsAs(r.readers())
+	return r.readsAs(r.readers(), &r.reads, "all")
 }
 
 // ReadsLarge reports the same for topics with large records. While a peer sends one,
@@ -128,17 +129,22 @@
 	if r.transferring() {
 		return slices.Contains(rs, r.self)
 	}
-	return r.readsAs(rs)
+	return r.readsAs(rs, &r.large, "large")
 }
 
-func (r *Relay) readsAs(readers []string) bool {
+// reading is whether this process reads some of the topics itself.
+type reading bool
+
+// readsAs reports whether this process has to read topics that these processes read
+// for all, and logs when that is no longer what was said last.
+func (r *Relay) readsAs(readers []string, said *reading, topics string) bool {
 	reader := slices.Contains(readers, r.self)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reads := reader || r.clock.Since(r.told) > lostAfter
-	if reads != r.reads {
-		r.reads = reads
-		r.log.Info("reading of the store changed", "reads", reads, "reader", reader, "told_ms", r.clock.Since(r.told).Milliseconds())
+	if reading(reads) != *said {
+		*said = reading(reads)
+		r.log.Info("reading of the store changed", "topics", topics, "reads", reads, "reader", reader, "told_ms", r.clock.Since(r.told).Milliseconds())
 	}
 	return reads
 }
--- a/feed/transfer_test.go
+++ b/feed/transfer_test.go
@@ -342,6 +342,22 @@
 		halls[places[a].Hall]++
 	}
 	require.Len(t, halls, 4, "each hall has a reader")
+	t.Run("a reader of small records only says so once", func(t *testing.T) {
+		var many []string
+		for i := range 100 {
+			many = append(many, fmt.Sprintf("10.1.0.%d:1", i))
+		}
+		peers := func() []string { return append([]string(nil), many...) }
+		l := &logged{}
+		rs := NewRelay(many[0], peers).readers()
+		r := NewRelay(rs[mostOfLarge], peers, WithRelayLogger(log.New(l)))
+		r.told = time.Now()
+		for range 10 {
+			require.True(t, r.Reads())
+			require.False(t, r.ReadsLarge())
+		}
+		require.Equal(t, 1, strings.Count(l.String(), "reading of the store changed"))
+	})
 	t.Run("few read topics with large records", func(t *testing.T) {
 		var many []string
 		for i := range 420 {
