--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -240,6 +240,7 @@
 			g := startGateway(t, s.store.Address(), func(c *setting.Gateway) { c.ConfigMaxBytes = 65_536 })
 			g.waitReady(t)
 			s.configure(2, 5000, "k1")
+			require.Eventually(t, func() bool { return g.Core.Catalog().Version == 2 }, 20*time.Second, time.Millisecond)
 			s.store.Put("keyed.op", "config", []byte(c.record))
 			require.Eventually(t, func() bool { return strings.Contains(g.log.String(), c.why) }, 20*time.Second, time.Millisecond)
 			require.EqualValues(t, 2, g.Core.Catalog().Version)
