feed, node: few readers of the store however many gateways, one try a process while it is away

A fifth of the gateways read at rest, and each of them read each of three topics once a second while the store was away.

Change: seven readers (one in twenty beyond 140 gateways); Access, one try at a time for all topics of a process, shared pauses with jitter; those that are no readers wait their turn while others are reached; a start reads newest records once.

Tests red before: TestCallsToTheStoreDoNotGrowWithTheGateways (18.4 a second where 9 are allowed).

--- /dev/null
+++ b/feed/access_test.go
@@ -0,0 +1,157 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+)
+
+func noSpacing() time.Duration { return 0 }
+
+// requireMayCall checks whether a call may be made now, and whether it is a try.
+func requireMayCall(t *testing.T, a *Access, may, try bool) {
+	t.Helper()
+	isTry, wait := a.Begin()
+	require.Equal(t, may, wait == 0)
+	require.Equal(t, try, isTry)
+}
+
+func TestAccess(t *testing.T) {
+	t.Run("all may call while the store answers", func(t *testing.T) {
+		a := NewAccess(hollowgrade.SystemClock(), noSpacing)
+		requireMayCall(t, a, true, false)
+		requireMayCall(t, a, true, false)
+		a.Note(false, true)
+		requireMayCall(t, a, true, false)
+	})
+	t.Run("one tries at a time while it does not", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			a := NewAccess(hollowgrade.SystemClock(), noSpacing)
+			a.Note(false, false)
+			requireMayCall(t, a, false, false)
+			time.Sleep(2 * firstPause)
+			requireMayCall(t, a, true, true)
+			requireMayCall(t, a, false, false)
+			a.Note(true, false)
+			requireMayCall(t, a, false, false)
+			time.Sleep(2 * lastPause)
+			requireMayCall(t, a, true, true)
+			a.Note(true, true)
+			requireMayCall(t, a, true, false)
+			requireMayCall(t, a, true, false)
+		})
+	})
+	t.Run("pauses are as long as the spacing asks for", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			const spacing = 10 * time.Second
+			a := NewAccess(hollowgrade.SystemClock(), func() time.Duration { return spacing })
+			a.Note(false, false)
+			tries, began := 0, time.Now()
+			for time.Since(began) < 100*spacing {
+				try, wait := a.Begin()
+				if try {
+					tries++
+					a.Note(true, false)
+					continue
+				}
+				time.Sleep(wait)
+			}
+			require.InDelta(t, 100, tries, 30)
+		})
+	})
+	t.Run("one tries first where others have lost the store", func(t *testing.T) {
+		a := NewAccess(hollowgrade.SystemClock(), noSpacing)
+		a.Doubt()
+		requireMayCall(t, a, true, true)
+		requireMayCall(t, a, false, false)
+		a.Note(true, true)
+		requireMayCall(t, a, true, false)
+	})
+}
+
+// A topic whose reads wait long is not what tells that the store is back: its answer
+// would come seconds later, and the other topics would wait for it.
+func TestATryDoesNotWaitAtTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		a := NewAccess(hollowgrade.SystemClock(), noSpacing)
+		quiet := log.New(io.Discard)
+		slow, quick := newTopic(), newTopic()
+		patient := New("members", slow, WithLogger(quiet), WithWait(20*time.Second), WithAccess(a))
+		eager := New("config", quick, WithLogger(quiet), WithWait(time.Second), WithAccess(a))
+		var g sync.WaitGroup
+		g.Go(func() { patient.Run(ctx) })
+		g.Go(func() { eager.Run(ctx) })
+		for range 20 {
+			quick.set(func() { quick.down = true })
+			time.Sleep(3 * time.Second)
+			quick.set(func() { quick.down = false })
+			slow.set(func() {}) // its read ends, and it is the next to try
+			time.Sleep(2 * lastPause)
+			age, _ := eager.Age()
+			require.Less(t, age, 2*lastPause+time.Second)
+		}
+		cancel()
+		g.Wait()
+	})
+}
+
+func TestStandIns(t *testing.T) {
+	const n = 103
+	var all []string
+	for i := range n {
+		all = append(all, fmt.Sprintf("10.0.0.%d:1", i))
+	}
+	// reading returns how many of those that are no readers read the store once readers
+	// have told nothing for so long, whether or not they reach others.
+	reading := func(silent time.Duration, reach bool) (reads int) {
+		for _, a := range all {
+			r := NewRelay(a, func() []string { return append([]string(nil), all...) }, WithRelayLogger(log.New(io.Discard)))
+			r.heard(0)
+			if !reach {
+				r.reached = time.Time{}
+			}
+			r.told = time.Now().Add(-silent)
+			if r.Reads() {
+				reads++
+			}
+		}
+		return reads - len(NewRelay(all[0], func() []string { return append([]string(nil), all...) }).readers())
+	}
+	t.Run("are none while readers tell", func(t *testing.T) {
+		require.Zero(t, reading(lostAfter/2, true))
+	})
+	t.Run("are all that reach nobody", func(t *testing.T) {
+		require.Equal(t, n-readerCount(n), reading(lostAfter+time.Millisecond, false))
+	})
+}
+
+func TestAccessOfOneTopicThatIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		a := NewAccess(hollowgrade.SystemClock(), noSpacing)
+		quiet := log.New(io.Discard)
+		gone, there := newTopic(), newTopic()
+		gone.down = true
+		lost := New("config", gone, WithLogger(quiet), WithWait(time.Second), WithAccess(a))
+		kept := New("fleet", there, WithLogger(quiet), WithWait(time.Second), WithAccess(a))
+		var g sync.WaitGroup
+		g.Go(func() { lost.Run(ctx) })
+		g.Go(func() { kept.Run(ctx) })
+		time.Sleep(5 * time.Second)
+		put(t, there, "a", "1")
+		time.Sleep(time.Second)
+		require.Equal(t, int64(1), kept.Next(), "the topic that is there is read on")
+		cancel()
+		g.Wait()
+	})
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -69,6 +69,7 @@
 	name  string
 	topic hollowgrade.Topic
 	reads func() bool // whether this process reads the store itself just now
+	store *Access
 	clock hollowgrade.Clock
 	log   *log.Logger
 	wait  time.Duration
@@ -124,6 +125,11 @@
 	return func(d *Feed) { d.reads = f }
 }
 
+// WithAccess shares with other feeds what is known of the way to the store.
+func WithAccess(a *Access) Option {
+	return func(f *Feed) { f.store = a }
+}
+
 // WithMaxValue sets the size in bytes of the largest value that is taken.
 func WithMaxValue(n int) Option {
 	return func(f *Feed) { f.most = n }
@@ -145,6 +151,9 @@
 	for _, o := range os {
 		o(f)
 	}
+	if f.store == nil {
+		f.store = NewAccess(f.clock, func() time.Duration { return 0 })
+	}
 	return f
 }
 
@@ -188,7 +197,8 @@
 	return f.clock.Since(t), !t.IsZero()
 }
 
-// Run follows the topic until ctx ends.
+// Run follows the topic until ctx ends. The pauses after failures are those of this
+// topic: the store may serve others meanwhile.
 func (f *Feed) Run(ctx context.Context) {
 	p := backoff.NewExponentialBackOff()
 	p.InitialInterval = firstPause
@@ -198,8 +208,14 @@
 			hollowgrade.Sleep(ctx, f.clock, followPause)
 			continue
 		}
+		try, wait := f.store.Begin()
+		if wait > 0 {
+			hollowgrade.Sleep(ctx, f.clock, wait)
+			continue
+		}
 		sent := f.clock.Now()
-		records, err := f.step(ctx, sent)
+		records, err := f.step(ctx, sent, try)
+		f.store.Note(try, err == nil || errors.Is(err, hollowgrade.ErrTrimmed) || ctx.Err() != nil)
 		if err == nil {
 			p.Reset()
 			f.regained()
@@ -225,11 +241,11 @@
 }
 
 // step makes one read, sent at sent, and takes what it gives. It returns how many
-// records that were.
-func (f *Feed) step(ctx context.Context, sent time.Time) (records int, err error) {
+// records that were. One that tries whether the store answers does not wait there.
+func (f *Feed) step(ctx context.Context, sent time.Time, try bool) (records int, err error) {
 	f.mu.Lock()
 	next, synced, wait := f.next, f.synced, f.wait
-	if f.away || f.clock.Since(f.fresh) > f.wait+answerMargin {
+	if try || f.away || f.clock.Since(f.fresh) > f.wait+answerMargin {
 		wait = 0 // how fresh the view is has to be known at once
 	}
 	f.mu.Unlock()
--- a/feed/readers.go
+++ b/feed/readers.go
@@ -9,11 +9,17 @@
 
 const (
 	// fewestReaders read the store, however few processes there are, and one in
-	// perReader beyond. A third of all processes may be cut off from the store at
-	// once, and the others have to learn of a change within two seconds: there
-	// have to be so many readers that hardly ever all of them are among those.
+	// perReader beyond, up to enoughReaders. A third of all processes may be cut off from
+	// the store at once, and the others have to learn of a change within two seconds: there
+	// have to be so many readers that hardly ever all of them are among those. Of seven,
+	// all are among them once in 2,000 times. One in five of 103 gateways made 18 calls a
+	// second at rest, seven make 7 (BenchmarkCalls of internal/spread).
 	fewestReaders = 4
 	perReader     = 5
+	enoughReaders = 7
+	// askersOfReader is how many processes ask one reader at the most: more would make more
+	// than 150 asks a second of it.
+	askersOfReader = 20
 	// mostOfLarge readers read a topic with large records, however many processes
 	// there are: each read gives a whole record, and the store's reads share 80 MB a
 	// second. Sixteen copies of 4 MB take it 0.8 s, the 84 of a fifth of 420 would
@@ -56,13 +62,22 @@
 		turns[rs[i].place.Hall]++
 	}
 	slices.SortStableFunc(rs, func(a, b ranked) int { return cmp.Compare(a.turn, b.turn) })
-	n := min(max(fewestReaders, (len(rs)+perReader-1)/perReader), len(rs))
-	for _, x := range rs[:n] {
+	for _, x := range rs[:readerCount(len(rs))] {
 		as = append(as, x.address)
 	}
 	return as
 }
 
+// readerCount returns how many of n processes read the store.
+func readerCount(n int) int {
+	share := min(ceilDiv(n, perReader), enoughReaders)
+	return min(max(fewestReaders, share, ceilDiv(n, askersOfReader)), n)
+}
+
+func ceilDiv(a, b int) int {
+	return (a + b - 1) / b
+}
+
 func byLink(a, b ranked) int {
 	return cmp.Or(cmp.Compare(b.place.Link, a.place.Link), cmp.Compare(b.rank, a.rank), cmp.Compare(a.address, b.address))
 }
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -34,8 +34,15 @@
 	// any peers are asked, not just readers.
 	staleMargin = 300 * time.Millisecond
 	// lostAfter is how long a process goes without word from a reader before it
-	// reads the store itself.
+	// reads the store itself: at once if it reaches no other process, and when its turn
+	// comes if it does, since the store is away for all of them then.
 	lostAfter = 900 * time.Millisecond
+	// standInRate is how many processes a second begin to read, of all those that
+	// readers tell nothing, and how many tries they make while the store is away: a few
+	// that get an answer are enough for all. mostSpacing bounds the mean time that one of them
+	// waits, however many there are: keys are good for some seconds.
+	standInRate = 40
+	mostSpacing = 2 * time.Second
 	// toldBytes is from how many bytes on an answer that was cut has a line in the
 	// log. An ask in vain of a peer that is away has none: there are many of them,
 	// and "store lost" and the view's age say what matters.
@@ -57,9 +64,14 @@
 	received, wasted atomic.Int64 // bytes that peers sent; those that were thrown away
 	exchanges        sync.WaitGroup
 
+	store *Access
+	begun time.Time // when this process started
+
 	mu        sync.Mutex
 	conns     map[string]*peer.Conn
-	told      time.Time           // when a reader last told what is fresh
+	told      time.Time           // when a reader last told what is fresh, or this process began
+	reached   time.Time           // when a peer last answered
+	patience  time.Duration       // for which this process waits for others to read once readers tell nothing
 	reads     reading             // what Reads last said
 	large     reading             // what ReadsLarge last said
 	transfers map[*Feed]*transfer // under way
@@ -108,9 +120,26 @@
 		o(r)
 	}
 	r.hall = r.places(self).Hall
+	r.begun = r.clock.Now()
+	r.told = r.begun
+	r.store = NewAccess(r.clock, r.spacing)
 	return r
 }
 
+// Access returns what this process knows of its way to the store, for all that calls it.
+func (r *Relay) Access() *Access {
+	return r.store
+}
+
+// spacing is the mean time between the tries of this process to read a store that is
+// away: readers make theirs as they fail, all others together [standInRate] a second.
+func (r *Relay) spacing() time.Duration {
+	if slices.Contains(r.readers(), r.self) {
+		return 0
+	}
+	return min(time.Duration(len(r.peers()))*time.Second/standInRate, mostSpacing)
+}
+
 // Add adds feeds. It is called before Run.
 func (r *Relay) Add(fs ...*Feed) {
 	r.feeds = append(r.feeds, fs...)
@@ -138,17 +167,36 @@
 // readsAs reports whether this process has to read topics that these processes read
 // for all, and logs when that is no longer what was said last.
 func (r *Relay) readsAs(readers []string, said *reading, topics string) bool {
-	reader := slices.Contains(readers, r.self)
+	reader := slices.Contains(readers, r.self) && !r.begins(len(readers))
+	stale := len(r.behind()) > 0
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reads := reader || r.clock.Since(r.told) > lostAfter
+	reads := reader || r.standsIn(stale)
 	if reading(reads) != *said {
+		if !reader && reads {
+			r.store.Doubt()
+		}
 		*said = reading(reads)
 		r.log.Info("reading of the store changed", "topics", topics, "reads", reads, "reader", reader, "told_ms", r.clock.Since(r.told).Milliseconds())
 	}
 	return reads
 }
 
+// begins reports whether this process has just started and knows no other yet. It has
+// read all newest records or is about to; whether it is to read on it learns with the list
+// of the others. Gateways that start together made seven calls each and not five.
+func (r *Relay) begins(readers int) bool {
+	return readers <= 1 && r.clock.Since(r.begun) <= lostAfter
+}
+
+// standsIn reports whether this process, which is no reader, reads the store because
+// readers tell it nothing. The lock is held.
+func (r *Relay) standsIn(stale bool) bool {
+	silent := r.clock.Since(r.told)
+	alone := r.clock.Since(r.reached) > lostAfter
+	return silent > lostAfter && (alone || stale || silent > lostAfter+r.patience)
+}
+
 // Run asks peers until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
 	for hollowgrade.Sleep(ctx, r.clock, askEvery) {
@@ -165,7 +213,8 @@
 }
 
 // toAsk returns the peers to ask now: some readers, unless this process reads all
-// topics itself and the store answers it; and any when the view is stale. A reader that
+// topics itself and the store answers it; and any when readers tell nothing or the view is
+// stale. A reader that
 // started while the store was silent asked nobody, and had a change 3.3 s late.
 func (r *Relay) toAsk() (as []string) {
 	rs := r.readers()
@@ -176,12 +225,20 @@
 	case !slices.Contains(large, r.self), !r.served():
 		as = r.some(slices.DeleteFunc(large, func(a string) bool { return a == r.self }))
 	}
-	if len(r.behind()) == 0 {
+	if len(r.behind()) == 0 && !r.untold() {
 		return as
 	}
 	return append(as, r.some(slices.DeleteFunc(r.peers(), func(a string) bool { return slices.Contains(as, a) }))...)
 }
 
+// untold reports whether readers have told this process nothing for a while: another
+// process may read in their place.
+func (r *Relay) untold() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock.Since(r.told) > lostAfter
+}
+
 // served reports whether the store answers this process on all topics.
 func (r *Relay) served() bool {
 	return !slices.ContainsFunc(r.feeds, func(f *Feed) bool { return !f.served() })
@@ -360,14 +417,17 @@
 	}
 }
 
-// heard notes that a peer has told n feeds, if that leaves none of them stale.
+// heard notes that a peer has answered with n feeds, and that it has told what is fresh if
+// that leaves none of them stale.
 func (r *Relay) heard(n int) {
-	if n < len(r.feeds) || len(r.behind()) > 0 {
-		return
-	}
+	fresh := n >= len(r.feeds) && len(r.behind()) == 0
+	spacing := r.spacing()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.told = r.clock.Now()
+	r.reached = r.clock.Now()
+	if fresh {
+		r.told, r.patience = r.reached, drawn(spacing)
+	}
 }
 
 // feed returns the feed with a name, nil if there is none.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -82,9 +82,9 @@
 	n.settings.Store(&c)
 	relay := feed.NewRelay(c.PeerAddress(), n.members.addresses, feed.WithRelayLogger(g), feed.WithPlaces(n.members.place))
 	n.config = feed.New(configFeed, s.Config(), feed.WithLogger(g), feed.WithWait(c.ReadWait()),
-		feed.WithReader(relay.ReadsLarge), feed.WithMaxValue(c.ConfigMaxBytes))
-	fleet := feed.New(fleetFeed, s.Workers(), feed.WithLogger(g), feed.WithWait(c.FleetWait), feed.WithReader(relay.Reads))
-	others := feed.New(membersFeed, s.Members(), feed.WithLogger(g), feed.WithWait(c.MembersWait), feed.WithReader(relay.Reads))
+		feed.WithReader(relay.ReadsLarge), feed.WithAccess(relay.Access()), feed.WithMaxValue(c.ConfigMaxBytes))
+	fleet := feed.New(fleetFeed, s.Workers(), feed.WithLogger(g), feed.WithWait(c.FleetWait), feed.WithReader(relay.Reads), feed.WithAccess(relay.Access()))
+	others := feed.New(membersFeed, s.Members(), feed.WithLogger(g), feed.WithWait(c.MembersWait), feed.WithReader(relay.Reads), feed.WithAccess(relay.Access()))
 	n.state = n.configState
 	w := platform.NewWorkers()
 	n.Core = core.New(w, w,
--- /dev/null
+++ b/internal/spread/calls_test.go
@@ -0,0 +1,122 @@
+package spread
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// setDown lets the store refuse every call, or serve again.
+func (f *fleetOf) setDown(down bool) {
+	for _, t := range []*memTopic{f.config, f.fleet, f.members} {
+		t.mu.Lock()
+		t.down = down
+		close(t.changed)
+		t.changed = make(chan struct{})
+		t.mu.Unlock()
+	}
+}
+
+// callsIn returns how many calls a second reach the store while some time passes, and
+// the most of them in one second.
+func (f *fleetOf) callsIn(d time.Duration) (perSecond float64, most int) {
+	f.calls.begin()
+	time.Sleep(d)
+	all, most := f.calls.count()
+	return float64(all) / d.Seconds(), most
+}
+
+const outage = 9 * time.Second
+
+// BenchmarkCalls measures calls to the store: all from the start of all gateways until
+// each knows all topics and at rest, those a second while it is away, while it turns away a
+// third of the gateways, and in the seconds after its return. Time is virtual.
+func BenchmarkCalls(b *testing.B) {
+	for _, n := range []int{28, 103, 420} {
+		b.Run(fmt.Sprintf("gateways=%d", n), func(b *testing.B) {
+			for range b.N {
+				inTest(b, func(t *testing.T) {
+					inNetwork(t, grown(n), answer, func(t *testing.T, f *fleetOf) {
+						all, most := f.calls.count()
+						b.ReportMetric(float64(all), "start")
+						b.ReportMetric(float64(most), "start-most/s")
+						rest, _ := f.callsIn(30 * time.Second)
+						b.ReportMetric(rest, "rest/s")
+						f.setDown(true)
+						away, most := f.callsIn(outage)
+						b.ReportMetric(away, "away/s")
+						b.ReportMetric(float64(most), "away-most/s")
+						f.setDown(false)
+						back, _ := f.callsIn(3 * time.Second)
+						b.ReportMetric(back, "back/s")
+						f.silent = func(box string) bool { return slices.Contains(thirdOf(f), box) }
+						some, _ := f.callsIn(outage)
+						b.ReportMetric(some, "third-away/s")
+					})
+				})
+			}
+		})
+	}
+}
+
+// thirdOf returns every third gateway.
+func thirdOf(f *fleetOf) (boxes []string) {
+	for i := 0; i < len(f.gateways); i += 3 {
+		boxes = append(boxes, f.gateways[i].box)
+	}
+	return boxes
+}
+
+// Every call to the store has a price, and the more gateways there are the less each
+// of them may make: 103 gateways made 2,100 calls on a quiet day of 48 s and up to 7,500 on days on which
+// the store was away, 0.024 and 0.079 of all that these days are worth.
+//
+// Evidence: of 21 gateways, five read at rest; while the store was away each of the 21 read
+// each of three topics about once a second, 436 calls in four seconds.
+func TestCallsToTheStoreDoNotGrowWithTheGateways(t *testing.T) {
+	inNetwork(t, grown(103), answer, func(t *testing.T, f *fleetOf) {
+		rest, _ := f.callsIn(30 * time.Second)
+		require.Less(t, rest, 9.0, "calls a second at rest")
+		f.setDown(true)
+		away, _ := f.callsIn(outage)
+		require.Less(t, away, 60.0, "calls a second while the store is away")
+		f.setDown(false)
+		returned := time.Now()
+		for f.oldest() > 2*time.Second {
+			time.Sleep(aMoment)
+		}
+		require.Less(t, time.Since(returned), time.Second, "until each gateway knows again what is fresh")
+	})
+}
+
+// The store turns away all gateways that read it for the others.
+func TestReadersThatTheStoreTurnsAwayAreReplaced(t *testing.T) {
+	const keysGood = 4200 * time.Millisecond
+	inNetwork(t, grown(103), answer, func(t *testing.T, f *fleetOf) {
+		turned := f.reading()
+		require.Less(t, len(turned), len(f.gateways)/3)
+		f.silent = func(box string) bool { return slices.Contains(turned, box) }
+		began := time.Now()
+		putConfig(t, f, "a change")
+		oldest := time.Duration(0)
+		for time.Since(began) < outage {
+			time.Sleep(aMoment)
+			oldest = max(oldest, f.oldest())
+		}
+		require.Less(t, oldest, keysGood)
+		require.Equal(t, len(f.gateways), f.known(configOf, 1))
+	})
+}
+
+// reading returns the gateways that read the store now.
+func (f *fleetOf) reading() (boxes []string) {
+	for _, w := range f.gateways {
+		if w.relay.Reads() {
+			boxes = append(boxes, w.box)
+		}
+	}
+	return boxes
+}
