--- a/placement/long.go
+++ b/placement/long.go
@@ -129,11 +129,17 @@
 // prompt of referencePrompt tokens once some reading waits everywhere, less in
 // proportion before, and a twentieth while engines are idle. So it follows from how
 // fast engines read: a fixed price that suits one kind is twice too high for engines
-// half as fast. Over fifteen deployments of the experiment set it earns 0.744 of the
+// half as fast. Over fifteen deployments of the experiment set it earned 0.744 of the
 // worth, the best fixed price 0.736.
 const (
 	referencePrompt = 100_000 // tokens; one prompt in fifty is longer (docs/CAPACITY.md)
-	saturatedFrom   = 600 * time.Millisecond
+	// saturatedFrom is the mean backlog from which on a second has its whole price. With
+	// 0.6 s prompts of 400,000 to 880,000 tokens were refused at a backlog of 0.2 s and a sixth
+	// of the slots taken, though they would have been in time by half: of the largest tenth of
+	// archives on 103 gateways 0.48 of the worth was served at 0.8 of the load, 0.66 with 1 s
+	// or more (hollowgrade experiment, two seeds; of all worth 0.918 and 0.93). From 1.5 s on
+	// overloaded fleets lose.
+	saturatedFrom = time.Second
 	// refusedAgain is the part of its worth that is lost beside it when a call
 	// that came back after a refusal is refused again: its caller does not come
 	// back a third time.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -93,6 +93,26 @@
 	})
 }
 
+// Seen on a quiet day of 103 gateways: archives of 400,000 tokens and more were refused
+// while engines had 0.2 to 0.3 s to read and a sixth of their slots was taken.
+func TestTheLongestPromptsAreServedWhileEnginesHaveTime(t *testing.T) {
+	for _, tokens := range []int{400_000, 500_000} {
+		r := archive()
+		r.Prompt = tokens
+		s := snapshot(150, Candidate{Slots: 10, Open: 2, Tokens: 12_000, Reading: 230 * time.Millisecond})
+		l := requirePlan(t, New(), s, r)
+		require.Less(t, l.First, r.Goal/2)
+		require.False(t, l.Refused, "%d tokens, price %.2f", tokens, l.Price)
+	}
+	t.Run("and refused once each engine has seconds to read", func(t *testing.T) {
+		requireRefused(t, snapshot(150, Candidate{Slots: 10, Reading: 2 * time.Second}), func() Request {
+			r := archive()
+			r.Prompt = 500_000
+			return r
+		}(), true)
+	})
+}
+
 func TestTimeSinceTheFirstTryCounts(t *testing.T) {
 	r := season()
 	s := snapshot(18, Candidate{Reading: 500 * time.Millisecond})
