peer: a test that cuts a peer off takes the end of its connection for what it is

The server closes the session once it has read it; yamux waits for the write and for the end of the session at once, so a write that has not returned by then reports the end. Shown by a connection whose write returns late: TestCutOffBeforeTheWriteReturns is red each time with the old check. Ruled out: bytes that do not arrive (the server names the peer), the bound on waiting exchanges (one is open).

The check that replaces it: the write returns no error or that one; that it arrived is shown, as before, by the server's word that the peer was cut off for it, without which the test does not end.

Conclusion: the test's own fault; no code of the product changes.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -6,8 +6,10 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"testing"
 
+	"github.com/hashicorp/yamux"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hollowgrade/hollowgrade/internal/wire"
@@ -64,16 +66,61 @@
 	s := requireEcho(t, bad, "b")
 
 	t.Run("a peer that sends nonsense is cut off and named", func(t *testing.T) {
-		_, err := s.raw.Write([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
-		require.NoError(t, err)
-		require.ErrorIs(t, <-cut, ErrBroken)
-		<-bad.Closed()
+		requireCutOff(t, bad, s, cut)
 	})
 	t.Run("no other peer notices", func(t *testing.T) {
 		requireEcho(t, good, "c")
 	})
 }
 
+// nonsense is no frame: its length has no end.
+var nonsense = []byte{0xff, 0xff, 0xff, 0xff, 0x7f}
+
+// requireCutOff sends what is no frame, and requires that the server cuts the peer off for
+// it. That may come before the write has returned: then it reports the end of the connection,
+// although what it sent has arrived.
+func requireCutOff(t *testing.T, c *Conn, s *Stream, cut <-chan error) {
+	t.Helper()
+	if _, err := s.raw.Write(nonsense); err != nil {
+		require.ErrorIs(t, err, yamux.ErrSessionShutdown)
+	}
+	require.ErrorIs(t, <-cut, ErrBroken)
+	<-c.Closed()
+}
+
+// lateConn is a connection on which the write of nonsense returns once it is closed.
+type lateConn struct {
+	net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *lateConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if bytes.Equal(b, nonsense) {
+		<-c.closed
+	}
+	return n, err
+}
+
+func (c *lateConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+func TestCutOffBeforeTheWriteReturns(t *testing.T) {
+	address, cut := serve(t)
+	l := &lateConn{closed: make(chan struct{})}
+	c, err := Dial(context.Background(), func(ctx context.Context, a string) (n net.Conn, err error) {
+		l.Conn, err = TCP()(ctx, a)
+		return l, err
+	}, address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	s := requireEcho(t, c, "a")
+	requireCutOff(t, c, s, cut)
+}
+
 func TestTLSOnly(t *testing.T) {
 	require.True(t, Loopback("127.0.0.1:1"))
 	require.True(t, Loopback("[::1]:1"))
