core, placement, platform, loadview: engines that seem to be slow are asked, and allowed for

What a slow engine was given runs off in the account at its published speed, so it looks idle and is given more; nearly each prompt that 17 engines read has a part at one.

Change: a first event that is overdue (1.5 times what was predicted and 0.1 s) lets its gateway ask the engines of the call; one that is slow is told to the others with the load, with its age, and asked again each second by who asked it last, so that its return to speed is seen without calls. Once one is slow each gateway asks a part of the others. The word holds 3.5 s, is not told on, and older ones undo nothing. Passes, reading, pauses and what is left to read take as much longer in predictions and in the choice of engines for parts.

--- a/core/core.go
+++ b/core/core.go
@@ -54,6 +54,8 @@
 type Core struct {
 	exchanger hollowgrade.Exchanger
 	reserver  hollowgrade.Reserver
+	reporter  hollowgrade.Reporter // nil if upstreams are not asked how fast they are
+	asks      atomic.Int32         // that are under way
 	clock     hollowgrade.Clock
 	log       *log.Logger
 	bounds    atomic.Pointer[Bounds]
@@ -121,6 +123,11 @@
 	return func(c *Core) { c.outdated = f }
 }
 
+// WithReporter lets upstreams that seem to be slow be asked how fast they are.
+func WithReporter(r hollowgrade.Reporter) Option {
+	return func(c *Core) { c.reporter = r }
+}
+
 // WithProcesses sets how the number of processes is known that share the
 // upstreams and the retry budget, this one among them.
 func WithProcesses(f func() int) Option {
@@ -147,6 +154,7 @@
 	}
 	c.started = c.clock.Now()
 	c.fleet = NewFleet(c.clock, c.log)
+	c.fleet.SetAsker(c.askPaces)
 	c.fleet.SetPeers(func() int { return c.processes() - 1 })
 	return c
 }
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -22,6 +22,7 @@
 	held    time.Duration // how long the sending was held back
 	wrote   bool          // whether the answer has begun
 	head    hollowgrade.Head
+	timely  func() bool // ends the wait for a first event that is overdue
 }
 
 func (a *attempt) sending() hollowgrade.Sending {
@@ -50,6 +51,8 @@
 		return true
 	})
 	defer w.stop()
+	a.timely = a.suspectOnceOverdue()
+	defer a.timely()
 	x, err := a.flow.core.exchanger.Open(ctx, a.sending())
 	if err != nil {
 		return cause(ctx, err)
@@ -63,6 +66,16 @@
 	return cause(ctx, a.whole(x))
 }
 
+// suspectOnceOverdue lets the engines of the attempt be asked how fast they are if its answer
+// has not begun once that is overdue, until it is told that the answer has.
+func (a *attempt) suspectOnceOverdue() (timely func() bool) {
+	f := a.flow
+	if f.service.Engine == nil {
+		return func() bool { return false }
+	}
+	return f.core.clock.AfterFunc(Overdue(a.pick.First), func() { f.core.askPaces(f.core.fleet.suspects(a.pick), f.call.ID) }).Stop
+}
+
 // cause replaces an error that only tells that the exchange was ended by why it
 // was ended.
 func cause(ctx context.Context, err error) error {
@@ -166,6 +179,7 @@
 		return
 	}
 	a.wrote = true
+	a.timely()
 	if a.flow.first == 0 {
 		a.flow.first = a.flow.core.clock.Since(a.flow.call.Arrived)
 	}
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -52,8 +52,10 @@
 	parts    []time.Time // until when it holds parts of prompts that other engines answer
 	load     hollowgrade.UpstreamLoad
 	loadAt   time.Time
-	failures int // that it was avoided for, in a row
-	errors   int // failures of its own, in a row
+	paceWord paceWord  // what it said of its speed
+	asked    time.Time // when this process asked it for that
+	failures int       // that it was avoided for, in a row
+	errors   int       // failures of its own, in a row
 	avoid    time.Time
 	blamed   time.Time // until when others are told to avoid it too
 	lapses   time.Time // until when it is used although its entry went; zero while it is listed
@@ -70,12 +72,12 @@
 	return max(m.busy.Sub(now), 0)
 }
 
-// give adds reading to what the upstream has to do.
+// give adds reading, as long as it takes by the published figures, to what the upstream has to do.
 func (m *member) give(now time.Time, d time.Duration) {
 	if m.busy.Before(now) {
 		m.busy = now
 	}
-	m.busy = m.busy.Add(d)
+	m.busy = m.busy.Add(time.Duration(m.pace(now) * float64(d)))
 }
 
 // lapsed reports whether the upstream's entry went and did not come back in time.
@@ -98,7 +100,9 @@
 	placed     map[string]rate      // calls that other processes have placed, by service
 	changed    map[string]bool      // upstreams whose own share changed since [Fleet.Changes]
 	notify     chan struct{}
-	peers      func() int            // other processes that give work to the same upstreams
+	peers      func() int // other processes that give work to the same upstreams
+	surveyed   time.Time  // when upstreams were asked last since one was found to be slow
+	ask        func(us []hollowgrade.Upstream, why string)
 	chance     func() float64        // from 0 to 1
 	candidates []placement.Candidate // of the last decision, kept to be filled anew
 }
@@ -125,6 +129,7 @@
 		changed:  map[string]bool{},
 		notify:   make(chan struct{}, 1),
 		peers:    func() int { return 0 },
+		ask:      func([]hollowgrade.Upstream, string) {},
 		chance:   rand.Float64,
 	}
 	for _, o := range os {
--- /dev/null
+++ b/core/pace_test.go
@@ -0,0 +1,253 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+)
+
+// fakeReports implements [hollowgrade.Reporter].
+type fakeReports struct {
+	mu    sync.Mutex
+	paces map[string]float64 // by upstream; 1 if it is not named
+	lost  bool
+	asked map[string]int
+}
+
+func (f *fakeReports) Report(_ context.Context, u hollowgrade.Upstream) (hollowgrade.UpstreamReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asked == nil {
+		f.asked = map[string]int{}
+	}
+	f.asked[u.ID]++
+	if f.lost {
+		return hollowgrade.UpstreamReport{}, errors.New("lost")
+	}
+	if p := f.paces[u.ID]; p > 0 {
+		return hollowgrade.UpstreamReport{Pace: p}, nil
+	}
+	return hollowgrade.UpstreamReport{Pace: 1}, nil
+}
+
+// set lets an upstream say how many times as long as published it takes.
+func (f *fakeReports) set(id string, pace float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paces[id] = pace
+}
+
+func (f *fakeReports) times(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asked[id]
+}
+
+// requirePace checks how slow an upstream is thought to be.
+func requirePace(t *testing.T, f *Fleet, id string, want float64) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	require.InDelta(t, want, f.members[id].pace(f.clock.Now()), 1e-9)
+}
+
+// late is a reply whose first event comes after a while.
+func late(after time.Duration) reply {
+	return func(ctx context.Context, s hollowgrade.Sending) (hollowgrade.Exchange, error) {
+		time.Sleep(after)
+		return events(1, 2, io.EOF)(ctx, s)
+	}
+}
+
+// engineCore returns a core before three engines that answer a first event after a while, and
+// what says how fast they are.
+func engineCore(after time.Duration) (*Core, *fakeReports) {
+	r := &fakeReports{paces: map[string]float64{}}
+	c := newCore(&fakeUpstreams{replies: []reply{late(after)}}, WithReporter(r))
+	k := Route{Name: "resume", Host: "h", Prefix: "/resume/", Repeat: Resume, Stream: true, Timeout: 10 * time.Second, Goal: 300 * time.Millisecond, Targets: []Target{{"s", 1}}, MaxAttempts: 1}
+	c.SetCatalog(NewCatalog(2, []Route{k}, []Service{{Name: "s", Engine: figures()}}, nil, Limits{}))
+	c.Fleet().SetChance(func() float64 { return 0.5 })
+	return c, r
+}
+
+// serveEngine sends a call of 5,000 tokens, which is predicted to begin after some 0.13 s.
+func serveEngine(t *testing.T, c *Core) {
+	t.Helper()
+	k := call("/resume/")
+	k.PromptTokens, k.MaxTokens = 5_000, 1_500
+	require.NoError(t, c.Serve(context.Background(), k, &fakeSink{}))
+}
+
+func TestEnginesThatSeemSlowAreAsked(t *testing.T) {
+	t.Run("when a first event is overdue", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c, r := engineCore(900 * time.Millisecond)
+			r.set("u1", 2.7)
+			serveEngine(t, c)
+			requirePace(t, c.Fleet(), "u1", 2.7)
+			require.InDelta(t, 2.7, c.Fleet().Paces()["u1"].Pace, 1e-9)
+			require.Contains(t, c.Fleet().Changes(false), "u1", "the others are told")
+			r.set("u1", 1)
+			time.Sleep(2 * PaceAgain)
+			synctest.Wait()
+			requirePace(t, c.Fleet(), "u1", 1)
+		})
+	})
+	t.Run("again and again while they are slow", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c, r := engineCore(900 * time.Millisecond)
+			r.set("u1", 5)
+			serveEngine(t, c)
+			time.Sleep(10 * PaceAgain)
+			synctest.Wait()
+			requirePace(t, c.Fleet(), "u1", 5)
+			require.InDelta(t, 11, r.times("u1"), 1)
+			r.set("u1", 1)
+			time.Sleep(10 * PaceAgain)
+			synctest.Wait()
+			require.InDelta(t, 12, r.times("u1"), 1, "not once it is at speed")
+		})
+	})
+	t.Run("not when it comes as predicted", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c, r := engineCore(100 * time.Millisecond)
+			serveEngine(t, c)
+			time.Sleep(10 * PaceAgain)
+			require.Empty(t, r.asked)
+		})
+	})
+	t.Run("one that says nothing counts as it did", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c, r := engineCore(900 * time.Millisecond)
+			r.lost = true
+			serveEngine(t, c)
+			synctest.Wait()
+			require.Equal(t, 1, r.times("u1"))
+			requirePace(t, c.Fleet(), "u1", 1)
+		})
+	})
+	t.Run("and the others once one is slow", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c, r := engineCore(900 * time.Millisecond)
+			r.set("u1", 3)
+			r.set("u3", 3)
+			serveEngine(t, c)
+			synctest.Wait()
+			requirePace(t, c.Fleet(), "u3", 3)
+		})
+	})
+	t.Run("plain services are not asked", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := &fakeReports{paces: map[string]float64{}}
+			c := newCore(&fakeUpstreams{replies: []reply{late(3 * time.Second)}}, WithReporter(r))
+			require.NoError(t, c.Serve(context.Background(), call("/resume/"), &fakeSink{}))
+			require.Empty(t, r.asked)
+		})
+	})
+}
+
+func TestWordsOnSpeed(t *testing.T) {
+	t.Run("of others hold, and are not told on", func(t *testing.T) {
+		f := newFleet("e", 2)
+		f.TakePace("u00", 4, 0, "b", "")
+		requirePace(t, f, "u00", 4)
+		require.Empty(t, f.Paces())
+		require.False(t, f.StillSlow("u00"), "the one that was told asks again")
+	})
+	t.Run("do not live for ever", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet("e", 2)
+			f.TakePace("u00", 4, time.Second, "b", "")
+			time.Sleep(paceAge - time.Second)
+			requirePace(t, f, "u00", 4)
+			time.Sleep(time.Millisecond)
+			requirePace(t, f, "u00", 1)
+		})
+	})
+	t.Run("that are older do not undo later ones", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet("e", 2)
+			f.TakePace("u00", 4, 0, "", "r")
+			f.TakePace("u00", 1, 50*time.Millisecond, "b", "")
+			requirePace(t, f, "u00", 4)
+			require.True(t, f.StillSlow("u00"))
+			time.Sleep(time.Second)
+			f.TakePace("u00", 3, 0, "b", "")
+			requirePace(t, f, "u00", 3)
+			require.False(t, f.StillSlow("u00"), "another has asked it since")
+		})
+	})
+	t.Run("of nonsense are not taken", func(t *testing.T) {
+		f := newFleet("e", 2)
+		f.TakePace("u00", -1, 0, "b", "")
+		f.TakePace("nobody", 3, 0, "b", "")
+		requirePace(t, f, "u00", 1)
+		f.TakePace("u00", 1e300, 0, "b", "")
+		requirePace(t, f, "u00", mostPace)
+	})
+	t.Run("change how long it takes for what it has still to read", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet("e", 2)
+			f.TakeView("b", map[string]Share{"u00": {Given: 100 * time.Millisecond}}, true)
+			f.TakeView("b", map[string]Share{"u00": {Given: 200 * time.Millisecond}}, false)
+			f.TakePace("u00", 4, 0, "c", "")
+			require.Equal(t, 400*time.Millisecond, f.members["u00"].reading(time.Now()))
+			f.TakeView("b", map[string]Share{"u00": {Given: 300 * time.Millisecond}}, false)
+			require.Equal(t, 800*time.Millisecond, f.members["u00"].reading(time.Now()))
+		})
+	})
+}
+
+func TestOthersAreAskedOnceOneIsSlow(t *testing.T) {
+	f := newFleet("e", 60)
+	f.SetPeers(func() int { return 9 })
+	i := 0
+	f.SetChance(func() float64 { i++; return float64(i%60) / 60 })
+	var asked []hollowgrade.Upstream
+	f.SetAsker(func(us []hollowgrade.Upstream, _ string) { asked = append(asked, us...) })
+	f.TakePace("u00", 4, 0, "b", "")
+	require.InDelta(t, 60*surveyors/10, len(asked), 2, "each of ten processes asks its part")
+	require.NotContains(t, asked, hollowgrade.Upstream{ID: "u00"}, "it has just been asked")
+	n := len(asked)
+	f.TakePace("u01", 4, 0, "b", "")
+	require.Len(t, asked, n, "once a second")
+}
+
+func TestSlowEngines(t *testing.T) {
+	t.Run("are counted", func(t *testing.T) {
+		f := newFleet("e", 3)
+		f.TakePace("u00", 1.05, 0, "b", "")
+		f.TakePace("u01", 3, 0, "b", "")
+		require.Equal(t, 1, f.Slow())
+	})
+	t.Run("get no part of a prompt while others have room", func(t *testing.T) {
+		f := newFleet("e", 20)
+		f.TakePace("u03", 5, 0, "b", "")
+		p := f.pick("e", long(200_000), nil)
+		require.NotContains(t, p.helpers, f.members["u03"])
+		require.NotEqual(t, "u03", p.member.ID)
+	})
+	t.Run("get no short call that they would make late", func(t *testing.T) {
+		f := newFleet("e", 3)
+		f.TakePace("u00", 5, 0, "b", "")
+		for range 6 {
+			require.NotEqual(t, "u00", f.pick("e", short(), nil).member.ID)
+		}
+	})
+	t.Run("are used when there are no others, and predicted as they are", func(t *testing.T) {
+		f := newFleet("e", 1)
+		r := short()
+		idle := f.pick("e", r, nil).First
+		g := newFleet("e", 1)
+		g.TakePace("u00", 2, 0, "b", "")
+		require.Equal(t, 2*idle, g.pick("e", r, nil).First)
+	})
+}
--- a/core/place.go
+++ b/core/place.go
@@ -23,6 +23,7 @@
 	keepers []*member                        // those of the helpers that keep a part of the prompt
 	at      map[*member]hollowgrade.Upstream // what the registry said of each of them
 	share   Share                            // at the member
+	slowest float64                          // how many times as long as published the slowest of its engines takes, as far as is known
 	since   time.Time                        // when it was chosen
 }
 
@@ -83,8 +84,10 @@
 	}
 	f.add(p.member, p.share)
 	f.give(p, now, l.Reading)
+	p.slowest = p.member.pace(now)
 	for _, m := range p.helpers {
 		m.helping(now, l.First)
+		p.slowest = max(p.slowest, m.pace(now))
 	}
 	return p
 }
@@ -128,6 +131,7 @@
 		Tokens:  t.Tokens,
 		Stakes:  t.Stakes,
 		Reading: m.reading(now),
+		Pace:    m.pace(now),
 		Helps:   m.helps(now),
 		Avoided: now.Before(m.avoid),
 		Tried:   tried,
--- a/core/share.go
+++ b/core/share.go
@@ -59,7 +59,8 @@
 	return cs
 }
 
-// Shares returns all own shares that are not zero.
+// Shares returns all own shares that are not zero, and those of upstreams of which there is
+// something else to tell: that an engine named them as at fault, or that they are slow.
 func (f *Fleet) Shares() map[string]Share {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -67,9 +68,10 @@
 }
 
 func (f *Fleet) shares() map[string]Share {
+	now := f.clock.Now()
 	cs := map[string]Share{}
 	for id, m := range f.members {
-		if m.own != (Share{}) {
+		if m.own != (Share{}) || now.Before(m.blamed) || m.paceWord.own && m.slow(now) {
 			cs[id] = m.own
 		}
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -52,6 +52,17 @@
 	Writers int           // requests that write, or will once they are read
 	Context int           // tokens of context of those
 	Reading time.Duration // of prompts, still to be done
+	// Pace is how many times as long as published the engine takes for what it does; 0 counts
+	// as 1. Reading is in its own time already.
+	Pace float64
+}
+
+// slowed returns how long something takes that takes d by the published figures.
+func (s State) slowed(d time.Duration) time.Duration {
+	if s.Pace == 0 {
+		return d
+	}
+	return time.Duration(s.Pace * float64(d))
 }
 
 // Pass returns how long one pass takes without any reading: while requests
@@ -59,18 +70,18 @@
 func (f *Figures) Pass(s State) time.Duration {
 	step := f.Step + time.Duration(s.Writers)*f.StepPerWriter +
 		time.Duration(float64(s.Context)/contextPerFigure*float64(f.StepPerContext))
-	return time.Duration(max(f.Stride, 1)) * step
+	return s.slowed(time.Duration(max(f.Stride, 1)) * step)
 }
 
 // First returns when the first event of a request would come that adds reading
 // to the engine: what is being read, its own, half a pass until it is let in,
 // and the pass that writes it.
 func (f *Figures) First(s State, reading time.Duration) time.Duration {
-	return s.Reading + reading + f.Pass(s)*3/2
+	return s.Reading + s.slowed(reading) + f.Pass(s)*3/2
 }
 
 // Pause returns the longest pause that a request that writes there sees when
 // reading is added: a pass reads all that waits.
 func (f *Figures) Pause(s State, reading time.Duration) time.Duration {
-	return f.Pass(s) + s.Reading + reading
+	return f.Pass(s) + s.Reading + s.slowed(reading)
 }
--- a/exchange.go
+++ b/exchange.go
@@ -70,6 +70,17 @@
 	Release(ctx context.Context, u Upstream, id string) error
 }
 
+// UpstreamReport is what an upstream says of itself when it is asked.
+type UpstreamReport struct {
+	Pace float64 // how many times as long as published it takes for what it does
+}
+
+// Reporter asks upstreams about themselves.
+type Reporter interface {
+	// Report asks an upstream. What it says may be some hundred milliseconds old.
+	Report(ctx context.Context, u Upstream) (UpstreamReport, error)
+}
+
 // ErrNotSent is in the chain of the error of [Exchanger.Open] when nothing of
 // the call has left, so that the upstream cannot have run it.
 var ErrNotSent = errors.New("nothing was sent")
--- a/experiment/file.go
+++ b/experiment/file.go
@@ -111,6 +111,7 @@
 	// Perfect lets one decider that knows all at once decide for all gateways: what
 	// is lost against it is lost for want of information.
 	Perfect bool     `toml:"perfect"`
+	Unasked bool     `toml:"unasked"` // engines are not asked how fast they are
 	Without []string `toml:"without"` // mechanisms of package placement that are left out
 }
 
--- a/experiment/naive.go
+++ b/experiment/naive.go
@@ -71,3 +71,15 @@
 }
 
 func (n *naive) hear(string, map[string]core.Share, bool) {}
+
+func (n *naive) suspects(core.Plan) []string {
+	return nil
+}
+
+func (n *naive) takePace(string, float64, time.Duration, string) (tell bool) {
+	return false
+}
+
+func (n *naive) stillSlow(string) bool {
+	return false
+}
--- a/experiment/play.go
+++ b/experiment/play.go
@@ -224,6 +224,51 @@
 		p.results = append(p.results, j.result(now))
 	}
 	p.after(d.Hold, func() { p.send(j, d) })
+	p.after(d.Hold+core.Overdue(d.Predict), func() {
+		if p.open[j] && j.first == 0 {
+			p.suspect(g, d)
+		}
+	})
+}
+
+// askTime is how long an engine takes to say how fast it is.
+const askTime = 5 * time.Millisecond
+
+// suspect lets a gateway ask the engines of a call whose first event is overdue how fast they
+// are.
+func (p *play) suspect(g decider, d core.Plan) {
+	if p.variant.Unasked {
+		return
+	}
+	for _, id := range g.suspects(d) {
+		p.ask(g, id)
+	}
+}
+
+// ask lets a gateway ask an engine how fast it is, tell the others, and ask again while it is
+// slow.
+func (p *play) ask(g decider, id string) {
+	p.after(askTime, func() {
+		pace := p.engines[id].slow
+		if !g.takePace(id, pace, 0, "") {
+			return
+		}
+		p.after(p.file.View.Std(), func() { p.tellPace(g, id, pace) })
+		p.after(core.PaceAgain, func() {
+			if g.stillSlow(id) {
+				p.ask(g, id)
+			}
+		})
+	})
+}
+
+// tellPace lets the other gateways hear how fast an engine said that it is.
+func (p *play) tellPace(from decider, id string, pace float64) {
+	for _, g := range p.deciders {
+		if g != from && !p.variant.Alone {
+			g.takePace(id, pace, p.file.View.Std(), "another")
+		}
+	}
 }
 
 // send gives a call to its engine, unless memory that it needs at others is not free:
@@ -327,6 +372,11 @@
 	done(d core.Plan)
 	changes(whole bool) map[string]core.Share
 	hear(from string, cs map[string]core.Share, whole bool)
+	// suspects returns the engines of a plan that are to be asked how fast they are.
+	suspects(d core.Plan) []string
+	// takePace takes an engine's word on that, and reports whether others are to be told.
+	takePace(id string, pace float64, age time.Duration, box string) (tell bool)
+	stillSlow(id string) bool
 }
 
 func (p *play) newDecider(number uint64, ids []string) decider {
@@ -339,7 +389,13 @@
 	for _, id := range ids {
 		f.Put(hollowgrade.Upstream{ID: id, Service: service, Slots: p.file.Engines.Slots})
 	}
-	return &gateway{fleet: f, service: core.Service{Name: service, Engine: p.file.Engines.figures()}}
+	g := &gateway{fleet: f, service: core.Service{Name: service, Engine: p.file.Engines.figures()}}
+	f.SetAsker(func(us []hollowgrade.Upstream, _ string) {
+		for _, u := range us {
+			p.ask(g, u.ID)
+		}
+	})
+	return g
 }
 
 // policy returns what the variant decides by.
@@ -373,6 +429,24 @@
 	return g.fleet.Changes(whole)
 }
 
+func (g *gateway) suspects(d core.Plan) (ids []string) {
+	for _, u := range g.fleet.Suspects(d) {
+		ids = append(ids, u.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (g *gateway) takePace(id string, pace float64, age time.Duration, box string) (tell bool) {
+	was := g.stillSlow(id)
+	g.fleet.TakePace(id, pace, age, box, "")
+	return was || g.stillSlow(id)
+}
+
+func (g *gateway) stillSlow(id string) bool {
+	return g.fleet.StillSlow(id)
+}
+
 func (g *gateway) hear(from string, cs map[string]core.Share, whole bool) {
 	g.fleet.TakeView(from, cs, whole)
 }
--- /dev/null
+++ b/experiment/slow_test.go
@@ -0,0 +1,55 @@
+package experiment
+
+import (
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade/config"
+)
+
+// seeds is how many loads of one kind are played where chance weighs.
+const seeds = 4
+
+// meanInTime returns the part of the calls of a kind that were served within their goals, over
+// some seeds.
+func meanInTime(f File, v Variant, kind string) (mean float64) {
+	part := make([]float64, seeds)
+	var g sync.WaitGroup
+	for i := range part {
+		g.Go(func() {
+			f := f
+			f.Seed = uint64(i + 1)
+			part[i] = servedInTime(f, v, kind)
+		})
+	}
+	g.Wait()
+	for _, x := range part {
+		mean += x / seeds
+	}
+	return mean
+}
+
+// A sixth of the engines are five times as slow from the third second on, without failing: in
+// the account of gateways that do not ask they look idle, and nearly each long prompt has a
+// part at one of them.
+func TestSlowEnginesAreAllowedFor(t *testing.T) {
+	f, err := Read(filepath.Join(examples, "some-slow.toml"))
+	require.NoError(t, err)
+	f.Duration = config.Duration(11 * time.Second)
+	f.Slow = []Slow{{Engines: 3, X: 5, At: config.Duration(3 * time.Second), For: f.Duration}}
+	for _, x := range []struct {
+		kind  string
+		gains float64
+	}{{"brief", 0.03}, {"plan", 0.2}, {"season", -0.05}} {
+		t.Run(x.kind, func(t *testing.T) {
+			asked := meanInTime(f, Variant{Name: "gateway", Decisions: Worth}, x.kind)
+			not := meanInTime(f, Variant{Name: "not asked", Decisions: Worth, Unasked: true}, x.kind)
+			t.Logf("served in time: %.3f, and %.3f where engines are not asked how fast they are", asked, not)
+			require.Greater(t, asked, not+x.gains)
+		})
+	}
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -90,6 +90,7 @@
 	w := platform.NewWorkers()
 	n.Core = core.New(w, w,
 		core.WithLogger(g),
+		core.WithReporter(w),
 		core.WithBounds(bounds(c)),
 		core.WithAge(n.config.Age),
 		core.WithOutdated(n.config.Outdated),
@@ -311,6 +312,9 @@
 			}
 			return 0
 		}),
+		n.metrics.Gauge("hollowgrade.slow_upstreams", "Upstreams that are known to take longer than published.", func() float64 {
+			return float64(n.Core.Fleet().Slow())
+		}),
 		n.metrics.Gauge("hollowgrade.peer_bytes", "Bytes that other gateways have told of the store since the start.", func() float64 {
 			all, _ := r.Received()
 			return float64(all)
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -312,7 +312,7 @@
 // view returns the body of a message.
 func (s *Sharer) view(cs map[string]core.Share, whole bool) *wire.LoadView {
 	m := &wire.LoadView{Box: s.box, Whole: whole, Sequence: s.sequence.Add(1)}
-	blamed := s.fleet.Blamed()
+	blamed, paces := s.fleet.Blamed(), s.fleet.Paces()
 	for id, c := range cs {
 		m.Shares = append(m.Shares, &wire.LoadShare{
 			Upstream:    id,
@@ -321,6 +321,9 @@
 			GivenMicros: c.Given.Microseconds(),
 			Tokens:      int64(c.Tokens),
 			AvoidMillis: blamed[id].Milliseconds(),
+
+			PaceMilli:     int64(paces[id].Pace * paceUnit),
+			PaceAgeMillis: paces[id].Age.Milliseconds(),
 		})
 	}
 	return m
@@ -403,6 +406,9 @@
 	return ss
 }
 
+// paceUnit is how the speed of an engine goes into a message: in thousandths.
+const paceUnit = 1000
+
 // encodeStakes leaves out the classes in which nothing is at stake.
 func encodeStakes(s placement.Stakes) (ws []*wire.Stake) {
 	for i, n := range s {
--- a/loadview/loadview_test.go
+++ b/loadview/loadview_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"testing"
@@ -281,3 +282,26 @@
 		require.Less(t, few, 5_000.0)
 	})
 }
+
+// requirePredicted waits until a fleet predicts the first event of a call after that many times
+// as long as an idle one does.
+func requirePredicted(t *testing.T, f *core.Fleet, times float64) {
+	t.Helper()
+	idle := plan(t, newFleet()).Predict
+	require.Eventually(t, func() bool {
+		p := plan(t, f)
+		defer f.Done(p, false)
+		return math.Abs(float64(p.Predict)/float64(idle)-times) < 0.1
+	}, 10*time.Second, 5*time.Millisecond)
+}
+
+func TestSpeedsOfEnginesAreTold(t *testing.T) {
+	a, b := newFleet(), newFleet()
+	p := packets(t, "127.0.0.1:0")
+	run(t, a, serve(t, b), WithPackets(p))
+	a.TakePace("u", 3, 0, "", "r")
+	requirePredicted(t, b, 3)
+	require.Empty(t, b.Paces(), "nobody tells on what it was told")
+	a.TakePace("u", 1, 0, "", "r")
+	requirePredicted(t, b, 1)
+}
--- a/loadview/taker.go
+++ b/loadview/taker.go
@@ -112,8 +112,18 @@
 		t.fleet.TakeReadings(m.Box, rs)
 	}
 	for _, c := range m.Shares {
-		if _, ok := ss[c.Upstream]; ok && c.AvoidMillis > 0 {
-			t.fleet.TakeBlame(m.Box, c.Upstream, time.Duration(c.AvoidMillis)*time.Millisecond)
+		if _, ok := ss[c.Upstream]; ok {
+			t.takeWord(m.Box, c)
 		}
 	}
 }
+
+// takeWord takes what a peer says of an upstream itself.
+func (t *Taker) takeWord(box string, c *wire.LoadShare) {
+	if c.AvoidMillis > 0 {
+		t.fleet.TakeBlame(box, c.Upstream, time.Duration(c.AvoidMillis)*time.Millisecond)
+	}
+	if c.PaceMilli > 0 {
+		t.fleet.TakePace(c.Upstream, float64(c.PaceMilli)/paceUnit, time.Duration(c.PaceAgeMillis)*time.Millisecond, box, "")
+	}
+}
--- a/placement/long.go
+++ b/placement/long.go
@@ -218,6 +218,7 @@
 	is := p.leastBurdened(cs, r)
 	for n := keepers(r, e); n <= min(len(is), 1+maxHelpers); n++ {
 		t := e.Reading(r.Prompt, n)
+		bySoonest(cs, is, t)
 		hs := p.harms(cs, is, r, t)
 		for within := n; within <= len(is); within++ {
 			first := e.First(cs[is[within-1]].state(r), t)
@@ -239,8 +240,8 @@
 // times as many as can read parts of it.
 const setSample = 64
 
-// leastBurdened returns engines by what they have to read, the least first; of
-// many, those at which a part of the prompt does the least harm.
+// leastBurdened returns the engines that a prompt is weighed against: of many, those at
+// which a part of it does the least harm.
 func (p *Policy) leastBurdened(cs []Candidate, r Request) []int {
 	is := make([]int, len(cs))
 	for i := range is {
@@ -253,10 +254,16 @@
 		}
 		is = is[:setSample]
 	}
-	slices.SortStableFunc(is, func(a, b int) int { return cmp.Compare(cs[a].Reading, cs[b].Reading) })
 	return is
 }
 
+// bySoonest sorts engines by when they would have read a part of a prompt, the soonest first.
+// A part at an engine that is slow holds up the whole prompt.
+func bySoonest(cs []Candidate, is []int, part time.Duration) {
+	end := func(i int) time.Duration { return cs[i].Reading + cs[i].slower(part) }
+	slices.SortStableFunc(is, func(a, b int) int { return cmp.Compare(end(a), end(b)) })
+}
+
 // harm is what is lost when a part of a prompt is read at an engine.
 type harm struct {
 	engine int
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -41,7 +41,8 @@
 	Open    int           // calls that are not over
 	Tokens  int           // of memory that its calls hold
 	Stakes  Stakes        // what is lost by pauses that are too long for its calls
-	Reading time.Duration // of prompts, still to be done
+	Reading time.Duration // of prompts, still to be done, as long as it takes the upstream
+	Pace    float64       // how many times as long as published it takes for what it does; 0 counts as 1
 	Helps   int           // parts of prompts that it holds for other engines
 	Told    int           // calls that it has by its own word; 0 if that is old
 	Avoided bool          // it failed lately
@@ -50,7 +51,12 @@
 
 // state returns what an engine has to do, with the call.
 func (c *Candidate) state(r Request) engine.State {
-	return engine.State{Writers: c.Open + 1, Context: c.Tokens + r.Prompt, Reading: c.Reading}
+	return engine.State{Writers: c.Open + 1, Context: c.Tokens + r.Prompt, Reading: c.Reading, Pace: c.Pace}
+}
+
+// slower returns how much longer than published the candidate takes for some reading.
+func (c *Candidate) slower(reading time.Duration) time.Duration {
+	return time.Duration(max(c.Pace-1, 0) * float64(reading))
 }
 
 // Snapshot is what is known at a moment.
