node: tests take other ports when one has been taken meanwhile

The tests' free ports are those that were free a moment before; until the gateway listens there any connection of any process may be given one. Ruled out: two gateways of one test (each asks for ports of its own), ports of an earlier test.

Conclusion: the test's own fault.

--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -78,9 +80,31 @@
 	return l.Addr().String()
 }
 
-func startGateway(t *testing.T, store string, change func(*setting.Gateway)) *gateway {
+// portTries bounds the tries to get free ports: one that was free may be given to a connection
+// of any process before the gateway listens there.
+const portTries = 5
+
+func startGateway(t *testing.T, store string, change func(*setting.Gateway)) (g *gateway) {
+	t.Helper()
+	var err error
+	for range portTries {
+		if g, err = setUpGateway(t, store, change); !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+	}
+	require.NoError(t, err)
+	require.NoError(t, g.Start(context.Background()))
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		require.NoError(t, g.Stop(ctx))
+	})
+	return g
+}
+
+func setUpGateway(t *testing.T, store string, change func(*setting.Gateway)) (g *gateway, err error) {
 	t.Helper()
-	g := &gateway{log: &lines{}, callers: freePort(t), ready: freePort(t), peers: freePort(t)}
+	g = &gateway{log: &lines{}, callers: freePort(t), ready: freePort(t), peers: freePort(t)}
 	c := setting.DefaultGateway()
 	c.Box, c.Hall, c.Store = "box-"+g.callers, "z1", store
 	c.Callers, c.Readiness, c.Peers = g.callers, g.ready, g.peers
@@ -92,14 +116,22 @@
 	l, err := Logger(g.log, "info")
 	require.NoError(t, err)
 	g.GatewayNode, err = NewGateway(c, l)
+	return g, err
+}
+
+func TestAPortThatIsTakenMeanwhileIsTriedElsewhere(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	require.NoError(t, g.Start(context.Background()))
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		require.NoError(t, g.Stop(ctx))
+	defer l.Close()
+	s := platformtest.NewStore()
+	t.Cleanup(s.Close)
+	tries := 0
+	startGateway(t, s.Address(), func(c *setting.Gateway) {
+		if tries++; tries == 1 {
+			c.Readiness = l.Addr().String()
+		}
 	})
-	return g
+	require.Equal(t, 2, tries)
 }
 
 func (g *gateway) waitReady(t *testing.T) {
