--- a/core/exchange.go
+++ b/core/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/fault"
@@ -18,7 +19,8 @@
 	number  int  // of the attempt, counted from 1
 	last    bool // whether no other may be sent after it
 	tickets *tickets
-	wrote   bool // whether the answer has begun
+	held    time.Duration // how long the sending was held back
+	wrote   bool          // whether the answer has begun
 	head    hollowgrade.Head
 	timely  func() bool // ends the wait for a first event that is overdue
 }
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -12,7 +12,6 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hollowgrade/hollowgrade"
-	"github.com/hollowgrade/hollowgrade/engine"
 	"github.com/hollowgrade/hollowgrade/placement"
 )
 
@@ -47,11 +46,10 @@
 // member is an upstream and what this process knows of it.
 type member struct {
 	hollowgrade.Upstream
-	own      Share           // given by this process
-	others   Share           // given by others, by their own word
-	figures  *engine.Figures // published; nil for a plain service, and until a call has been placed
-	backlog  backlog         // what it has to read of what all processes have given to it
-	parts    []time.Time     // until when it holds parts of prompts that other engines answer
+	own      Share       // given by this process
+	others   Share       // given by others, by their own word
+	busy     time.Time   // until when it reads what all processes have given to it
+	parts    []time.Time // until when it holds parts of prompts that other engines answer
 	load     hollowgrade.UpstreamLoad
 	loadAt   time.Time
 	paceWord paceWord  // what it said of its speed
@@ -69,6 +67,19 @@
 	return m.own.Plus(m.others)
 }
 
+// reading returns how much the upstream has still to read.
+func (m *member) reading(now time.Time) time.Duration {
+	return max(m.busy.Sub(now), 0)
+}
+
+// give adds reading, as long as it takes by the published figures, to what the upstream has to do.
+func (m *member) give(now time.Time, d time.Duration) {
+	if m.busy.Before(now) {
+		m.busy = now
+	}
+	m.busy = m.busy.Add(time.Duration(m.pace(now) * float64(d)))
+}
+
 // lapsed reports whether the upstream's entry went and did not come back in time.
 func (m *member) lapsed(now time.Time) bool {
 	return !m.lapses.IsZero() && !now.Before(m.lapses)
@@ -152,7 +163,7 @@
 		return
 	}
 	if !ok {
-		m = &member{backlog: backlog{end: f.unlisted[u.ID]}}
+		m = &member{busy: f.unlisted[u.ID]}
 		delete(f.unlisted, u.ID)
 		f.members[u.ID] = m
 		f.sumOthers(m, u.ID)
--- a/core/flow.go
+++ b/core/flow.go
@@ -21,6 +21,17 @@
 // long it may take.
 const defaultAllowed = 30 * time.Second
 
+// hold waits until what was given to the picked engines before is nearly read,
+// and returns how long that was.
+func (f *flow) hold(ctx context.Context, p *pick) time.Duration {
+	if p.Hold <= 0 {
+		return 0
+	}
+	begin := f.core.clock.Now()
+	hollowgrade.Sleep(ctx, f.core.clock, p.Hold)
+	return f.core.clock.Since(begin)
+}
+
 // memoryTries bounds the attempts for which memory is not free: each costs an
 // order at every engine that it asks.
 const memoryTries = 2
@@ -134,6 +145,7 @@
 // upstreams may have begun to leave meanwhile.
 func (f *flow) prepare(ctx context.Context, a *attempt) (err error) {
 	p := a.pick
+	a.held = f.hold(ctx, p)
 	if a.tickets, err = f.core.setAside(ctx, f.call.ID, a.number, p); err != nil {
 		f.noMemory++
 		return err
@@ -150,7 +162,7 @@
 	p := a.pick
 	f.core.log.Info("sent", "request", f.call.ID, "attempt", a.number, "upstream", p.upstream().ID, "service", f.service.Name,
 		"helpers", ids(p.helpers), "reading_ms", p.Reading.Milliseconds(), "predicted_ms", p.First.Milliseconds(),
-		"times_slower", round(p.slowest), "turn", p.Turn, "after", f.after, "left_ms", left.Milliseconds(),
+		"times_slower", round(p.slowest), "turn", p.Turn, "held_ms", a.held.Milliseconds(), "after", f.after, "left_ms", left.Milliseconds(),
 		"version", f.catalog.Version, "age_ms", f.age.Milliseconds())
 }
 
--- a/core/helping.go
+++ b/core/helping.go
@@ -15,8 +15,8 @@
 // answers, which has its first event after that long as far as is known. The lock is held.
 func (m *member) helping(now time.Time, first time.Duration) {
 	end := now.Add(max(partRest, first))
-	if all, _ := m.reading(now); now.Add(all).After(end) {
-		end = now.Add(all)
+	if m.busy.After(end) {
+		end = m.busy
 	}
 	m.parts = append(slices.DeleteFunc(m.parts, func(t time.Time) bool { return !now.Before(t) }), end)
 }
--- a/core/pace.go
+++ b/core/pace.go
@@ -113,7 +113,7 @@
 	m.paceWord = paceWord{min(max(pace, 1), mostPace), at, box == ""}
 	after := m.pace(now)
 	// What is still to be read takes so much longer or shorter.
-	m.backlog = m.backlog.times(now, after/before)
+	m.busy = now.Add(time.Duration(float64(m.reading(now)) * after / before))
 	if box == "" && (was || m.slow(now)) {
 		f.change(m)
 	}
--- a/core/place.go
+++ b/core/place.go
@@ -10,6 +10,10 @@
 // loadAge is how long an upstream's own word on its load is believed.
 const loadAge = time.Second
 
+// passOverhead is by how much longer reading takes beside calls that write: a
+// pass reads what waits and plays its steps as well.
+const passOverhead = 1.15
+
 // pick is an upstream that was chosen for a call, with what is accounted for it.
 type pick struct {
 	placement.Plan
@@ -60,9 +64,6 @@
 	now := f.clock.Now()
 	f.expireViews(now)
 	ms := f.usableOf(service, now)
-	for _, m := range ms {
-		m.figures = r.Engine
-	}
 	s := f.snapshot(ms, tried, now)
 	s.Unheard = f.unheard(service, now)
 	l, ok := f.policy.Place(s, r)
@@ -124,14 +125,12 @@
 // candidate returns what is known of the upstream.
 func (m *member) candidate(tried bool, now time.Time) placement.Candidate {
 	t := m.total()
-	all, waiting := m.reading(now)
 	c := placement.Candidate{
 		Slots:   m.Slots,
 		Open:    t.Open,
 		Tokens:  t.Tokens,
 		Stakes:  t.Stakes,
-		Reading: all,
-		Waiting: waiting,
+		Reading: m.reading(now),
 		Pace:    m.pace(now),
 		Helps:   m.helps(now),
 		Avoided: now.Before(m.avoid),
@@ -146,9 +145,10 @@
 // give accounts for reading at the engines of a pick, or takes it back when it
 // is negative. The lock is held.
 func (f *Fleet) give(p *pick, now time.Time, reading time.Duration) {
+	d := time.Duration(passOverhead * float64(reading))
 	for _, m := range append(p.helpers, p.member) {
-		m.give(now, reading)
-		f.add(m, Share{Given: reading})
+		m.give(now, d)
+		f.add(m, Share{Given: d})
 	}
 }
 
--- a/core/plan.go
+++ b/core/plan.go
@@ -13,6 +13,7 @@
 	Helpers  []string      // ids of the upstreams that read parts of the prompt
 	Keepers  []string      // ids of the helpers that keep a part of the prompt
 	Kept     int           // tokens at each of them
+	Hold     time.Duration // for which the sending is held back
 	Refused  bool          // it would take more from others than it is worth
 	Predict  time.Duration // first event, as predicted
 	ComeBack time.Duration // when the caller of a refused call is told to come back
@@ -31,7 +32,7 @@
 	if x.Refused {
 		return Plan{Refused: true, Predict: x.First, ComeBack: x.ComeBack}, true
 	}
-	p = Plan{Upstream: x.member.ID, Predict: x.First, pick: x}
+	p = Plan{Upstream: x.member.ID, Hold: x.Hold, Predict: x.First, pick: x}
 	for _, h := range x.helpers {
 		p.Helpers = append(p.Helpers, h.ID)
 	}
--- a/core/share.go
+++ b/core/share.go
@@ -164,7 +164,7 @@
 	now := f.clock.Now()
 	rs := map[string]time.Duration{}
 	for id, m := range f.members {
-		if d, _ := m.reading(now); d > 0 {
+		if d := m.reading(now); d > 0 {
 			rs[id] = d
 		}
 	}
@@ -186,8 +186,8 @@
 		until := now.Add(d)
 		if m := f.members[id]; m == nil {
 			f.unlisted[id] = until
-		} else if known, _ := m.reading(now); known < d {
-			m.backlog = backlog{end: until}
+		} else if m.busy.Before(until) {
+			m.busy = until
 			learned++
 		}
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -51,8 +51,7 @@
 type State struct {
 	Writers int           // requests that write, or will once they are read
 	Context int           // tokens of context of those
-	Reading time.Duration // until all prompts that it was given are read
-	Waiting time.Duration // that part of it which the pass under way does not read
+	Reading time.Duration // of prompts, still to be done
 	// Pace is how many times as long as published the engine takes for what it does; 0 counts
 	// as 1. Reading is in its own time already.
 	Pace float64
@@ -75,18 +74,14 @@
 }
 
 // First returns when the first event of a request would come that adds reading
-// to the engine: the rest of the pass under way, what waits to be read, its own, and the pass
-// that writes it. Of a pass that reads nothing half is left on average.
+// to the engine: what is being read, its own, half a pass until it is let in,
+// and the pass that writes it.
 func (f *Figures) First(s State, reading time.Duration) time.Duration {
-	rest := s.Reading
-	if rest <= 0 {
-		rest = f.Pass(s) / 2
-	}
-	return rest + s.slowed(reading) + f.Pass(s)
+	return s.Reading + s.slowed(reading) + f.Pass(s)*3/2
 }
 
 // Pause returns the longest pause that a request that writes there sees when
-// reading is added: the next pass reads all that waits.
+// reading is added: a pass reads all that waits.
 func (f *Figures) Pause(s State, reading time.Duration) time.Duration {
-	return f.Pass(s) + s.Waiting + s.slowed(reading)
+	return f.Pass(s) + s.Reading + s.slowed(reading)
 }
--- a/experiment/play.go
+++ b/experiment/play.go
@@ -223,8 +223,8 @@
 		p.free(j, d)
 		p.results = append(p.results, j.result(now))
 	}
-	p.send(j, d)
-	p.after(core.Overdue(d.Predict), func() {
+	p.after(d.Hold, func() { p.send(j, d) })
+	p.after(d.Hold+core.Overdue(d.Predict), func() {
 		if p.open[j] && j.first == 0 {
 			p.suspect(g, d)
 		}
--- a/placement/long.go
+++ b/placement/long.go
@@ -84,6 +84,7 @@
 	target := p.cheapestOf(s, cs, set, r)
 	l.Full = memoryCost(&cs[target], r) > 0
 	for _, i := range set {
+		l.Wait = max(l.Wait, cs[i].Reading)
 		l.First = max(l.First, e.First(cs[i].state(r), l.Reading))
 		if i != target {
 			l.Helpers = append(l.Helpers, i)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -42,7 +42,6 @@
 	Tokens  int           // of memory that its calls hold
 	Stakes  Stakes        // what is lost by pauses that are too long for its calls
 	Reading time.Duration // of prompts, still to be done, as long as it takes the upstream
-	Waiting time.Duration // that part of it which the pass under way does not read
 	Pace    float64       // how many times as long as published it takes for what it does; 0 counts as 1
 	Helps   int           // parts of prompts that it holds for other engines
 	Told    int           // calls that it has by its own word; 0 if that is old
@@ -52,7 +51,7 @@
 
 // state returns what an engine has to do, with the call.
 func (c *Candidate) state(r Request) engine.State {
-	return engine.State{Writers: c.Open + 1, Context: c.Tokens + r.Prompt, Reading: c.Reading, Waiting: c.Waiting, Pace: c.Pace}
+	return engine.State{Writers: c.Open + 1, Context: c.Tokens + r.Prompt, Reading: c.Reading, Pace: c.Pace}
 }
 
 // slower returns how much longer than published the candidate takes for some reading.
@@ -77,6 +76,8 @@
 	Kept    int           // tokens at each of them
 	Reading time.Duration // of the prompt, at the target and at each helper
 	First   time.Duration // predicted time until the first event
+	Wait    time.Duration // until what was given before is read at all of them
+	Hold    time.Duration // for which the sending is held back
 	Cost    float64       // worth that is lost by it, its own lateness among it
 	Price   float64       // worth of a second of an engine to others
 	Turn    int           // unheard calls of others that are taken to go before it
@@ -99,6 +100,7 @@
 	Splitting   Mechanism = "splitting"   // several engines read a long prompt
 	Pauses      Mechanism = "pauses"      // long parts go where the calls that write bear them
 	Restricting Mechanism = "restricting" // calls are answered where others bear no longer pauses
+	Holding     Mechanism = "holding"     // parts are held back until earlier ones are nearly read
 	Refusing    Mechanism = "refusing"    // long calls that are worth less than what they take come back later
 	Shedding    Mechanism = "shedding"    // short calls that would be late come back later once slots are taken
 	Rooming     Mechanism = "rooming"     // long calls are answered where there is memory, and come back later where there is none
@@ -107,7 +109,7 @@
 
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{Packing, Spreading, Turns, Splitting, Pauses, Restricting, Refusing, Shedding, Rooming, Returning}
+	return []Mechanism{Packing, Spreading, Turns, Splitting, Pauses, Restricting, Holding, Refusing, Shedding, Rooming, Returning}
 }
 
 // Policy decides. It is immutable.
@@ -151,6 +153,9 @@
 	default:
 		l, ok = p.short(s, r)
 	}
+	if p.has(Holding) {
+		l.Hold = time.Duration(holdShare * float64(l.Wait))
+	}
 	if r.Engine != nil {
 		l.Backlog, l.Taken = meanReading(s.Candidates), slotShare(s.Candidates, r.Engine)
 	}
@@ -162,6 +167,12 @@
 	return float64(openCalls(cs)) / float64(max(e.Slots*len(cs), 1))
 }
 
+// holdShare is the part of the reading that was given to the engines before for
+// which the sending of a call is held back. A pass reads all that waits, so parts
+// of two long prompts that wait at an engine at once make both late. What is held
+// keeps its place, since the engines' time is accounted for it.
+const holdShare = 0.7
+
 // avoidCost keeps an upstream that failed lately behind all others, yet usable
 // when there is no other.
 const avoidCost = 1e9
--- a/placement/short.go
+++ b/placement/short.go
@@ -45,7 +45,6 @@
 	c.Tokens += r.Prompt + r.Answer
 	c.Stakes = c.Stakes.Plus(r.Stakes())
 	c.Reading += reading + c.slower(reading)
-	c.Waiting += reading + c.slower(reading)
 }
 
 // shortCost returns what it costs to give a short call to a candidate.
