--- a/internal/spread/calls_test.go
+++ b/internal/spread/calls_test.go
@@ -77,7 +77,7 @@
 // Evidence: of 21 gateways, five read at rest; while the store was away each of the 21 read
 // each of three topics about once a second, 436 calls in four seconds.
 func TestCallsToTheStoreDoNotGrowWithTheGateways(t *testing.T) {
-	inNetwork(t, grown(103), answer, func(t *testing.T, f *fleetOf) {
+	inNetwork(t, grown(many), answer, func(t *testing.T, f *fleetOf) {
 		rest, _ := f.callsIn(30 * time.Second)
 		require.Less(t, rest, 9.0, "calls a second at rest")
 		f.setDown(true)
@@ -95,7 +95,7 @@
 // The store turns away all gateways that read it for the others.
 func TestReadersThatTheStoreTurnsAwayAreReplaced(t *testing.T) {
 	const keysGood = 4200 * time.Millisecond
-	inNetwork(t, grown(103), answer, func(t *testing.T, f *fleetOf) {
+	inNetwork(t, grown(many), answer, func(t *testing.T, f *fleetOf) {
 		turned := f.reading()
 		require.Less(t, len(turned), len(f.gateways)/3)
 		f.silent = func(box string) bool { return slices.Contains(turned, box) }
--- a/internal/spread/start_test.go
+++ b/internal/spread/start_test.go
@@ -75,7 +75,7 @@
 // The loss of any number of gateways is borne: those that come back know all within a
 // second, with a few calls each, of which the store serves 16,000 a second.
 func TestReturnOfManyGateways(t *testing.T) {
-	const n = 103
+	const n = many
 	for name, which := range map[string]func(int) bool{"all": all, "half": everyOther} {
 		t.Run(name, func(t *testing.T) {
 			inNetwork(t, grown(n), answer, func(t *testing.T, f *fleetOf) {
