--- a/core/pace.go
+++ b/core/pace.go
@@ -10,7 +10,10 @@
 
 // An engine that is slow without failing looks idle: what it was given runs off in the account
 // at its published speed, so it is given more. It says how slow it is when it is asked. It is
-// asked only when it is suspected, so that nothing is asked while all is well.
+// asked only when it is suspected, so that nothing is asked while all is well. Of 150 engines before
+// 103 gateways, 24 that took five times as long for 20 s left 0.684 of the worth and leave 0.720, 27 that took
+// 2.7 times as long for 6.4 s 0.793 and 0.844; 0.836 without asking the others once one is slow (hollowgrade
+// experiment, two and three seeds).
 const (
 	// A first event is overdue, and the engines of its call are suspected, when it is this much
 	// later than predicted. Of first events on a day without slow engines nine in ten came after
