core: log lines say which request they are about, by a fingerprint

Cause: an id is new with each arrival, so that no line told two arrivals of one request from two requests; that twenty lost calls had prompts of one length was all there was. Lines sent, attempt failed and request ended have a fingerprint: a digest of organisation, method, host, path and body, and a failed attempt says how long after its pick it failed.

--- a/core/core.go
+++ b/core/core.go
@@ -285,6 +285,7 @@
 	}
 	f.service = f.catalog.Services[t]
 	f.service.Name = t
+	f.fingerprint = hollowgrade.NewFingerprint(f.organisation.Name, f.call)
 	return nil
 }
 
--- a/core/flow.go
+++ b/core/flow.go
@@ -51,6 +51,7 @@
 	age          time.Duration // of the configuration when the call was admitted
 	route        Route
 	organisation Organisation
+	fingerprint  hollowgrade.Fingerprint // zero until the call is admitted
 	service      Service
 	budget       *retry.Window
 	deadline     time.Time
@@ -160,7 +161,7 @@
 // logSent tells of a sending.
 func (f *flow) logSent(a *attempt, left time.Duration) {
 	p := a.pick
-	f.core.log.Info("sent", "request", f.call.ID, "attempt", a.number, "upstream", p.upstream().ID, "service", f.service.Name,
+	f.core.log.Info("sent", "request", f.call.ID, "fingerprint", f.fingerprint, "attempt", a.number, "upstream", p.upstream().ID, "service", f.service.Name,
 		"helpers", ids(p.helpers), "reading_ms", p.Reading.Milliseconds(), "predicted_ms", p.First.Milliseconds(),
 		"times_slower", round(p.slowest), "turn", p.Turn, "held_ms", a.held.Milliseconds(), "after", f.after, "left_ms", left.Milliseconds(),
 		"version", f.catalog.Version, "age_ms", f.age.Milliseconds())
@@ -203,8 +204,8 @@
 	case fault.UpstreamLost, fault.AnswerCut:
 		f.core.fleet.failed(a.pick.member, f.call.ID, err.Error())
 	}
-	f.core.log.Info("attempt failed", "request", f.call.ID, "upstream", a.pick.upstream().ID, "code", x.Code,
-		"outcome", x.Outcome, "events", f.events, "err", err)
+	f.core.log.Info("attempt failed", "request", f.call.ID, "fingerprint", f.fingerprint, "upstream", a.pick.upstream().ID, "code", x.Code,
+		"outcome", x.Outcome, "events", f.events, "after_ms", f.core.clock.Since(a.pick.since).Milliseconds(), "err", err)
 	return t
 }
 
@@ -252,7 +253,7 @@
 		x := fault.As(err, hollowgrade.Unknown)
 		o.Outcome, o.Code = x.Outcome, x.Code
 	}
-	f.core.log.Info("request ended", "request", f.call.ID, "organisation", o.Organisation, "route", o.Route, "service", o.Service,
+	f.core.log.Info("request ended", "request", f.call.ID, "fingerprint", f.fingerprint, "organisation", o.Organisation, "route", o.Route, "service", o.Service,
 		"repeat", f.route.Repeat.String(), "outcome", o.Outcome, "code", o.Code, "attempts", o.Attempts, "upstreams", f.upstreams,
 		"events", o.Events, "prompt_tokens", o.PromptTokens, "goal_ms", f.route.Goal.Milliseconds(), "first_ms", o.First.Milliseconds(),
 		"pause_goal_ms", f.route.PauseGoal.Milliseconds(),
