--- a/core/core.go
+++ b/core/core.go
@@ -242,7 +242,7 @@
 // Serve brings a call to its end and passes its answer to the sink. The error
 // is a [fault.Error]; when the sink has got a head before, the answer is cut.
 func (c *Core) Serve(ctx context.Context, call hollowgrade.Call, s hollowgrade.Sink) (err error) {
-	f := &flow{core: c, call: call, sink: s, after: call.After, tried: map[string]bool{}}
+	f := &flow{core: c, call: call, sink: s, after: call.After, tried: map[hollowgrade.Life]bool{}}
 	defer func() { f.ended(err) }()
 	if err = c.admit(f); err != nil {
 		return err
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -249,7 +249,7 @@
 			time.Sleep(100 * time.Millisecond)
 			for id, s := range c.Fleet().Changes(true) {
 				if s.Open > 0 {
-					c.Fleet().Put(hollowgrade.Upstream{ID: id, Service: "e", Address: id + ":1", Draining: true})
+					c.Fleet().Put(hollowgrade.Upstream{ID: string(id), Service: "e", Address: string(id) + ":1", Draining: true})
 				}
 			}
 		}()
@@ -258,7 +258,7 @@
 		require.NoError(t, c.Serve(context.Background(), k, &fakeSink{}))
 		require.Len(t, f.sendings(), 1)
 		require.False(t, f.sendings()[0].Upstream.Draining)
-		require.False(t, c.fleet.members[f.sendings()[0].Upstream.ID].Draining)
+		require.False(t, c.fleet.members[f.sendings()[0].Upstream.Life()].Draining)
 	})
 }
 
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -57,6 +57,7 @@
 	failures int       // that it was avoided for, in a row
 	errors   int       // failures of its own, in a row
 	avoid    time.Time
+	told     time.Time // when it said itself that this life had begun; zero if the registry did
 	blamed   time.Time // until when others are told to avoid it too
 	lapses   time.Time // until when it is used although its entry went; zero while it is listed
 }
@@ -92,13 +93,14 @@
 	policy *placement.Policy
 
 	mu         sync.Mutex
-	members    map[string]*member
+	members    map[hollowgrade.Life]*member
+	lives      map[string]hollowgrade.Life // the present life of each upstream, by id
 	services   map[string][]*member
-	outdated   bool                 // whether services is to be made anew
-	unlisted   map[string]time.Time // until when upstreams read that are not listed here yet
-	views      map[string]*view     // what other processes have given to upstreams, by box
-	placed     map[string]rate      // calls that other processes have placed, by service
-	changed    map[string]bool      // upstreams whose own share changed since [Fleet.Changes]
+	outdated   bool                           // whether services is to be made anew
+	unlisted   map[hollowgrade.Life]time.Time // until when upstreams read that are not listed here yet
+	views      map[string]*view               // what other processes have given to upstreams, by box
+	placed     map[string]rate                // calls that other processes have placed, by service
+	changed    map[hollowgrade.Life]bool      // upstreams whose own share changed since [Fleet.Changes]
 	notify     chan struct{}
 	peers      func() int // other processes that give work to the same upstreams
 	surveyed   time.Time  // when upstreams were asked last since one was found to be slow
@@ -121,12 +123,13 @@
 		clock:    c,
 		log:      l,
 		policy:   placement.New(),
-		members:  map[string]*member{},
+		members:  map[hollowgrade.Life]*member{},
+		lives:    map[string]hollowgrade.Life{},
 		services: map[string][]*member{},
-		unlisted: map[string]time.Time{},
+		unlisted: map[hollowgrade.Life]time.Time{},
 		views:    map[string]*view{},
 		placed:   map[string]rate{},
-		changed:  map[string]bool{},
+		changed:  map[hollowgrade.Life]bool{},
 		notify:   make(chan struct{}, 1),
 		peers:    func() int { return 0 },
 		ask:      func([]hollowgrade.Upstream, string) {},
@@ -154,21 +157,28 @@
 	f.chance = chance
 }
 
-// Put adds an upstream or takes over what the registry now says of it.
+// Put adds an upstream or takes over what the registry now says of it. A life that the registry
+// names ends what is known of any other under the id, also of one that seems to be later: its clock may have
+// been ahead.
 func (f *Fleet) Put(u hollowgrade.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m, ok := f.members[u.ID]
+	l := u.Life()
+	m, ok := f.members[l]
 	if ok && m.Upstream == u && m.lapses.IsZero() {
 		return
 	}
+	if !ok && f.outrun(u) {
+		return
+	}
 	if !ok {
-		m = &member{busy: f.unlisted[u.ID]}
-		delete(f.unlisted, u.ID)
-		f.members[u.ID] = m
-		f.sumOthers(m, u.ID)
+		f.endLife(u.ID)
+		m = &member{busy: f.unlisted[l]}
+		delete(f.unlisted, l)
+		f.members[l], f.lives[u.ID] = m, l
+		f.sumOthers(m, l)
 	}
-	f.log.Info("upstream listed", "upstream", u.ID, "service", u.Service, "address", u.Address, "hall", u.Hall,
+	f.log.Info("upstream listed", "upstream", l, "service", u.Service, "address", u.Address, "hall", u.Hall,
 		"draining", u.Draining, "was_draining", m.Draining, "new", !ok)
 	m.Upstream = u
 	m.lapses = time.Time{}
@@ -181,11 +191,11 @@
 func (f *Fleet) Drop(id string, mayReturn time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m, ok := f.members[id]
+	m, ok := f.members[f.lives[id]]
 	if !ok {
 		return
 	}
-	f.log.Info("upstream unlisted", "upstream", id, "service", m.Service, "may_return", !mayReturn.IsZero())
+	f.log.Info("upstream unlisted", "upstream", m.Life(), "service", m.Service, "may_return", !mayReturn.IsZero())
 	if !mayReturn.IsZero() {
 		m.lapses = f.clock.Now().Add(lapseGrace)
 		if mayReturn.Before(m.lapses) {
@@ -193,10 +203,50 @@
 		}
 		return
 	}
-	delete(f.members, id)
+	f.endLife(id)
+}
+
+// endLife forgets the present life of an upstream. Calls that are under way keep their accounts of it, which
+// nobody looks at any more. The lock is held.
+func (f *Fleet) endLife(id string) {
+	l, ok := f.lives[id]
+	if !ok {
+		return
+	}
+	delete(f.members, l)
+	delete(f.lives, id)
 	f.outdated = true
 }
 
+// entryLag is for how long after an upstream has told of its life itself an entry may still be of the one
+// before: it is written each second or so, and read some time later.
+const entryLag = 3 * time.Second
+
+// outrun reports whether an entry is of an earlier life than the upstream has told of itself just
+// now. The lock is held.
+func (f *Fleet) outrun(u hollowgrade.Upstream) bool {
+	m := f.members[f.lives[u.ID]]
+	return m != nil && u.Born < m.Born && !m.told.IsZero() && f.clock.Since(m.told) < entryLag
+}
+
+// Born takes the word of an upstream that its present life began at a moment, in Unix ms. If that
+// is later than the life that is known, it has started again, and the registry is about to say so.
+func (f *Fleet) Born(id string, born int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[f.lives[id]]
+	if m == nil || m.Upstream.Born == 0 || born <= m.Upstream.Born {
+		return
+	}
+	u := m.Upstream
+	u.Born = born
+	f.endLife(id)
+	n := &member{Upstream: u, told: f.clock.Now()}
+	f.members[u.Life()], f.lives[id] = n, u.Life()
+	f.sumOthers(n, u.Life())
+	f.log.Info("upstream started again", "upstream", u.Life(), "service", u.Service, "before", m.Life(), "why", "it says so")
+}
+
 // of returns the upstreams of a service, by their ids. Lists are made anew when
 // they are looked at, not with each change: after its start a process hears of
 // thousands of upstreams at once. The lock is held.
@@ -213,15 +263,16 @@
 	f.outdated = false
 	f.services = map[string][]*member{}
 	now := f.clock.Now()
-	for id, m := range f.members {
+	for l, m := range f.members {
 		if m.lapsed(now) {
-			delete(f.members, id)
+			delete(f.members, l)
+			delete(f.lives, m.ID)
 			continue
 		}
 		f.services[m.Service] = append(f.services[m.Service], m)
 	}
 	for _, l := range f.services {
-		slices.SortFunc(l, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(l, func(a, b *member) int { return cmp.Compare(a.Life(), b.Life()) })
 	}
 }
 
@@ -251,17 +302,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	unusable := func(m *member) bool { return f.members[m.ID] != m || !f.usable(m, now) }
+	unusable := func(m *member) bool { return f.members[m.Life()] != m || !f.usable(m, now) }
 	return !unusable(p.member) && !slices.ContainsFunc(p.helpers, unusable)
 }
 
 // another reports whether a service has an upstream beside those that were
 // tried.
-func (f *Fleet) another(service string, tried map[string]bool) bool {
+func (f *Fleet) another(service string, tried map[hollowgrade.Life]bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	return slices.ContainsFunc(f.of(service), func(m *member) bool { return !tried[m.ID] && f.usable(m, now) })
+	return slices.ContainsFunc(f.of(service), func(m *member) bool { return !tried[m.Life()] && f.usable(m, now) })
 }
 
 // failed notes that an upstream failed a call, so that others are preferred for
@@ -277,7 +328,7 @@
 	d := min(firstAvoid<<min(m.failures, 3), lastAvoid)
 	m.failures++
 	m.avoid = f.clock.Now().Add(d)
-	f.log.Info("upstream avoided", "upstream", m.ID, "service", m.Service, "request", id, "why", why,
+	f.log.Info("upstream avoided", "upstream", m.Life(), "service", m.Service, "request", id, "why", why,
 		"failures", m.failures, "for_ms", d.Milliseconds())
 }
 
@@ -293,11 +344,11 @@
 
 // Blamed returns the upstreams that engines have named as at fault to this
 // process, and for how long yet they are to be avoided.
-func (f *Fleet) Blamed() map[string]time.Duration {
+func (f *Fleet) Blamed() map[hollowgrade.Life]time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	bs := map[string]time.Duration{}
+	bs := map[hollowgrade.Life]time.Duration{}
 	for id, m := range f.members {
 		if d := m.blamed.Sub(now); d > 0 {
 			bs[id] = d
@@ -308,7 +359,7 @@
 
 // TakeBlame takes the word of another process, by its box, that an upstream is
 // at fault, unless too many of its service are avoided already.
-func (f *Fleet) TakeBlame(box, id string, d time.Duration) {
+func (f *Fleet) TakeBlame(box string, id hollowgrade.Life, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[id]
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -34,7 +34,7 @@
 
 func TestFleet(t *testing.T) {
 	plain := placement.Request{}
-	none := map[string]bool{}
+	none := map[hollowgrade.Life]bool{}
 	t.Run("one that drains gets nothing new", func(t *testing.T) {
 		f := newFleet("s", 2)
 		f.Put(hollowgrade.Upstream{ID: "u00", Service: "s", Slots: 4, Draining: true})
@@ -103,7 +103,7 @@
 			a, b := newFleet("e", 2), newFleet("e", 2)
 			a.blame(a.members["u00"], "c", "named by u01")
 			<-a.Changed()
-			require.Contains(t, a.Changes(false), "u00")
+			require.Contains(t, a.Changes(false), hollowgrade.Life("u00"))
 			for id, d := range a.Blamed() {
 				b.TakeBlame("a", id, d)
 			}
@@ -121,7 +121,7 @@
 	t.Run("no more than a part of a service is avoided by the word of others", func(t *testing.T) {
 		f := newFleet("e", 30)
 		for i := range 30 {
-			f.TakeBlame("a", fmt.Sprintf("u%02d", i), lastAvoid)
+			f.TakeBlame("a", hollowgrade.Life(fmt.Sprintf("u%02d", i)), lastAvoid)
 		}
 		avoided := 0
 		for _, m := range f.members {
@@ -138,9 +138,9 @@
 			f.failed(f.members["u00"], "c", "reset")
 			p := f.pick("s", plain, none)
 			require.Equal(t, "u01", p.member.ID)
-			require.Equal(t, "u00", f.pick("s", plain, map[string]bool{"u01": true}).member.ID)
+			require.Equal(t, "u00", f.pick("s", plain, map[hollowgrade.Life]bool{"u01": true}).member.ID)
 			time.Sleep(firstAvoid)
-			require.Equal(t, "u00", f.pick("s", plain, map[string]bool{"u01": true}).member.ID)
+			require.Equal(t, "u00", f.pick("s", plain, map[hollowgrade.Life]bool{"u01": true}).member.ID)
 		})
 	})
 	t.Run("a service takes the one with the fewest requests", func(t *testing.T) {
@@ -162,7 +162,7 @@
 	f := newFleet("e", 20)
 	var ps []*pick
 	for i := range 30 {
-		p := f.pick("e", placement.Request{Engine: figures(), Prompt: i * 20_000, Answer: 100, Goal: time.Second, Pause: time.Second, Left: time.Hour}, map[string]bool{})
+		p := f.pick("e", placement.Request{Engine: figures(), Prompt: i * 20_000, Answer: 100, Goal: time.Second, Pause: time.Second, Left: time.Hour}, map[hollowgrade.Life]bool{})
 		if !p.Refused {
 			ps = append(ps, p)
 		}
@@ -228,7 +228,7 @@
 	used := map[string]int{}
 	for range 20 {
 		f := newFleet("e", 60)
-		f.TakeView("b", map[string]Share{"u00": {Open: 9}, "u01": {Open: 8}}, true)
+		f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Open: 9}, "u01": {Open: 8}}, true)
 		used[f.pick("e", short(), nil).member.ID]++
 	}
 	require.Greater(t, len(used), 2)
@@ -337,19 +337,19 @@
 func TestViewsOfOthers(t *testing.T) {
 	t.Run("count like own work", func(t *testing.T) {
 		f := newFleet("e", 2)
-		f.TakeView("b", map[string]Share{"u00": {Open: 10}}, true)
+		f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Open: 10}}, true)
 		require.Equal(t, "u01", f.pick("e", short(), nil).member.ID)
 	})
 	t.Run("are replaced and end", func(t *testing.T) {
 		f := newFleet("e", 2)
 		m := f.members["u00"]
-		f.TakeView("b", map[string]Share{"u00": {Open: 3}, "u01": {Open: 1}}, true)
-		f.TakeView("c", map[string]Share{"u00": {Open: 2}}, true)
+		f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Open: 3}, "u01": {Open: 1}}, true)
+		f.TakeView("c", map[hollowgrade.Life]Share{"u00": {Open: 2}}, true)
 		require.Equal(t, 5, m.total().Open)
-		f.TakeView("b", map[string]Share{"u00": {Open: 1}}, false)
+		f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Open: 1}}, false)
 		require.Equal(t, 3, m.total().Open)
 		require.Equal(t, 1, f.members["u01"].total().Open)
-		f.TakeView("b", map[string]Share{"u00": {Open: 1}}, true)
+		f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Open: 1}}, true)
 		require.Zero(t, f.members["u01"].total().Open)
 		f.DropView("c")
 		require.Equal(t, 1, m.total().Open)
@@ -360,26 +360,26 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("e", 2)
 			f.TakeView("b", nil, true)
-			f.TakeView("b", map[string]Share{"u00": {Open: 1, Given: 2 * time.Second}}, false)
+			f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Open: 1, Given: 2 * time.Second}}, false)
 			require.Equal(t, 2*time.Second, f.members["u00"].reading(time.Now()))
-			f.TakeView("b", map[string]Share{"u00": {Open: 1, Given: 2 * time.Second}, "u01": {Open: 1, Given: time.Second}}, true)
+			f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Open: 1, Given: 2 * time.Second}, "u01": {Open: 1, Given: time.Second}}, true)
 			require.Equal(t, time.Second, f.members["u01"].reading(time.Now()))
 		})
 	})
 	t.Run("reading from before all was heard does not count", func(t *testing.T) {
 		f := newFleet("e", 2)
-		f.TakeView("b", map[string]Share{"u00": {Open: 1, Given: time.Hour}}, false)
-		f.TakeView("b", map[string]Share{"u01": {Open: 1, Given: time.Hour}}, false)
+		f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Open: 1, Given: time.Hour}}, false)
+		f.TakeView("b", map[hollowgrade.Life]Share{"u01": {Open: 1, Given: time.Hour}}, false)
 		require.Zero(t, f.members["u01"].reading(time.Now()))
 	})
 	t.Run("reading goes on after whoever gave it is gone", func(t *testing.T) {
 		f := newFleet("e", 1)
 		m := f.members["u00"]
-		f.TakeView("b", map[string]Share{"u00": {Open: 1, Given: time.Hour}}, true)
+		f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Open: 1, Given: time.Hour}}, true)
 		require.Zero(t, m.reading(time.Now()), "what was given before is not known to be unread")
-		f.TakeView("b", map[string]Share{"u00": {Open: 2, Given: time.Hour + time.Minute}}, false)
+		f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Open: 2, Given: time.Hour + time.Minute}}, false)
 		require.InDelta(t, 60, m.reading(time.Now()).Seconds(), 1)
-		f.TakeView("b", map[string]Share{"u00": {Open: 2, Given: time.Hour + 40*time.Second}}, false)
+		f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Open: 2, Given: time.Hour + 40*time.Second}}, false)
 		require.InDelta(t, 40, m.reading(time.Now()).Seconds(), 1, "some was taken back")
 		f.DropView("b")
 		require.Zero(t, m.total().Open)
@@ -387,14 +387,14 @@
 	})
 	t.Run("are kept for upstreams that are listed later", func(t *testing.T) {
 		f := newFleet("e", 1)
-		f.TakeView("b", map[string]Share{"u09": {Open: 3}}, true)
+		f.TakeView("b", map[hollowgrade.Life]Share{"u09": {Open: 3}}, true)
 		f.Put(hollowgrade.Upstream{ID: "u09", Service: "e"})
 		require.Equal(t, 3, f.members["u09"].total().Open)
 	})
 	t.Run("are forgotten when they are not repeated", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("e", 1)
-			f.TakeView("b", map[string]Share{"u00": {Open: 3}}, true)
+			f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Open: 3}}, true)
 			time.Sleep(viewAge(0) + 1)
 			f.pick("e", short(), nil)
 			require.Equal(t, 1, f.members["u00"].total().Open)
@@ -405,7 +405,7 @@
 		p := f.pick("e", short(), nil)
 		<-f.Changed()
 		cs := f.Changes(false)
-		require.Equal(t, map[string]Share{p.member.ID: p.member.own}, cs)
+		require.Equal(t, map[hollowgrade.Life]Share{p.member.Life(): p.member.own}, cs)
 		require.Empty(t, f.Changes(false))
 		require.Len(t, f.Changes(true), 1)
 	})
@@ -413,16 +413,16 @@
 
 func TestLongPromptsWithoutMemory(t *testing.T) {
 	f := newFleet("e", 3)
-	full := map[string]Share{}
+	full := map[hollowgrade.Life]Share{}
 	for i := range 3 {
-		full[fmt.Sprintf("u%02d", i)] = Share{Open: 1, Tokens: 300_000}
+		full[hollowgrade.Life(fmt.Sprintf("u%02d", i))] = Share{Open: 1, Tokens: 300_000}
 	}
 	f.TakeView("b", full, true)
 	p := f.pick("e", long(210_000), nil)
 	require.True(t, p.Refused)
 	require.True(t, p.Full)
 	require.Equal(t, Share{}, f.members["u00"].own, "nothing is accounted for")
-	f.TakeView("b", map[string]Share{"u01": {}}, false)
+	f.TakeView("b", map[hollowgrade.Life]Share{"u01": {}}, false)
 	p = f.pick("e", long(210_000), nil)
 	require.False(t, p.Refused)
 	require.Equal(t, "u01", p.member.ID)
@@ -451,9 +451,9 @@
 	// short ones waited for slots at the others.
 	t.Run("are refused while slots are short, although nothing waits to be read", func(t *testing.T) {
 		f := newFleet("e", 18)
-		f.TakeView("b", map[string]Share{}, true)
+		f.TakeView("b", map[hollowgrade.Life]Share{}, true)
 		for id := range f.members {
-			f.TakeView("b", map[string]Share{id: {Open: 15}}, false)
+			f.TakeView("b", map[hollowgrade.Life]Share{id: {Open: 15}}, false)
 		}
 		require.True(t, f.pick("e", huge, nil).Refused)
 	})
@@ -474,11 +474,11 @@
 func TestReadingsOfUpstreamsThatAreNeverListedAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("e", 1)
-		f.TakeReadings("b", map[string]time.Duration{"gone": time.Second})
+		f.TakeReadings("b", map[hollowgrade.Life]time.Duration{"gone": time.Second})
 		require.Len(t, f.unlisted, 1)
 		time.Sleep(2 * time.Second)
-		f.TakeReadings("b", map[string]time.Duration{"another": time.Second})
+		f.TakeReadings("b", map[hollowgrade.Life]time.Duration{"another": time.Second})
 		require.Len(t, f.unlisted, 1)
-		require.Contains(t, f.unlisted, "another")
+		require.Contains(t, f.unlisted, hollowgrade.Life("another"))
 	})
 }
--- a/core/flow.go
+++ b/core/flow.go
@@ -56,12 +56,12 @@
 	budget       *retry.Window
 	deadline     time.Time
 
-	noMemory  int             // attempts for which memory was not free
-	paid      atomic.Bool     // whether the next retry has been taken out of the budget
-	tried     map[string]bool // upstreams, by id
-	upstreams []string        // the same, in order
-	began     bool            // whether the caller has got a head
-	after     string          // id of the last event that the caller has
+	noMemory  int                       // attempts for which memory was not free
+	paid      atomic.Bool               // whether the next retry has been taken out of the budget
+	tried     map[hollowgrade.Life]bool // lives of upstreams
+	upstreams []string                  // the same, in order
+	began     bool                      // whether the caller has got a head
+	after     string                    // id of the last event that the caller has
 	events    int
 	first     time.Duration // until the first part
 	heard     time.Time     // when the last event came
@@ -132,7 +132,7 @@
 		return Try{Err: f.refuse(p)}
 	}
 	u := p.upstream()
-	f.tried[u.ID] = true
+	f.tried[u.Life()] = true
 	f.upstreams = append(f.upstreams, u.ID)
 	if n == 1 {
 		f.predicted = p.First
--- a/core/golden_test.go
+++ b/core/golden_test.go
@@ -67,14 +67,14 @@
 	f.TakeView("b", nil, true)
 	busy := r.Float64()
 	for i := range len(f.members) {
-		m := f.members[fmt.Sprintf("u%02d", i)]
+		m := f.members[hollowgrade.Life(fmt.Sprintf("u%02d", i))]
 		n := int(busy * float64(r.IntN(20)))
 		s := Share{Open: n, Tokens: n * (2000 + r.IntN(20_000))}
 		for range n {
 			c := placement.Request{Pause: []time.Duration{250, 600, 1000}[r.IntN(3)] * time.Millisecond, Prompt: int(30_000 * r.Float64())}
 			s.Stakes = s.Stakes.Plus(c.Stakes())
 		}
-		f.setView(f.views["b"], m.ID, s)
+		f.setView(f.views["b"], m.Life(), s)
 		if r.Float64() < busy {
 			m.give(now, time.Duration(r.IntN(2500))*time.Millisecond)
 		}
@@ -106,7 +106,7 @@
 		for seed := range uint64(goldenPlans) {
 			r := rand.New(rand.NewPCG(seed, 1))
 			f := drawnFleet(r, time.Now())
-			tried := map[string]bool{}
+			tried := map[hollowgrade.Life]bool{}
 			if r.IntN(6) == 0 {
 				tried["u00"] = true
 			}
--- a/core/harm.go
+++ b/core/harm.go
@@ -27,7 +27,7 @@
 		WithRetryAfter(l.Wait)
 }
 
-func last(us []string) string {
+func last(us []hollowgrade.Life) hollowgrade.Life {
 	if len(us) == 0 {
 		return "not told"
 	}
@@ -50,7 +50,7 @@
 	case connectionLost(err):
 		f.core.lost.Lost(quarantine.Loss{
 			Subject:  f.subject(),
-			Upstream: a.pick.upstream().ID,
+			Upstream: a.pick.upstream().Life(),
 			Engines:  1 + len(a.pick.helpers),
 			Sent:     a.sent,
 			Lost:     f.core.clock.Now(),
--- a/core/helping_test.go
+++ b/core/helping_test.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
 )
 
 // requireHelps checks how many parts an engine is thought to hold for others.
-func requireHelps(t *testing.T, f *Fleet, id string, want int) {
+func requireHelps(t *testing.T, f *Fleet, id hollowgrade.Life, want int) {
 	t.Helper()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -23,14 +25,14 @@
 		f := newFleet("e", 17)
 		f.TakeView("b", nil, true)
 		for n := range 16 {
-			f.TakeView("b", map[string]Share{"u03": {Given: time.Duration(n+1) * time.Microsecond}}, false)
+			f.TakeView("b", map[hollowgrade.Life]Share{"u03": {Given: time.Duration(n+1) * time.Microsecond}}, false)
 		}
 		requireHelps(t, f, "u03", 16)
 		p := f.pick("e", long(45_000), nil)
 		require.NotContains(t, p.helpers, f.members["u03"])
 		require.NotEqual(t, "u03", p.member.ID)
 		for _, m := range p.helpers {
-			requireHelps(t, f, m.ID, 1)
+			requireHelps(t, f, m.Life(), 1)
 		}
 		time.Sleep(20 * partRest)
 		requireHelps(t, f, "u03", 0)
--- /dev/null
+++ b/core/lives_test.go
@@ -0,0 +1,175 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/placement"
+)
+
+// born is when the first life began, Unix ms.
+const born = 1_773_628_201_234
+
+// lifeAt returns an upstream that started some time after that.
+func lifeAt(ms int64) hollowgrade.Upstream {
+	return hollowgrade.Upstream{ID: "u", Service: "s", Address: "u:1", Slots: 4, Born: born + ms}
+}
+
+// used returns a table with one upstream of which all is known that can be: calls of this process and
+// of another, reading, parts of prompts, failures, its load and its speed.
+func used(t *testing.T) (f *Fleet, p *pick) {
+	t.Helper()
+	f = NewFleet(hollowgrade.SystemClock(), quiet())
+	f.Put(lifeAt(0))
+	l := lifeAt(0).Life()
+	p = f.pick("s", placement.Request{Prompt: 100, Answer: 10, Left: time.Second}, nil)
+	require.NotNil(t, p)
+	f.TakeView("b", map[hollowgrade.Life]Share{l: {Open: 3, Tokens: 500}}, true)
+	f.TakeReadings("b", map[hollowgrade.Life]time.Duration{l: 5 * time.Second})
+	f.TakePace(l, 4, 0, "", "r")
+	m := f.members[l]
+	m.helping(time.Now(), time.Second)
+	f.answered(m, "r", true, hollowgrade.Head{Status: 500, HasLoad: true, Load: hollowgrade.UpstreamLoad{Running: 3}})
+	f.blame(m, "r", "named as at fault")
+	return f, p
+}
+
+// requireFresh shows that nothing is known of the upstream's present life.
+func requireFresh(t *testing.T, f *Fleet, l hollowgrade.Life) {
+	t.Helper()
+	m := f.members[l]
+	require.NotNil(t, m, "the life that is known is another")
+	now := time.Now()
+	require.Equal(t, Share{}, m.total())
+	require.Zero(t, m.reading(now))
+	require.Zero(t, m.helps(now))
+	require.Equal(t, 1.0, m.pace(now))
+	require.False(t, now.Before(m.avoid))
+	require.Zero(t, m.load)
+	require.Empty(t, f.Blamed())
+	require.Len(t, f.of("s"), 1)
+}
+
+func TestUpstreamThatStartsAgain(t *testing.T) {
+	later := lifeAt(5000)
+	t.Run("by its entry nothing of before is known of it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f, _ := used(t)
+			f.Put(later)
+			requireFresh(t, f, later.Life())
+		})
+	})
+	t.Run("by its own word, before its entry says so", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f, _ := used(t)
+			f.Born("u", later.Born)
+			requireFresh(t, f, later.Life())
+			f.Put(lifeAt(0)) // an entry of the life before that comes late
+			requireFresh(t, f, later.Life())
+			f.Put(later)
+			requireFresh(t, f, later.Life())
+		})
+	})
+	t.Run("words of peers on the life before don't bring it back", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f, _ := used(t)
+			f.Put(later)
+			old := lifeAt(0).Life()
+			f.TakeView("b", map[hollowgrade.Life]Share{old: {Open: 9}}, false)
+			f.TakeReadings("b", map[hollowgrade.Life]time.Duration{old: 9 * time.Second})
+			f.TakeBlame("b", old, time.Second)
+			f.TakePace(old, 9, 0, "b", "")
+			requireFresh(t, f, later.Life())
+		})
+	})
+	t.Run("words of peers on a life that isn't known yet hold once it is", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f, _ := used(t)
+			f.TakeView("b", map[hollowgrade.Life]Share{later.Life(): {Open: 2}}, false)
+			f.TakeReadings("b", map[hollowgrade.Life]time.Duration{later.Life(): time.Second})
+			f.Put(later)
+			require.Equal(t, 2, f.members[later.Life()].total().Open)
+			require.Equal(t, time.Second, f.members[later.Life()].reading(time.Now()))
+		})
+	})
+	t.Run("calls of the life before end without a trace, and are not sent to the next", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f, p := used(t)
+			f.Put(later)
+			require.False(t, f.stillUsable(p))
+			f.failed(p.member, "r", "it ended")
+			f.over(p, false)
+			requireFresh(t, f, later.Life())
+			require.Empty(t, f.Changes(false))
+		})
+	})
+	t.Run("a call that was lost with one life may go to the next", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f, p := used(t)
+			tried := map[hollowgrade.Life]bool{p.member.Life(): true}
+			require.False(t, f.another("s", tried))
+			f.Put(later)
+			require.True(t, f.another("s", tried))
+		})
+	})
+	t.Run("a start that lay in the future does no harm", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f, _ := used(t)
+			ahead := lifeAt(3_600_000)
+			f.Put(ahead)
+			requireFresh(t, f, ahead.Life())
+			f.Put(later) // its clock is right again
+			requireFresh(t, f, later.Life())
+			f.Born("u", ahead.Born)
+			time.Sleep(entryLag)
+			f.Put(lifeAt(6000))
+			requireFresh(t, f, lifeAt(6000).Life())
+		})
+	})
+	t.Run("one that goes takes its life with it", func(t *testing.T) {
+		f, _ := used(t)
+		f.Drop("u", time.Time{})
+		require.Zero(t, f.Size())
+		f.Put(later)
+		requireFresh(t, f, later.Life())
+	})
+	t.Run("one that lapsed and started again is not taken for the one that lapsed", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f, _ := used(t)
+			f.Drop("u", time.Now().Add(time.Second))
+			f.Put(later)
+			requireFresh(t, f, later.Life())
+			time.Sleep(10 * time.Second)
+			require.Equal(t, 1, f.Size())
+		})
+	})
+	t.Run("those that do not tell their start are known by their id", func(t *testing.T) {
+		require.Equal(t, hollowgrade.Life("u"), hollowgrade.Upstream{ID: "u"}.Life())
+	})
+}
+
+// bornReporter implements [hollowgrade.Reporter]: the upstream has started again.
+type bornReporter struct{ born int64 }
+
+func (r bornReporter) Report(context.Context, hollowgrade.Upstream) (hollowgrade.UpstreamReport, error) {
+	return hollowgrade.UpstreamReport{Pace: 3, Born: r.born}, nil
+}
+
+func TestAnUpstreamThatIsAskedTellsThatItStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(&fakeUpstreams{}, &fakeUpstreams{}, WithLogger(quiet()), WithReporter(bornReporter{born + 5000}))
+		c.Fleet().Put(lifeAt(0))
+		c.askPaces([]hollowgrade.Upstream{lifeAt(0)}, "r")
+		synctest.Wait()
+		l := lifeAt(5000).Life()
+		require.NotNil(t, c.fleet.members[l])
+		require.Equal(t, 3.0, c.fleet.members[l].pace(time.Now()), "the word is of the life that said it")
+		c.fleet.Drop("u", time.Time{})
+		time.Sleep(2 * PaceAgain)
+	})
+}
--- a/core/pace.go
+++ b/core/pace.go
@@ -75,7 +75,7 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	for m, u := range p.at {
-		if f.members[m.ID] == m && f.askable(m, now) {
+		if f.members[m.Life()] == m && f.askable(m, now) {
 			m.asked = now
 			us = append(us, u)
 		}
@@ -85,7 +85,7 @@
 
 // StillSlow reports whether a slow engine is to be asked again by this process: the one that
 // asked it last does, so that its return to speed is noticed also when it gets no calls.
-func (f *Fleet) StillSlow(id string) bool {
+func (f *Fleet) StillSlow(id hollowgrade.Life) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[id]
@@ -95,7 +95,7 @@
 // TakePace takes the word of an engine on how many times as long as published it takes, said
 // that long ago. Box is the process that was told, empty for this one; why is the
 // request for whose sake it was asked. Own words are told to others when they matter to them.
-func (f *Fleet) TakePace(id string, pace float64, age time.Duration, box, why string) {
+func (f *Fleet) TakePace(id hollowgrade.Life, pace float64, age time.Duration, box, why string) {
 	if us := f.takePace(id, pace, age, box, why); len(us) > 0 {
 		f.ask(us, why)
 	}
@@ -103,7 +103,7 @@
 
 // takePace does that, and returns the engines that this process is to ask, since one was found
 // to be slow.
-func (f *Fleet) takePace(id string, pace float64, age time.Duration, box, why string) (us []hollowgrade.Upstream) {
+func (f *Fleet) takePace(id hollowgrade.Life, pace float64, age time.Duration, box, why string) (us []hollowgrade.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[id]
@@ -164,11 +164,11 @@
 
 // Paces returns what engines told this process of their speed, as long as it holds. What others
 // have told is not told on.
-func (f *Fleet) Paces() map[string]PaceTold {
+func (f *Fleet) Paces() map[hollowgrade.Life]PaceTold {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	ps := map[string]PaceTold{}
+	ps := map[hollowgrade.Life]PaceTold{}
 	for id, m := range f.members {
 		if age := now.Sub(m.paceWord.at); m.paceWord.own && age <= paceAge {
 			ps[id] = PaceTold{m.paceWord.pace, age}
@@ -211,7 +211,7 @@
 	}
 	if c.asks.Add(1) > mostAsks {
 		c.asks.Add(-1)
-		c.log.Info("speed of upstream not asked", "upstream", u.ID, "request", request, "why", "too many are being asked", "most", mostAsks)
+		c.log.Info("speed of upstream not asked", "upstream", u.Life(), "request", request, "why", "too many are being asked", "most", mostAsks)
 		return // it is suspected again by the next call that it makes late
 	}
 	go func() {
@@ -219,11 +219,15 @@
 		begin := c.clock.Now()
 		r, err := c.reporter.Report(context.Background(), u)
 		if err != nil {
-			c.log.Info("speed of upstream not told", "upstream", u.ID, "request", request, "err", err)
+			c.log.Info("speed of upstream not told", "upstream", u.Life(), "request", request, "err", err)
 			return
 		}
-		c.fleet.TakePace(u.ID, r.Pace, c.clock.Since(begin), "", request)
-		if c.fleet.StillSlow(u.ID) {
+		if r.Born != 0 {
+			c.fleet.Born(u.ID, r.Born)
+			u.Born = r.Born // whose word it is; one of a life that is not known is passed over
+		}
+		c.fleet.TakePace(u.Life(), r.Pace, c.clock.Since(begin), "", request)
+		if c.fleet.StillSlow(u.Life()) {
 			c.clock.AfterFunc(PaceAgain, func() { c.askAgain(u, request) })
 		}
 	}()
@@ -231,7 +235,7 @@
 
 // askAgain asks an engine again that was slow, unless another process has asked it since.
 func (c *Core) askAgain(u hollowgrade.Upstream, request string) {
-	if c.fleet.StillSlow(u.ID) {
+	if c.fleet.StillSlow(u.Life()) {
 		c.askPace(u, request)
 	}
 }
--- a/core/pace_test.go
+++ b/core/pace_test.go
@@ -52,7 +52,7 @@
 }
 
 // requirePace checks how slow an upstream is thought to be.
-func requirePace(t *testing.T, f *Fleet, id string, want float64) {
+func requirePace(t *testing.T, f *Fleet, id hollowgrade.Life, want float64) {
 	t.Helper()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -94,7 +94,7 @@
 			serveEngine(t, c)
 			requirePace(t, c.Fleet(), "u1", 2.7)
 			require.InDelta(t, 2.7, c.Fleet().Paces()["u1"].Pace, 1e-9)
-			require.Contains(t, c.Fleet().Changes(false), "u1", "the others are told")
+			require.Contains(t, c.Fleet().Changes(false), hollowgrade.Life("u1"), "the others are told")
 			r.set("u1", 1)
 			time.Sleep(2 * PaceAgain)
 			synctest.Wait()
@@ -207,11 +207,11 @@
 	t.Run("change how long it takes for what it has still to read", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet("e", 2)
-			f.TakeView("b", map[string]Share{"u00": {Given: 100 * time.Millisecond}}, true)
-			f.TakeView("b", map[string]Share{"u00": {Given: 200 * time.Millisecond}}, false)
+			f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Given: 100 * time.Millisecond}}, true)
+			f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Given: 200 * time.Millisecond}}, false)
 			f.TakePace("u00", 4, 0, "c", "")
 			require.Equal(t, 400*time.Millisecond, f.members["u00"].reading(time.Now()))
-			f.TakeView("b", map[string]Share{"u00": {Given: 300 * time.Millisecond}}, false)
+			f.TakeView("b", map[hollowgrade.Life]Share{"u00": {Given: 300 * time.Millisecond}}, false)
 			require.Equal(t, 800*time.Millisecond, f.members["u00"].reading(time.Now()))
 		})
 	})
--- a/core/place.go
+++ b/core/place.go
@@ -58,7 +58,7 @@
 
 // pick chooses the upstream of a service for a call, and the helpers that read
 // parts of its prompt, and accounts for the work. It returns nil if there is none.
-func (f *Fleet) pick(service string, r placement.Request, tried map[string]bool) *pick {
+func (f *Fleet) pick(service string, r placement.Request, tried map[hollowgrade.Life]bool) *pick {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
@@ -113,10 +113,10 @@
 
 // snapshot returns what is known of members. It is good until the next one is
 // taken. The lock is held.
-func (f *Fleet) snapshot(ms []*member, tried map[string]bool, now time.Time) placement.Snapshot {
+func (f *Fleet) snapshot(ms []*member, tried map[hollowgrade.Life]bool, now time.Time) placement.Snapshot {
 	f.candidates = f.candidates[:0]
 	for _, m := range ms {
-		f.candidates = append(f.candidates, m.candidate(tried[m.ID], now))
+		f.candidates = append(f.candidates, m.candidate(tried[m.Life()], now))
 	}
 	others := max(len(f.views), f.peers())
 	return placement.Snapshot{Candidates: f.candidates, Others: others, Heard: float64(len(f.views)+1) / float64(others+1), Chance: f.chance}
--- a/core/share.go
+++ b/core/share.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/hollowgrade/hollowgrade"
 )
 
 // The more processes there are, the less often each of them tells all others of its load
@@ -30,7 +32,7 @@
 
 // view is what one other process has given to upstreams, by its own word.
 type view struct {
-	shares map[string]Share
+	shares map[hollowgrade.Life]Share
 	heard  time.Time
 	whole  bool // whether all that stood at some moment has been heard: what it names anew is new
 }
@@ -43,10 +45,10 @@
 
 // Changes returns the own shares that changed since the last call, or all that
 // are not zero.
-func (f *Fleet) Changes(all bool) map[string]Share {
+func (f *Fleet) Changes(all bool) map[hollowgrade.Life]Share {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	cs := map[string]Share{}
+	cs := map[hollowgrade.Life]Share{}
 	if all {
 		cs = f.shares()
 	}
@@ -61,15 +63,15 @@
 
 // Shares returns all own shares that are not zero, and those of upstreams of which there is
 // something else to tell: that an engine named them as at fault, or that they are slow.
-func (f *Fleet) Shares() map[string]Share {
+func (f *Fleet) Shares() map[hollowgrade.Life]Share {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.shares()
 }
 
-func (f *Fleet) shares() map[string]Share {
+func (f *Fleet) shares() map[hollowgrade.Life]Share {
 	now := f.clock.Now()
-	cs := map[string]Share{}
+	cs := map[hollowgrade.Life]Share{}
 	for id, m := range f.members {
 		if m.own != (Share{}) || now.Before(m.blamed) || m.paceWord.own && m.slow(now) {
 			cs[id] = m.own
@@ -86,7 +88,10 @@
 
 // change lets others be told of an upstream. The lock is held.
 func (f *Fleet) change(m *member) {
-	f.changed[m.ID] = true
+	if f.members[m.Life()] != m {
+		return // of an earlier life
+	}
+	f.changed[m.Life()] = true
 	select {
 	case f.notify <- struct{}{}:
 	default:
@@ -96,12 +101,12 @@
 // TakeView takes another process's word on what it has given to upstreams. A
 // whole one replaces all that it said before. The name is that of one life of
 // the process: what it counts begins anew with each.
-func (f *Fleet) TakeView(box string, shares map[string]Share, whole bool) {
+func (f *Fleet) TakeView(box string, shares map[hollowgrade.Life]Share, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.views[box]
 	if v == nil {
-		v = &view{shares: map[string]Share{}}
+		v = &view{shares: map[hollowgrade.Life]Share{}}
 		f.views[box] = v
 	}
 	v.heard = f.clock.Now()
@@ -122,7 +127,7 @@
 // now on; less than before means that some was taken back. Of what was given
 // before the first whole word of the process it is not known how much is still unread.
 // The lock is held.
-func (f *Fleet) setView(v *view, id string, s Share) {
+func (f *Fleet) setView(v *view, id hollowgrade.Life, s Share) {
 	old, known := v.shares[id]
 	if m := f.members[id]; m != nil {
 		m.others = m.others.Plus(s).Minus(old)
@@ -141,7 +146,7 @@
 
 // forget drops one share of a view. What was given is still being read. The lock
 // is held.
-func (f *Fleet) forget(v *view, id string) {
+func (f *Fleet) forget(v *view, id hollowgrade.Life) {
 	if m := f.members[id]; m != nil {
 		m.others = m.others.Minus(v.shares[id])
 	}
@@ -150,7 +155,7 @@
 
 // sumOthers sets what others have given to an upstream that is new here. The
 // lock is held.
-func (f *Fleet) sumOthers(m *member, id string) {
+func (f *Fleet) sumOthers(m *member, id hollowgrade.Life) {
 	for _, v := range f.views {
 		m.others = m.others.Plus(v.shares[id])
 	}
@@ -158,11 +163,11 @@
 
 // Readings returns how much upstreams have still to read of what all processes are
 // known to have given to them, without those that have nothing to read.
-func (f *Fleet) Readings() map[string]time.Duration {
+func (f *Fleet) Readings() map[hollowgrade.Life]time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	rs := map[string]time.Duration{}
+	rs := map[hollowgrade.Life]time.Duration{}
 	for id, m := range f.members {
 		if d := m.reading(now); d > 0 {
 			rs[id] = d
@@ -176,11 +181,11 @@
 // know from the shares that it hears: a gateway that came back gave 0.9 s of reading
 // to each of six engines that had 0.6 s left to read, and short answers at all of
 // them paused for a second.
-func (f *Fleet) TakeReadings(box string, rs map[string]time.Duration) {
+func (f *Fleet) TakeReadings(box string, rs map[hollowgrade.Life]time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	maps.DeleteFunc(f.unlisted, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(f.unlisted, func(_ hollowgrade.Life, until time.Time) bool { return !now.Before(until) })
 	learned := 0
 	for id, d := range rs {
 		until := now.Add(d)
@@ -208,7 +213,7 @@
 }
 
 // Others returns what other processes have given to an upstream, by their word.
-func (f *Fleet) Others(id string) Share {
+func (f *Fleet) Others(id hollowgrade.Life) Share {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m := f.members[id]; m != nil {
--- a/core/ticket_test.go
+++ b/core/ticket_test.go
@@ -29,7 +29,7 @@
 	r := Route{Name: "r", Host: "h", Prefix: "/", Repeat: Resume, Stream: true, Timeout: 20 * time.Second, Goal: 3 * time.Second, PauseGoal: 800 * time.Millisecond, Targets: []Target{{"e", 1}}, MaxAttempts: 2}
 	c.SetCatalog(NewCatalog(1, []Route{r}, []Service{{Name: "e", Engine: figures()}}, nil, Limits{}))
 	for id := range newFleet("e", engines).members {
-		c.Fleet().Put(hollowgrade.Upstream{ID: id, Service: "e", Address: id + ":1"})
+		c.Fleet().Put(hollowgrade.Upstream{ID: string(id), Service: "e", Address: string(id) + ":1"})
 	}
 	k := call("/x")
 	k.PromptTokens, k.MaxTokens, k.Patience = tokens, 1_000, 15*time.Second
@@ -71,7 +71,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := &fakeUpstreams{replies: []reply{broken}, full: map[string]bool{}}
 			for id := range newFleet("e", 18).members {
-				f.full[id] = true
+				f.full[string(id)] = true
 			}
 			requireFault(t, oversized(t, f, 18), fault.Overloaded, hollowgrade.NotRun)
 			synctest.Wait()
--- a/exchange.go
+++ b/exchange.go
@@ -32,7 +32,8 @@
 
 // Upstream is one back end as the platform's registry lists it.
 type Upstream struct {
-	ID       string // of this incarnation; a restart gets a new one
+	ID       string // may be that of an earlier life, before a restart
+	Born     int64  // Unix ms of the start of this life, 0 if it does not tell that
 	Service  string
 	Address  string
 	Hall     string // data hall
@@ -73,6 +74,7 @@
 // UpstreamReport is what an upstream says of itself when it is asked.
 type UpstreamReport struct {
 	Pace float64 // how many times as long as published it takes for what it does
+	Born int64   // start of the life that says so, Unix ms, 0 if it does not tell that
 }
 
 // Reporter asks upstreams about themselves.
--- a/experiment/naive.go
+++ b/experiment/naive.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/engine"
 )
@@ -66,11 +67,11 @@
 	n.open[d.Upstream]--
 }
 
-func (n *naive) changes(bool) map[string]core.Share {
+func (n *naive) changes(bool) map[hollowgrade.Life]core.Share {
 	return nil
 }
 
-func (n *naive) hear(string, map[string]core.Share, bool) {}
+func (n *naive) hear(string, map[hollowgrade.Life]core.Share, bool) {}
 
 func (n *naive) suspects(core.Plan) []string {
 	return nil
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -60,7 +60,7 @@
 	fmt.Fprintln(t, "fingerprint\torganisation\troute\tsince\tuntil\tlosses\todds\tby\tupstreams")
 	for _, h := range hs {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%.0e\t%s\t%s\n", h.Fingerprint, h.Organisation, h.Route,
-			h.Since.Format(time.TimeOnly), h.Until.Format(time.TimeOnly), h.Losses, h.Odds, h.By, strings.Join(h.Upstreams, " "))
+			h.Since.Format(time.TimeOnly), h.Until.Format(time.TimeOnly), h.Losses, h.Odds, h.By, strings.Trim(fmt.Sprint(h.Upstreams), "[]"))
 	}
 	return t.Flush()
 }
--- /dev/null
+++ b/internal/node/entries_test.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade/platform/platformtest"
+)
+
+// strange returns entries that another writer may have left, at the address of an upstream that
+// would answer.
+func strange(w *platformtest.Worker) map[string][]byte {
+	with := func(old, n string) []byte {
+		e := fmt.Sprintf(`{"service":"s","address":"%s","zone":"z1","version":"v1","slots":4,"state":"ready","coldLeftMs":0,"callSeq":0}`, w.Address())
+		return []byte(strings.Replace(e, old, n, 1))
+	}
+	return map[string][]byte{
+		"resting":    with("ready", "resting"),
+		"stateless":  with(`"state":"ready",`, ""),
+		"unborn":     with(`"slots"`, `"born":"soon","slots"`),
+		"no-slots":   with(`"slots":4,`, ""),
+		"typed":      with(`"slots":4`, `"slots":"4"`),
+		"elsewhere":  with(`"service":"s"`, `"service":5`),
+		"unreadable": {0xff, 0xfe, 0x00},
+		"cut":        with(`,"callSeq":0}`, ""),
+	}
+}
+
+// Upstreams with a state that there is not, without a state, or with a start that is no number were given 91, 110
+// and 94 of 400 calls.
+func TestEntriesOfOtherWriters(t *testing.T) {
+	s := newScene(t, platformtest.Echo)
+	other := platformtest.NewWorker("other", platformtest.Echo)
+	t.Cleanup(other.Close)
+	for id, v := range strange(other) {
+		s.store.Put("keyed.servers", id, v)
+	}
+	g := s.gateway
+	n := len(strange(other))
+	require.Eventually(t, func() bool { return g.unused.Load() == int64(n) }, 20*time.Second, time.Millisecond)
+	for i := range 50 {
+		st, body, err := g.call(t, "/once/x", fmt.Sprint("a", i), "k1")
+		require.NoError(t, err)
+		require.Equal(t, 200, st)
+		require.True(t, strings.HasPrefix(body, "i-0 "))
+	}
+	require.Empty(t, other.Seen())
+	t.Run("have one line each", func(t *testing.T) {
+		require.Equal(t, n, strings.Count(g.log.String(), `"msg":"upstream not used"`))
+	})
+	t.Run("end one that was good, and it comes back when it is good again", func(t *testing.T) {
+		s.store.Put("keyed.servers", "i-0", []byte("x"))
+		require.Eventually(t, func() bool { return g.Core.Fleet().Count("s") == 0 }, 20*time.Second, time.Millisecond)
+		s.store.PutJSON("keyed.servers", "i-0", s.workers[0].Record("s", "ready"))
+		require.Eventually(t, func() bool { return g.Core.Fleet().Count("s") == 1 }, 20*time.Second, time.Millisecond)
+	})
+	t.Run("among gateways name none, and the own one is written again", func(t *testing.T) {
+		before := g.members.count()
+		s.store.Put("keyed.members", "strange", []byte(`{"peers":7}`))
+		s.store.Put("keyed.members", "text", []byte("nowhere"))
+		s.store.Put("keyed.members", g.Box.Name, []byte("x"))
+		require.Eventually(t, func() bool { return strings.Contains(s.store.Value("keyed.members", g.Box.Name), g.peers) }, 20*time.Second, 5*time.Millisecond)
+		require.Equal(t, before, g.members.count())
+	})
+	t.Run("among held requests hold none", func(t *testing.T) {
+		for key, v := range map[string]string{"x": "{}", strings.Repeat("ab", 16): `{"since":1}`, strings.Repeat("cd", 16): "\xff"} {
+			s.store.Put("keyed.held", key, []byte(v))
+		}
+		before := g.unused.Load()
+		require.Eventually(t, func() bool { return g.unused.Load() >= before && strings.Count(g.log.String(), `"msg":"held request not used"`) == 3 }, 20*time.Second, time.Millisecond)
+		require.Empty(t, g.Core.Quarantine().Holds())
+	})
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -69,6 +70,7 @@
 	held      *feed.Feed // requests that are held
 	keeper    *keeper
 	members   *members
+	unused    *atomic.Int64 // records of the store that could not be used
 	taker     *loadview.Taker
 }
 
@@ -82,7 +84,8 @@
 		return nil, err
 	}
 	s := platform.NewStore(c.Store)
-	n = &GatewayNode{Node: b, members: newMembers(c, s.Members(), g)}
+	n = &GatewayNode{Node: b, unused: new(atomic.Int64)}
+	n.members = newMembers(c, s.Members(), g, n.unused)
 	n.settings.Store(&c)
 	relay := feed.NewRelay(c.PeerAddress(), n.members.addresses, feed.WithRelayLogger(g), feed.WithPlaces(n.members.place))
 	n.config = feed.New(configFeed, s.Config(), feed.WithLogger(g), feed.WithWait(c.ReadWait()),
@@ -104,7 +107,7 @@
 	n.config.Watch(n.takeConfig)
 	fleet.Watch(n.takeFleet)
 	others.Watch(n.members.take)
-	n.keeper = &keeper{table: n.Core.Quarantine(), topic: s.Held(), clock: n.clock, log: g}
+	n.keeper = &keeper{table: n.Core.Quarantine(), topic: s.Held(), clock: n.clock, log: g, unused: n.unused}
 	n.held.Watch(n.keeper.take)
 	shared := []*feed.Feed{n.config, fleet, others, n.held}
 	relay.Add(shared...)
@@ -273,6 +276,7 @@
 		k, err := platform.DecodeCatalog(c.Value)
 		switch {
 		case err != nil:
+			n.unused.Add(1)
 			g.Error("configuration not used", "version", platform.CatalogVersion(c.Value), "why", err)
 		case !n.Core.SetCatalog(k):
 			g.Warn("configuration not used", "version", k.Version, "why", "it is not newer than the one in force", "in_force", n.Core.Catalog().Version)
@@ -291,7 +295,10 @@
 		}
 		u, err := platform.DecodeUpstream(c.KeyedRecord)
 		if err != nil {
-			n.log.Error("upstream not used", "offset", c.Offset, "err", err)
+			// Another writer may have left it. Calls that are under way at the one it was end there.
+			n.unused.Add(1)
+			n.log.Error("upstream not used", "key", fmt.Sprintf("%.64q", c.Key), "offset", c.Offset, "bytes", len(c.Value), "err", err)
+			n.Core.Fleet().Drop(c.Key, time.Time{})
 			continue
 		}
 		n.Core.Fleet().Put(u)
@@ -323,6 +330,9 @@
 		n.metrics.Gauge("hollowgrade.slow_upstreams", "Upstreams that are known to take longer than published.", func() float64 {
 			return float64(n.Core.Fleet().Slow())
 		}),
+		n.metrics.Gauge("hollowgrade.records_not_used", "Records of the store since the start that could not be used; the log has a line for each.", func() float64 {
+			return float64(n.unused.Load())
+		}),
 		n.metrics.Gauge("hollowgrade.requests_held", "Requests that are sent to no upstream, since upstreams ended under them.", func() float64 {
 			return float64(len(n.Core.Quarantine().Holds()))
 		}),
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -33,6 +36,7 @@
 	topic   hollowgrade.Topic
 	clock   hollowgrade.Clock
 	log     *log.Logger
+	unused  *atomic.Int64 // records that could not be used
 	runner  *runner
 	missing chan struct{} // gets a value when the list does not have this process
 
@@ -51,14 +55,21 @@
 // decodeMember decodes a record. One without braces is the address alone.
 func decodeMember(v []byte) (m member, err error) {
 	defer errs.Annotate(&err, "decode the record of a gateway")
-	if !bytes.HasPrefix(v, []byte("{")) {
-		return member{Peers: string(v)}, nil
+	if bytes.HasPrefix(v, []byte("{")) {
+		err = json.Unmarshal(v, &m)
+	} else {
+		m.Peers = string(v)
 	}
-	err = json.Unmarshal(v, &m)
-	return m, err
+	if err != nil {
+		return member{}, err
+	}
+	if _, err = netip.ParseAddrPort(m.Peers); err != nil {
+		return member{}, err
+	}
+	return m, nil
 }
 
-func newMembers(c setting.Gateway, t hollowgrade.Topic, g *log.Logger) *members {
+func newMembers(c setting.Gateway, t hollowgrade.Topic, g *log.Logger, unused *atomic.Int64) *members {
 	m := &members{
 		box:     c.Box,
 		own:     member{Peers: c.PeerAddress(), Hall: c.Hall, Link: c.LinkMbps},
@@ -66,6 +77,7 @@
 		topic:   t,
 		clock:   hollowgrade.SystemClock(),
 		log:     g,
+		unused:  unused,
 		missing: make(chan struct{}, 1),
 		known:   map[string]member{},
 	}
@@ -91,12 +103,11 @@
 	defer m.mu.Unlock()
 	defer m.index()
 	for _, c := range cs {
-		k, err := decodeMember(c.Value)
-		if err != nil {
-			m.log.Error("gateway not used", "box", c.Key, "offset", c.Offset, "err", err)
-			continue
+		var k member
+		if !c.Dropped() {
+			k = m.decode(c)
 		}
-		if c.Dropped() {
+		if k.Peers == "" {
 			delete(m.known, c.Key)
 		} else {
 			m.known[c.Key] = k
@@ -108,6 +119,16 @@
 	}
 }
 
+// decode decodes a record. One that cannot be used, as another writer may leave it, names no gateway.
+func (m *members) decode(c feed.Change) member {
+	k, err := decodeMember(c.Value)
+	if err != nil {
+		m.unused.Add(1)
+		m.log.Error("gateway not used", "box", fmt.Sprintf("%.64q", c.Key), "offset", c.Offset, "bytes", len(c.Value), "err", err)
+	}
+	return k
+}
+
 // addresses returns the peer addresses of the other gateways.
 func (m *members) addresses() (as []string) {
 	m.mu.Lock()
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -23,6 +25,8 @@
 	topic hollowgrade.Topic
 	clock hollowgrade.Clock
 	log   *log.Logger
+	// unused counts records of the store that could not be used.
+	unused *atomic.Int64
 }
 
 const (
@@ -37,15 +41,15 @@
 
 // heldRecord is a request that is held, as it stands in the store under its fingerprint.
 type heldRecord struct {
-	Organisation string   `json:"organisation"`
-	Route        string   `json:"route"`
-	Service      string   `json:"service"`
-	Since        int64    `json:"since"` // Unix ms
-	Until        int64    `json:"until"` // Unix ms
-	Losses       int      `json:"losses"`
-	Odds         float64  `json:"odds"`
-	Upstreams    []string `json:"upstreams"`
-	By           string   `json:"by"`
+	Organisation string             `json:"organisation"`
+	Route        string             `json:"route"`
+	Service      string             `json:"service"`
+	Since        int64              `json:"since"` // Unix ms
+	Until        int64              `json:"until"` // Unix ms
+	Losses       int                `json:"losses"`
+	Odds         float64            `json:"odds"`
+	Upstreams    []hollowgrade.Life `json:"upstreams"`
+	By           string             `json:"by"`
 }
 
 func encodeHold(h quarantine.Hold) ([]byte, error) {
@@ -128,7 +132,8 @@
 		}
 		h, err := decodeHold(c.Key, c.Value, now)
 		if err != nil {
-			k.log.Error("held request not used", "key", c.Key, "offset", c.Offset, "err", err)
+			k.unused.Add(1)
+			k.log.Error("held request not used", "key", fmt.Sprintf("%.64q", c.Key), "offset", c.Offset, "err", err)
 			continue
 		}
 		k.table.Stored(h)
@@ -143,16 +148,16 @@
 
 // HeldRequest is a request that is held, as operators are told.
 type HeldRequest struct {
-	Fingerprint  string    `json:"fingerprint"`
-	Organisation string    `json:"organisation"`
-	Route        string    `json:"route"`
-	Service      string    `json:"service"`
-	Since        time.Time `json:"since"`
-	Until        time.Time `json:"until"`
-	Losses       int       `json:"losses"`    // in a row
-	Odds         float64   `json:"odds"`      // of these for a harmless request
-	Upstreams    []string  `json:"upstreams"` // that ended, the latest last
-	By           string    `json:"by"`        // gateway that reached the verdict
+	Fingerprint  string             `json:"fingerprint"`
+	Organisation string             `json:"organisation"`
+	Route        string             `json:"route"`
+	Service      string             `json:"service"`
+	Since        time.Time          `json:"since"`
+	Until        time.Time          `json:"until"`
+	Losses       int                `json:"losses"`    // in a row
+	Odds         float64            `json:"odds"`      // of these for a harmless request
+	Upstreams    []hollowgrade.Life `json:"upstreams"` // that ended, the latest last
+	By           string             `json:"by"`        // gateway that reached the verdict
 }
 
 // serve serves operators' questions about requests that are held.
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -69,7 +69,7 @@
 
 // link is the way to one peer.
 type link struct {
-	pending map[string]core.Share
+	pending map[hollowgrade.Life]core.Share
 	whole   bool // whether pending is all there is to say
 	first   bool // whether nothing has been said on the stream yet
 	packets netip.AddrPort
@@ -198,7 +198,7 @@
 			continue
 		}
 		c, cancel := context.WithCancel(ctx)
-		l := &link{packets: s.packetAddress(a), wake: make(chan struct{}, 1), cancel: cancel, pending: map[string]core.Share{}}
+		l := &link{packets: s.packetAddress(a), wake: make(chan struct{}, 1), cancel: cancel, pending: map[hollowgrade.Life]core.Share{}}
 		s.links[a] = l
 		g.Go(func() { s.keep(c, a, l) })
 	}
@@ -222,7 +222,7 @@
 
 // change tells of changes at once: in packets to those that take them, and with
 // the next heartbeat in any case.
-func (s *Sharer) change(cs map[string]core.Share) {
+func (s *Sharer) change(cs map[hollowgrade.Life]core.Share) {
 	if s.packets == nil {
 		s.spread(cs, false)
 		return
@@ -239,8 +239,8 @@
 }
 
 // frames returns shares as frames that fit into packets.
-func (s *Sharer) frames(cs map[string]core.Share) (fs []*wire.Frame) {
-	part := make(map[string]core.Share, packetShares)
+func (s *Sharer) frames(cs map[hollowgrade.Life]core.Share) (fs []*wire.Frame) {
+	part := make(map[hollowgrade.Life]core.Share, packetShares)
 	for id, c := range cs {
 		part[id] = c
 		if len(part) == packetShares {
@@ -255,7 +255,7 @@
 }
 
 // spread lets each link say what there is to say.
-func (s *Sharer) spread(cs map[string]core.Share, whole bool) {
+func (s *Sharer) spread(cs map[hollowgrade.Life]core.Share, whole bool) {
 	s.note(cs, whole)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -269,7 +269,7 @@
 
 // note keeps for each link what it has to say the next time, and returns where
 // packets can tell it earlier.
-func (s *Sharer) note(cs map[string]core.Share, whole bool) (to []netip.AddrPort) {
+func (s *Sharer) note(cs map[hollowgrade.Life]core.Share, whole bool) (to []netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.links {
@@ -326,28 +326,28 @@
 }
 
 // frame returns a message.
-func (s *Sharer) frame(cs map[string]core.Share, whole bool) *wire.Frame {
+func (s *Sharer) frame(cs map[hollowgrade.Life]core.Share, whole bool) *wire.Frame {
 	return &wire.Frame{Body: &wire.Frame_LoadView{LoadView: s.view(cs, whole)}}
 }
 
 // addReadings adds what upstreams have still to read to a view.
-func addReadings(m *wire.LoadView, rs map[string]time.Duration) {
+func addReadings(m *wire.LoadView, rs map[hollowgrade.Life]time.Duration) {
 	for _, c := range m.Shares {
-		c.ReadingMicros = rs[c.Upstream].Microseconds()
-		delete(rs, c.Upstream)
+		c.ReadingMicros = rs[hollowgrade.Life(c.Upstream)].Microseconds()
+		delete(rs, hollowgrade.Life(c.Upstream))
 	}
 	for id, d := range rs {
-		m.Shares = append(m.Shares, &wire.LoadShare{Upstream: id, ReadingMicros: d.Microseconds()})
+		m.Shares = append(m.Shares, &wire.LoadShare{Upstream: string(id), ReadingMicros: d.Microseconds()})
 	}
 }
 
 // view returns the body of a message.
-func (s *Sharer) view(cs map[string]core.Share, whole bool) *wire.LoadView {
+func (s *Sharer) view(cs map[hollowgrade.Life]core.Share, whole bool) *wire.LoadView {
 	m := &wire.LoadView{Box: s.box, Whole: whole, Sequence: s.sequence.Add(1)}
 	blamed, paces := s.fleet.Blamed(), s.fleet.Paces()
 	for id, c := range cs {
 		m.Shares = append(m.Shares, &wire.LoadShare{
-			Upstream:    id,
+			Upstream:    string(id),
 			Open:        int32(c.Open),
 			Stakes:      encodeStakes(c.Stakes),
 			GivenMicros: c.Given.Microseconds(),
@@ -426,10 +426,10 @@
 	}
 }
 
-func shares(m *wire.LoadView) map[string]core.Share {
-	ss := make(map[string]core.Share, len(m.Shares))
+func shares(m *wire.LoadView) map[hollowgrade.Life]core.Share {
+	ss := make(map[hollowgrade.Life]core.Share, len(m.Shares))
 	for _, c := range m.Shares {
-		ss[c.Upstream] = core.Share{
+		ss[hollowgrade.Life(c.Upstream)] = core.Share{
 			Open:   int(c.Open),
 			Stakes: decodeStakes(c.Stakes),
 			Given:  time.Duration(c.GivenMicros) * time.Microsecond,
@@ -463,11 +463,11 @@
 }
 
 // readings returns what upstreams have still to read by the word of a peer.
-func readings(m *wire.LoadView) map[string]time.Duration {
-	rs := map[string]time.Duration{}
+func readings(m *wire.LoadView) map[hollowgrade.Life]time.Duration {
+	rs := map[hollowgrade.Life]time.Duration{}
 	for _, c := range m.Shares {
 		if c.ReadingMicros > 0 {
-			rs[c.Upstream] = time.Duration(c.ReadingMicros) * time.Microsecond
+			rs[hollowgrade.Life(c.Upstream)] = time.Duration(c.ReadingMicros) * time.Microsecond
 		}
 	}
 	return rs
--- a/loadview/loadview_test.go
+++ b/loadview/loadview_test.go
@@ -154,7 +154,7 @@
 	requireOpen := func(t *testing.T, open ...int) {
 		t.Helper()
 		for i, n := range open {
-			require.Equal(t, n, f.Others(fmt.Sprint(i)).Open, "upstream %d", i)
+			require.Equal(t, n, f.Others(hollowgrade.Life(fmt.Sprint(i))).Open, "upstream %d", i)
 		}
 	}
 	k := NewTaker(f)
@@ -187,9 +187,9 @@
 }
 
 func TestFramesFitIntoPackets(t *testing.T) {
-	cs := map[string]core.Share{}
+	cs := map[hollowgrade.Life]core.Share{}
 	for i := range 100 {
-		cs[fmt.Sprintf("i-%016d", i)] = core.Share{Open: 1 << 20, Stakes: placement.Stakes{1 << 20, 1 << 20, 1 << 20, 1 << 20, 1 << 20}, Given: 24 * time.Hour, Tokens: 1 << 24}
+		cs[hollowgrade.Life(fmt.Sprintf("i-%016d#mf0abcde", i))] = core.Share{Open: 1 << 20, Stakes: placement.Stakes{1 << 20, 1 << 20, 1 << 20, 1 << 20, 1 << 20}, Given: 24 * time.Hour, Tokens: 1 << 24}
 	}
 	s := New("box-of-a-long-name-in-a-data-hall/incarnation", newFleet(), func() []string { return nil })
 	told := 0
@@ -215,9 +215,9 @@
 }
 
 func TestReadingsOverTheWire(t *testing.T) {
-	rs := map[string]time.Duration{"u": time.Second, "v": 2 * time.Second}
+	rs := map[hollowgrade.Life]time.Duration{"u": time.Second, "v": 2 * time.Second}
 	m := &wire.LoadView{Shares: []*wire.LoadShare{{Upstream: "u", Open: 1}, {Upstream: "w"}}}
-	addReadings(m, map[string]time.Duration{"u": time.Second, "v": 2 * time.Second})
+	addReadings(m, map[hollowgrade.Life]time.Duration{"u": time.Second, "v": 2 * time.Second})
 	require.Len(t, m.Shares, 3)
 	require.Equal(t, rs, readings(m))
 }
@@ -258,7 +258,7 @@
 	}
 	s := New("edge-of-a-hall-12/1a2b3c4d", f, func() []string { return nil })
 	for i := range peers {
-		s.links[fmt.Sprint(i)] = &link{pending: map[string]core.Share{}, wake: make(chan struct{}, 1)}
+		s.links[fmt.Sprint(i)] = &link{pending: map[hollowgrade.Life]core.Share{}, wake: make(chan struct{}, 1)}
 	}
 	f.Changes(true)
 	bytes := 0
--- a/loadview/suspicions.go
+++ b/loadview/suspicions.go
@@ -86,7 +86,7 @@
 	age := func(t time.Time) int64 { return now.Sub(t).Microseconds() }
 	m := &wire.Suspicions{}
 	for _, l := range w.Losses {
-		m.Losses = append(m.Losses, &wire.RunLost{Subject: encodeSubject(l.Subject), Upstream: l.Upstream, Engines: int32(l.Engines),
+		m.Losses = append(m.Losses, &wire.RunLost{Subject: encodeSubject(l.Subject), Upstream: string(l.Upstream), Engines: int32(l.Engines),
 			SentAgeMicros: age(l.Sent), LostAgeMicros: age(l.Lost)})
 	}
 	for _, h := range w.Harmless {
@@ -97,11 +97,19 @@
 	}
 	for _, h := range w.Holds {
 		m.Holds = append(m.Holds, &wire.RequestHeld{Subject: encodeSubject(h.Subject), AgeMicros: age(h.Since), LeftMicros: -age(h.Until),
-			Losses: int32(h.Losses), Odds: h.Odds, Upstreams: h.Upstreams, By: h.By})
+			Losses: int32(h.Losses), Odds: h.Odds, Upstreams: convert[string](h.Upstreams), By: h.By})
 	}
 	return m
 }
 
+// convert returns the same names as another type.
+func convert[T, F ~string](l []F) (c []T) {
+	for _, x := range l {
+		c = append(c, T(x))
+	}
+	return c
+}
+
 func encodeSubject(s quarantine.Subject) *wire.Subject {
 	return &wire.Subject{Fingerprint: s.Fingerprint[:], Organisation: s.Organisation, Route: s.Route, Service: s.Service}
 }
@@ -111,7 +119,7 @@
 	at := func(age int64) time.Time { return now.Add(-time.Duration(age) * time.Microsecond) }
 	for _, l := range m.GetLosses() {
 		if s, ok := decodeSubject(l.Subject); ok {
-			w.Losses = append(w.Losses, quarantine.Loss{Subject: s, Upstream: l.Upstream, Engines: int(l.Engines),
+			w.Losses = append(w.Losses, quarantine.Loss{Subject: s, Upstream: hollowgrade.Life(l.Upstream), Engines: int(l.Engines),
 				Sent: at(l.SentAgeMicros), Lost: at(max(l.LostAgeMicros, 0))})
 		}
 	}
@@ -128,7 +136,7 @@
 	for _, h := range m.GetHolds() {
 		if s, ok := decodeSubject(h.Subject); ok {
 			w.Holds = append(w.Holds, quarantine.Hold{Subject: s, Since: at(max(h.AgeMicros, 0)), Until: at(-h.LeftMicros),
-				Losses: int(h.Losses), Odds: h.Odds, Upstreams: h.Upstreams, By: h.By})
+				Losses: int(h.Losses), Odds: h.Odds, Upstreams: convert[hollowgrade.Life](h.Upstreams), By: h.By})
 		}
 	}
 	return w
--- a/loadview/taker.go
+++ b/loadview/taker.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 	"github.com/hollowgrade/hollowgrade/peer"
@@ -24,8 +25,8 @@
 // order is what is known of the messages of one life of a peer: those that come
 // late must not undo later ones.
 type order struct {
-	last  uint64            // the latest that has come
-	share map[string]uint64 // the same for each upstream
+	last  uint64                      // the latest that has come
+	share map[hollowgrade.Life]uint64 // the same for each upstream
 }
 
 // NewTaker returns a taker for a fleet.
@@ -83,7 +84,7 @@
 func (t *Taker) begin(first *wire.LoadView) *order {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	o := &order{share: map[string]uint64{}}
+	o := &order{share: map[hollowgrade.Life]uint64{}}
 	t.boxes[first.Box] = o
 	t.takeLocked(first)
 	return o
@@ -129,7 +130,7 @@
 		t.fleet.TakeReadings(m.Box, rs)
 	}
 	for _, c := range m.Shares {
-		if _, ok := ss[c.Upstream]; ok {
+		if _, ok := ss[hollowgrade.Life(c.Upstream)]; ok {
 			t.takeWord(m.Box, c)
 		}
 	}
@@ -138,9 +139,9 @@
 // takeWord takes what a peer says of an upstream itself.
 func (t *Taker) takeWord(box string, c *wire.LoadShare) {
 	if c.AvoidMillis > 0 {
-		t.fleet.TakeBlame(box, c.Upstream, time.Duration(c.AvoidMillis)*time.Millisecond)
+		t.fleet.TakeBlame(box, hollowgrade.Life(c.Upstream), time.Duration(c.AvoidMillis)*time.Millisecond)
 	}
 	if c.PaceMilli > 0 {
-		t.fleet.TakePace(c.Upstream, float64(c.PaceMilli)/paceUnit, time.Duration(c.PaceAgeMillis)*time.Millisecond, box, "")
+		t.fleet.TakePace(hollowgrade.Life(c.Upstream), float64(c.PaceMilli)/paceUnit, time.Duration(c.PaceAgeMillis)*time.Millisecond, box, "")
 	}
 }
--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -13,7 +13,7 @@
 
 // end is the end of an upstream, or of one connection to it, as far as gateways have seen it.
 type end struct {
-	upstream string
+	upstream hollowgrade.Life
 	at       time.Time
 	under    []under // requests that were lost with it
 }
--- a/quarantine/play_test.go
+++ b/quarantine/play_test.go
@@ -137,7 +137,7 @@
 			continue
 		}
 		r.stream.lost++
-		r.box.Lost(Loss{Subject: r.subject, Upstream: fmt.Sprint("u", at, ".", p.lives[at]), Engines: 1, Sent: r.sent, Lost: now})
+		r.box.Lost(Loss{Subject: r.subject, Upstream: life("u", at, ".", p.lives[at]), Engines: 1, Sent: r.sent, Lost: now})
 		r.box.Over(r.subject.Fingerprint, r.leave)
 		if r.tries < r.stream.most {
 			again = append(again, r)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -30,7 +30,7 @@
 // Loss is a run that ended with the connection to its upstream.
 type Loss struct {
 	Subject
-	Upstream string
+	Upstream hollowgrade.Life
 	Engines  int // that had a part in the run: the upstream and those that read parts for it
 	Sent     time.Time
 	Lost     time.Time
@@ -54,10 +54,10 @@
 	Subject
 	Since     time.Time
 	Until     time.Time
-	Losses    int      // one after another, without a harmless run between
-	Odds      float64  // of as many losses in a row for a harmless request
-	Upstreams []string // that ended, the latest last
-	By        string   // the gateway that reached the verdict
+	Losses    int                // one after another, without a harmless run between
+	Odds      float64            // of as many losses in a row for a harmless request
+	Upstreams []hollowgrade.Life // that ended, the latest last
+	By        string             // the gateway that reached the verdict
 }
 
 // Word is what gateways tell each other.
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/hollowgrade/hollowgrade"
 )
 
 // mostMarks bounds the losses that are kept of one request.
@@ -60,7 +62,7 @@
 }
 
 // upstreams returns those that ended under the request since it was harmless.
-func (r *record) upstreams() (us []string) {
+func (r *record) upstreams() (us []hollowgrade.Life) {
 	for _, m := range r.marks {
 		if !slices.Contains(us, m.Upstream) {
 			us = append(us, m.Upstream)
@@ -73,7 +75,7 @@
 const mostNamed = 8
 
 // named returns the upstreams that a hold names.
-func (r *record) named() []string {
+func (r *record) named() []hollowgrade.Life {
 	us := r.upstreams()
 	return us[max(len(us)-mostNamed, 0):]
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -57,7 +57,7 @@
 }
 
 // lose plays a run that takes some time and ends with its upstream.
-func (w *world) lose(b *Table, s Subject, upstream string, took time.Duration) {
+func (w *world) lose(b *Table, s Subject, upstream hollowgrade.Life, took time.Duration) {
 	w.t.Helper()
 	l := b.Begin(s.Fingerprint)
 	require.True(w.t, l.Granted)
@@ -68,6 +68,11 @@
 	w.clock.Advance(time.Millisecond)
 }
 
+// life names an upstream.
+func life(parts ...any) hollowgrade.Life {
+	return hollowgrade.Life(fmt.Sprint(parts...))
+}
+
 const aRun = 200 * time.Millisecond
 
 func requireHeld(t *testing.T, b *Table, s Subject, held bool) {
@@ -83,7 +88,7 @@
 		w, s := newWorld(t, 3), request(1)
 		for i := range 3 {
 			requireHeld(t, w.boxes[i], s, false)
-			w.lose(w.boxes[i], s, fmt.Sprint("u", i), aRun)
+			w.lose(w.boxes[i], s, life("u", i), aRun)
 			w.spread()
 		}
 		for _, b := range w.boxes {
@@ -94,7 +99,7 @@
 	t.Run("say nothing of its neighbours", func(t *testing.T) {
 		w, s := newWorld(t, 1), request(1)
 		for i := range 3 {
-			u := fmt.Sprint("u", i)
+			u := life("u", i)
 			for n := range 9 {
 				w.boxes[0].Lost(Loss{Subject: request(100*i + n + 2), Upstream: u, Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now().Add(time.Millisecond)})
 			}
@@ -110,14 +115,14 @@
 		sent := w.clock.Now()
 		w.clock.Advance(aRun)
 		for i := range 10 { // ten copies at once, and a rack that is lost
-			w.boxes[0].Lost(Loss{Subject: s, Upstream: fmt.Sprint("u", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
+			w.boxes[0].Lost(Loss{Subject: s, Upstream: life("u", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
 		}
 		requireHeld(t, w.boxes[0], s, false)
 	})
 	t.Run("are none if one was answered between", func(t *testing.T) {
 		w, s := newWorld(t, 2), request(1)
 		for i := range 20 {
-			w.lose(w.boxes[0], s, fmt.Sprint("u", i), aRun)
+			w.lose(w.boxes[0], s, life("u", i), aRun)
 			if i%2 == 1 {
 				w.spread()
 				w.boxes[1].Answered(s.Fingerprint)
@@ -131,10 +136,10 @@
 		w, s := newWorld(t, 1), request(1)
 		for i := range 3 {
 			for n := range 2 {
-				w.boxes[0].Lost(Loss{Subject: request(100*i + n + 2), Upstream: fmt.Sprint("other", i, n), Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now().Add(time.Millisecond)})
+				w.boxes[0].Lost(Loss{Subject: request(100*i + n + 2), Upstream: life("other", i, n), Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now().Add(time.Millisecond)})
 				w.clock.Advance(time.Second)
 			}
-			w.lose(w.boxes[0], s, fmt.Sprint("u", i), aRun)
+			w.lose(w.boxes[0], s, life("u", i), aRun)
 		}
 		w.clock.Advance(settle)
 		l := w.boxes[0].Begin(s.Fingerprint)
@@ -145,9 +150,9 @@
 		w, s := newWorld(t, 1), request(1)
 		for i := range 3 {
 			for n := range 5 {
-				w.boxes[0].Lost(Loss{Subject: request(100*i + n + 2), Upstream: fmt.Sprint("other", i, n), Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now().Add(aRun)})
+				w.boxes[0].Lost(Loss{Subject: request(100*i + n + 2), Upstream: life("other", i, n), Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now().Add(aRun)})
 			}
-			w.lose(w.boxes[0], s, fmt.Sprint("u", i), aRun)
+			w.lose(w.boxes[0], s, life("u", i), aRun)
 			w.clock.Advance(11 * time.Second)
 		}
 		requireHeld(t, w.boxes[0], s, false)
@@ -183,7 +188,7 @@
 		for i := range 3 {
 			require.False(t, w.boxes[0].Begin(s.Fingerprint).Trial)
 			w.clock.Advance(2 * together)
-			w.boxes[0].Lost(Loss{Subject: s, Upstream: fmt.Sprint("u", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
+			w.boxes[0].Lost(Loss{Subject: s, Upstream: life("u", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
 		}
 		require.True(t, w.boxes[0].Begin(s.Fingerprint).Trial)
 		require.False(t, w.boxes[0].Begin(s.Fingerprint).Granted)
@@ -203,7 +208,7 @@
 // hold lets a request be held at a gateway.
 func (w *world) hold(b *Table, s Subject) {
 	for i := range lossesToHold {
-		w.lose(b, s, fmt.Sprint("u", i), aRun)
+		w.lose(b, s, life("u", i), aRun)
 	}
 	requireHeld(w.t, b, s, true)
 }
--- /dev/null
+++ b/upstream.go
@@ -0,0 +1,23 @@
+package hollowgrade
+
+import "strconv"
+
+// Life names one life of an upstream. An upstream that starts again under its id holds and knows
+// nothing of before, so what is known of one life says nothing of the next. It is a text, so that gateways
+// tell it to each other as they would an id.
+type Life string
+
+// lifeMark stands between the id and the start of a life, and startBase is the base that the start,
+// in Unix milliseconds, is written in: eight digits.
+const (
+	lifeMark  = "#"
+	startBase = 36
+)
+
+// Life returns the name of the upstream's present life: the id alone if it does not tell its start.
+func (u Upstream) Life() Life {
+	if u.Born == 0 {
+		return Life(u.ID)
+	}
+	return Life(u.ID + lifeMark + strconv.FormatInt(u.Born, startBase))
+}
