core, platform: a connection that breaks speaks against a request only if its upstream has ended; time that counts suspensions

A broken connection was taken for an ended upstream. They are looked at now: one that still takes connections has not ended. TestConnectionsThatBreakAreLookedInto. Also: WorldClock counts the time for which the machine was suspended; ages, keys, leases, views and deadlines go by it, calls under way are ended in time, each suspension has a line. Ruled out: the time of day (it steps), a look at each reading of the clock (a system call; one each 20 ms, and before keys, answers to peers and leases are judged).

--- a/agent/keeper.go
+++ b/agent/keeper.go
@@ -263,7 +263,7 @@
 // mark that only this process can make, so nothing need be remembered of it
 // before it is claimed.
 func (k *Keeper) Mint() string {
-	n := strconv.FormatInt(k.clock.Now().Add(k.times.Window/2).UnixNano(), 36) + "-" + uuid.NewString()
+	n := strconv.FormatInt(hollowgrade.WallTime(k.clock).Add(k.times.Window/2).UnixNano(), 36) + "-" + uuid.NewString()
 	return ledger.MintedKey(k.box, k.incarnation, n+"-"+k.mark(n))
 }
 
--- a/core/core.go
+++ b/core/core.go
@@ -55,6 +55,7 @@
 type Core struct {
 	exchanger hollowgrade.Exchanger
 	reserver  hollowgrade.Reserver
+	prober    hollowgrade.Prober   // nil if each connection that breaks counts as the end of its upstream
 	reporter  hollowgrade.Reporter // nil if upstreams are not asked how fast they are
 	asks      atomic.Int32         // that are under way
 	clock     hollowgrade.Clock
@@ -73,6 +74,8 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window // by service
+	flows   map[*flow]context.CancelCauseFunc
+	endings map[hollowgrade.Life]*ending
 }
 
 // Observation is one call that has ended, for metrics.
@@ -131,6 +134,12 @@
 	return func(c *Core) { c.reporter = r }
 }
 
+// WithProber lets upstreams be looked at whose connections broke. Without it each of these counts as the
+// end of its upstream.
+func WithProber(p hollowgrade.Prober) Option {
+	return func(c *Core) { c.prober = p }
+}
+
 // WithProcesses sets how the number of processes is known that share the
 // upstreams and the retry budget, this one among them.
 func WithProcesses(f func() int) Option {
@@ -155,6 +164,8 @@
 		outdated:  func() time.Duration { return 0 },
 		processes: func() int { return 1 },
 		budgets:   map[string]*retry.Window{},
+		flows:     map[*flow]context.CancelCauseFunc{},
+		endings:   map[hollowgrade.Life]*ending{},
 	}
 	c.SetBounds(DefaultBounds())
 	for _, o := range os {
@@ -256,15 +267,45 @@
 	// on the clock of the process, which tests replace.
 	ctx, cancel := context.WithTimeoutCause(ctx, left+answerGrace, errOutOfTime)
 	defer cancel()
+	ctx, end := c.follow(ctx, f)
+	defer end()
 	f.budget = c.budget(f.service.Name)
 	f.budget.First(c.clock.Now())
 	a := Attempts{Clock: c.clock, Max: f.route.MaxAttempts, Deadline: f.deadline}
 	return f.finish(a.Run(ctx, f))
 }
 
+// follow lets a call be ended by [Core.Resume] until it is over.
+func (c *Core) follow(ctx context.Context, f *flow) (_ context.Context, end func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.flows[f] = cancel
+	return ctx, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.flows, f)
+		cancel(nil)
+	}
+}
+
+// Resume is called when the machine was suspended. Timers were late by that, so that calls would be held
+// beyond their time; their times are set anew.
+func (c *Core) Resume() {
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for f, cancel := range c.flows {
+		left := max(f.deadline.Sub(now)+answerGrace, 0)
+		c.clock.AfterFunc(left, func() { cancel(errOutOfTime) })
+	}
+	c.log.Info("times of calls set anew", "calls", len(c.flows), "why", "the machine was suspended")
+}
+
 // admit finds the route, the organisation and the service of a call, or refuses
 // it.
 func (c *Core) admit(f *flow) error {
+	hollowgrade.Notice(c.clock)
 	f.catalog = c.catalog.Load()
 	if f.catalog == nil {
 		return fault.New(fault.NoConfiguration, "no configuration has been read yet").WithRetryAfter(shortRetry)
--- a/core/harm.go
+++ b/core/harm.go
@@ -16,6 +16,8 @@
 // 1.5 s, one such request ten times a second ended 100 of them in 8 s and left 0.520 of fifty other
 // calls a second served (TestRequestThatEndsUpstreams).
 
+// Only upstreams that ended count: connections break for other reasons as well (core/ending.go).
+
 // held is the answer to a call whose request is held, or under way alone.
 func (f *flow) held(l quarantine.Leave) *fault.Error {
 	if l.Hold.Since.IsZero() {
@@ -48,14 +50,25 @@
 	case err == nil, errors.As(err, &x) && x.Code == fault.UpstreamFailed:
 		f.core.lost.Answered(f.fingerprint)
 	case connectionLost(err):
-		f.core.lost.Lost(quarantine.Loss{
-			Subject:  f.subject(),
-			Upstream: a.pick.upstream().Life(),
-			Engines:  1 + len(a.pick.helpers),
-			Sent:     a.sent,
-			Lost:     f.core.clock.Now(),
-		})
+		f.noteLoss(a, f.core.clock.Now())
+	}
+}
+
+// noteLoss tells that a run was lost if its upstream has ended. A request that was lost before waits for
+// that, so that no further run of it begins meanwhile.
+func (f *flow) noteLoss(a *attempt, at time.Time) {
+	u := a.pick.upstream()
+	l := quarantine.Loss{Subject: f.subject(), Upstream: u.Life(), Engines: 1 + len(a.pick.helpers), Sent: a.sent, Lost: at}
+	note := func() {
+		if f.core.ended(u, f.call.ID) {
+			f.core.lost.Lost(l)
+		}
+	}
+	if f.core.lost.Knows(f.fingerprint) {
+		note()
+		return
 	}
+	go note()
 }
 
 // connectionLost reports whether an attempt ended since the connection to its upstream did, as when
--- a/core/harm_test.go
+++ b/core/harm_test.go
@@ -74,6 +74,71 @@
 	}
 }
 
+// stillThere implements [hollowgrade.Prober] for upstreams that go on.
+type stillThere struct{ looks int }
+
+func (s *stillThere) Takes(context.Context, hollowgrade.Upstream) (bool, error) {
+	s.looks++
+	return true, nil
+}
+
+// gone implements it for upstreams that have ended, and of which some say nothing at all.
+type gone struct{ silent bool }
+
+func (g gone) Takes(ctx context.Context, _ hollowgrade.Upstream) (bool, error) {
+	if !g.silent {
+		return false, nil
+	}
+	<-ctx.Done()
+	return false, ctx.Err()
+}
+
+func TestConnectionsThatBreakAreLookedInto(t *testing.T) {
+	play := func(t *testing.T, p hollowgrade.Prober) *Core {
+		t.Helper()
+		c := newCore(&fakeUpstreams{replies: []reply{afterAWhile(broken)}}, WithProber(p))
+		for i := range 6 {
+			k := call("/again/")
+			k.ID, k.Arrived = fmt.Sprint(i), time.Now()
+			_ = c.Serve(context.Background(), k, &fakeSink{})
+			time.Sleep(apart)
+		}
+		return c
+	}
+	t.Run("those of upstreams that go on speak against no request", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := &stillThere{}
+			require.Zero(t, play(t, p).Quarantine().Size())
+			require.Positive(t, p.looks)
+		})
+	})
+	t.Run("those of upstreams that ended do", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			require.Len(t, play(t, gone{}).Quarantine().Holds(), 1)
+		})
+	})
+	t.Run("and those of upstreams that say nothing", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			require.Len(t, play(t, gone{silent: true}).Quarantine().Holds(), 1)
+		})
+	})
+	t.Run("one look is enough for all calls that were lost with an upstream", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := &stillThere{}
+			c := newCore(&fakeUpstreams{}, WithProber(p))
+			u := hollowgrade.Upstream{ID: "u1"}
+			for range 20 {
+				go c.ended(u, "r")
+			}
+			synctest.Wait()
+			require.Equal(t, 1, p.looks)
+			time.Sleep(2 * probedFor)
+			c.ended(u, "r")
+			require.Equal(t, 2, p.looks)
+		})
+	})
+}
+
 func TestRequestsAreNotHeld(t *testing.T) {
 	for name, c := range map[string]struct {
 		path   string
--- /dev/null
+++ b/core/suspend_test.go
@@ -0,0 +1,103 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fault"
+)
+
+// suspendable is a machine that can be suspended, in virtual time.
+type suspendable struct {
+	started time.Time
+	lost    time.Duration
+	*hollowgrade.WorldClock
+}
+
+func newSuspendable() *suspendable {
+	s := &suspendable{started: time.Now()}
+	s.WorldClock = hollowgrade.NewWorldClock(hollowgrade.WithBootClock(func() (time.Duration, error) {
+		return time.Since(s.started) + s.lost, nil
+	}))
+	return s
+}
+
+// suspend stops the machine for a while: no time passes on its steady clock.
+func (s *suspendable) suspend(d time.Duration) {
+	s.lost += d
+}
+
+// core returns a core on the machine, with the age of a configuration that was confirmed just now.
+func (s *suspendable) core(f *fakeUpstreams) *Core {
+	confirmed := s.Now()
+	c := newCore(f, WithClock(s.WorldClock), WithAge(func() (time.Duration, bool) { return s.Since(confirmed), true }))
+	s.Watch(func(time.Duration) { c.Resume() })
+	return c
+}
+
+func (s *suspendable) call(path string) hollowgrade.Call {
+	k := call(path)
+	k.Arrived = s.Now()
+	return k
+}
+
+func TestMachineThatIsSuspended(t *testing.T) {
+	t.Run("takes no key for good that may have been revoked meanwhile", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s, f := newSuspendable(), &fakeUpstreams{replies: []reply{status(200, "yes")}}
+			c := s.core(f)
+			require.NoError(t, c.Serve(context.Background(), s.call("/again/"), &fakeSink{}))
+			s.suspend(10 * time.Second)
+			err := c.Serve(context.Background(), s.call("/again/"), &fakeSink{})
+			requireFault(t, fault.As(err, hollowgrade.Unknown), fault.StaleConfig, hollowgrade.NotRun)
+			require.Len(t, f.sendings(), 1)
+		})
+	})
+	t.Run("ends calls whose time has passed meanwhile", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s, f := newSuspendable(), &fakeUpstreams{replies: []reply{mute}}
+			c := s.core(f)
+			begin := time.Now()
+			go func() {
+				time.Sleep(time.Second)
+				s.suspend(10 * time.Second)
+				hollowgrade.Notice(s.WorldClock)
+			}()
+			err := c.Serve(context.Background(), s.call("/single/"), &fakeSink{})
+			requireFault(t, fault.As(err, hollowgrade.Unknown), fault.DeadlinePassed, hollowgrade.Unknown)
+			require.Less(t, time.Since(begin), 1500*time.Millisecond, "on the steady clock; its caller waited for 5 s")
+			require.Empty(t, c.flows)
+		})
+	})
+	t.Run("ends others in time, no later than they would have", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s, f := newSuspendable(), &fakeUpstreams{replies: []reply{mute}}
+			c := s.core(f)
+			begin := s.Now()
+			go func() {
+				time.Sleep(time.Second)
+				s.suspend(2 * time.Second)
+				hollowgrade.Notice(s.WorldClock)
+			}()
+			err := c.Serve(context.Background(), s.call("/single/"), &fakeSink{})
+			requireFault(t, fault.As(err, hollowgrade.Unknown), fault.DeadlinePassed, hollowgrade.Unknown)
+			require.InDelta(t, 5, s.Since(begin).Seconds(), 0.2)
+		})
+	})
+	t.Run("trusts no load that others told before", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s, f := newSuspendable(), &fakeUpstreams{replies: []reply{status(200, "yes")}}
+			c := s.core(f)
+			c.Fleet().TakeView("b", map[hollowgrade.Life]Share{"u1": {Open: 5}}, true)
+			s.suspend(10 * time.Second)
+			hollowgrade.Notice(s.WorldClock)
+			_ = c.Serve(context.Background(), s.call("/public/"), &fakeSink{})
+			require.Zero(t, c.Fleet().Heard())
+		})
+	})
+}
--- a/exchange.go
+++ b/exchange.go
@@ -83,6 +83,13 @@
 	Report(ctx context.Context, u Upstream) (UpstreamReport, error)
 }
 
+// Prober tells whether upstreams are there.
+type Prober interface {
+	// Takes reports whether the upstream still takes connections. An error means that it
+	// could not be told, as when nothing answers.
+	Takes(ctx context.Context, u Upstream) (bool, error)
+}
+
 // ErrNotSent is in the chain of the error of [Exchanger.Open] when nothing of
 // the call has left, so that the upstream cannot have run it.
 var ErrNotSent = errors.New("nothing was sent")
--- a/feed/excerpt.go
+++ b/feed/excerpt.go
@@ -29,6 +29,7 @@
 // excerptFrom returns the newest records from an offset on, as many as one answer
 // holds. Ok is false when the view has never been complete.
 func (f *Feed) excerptFrom(from int64) (p excerpt, ok bool) {
+	hollowgrade.Notice(f.clock) // peers take the age that is told here for what they know themselves
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.fresh.IsZero() {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -193,6 +193,7 @@
 
 // Age returns how long ago that moment was, and false if there is none.
 func (f *Feed) Age() (time.Duration, bool) {
+	hollowgrade.Notice(f.clock) // a key that was revoked while the machine was suspended must not seem good
 	t := f.Fresh()
 	return f.clock.Since(t), !t.IsZero()
 }
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -43,6 +43,7 @@
 	k := agent.NewKeeper(b.Box.Name, b.Incarnation, keyTimes(c), b.clock, g, p, b.follower, d.Agents, dialer(t))
 	os := []agent.Option{
 		agent.WithLogger(g),
+		agent.WithClock(b.clock),
 		agent.WithLimits(agentLimits(c)),
 		agent.WithQueue(queue(c.Order)),
 		agent.WithKeys(k),
--- a/internal/node/entries_test.go
+++ b/internal/node/entries_test.go
@@ -71,7 +71,9 @@
 			s.store.Put("keyed.held", key, []byte(v))
 		}
 		before := g.unused.Load()
-		require.Eventually(t, func() bool { return g.unused.Load() >= before && strings.Count(g.log.String(), `"msg":"held request not used"`) == 3 }, 20*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool {
+			return g.unused.Load() >= before && strings.Count(g.log.String(), `"msg":"held request not used"`) == 3
+		}, 20*time.Second, time.Millisecond)
 		require.Empty(t, g.Core.Quarantine().Holds())
 	})
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -44,6 +44,7 @@
 	d := directory(c.Common)
 	e := entry.New(b.Box, b.Incarnation, l, d.Agents,
 		entry.WithLogger(g),
+		entry.WithClock(b.clock),
 		entry.WithDialer(dialer(t)),
 		entry.WithLimits(entryLimits(c)),
 		entry.WithPlacement(placement(c.Placement)),
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -85,25 +85,28 @@
 	}
 	s := platform.NewStore(c.Store)
 	n = &GatewayNode{Node: b, unused: new(atomic.Int64)}
-	n.members = newMembers(c, s.Members(), g, n.unused)
+	n.members = newMembers(c, s.Members(), b.clock, g, n.unused)
 	n.settings.Store(&c)
-	relay := feed.NewRelay(c.PeerAddress(), n.members.addresses, feed.WithRelayLogger(g), feed.WithPlaces(n.members.place))
-	n.config = feed.New(configFeed, s.Config(), feed.WithLogger(g), feed.WithWait(c.ReadWait()),
+	relay := feed.NewRelay(c.PeerAddress(), n.members.addresses, feed.WithRelayLogger(g), feed.WithRelayClock(b.clock), feed.WithPlaces(n.members.place))
+	n.config = feed.New(configFeed, s.Config(), feed.WithLogger(g), feed.WithClock(b.clock), feed.WithWait(c.ReadWait()),
 		feed.WithReader(relay.ReadsLarge), feed.WithAccess(relay.Access()), feed.WithMaxValue(c.ConfigMaxBytes))
-	fleet := feed.New(fleetFeed, s.Workers(), feed.WithLogger(g), feed.WithWait(c.FleetWait), feed.WithReader(relay.Reads), feed.WithAccess(relay.Access()))
-	others := feed.New(membersFeed, s.Members(), feed.WithLogger(g), feed.WithWait(c.MembersWait), feed.WithReader(relay.Reads), feed.WithAccess(relay.Access()))
-	n.held = feed.New(heldFeed, s.Held(), feed.WithLogger(g), feed.WithWait(c.MembersWait), feed.WithReader(relay.Reads), feed.WithAccess(relay.Access()))
+	fleet := feed.New(fleetFeed, s.Workers(), feed.WithLogger(g), feed.WithClock(b.clock), feed.WithWait(c.FleetWait), feed.WithReader(relay.Reads), feed.WithAccess(relay.Access()))
+	others := feed.New(membersFeed, s.Members(), feed.WithLogger(g), feed.WithClock(b.clock), feed.WithWait(c.MembersWait), feed.WithReader(relay.Reads), feed.WithAccess(relay.Access()))
+	n.held = feed.New(heldFeed, s.Held(), feed.WithLogger(g), feed.WithClock(b.clock), feed.WithWait(c.MembersWait), feed.WithReader(relay.Reads), feed.WithAccess(relay.Access()))
 	n.state = n.configState
 	w := platform.NewWorkers()
 	n.Core = core.New(w, w,
 		core.WithLogger(g),
+		core.WithClock(b.clock),
 		core.WithBox(c.Box),
 		core.WithReporter(w),
+		core.WithProber(w),
 		core.WithBounds(bounds(c)),
 		core.WithAge(n.config.Age),
 		core.WithOutdated(n.config.Outdated),
 		core.WithProcesses(n.members.count),
 		core.WithObserver(func(o core.Observation) { b.sample(callSample(o)) }))
+	b.clock.Watch(func(time.Duration) { n.Core.Resume() })
 	n.config.Watch(n.takeConfig)
 	fleet.Watch(n.takeFleet)
 	others.Watch(n.members.take)
@@ -113,7 +116,7 @@
 	relay.Add(shared...)
 	n.taker = loadview.NewTaker(n.Core.Fleet())
 	n.taker.TakeWords(n.Core.Quarantine())
-	share := []loadview.Option{loadview.WithLogger(g), loadview.WithQuarantine(n.Core.Quarantine())}
+	share := []loadview.Option{loadview.WithLogger(g), loadview.WithClock(b.clock), loadview.WithQuarantine(n.Core.Quarantine())}
 	if c.Peers != "" {
 		p, err := peer.ListenPackets(c.Peers)
 		if err != nil {
@@ -156,7 +159,7 @@
 	}
 	front := platform.NewFront(n.Core, n.limits, n.clock, g)
 	n.callers = callers.New(netutil.LimitListener(l, c.MaxConnections), front,
-		callers.WithLogger(g), callers.WithLinger(c.Linger), callers.WithLimits(n.connLimits), callers.WithOpening(n.awaitOpen))
+		callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(c.Linger), callers.WithLimits(n.connLimits), callers.WithOpening(n.awaitOpen))
 	l, err = listen(c.Readiness)
 	if err != nil {
 		return err
@@ -330,6 +333,10 @@
 		n.metrics.Gauge("hollowgrade.slow_upstreams", "Upstreams that are known to take longer than published.", func() float64 {
 			return float64(n.Core.Fleet().Slow())
 		}),
+		n.metrics.Gauge("hollowgrade.suspended", "Seconds for which the machine was suspended since the start.", func() float64 {
+			_, all := n.clock.Suspensions()
+			return all.Seconds()
+		}),
 		n.metrics.Gauge("hollowgrade.records_not_used", "Records of the store since the start that could not be used; the log has a line for each.", func() float64 {
 			return float64(n.unused.Load())
 		}),
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -69,13 +69,13 @@
 	return m, nil
 }
 
-func newMembers(c setting.Gateway, t hollowgrade.Topic, g *log.Logger, unused *atomic.Int64) *members {
+func newMembers(c setting.Gateway, t hollowgrade.Topic, k hollowgrade.Clock, g *log.Logger, unused *atomic.Int64) *members {
 	m := &members{
 		box:     c.Box,
 		own:     member{Peers: c.PeerAddress(), Hall: c.Hall, Link: c.LinkMbps},
 		seeds:   c.Seeds,
 		topic:   t,
-		clock:   hollowgrade.SystemClock(),
+		clock:   k,
 		log:     g,
 		unused:  unused,
 		missing: make(chan struct{}, 1),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,12 +46,16 @@
 	recorder    *measure.Recorder
 	metrics     *measure.Metrics
 	log         *log.Logger
-	clock       hollowgrade.Clock
+	clock       *hollowgrade.WorldClock
 }
 
 // base makes what all roles share.
 func base(r hollowgrade.Role, c setting.Process, g *log.Logger) (n *Node, err error) {
-	k := hollowgrade.SystemClock()
+	k := hollowgrade.NewWorldClock()
+	k.Watch(func(d time.Duration) {
+		n, all := k.Suspensions()
+		g.Warn("machine was suspended", "for_ms", d.Milliseconds(), "suspensions", n, "all_ms", all.Milliseconds())
+	})
 	m, err := measure.NewMetrics()
 	if err != nil {
 		return nil, err
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -52,12 +52,15 @@
 	By           string             `json:"by"`
 }
 
-func encodeHold(h quarantine.Hold) ([]byte, error) {
-	return json.Marshal(heldRecord{h.Organisation, h.Route, h.Service, h.Since.UnixMilli(), h.Until.UnixMilli(), h.Losses, h.Odds, h.Upstreams, h.By})
+// encodeHold encodes a record. Its moments are written as times of day.
+func encodeHold(h quarantine.Hold, now, wall time.Time) ([]byte, error) {
+	ms := func(t time.Time) int64 { return wall.Add(t.Sub(now)).UnixMilli() }
+	return json.Marshal(heldRecord{h.Organisation, h.Route, h.Service, ms(h.Since), ms(h.Until), h.Losses, h.Odds, h.Upstreams, h.By})
 }
 
-// decodeHold decodes a record. The moments are put on this process's steady clock.
-func decodeHold(key string, v []byte, now time.Time) (h quarantine.Hold, err error) {
+// decodeHold decodes a record. Its moments are of the time of day and are put on this process's clock, on which
+// it is now.
+func decodeHold(key string, v []byte, now, wall time.Time) (h quarantine.Hold, err error) {
 	defer errs.Annotate(&err, "decode the held request %s", key)
 	f, err := hollowgrade.ParseFingerprint(key)
 	if err != nil {
@@ -70,7 +73,7 @@
 	if r.Since <= 0 || r.Until <= r.Since || r.Losses <= 0 {
 		return h, errors.New("since, until or losses is missing")
 	}
-	on := func(ms int64) time.Time { return now.Add(time.UnixMilli(ms).Sub(now)) }
+	on := func(ms int64) time.Time { return now.Add(time.UnixMilli(ms).Sub(wall)) }
 	return quarantine.Hold{
 		Subject:   quarantine.Subject{Fingerprint: f, Organisation: r.Organisation, Route: r.Route, Service: r.Service},
 		Since:     on(r.Since),
@@ -96,7 +99,7 @@
 func (k *keeper) keep(ctx context.Context) (err error) {
 	todo := k.table.ToKeep()
 	for _, h := range todo.Save {
-		v, err := encodeHold(h)
+		v, err := encodeHold(h, k.clock.Now(), hollowgrade.WallTime(k.clock))
 		if err != nil {
 			return err
 		}
@@ -122,7 +125,7 @@
 
 // take takes changes of the topic. What cannot be read holds nothing, and leaves the others.
 func (k *keeper) take(cs []feed.Change) {
-	now := k.clock.Now()
+	now, wall := k.clock.Now(), hollowgrade.WallTime(k.clock)
 	for _, c := range cs {
 		if c.Dropped() {
 			if f, err := hollowgrade.ParseFingerprint(c.Key); err == nil {
@@ -130,7 +133,7 @@
 			}
 			continue
 		}
-		h, err := decodeHold(c.Key, c.Value, now)
+		h, err := decodeHold(c.Key, c.Value, now, wall)
 		if err != nil {
 			k.unused.Add(1)
 			k.log.Error("held request not used", "key", fmt.Sprintf("%.64q", c.Key), "offset", c.Offset, "err", err)
@@ -164,8 +167,10 @@
 func (k *keeper) serve(r *mux.Router) {
 	r.HandleFunc(QuarantinePath, func(w http.ResponseWriter, _ *http.Request) {
 		hs := []HeldRequest{}
+		now, wall := k.clock.Now(), hollowgrade.WallTime(k.clock)
+		day := func(t time.Time) time.Time { return wall.Add(t.Sub(now)) }
 		for _, h := range k.table.Holds() {
-			hs = append(hs, HeldRequest{h.Fingerprint.String(), h.Organisation, h.Route, h.Service, h.Since, h.Until, h.Losses, h.Odds, h.Upstreams, h.By})
+			hs = append(hs, HeldRequest{h.Fingerprint.String(), h.Organisation, h.Route, h.Service, day(h.Since), day(h.Until), h.Losses, h.Odds, h.Upstreams, h.By})
 		}
 		writeJSON(w, hs)
 	}).Methods(http.MethodGet)
--- a/loadview/taker.go
+++ b/loadview/taker.go
@@ -49,7 +49,7 @@
 // each part says when it was so.
 func (t *Taker) suspicions(m *wire.LoadView) {
 	if m.Suspicions != nil && t.words != nil {
-		t.words.Take(m.Box, decodeWord(m.Suspicions, time.Now()))
+		t.words.Take(m.Box, decodeWord(m.Suspicions, t.words.Now()))
 	}
 }
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -87,6 +87,11 @@
 	return t
 }
 
+// Now returns the time on the table's clock.
+func (t *Table) Now() time.Time {
+	return t.clock.Now()
+}
+
 // Leave says whether a request may be sent to an upstream.
 type Leave struct {
 	Granted bool
@@ -178,6 +183,13 @@
 	return hs
 }
 
+// Knows reports whether a request is remembered.
+func (t *Table) Knows(f hollowgrade.Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.records[f] != nil
+}
+
 // Size returns how many requests are remembered.
 func (t *Table) Size() int {
 	t.mu.Lock()
--- /dev/null
+++ b/worldclock.go
@@ -0,0 +1,163 @@
+package hollowgrade
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// noticeEvery is how often a world clock looks whether the machine was suspended while it is asked
+	// for the time: each look is a system call. What must not be late by that looks itself, with [Notice].
+	noticeEvery = 20 * time.Millisecond
+	// leastSuspension is the shortest difference between the two clocks that counts as a suspension. They
+	// are read one after the other, by a process that may be held up between the two for less than readWithin.
+	leastSuspension = 50 * time.Millisecond
+	readWithin      = 5 * time.Millisecond
+	// readTries bounds how often they are read until that is so; the next look does.
+	readTries = 3
+)
+
+// WorldClock is a clock for what passes in the world: also the time counts for which the machine was
+// suspended, which the steady clock leaves out. Timers run on the steady clock, so that those which
+// were set before a suspension are late by it; whoever decides by time asks the clock. Steps of
+// the time of day change nothing on it.
+type WorldClock struct {
+	clockwork.Clock
+	boot func() (time.Duration, error) // time since the machine started, with suspensions
+
+	mu        sync.Mutex
+	started   time.Time
+	base      time.Duration // boot when the clock was made
+	suspended time.Duration // in all, as far as it was noticed
+	count     int
+	looked    time.Time // on the steady clock
+	watchers  []func(d time.Duration)
+}
+
+// WorldClockOption changes a world clock as it is made.
+type WorldClockOption func(*WorldClock)
+
+// WithSteadyClock sets the clock that timers run on.
+func WithSteadyClock(c Clock) WorldClockOption {
+	return func(w *WorldClock) { w.Clock = c }
+}
+
+// WithBootClock sets how long ago the machine started, with the time for which it was suspended.
+func WithBootClock(f func() (time.Duration, error)) WorldClockOption {
+	return func(w *WorldClock) { w.boot = f }
+}
+
+// NewWorldClock returns a clock that has seen no suspension yet.
+func NewWorldClock(os ...WorldClockOption) *WorldClock {
+	w := &WorldClock{Clock: SystemClock(), boot: bootTime}
+	for _, o := range os {
+		o(w)
+	}
+	w.started, w.base, _ = w.read()
+	w.looked = w.started
+	return w
+}
+
+// bootTime returns how long ago the machine started, with the time for which it was suspended.
+func bootTime() (time.Duration, error) {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0, err
+	}
+	return time.Duration(t.Nano()), nil
+}
+
+// Watch adds a function that is told of each suspension, and for how long it was. It is called by
+// whoever notices it, before anything is decided.
+func (w *WorldClock) Watch(f func(d time.Duration)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.watchers = append(w.watchers, f)
+}
+
+// Suspensions returns how many suspensions were noticed, and their time in all.
+func (w *WorldClock) Suspensions() (n int, all time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.count, w.suspended
+}
+
+// Now implements [Clock].
+func (w *WorldClock) Now() time.Time {
+	now := w.Clock.Now()
+	w.mu.Lock()
+	due := now.Sub(w.looked) >= noticeEvery
+	all := w.suspended
+	w.mu.Unlock()
+	if due {
+		all = w.Notice()
+	}
+	return now.Add(all)
+}
+
+// Since implements [Clock].
+func (w *WorldClock) Since(t time.Time) time.Duration {
+	return w.Now().Sub(t)
+}
+
+// Until implements [Clock].
+func (w *WorldClock) Until(t time.Time) time.Duration {
+	return t.Sub(w.Now())
+}
+
+// Notice looks whether the machine was suspended since the last look, and returns for how long it
+// was in all.
+func (w *WorldClock) Notice() time.Duration {
+	now, boot, ok := w.read()
+	w.mu.Lock()
+	w.looked = now
+	d := boot - w.base - now.Sub(w.started) - w.suspended
+	if !ok || d < leastSuspension {
+		defer w.mu.Unlock()
+		return w.suspended
+	}
+	w.suspended += d
+	w.count++
+	all, fs := w.suspended, w.watchers
+	w.mu.Unlock()
+	for _, f := range fs {
+		f(d)
+	}
+	return all
+}
+
+// read reads both clocks as at one moment. It returns false if it was held up in between, or the
+// machine doesn't tell.
+func (w *WorldClock) read() (now time.Time, boot time.Duration, ok bool) {
+	for range readTries {
+		now = w.Clock.Now()
+		b, err := w.boot()
+		if err != nil {
+			return now, 0, false
+		}
+		if w.Clock.Since(now) <= readWithin {
+			return now, b, true
+		}
+		boot = b
+	}
+	return now, boot, false
+}
+
+// Notice lets a clock look whether the machine was suspended, if it can tell. What is decided by the
+// age of something asks for it first.
+func Notice(c Clock) {
+	if w, ok := c.(*WorldClock); ok {
+		w.Notice()
+	}
+}
+
+// WallTime returns the time of day, for what others read.
+func WallTime(c Clock) time.Time {
+	if w, ok := c.(*WorldClock); ok {
+		return w.Clock.Now()
+	}
+	return c.Now()
+}
--- /dev/null
+++ b/worldclock_test.go
@@ -0,0 +1,112 @@
+package hollowgrade
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// machine is one that can be suspended. It stands in virtual time, which is its steady clock.
+type machine struct {
+	started   time.Time
+	suspended time.Duration
+	held      time.Duration // for which the process is held up while it reads the clocks
+	err       error
+}
+
+func newMachine() *machine {
+	return &machine{started: time.Now()}
+}
+
+func (m *machine) boot() (time.Duration, error) {
+	time.Sleep(m.held)
+	return time.Since(m.started) + m.suspended, m.err
+}
+
+func TestWorldClock(t *testing.T) {
+	t.Run("counts the time for which the machine was suspended", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMachine()
+			w := NewWorldClock(WithBootClock(m.boot))
+			told := time.Duration(0)
+			w.Watch(func(d time.Duration) { told += d })
+			begin := w.Now()
+			time.Sleep(time.Second)
+			require.Equal(t, time.Second, w.Since(begin))
+			m.suspended = 7 * time.Second
+			Notice(w)
+			require.Equal(t, 8*time.Second, w.Since(begin))
+			require.Equal(t, 7*time.Second, told)
+			require.Equal(t, 2*time.Second, w.Until(begin.Add(10*time.Second)))
+			require.Equal(t, time.Second, WallTime(w).Sub(begin), "the time of day has counted it already")
+			n, all := w.Suspensions()
+			require.Equal(t, 1, n)
+			require.Equal(t, 7*time.Second, all)
+			m.suspended += time.Minute
+			time.Sleep(noticeEvery)
+			require.Equal(t, time.Minute+8*time.Second+noticeEvery, w.Since(begin), "without being asked to look")
+		})
+	})
+	t.Run("is the steady clock on one that was not", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := NewWorldClock(WithBootClock(newMachine().boot))
+			w.Watch(func(time.Duration) { t.Error("it was not suspended") })
+			begin := w.Now()
+			for range 1000 {
+				time.Sleep(7 * time.Millisecond)
+				require.Equal(t, time.Since(begin), w.Since(begin))
+			}
+		})
+	})
+	t.Run("takes no pause of the process for a suspension", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMachine()
+			w := NewWorldClock(WithBootClock(m.boot))
+			m.held = time.Second
+			Notice(w)
+			n, _ := w.Suspensions()
+			require.Zero(t, n)
+		})
+	})
+	t.Run("is the steady clock where the machine does not tell", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMachine()
+			m.err = errors.New("there is no such clock")
+			w := NewWorldClock(WithBootClock(m.boot))
+			m.suspended = time.Hour
+			Notice(w)
+			n, _ := w.Suspensions()
+			require.Zero(t, n)
+		})
+	})
+	t.Run("reads this machine's clocks", func(t *testing.T) {
+		w := NewWorldClock()
+		begin, steady := w.Now(), time.Now()
+		Notice(w)
+		require.InDelta(t, time.Since(steady).Seconds(), w.Since(begin).Seconds(), 0.02)
+	})
+}
+
+// BenchmarkWorldClock measures what reading the clock takes: 83 ns on the steady clock alone, 112 ns
+// with a look each 20 ms, 0.48 us with one each time.
+func BenchmarkWorldClock(b *testing.B) {
+	w := NewWorldClock()
+	b.Run("steady", func(b *testing.B) {
+		for b.Loop() {
+			SystemClock().Now()
+		}
+	})
+	b.Run("world", func(b *testing.B) {
+		for b.Loop() {
+			w.Now()
+		}
+	})
+	b.Run("notice", func(b *testing.B) {
+		for b.Loop() {
+			w.Notice()
+		}
+	})
+}
