--- a/feed/relay.go
+++ b/feed/relay.go
@@ -37,6 +37,10 @@
 	// reads the store itself: at once if it reaches no other process, and when its turn
 	// comes if it does, since the store is away for all of them then.
 	lostAfter = 900 * time.Millisecond
+	// lostStale is the same for one whose view is stale already. The store that turns all readers away at once is
+	// noticed by that alone, and keys are good for 4.2 s: the oldest of 103 views was 4.188 to 4.202 s old with
+	// 900 ms, and is 3.8 s old (TestReadersThatTheStoreTurnsAwayAreReplaced).
+	lostStale = 500 * time.Millisecond
 	// standInRate is how many processes a second begin to read, of all those that
 	// readers tell nothing, and how many tries they make while the store is away: a few
 	// that get an answer are enough for all. mostSpacing bounds the mean time that one of them
@@ -198,7 +202,7 @@
 func (r *Relay) standsIn(stale bool) bool {
 	silent := r.clock.Since(r.told)
 	alone := r.clock.Since(r.reached) > lostAfter
-	return silent > lostAfter && (alone || stale || silent > lostAfter+r.patience)
+	return stale && silent > lostStale || silent > lostAfter && (alone || silent > lostAfter+r.patience)
 }
 
 // Run asks peers until ctx ends.
--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +25,19 @@
 	return q
 }
 
+// sentOn adds a harmful request that reached workers some times at first, and some later than it has to be known.
+func sentOn(h *history, first, late int) {
+	for i := range first + late {
+		t := at(10)
+		if i >= first {
+			t = at(10).Add(harmfulTime + touchAfter + time.Second)
+		}
+		q := &request{id: fmt.Sprint(harmful, "-1-", i), path: "/again/" + harmful, body: harmful + "-1", sent: t, ended: t, status: 502}
+		h.requests[q.id] = q
+		h.runs = append(h.runs, run{id: q.id, worker: "w", path: q.path, body: q.body, organisation: "o", at: t})
+	}
+}
+
 // TestPlantedBreaches shows that each check finds a breach that was planted into a
 // history in which nothing else is wrong.
 func TestPlantedBreaches(t *testing.T) {
@@ -89,6 +103,15 @@
 				h.runs = append(h.runs, h.runs[0])
 			}
 		}, "BUDGET"},
+		{"harmful and sent on", func(h *history, _ *request) { sentOn(h, 3, 4) }, "BUDGET"},
+		{"harmful and sent on three times", func(h *history, _ *request) { sentOn(h, 3, 3) }, ""},
+		{"harmful and sent on at once", func(h *history, _ *request) { sentOn(h, 20, 0) }, ""},
+		{"harmful and sent on while the store is silent", func(h *history, _ *request) {
+			sentOn(h, 3, 4)
+			h.spans = []span{{what: silenceStore, from: at(12), to: at(14)}}
+		}, ""},
+		{"harmful and sent on without end", func(h *history, _ *request) { sentOn(h, 30, 0) }, "BUDGET"},
+		{"at a worker that there is not", func(h *history, _ *request) { h.runs[0].worker = "strange-1" }, "ENTRIES"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHistory()
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -70,7 +70,7 @@
 
 // check returns the promises that were broken, one line each.
 func (h *history) check() (bs []string) {
-	for _, c := range []func() []string{h.mixed, h.ranMore, h.refused, h.unasked, h.revokedRan, h.drained, h.gone, h.late, h.cut, h.budget} {
+	for _, c := range []func() []string{h.mixed, h.ranMore, h.refused, h.unasked, h.revokedRan, h.drained, h.gone, h.late, h.cut, h.budget, h.harm, h.strangers} {
 		bs = append(bs, c()...)
 	}
 	return bs
--- /dev/null
+++ b/internal/soak/harm_test.go
@@ -0,0 +1,133 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade/platform/platformtest"
+)
+
+const (
+	// harmful begins the ids of requests that end the workers which run them. Those of one
+	// step share path and body.
+	harmful      = "harm"
+	harmfulEvery = 60 * time.Millisecond // that one comes again, at any gateway
+	harmfulTime  = 50 * time.Millisecond // that a worker lives on once it runs one
+	downTime     = 700 * time.Millisecond
+	// A harmful request has to be known everywhere touchAfter the third end; these may follow
+	// it. While gateways are lost or see neither the store nor each other, each of them may find it out for itself.
+	harmfulLate = 3
+	harmfulMost = 24
+)
+
+// harm sends one harmful request again and again.
+func (w *world) harm(s step) {
+	r := rand.New(rand.NewPCG(uint64(s.which), 1))
+	t := &http.Transport{DisableKeepAlives: true}
+	name := fmt.Sprint(harmful, "-", s.at.Milliseconds())
+	for n, end := 0, time.Now().Add(s.lasts); time.Now().Before(end); n++ {
+		g := r.IntN(len(w.gates))
+		q := &request{id: fmt.Sprint(name, "-", n), path: "/again/" + name, body: name, key: "key-0", gateway: g, life: w.gates[g].lives(), sent: time.Now()}
+		w.mu.Lock()
+		w.history.requests[q.id] = q
+		w.mu.Unlock()
+		go w.send(t, q)
+		time.Sleep(harmfulEvery)
+	}
+	time.Sleep(downTime)
+}
+
+// endWorker lets a worker end with all that it has. Another takes its place, or itself, in a new life.
+func (w *world) endWorker(k *worker, again bool) {
+	w.mu.Lock()
+	if !slices.Contains(w.workers, k) {
+		w.mu.Unlock()
+		return // it has ended already
+	}
+	w.workers = slices.DeleteFunc(w.workers, func(x *worker) bool { return x == k })
+	w.mu.Unlock()
+	k.proxy.close()
+	k.Close()
+	time.Sleep(downTime)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !again {
+		w.store.Put("keyed.servers", k.ID, nil)
+		w.addWorker()
+		return
+	}
+	b := &worker{Worker: platformtest.NewWorker(k.ID, w.behave), born: time.Now()}
+	b.proxy = newProxy(w.t, b.Address())
+	w.workers = append(w.workers, b)
+	w.list(b, "ready")
+}
+
+// endIn lets the worker that answers a request end: it waits for its answers, so another has to do it.
+func (w *world) endIn(k *platformtest.Worker, again bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, x := range w.workers {
+		if x.Worker == k {
+			w.ends.Go(func() { w.endWorker(x, again) })
+		}
+	}
+}
+
+// stranger writes entries that name nothing, at a worker's address, and takes them away.
+func (w *world) stranger(s step) {
+	k := w.worker(s.which)
+	if k == nil {
+		return
+	}
+	a := k.proxy.address()
+	for i, e := range []string{
+		`{"service":"s","address":"` + a + `","zone":"z1","version":"v1","slots":4,"state":"resting","coldLeftMs":0,"callSeq":0}`,
+		`{"service":"s","address":"` + a + `","zone":"z1","version":"v1","state":"ready","coldLeftMs":0,"callSeq":0}`,
+		`{"service":"s","address":"` + a + `","zone":"z1","version":"v1","slots":4,"state":"ready","coldLeftMs":0,"callSeq":0,"born":"x"}`,
+		"\xff\xfe{", `[]`,
+	} {
+		id := fmt.Sprint("strange-", s.which, "-", i)
+		w.store.Put("keyed.servers", id, []byte(e))
+		w.store.Put("keyed.members", id, []byte(e))
+		defer w.store.Put("keyed.servers", id, nil)
+		defer w.store.Put("keyed.members", id, nil)
+	}
+	time.Sleep(s.lasts)
+}
+
+// strangers finds runs at workers that only strange entries name.
+func (h *history) strangers() []string {
+	return h.eachRun(func(r run, _ *request) string {
+		if strings.HasPrefix(r.worker, "strange") {
+			return "ENTRIES, it names no worker"
+		}
+		return ""
+	})
+}
+
+// harm finds harmful requests that are sent on after they had to be known.
+func (h *history) harm() (bs []string) {
+	at := map[string][]time.Time{} // when each of them reached workers, by body
+	for _, r := range h.runs {
+		if strings.HasPrefix(r.id, harmful) && !r.refused {
+			at[r.body] = append(at[r.body], r.at)
+		}
+	}
+	for body, ts := range at {
+		slices.SortFunc(ts, func(a, b time.Time) int { return a.Compare(b) })
+		late := 0
+		for _, t := range ts {
+			if third := ts[min(2, len(ts)-1)].Add(harmfulTime); t.After(third.Add(touchAfter)) && h.calm(third, t) {
+				late++
+			}
+		}
+		if late > harmfulLate || len(ts) > harmfulMost {
+			bs = append(bs, fmt.Sprintf("BUDGET, harmful request %s was sent %d times, %d of them late", body, len(ts), late))
+		}
+	}
+	return bs
+}
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -34,6 +34,8 @@
 	silencePeers // of one gateway, as others reach it
 	resetPeers
 	delayPeers
+	harmfulRequest // that ends the workers which run it comes again and again
+	strangeEntries // of another writer, in the registry and among gateways
 	kinds
 )
 
@@ -41,6 +43,7 @@
 	"kill gateway", "pause gateway", "stop gateway", "reload gateway", "silence store", "reset store", "store busy", "store away",
 	"store loses answers", "store forgets", "delay worker", "reset worker", "silence worker", "deafen worker", "crash worker",
 	"drain worker", "revoke key", "add route", "grow configuration", "silence peers", "reset peers", "delay peers",
+	"harmful request", "strange entries",
 }
 
 func (k kind) String() string {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -57,6 +57,7 @@
 type worker struct {
 	*platformtest.Worker
 	proxy *proxy
+	born  time.Time // of a later life under the same id
 }
 
 // world is all that a run has.
@@ -73,8 +74,9 @@
 	made    int // workers
 	version int
 	keys    []string
-	routes  []string // that were added
-	filler  int      // further routes, which nobody calls
+	routes  []string       // that were added
+	filler  int            // further routes, which nobody calls
+	ends    sync.WaitGroup // of workers that end by a request
 }
 
 func newWorld(t testing.TB, binary string, z size) *world {
@@ -105,14 +107,23 @@
 // again.
 const firstPort, lastPort = 12_000, 32_000
 
+// given has the ports that were handed out: one is free until its gateway starts, and was handed out
+// twice.
+var given = map[int]bool{}
+
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	var k net.ListenConfig
 	for range lastPort - firstPort {
-		a := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))
+		p := firstPort + rand.IntN(lastPort-firstPort)
+		a := fmt.Sprint("127.0.0.1:", p)
+		if given[p] {
+			continue
+		}
 		l, err := k.Listen(context.Background(), "tcp", a)
 		if err == nil {
 			require.NoError(t, l.Close())
+			given[p] = true
 			return a
 		}
 	}
@@ -252,6 +263,9 @@
 func (w *world) list(k *worker, state string) {
 	r := k.Record("s", state)
 	r["address"] = k.proxy.address()
+	if !k.born.IsZero() {
+		r["born"] = k.born.UnixMilli()
+	}
 	w.store.PutJSON("keyed.servers", k.ID, r)
 }
 
@@ -269,12 +283,15 @@
 	w.mu.Lock()
 	w.history.runs = append(w.history.runs, run{
 		id: id, worker: k.ID, path: r.URL.Path, body: body, organisation: r.Header.Get("Tenant"), at: time.Now(),
-		refused: luck < 3 || r.Header.Get("Expect-Instance") != k.ID, key: r.Header.Get("Authorization") != "",
+		refused: luck < 3 && !strings.HasPrefix(id, harmful) || r.Header.Get("Expect-Instance") != k.ID, key: r.Header.Get("Authorization") != "",
 	})
 	w.mu.Unlock()
 	switch {
 	case r.Header.Get("Expect-Instance") != k.ID:
 		platformtest.Misdirected(k, c, r)
+	case strings.HasPrefix(id, harmful):
+		time.Sleep(harmfulTime)
+		w.endIn(k, luck%2 == 0)
 	case luck < 3:
 		platformtest.Shed(k, c, r)
 	case luck < 5:
@@ -347,6 +364,10 @@
 	case compactStore:
 		w.store.Compact("keyed.op")
 		w.store.Compact("keyed.servers")
+	case harmfulRequest:
+		w.harm(s)
+	case strangeEntries:
+		w.stranger(s)
 	default:
 		w.applyToWorkers(s)
 	}
@@ -376,9 +397,10 @@
 }
 
 func (w *world) applyToWorkers(s step) {
-	w.mu.Lock()
-	k := w.workers[s.which%len(w.workers)]
-	w.mu.Unlock()
+	k := w.worker(s.which)
+	if k == nil {
+		return // a harmful request has ended all of them
+	}
 	switch s.what {
 	case delayWorker:
 		w.during(k.proxy, delay, s.lasts)
@@ -408,6 +430,16 @@
 	}
 }
 
+// worker returns one of the workers that there are now, or nil.
+func (w *world) worker(which int) *worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.workers) == 0 {
+		return nil
+	}
+	return w.workers[which%len(w.workers)]
+}
+
 // replace puts a new worker in the place of one that leaves.
 func (w *world) replace(k *worker) {
 	w.mu.Lock()
@@ -453,6 +485,7 @@
 	for _, g := range w.gates {
 		<-g.signal(syscall.SIGKILL)
 	}
+	w.ends.Wait()
 	w.mu.Lock()
 	ks := slices.Clone(w.workers)
 	w.mu.Unlock()
--- a/internal/spread/calls_test.go
+++ b/internal/spread/calls_test.go
@@ -106,6 +106,7 @@
 			time.Sleep(aMoment)
 			oldest = max(oldest, f.oldest())
 		}
+		t.Logf("oldest view %s", oldest)
 		require.Less(t, oldest, keysGood)
 		require.Equal(t, len(f.gateways), f.known(configOf, 1))
 	})
