--- a/core/fleet.go
+++ b/core/fleet.go
@@ -102,8 +102,8 @@
 	placed     map[string]rate                // calls that other processes have placed, by service
 	changed    map[hollowgrade.Life]bool      // upstreams whose own share changed since [Fleet.Changes]
 	notify     chan struct{}
-	peers      func() int // other processes that give work to the same upstreams
-	surveyed   time.Time  // when upstreams were asked last since one was found to be slow
+	peers      func() int           // other processes that give work to the same upstreams
+	surveyed   map[string]time.Time // when upstreams of a service were asked last since one was found to be slow
 	ask        func(us []hollowgrade.Upstream, why string)
 	chance     func() float64        // from 0 to 1
 	candidates []placement.Candidate // of the last decision, kept to be filled anew
@@ -130,6 +130,7 @@
 		views:    map[string]*view{},
 		placed:   map[string]rate{},
 		changed:  map[hollowgrade.Life]bool{},
+		surveyed: map[string]time.Time{},
 		notify:   make(chan struct{}, 1),
 		peers:    func() int { return 0 },
 		ask:      func([]hollowgrade.Upstream, string) {},
@@ -235,7 +236,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[f.lives[id]]
-	if m == nil || m.Upstream.Born == 0 || born <= m.Upstream.Born {
+	if m == nil || m.Born == 0 || born <= m.Born {
 		return
 	}
 	u := m.Upstream
@@ -342,19 +343,24 @@
 	f.change(m)
 }
 
-// Blamed returns the upstreams that engines have named as at fault to this
-// process, and for how long yet they are to be avoided.
-func (f *Fleet) Blamed() map[hollowgrade.Life]time.Duration {
+// Seen is what this process has seen of an upstream itself, beside what it gave to it.
+type Seen struct {
+	Avoid time.Duration // for how long yet it is to be avoided, since an engine named it as at fault; 0 if none did
+	Pace  PaceTold      // its word on its speed; zero if it didn't tell this process, or its word no longer holds
+}
+
+// Seen returns what this process has seen itself of the upstreams of some shares.
+func (f *Fleet) Seen(shares map[hollowgrade.Life]Share) map[hollowgrade.Life]Seen {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	bs := map[hollowgrade.Life]time.Duration{}
-	for id, m := range f.members {
-		if d := m.blamed.Sub(now); d > 0 {
-			bs[id] = d
+	ss := make(map[hollowgrade.Life]Seen, len(shares))
+	for l := range shares {
+		if m := f.members[l]; m != nil {
+			ss[l] = Seen{max(m.blamed.Sub(now), 0), m.paceTold(now)}
 		}
 	}
-	return bs
+	return ss
 }
 
 // TakeBlame takes the word of another process, by its box, that an upstream is
--- a/core/pace.go
+++ b/core/pace.go
@@ -133,10 +133,10 @@
 // survey draws this process's part of the upstreams of a service that are to be asked, at
 // most each [PaceAgain]. The lock is held.
 func (f *Fleet) survey(service string, now time.Time) (us []hollowgrade.Upstream) {
-	if now.Sub(f.surveyed) < PaceAgain {
+	if now.Sub(f.surveyed[service]) < PaceAgain {
 		return nil
 	}
-	f.surveyed = now
+	f.surveyed[service] = now
 	part := float64(surveyors) / float64(max(len(f.views), f.peers())+1)
 	for _, m := range f.usableOf(service, now) {
 		if f.askable(m, now) && f.chance() < part {
@@ -162,19 +162,14 @@
 	f.ask = ask
 }
 
-// Paces returns what engines told this process of their speed, as long as it holds. What others
+// paceTold returns what the engine told this process of its speed, as long as it holds. What others
 // have told is not told on.
-func (f *Fleet) Paces() map[hollowgrade.Life]PaceTold {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock.Now()
-	ps := map[hollowgrade.Life]PaceTold{}
-	for id, m := range f.members {
-		if age := now.Sub(m.paceWord.at); m.paceWord.own && age <= paceAge {
-			ps[id] = PaceTold{m.paceWord.pace, age}
-		}
+func (m *member) paceTold(now time.Time) PaceTold {
+	age := now.Sub(m.paceWord.at)
+	if !m.paceWord.own || age > paceAge {
+		return PaceTold{}
 	}
-	return ps
+	return PaceTold{m.paceWord.pace, age}
 }
 
 // Slow returns how many upstreams are known to be slow.
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -364,10 +364,6 @@
 	case compactStore:
 		w.store.Compact("keyed.op")
 		w.store.Compact("keyed.servers")
-	case harmfulRequest:
-		w.harm(s)
-	case strangeEntries:
-		w.stranger(s)
 	default:
 		w.applyToWorkers(s)
 	}
@@ -397,6 +393,14 @@
 }
 
 func (w *world) applyToWorkers(s step) {
+	switch s.what {
+	case harmfulRequest:
+		w.harm(s)
+		return
+	case strangeEntries:
+		w.stranger(s)
+		return
+	}
 	k := w.worker(s.which)
 	if k == nil {
 		return // a harmful request has ended all of them
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -344,7 +344,7 @@
 // view returns the body of a message.
 func (s *Sharer) view(cs map[hollowgrade.Life]core.Share, whole bool) *wire.LoadView {
 	m := &wire.LoadView{Box: s.box, Whole: whole, Sequence: s.sequence.Add(1)}
-	blamed, paces := s.fleet.Blamed(), s.fleet.Paces()
+	seen := s.fleet.Seen(cs)
 	for id, c := range cs {
 		m.Shares = append(m.Shares, &wire.LoadShare{
 			Upstream:    string(id),
@@ -352,10 +352,10 @@
 			Stakes:      encodeStakes(c.Stakes),
 			GivenMicros: c.Given.Microseconds(),
 			Tokens:      int64(c.Tokens),
-			AvoidMillis: blamed[id].Milliseconds(),
+			AvoidMillis: seen[id].Avoid.Milliseconds(),
 
-			PaceMilli:     int64(paces[id].Pace * paceUnit),
-			PaceAgeMillis: paces[id].Age.Milliseconds(),
+			PaceMilli:     int64(seen[id].Pace.Pace * paceUnit),
+			PaceAgeMillis: seen[id].Pace.Age.Milliseconds(),
 		})
 	}
 	return m
--- /dev/null
+++ b/loadview/suspicions_test.go
@@ -0,0 +1,96 @@
+package loadview
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/peer"
+	"github.com/hollowgrade/hollowgrade/quarantine"
+)
+
+// someWord returns a word with n of each kind, with names of a usual length.
+func someWord(n int, now time.Time) (w quarantine.Word) {
+	for i := range n {
+		f := hollowgrade.NewFingerprint("o", hollowgrade.Call{Target: fmt.Sprint(i)})
+		s := quarantine.Subject{Fingerprint: f, Organisation: "organisation-12", Route: "r-umqqzgd", Service: "draft-llm"}
+		u := hollowgrade.Life("i-f54a3dfbfc#mf0abcde")
+		w.Losses = append(w.Losses, quarantine.Loss{Subject: s, Upstream: u, Engines: 17, Sent: now.Add(-3 * time.Second), Lost: now.Add(-time.Second)})
+		w.Harmless = append(w.Harmless, quarantine.Harmless{Fingerprint: f, At: now})
+		w.Trials = append(w.Trials, quarantine.Trial{Fingerprint: f, At: now, Over: i%2 == 0})
+		w.Holds = append(w.Holds, quarantine.Hold{Subject: s, Since: now.Add(-time.Minute), Until: now.Add(9 * time.Minute), Losses: 3, Odds: 1e-9,
+			Upstreams: []hollowgrade.Life{u, u, u}, By: "edge-hcm-quang-trung-17"})
+	}
+	return w
+}
+
+func TestWordsOnLostRequests(t *testing.T) {
+	now := time.Now().Truncate(time.Microsecond)
+	w := someWord(100, now)
+	t.Run("are read as they are told", func(t *testing.T) {
+		require.Equal(t, w, decodeWord(encodeWord(w, now), now))
+	})
+	t.Run("fit into packets", func(t *testing.T) {
+		var all quarantine.Word
+		for _, p := range packetsOf(w) {
+			one := 0
+			for _, part := range []quarantine.Word{{Losses: p.Losses}, {Harmless: p.Harmless}, {Trials: p.Trials}, {Holds: p.Holds}} {
+				f := &wire.Frame{Body: &wire.Frame_LoadView{LoadView: &wire.LoadView{Box: "edge-hcm-quang-trung-17/0a1b2c3d", Suspicions: encodeWord(part, now)}}}
+				require.LessOrEqual(t, proto.Size(f), peer.MaxPacket)
+				one += proto.Size(f)
+			}
+			all = all.Plus(p)
+		}
+		require.Equal(t, w, all)
+	})
+	t.Run("that are broken are passed over", func(t *testing.T) {
+		m := encodeWord(w, now)
+		m.Losses[0].Subject.Fingerprint = []byte("short")
+		m.Answered[0].Fingerprint = nil
+		m.Trials[0].Fingerprint = make([]byte, 17)
+		m.Holds[0].Subject = nil
+		d := decodeWord(m, now)
+		require.Len(t, d.Losses, 99)
+		require.Len(t, d.Harmless, 99)
+		require.Len(t, d.Trials, 99)
+		require.Len(t, d.Holds, 99)
+	})
+}
+
+// Words of any kind are taken without harm.
+func FuzzSuspicions(f *testing.F) {
+	b, err := proto.Marshal(encodeWord(someWord(3, time.Now()), time.Now()))
+	require.NoError(f, err)
+	f.Add(b)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m wire.Suspicions
+		if proto.Unmarshal(b, &m) != nil {
+			return
+		}
+		q := quarantine.New()
+		q.Take("b", decodeWord(&m, time.Now()))
+		q.ToKeep()
+		for _, h := range q.Holds() {
+			require.LessOrEqual(t, time.Until(h.Until), 11*time.Minute)
+		}
+	})
+}
+
+// BenchmarkWords measures the bytes of one word to one peer: 95 for a loss, 20 for a run that was answered, 22
+// for a trial, 178 for a hold that names three upstreams.
+func BenchmarkWords(b *testing.B) {
+	now := time.Now()
+	w := someWord(1, now)
+	for b.Loop() {
+		encodeWord(w, now)
+	}
+	for name, p := range map[string]quarantine.Word{"loss": {Losses: w.Losses}, "answered": {Harmless: w.Harmless}, "trial": {Trials: w.Trials}, "hold": {Holds: w.Holds}} {
+		b.ReportMetric(float64(proto.Size(encodeWord(p, now))), "B/"+name)
+	}
+}
