--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -110,7 +110,7 @@
 	n.config.Watch(n.takeConfig)
 	fleet.Watch(n.takeFleet)
 	others.Watch(n.members.take)
-	n.keeper = &keeper{table: n.Core.Quarantine(), topic: s.Held(), clock: n.clock, log: g, unused: n.unused}
+	n.keeper = &keeper{table: n.Core.Quarantine(), topic: s.Held(), clock: n.clock, log: g, store: relay.Access(), unused: n.unused}
 	n.held.Watch(n.keeper.take)
 	shared := []*feed.Feed{n.config, fleet, others, n.held}
 	relay.Add(shared...)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -63,8 +62,8 @@
 	if err != nil {
 		return member{}, err
 	}
-	if _, err = netip.ParseAddrPort(m.Peers); err != nil {
-		return member{}, err
+	if !hollowgrade.IsAddress(m.Peers) {
+		return member{}, fmt.Errorf("%.64q is no address", m.Peers)
 	}
 	return m, nil
 }
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -25,6 +25,7 @@
 	topic hollowgrade.Topic
 	clock hollowgrade.Clock
 	log   *log.Logger
+	store *feed.Access // what this process knows of its way to the store
 	// unused counts records of the store that could not be used.
 	unused *atomic.Int64
 }
@@ -33,8 +34,6 @@
 	// keepEvery is how often it is looked for what the store has to be told. A loss of all gateways within that
 	// time after a verdict leaves the request to be found out anew.
 	keepEvery = 200 * time.Millisecond
-	// keepRetry is the pause after a write that failed.
-	keepRetry = time.Second
 	// keepTimeout bounds one write.
 	keepTimeout = 2 * time.Second
 )
@@ -88,16 +87,26 @@
 // run writes what has to be written until ctx ends.
 func (k *keeper) run(ctx context.Context) {
 	for hollowgrade.Sleep(ctx, k.clock, keepEvery) {
-		if err := k.keep(ctx); err != nil && ctx.Err() == nil {
+		todo := k.table.ToKeep()
+		if len(todo.Save)+len(todo.Drop) == 0 {
+			continue
+		}
+		// While the store is away one call of a process tries at a time, and few of all: each of a
+		// hundred gateways would try each second.
+		try, wait := k.store.Begin()
+		if wait > 0 {
+			continue
+		}
+		err := k.keep(ctx, todo)
+		k.store.Note(try, err == nil || ctx.Err() != nil)
+		if err != nil && ctx.Err() == nil {
 			k.log.Warn("held requests not written to the store", "err", err)
-			hollowgrade.Sleep(ctx, k.clock, keepRetry)
 		}
 	}
 }
 
 // keep tells the store what it has to be told. It stops at the first failure.
-func (k *keeper) keep(ctx context.Context) (err error) {
-	todo := k.table.ToKeep()
+func (k *keeper) keep(ctx context.Context, todo quarantine.ToKeep) (err error) {
 	for _, h := range todo.Save {
 		v, err := encodeHold(h, k.clock.Now(), hollowgrade.WallTime(k.clock))
 		if err != nil {
--- a/upstream.go
+++ b/upstream.go
@@ -1,6 +1,9 @@
 package hollowgrade
 
-import "strconv"
+import (
+	"net"
+	"strconv"
+)
 
 // Life names one life of an upstream. An upstream that starts again under its id holds and knows
 // nothing of before, so what is known of one life says nothing of the next. It is a text, so that gateways
@@ -21,3 +24,13 @@
 	}
 	return Life(u.ID + lifeMark + strconv.FormatInt(u.Born, startBase))
 }
+
+// IsAddress reports whether a text is a host and a port that can be connected to.
+func IsAddress(s string) bool {
+	h, p, err := net.SplitHostPort(s)
+	if err != nil || h == "" {
+		return false
+	}
+	n, err := strconv.ParseUint(p, 10, 16)
+	return err == nil && n > 0
+}
