--- a/agent/job_test.go
+++ b/agent/job_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -44,3 +46,17 @@
 		require.Equal(t, a.limits.LongShare, a.longShare(j))
 	})
 }
+
+// A claim on a key does not outlive a suspension of the machine, during which the steady clock stands still.
+func TestClaimOverASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started, lost := time.Now(), time.Duration(0)
+		w := hollowgrade.NewWorldClock(hollowgrade.WithBootClock(func() (time.Duration, error) { return time.Since(started) + lost, nil }))
+		a := New(hollowgrade.Box{}, "i", nil, WithClock(w))
+		j := &job{lease: w.Now().Add(3 * time.Second)}
+		j.request.Key = "k"
+		require.NoError(t, a.mayStart(j))
+		lost = 5 * time.Second
+		requireOutcome(t, hollowgrade.NotRun, a.mayStart(j))
+	})
+}
--- /dev/null
+++ b/feed/suspend_test.go
@@ -0,0 +1,70 @@
+package feed
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+)
+
+// suspended plays a feed on a machine that is suspended for a while, and calls then at its return, and
+// again once it has run on for a second.
+func suspended(t *testing.T, d time.Duration, meanwhile func(*fakeTopic), then func(f *Feed, back bool)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		started, lost := time.Now(), time.Duration(0)
+		w := hollowgrade.NewWorldClock(hollowgrade.WithBootClock(func() (time.Duration, error) { return time.Since(started) + lost, nil }))
+		p := newTopic()
+		require.NoError(t, p.Put(context.Background(), "k", []byte("before")))
+		f := New("feed", p, WithClock(w), WithLogger(log.New(io.Discard)))
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		age, known := f.Age()
+		require.True(t, known)
+		require.LessOrEqual(t, age, time.Second)
+		lost += d
+		meanwhile(p)
+		then(f, false)
+		time.Sleep(2 * time.Second)
+		then(f, true)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestViewOfAMachineThatWasSuspended(t *testing.T) {
+	const long = 10 * time.Second
+	t.Run("is as old as the world makes it, until the store is heard again", func(t *testing.T) {
+		suspended(t, long, func(*fakeTopic) {}, func(f *Feed, back bool) {
+			age, _ := f.Age()
+			require.Equal(t, !back, age >= long, "%s", age)
+		})
+	})
+	t.Run("is told to peers as old as it is", func(t *testing.T) {
+		suspended(t, long, func(*fakeTopic) {}, func(f *Feed, back bool) {
+			p, ok := f.excerptFrom(0)
+			require.True(t, ok)
+			require.Equal(t, !back, p.age >= long, "%s", p.age)
+		})
+	})
+	t.Run("has what changed meanwhile", func(t *testing.T) {
+		suspended(t, long, func(p *fakeTopic) { _ = p.Put(context.Background(), "k", []byte("after")) }, func(f *Feed, back bool) {
+			if back {
+				require.EqualValues(t, 2, f.Next())
+			}
+		})
+	})
+	t.Run("stays old while the store is away", func(t *testing.T) {
+		suspended(t, long, func(p *fakeTopic) { p.set(func() { p.down = true }) }, func(f *Feed, _ bool) {
+			age, _ := f.Age()
+			require.GreaterOrEqual(t, age, long)
+		})
+	})
+}
