--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -68,7 +68,7 @@
 	callers   *callers.Server
 	config    *feed.Feed
 	held      *feed.Feed // requests that are held
-	keeper    *keeper
+	holds     *holdStore
 	members   *members
 	unused    *atomic.Int64 // records of the store that could not be used
 	taker     *loadview.Taker
@@ -110,8 +110,8 @@
 	n.config.Watch(n.takeConfig)
 	fleet.Watch(n.takeFleet)
 	others.Watch(n.members.take)
-	n.keeper = &keeper{table: n.Core.Quarantine(), topic: s.Held(), clock: n.clock, log: g, store: relay.Access(), unused: n.unused}
-	n.held.Watch(n.keeper.take)
+	n.holds = &holdStore{table: n.Core.Quarantine(), topic: s.Held(), clock: n.clock, log: g, store: relay.Access(), unused: n.unused}
+	n.held.Watch(n.holds.take)
 	shared := []*feed.Feed{n.config, fleet, others, n.held}
 	relay.Add(shared...)
 	n.taker = loadview.NewTaker(n.Core.Fleet())
@@ -127,7 +127,7 @@
 	}
 	sharer := loadview.New(lifeName(c.Box, b.Incarnation), n.Core.Fleet(), n.members.addresses, share...)
 	n.taker.OnBegin(sharer.Redial)
-	b.Register(FeedsService, newRunner(n.config.Run, fleet.Run, others.Run, n.held.Run, relay.Run, sharer.Run, n.keeper.run))
+	b.Register(FeedsService, newRunner(n.config.Run, fleet.Run, others.Run, n.held.Run, relay.Run, sharer.Run, n.holds.run))
 	if err = n.listen(c, shared, g); err != nil {
 		return nil, err
 	}
@@ -166,7 +166,7 @@
 	}
 	n.Register(ReadinessService, newHTTP(l, platform.Readiness(n.ready), g))
 	n.Register(CallersService, n.callers)
-	o, err := newOperators(c.Operators, n.Node, n.ready, n.keeper.serve)
+	o, err := newOperators(c.Operators, n.Node, n.ready, n.holds.serve)
 	if err != nil {
 		return err
 	}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -18,9 +18,9 @@
 	"github.com/hollowgrade/hollowgrade/quarantine"
 )
 
-// keeper keeps requests that are held in the platform's store, where the loss of all gateways
+// holdStore keeps requests that are held in the platform's store, where the loss of all gateways
 // leaves them.
-type keeper struct {
+type holdStore struct {
 	table *quarantine.Table
 	topic hollowgrade.Topic
 	clock hollowgrade.Clock
@@ -85,70 +85,70 @@
 }
 
 // run writes what has to be written until ctx ends.
-func (k *keeper) run(ctx context.Context) {
-	for hollowgrade.Sleep(ctx, k.clock, keepEvery) {
-		todo := k.table.ToKeep()
+func (s *holdStore) run(ctx context.Context) {
+	for hollowgrade.Sleep(ctx, s.clock, keepEvery) {
+		todo := s.table.ToKeep()
 		if len(todo.Save)+len(todo.Drop) == 0 {
 			continue
 		}
 		// While the store is away one call of a process tries at a time, and few of all: each of a
 		// hundred gateways would try each second.
-		try, wait := k.store.Begin()
+		try, wait := s.store.Begin()
 		if wait > 0 {
 			continue
 		}
-		err := k.keep(ctx, todo)
-		k.store.Note(try, err == nil || ctx.Err() != nil)
+		err := s.keep(ctx, todo)
+		s.store.Note(try, err == nil || ctx.Err() != nil)
 		if err != nil && ctx.Err() == nil {
-			k.log.Warn("held requests not written to the store", "err", err)
+			s.log.Warn("held requests not written to the store", "err", err)
 		}
 	}
 }
 
 // keep tells the store what it has to be told. It stops at the first failure.
-func (k *keeper) keep(ctx context.Context, todo quarantine.ToKeep) (err error) {
+func (s *holdStore) keep(ctx context.Context, todo quarantine.ToKeep) (err error) {
 	for _, h := range todo.Save {
-		v, err := encodeHold(h, k.clock.Now(), hollowgrade.WallTime(k.clock))
+		v, err := encodeHold(h, s.clock.Now(), hollowgrade.WallTime(s.clock))
 		if err != nil {
 			return err
 		}
-		if err = k.put(ctx, h.Fingerprint, v); err != nil {
+		if err = s.put(ctx, h.Fingerprint, v); err != nil {
 			return err
 		}
-		k.table.Stored(h)
+		s.table.Stored(h)
 	}
 	for _, f := range todo.Drop {
-		if err = k.put(ctx, f, nil); err != nil {
+		if err = s.put(ctx, f, nil); err != nil {
 			return err
 		}
-		k.table.Dropped(f)
+		s.table.Dropped(f)
 	}
 	return nil
 }
 
-func (k *keeper) put(ctx context.Context, f hollowgrade.Fingerprint, value []byte) error {
+func (s *holdStore) put(ctx context.Context, f hollowgrade.Fingerprint, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	return k.topic.Put(ctx, f.String(), value)
+	return s.topic.Put(ctx, f.String(), value)
 }
 
 // take takes changes of the topic. What cannot be read holds nothing, and leaves the others.
-func (k *keeper) take(cs []feed.Change) {
-	now, wall := k.clock.Now(), hollowgrade.WallTime(k.clock)
+func (s *holdStore) take(cs []feed.Change) {
+	now, wall := s.clock.Now(), hollowgrade.WallTime(s.clock)
 	for _, c := range cs {
 		if c.Dropped() {
 			if f, err := hollowgrade.ParseFingerprint(c.Key); err == nil {
-				k.table.Dropped(f)
+				s.table.Dropped(f)
 			}
 			continue
 		}
 		h, err := decodeHold(c.Key, c.Value, now, wall)
 		if err != nil {
-			k.unused.Add(1)
-			k.log.Error("held request not used", "key", fmt.Sprintf("%.64q", c.Key), "offset", c.Offset, "err", err)
+			s.unused.Add(1)
+			s.log.Error("held request not used", "key", fmt.Sprintf("%.64q", c.Key), "offset", c.Offset, "err", err)
 			continue
 		}
-		k.table.Stored(h)
+		s.table.Stored(h)
 	}
 }
 
@@ -173,12 +173,12 @@
 }
 
 // serve serves operators' questions about requests that are held.
-func (k *keeper) serve(r *mux.Router) {
+func (s *holdStore) serve(r *mux.Router) {
 	r.HandleFunc(QuarantinePath, func(w http.ResponseWriter, _ *http.Request) {
 		hs := []HeldRequest{}
-		now, wall := k.clock.Now(), hollowgrade.WallTime(k.clock)
+		now, wall := s.clock.Now(), hollowgrade.WallTime(s.clock)
 		day := func(t time.Time) time.Time { return wall.Add(t.Sub(now)) }
-		for _, h := range k.table.Holds() {
+		for _, h := range s.table.Holds() {
 			hs = append(hs, HeldRequest{h.Fingerprint.String(), h.Organisation, h.Route, h.Service, day(h.Since), day(h.Until), h.Losses, h.Odds, h.Upstreams, h.By})
 		}
 		writeJSON(w, hs)
@@ -188,7 +188,7 @@
 		switch {
 		case err != nil:
 			http.Error(w, err.Error(), http.StatusBadRequest)
-		case !k.table.Lift(f):
+		case !s.table.Lift(f):
 			http.Error(w, "no such request is held", http.StatusNotFound)
 		default:
 			w.WriteHeader(http.StatusNoContent)
--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -11,7 +11,7 @@
 // within the window.
 const mostEnds = 1024
 
-// end is the end of an upstream, or of one connection to it, as far as gateways have seen it.
+// end is the end of an upstream, as far as gateways have seen it.
 type end struct {
 	upstream hollowgrade.Life
 	at       time.Time
