soak, node: machines that are suspended, by a steady clock that is passed in

A process of the soak's build stands still for 4 to 7 s and finds its steady clock where it was, as after a suspension; the boot-time clock has gone on.

--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -36,6 +36,7 @@
 	delayPeers
 	harmfulRequest // that ends the workers which run it comes again and again
 	strangeEntries // of another writer, in the registry and among gateways
+	suspendGateway // with its machine: its steady clock stands still
 	kinds
 )
 
@@ -43,7 +44,7 @@
 	"kill gateway", "pause gateway", "stop gateway", "reload gateway", "silence store", "reset store", "store busy", "store away",
 	"store loses answers", "store forgets", "delay worker", "reset worker", "silence worker", "deafen worker", "crash worker",
 	"drain worker", "revoke key", "add route", "grow configuration", "silence peers", "reset peers", "delay peers",
-	"harmful request", "strange entries",
+	"harmful request", "strange entries", "suspend gateway",
 }
 
 func (k kind) String() string {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,7 +35,7 @@
 func build(t testing.TB) string {
 	t.Helper()
 	b := filepath.Join(t.TempDir(), "hollowgrade")
-	out, err := exec.Command("go", "build", "-o", b, "../../cmd/hollowgrade").CombinedOutput()
+	out, err := exec.Command("go", "build", "-tags", "soak", "-o", b, "../../cmd/hollowgrade").CombinedOutput()
 	require.NoError(t, err, string(out))
 	return b
 }
@@ -161,8 +161,8 @@
 			ok++
 		}
 	}
-	t.Logf("seed %d: %d faults, %d requests, %d served, %d arrivals at workers, %d large values from peers, %d promises broken",
-		seed, len(p), len(w.history.requests), ok, len(w.history.runs), w.logged("value received"), len(bs))
+	t.Logf("seed %d: %d faults, %d requests, %d served, %d arrivals at workers, %d large values from peers, %d suspensions, %d promises broken",
+		seed, len(p), len(w.history.requests), ok, len(w.history.runs), w.logged("value received"), w.logged("machine was suspended"), len(bs))
 	if len(bs) == 0 && !t.Failed() {
 		require.NoError(t, os.RemoveAll(w.logs))
 		return
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -51,6 +52,8 @@
 	cmd     *exec.Cmd // nil while it is down
 	exited  chan struct{}
 	life    int
+
+	suspended time.Duration // in all; the process reads it from a file
 }
 
 // worker is a stand-in behind a proxy, whose address the registry has.
@@ -184,6 +187,7 @@
 	}
 	c := exec.Command(w.binary, "gateway", "--config", g.config)
 	c.Stdout, c.Stderr = out, out
+	c.Env = append(os.Environ(), suspendedFile+"="+g.suspensions())
 	if err = c.Start(); err != nil {
 		w.t.Errorf("start %s: %v", g.name, err)
 		return
@@ -331,6 +335,9 @@
 	g := w.gates[i]
 	// What it takes to recover belongs to the fault: a process to start, a view to
 	// be read again.
+	if s.what == suspendGateway {
+		s.lasts += suspendMore
+	}
 	w.disturb(s.what, i, from, from.Add(s.lasts+2*time.Second))
 	switch s.what {
 	case killGateway:
@@ -341,6 +348,8 @@
 		g.signal(syscall.SIGSTOP)
 		time.Sleep(s.lasts)
 		g.signal(syscall.SIGCONT)
+	case suspendGateway:
+		w.suspend(g, s.lasts)
 	case stopGateway:
 		w.stop(g)
 	case reloadGateway:
@@ -369,6 +378,34 @@
 	}
 }
 
+// suspendedFile is where a process of a build for the soak looks for how long its machine was suspended.
+const suspendedFile = "HOLLOWGRADE_SUSPENDED"
+
+// suspendMore is how much longer a machine is suspended than other faults last: keys that are taken away
+// meanwhile have to be of no use when it goes on.
+const suspendMore = 4 * time.Second
+
+// suspensions returns the path of the file for a gateway.
+func (g *gateway) suspensions() string {
+	return g.config + ".suspended"
+}
+
+// suspend stops a gateway with its machine.
+func (w *world) suspend(g *gateway, d time.Duration) {
+	begin := time.Now()
+	g.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	g.mu.Lock()
+	g.suspended += time.Since(begin)
+	part := g.suspensions() + ".part" // the file is there as a whole or not at all
+	err := errors.Join(os.WriteFile(part, []byte(g.suspended.String()), 0o600), os.Rename(part, g.suspensions()))
+	g.mu.Unlock()
+	if err != nil {
+		w.t.Errorf("suspend %s: %v", g.name, err)
+	}
+	g.signal(syscall.SIGCONT)
+}
+
 // stop ends a gateway as the platform does, and starts it again.
 func (w *world) stop(g *gateway) {
 	done := g.signal(syscall.SIGTERM)
