--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -340,20 +340,8 @@
 	}
 	w.disturb(s.what, i, from, from.Add(s.lasts+2*time.Second))
 	switch s.what {
-	case killGateway:
-		<-g.signal(syscall.SIGKILL)
-		time.Sleep(s.lasts)
-		w.start(g)
-	case pauseGateway:
-		g.signal(syscall.SIGSTOP)
-		time.Sleep(s.lasts)
-		g.signal(syscall.SIGCONT)
-	case suspendGateway:
-		w.suspend(g, s.lasts)
-	case stopGateway:
-		w.stop(g)
-	case reloadGateway:
-		g.signal(syscall.SIGHUP)
+	case killGateway, pauseGateway, suspendGateway, stopGateway, reloadGateway:
+		w.applyToProcess(g, s)
 	case silenceStore:
 		w.during(g.store, silence, s.lasts)
 	case resetStore:
@@ -378,6 +366,26 @@
 	}
 }
 
+// applyToProcess does a step that is done to a gateway's process.
+func (w *world) applyToProcess(g *gateway, s step) {
+	switch s.what {
+	case killGateway:
+		<-g.signal(syscall.SIGKILL)
+		time.Sleep(s.lasts)
+		w.start(g)
+	case pauseGateway:
+		g.signal(syscall.SIGSTOP)
+		time.Sleep(s.lasts)
+		g.signal(syscall.SIGCONT)
+	case suspendGateway:
+		w.suspend(g, s.lasts)
+	case stopGateway:
+		w.stop(g)
+	case reloadGateway:
+		g.signal(syscall.SIGHUP)
+	}
+}
+
 // suspendedFile is where a process of a build for the soak looks for how long its machine was suspended.
 const suspendedFile = "HOLLOWGRADE_SUSPENDED"
 
