spread: a randomized checker of views in any course of losses

What it looks for: any set of gateways loses and regains the store (silent or refused) and each other, in six phases of 3 to 7 s, with changes in between. A view of a gateway that reaches one which the store serves never gets older than keys are good for (4.2 s), nor older than 3.0 s once things have been as they are for 3 s; offsets and freshness never go back; no more gateways read than twice the readers of each group.

--- /dev/null
+++ b/internal/spread/checker_test.go
@@ -0,0 +1,124 @@
+package spread
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	phases = 6 // of one course
+	// settled is how long after the last change a view may still be what the time before left behind.
+	settled = 3 * time.Second
+)
+
+// phase is what holds for some seconds: which gateways the store turns away, and how, and which of
+// the gateways reach each other.
+type phase struct {
+	turned map[string]bool
+	refuse bool
+	group  map[string]int // gateways of different groups do not reach each other
+}
+
+// drawn draws a phase. At least one gateway is served.
+func (f *fleetOf) drawn(r *rand.Rand) phase {
+	p := phase{turned: map[string]bool{}, refuse: r.IntN(2) == 0, group: map[string]int{}}
+	share, groups := r.Float64(), 1+r.IntN(3)
+	if r.IntN(2) == 0 {
+		groups = 1
+	}
+	for _, g := range f.gateways {
+		p.turned[g.box] = r.Float64() < share
+		p.group[g.box] = r.IntN(groups)
+	}
+	if r.IntN(3) == 0 {
+		for _, b := range f.reading() {
+			p.turned[b] = true
+		}
+	}
+	p.turned[f.gateways[r.IntN(len(f.gateways))].box] = false
+	return p
+}
+
+// begins puts a phase in force.
+func (f *fleetOf) begins(p phase) {
+	f.silent = func(box string) bool { return p.turned[box] && !p.refuse }
+	f.refused = func(box string) bool { return p.turned[box] && p.refuse }
+	f.net.part(func(a, b string) bool { return p.group[a] != p.group[b] })
+}
+
+// hasServed reports whether a gateway reaches one that the store serves, itself among them.
+func (f *fleetOf) hasServed(p phase, box string) bool {
+	for _, g := range f.gateways {
+		if p.group[g.box] == p.group[box] && !p.turned[g.box] {
+			return true
+		}
+	}
+	return false
+}
+
+// Any set of gateways loses and regains the store, and each other, at any moment. A view of one that
+// reaches a gateway which the store serves does not get older than the time for which keys are good, or as much
+// as five sevenths of it once things have been as they are for a while; no view goes back; and no more gateways
+// read the store than read for the others, and as many again.
+func TestViewsInAnyCourse(t *testing.T) {
+	for _, n := range []int{5, 21, 40} {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprintf("gateways=%d/seed=%d", n, seed), func(t *testing.T) {
+				inNetwork(t, grown(n), answer, func(t *testing.T, f *fleetOf) { f.requireSoundCourse(t, rand.New(rand.NewPCG(seed, uint64(n)))) })
+			})
+		}
+	}
+}
+
+func (f *fleetOf) requireSoundCourse(t *testing.T, r *rand.Rand) {
+	t.Helper()
+	readers := len(f.reading())
+	next, fresh, hadServed := map[string]int64{}, map[string]time.Time{}, map[string]bool{}
+	for _, g := range f.gateways {
+		hadServed[g.box] = true
+	}
+	for range phases {
+		p := f.drawn(r)
+		f.begins(p)
+		began, lasts := time.Now(), settled+time.Duration(r.IntN(4000))*time.Millisecond
+		for time.Since(began) < lasts {
+			time.Sleep(aMoment)
+			if r.IntN(200) == 0 {
+				putConfig(t, f, "a change")
+			}
+			for _, g := range f.gateways {
+				require.GreaterOrEqual(t, g.config.Next(), next[g.box], "%s goes back", g.box)
+				require.False(t, g.config.Fresh().Before(fresh[g.box]), "%s gets older", g.box)
+				next[g.box], fresh[g.box] = g.config.Next(), g.config.Fresh()
+				if !f.hasServed(p, g.box) {
+					continue
+				}
+				age, _ := g.config.Age()
+				if hadServed[g.box] {
+					require.Less(t, age, keysGood, "%s, %s after the change", g.box, time.Since(began))
+				}
+				if time.Since(began) > settled {
+					require.Less(t, age, goalOf(keysGood), "%s, %s after the change", g.box, time.Since(began))
+				}
+			}
+		}
+		served := 0
+		for _, b := range f.reading() {
+			if !p.turned[b] {
+				served++
+			}
+		}
+		groups := map[int]bool{}
+		for _, k := range p.group {
+			groups[k] = true
+		}
+		require.LessOrEqual(t, served, 2*readers*len(groups), "gateways that read the store")
+		for _, g := range f.gateways {
+			hadServed[g.box] = f.hasServed(p, g.box)
+		}
+	}
+}
--- a/internal/spread/network_test.go
+++ b/internal/spread/network_test.go
@@ -32,6 +32,7 @@
 	listeners map[string]*listener
 	conns     []*conn
 	closed    bool
+	parted    func(a, b string) bool // whether two boxes do not reach each other
 }
 
 // boxLink is the link of one box.
@@ -47,6 +48,23 @@
 	return &network{
 		links:     map[string]*boxLink{storeBox: {rate: storeRate}},
 		listeners: map[string]*listener{},
+		parted:    func(string, string) bool { return false },
+	}
+}
+
+// part lets boxes no longer reach each other, or again, and ends the connections between them.
+func (n *network) part(parted func(a, b string) bool) {
+	n.mu.Lock()
+	n.parted = parted
+	var cs []*conn
+	for _, c := range n.conns {
+		if parted(c.out.from, c.out.to) {
+			cs = append(cs, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range cs {
+		_ = c.Close()
 	}
 }
 
@@ -320,7 +338,7 @@
 func (n *network) dialer(from string) peer.Dialer {
 	return func(ctx context.Context, to string) (net.Conn, error) {
 		n.mu.Lock()
-		l, closed := n.listeners[to], n.closed
+		l, closed := n.listeners[to], n.closed || n.parted(from, to)
 		n.mu.Unlock()
 		if l == nil || closed {
 			return nil, fmt.Errorf("nobody listens on %s", to)
