--- a/internal/spread/turned_test.go
+++ b/internal/spread/turned_test.go
@@ -222,3 +222,32 @@
 		}
 	}
 }
+
+// BenchmarkChangeWhileTurnedAway measures how long a change of the configuration, and an upstream that leaves,
+// take at the most to be known everywhere when all readers are turned away in the moment before, whenever that is
+// between two reads. Time is virtual.
+func BenchmarkChangeWhileTurnedAway(b *testing.B) {
+	const moments = 10
+	for _, n := range []int{5, 21, 103} {
+		for _, w := range waysToTurn[:2] {
+			b.Run(fmt.Sprintf("gateways=%d/%s", n, w.name), func(b *testing.B) {
+				var config, registry time.Duration
+				for i := range moments {
+					inTest(b, func(t *testing.T) {
+						inNetwork(t, grown(n), answer, func(t *testing.T, f *fleetOf) {
+							time.Sleep(time.Duration(i) * f.timing.Wait / moments)
+							f.turnAway(w, turnedShares[0].with)
+							putConfig(t, f, "a change")
+							require.NoError(t, f.fleet.Put(t.Context(), "upstream", []byte("draining")))
+							took := f.until(configOf, 1, outage)
+							config = max(config, took)
+							registry = max(registry, took+f.until(fleetFeedOf, 1, outage))
+						})
+					})
+				}
+				b.ReportMetric(config.Seconds(), "s/config")
+				b.ReportMetric(registry.Seconds(), "s/registry")
+			})
+		}
+	}
+}
