node, quarantine: failing tests of ends that are not seen, and of popular requests in rare plays

TestRequestThatEndsUpstreamsBehindRelays: three gateways, 24 upstreams behind relays that go on accepting. Cause: the look at an upstream whose connection broke opens a connection, and a relay takes it.

--- a/internal/node/ends_test.go
+++ b/internal/node/ends_test.go
@@ -44,6 +44,7 @@
 	t     *testing.T
 	store *platformtest.Store
 	down  time.Duration
+	relay bool // something in front of each goes on accepting, and it comes back in a new life under its id
 
 	mu      sync.Mutex
 	workers map[string]*platformtest.Worker
@@ -73,7 +74,16 @@
 	m.lives++
 	w := platformtest.NewWorker(fmt.Sprintf("i-%d", m.lives), m.behave)
 	m.workers[w.ID] = w
-	m.store.PutJSON("keyed.servers", w.ID, w.Record("s", "ready"))
+	m.list(w)
+}
+
+// list writes the entry of an upstream that begins a life.
+func (m *mortals) list(w *platformtest.Worker) {
+	r := w.Record("s", "ready")
+	if m.relay {
+		r["born"] = time.Now().UnixMilli()
+	}
+	m.store.PutJSON("keyed.servers", w.ID, r)
 }
 
 // The times that an upstream takes: to read a prompt, and from one event to the next.
@@ -112,6 +122,10 @@
 		m.ended = append(m.ended, time.Now())
 	}
 	m.group.Go(func() {
+		if m.relay {
+			m.endBehind(w)
+			return
+		}
 		w.Close()
 		time.Sleep(m.down)
 		m.store.Put("keyed.servers", id, nil)
@@ -119,6 +133,21 @@
 	})
 }
 
+// endBehind ends a life behind an address that goes on accepting, and begins the next one.
+func (m *mortals) endBehind(w *platformtest.Worker) {
+	w.EndBehind()
+	time.Sleep(m.down)
+	w.BeginAgain()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		m.group.Go(w.Close)
+		return
+	}
+	m.workers[w.ID] = w
+	m.list(w)
+}
+
 func (m *mortals) close() {
 	m.mu.Lock()
 	m.closed = true
@@ -242,6 +271,32 @@
 	require.GreaterOrEqual(t, c.share(), 0.95, "of the others, with the same path and caller")
 }
 
+// What stands in front of an upstream goes on accepting while it is down: a relay of its box, a
+// supervisor's socket, a proxy. Each connection ends without an answer, as it does where an upstream has too many, so
+// that it says nothing of an end. The request went on ending upstreams for as long as it came, 45 and 47
+// times later than 3 s after the third, and 0.55 and 0.51 of the others were served.
+//
+// Evidence: with a port that refuses, the same play sends it once after that, and 1.000 of the others are served. The two
+// differ in nothing but what the look at an upstream whose connection broke finds.
+func TestRequestThatEndsUpstreamsBehindRelays(t *testing.T) {
+	s := newScene(t)
+	m := newMortals(t, s.store, 0, 1500*time.Millisecond)
+	m.relay = true
+	for range 24 {
+		m.start()
+	}
+	c := newCrowd(t, s.store, 3)
+	const plays = 8 * time.Second
+	c.every(plays, 20*time.Millisecond, c.innocent)
+	c.every(plays, 100*time.Millisecond, c.kill)
+	c.group.Wait()
+	sends, ended := m.late()
+	t.Logf("sent %d times later than %s after the third end; %d ended in all; %.3f of the others served; refusals %v", sends, knownWithin, ended, c.share(), c.refusals)
+	require.GreaterOrEqual(t, ended, 3, "it has to end some to be known")
+	require.LessOrEqual(t, sends, toleratedSends)
+	require.GreaterOrEqual(t, c.share(), 0.95, "of the others, as where the port refuses")
+}
+
 // untilHeld sends the killing request until a gateway holds it.
 func (c *crowd) untilHeld() {
 	c.t.Helper()
--- a/quarantine/play_test.go
+++ b/quarantine/play_test.go
@@ -50,6 +50,39 @@
 	ended   []time.Time
 	spoke   time.Time
 	crash   crashes
+	relays  bool // upstreams end behind something that goes on accepting: their next life shows it
+	unseen  []unseen
+}
+
+// unseen is a loss that is not known yet.
+type unseen struct {
+	Loss
+	box  *Table
+	seen time.Time
+}
+
+// seenWithin is how long after an upstream is back all gateways have read its entry.
+const seenWithin = 400 * time.Millisecond
+
+// lose lets a gateway know of a loss, at once or when the upstream is back and its entry is read.
+func (p *play) lose(b *Table, l Loss) {
+	if !p.relays {
+		b.Lost(l)
+		return
+	}
+	after := downTime + time.Duration(p.random.Int64N(int64(seenWithin)))
+	p.unseen = append(p.unseen, unseen{l, b, l.Lost.Add(after)})
+}
+
+// see lets gateways know of the losses that show by now.
+func (p *play) see(now time.Time) {
+	p.unseen = slices.DeleteFunc(p.unseen, func(u unseen) bool {
+		if now.Before(u.seen) {
+			return false
+		}
+		u.box.Lost(u.Loss)
+		return true
+	})
 }
 
 func newPlay(t *testing.T, seed uint64, crash crashes, ss ...*stream) *play {
@@ -69,6 +102,7 @@
 			}
 		}
 		p.finish(now)
+		p.see(now)
 		if now.Sub(p.spoke) >= wordTime {
 			p.spread()
 			p.spoke = now
@@ -137,7 +171,7 @@
 			continue
 		}
 		r.stream.lost++
-		r.box.Lost(Loss{Subject: r.subject, Upstream: life("u", at, ".", p.lives[at]), Engines: 1, Sent: r.sent, Lost: now})
+		p.lose(r.box, Loss{Subject: r.subject, Upstream: life("u", at, ".", p.lives[at]), Engines: 1, Sent: r.sent, Lost: now})
 		r.box.Over(r.subject.Fingerprint, r.leave)
 		if r.tries < r.stream.most {
 			again = append(again, r)
@@ -208,10 +242,37 @@
 				require.Zero(t, popular.held)
 				require.LessOrEqual(t, float64(popular.refused), 0.05*float64(popular.sent)+5)
 			})
+			t.Run(fmt.Sprintf("%s, %.1f a second, behind relays", name, rate), func(t *testing.T) {
+				popular := &stream{rate: rate, subject: same(1), most: 2}
+				p := newPlay(t, uint64(10*rate), c(), popular, &stream{rate: 40, subject: distinct(), most: 2})
+				p.relays = true
+				p.run(120 * time.Second)
+				t.Logf("sent %d, lost %d, served %d, refused %d, of these held %d", popular.sent, popular.lost, popular.served, popular.refused, popular.held)
+				require.Zero(t, popular.held)
+				require.LessOrEqual(t, float64(popular.refused), 0.05*float64(popular.sent)+5)
+			})
 		}
 	}
 }
 
+// The odds of a wrong verdict are not nothing: of 600 plays as above one held the popular request for ten calls, of 600
+// behind relays one for fourteen. In both all of a service was lost each 2.5 s, and none was long enough up for it.
+func TestPopularRequestsInRarePlays(t *testing.T) {
+	for _, x := range []struct {
+		rate   float64
+		seed   uint64
+		relays bool
+	}{{0.5, 15_005, false}, {2, 21_020, true}} {
+		t.Run(fmt.Sprint("seed ", x.seed), func(t *testing.T) {
+			popular := &stream{rate: x.rate, subject: same(1), most: 2}
+			p := newPlay(t, x.seed, many(pool, 2500*time.Millisecond), popular, &stream{rate: 40, subject: distinct(), most: 2})
+			p.relays = x.relays
+			p.run(120 * time.Second)
+			require.Zero(t, popular.held)
+		})
+	}
+}
+
 // A harmful request is held after some runs, whatever else ends meanwhile: five to ten in a minute, and those
 // that are under way before the first end is known where fifty come a second and are sent twice each.
 func TestHarmfulRequestsAreHeld(t *testing.T) {
