feed, core: names of the relay that say what they hold; a parameter that nothing uses

Read as a newcomer: hopeful, unknown, pressing and nudge say nothing by themselves; likelyServed, mayBeServed, asksOften and notify do. No behaviour changes: the tests of feed, core and node pass as before.

--- a/core/unproved_test.go
+++ b/core/unproved_test.go
@@ -17,7 +17,7 @@
 // requests are remembered for it once the upstream's entry has been written anew by what follows.
 func lostOnce(t *testing.T, born int64, follows func(f *Fleet, u hollowgrade.Upstream)) (remembered int) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		c := newCore(&fakeUpstreams{replies: []reply{afterAWhile(broken)}}, WithProber(&stillThere{}))
 		u := hollowgrade.Upstream{ID: "u1", Service: "s", Address: "127.0.0.1:1", Slots: 4, Born: born}
 		for _, m := range c.Fleet().members {
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -58,7 +58,7 @@
 
 	received, wasted atomic.Int64 // bytes that peers sent; those that were thrown away
 	exchanges        sync.WaitGroup
-	nudge            chan struct{} // has an element when a round was in vain: others are asked at once
+	notify           chan struct{} // has an element when a round was in vain: others are asked at once
 
 	store *Access
 	begun time.Time // when this process started
@@ -128,7 +128,7 @@
 		conns:     map[string]*peer.Conn{},
 		words:     map[string]word{},
 		asking:    map[string]bool{},
-		nudge:     make(chan struct{}, 1),
+		notify:    make(chan struct{}, 1),
 		transfers: map[*Feed]*transfer{},
 		catching:  map[*Feed]bool{},
 	}
@@ -237,7 +237,7 @@
 func (r *Relay) Run(ctx context.Context) {
 	var asked time.Time
 	for r.rest(ctx) {
-		if r.clock.Since(asked) < r.timing.Ask && !r.pressing() {
+		if r.clock.Since(asked) < r.timing.Ask && !r.asksOften() {
 			continue
 		}
 		asked = r.clock.Now()
@@ -256,10 +256,9 @@
 	}
 }
 
-// pressing reports whether this process asks often: nobody that the store serves tells it
-// anything. It does so only for as long as it may take to find out who stands in: in a long
-// outage nobody does.
-func (r *Relay) pressing() bool {
+// asksOften reports whether this process asks often, since nobody that the store serves tells it
+// anything: only for as long as it may take to find out who stands in, as in a long outage nobody does.
+func (r *Relay) asksOften() bool {
 	served := r.isServed()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -274,7 +273,7 @@
 	select {
 	case <-t.Chan():
 		return true
-	case <-r.nudge:
+	case <-r.notify:
 		return true
 	case <-ctx.Done():
 		return false
@@ -323,7 +322,7 @@
 	if len(r.behind()) == 0 && (served || !untold) {
 		return as
 	}
-	as = append(as, slices.DeleteFunc(r.unknown(rs), func(a string) bool { return slices.Contains(as, a) })...)
+	as = append(as, slices.DeleteFunc(r.mayBeServed(rs), func(a string) bool { return slices.Contains(as, a) })...)
 	as = r.beside(as, r.standIns())
 	return r.beside(as, r.peers())
 }
@@ -349,7 +348,7 @@
 // some returns as many of the peers as are asked at a time, others each time. One of
 // the own hall is among them if there is one, so that what is large comes from there.
 func (r *Relay) some(as []string) []string {
-	as = r.hopeful(as)
+	as = r.likelyServed(as)
 	shuffle(as)
 	if i := slices.IndexFunc(as, r.near); i > 0 {
 		as[0], as[i] = as[i], as[0]
--- a/feed/standin.go
+++ b/feed/standin.go
@@ -8,8 +8,8 @@
 
 const (
 	// standInGroup is how many processes stand in first where the store serves no
-	// reader: of another data hall each, by their rank. Each turn has growth times as
-	// many as the one before, so that the last of 420 have theirs after half a second.
+	// reader: of another data hall each, by their rank. Each turn has standInGrowth times as
+	// many as all before it, and three more, so that the last of 420 have theirs after half a second.
 	standInGroup  = 3
 	standInGrowth = 4
 	// enoughServed is how many processes of a better rank have to be served for one that stands in
@@ -73,7 +73,7 @@
 	}
 	r.vain = true
 	select {
-	case r.nudge <- struct{}{}:
+	case r.notify <- struct{}{}:
 	default: // it is to ask already
 	}
 }
@@ -96,17 +96,17 @@
 	return w.served, ok && r.clock.Since(w.at) <= r.timing.wordFor()
 }
 
-// hopeful leaves out the peers that the store does not serve by their last word, unless
+// likelyServed leaves out the peers that the store does not serve by their last word, unless
 // none are left.
-func (r *Relay) hopeful(as []string) []string {
-	if hs := r.unknown(as); len(hs) > 0 {
+func (r *Relay) likelyServed(as []string) []string {
+	if hs := r.mayBeServed(as); len(hs) > 0 {
 		return hs
 	}
 	return as
 }
 
-// unknown returns the peers that have not said lately that the store does not serve them.
-func (r *Relay) unknown(as []string) []string {
+// mayBeServed returns the peers that have not said lately that the store does not serve them.
+func (r *Relay) mayBeServed(as []string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(as), func(a string) bool {
