core, platform: upstreams that close connections are avoided by all, and their ends show by that

Each gateway found out for itself, each half second again, that an upstream is down behind its relay; each such call may have run and took a retry out of the budget.

Change: a probe tells refused, closed and kept apart. An upstream that closes probes is probed four times a second for 5 s, all gateways avoid it meanwhile, and what ran there five times as long as a probe is kept counts as lost by its end, if nothing else came from it for 200 ms.

--- /dev/null
+++ b/core/closing_test.go
@@ -0,0 +1,201 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/placement"
+)
+
+// The story. Something in front of upstreams goes on taking connections while they are down, and closes each. A
+// request that ended them was held only when their next lives showed it, after 1.9 s, and until then each gateway
+// sent calls to each of them that were lost at once and took retries out of the budget: of 54 calls that failed
+// beside it 38 did so within 3 ms, and 0.943 to 0.975 were served at a second try of their callers.
+//
+// The evidence: "attempt failed" 1 ms after "sent" at upstreams that another gateway had lost a call to just before;
+// with ports that refuse, nothing fails. Avoidance alone is no mend: the request that ends upstreams got the retries
+// that it left, and ended 27 to 36 of them instead of 16 to 23 (four plays).
+
+// front implements [hollowgrade.Prober] for upstreams with something in front of them.
+type front struct {
+	closes func(u hollowgrade.Upstream) bool
+	probes atomic.Int64
+}
+
+// closedAfter is how long a connection is kept that is closed.
+const closedAfter = 2 * time.Millisecond
+
+func (f *front) Probe(_ context.Context, u hollowgrade.Upstream) (hollowgrade.Presence, error) {
+	f.probes.Add(1)
+	if f.closes(u) {
+		time.Sleep(closedAfter)
+		return hollowgrade.Closing, nil
+	}
+	return hollowgrade.Present, nil
+}
+
+func always(hollowgrade.Upstream) bool { return true }
+
+// until closes connections until a moment.
+func until(t time.Time) func(hollowgrade.Upstream) bool {
+	return func(hollowgrade.Upstream) bool { return time.Now().Before(t) }
+}
+
+// newFronted returns a core whose upstreams have something in front of them. The test ends once nothing is watched any more.
+func newFronted(t *testing.T, f *fakeUpstreams, p *front) *Core {
+	t.Helper()
+	t.Cleanup(func() { time.Sleep(watchedFor + probeAgain + closedAfter) })
+	return newCore(f, WithProber(p))
+}
+
+// arrive lets one request come some times, and returns how often it was sent.
+func arrive(c *Core, f *fakeUpstreams, times int) (sent int) {
+	for i := range times {
+		k := call("/again/")
+		k.ID, k.Arrived = fmt.Sprint("c", i), time.Now()
+		_ = c.Serve(context.Background(), k, &fakeSink{})
+		time.Sleep(apart)
+	}
+	return len(f.sendings())
+}
+
+func TestAnEndIsSeenByConnectionsThatAreClosed(t *testing.T) {
+	play := func(t *testing.T, p *front, r reply) (sent int, c *Core) {
+		t.Helper()
+		f := &fakeUpstreams{replies: []reply{r}}
+		c = newFronted(t, f, p)
+		return arrive(c, f, 8), c
+	}
+	t.Run("of what ran there, so that its request is held", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			sent, c := play(t, &front{closes: always}, afterAWhile(broken))
+			require.Len(t, c.Quarantine().Holds(), 1)
+			require.Equal(t, 3, sent, "as with ports that refuse")
+		})
+	})
+	for name, x := range map[string]struct {
+		closes func() func(hollowgrade.Upstream) bool
+		reply  reply
+	}{
+		"but not of what was closed as it came, as by one with too many connections": {
+			func() func(hollowgrade.Upstream) bool { return always }, broken,
+		},
+		"nor of one that keeps the next connection": {
+			func() func(hollowgrade.Upstream) bool { return until(time.Now().Add(probeAgain / 2)) }, afterAWhile(broken),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, c := play(t, &front{closes: x.closes()}, x.reply)
+				require.Zero(t, c.Quarantine().Size())
+			})
+		})
+	}
+	t.Run("nor of one that goes on with others", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeUpstreams{replies: []reply{afterAWhile(broken)}}
+			c := newFronted(t, f, &front{closes: always})
+			ctx, stop := context.WithCancel(context.Background())
+			for _, m := range c.Fleet().members {
+				go chat(ctx, c.Fleet(), m)
+			}
+			arrive(c, f, 8)
+			stop()
+			require.Zero(t, c.Quarantine().Size())
+		})
+	})
+}
+
+// chat lets an upstream send an event of some other call each 100 ms.
+func chat(ctx context.Context, f *Fleet, m *member) {
+	for hollowgrade.Sleep(ctx, hollowgrade.SystemClock(), 100*time.Millisecond) {
+		f.heard(m)
+	}
+}
+
+func TestAnUpstreamThatClosesConnectionsIsAvoided(t *testing.T) {
+	// lose loses one call at one of three upstreams, and returns that and how the others reply.
+	lose := func(t *testing.T, closes func(hollowgrade.Upstream) bool) (c *Core, f *fakeUpstreams, p *front, lost string) {
+		t.Helper()
+		f = &fakeUpstreams{replies: []reply{afterAWhile(broken), status(200, "yes")}}
+		p = &front{closes: closes}
+		c = newFronted(t, f, p)
+		k := call("/again/")
+		k.ID, k.Arrived = "lost", time.Now()
+		_ = c.Serve(context.Background(), k, &fakeSink{})
+		return c, f, p, f.sendings()[0].Upstream.ID
+	}
+	// sentTo returns how often an upstream is sent one of ten calls a second for some time.
+	sentTo := func(c *Core, f *fakeUpstreams, id string, d time.Duration) (n int) {
+		before := len(f.sendings())
+		for i := range int(10 * d.Seconds()) {
+			k := call("/again/")
+			k.ID, k.Arrived, k.Body = fmt.Sprint(i), time.Now(), fmt.Append(nil, i)
+			_ = c.Serve(context.Background(), k, &fakeSink{})
+			time.Sleep(100 * time.Millisecond)
+		}
+		for _, s := range f.sendings()[before:] {
+			if s.Upstream.ID == id {
+				n++
+			}
+		}
+		return n
+	}
+	t.Run("while it does, with four probes a second", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c, f, p, id := lose(t, always)
+			require.Zero(t, sentTo(c, f, id, watchedFor))
+			require.LessOrEqual(t, p.probes.Load(), int64(watchedFor/probeAgain)+2)
+		})
+	})
+	t.Run("and is used again soon after it keeps them", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c, f, _, id := lose(t, until(time.Now().Add(1500*time.Millisecond)))
+			require.Zero(t, sentTo(c, f, id, time.Second))
+			time.Sleep(probeAgain + closingAvoid)
+			require.Positive(t, sentTo(c, f, id, 3*time.Second))
+		})
+	})
+	t.Run("by others too, who are told of it once however many lost calls there", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			a, b, c := newFleet("s", 4), newFleet("s", 4), newFleet("s", 4)
+			words := 0
+			tell := func(from *Fleet, to ...*Fleet) {
+				for l := range from.Changes(false) {
+					words++
+					for _, f := range to {
+						f.TakeBlame("box", l, blamed(from)[l])
+					}
+				}
+			}
+			for range watchedFor / probeAgain {
+				require.True(t, a.closing("u00"))
+				tell(a, b, c)
+				require.True(t, b.closing("u00"))
+				tell(b, a, c)
+				require.NotEqual(t, "u00", c.pick("s", placement.Request{}, nil).member.ID)
+				time.Sleep(probeAgain)
+			}
+			require.LessOrEqual(t, words, int(watchedFor/(closingAvoid-2*probeAgain)))
+			require.False(t, a.closing("another"))
+		})
+	})
+	t.Run("but used when there is no other", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c, f, _, id := lose(t, always)
+			for _, u := range []string{"u1", "u2", "u3"} {
+				if u != id {
+					c.Fleet().Drop(u, time.Time{})
+				}
+			}
+			require.Positive(t, sentTo(c, f, id, time.Second))
+		})
+	})
+}
--- a/core/core.go
+++ b/core/core.go
@@ -77,6 +77,7 @@
 	budgets map[string]*retry.Window // by service
 	flows   map[*flow]context.CancelCauseFunc
 	endings map[hollowgrade.Life]*ending
+	watched map[hollowgrade.Life]chan struct{} // upstreams that close connections; see watch
 }
 
 // Observation is one call that has ended, for metrics.
@@ -167,6 +168,7 @@
 		budgets:   map[string]*retry.Window{},
 		flows:     map[*flow]context.CancelCauseFunc{},
 		endings:   map[hollowgrade.Life]*ending{},
+		watched:   map[hollowgrade.Life]chan struct{}{},
 	}
 	c.SetBounds(DefaultBounds())
 	for _, o := range os {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -58,8 +58,10 @@
 	failures int       // that it was avoided for, in a row
 	errors   int       // failures of its own, in a row
 	avoid    time.Time
+	heard    time.Time // when it said something to this process last: a head or an event
 	told     time.Time // when it said itself that this life had begun; zero if the registry did
 	blamed   time.Time // until when others are told to avoid it too
+	shunned  time.Time // until when all processes avoid it, by the word of this one or of another
 	lapses   time.Time // until when it is used although its entry went; zero while it is listed
 }
 
@@ -394,6 +396,7 @@
 	}
 	now := f.clock.Now()
 	until := now.Add(min(d, lastAvoid))
+	m.shunned = until
 	if !until.After(m.avoid) || !now.Before(m.avoid) && !f.takesWord(m.Service, now) {
 		return
 	}
@@ -416,6 +419,7 @@
 func (f *Fleet) answered(m *member, id string, engine bool, h hollowgrade.Head) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	m.heard = f.clock.Now()
 	switch {
 	case h.Success():
 		m.failures, m.errors = 0, 0
--- a/core/harm.go
+++ b/core/harm.go
@@ -17,7 +17,7 @@
 // calls a second served (TestRequestThatEndsUpstreams).
 
 // Only upstreams that ended count: connections break for other reasons as well (core/ending.go). What
-// cannot be seen at once is seen by their next life (core/unproved.go).
+// cannot be seen at once is seen by their next life (core/unproved.go), or as they go on closing connections (core/closing.go).
 
 // held is the answer to a call whose request is held, or under way alone.
 func (f *flow) held(l quarantine.Leave) *fault.Error {
@@ -61,11 +61,15 @@
 	u := a.pick.upstream()
 	l := quarantine.Loss{Subject: f.subject(), Upstream: u.Life(), Engines: 1 + len(a.pick.helpers), Sent: a.sent, Lost: at}
 	note := func() {
-		if f.core.ended(u, f.call.ID) {
+		p := f.core.probeOnce(u, f.call.ID)
+		if p.presence == hollowgrade.Absent {
 			f.core.lost.Lost(l)
 			return
 		}
 		f.core.unproved.add(u, l)
+		if p.presence == hollowgrade.Closing {
+			<-f.core.watch(u, f.call.ID, p)
+		}
 	}
 	if f.core.lost.Knows(f.fingerprint) {
 		note()
--- a/core/harm_test.go
+++ b/core/harm_test.go
@@ -78,20 +78,20 @@
 // stillThere implements [hollowgrade.Prober] for upstreams that go on.
 type stillThere struct{ looks atomic.Int64 }
 
-func (s *stillThere) Takes(context.Context, hollowgrade.Upstream) (bool, error) {
+func (s *stillThere) Probe(context.Context, hollowgrade.Upstream) (hollowgrade.Presence, error) {
 	s.looks.Add(1)
-	return true, nil
+	return hollowgrade.Present, nil
 }
 
 // gone implements it for upstreams that have ended, and of which some say nothing at all.
 type gone struct{ silent bool }
 
-func (g gone) Takes(ctx context.Context, _ hollowgrade.Upstream) (bool, error) {
+func (g gone) Probe(ctx context.Context, _ hollowgrade.Upstream) (hollowgrade.Presence, error) {
 	if !g.silent {
-		return false, nil
+		return hollowgrade.Absent, nil
 	}
 	<-ctx.Done()
-	return false, ctx.Err()
+	return hollowgrade.Absent, ctx.Err()
 }
 
 func TestConnectionsThatBreakAreLookedInto(t *testing.T) {
@@ -129,12 +129,12 @@
 			c := newCore(&fakeUpstreams{}, WithProber(p))
 			u := hollowgrade.Upstream{ID: "u1"}
 			for range 20 {
-				go c.ended(u, "r")
+				go c.probeOnce(u, "r")
 			}
 			synctest.Wait()
 			require.EqualValues(t, 1, p.looks.Load())
 			time.Sleep(2 * probedFor)
-			c.ended(u, "r")
+			c.probeOnce(u, "r")
 			require.EqualValues(t, 2, p.looks.Load())
 		})
 	})
--- a/core/unproved.go
+++ b/core/unproved.go
@@ -35,11 +35,8 @@
 	born int64 // Unix ms of the start of that life
 }
 
-// add keeps a loss at an upstream. One that does not tell its lives shows none.
+// add keeps a loss at an upstream.
 func (p *unproved) add(u hollowgrade.Upstream, l quarantine.Loss) {
-	if u.Born == 0 {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -55,18 +52,26 @@
 	}
 }
 
-// take takes the losses that a life of an upstream shows to have been under the end of the one before.
-func (p *unproved) take(u hollowgrade.Upstream) (ls []quarantine.Loss) {
+// take takes the losses that a life of an upstream shows to have been under the end of the one before. One that
+// does not tell its lives shows none.
+func (p *unproved) take(u hollowgrade.Upstream) []quarantine.Loss {
+	now := p.clock.Now()
+	return p.takeIf(u.ID, func(l unprovedLoss) bool { return l.born != 0 && l.born < u.Born && now.Sub(l.Lost) <= provedWithin })
+}
+
+// takeIf takes the losses at an upstream that are shown to have been under its end.
+func (p *unproved) takeIf(id string, shown func(l unprovedLoss) bool) (ls []quarantine.Loss) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.clock.Now()
-	for _, l := range p.losses[u.ID] {
-		if l.born < u.Born && now.Sub(l.Lost) <= provedWithin {
-			ls = append(ls, l.Loss)
+	p.losses[id] = slices.DeleteFunc(p.losses[id], func(l unprovedLoss) bool {
+		if !shown(l) {
+			return false
 		}
-	}
-	if len(ls) > 0 {
-		delete(p.losses, u.ID)
+		ls = append(ls, l.Loss)
+		return true
+	})
+	if len(p.losses[id]) == 0 {
+		delete(p.losses, id)
 	}
 	return ls
 }
--- a/exchange.go
+++ b/exchange.go
@@ -83,11 +83,33 @@
 	Report(ctx context.Context, u Upstream) (UpstreamReport, error)
 }
 
+// Presence is what a probe finds at the address of an upstream.
+type Presence int
+
+// What a probe finds.
+const (
+	Absent  Presence = iota // connections are refused, or nothing answers
+	Closing                 // a connection is taken and ended without a word, by the upstream or by something in front of it
+	Present                 // a connection is taken and kept
+)
+
+// String implements [fmt.Stringer].
+func (p Presence) String() string {
+	switch p {
+	case Closing:
+		return "closing"
+	case Present:
+		return "present"
+	default:
+		return "absent"
+	}
+}
+
 // Prober tells whether upstreams are there.
 type Prober interface {
-	// Takes reports whether the upstream still takes connections. An error means that it
-	// could not be told, as when nothing answers.
-	Takes(ctx context.Context, u Upstream) (bool, error)
+	// Probe opens a connection to the upstream, sends nothing, and tells what becomes of it. An error
+	// comes with [Absent] and says why, as when nothing answers.
+	Probe(ctx context.Context, u Upstream) (Presence, error)
 }
 
 // ErrNotSent is in the chain of the error of [Exchanger.Open] when nothing of
--- a/quarantine/play_test.go
+++ b/quarantine/play_test.go
@@ -51,6 +51,7 @@
 	spoke   time.Time
 	crash   crashes
 	relays  bool // upstreams end behind something that goes on accepting: their next life shows it
+	probed  bool // the same, and the second probe that is closed shows it
 	unseen  []unseen
 }
 
@@ -64,13 +65,24 @@
 // seenWithin is how long after an upstream is back all gateways have read its entry.
 const seenWithin = 400 * time.Millisecond
 
+// probesTake and probesDiffer are how long after a loss the second probe of its upstream is closed.
+const (
+	probesTake   = 250 * time.Millisecond
+	probesDiffer = 50 * time.Millisecond
+)
+
 // lose lets a gateway know of a loss, at once or when the upstream is back and its entry is read.
 func (p *play) lose(b *Table, l Loss) {
-	if !p.relays {
+	var after time.Duration
+	switch {
+	case p.probed:
+		after = probesTake + time.Duration(p.random.Int64N(int64(probesDiffer)))
+	case p.relays:
+		after = downTime + time.Duration(p.random.Int64N(int64(seenWithin)))
+	default:
 		b.Lost(l)
 		return
 	}
-	after := downTime + time.Duration(p.random.Int64N(int64(seenWithin)))
 	p.unseen = append(p.unseen, unseen{l, b, l.Lost.Add(after)})
 }
 
@@ -242,15 +254,20 @@
 				require.Zero(t, popular.held)
 				require.LessOrEqual(t, float64(popular.refused), 0.05*float64(popular.sent)+5)
 			})
-			t.Run(fmt.Sprintf("%s, %.1f a second, behind relays", name, rate), func(t *testing.T) {
-				popular := &stream{rate: rate, subject: same(1), most: 2}
-				p := newPlay(t, uint64(10*rate), c(), popular, &stream{rate: 40, subject: distinct(), most: 2})
-				p.relays = true
-				p.run(120 * time.Second)
-				t.Logf("sent %d, lost %d, served %d, refused %d, of these held %d", popular.sent, popular.lost, popular.served, popular.refused, popular.held)
-				require.Zero(t, popular.held)
-				require.LessOrEqual(t, float64(popular.refused), 0.05*float64(popular.sent)+5)
-			})
+			for how, change := range map[string]func(p *play){
+				"behind relays":         func(p *play) { p.relays = true },
+				"behind relays, probed": func(p *play) { p.probed = true },
+			} {
+				t.Run(fmt.Sprintf("%s, %.1f a second, %s", name, rate, how), func(t *testing.T) {
+					popular := &stream{rate: rate, subject: same(1), most: 2}
+					p := newPlay(t, uint64(10*rate), c(), popular, &stream{rate: 40, subject: distinct(), most: 2})
+					change(p)
+					p.run(120 * time.Second)
+					t.Logf("sent %d, lost %d, served %d, refused %d, of these held %d", popular.sent, popular.lost, popular.served, popular.refused, popular.held)
+					require.Zero(t, popular.held)
+					require.LessOrEqual(t, float64(popular.refused), 0.05*float64(popular.sent)+5)
+				})
+			}
 		}
 	}
 }
