quarantine: odds that were worked out before a loss had settled do not stay

Cause, from the marks of the gateway that held it: two of its losses had odds of 0.11 and 0.10 there, and 0.78 and 1.00 at another gateway. They were worked out in the moment of the loss, with 2 of the 18 ends that the others told 25 ms later, and not again within the ten seconds in which ends are kept, since the request came to that gateway no sooner.

Change: odds are final once their loss has settled; if it was not looked at in time after that, it counts 1, which speaks for the request. Ruled out: the others' words came late (settle is 100 ms, they take 25).

--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -56,6 +56,12 @@
 type mark struct {
 	Loss
 	odds float64 // of a harmless run to be lost so
+	sure bool    // the odds were worked out once the loss had settled
+}
+
+// settled reports whether what else ended at the moment of the loss is known by now.
+func (m mark) settled(now time.Time) bool {
+	return now.Sub(m.Lost) >= settle
 }
 
 // inRow returns the marks in a row since a moment: each of a run that was sent after the loss before
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -53,7 +53,7 @@
 
 // settled reports whether it is known how upstreams ended around its last loss.
 func (r *record) settled(now time.Time) bool {
-	return len(r.marks) == 0 || now.Sub(r.marks[len(r.marks)-1].Lost) >= settle
+	return len(r.marks) == 0 || r.marks[len(r.marks)-1].settled(now)
 }
 
 // trying reports whether a trial is under way.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -333,11 +333,15 @@
 	}
 	for i := range r.marks {
 		m := &r.marks[i]
-		if now.Sub(m.Lost) <= rateWindow {
-			b = t.ends[m.Service].around(m.Loss, held)
-			b.upstreams = t.upstreams(m.Service)
-			m.odds = odds(m.Loss, b)
+		if now.Sub(m.Lost) > rateWindow {
+			if !m.sure {
+				m.odds = 1 // what ended beside it is no longer known
+			}
+			continue
 		}
+		b = t.ends[m.Service].around(m.Loss, held)
+		b.upstreams = t.upstreams(m.Service)
+		m.odds, m.sure = odds(m.Loss, b), m.settled(now)
 	}
 	return b
 }
