quarantine: a loss that shows late is judged once the others of its moment can be known

Cause, from the list of ends of the gateway that held it: 4 of the 18 ends of one moment, odds 0.003 and 0.13 for its last two losses; the others had 1.00. A loss that shows by the next life counts back 1.5 to 1.9 s, and the 100 ms for the words of the others were counted from that moment, so that they were over before the others could know. Ruled out: chance (the odds differ from gateway to gateway), lost words (all ends are there 0.4 s later).

Change: a loss settles 100 ms, or a third of the time that it took to show, after it became known, and all losses of a request have to have settled.

--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -47,6 +47,10 @@
 	// 25 ms and the time of a packet. A request that is lost with all of a service looked as if it had ended a
 	// third of it.
 	settle = 100 * time.Millisecond
+	// lateShare is which part of the time that a loss took to show its judgement waits for: what ended at the same
+	// moment shows as late, in entries that are read 0.4 s apart after 1.5 s or by probes 50 ms apart after 250 ms. A
+	// request that was lost with all of a service had odds of 0.003 and 0.13 after 4 of 18 ends, 1 after all.
+	lateShare = 3
 	// leastRun is the shortest time for which a run counts: a request is not the more suspect for a
 	// connection that broke at once.
 	leastRun = 10 * time.Millisecond
@@ -55,13 +59,14 @@
 // mark is a loss that is kept of a request.
 type mark struct {
 	Loss
-	odds float64 // of a harmless run to be lost so
-	sure bool    // the odds were worked out once the loss had settled
+	known time.Time // when this process heard of it
+	odds  float64   // of a harmless run to be lost so
+	sure  bool      // the odds were worked out once the loss had settled
 }
 
 // settled reports whether what else ended at the moment of the loss is known by now.
 func (m mark) settled(now time.Time) bool {
-	return now.Sub(m.Lost) >= settle
+	return now.Sub(m.known) >= max(settle, m.known.Sub(m.Lost)/lateShare)
 }
 
 // inRow returns the marks in a row since a moment: each of a run that was sent after the loss before
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -51,9 +51,9 @@
 	return all(ms)
 }
 
-// settled reports whether it is known how upstreams ended around its last loss.
+// settled reports whether it is known how upstreams ended around its losses.
 func (r *record) settled(now time.Time) bool {
-	return len(r.marks) == 0 || r.marks[len(r.marks)-1].settled(now)
+	return !slices.ContainsFunc(r.marks, func(m mark) bool { return !m.settled(now) })
 }
 
 // trying reports whether a trial is under way.
@@ -81,12 +81,12 @@
 }
 
 // add keeps a loss, unless it is known or a harmless run came after it.
-func (r *record) add(l Loss) {
+func (r *record) add(l Loss, now time.Time) {
 	if !l.Lost.After(r.harmless) || slices.ContainsFunc(r.marks, l.is) {
 		return
 	}
 	i, _ := slices.BinarySearchFunc(r.marks, l, func(m mark, l Loss) int { return m.Lost.Compare(l.Lost) })
-	r.marks = slices.Insert(r.marks, i, mark{Loss: l, odds: 1})
+	r.marks = slices.Insert(r.marks, i, mark{Loss: l, known: now, odds: 1})
 	if len(r.marks) > mostMarks {
 		r.marks = slices.Delete(r.marks, 0, 1)
 	}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -257,7 +257,7 @@
 		t.ends[l.Service] = e
 	}
 	e.add(l)
-	t.record(l.Subject).add(l)
+	t.record(l.Subject).add(l, t.clock.Now())
 	t.open[l.Fingerprint] = true
 }
 
