--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -95,6 +95,9 @@
 	require.NoError(t, err)
 	require.NoError(t, g.Start(context.Background()))
 	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("last lines of gateway %s:\n%s", g.Box.Name, lastLines(g.log.String(), 40))
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		require.NoError(t, g.Stop(ctx))
@@ -296,6 +299,12 @@
 	}
 }
 
+// lastLines returns the end of a log.
+func lastLines(log string, n int) string {
+	ls := strings.Split(strings.TrimSpace(log), "\n")
+	return strings.Join(ls[max(len(ls)-n, 0):], "\n")
+}
+
 // lineWith returns the first line of a log that has a text.
 func lineWith(log, text string) string {
 	for l := range strings.Lines(log) {
--- a/internal/soak/harm_test.go
+++ b/internal/soak/harm_test.go
@@ -41,8 +41,18 @@
 	time.Sleep(downTime)
 }
 
-// endWorker lets a worker end with all that it has. Another takes its place, or itself, in a new life.
-func (w *world) endWorker(k *worker, again bool) {
+// returns is how a worker comes back that a request has ended.
+type returns uint64
+
+const (
+	another returns = iota // in its place
+	again                  // itself, in a new life at another address
+	behind                 // the same at its address, which has gone on taking connections and closed each
+	ways
+)
+
+// endWorker lets a worker end with all that it has, and come back.
+func (w *world) endWorker(k *worker, how returns) {
 	w.mu.Lock()
 	if !slices.Contains(w.workers, k) {
 		w.mu.Unlock()
@@ -50,29 +60,35 @@
 	}
 	w.workers = slices.DeleteFunc(w.workers, func(x *worker) bool { return x == k })
 	w.mu.Unlock()
-	k.proxy.close()
+	if how != behind {
+		k.proxy.close()
+	}
 	k.Close()
 	time.Sleep(downTime)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !again {
+	if how == another {
 		w.store.Put("keyed.servers", k.ID, nil)
 		w.addWorker()
 		return
 	}
-	b := &worker{Worker: platformtest.NewWorker(k.ID, w.behave), born: time.Now()}
-	b.proxy = newProxy(w.t, b.Address())
+	b := &worker{Worker: platformtest.NewWorker(k.ID, w.behave), proxy: k.proxy, born: time.Now()}
+	if how == behind {
+		b.proxy.lead(b.Address())
+	} else {
+		b.proxy = newProxy(w.t, b.Address())
+	}
 	w.workers = append(w.workers, b)
 	w.list(b, "ready")
 }
 
 // endIn lets the worker that answers a request end: it waits for its answers, so another has to do it.
-func (w *world) endIn(k *platformtest.Worker, again bool) {
+func (w *world) endIn(k *platformtest.Worker, how returns) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, x := range w.workers {
 		if x.Worker == k {
-			w.ends.Go(func() { w.endWorker(x, again) })
+			w.ends.Go(func() { w.endWorker(x, how) })
 		}
 	}
 }
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -37,6 +37,7 @@
 	harmfulRequest // that ends the workers which run it comes again and again
 	strangeEntries // of another writer, in the registry and among gateways
 	suspendGateway // with its machine: its steady clock stands still
+	turnAway       // all gateways but two are silent towards the store, one after another
 	kinds
 )
 
@@ -44,7 +45,7 @@
 	"kill gateway", "pause gateway", "stop gateway", "reload gateway", "silence store", "reset store", "store busy", "store away",
 	"store loses answers", "store forgets", "delay worker", "reset worker", "silence worker", "deafen worker", "crash worker",
 	"drain worker", "revoke key", "add route", "grow configuration", "silence peers", "reset peers", "delay peers",
-	"harmful request", "strange entries", "suspend gateway",
+	"harmful request", "strange entries", "suspend gateway", "turn readers away",
 }
 
 func (k kind) String() string {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -29,11 +29,11 @@
 // proxy leads connections to a target and harms them on request.
 type proxy struct {
 	listener net.Listener
-	target   string
 	way      atomic.Int32
 	rate     float64 // bytes a second towards the dialling side, 0 for no bound
 
 	mu    sync.Mutex
+	to    string // where connections are led
 	conns map[net.Conn]bool
 	free  time.Time // when the link has carried what it was given
 }
@@ -43,7 +43,7 @@
 	var k net.ListenConfig
 	l, err := k.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, to: target, conns: map[net.Conn]bool{}}
 	go p.accept()
 	t.Cleanup(p.close)
 	return p
@@ -53,6 +53,19 @@
 	return p.listener.Addr().String()
 }
 
+// lead leads connections elsewhere from now on.
+func (p *proxy) lead(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.to = target
+}
+
+func (p *proxy) target() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.to
+}
+
 func (p *proxy) set(w way) {
 	p.way.Store(int32(w))
 }
@@ -87,7 +100,7 @@
 
 func (p *proxy) serve(c net.Conn) {
 	d := net.Dialer{Timeout: time.Second}
-	u, err := d.DialContext(context.Background(), "tcp", p.target)
+	u, err := d.DialContext(context.Background(), "tcp", p.target())
 	if err != nil {
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0) // as a machine without a listener does
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -37,6 +37,8 @@
 	fillerAtATime = 1400
 	mostFiller    = 4200
 	wideEvery     = 3 // gateways, of which one has a link without a bound
+	servedStill   = 2 // gateways that the store serves while others are turned away in turn
+	turnEvery     = 400 * time.Millisecond
 	narrowMbits   = 20
 )
 
@@ -295,7 +297,7 @@
 		platformtest.Misdirected(k, c, r)
 	case strings.HasPrefix(id, harmful):
 		time.Sleep(harmfulTime)
-		w.endIn(k, luck%2 == 0)
+		w.endIn(k, returns(luck%uint64(ways)))
 	case luck < 3:
 		platformtest.Shed(k, c, r)
 	case luck < 5:
@@ -338,7 +340,11 @@
 	if s.what == suspendGateway {
 		s.lasts += suspendMore
 	}
-	w.disturb(s.what, i, from, from.Add(s.lasts+2*time.Second))
+	over := from.Add(s.lasts + 2*time.Second)
+	if s.what == turnAway {
+		over = over.Add(time.Duration(len(w.gates)) * turnEvery)
+	}
+	w.disturb(s.what, i, from, over)
 	switch s.what {
 	case killGateway, pauseGateway, suspendGateway, stopGateway, reloadGateway:
 		w.applyToProcess(g, s)
@@ -346,6 +352,8 @@
 		w.during(g.store, silence, s.lasts)
 	case resetStore:
 		g.store.reset()
+	case turnAway:
+		w.turnAway(s)
 	case silencePeers:
 		w.during(g.peers, silence, s.lasts)
 	case resetPeers:
@@ -431,6 +439,20 @@
 	p.set(pass)
 }
 
+// turnAway lets the store answer all gateways but two no more, one after another, so that those that stand in for
+// readers are turned away in turn.
+func (w *world) turnAway(s step) {
+	var g sync.WaitGroup
+	for i := range w.gates[servedStill:] {
+		x := w.gates[(s.which+i)%len(w.gates)]
+		g.Go(func() {
+			time.Sleep(time.Duration(i) * turnEvery)
+			w.during(x.store, silence, s.lasts)
+		})
+	}
+	g.Wait()
+}
+
 func (w *world) mode(m platformtest.Mode, d time.Duration) {
 	w.store.SetMode(m)
 	time.Sleep(d)
