core: the look at an upstream whose connection broke is bounded by the caller's time

A caller who gave 150 ms had its final answer after 354 ms where something in front of an upstream closes connections, and after 400 ms where nothing answers, if its request had been lost before. Cause: such a request waited for what the end of its upstream shows, on no clock but that of the probes (300 ms, there before; 250 ms more since they are repeated). Ruled out: the attempt itself, which ends with the time of its caller.

Change: the look goes on by itself, and the call waits for it or for the end of its time. TestACallersTimeBoundsTheLookAtItsUpstream, red in both cases before: at most 300 ms.

--- a/core/closing_test.go
+++ b/core/closing_test.go
@@ -199,3 +199,27 @@
 		})
 	})
 }
+
+// A request that was lost before waits for what the end of its upstream shows, and a caller whose time runs out
+// meanwhile has its answer then: 354 and 400 ms after its arrival where it gave 150 ms, before.
+func TestACallersTimeBoundsTheLookAtItsUpstream(t *testing.T) {
+	for name, p := range map[string]hollowgrade.Prober{
+		"that closes connections": &front{closes: always},
+		"that says nothing":       gone{silent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeUpstreams{replies: []reply{afterAWhile(broken)}}
+				c := newCore(f, WithProber(p))
+				t.Cleanup(func() { time.Sleep(watchedFor + probeAgain + probeTimeout) })
+				arrive(c, f, 1)
+				require.Equal(t, 1, c.Quarantine().Size(), "it is known")
+				time.Sleep(2 * probedFor)
+				k := call("/once/")
+				k.ID, k.Arrived, k.Patience = "short", time.Now(), 150*time.Millisecond
+				_ = c.Serve(context.Background(), k, &fakeSink{})
+				require.LessOrEqual(t, time.Since(k.Arrived), k.Patience+answerGrace)
+			})
+		})
+	}
+}
--- a/core/harm.go
+++ b/core/harm.go
@@ -45,37 +45,46 @@
 // noteRun tells what an attempt that was sent says of its request: that its upstream was lost under
 // it, or that the upstream answered. What ends otherwise, as by a caller that leaves or by
 // an upstream that is silent, says nothing.
-func (f *flow) noteRun(a *attempt, err error) {
+func (f *flow) noteRun(ctx context.Context, a *attempt, err error) {
 	var x *fault.Error
 	switch {
 	case err == nil, errors.As(err, &x) && x.Code == fault.UpstreamFailed:
 		f.core.lost.Answered(f.fingerprint)
 	case connectionLost(err):
-		f.noteLoss(a, f.core.clock.Now())
+		f.noteLoss(ctx, a, f.core.clock.Now())
 	}
 }
 
 // noteLoss tells that a run was lost if its upstream has ended. A request that was lost before waits for
-// that, so that no further run of it begins meanwhile.
-func (f *flow) noteLoss(a *attempt, at time.Time) {
+// that, so that no further run of it begins meanwhile, unless the time of its caller runs out.
+func (f *flow) noteLoss(ctx context.Context, a *attempt, at time.Time) {
 	u := a.pick.upstream()
 	l := quarantine.Loss{Subject: f.subject(), Upstream: u.Life(), Engines: 1 + len(a.pick.helpers), Sent: a.sent, Lost: at}
-	note := func() {
-		p := f.core.probeOnce(u, f.call.ID)
-		if p.presence == hollowgrade.Absent {
-			f.core.lost.Lost(l)
-			return
-		}
-		f.core.unproved.add(u, l)
-		if p.presence == hollowgrade.Closing {
-			<-f.core.watch(u, f.call.ID, p)
-		}
+	noted := make(chan struct{})
+	go func() {
+		defer close(noted)
+		f.core.noteLoss(u, l, f.call.ID)
+	}()
+	if !f.core.lost.Knows(f.fingerprint) {
+		return
+	}
+	select {
+	case <-noted:
+	case <-ctx.Done():
 	}
-	if f.core.lost.Knows(f.fingerprint) {
-		note()
+}
+
+// noteLoss notes a run that was lost at an upstream, once it is known what a look at that shows.
+func (c *Core) noteLoss(u hollowgrade.Upstream, l quarantine.Loss, request string) {
+	p := c.probeOnce(u, request)
+	if p.presence == hollowgrade.Absent {
+		c.lost.Lost(l)
 		return
 	}
-	go note()
+	c.unproved.add(u, l)
+	if p.presence == hollowgrade.Closing {
+		<-c.watch(u, request, p)
+	}
 }
 
 // connectionLost reports whether an attempt ended since the connection to its upstream did, as when
