--- a/clock.go
+++ b/clock.go
@@ -30,3 +30,11 @@
 		return false
 	}
 }
+
+// Later returns the later of two moments.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/feed/asking.go
@@ -0,0 +1,310 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/internal/errs"
+	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/peer"
+)
+
+const (
+	// askTimeout bounds one ask: a connection and an answer within a region. An
+	// answer has at most pageBytes for each topic, so that this bound holds on any
+	// link; what is larger is brought by itself and has no bound in time.
+	askTimeout = 700 * time.Millisecond
+	// askedPeers is how many readers a process asks at a time, and how many peers
+	// beside them while it is stale: some may be dead or cut off themselves. All
+	// readers would be asks that grow with the square of the processes.
+	askedPeers = 3
+	// toldBytes is from how many bytes on an answer that was cut has a line in the
+	// log. An ask in vain of a peer that is away has none: there are many of them,
+	// and "store lost" and the view's age say what matters.
+	toldBytes = 16 << 10
+)
+
+// beginRound returns those of the peers that are not asked already, and notes that they are.
+func (r *Relay) beginRound(as []string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	as = slices.DeleteFunc(as, func(a string) bool { return r.asking[a] })
+	for _, a := range as {
+		r.asking[a] = true
+	}
+	r.open = len(as)
+	return as
+}
+
+func (r *Relay) endAsk(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.asking, address)
+}
+
+// toAsk returns the peers to ask now: some of those that the store may serve, readers above all,
+// unless this process reads all topics itself and the store answers it; and while no process that
+// the store serves tells it anything, or its view is stale, all such readers, some that may
+// stand in, and some others. A reader that started while the store was silent asked nobody, and
+// had a change 3.3 s late.
+func (r *Relay) toAsk() (as []string) {
+	rs := r.readers()
+	large := readersOfLarge(rs)
+	served := r.isServed()
+	switch {
+	case !slices.Contains(rs, r.self):
+		as = r.beside(nil, r.withTellers(rs))
+	case !slices.Contains(large, r.self), r.lacks():
+		as = r.beside(nil, r.withTellers(large))
+	}
+	if served && !slices.Contains(rs, r.self) {
+		as = r.beside(as, r.better()) // those in whose stead it reads may be served by now
+	}
+	r.mu.Lock()
+	untold := r.untold()
+	r.mu.Unlock()
+	if len(r.behind()) == 0 && (served || !untold) {
+		return as
+	}
+	as = append(as, slices.DeleteFunc(r.mayBeServed(rs), func(a string) bool { return slices.Contains(as, a) })...)
+	as = r.beside(as, r.standIns())
+	return r.beside(as, r.peers())
+}
+
+// beside adds some more of the peers to those that are asked.
+func (r *Relay) beside(as, more []string) []string {
+	return append(as, r.some(slices.DeleteFunc(slices.Clone(more), func(a string) bool { return a == r.self || slices.Contains(as, a) }))...)
+}
+
+// lacks reports whether the store does not answer this process on a topic.
+func (r *Relay) lacks() bool {
+	return slices.ContainsFunc(r.feeds, func(f *Feed) bool {
+		served, known := f.served()
+		return known && !served
+	})
+}
+
+// isServed reports whether the store answers this process on all topics that it reads.
+func (r *Relay) isServed() bool {
+	return allServed(r.feeds)
+}
+
+// some returns as many of the peers as are asked at a time, others each time. One of
+// the own hall is among them if there is one, so that what is large comes from there.
+func (r *Relay) some(as []string) []string {
+	as = r.likelyServed(as)
+	shuffle(as)
+	if i := slices.IndexFunc(as, r.near); i > 0 {
+		as[0], as[i] = as[i], as[0]
+	}
+	return as[:min(askedPeers, len(as))]
+}
+
+// behind returns the feeds that are stale.
+func (r *Relay) behind() (fs []*Feed) {
+	for _, f := range r.feeds {
+		if age, ok := f.Age(); !ok || age > r.timing.stale(f.wait) {
+			fs = append(fs, f)
+		}
+	}
+	return fs
+}
+
+// told is what one answer of a peer came to.
+type told struct {
+	feeds  int  // that it told
+	served bool // its word on itself
+	bytes  int64
+	more   *Feed   // a feed of which the peer can tell the next page at once, or nil
+	large  []found // records whose values have to be asked for
+}
+
+// found is a record that a peer has told of without its value.
+type found struct {
+	feed   *Feed
+	record *wire.LargeRecord
+}
+
+// ask asks a peer once, and then for the pages that are missing, one after another.
+func (r *Relay) ask(ctx context.Context, address string) {
+	for f := r.askOnce(ctx, address); f != nil; {
+		before := f.Next()
+		if !r.catch(f) {
+			return // another ask does
+		}
+		more := r.askOnce(ctx, address)
+		r.caught(f)
+		if f.Next() == before {
+			return
+		}
+		f = more
+	}
+}
+
+// catch notes that pages of a feed are read one after another, unless they are.
+func (r *Relay) catch(f *Feed) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.catching[f] {
+		return false
+	}
+	r.catching[f] = true
+	return true
+}
+
+func (r *Relay) caught(f *Feed) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.catching, f)
+}
+
+// askOnce asks a peer and lets the large values that it has be brought. It returns a
+// feed of which the peer can tell more, or nil.
+func (r *Relay) askOnce(ctx context.Context, address string) (more *Feed) {
+	sent := r.clock.Now()
+	d, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	t, err := r.exchange(d, address)
+	r.received.Add(t.bytes)
+	if err != nil {
+		r.unheard(address)
+		r.cut(address, t.bytes, r.clock.Since(sent), errors.Join(d.Err(), err))
+		return nil
+	}
+	for _, l := range t.large {
+		r.bring(ctx, l.feed, l.record, address)
+	}
+	return t.more
+}
+
+// cut notes that the answer of a peer was cut after so many bytes.
+func (r *Relay) cut(address string, bytes int64, took time.Duration, err error) {
+	r.wasted.Add(bytes)
+	if bytes >= toldBytes {
+		r.log.Warn("answer of a peer was cut", "peer", address, "bytes", bytes, "took_ms", took.Milliseconds(), "err", err)
+		return
+	}
+	r.log.Debug("peer did not tell what it knows of the store", "peer", address, "err", err)
+}
+
+// Received returns how many bytes peers have sent, and how many of these were of
+// answers and values that were cut.
+func (r *Relay) Received() (all, wasted int64) {
+	return r.received.Load(), r.wasted.Load()
+}
+
+// conn returns the kept connection to a peer, or opens one.
+func (r *Relay) conn(ctx context.Context, address string) (*peer.Conn, error) {
+	r.mu.Lock()
+	c := r.conns[address]
+	r.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	c, err := peer.Dial(ctx, r.dial, address)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o := r.conns[address]; o != nil {
+		return o, c.Close()
+	}
+	r.conns[address] = c
+	return c, nil
+}
+
+// drop forgets a connection on which an exchange failed.
+func (r *Relay) drop(address string, c *peer.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.conns[address] == c {
+		delete(r.conns, address)
+	}
+	_ = c.Close()
+}
+
+// exchange asks a peer and takes what it tells.
+func (r *Relay) exchange(ctx context.Context, address string) (t told, err error) {
+	defer errs.Annotate(&err, "ask peer %s for feeds", address)
+	c, err := r.conn(ctx, address)
+	if err != nil {
+		return t, err
+	}
+	defer func() {
+		if err != nil {
+			r.drop(address, c)
+		}
+	}()
+	sent := r.clock.Now()
+	q := &wire.FeedRequest{}
+	for _, f := range r.feeds {
+		q.Positions = append(q.Positions, &wire.FeedPosition{Feed: f.Name(), Next: f.Next()})
+	}
+	s, err := c.Open(&wire.Frame{Body: &wire.Frame_FeedRequest{FeedRequest: q}})
+	if err != nil {
+		return t, err
+	}
+	defer s.Abort()
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	defer func() { t.bytes = s.Received() }()
+	for t.served = true; ; t.feeds++ {
+		m, err := s.Receive()
+		if errors.Is(err, io.EOF) {
+			r.heard(address, t.served && t.feeds >= len(r.feeds))
+			return t, nil
+		}
+		if err != nil {
+			return t, err
+		}
+		p := m.GetFeedReply()
+		if p == nil {
+			return t, errors.New("peer sent a frame that is not due")
+		}
+		r.merge(address, p, sent, &t)
+	}
+}
+
+// named returns the feed with a name, nil if there is none.
+func named(fs []*Feed, name string) *Feed {
+	i := slices.IndexFunc(fs, func(f *Feed) bool { return f.Name() == name })
+	if i < 0 {
+		return nil
+	}
+	return fs[i]
+}
+
+// merge takes a peer's reply. What the peer knew as of some time before it
+// answered it knew at the latest that long after the request was sent. What has to
+// be asked for besides goes into t.
+func (r *Relay) merge(address string, m *wire.FeedReply, sent time.Time, t *told) {
+	f := named(r.feeds, m.Feed)
+	if f == nil {
+		return
+	}
+	if m.Unserved {
+		t.served = false
+	}
+	before, _ := f.Age()
+	p := hollowgrade.KeyedPage{Next: m.Next, End: max(m.End, m.Next), From: address}
+	for _, k := range m.Records {
+		p.Records = append(p.Records, hollowgrade.KeyedRecord{Key: k.Key, Value: k.Value, Offset: k.Offset})
+	}
+	f.Merge(p, sent.Add(-time.Duration(m.AgeMicros)*time.Microsecond))
+	if after, ok := f.Age(); ok && after < before && (before > r.timing.stale(f.wait) || len(p.Records) > 0) {
+		r.log.Info("learned from a peer", "feed", f.name, "peer", address, "next", m.Next, "records", len(p.Records),
+			"age_ms", after.Milliseconds(), "age_before_ms", before.Milliseconds())
+	}
+	switch l := m.Large; {
+	case f.Next() != p.Next || p.Next == p.End:
+	case l != nil && f.expect(l.Key, l.Offset, int(l.Size), address):
+		t.large = append(t.large, found{f, l})
+	default:
+		t.more = f
+	}
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -506,7 +506,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answered = true
-	f.due = later(f.due, f.clock.Now().Add(readPause+f.timing.Late))
+	f.due = hollowgrade.Later(f.due, f.clock.Now().Add(readPause+f.timing.Late))
 	if !f.away {
 		return
 	}
@@ -514,13 +514,6 @@
 	f.log.Info("store regained", "feed", f.name, "next", f.next, "age_ms", f.ageMillis())
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // ageMillis returns the age for logs, -1 if there never was a complete view.
 func (f *Feed) ageMillis() int64 {
 	if f.fresh.IsZero() {
--- a/internal/spread/network_test.go
+++ b/internal/spread/network_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/feed"
 	"github.com/hollowgrade/hollowgrade/peer"
 )
@@ -89,8 +90,8 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	f, t := n.links[from], n.links[to]
-	f.out = later(f.out, now).Add(seconds(float64(bytes) / f.rate))
-	t.in = later(t.in, f.out).Add(seconds(float64(bytes) / t.rate))
+	f.out = hollowgrade.Later(f.out, now).Add(seconds(float64(bytes) / f.rate))
+	t.in = hollowgrade.Later(t.in, f.out).Add(seconds(float64(bytes) / t.rate))
 	t.received += int64(bytes)
 	if from != storeBox && f.hall != t.hall {
 		t.crossed += int64(bytes)
@@ -178,13 +179,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -104,7 +104,7 @@
 // clear takes the request as harmless up to a moment, and reports whether that ends a hold. Losses
 // after it stay.
 func (r *record) clear(at time.Time) (ends bool) {
-	r.harmless = later(r.harmless, at)
+	r.harmless = hollowgrade.Later(r.harmless, at)
 	r.marks = slices.DeleteFunc(r.marks, func(m mark) bool { return !m.Lost.After(at) })
 	if r.hold.Since.IsZero() || r.hold.Since.After(at) {
 		return false
@@ -113,13 +113,6 @@
 	return true
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -222,7 +222,7 @@
 	switch {
 	case r == nil || r.running:
 	case !x.Over:
-		r.trial = later(r.trial, x.At)
+		r.trial = hollowgrade.Later(r.trial, x.At)
 	case !r.trial.After(x.At):
 		r.trial = time.Time{}
 	}
@@ -353,7 +353,7 @@
 	}
 	t.swept = now
 	for f, r := range t.records {
-		if now.Sub(later(r.touched, r.hold.Until)) > memory {
+		if now.Sub(hollowgrade.Later(r.touched, r.hold.Until)) > memory {
 			delete(t.records, f)
 		}
 	}
@@ -367,7 +367,7 @@
 	// A held one counts as touched at the end of its hold.
 	slices.SortFunc(fs, func(a, b hollowgrade.Fingerprint) int {
 		x, y := t.records[a], t.records[b]
-		return later(x.touched, x.hold.Until).Compare(later(y.touched, y.hold.Until))
+		return hollowgrade.Later(x.touched, x.hold.Until).Compare(hollowgrade.Later(y.touched, y.hold.Until))
 	})
 	for _, f := range fs[:dropAtOnce] {
 		delete(t.records, f)
