--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -163,18 +163,28 @@
 // fetch asks one box.
 func fetch(ctx context.Context, address, path string, v any) (err error) {
 	defer errs.Annotate(&err, "box at %s", address)
+	_, b, err := ask(ctx, http.MethodGet, "http://"+address+path)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(b, v)
+}
+
+// ask makes a request without a body and reads its answer.
+func ask(ctx context.Context, method, address string) (status int, body []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	r, err := http.NewRequestWithContext(ctx, method, address, nil)
 	if err != nil {
-		return err
+		return 0, nil, err
 	}
 	res, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return err
+		return 0, nil, err
 	}
 	defer res.Body.Close()
-	return json.NewDecoder(io.LimitReader(res.Body, maxAnswer)).Decode(v)
+	body, err = io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	return res.StatusCode, body, err
 }
 
 const maxAnswer = 64 << 20
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -89,23 +89,13 @@
 // lift asks one box to end a hold.
 func lift(ctx context.Context, address, fingerprint string) (err error) {
 	defer errs.Annotate(&err, "box at %s", address)
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+node.QuarantinePath+"/"+fingerprint, nil)
-	if err != nil {
-		return err
-	}
-	res, err := http.DefaultClient.Do(r)
-	if err != nil {
+	status, b, err := ask(ctx, http.MethodDelete, "http://"+address+node.QuarantinePath+"/"+fingerprint)
+	switch {
+	case err != nil:
 		return err
-	}
-	defer res.Body.Close()
-	if res.StatusCode == http.StatusNoContent {
+	case status == http.StatusNoContent:
 		return nil
+	default:
+		return errors.New(strings.TrimSpace(string(b)))
 	}
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
-	if err != nil {
-		return err
-	}
-	return errors.New(strings.TrimSpace(string(b)))
 }
