--- a/core/closing.go
+++ b/core/closing.go
@@ -31,7 +31,7 @@
 // watch probes an upstream that was found to close connections until it keeps one, has another life or has been
 // watched for long, and lets it be avoided meanwhile. What it returns is closed once the first of these probes has
 // told what it can of the runs that were lost there.
-func (c *Core) watch(u hollowgrade.Upstream, request string, first finding) (judged <-chan struct{}) {
+func (c *Core) watch(u hollowgrade.Upstream, request string, first probeResult) (judged <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if w := c.watched[u.Life()]; w != nil {
@@ -44,7 +44,8 @@
 	return w
 }
 
-func (c *Core) keepWatch(u hollowgrade.Upstream, request string, first finding, judged func()) {
+// keepWatch probes an upstream until it need not be watched any more. It calls judged after each probe, and at the end.
+func (c *Core) keepWatch(u hollowgrade.Upstream, request string, first probeResult, judged func()) {
 	begun, soonest := c.clock.Now(), first.took
 	defer func() {
 		judged()
@@ -68,6 +69,7 @@
 // An upstream with too many connections closes new ones as well, and goes on with the others. It has ended if what ran
 // there was lost after it had run for several times as long as a new connection is kept, and nothing has come from it since.
 const (
+	// keptTimes is by how many times a run has to have lasted longer than a new connection is kept.
 	keptTimes = 5
 	leastKept = 10 * time.Millisecond // a connection of a run that broke sooner may have been closed as it was opened
 	underWay  = 50 * time.Millisecond // what comes so soon after a loss may have been sent before it
@@ -102,8 +104,8 @@
 	}
 	now := f.clock.Now()
 	m.avoid = now.Add(closingAvoid)
-	if m.shunned.Sub(now) < 2*probeAgain {
-		m.shunned, m.blamed = m.avoid, m.avoid
+	if m.avoidedByAll.Sub(now) < 2*probeAgain {
+		m.avoidedByAll, m.blamed = m.avoid, m.avoid
 		f.change(m)
 	}
 	return true
--- a/core/ending.go
+++ b/core/ending.go
@@ -19,11 +19,11 @@
 type ending struct {
 	at    time.Time
 	done  chan struct{}
-	found finding
+	found probeResult
 }
 
-// finding is what a probe found, and how soon.
-type finding struct {
+// probeResult is what a probe found, and after how long.
+type probeResult struct {
 	presence hollowgrade.Presence
 	took     time.Duration
 }
@@ -31,9 +31,9 @@
 // probeOnce returns what the probe finds of an upstream whose connection broke: one that is under way or was just made, or a
 // new one. Upstreams break off single connections as well: one that reset a prompt of 296,000 tokens before it had
 // read it, as did all others that it was sent to, went on with the rest, and the prompt would have been held for it.
-func (c *Core) probeOnce(u hollowgrade.Upstream, request string) finding {
+func (c *Core) probeOnce(u hollowgrade.Upstream, request string) probeResult {
 	if c.prober == nil {
-		return finding{}
+		return probeResult{}
 	}
 	e, first := c.ending(u.Life())
 	if !first {
@@ -46,12 +46,12 @@
 }
 
 // probe looks whether an upstream is there.
-func (c *Core) probe(u hollowgrade.Upstream, request string) finding {
+func (c *Core) probe(u hollowgrade.Upstream, request string) probeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	begun := c.clock.Now()
 	p, err := c.prober.Probe(ctx, u)
-	f := finding{p, c.clock.Since(begun)}
+	f := probeResult{p, c.clock.Since(begun)}
 	c.log.Info("upstream probed after its connection broke", "upstream", u.Life(), "request", request, "found", p, "took_ms", f.took.Milliseconds(), "err", err)
 	return f
 }
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -61,8 +61,9 @@
 	heard    time.Time // when it said something to this process last: a head or an event
 	told     time.Time // when it said itself that this life had begun; zero if the registry did
 	blamed   time.Time // until when others are told to avoid it too
-	shunned  time.Time // until when all processes avoid it, by the word of this one or of another
-	lapses   time.Time // until when it is used although its entry went; zero while it is listed
+	// avoidedByAll is until when all processes avoid it, by the word of this one or of another.
+	avoidedByAll time.Time
+	lapses       time.Time // until when it is used although its entry went; zero while it is listed
 }
 
 // total is the load that all processes have given to the upstream, as far as
@@ -396,7 +397,7 @@
 	}
 	now := f.clock.Now()
 	until := now.Add(min(d, lastAvoid))
-	m.shunned = until
+	m.avoidedByAll = until
 	if !until.After(m.avoid) || !now.Before(m.avoid) && !f.takesWord(m.Service, now) {
 		return
 	}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -20,7 +20,7 @@
 	hearWithin = 200 * time.Millisecond
 	// openPoll is how often it is looked at, and latePoll what one look counts for at the most. A process that stood
 	// still for 0.72 s within 20 ms of its start took callers as it woke up, 0.1 to 16 ms before it had the
-	// configuration that had come meanwhile, and refused them (4 of 16 plays of five starts each).
+	// configuration that had come meanwhile, and refused them (4 of 7 plays of five starts each).
 	openPoll = 10 * time.Millisecond
 	latePoll = 2 * openPoll
 )
