callers, core: a call that outlasts a planned stop is answered before its connection is closed

Cause, from the gateway's log: the call came in the second in which a stopping gateway still takes callers, its upstream never answered, and its time would have been over 0.35 s after that of the stop. What ended it was the closing of its connection, which the path of a call takes for the caller's (HG3004, caller_gone).

Change: 0.2 s before the end of a stop's time open calls end with a cause of their own: 503 with when to come back where nothing was sent, 502 with HG2005 where it may have run.

--- a/callers/server.go
+++ b/callers/server.go
@@ -26,6 +26,10 @@
 	// defaultHeaderTimeout and defaultIdleTimeout hold until limits are known.
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = time.Minute
+	// lastAnswers is how long before the end of a planned stop the calls that are still open are given up, so that
+	// their answers are written: the way of a local hang-up through a call, and a packet to callers. Without it a call
+	// that outlasted the stop had its connection closed without an answer.
+	lastAnswers = 200 * time.Millisecond
 )
 
 // Limits bound callers' connections. A zero value stands for the default.
@@ -51,6 +55,8 @@
 	stopping bool
 	group    sync.WaitGroup
 	cancel   context.CancelFunc
+	calls    context.Context // of which those of all requests are made
+	giveUp   context.CancelCauseFunc
 }
 
 // conn is what is known of a connection.
@@ -106,7 +112,9 @@
 	for _, o := range os {
 		o(s)
 	}
+	s.calls, s.giveUp = context.WithCancelCause(context.Background())
 	s.server = &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return s.calls },
 		Handler:           http.HandlerFunc(s.handle),
 		ConnState:         s.note,
 		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
@@ -180,10 +188,16 @@
 	return s.active > 0
 }
 
-// drain waits until no request is open, and lets no new one in.
+// drain waits until no request is open, and lets no new one in. Those that are open shortly before ctx ends are given up, with
+// [hollowgrade.ErrStopping] as the cause.
 func (s *Server) drain(ctx context.Context) error {
 	const look = 20 * time.Millisecond
+	end, bounded := ctx.Deadline()
 	for s.closeUnused(); s.answering(); s.closeUnused() {
+		if bounded && time.Until(end) < lastAnswers && s.calls.Err() == nil {
+			s.log.Warn("calls given up", "requests", s.Active(), "why", "the time of the stop is over")
+			s.giveUp(hollowgrade.ErrStopping)
+		}
 		if !hollowgrade.Sleep(ctx, s.clock, look) {
 			s.log.Warn("stopped with requests open", "requests", s.Active())
 			return ctx.Err()
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -96,6 +96,10 @@
 		return x
 	case errors.Is(err, errSink):
 		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.Failed)
+	case errors.Is(err, hollowgrade.ErrStopping) && errors.Is(err, hollowgrade.ErrNotSent):
+		return fault.New(fault.Draining, "this box is being stopped").WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetry)
+	case errors.Is(err, hollowgrade.ErrStopping):
+		return fault.New(fault.Draining, "this box is being stopped, and upstream %s has not answered", id).WithOutcome(hollowgrade.Unknown)
 	case errors.Is(err, hollowgrade.ErrNotSent) && errors.Is(err, context.Canceled):
 		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.NotRun)
 	case errors.Is(err, hollowgrade.ErrNotSent) && errors.Is(err, errOutOfTime):
--- a/exchange.go
+++ b/exchange.go
@@ -112,6 +112,10 @@
 	Probe(ctx context.Context, u Upstream) (Presence, error)
 }
 
+// ErrStopping is the cause with which the context of a call ends that is still open when the time of a planned stop
+// is nearly over. Its caller is there and waits for an answer.
+var ErrStopping = errors.New("the box is being stopped")
+
 // ErrNotSent is in the chain of the error of [Exchanger.Open] when nothing of
 // the call has left, so that the upstream cannot have run it.
 var ErrNotSent = errors.New("nothing was sent")
