--- a/experiment/file.go
+++ b/experiment/file.go
@@ -70,6 +70,8 @@
 	Prompt    float64         `toml:"prompt"` // mean tokens
 	Spread    float64         `toml:"spread"` // standard deviation over mean; sizes are log-normal
 	PromptMax float64         `toml:"prompt_max"`
+	Tail      float64         `toml:"tail"`   // share of the prompts that are TailX times as long as the others
+	TailX     float64         `toml:"tail_x"` // 0 counts as 1
 	Answer    float64         `toml:"answer"` // mean tokens
 	Goal      config.Duration `toml:"goal"`   // until the first event
 	Pause     config.Duration `toml:"pause"`  // longest between events
--- a/experiment/play.go
+++ b/experiment/play.go
@@ -175,10 +175,19 @@
 // answerSpread is the spread of the length of answers.
 const answerSpread = 0.6
 
+// prompt draws the length of a prompt.
+func (p *play) prompt(k *Kind) int {
+	mean := k.Prompt
+	if k.Tail > 0 && p.random.Float64() < k.Tail {
+		mean *= max(k.TailX, 1)
+	}
+	return p.size(mean, k.Spread, k.PromptMax)
+}
+
 func (p *play) request(k *Kind) {
 	j := &job{
 		kind:    k,
-		prompt:  p.size(k.Prompt, k.Spread, k.PromptMax),
+		prompt:  p.prompt(k),
 		answer:  p.size(k.Answer, answerSpread, 0),
 		arrived: p.now,
 	}
