core: a refusal says what was expected to be asked

On-call could not see from a 'not sent' line why a prompt was refused that would have been in time, since the price it named is gone. The line has the displaced worth, the part of the engines' time that the prompts of the last seconds ask for, and how much of that is known. Decisions are unchanged: the file of expected decisions is the same.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -85,6 +85,8 @@
 	Turn      int           // unheard calls of others that are taken to go before it
 	Backlog   time.Duration // that engines have still to read on average
 	Taken     float64       // part of the slots that are taken
+	Asked   float64       // part of the engines' time that expected prompts take
+	Known   float64       // part of that demand that is known, from 0 to 1
 	Full      bool          // no engine has memory for it now
 	Refused   bool          // what it would take from others is worth more than it, or no engine has memory for it
 	// ComeBack is when the caller of a refused call should come back.
@@ -162,6 +164,7 @@
 	}
 	if r.Engine != nil {
 		l.Backlog, l.Taken = meanReading(s.Candidates), slotShare(s.Candidates, r.Engine)
+		l.Asked, l.Known = s.Demand.load(len(s.Candidates)), s.Demand.Known
 	}
 	return l, ok
 }
