--- a/placement/long.go
+++ b/placement/long.go
@@ -9,11 +9,8 @@
 )
 
 const (
-	// splitFrom is the prompt length from which reading is shared with helpers,
-	// and maxHelpers how many the engines take. Even parts from 9,000 tokens on
-	// did best of five settings (docs/design/placement.md).
-	splitFrom  = 9_000
-	maxHelpers = 16
+	splitFrom  = 9_000 // tokens, from which on engines share the reading of a prompt
+	maxHelpers = 16    // that an engine takes for one prompt
 	// lateShare is the part of a call's worth that is lost when it is late.
 	lateShare = 0.75
 )
@@ -108,8 +105,6 @@
 
 // helpMargin is how many parts fewer than its slots an engine is given for others: it
 // refuses a part beyond, with the whole prompt, and parts of the moment are not heard yet.
-// On a day with slow engines 238 prompts of 1,100 were refused for it, most by engines that had
-// been given ten parts and more within 0.6 s.
 const helpMargin = 2
 
 // usable returns the candidates that may read parts of a prompt, and where each of
@@ -145,21 +140,12 @@
 	}
 }
 
-// What a second of an engine's reading is worth to others: that of a second of a
-// prompt of referencePrompt tokens once some reading waits everywhere, less in
-// proportion before, and a twentieth while engines are idle. So it follows from how
-// fast engines read: a fixed price that suits one kind is twice too high for engines
-// half as fast. Over fifteen deployments of the experiment set it earned 0.744 of the
-// worth, the best fixed price 0.736.
+// What a second of an engine is worth to others where demand is not known, and to answers whose
+// prompts were split: that of a second of a prompt of referencePrompt tokens, in proportion
+// to the mean backlog.
 const (
-	referencePrompt = 100_000 // tokens; one prompt in fifty is longer (docs/CAPACITY.md)
-	// saturatedFrom is the mean backlog from which on a second has its whole price. With
-	// 0.6 s prompts of 400,000 to 880,000 tokens were refused at a backlog of 0.2 s and a sixth
-	// of the slots taken, though they would have been in time by half: of the largest tenth of
-	// archives on 103 gateways 0.48 of the worth was served at 0.8 of the load, 0.66 with 1 s
-	// or more (hollowgrade experiment, two seeds; of all worth 0.918 and 0.93). From 1.5 s on
-	// overloaded fleets lose.
-	saturatedFrom = time.Second
+	referencePrompt = 100_000     // tokens
+	saturatedFrom   = time.Second // mean backlog from which on a second has its whole price
 	// refusedAgain is the part of its worth that is lost beside it when a call
 	// that came back after a refusal is refused again: its caller does not come
 	// back a third time.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -85,8 +85,8 @@
 	Turn      int           // unheard calls of others that are taken to go before it
 	Backlog   time.Duration // that engines have still to read on average
 	Taken     float64       // part of the slots that are taken
-	Asked   float64       // part of the engines' time that expected prompts take
-	Known   float64       // part of that demand that is known, from 0 to 1
+	Asked     float64       // part of the engines' time that expected prompts take
+	Known     float64       // part of that demand that is known, from 0 to 1
 	Full      bool          // no engine has memory for it now
 	Refused   bool          // what it would take from others is worth more than it, or no engine has memory for it
 	// ComeBack is when the caller of a refused call should come back.
--- a/placement/short.go
+++ b/placement/short.go
@@ -84,9 +84,6 @@
 
 // slotsTaken reports whether all slots of the engines are taken. A call that would
 // be late is refused then: what it takes makes others late that come in time.
-// Without it all short calls were late while more came than there were slots for:
-// at twice the load that engines bear 0.33 of the worth was served and not 0.39, on
-// engines of few slots 0.51 and not 0.68 (hollowgrade experiment, eight seeds).
 func slotsTaken(cs []Candidate, e *engine.Figures) bool {
 	return slotShare(cs, e) >= 1
 }
@@ -105,11 +102,8 @@
 
 // A burst that begins is not known by how many calls have been heard. So the first
 // engines of the common order that have room for a call of each other process together
-// count alike, and chance decides among those of about the same cost. With room for a
-// few calls 0.95 of the short calls of a burst on sixty gateways were served in time,
-// 0.99 with it (hollowgrade experiment). Those beyond cost more than chance makes up: without it 24 open calls were on eight engines, and fewer were free to
-// read (0.86 of the worth on quiet days of the third customer, 0.90 with it, three
-// runs each).
+// count alike, and chance decides among those of about the same cost. Those beyond cost
+// more than chance makes up, so that others stay free to read.
 const (
 	leastRoom   = 4    // calls; more where there are more other processes, each of which may have picked once unheard
 	roomShare   = 0.05 // of those that are open
--- a/placement/stakes.go
+++ b/placement/stakes.go
@@ -5,10 +5,7 @@
 	"time"
 )
 
-// Pauses are told apart by classes, each a fifth longer than the one before. A
-// doubling cost engines whose calls bear 1 s parts of over 0.8 s: on the third
-// customer's engines it was worth 0.005 to 0.01 of all worth (mean of five days,
-// three runs), on loads of long prompts in turn with short ones up to 0.02.
+// Pauses are told apart by classes, each a fifth longer than the one before.
 const (
 	shortestPause   = 50 * time.Millisecond
 	classesToDouble = 4
@@ -86,11 +83,8 @@
 	resentShare = 0.5
 )
 
-// A pause is predicted from what is known to be read, and more may come meanwhile: a
-// prompt of 5,000 tokens more makes it longer by a tenth of what short answers bear.
-// So what is at stake is lost little by little. With a sharp edge at the goal the
-// experiment set earned 0.773 of the worth, with edges from 0.7 to 1.1 of it 0.789
-// (0.9 to 1.1: 0.778, 0.5 to 1.1: 0.776; six seeds).
+// A pause is predicted from what is known to be read, and more may come meanwhile, so
+// what is at stake is lost little by little.
 const (
 	surelyBorne  = 0.7 // of the pause goal
 	surelyTooFar = 1.1
--- a/placement/target.go
+++ b/placement/target.go
@@ -8,20 +8,15 @@
 const (
 	// restrictCost is what it costs to let a call write at an engine where all
 	// others bear longer pauses: parts of prompts that held nobody up there would
-	// from then on. Quiet days of the third customer are worth 0.87 with it, 0.81
-	// without (three runs each).
+	// from then on.
 	restrictCost = 1
 	// answerOrderCost is by how much the last engine of the common order costs more
 	// than the first as the one that answers a long prompt. Each engine at which
 	// anybody writes spends a part of its time on token steps, whatever the number
-	// of writers: 0.02 of the worth where engines read slowly (hollowgrade
-	// experiment, twelve seeds).
+	// of writers.
 	answerOrderCost = 0.3
-	// answerSpread is how much chance weighs among the engines that may answer: as much
-	// as a third of the common order. Two archives that went to the same engine within 3 ms
-	// waited for its memory one after the other: of 254 archives on a quiet day of 103
-	// gateways 48 were given to an engine without memory for them, 9 with it and with
-	// withRoom, and the latest in a hundred first events came after 4.4 s in place of 8.3 s.
+	// answerSpread is how much chance weighs among the engines that may answer: two long prompts
+	// of one moment at the same engine wait for its memory one after the other.
 	answerSpread = 0.1
 )
 
@@ -52,10 +47,8 @@
 
 // withRoom returns a set of engines of which one at least has memory for the prompt, and
 // how much more is lost by it. The engines at which the least harm is done are those at which
-// other long prompts are answered, so that all of a set may be full: the prompt, and its parts
-// at all of them, waited there until another had ended, for 4 to 12 s where 1 s was predicted,
-// and the parts were read when short calls wrote there again. The one at which the most is
-// lost makes room.
+// other long prompts are answered, so that all of a set may be full. The one at which the most
+// is lost makes room.
 func (p *Policy) withRoom(cs []Candidate, set []int, r Request, part time.Duration) (roomy []int, more float64) {
 	room := func(i int) bool { return memoryCost(&cs[i], r) == 0 }
 	if !p.has(Rooming) || slices.ContainsFunc(set, room) {
--- a/placement/turn.go
+++ b/placement/turn.go
@@ -7,14 +7,9 @@
 
 // Calls that come to many processes within the time in which these hear of each
 // other's picks are decided on the same snapshot, and would all go to the engine that
-// costs least in it: of 103 gateways before 150 engines, where 540 short calls a
-// second came, half were late (0.66 of their worth was earned, 0.94 by one process
-// that knows all at once). So each process places the calls that others are thought
+// costs least in it. So each process places the calls that others are thought
 // to have placed meanwhile first, one after another as one process would, and its own
-// at a turn that chance draws among them: together they pick nearly the same engines
-// as one process would. 0.89 of the worth of short calls is earned with it there; of
-// all worth 0.88 in place of 0.73, and 0.90 in place of 0.79 of sixty gateways before
-// 60 engines (hollowgrade experiment, one and four seeds).
+// at a turn that chance draws among them.
 
 // turn draws how many of the calls that others have placed unheard go before this
 // one.
