core: demand is summed up for long prompts only, and counts by its age

Each pick of a short prompt went through the views of all peers and 28 kinds to sum up a demand that only long prompts look at. A word that is settled late counts by its age now. Ruled out by the test: a word that comes late counts whole.

--- a/core/demand.go
+++ b/core/demand.go
@@ -38,9 +38,15 @@
 		return
 	}
 	d.age(now)
+	x := decay(d.at.Sub(now)) / demandMemory.Seconds()
 	k := &d.kinds[demandKind(reading)]
-	k.prompts += 1 / demandMemory.Seconds()
-	k.reading += reading.Seconds() / demandMemory.Seconds()
+	k.prompts += x
+	k.reading += x * reading.Seconds()
+}
+
+// decay returns what is left after a time of the weight of what was noted.
+func decay(age time.Duration) float64 {
+	return math.Exp(-age.Seconds() / demandMemory.Seconds())
 }
 
 // demandKind returns the index of the kind of a prompt.
@@ -54,7 +60,7 @@
 	if !now.After(d.at) {
 		return
 	}
-	x := math.Exp(-now.Sub(d.at).Seconds() / demandMemory.Seconds())
+	x := decay(now.Sub(d.at))
 	for i := range d.kinds {
 		d.kinds[i].prompts *= x
 		d.kinds[i].reading *= x
@@ -68,7 +74,7 @@
 // expected returns what is expected to be asked.
 func (d *demand) expected(now time.Time) placement.Demand {
 	d.age(now)
-	e := placement.Demand{Memory: demandMemory, Known: 1 - math.Exp(-now.Sub(d.since).Seconds()/demandMemory.Seconds())}
+	e := placement.Demand{Memory: demandMemory, Known: 1 - decay(now.Sub(d.since))}
 	for _, k := range d.kinds {
 		if k.prompts > forgotten {
 			e.Prompts = append(e.Prompts, placement.Expected{
--- a/core/place.go
+++ b/core/place.go
@@ -66,7 +66,7 @@
 	ms := f.usableOf(service, now)
 	s := f.snapshot(ms, tried, now)
 	s.Unheard = f.unheard(service, now)
-	if r.Engine != nil {
+	if r.Long() {
 		s.Demand = f.expected(service, now)
 	}
 	l, ok := f.policy.Place(s, r)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -24,6 +24,11 @@
 	Begun  bool            // the caller has a part of its answer
 }
 
+// Long reports whether several engines may read the prompt of the call.
+func (r Request) Long() bool {
+	return r.Engine != nil && r.Prompt >= splitFrom
+}
+
 // Worth estimates the worth of a call beside that of others. Operators publish
 // none, and value a long answer by its length.
 func (r Request) Worth() float64 {
@@ -154,7 +159,7 @@
 	switch {
 	case r.Engine == nil:
 		l, ok = p.plain(s)
-	case r.Prompt >= splitFrom && p.has(Splitting):
+	case r.Long() && p.has(Splitting):
 		l, ok = p.longOrShort(s, r)
 	default:
 		l, ok = p.short(s, r)
