--- a/placement/placement.go
+++ b/placement/placement.go
@@ -142,7 +142,7 @@
 
 // New returns a policy.
 func New(os ...Option) *Policy {
-	p := &Policy{without: map[Mechanism]bool{}, pricing: pricings[Displacement]}
+	p := &Policy{without: map[Mechanism]bool{}, pricing: pricings[BusyEngines]}
 	for _, o := range os {
 		o(p)
 	}
--- a/placement/pricing.go
+++ b/placement/pricing.go
@@ -15,12 +15,13 @@
 // The ways.
 const (
 	MeanBacklog  Pricing = "mean_backlog" // a second costs more the longer engines have to read on average
+	BusyEngines  Pricing = "busy_engines" // a second costs more the more engines have something to read
 	Displacement Pricing = "displacement" // the worth of expected prompts that find no time beside it
 )
 
 // Pricings returns all ways.
 func Pricings() []Pricing {
-	return []Pricing{MeanBacklog, Displacement}
+	return []Pricing{MeanBacklog, BusyEngines, Displacement}
 }
 
 // pricing returns what others lose by the reading of a plan on a set of engines, beside pauses that
@@ -29,6 +30,7 @@
 
 var pricings = map[Pricing]pricing{
 	MeanBacklog:  priceByMean,
+	BusyEngines:  priceByBusy,
 	Displacement: displaced,
 }
 
@@ -54,6 +56,16 @@
 	return price(cs, r.Engine) * r.Engine.Reading(r.Prompt, 1).Seconds()
 }
 
+// priceByBusy answers loads on which a few engines have much to read and others nothing.
+func priceByBusy(_ *Policy, _ Snapshot, cs []Candidate, _ []int, r Request, _ Plan) float64 {
+	busy := 0.0
+	for i := range cs {
+		busy += min(float64(cs[i].Reading)/float64(saturatedFrom), 1)
+	}
+	busy /= float64(max(len(cs), 1))
+	return min(max(slotNeed(cs, r.Engine), busy, leastBusy), 1) * secondWorth(r.Engine) * r.Engine.Reading(r.Prompt, 1).Seconds()
+}
+
 // displaced returns the worth of the expected prompts that find time on the engines without a
 // plan and none with it. It answers loads whose mix and sizes change: seconds that nobody is
 // expected to ask for are free, whatever the backlog, and a prompt that takes many of them
