--- a/placement/long.go
+++ b/placement/long.go
@@ -140,12 +140,11 @@
 	}
 }
 
-// What a second of an engine is worth to others where demand is not known, and to answers whose
-// prompts were split: that of a second of a prompt of referencePrompt tokens, in proportion
-// to the mean backlog.
+// What a second of an engine is worth to others at the most: that of a second of a prompt of
+// referencePrompt tokens.
 const (
 	referencePrompt = 100_000     // tokens
-	saturatedFrom   = time.Second // mean backlog from which on a second has its whole price
+	saturatedFrom   = time.Second // backlog from which on a second has its whole price
 	// refusedAgain is the part of its worth that is lost beside it when a call
 	// that came back after a refusal is refused again: its caller does not come
 	// back a third time.
