platform, core: logs tell what limit an upstream names, and which upstreams are asked for their speed

Sight only: the limit is decoded, kept and logged as it changes, an ask for the speed and an order of memory name their engines; nothing is decided by it yet.

--- a/core/fleet.go
+++ b/core/fleet.go
@@ -63,6 +63,7 @@
 	blamed   time.Time // until when others are told to avoid it too
 	// avoidedByAll is until when all processes avoid it, by the word of this one or of another.
 	avoidedByAll time.Time
+	limit        rateLimit
 	lapses       time.Time // until when it is used although its entry went; zero while it is listed
 }
 
@@ -417,12 +418,13 @@
 	plainErrors  = 3
 )
 
-// answered notes that an upstream gave an answer to a call, and its load if it
-// told it. After some failures of its own in a row it is avoided.
-func (f *Fleet) answered(m *member, id string, engine bool, h hollowgrade.Head) {
+// answered notes that an upstream gave an answer to a call that was sent at some moment, and what it says of
+// itself. After some failures of its own in a row it is avoided.
+func (f *Fleet) answered(m *member, id string, engine bool, sent time.Time, h hollowgrade.Head) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m.heard = f.clock.Now()
+	f.takeSignals(m, id, sent, h.Signals)
 	switch {
 	case h.Success():
 		m.failures, m.errors = 0, 0
--- a/core/pace.go
+++ b/core/pace.go
@@ -209,6 +209,7 @@
 		c.log.Info("speed of upstream not asked", "upstream", u.Life(), "request", request, "why", "too many are being asked", "most", mostAsks)
 		return // it is suspected again by the next call that it makes late
 	}
+	c.log.Info("upstream asked for its speed", "upstream", u.Life(), "request", request)
 	go func() {
 		defer c.asks.Add(-1)
 		begin := c.clock.Now()
--- a/core/ticket.go
+++ b/core/ticket.go
@@ -45,7 +45,7 @@
 		return c.reserver.Reserve(ctx, p.at[m], t.id, t.tokens, ticketHold)
 	})
 	err = errors.Join(es...)
-	c.log.Info("memory asked for", "request", request, "ticket", t.id, "engines", len(t.keepers), "tokens", t.tokens, "err", err)
+	c.log.Info("memory asked for", "request", request, "ticket", t.id, "engines", len(t.keepers), "upstreams", ids(t.keepers), "tokens", t.tokens, "err", err)
 	r, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	t.cancel = cancel
 	if err != nil {
--- a/exchange.go
+++ b/exchange.go
@@ -152,11 +152,21 @@
 	Stream  bool        // the body is a series of events
 	Load    UpstreamLoad
 	HasLoad bool
+	Signals Signals
 	// AtFault is the id or the address of the upstream for whose sake the call was
 	// not taken, which may be a helper; empty if the answer does not name it.
 	AtFault string
 }
 
+// Signals is what an upstream says of itself in an answer, beside its load.
+type Signals struct {
+	// Foreign says that the answer is not known to come from the upstream that was asked, so that it tells nothing of it.
+	Foreign bool
+	Limited bool     // it names a limit
+	Limit   float64  // requests a second that it takes from all processes together
+	Unread  []string // headers whose values cannot be used
+}
+
 // Success reports whether the answer is one that the caller asked for.
 func (h Head) Success() bool {
 	return h.Status >= http.StatusOK && h.Status < http.StatusMultipleChoices
