core, loadview: limits that upstreams name hold for all gateways together

Engines that named 1.4 and 1.7 requests a second got 21 and 25 in 4 s from five gateways: the header had no reader. Each gateway now keeps an account of what all may send, charged for its own requests and for those that others tell of; chance by demand decides what is left, the part of gateways that are not heard is left to them, and callers for whom there is no room are refused at once with when to come back. A limited engine is not asked for its speed and keeps no parts of prompts.

The limit itself ends at the gateway and reaches no caller.

--- a/core/fleet.go
+++ b/core/fleet.go
@@ -31,16 +31,18 @@
 	Stakes placement.Stakes // what would be lost by pauses that are too long for them
 	Given  time.Duration    // reading of prompts given to it since the process started
 	Tokens int              // memory that its requests hold
+	Sent   int              // requests sent to it while it named a limit, since the process started
+	Wanted int              // the same with those that the limit left no room for
 }
 
 // Plus returns the sum of two shares.
 func (s Share) Plus(o Share) Share {
-	return Share{s.Open + o.Open, s.Stakes.Plus(o.Stakes), s.Given + o.Given, s.Tokens + o.Tokens}
+	return Share{s.Open + o.Open, s.Stakes.Plus(o.Stakes), s.Given + o.Given, s.Tokens + o.Tokens, s.Sent + o.Sent, s.Wanted + o.Wanted}
 }
 
 // Minus returns s without o.
 func (s Share) Minus(o Share) Share {
-	return Share{s.Open - o.Open, s.Stakes.Minus(o.Stakes), s.Given - o.Given, s.Tokens - o.Tokens}
+	return Share{s.Open - o.Open, s.Stakes.Minus(o.Stakes), s.Given - o.Given, s.Tokens - o.Tokens, s.Sent - o.Sent, s.Wanted - o.Wanted}
 }
 
 // member is an upstream and what this process knows of it.
@@ -103,6 +105,8 @@
 	services   map[string][]*member
 	outdated   bool                           // whether services is to be made anew
 	unlisted   map[hollowgrade.Life]time.Time // until when upstreams read that are not listed here yet
+	told       map[hollowgrade.Life]toldLimit // limits that others have told of upstreams that are not listed here yet
+	promised   map[string]time.Time           // until when callers have been told to come back for room in limits, by service
 	views      map[string]*view               // what other processes have given to upstreams, by box
 	placed     map[string]rate                // calls that other processes have placed, by service
 	changed    map[hollowgrade.Life]bool      // upstreams whose own share changed since [Fleet.Changes]
@@ -134,6 +138,8 @@
 		lives:    map[string]hollowgrade.Life{},
 		services: map[string][]*member{},
 		unlisted: map[hollowgrade.Life]time.Time{},
+		told:     map[hollowgrade.Life]toldLimit{},
+		promised: map[string]time.Time{},
 		views:    map[string]*view{},
 		placed:   map[string]rate{},
 		changed:  map[hollowgrade.Life]bool{},
@@ -230,6 +236,7 @@
 	delete(f.unlisted, l)
 	f.members[l], f.lives[id] = m, l
 	f.sumOthers(m, l)
+	f.takeTold(m)
 	f.outdated = true
 	return m
 }
@@ -324,13 +331,13 @@
 }
 
 // stillUsable reports whether a pick that was made a while ago may still be
-// given the call.
+// given the call. Limits that have become known since are charged for it.
 func (f *Fleet) stillUsable(p *pick) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	unusable := func(m *member) bool { return f.members[m.life] != m || !f.usable(m, now) }
-	return !unusable(p.member) && !slices.ContainsFunc(p.helpers, unusable)
+	return !unusable(p.member) && !slices.ContainsFunc(p.helpers, unusable) && f.meterLate(p, now)
 }
 
 // another reports whether a service has an upstream beside those that were
@@ -373,6 +380,9 @@
 type Seen struct {
 	Avoid time.Duration // for how long yet it is to be avoided, since an engine named it as at fault; 0 if none did
 	Pace  PaceTold      // its word on its speed; zero if it didn't tell this process, or its word no longer holds
+	// Limit is its newest word on its limit, whoever was told it; HasLimit is false if there is none to tell.
+	Limit    RateLimit
+	HasLimit bool
 }
 
 // Seen returns what this process has seen itself of the upstreams of some shares.
@@ -383,7 +393,9 @@
 	ss := make(map[hollowgrade.Life]Seen, len(shares))
 	for l := range shares {
 		if m := f.members[l]; m != nil {
-			ss[l] = Seen{max(m.blamed.Sub(now), 0), m.paceTold(now)}
+			s := Seen{Avoid: max(m.blamed.Sub(now), 0), Pace: m.paceTold(now)}
+			s.Limit, s.HasLimit = m.limitTold(now)
+			ss[l] = s
 		}
 	}
 	return ss
--- a/core/flow.go
+++ b/core/flow.go
@@ -125,8 +125,7 @@
 	r.Begun = f.began
 	p := f.core.fleet.pick(f.service.Name, r, f.tried)
 	if p == nil {
-		return Try{Err: fault.New(fault.NoUpstream, "no upstream of service %s can be tried, %d were", f.service.Name, len(f.tried)).
-			WithRetryAfter(shortRetry)}
+		return Try{Err: f.refuseAny()}
 	}
 	if p.Refused {
 		return Try{Err: f.refuse(p)}
@@ -141,6 +140,7 @@
 	err := f.prepare(ctx, a)
 	defer a.tickets.end()
 	if err != nil {
+		f.core.fleet.unsent(p)
 		f.core.fleet.over(p, false)
 		return Try{Err: err, Placed: f.noMemory < memoryTries, Free: true}
 	}
@@ -163,8 +163,8 @@
 		return err
 	}
 	if !f.core.fleet.stillUsable(p) {
-		f.core.log.Info("not sent", "request", f.call.ID, "attempt", a.number, "upstream", p.upstream().ID, "why", "it or a helper began to leave")
-		return fault.New(fault.Draining, "upstream %s or a helper began to leave before the call was sent", p.upstream().ID)
+		f.core.log.Info("not sent", "request", f.call.ID, "attempt", a.number, "upstream", p.upstream().ID, "why", "it or a helper began to leave or names a limit")
+		return fault.New(fault.Draining, "upstream %s or a helper began to leave or named a limit before the call was sent", p.upstream().ID)
 	}
 	return nil
 }
@@ -201,6 +201,20 @@
 		WithRetryAfter(p.ComeBack)
 }
 
+// refuseAny says that there is no upstream for a call: none is listed or was left untried, or none whose limit leaves
+// room now.
+func (f *flow) refuseAny() error {
+	r := f.core.fleet.room(f.service.Name, f.tried)
+	if r.limited == 0 {
+		return fault.New(fault.NoUpstream, "no upstream of service %s can be tried, %d were", f.service.Name, len(f.tried)).
+			WithRetryAfter(shortRetry)
+	}
+	f.core.log.Info("not sent", "request", f.call.ID, "why", "upstreams take fewer requests a second than come", "limited", r.limited,
+		"per_second", round(r.perSecond), "come_back_ms", r.comeBack.Milliseconds())
+	return fault.New(fault.Overloaded, "%d upstreams of service %s take %.3g requests a second together", r.limited, f.service.Name, r.perSecond).
+		WithRetryAfter(r.comeBack)
+}
+
 // round returns a figure as logs have it, to two places.
 func round(x float64) float64 {
 	return math.Round(x*100) / 100
@@ -211,6 +225,9 @@
 	t := Try{Placed: true, Free: errors.Is(err, hollowgrade.ErrNotSent)}
 	x := a.fault(err)
 	t.Err = x
+	if t.Free {
+		f.core.fleet.unsent(a.pick)
+	}
 	switch x.Code {
 	case fault.UpstreamLost, fault.AnswerCut:
 		f.core.fleet.failed(a.pick.member, f.call.ID, err.Error())
--- a/core/limit.go
+++ b/core/limit.go
@@ -1,16 +1,67 @@
 package core
 
 import (
+	"maps"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
 )
 
-// rateLimit is what an upstream says of the requests a second that it takes from all processes together.
+const (
+	// limitShare is the part of a limit that all processes together use. The rest is for requests that cross.
+	limitShare = 0.9
+	// limitBurst is for how long what a limit allows adds up while nothing is sent, beside one request.
+	limitBurst = 500 * time.Millisecond
+	// leastLimit is the limit in requests a second that is used where less is named. Only an answer tells that a
+	// limit has ended.
+	leastLimit = 0.1
+	// sendUnheard is for how long a request that another process sends is not known here.
+	sendUnheard = 60 * time.Millisecond
+	// sendsApart is how many times as long as that processes leave between two requests that they send there, on average.
+	sendsApart = 2
+	// wantedMemory is for how long requests count in the rate of those that would be sent. Others tell of theirs with
+	// each heartbeat.
+	wantedMemory = 2 * time.Second
+	// endOfLimitTold is for how long others are told that a limit has ended.
+	endOfLimitTold = 10 * time.Second
+)
+
+// RateLimit is what an upstream says of the requests a second that it takes from all processes together.
+type RateLimit struct {
+	Named     bool
+	PerSecond float64
+	Age       time.Duration // since it said so
+}
+
+// rateLimit is the limit of an upstream, and this process's account of what all processes together may send there.
 type rateLimit struct {
 	named     bool
 	perSecond float64
-	at        time.Time // when it said so
+	at        time.Time // when the upstream said so; zero if it has said nothing
+	allowance float64   // requests that may be sent now; negative once more were sent
+	accrued   time.Time // until when the allowance has been added up
+	wanted    rate      // requests that others would send there
+}
+
+// rate returns how many requests a second all processes send together.
+func (l *rateLimit) rate() float64 {
+	return limitShare * max(l.perSecond, leastLimit)
+}
+
+// accrue adds up what may be sent. Heard is the part of all processes whose requests are known here: those of which
+// nothing is heard have the rest.
+func (l *rateLimit) accrue(now time.Time, heard float64) {
+	r := heard * l.rate()
+	most := 1 + r*limitBurst.Seconds()
+	l.allowance = min(l.allowance+r*now.Sub(l.accrued).Seconds(), most)
+	l.accrued = now
+}
+
+// tellable reports whether others are to be told of the limit.
+func (l *rateLimit) tellable(now time.Time) bool {
+	return l.named || !l.at.IsZero() && now.Sub(l.at) < endOfLimitTold
 }
 
 // takeSignals takes what an upstream said of itself in an answer to a request that was sent at some moment. The lock
@@ -24,15 +75,195 @@
 	}
 	// An answer to a request that left before the limit was known may be older than the limit.
 	if s.Limited || m.limit.named && sent.After(m.limit.at) {
-		f.setLimit(m, id, rateLimit{named: s.Limited, perSecond: s.Limit, at: f.clock.Now()})
+		f.setLimit(m, "", id, RateLimit{Named: s.Limited, PerSecond: s.Limit})
+	}
+}
+
+// setLimit replaces what is known of the limit of an upstream by its word to this process or to a peer, unless it has
+// said something later. The lock is held.
+func (f *Fleet) setLimit(m *member, peer, request string, w RateLimit) {
+	now := f.clock.Now()
+	at := now.Add(-max(w.Age, 0)) // a word from the future would outlive all that come after it
+	l := &m.limit
+	if !at.After(l.at) {
+		return
+	}
+	l.at = at
+	if w.Named == l.named && w.PerSecond == l.perSecond {
+		return
+	}
+	f.log.Info("limit of upstream", "upstream", m.life, "service", m.Service, "request", request, "peer", peer,
+		"age_ms", w.Age.Milliseconds(), "named", w.Named, "per_second", w.PerSecond, "was_named", l.named, "before", l.perSecond)
+	if l.named {
+		l.accrue(now, f.heardShare())
+	} else {
+		l.allowance, l.accrued = 0, now
+	}
+	l.named, l.perSecond = w.Named, w.PerSecond
+	if peer == "" {
+		f.change(m)
+	}
+}
+
+// TakeLimit takes the word of another process, by its box, on the limit of an upstream.
+func (f *Fleet) TakeLimit(box string, id hollowgrade.Life, w RateLimit) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !(w.PerSecond >= 0) || math.IsInf(w.PerSecond, 1) {
+		f.log.Warn("limit of upstream not used", "upstream", id, "peer", box, "per_second", w.PerSecond)
+		return
+	}
+	if m := f.members[id]; m != nil {
+		f.setLimit(m, box, "", w)
+		return
+	}
+	now := f.clock.Now()
+	maps.DeleteFunc(f.told, func(_ hollowgrade.Life, t toldLimit) bool { return now.Sub(t.at) > toldFor })
+	f.told[id] = toldLimit{now, box, w}
+}
+
+// toldFor is for how long what others tell of an upstream that is not listed here is kept.
+const toldFor = 10 * time.Second
+
+// toldLimit is the word of another process on the limit of an upstream that is not listed here yet.
+type toldLimit struct {
+	at    time.Time
+	box   string
+	limit RateLimit
+}
+
+// takeTold takes what others have told of an upstream before it was listed here. The lock is held.
+func (f *Fleet) takeTold(m *member) {
+	t, ok := f.told[m.life]
+	if !ok {
+		return
 	}
+	delete(f.told, m.life)
+	t.limit.Age += f.clock.Since(t.at)
+	f.setLimit(m, t.box, "", t.limit)
 }
 
-// setLimit replaces what is known of the limit of an upstream. The lock is held.
-func (f *Fleet) setLimit(m *member, id string, l rateLimit) {
-	if l.named != m.limit.named || l.perSecond != m.limit.perSecond {
-		f.log.Info("limit of upstream", "upstream", m.life, "service", m.Service, "request", id,
-			"named", l.named, "per_second", l.perSecond, "before", m.limit.perSecond)
+// limitTold returns what others are told of the limit of an upstream; false if there is nothing to tell.
+func (m *member) limitTold(now time.Time) (w RateLimit, ok bool) {
+	if !m.limit.tellable(now) {
+		return w, false
+	}
+	return RateLimit{m.limit.named, m.limit.perSecond, now.Sub(m.limit.at)}, true
+}
+
+// heardShare returns the part of all processes whose load is known, this one among them. The lock is held.
+func (f *Fleet) heardShare() float64 {
+	others := max(len(f.views), f.peers())
+	return float64(len(f.views)+1) / float64(others+1)
+}
+
+// admits reports whether the limit of an upstream leaves room for a request of this process now. What is left goes to
+// the processes by chance, by what each would send, since sends of others become known late. The lock is held.
+func (f *Fleet) admits(m *member, now time.Time, begun bool) bool {
+	l := &m.limit
+	if !l.named {
+		return true
+	}
+	m.own.Wanted++
+	f.changed[m.life] = true // told with what is told next
+	l.accrue(now, f.heardShare())
+	if l.allowance < 1 {
+		return false
+	}
+	meet := sendsApart * sendUnheard.Seconds() * l.wanted.value(now, wantedMemory)
+	return begun || f.chance()*max(meet, 1) < l.allowance
+}
+
+// within returns those of some upstreams whose limits leave room for a request now. The lock is held.
+func (f *Fleet) within(ms []*member, tried map[hollowgrade.Life]bool, now time.Time, begun bool) (free []*member) {
+	for _, m := range ms {
+		if tried[m.life] || f.admits(m, now, begun) {
+			free = append(free, m)
+		}
+	}
+	return free
+}
+
+// meter takes a request out of what the limit of an upstream allows. The lock is held.
+func (f *Fleet) meter(p *pick, m *member) {
+	if !m.limit.named {
+		return
+	}
+	m.limit.allowance--
+	p.metered = append(p.metered, m)
+	f.add(m, Share{Sent: 1})
+}
+
+// unsent gives back what was taken out of limits for a pick that was not sent.
+func (f *Fleet) unsent(p *pick) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range p.metered {
+		m.limit.allowance++
+		f.add(m, Share{Sent: -1})
+	}
+	p.metered = nil
+}
+
+// hearSends takes the word of another process on what it has sent to an upstream that names a limit, and would have
+// sent, since it said so last. The lock is held.
+func (f *Fleet) hearSends(m *member, sent, wanted int) {
+	now := f.clock.Now()
+	m.limit.accrue(now, f.heardShare())
+	m.limit.allowance -= float64(sent)
+	m.limit.wanted = m.limit.wanted.plus(now, max(wanted, 0), wantedMemory)
+}
+
+// meterLate takes requests out of limits that became known after a pick was made, and reports whether they leave room.
+// The lock is held.
+func (f *Fleet) meterLate(p *pick, now time.Time) bool {
+	for _, m := range append([]*member{p.member}, p.helpers...) {
+		if !m.limit.named || slices.Contains(p.metered, m) {
+			continue
+		}
+		if !f.admits(m, now, p.request.Begun) {
+			return false
+		}
+		f.meter(p, m)
+	}
+	return true
+}
+
+// The bounds of when a caller is told to come back for whom the limits of all upstreams leave no room.
+const (
+	soonestRoom = 200 * time.Millisecond
+	latestRoom  = 10 * time.Second
+)
+
+// room is what limits leave of the upstreams of a service for which there is no other.
+type room struct {
+	limited   int           // upstreams that would be used if they named no limit
+	perSecond float64       // requests that these take, from all processes together
+	comeBack  time.Duration // when there is room for a caller who is told now
+}
+
+// room returns what limits leave of a service, and gives a caller the next place in it. Places go to callers one after
+// another, as far apart as this process's part of what the limits allow.
+func (f *Fleet) room(service string, tried map[hollowgrade.Life]bool) (r room) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	for _, m := range f.usableOf(service, now) {
+		if m.limit.named && !tried[m.life] {
+			r.limited++
+			r.perSecond += m.limit.rate()
+		}
+	}
+	if r.limited == 0 {
+		return r
+	}
+	part := r.perSecond / float64(max(len(f.views), f.peers())+1)
+	next := hollowgrade.Later(f.promised[service], now).Add(time.Duration(float64(time.Second) / part))
+	r.comeBack = max(next.Sub(now), soonestRoom)
+	if r.comeBack > latestRoom {
+		r.comeBack = latestRoom
+		return r
 	}
-	m.limit = l
+	f.promised[service] = next
+	return r
 }
--- /dev/null
+++ b/core/limit_test.go
@@ -0,0 +1,221 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/placement"
+)
+
+// What an upstream that names a limit may get in any window, by the users' rule.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitExtra  = 5
+	// limitKnown is from when on all processes know the limits.
+	limitKnown = 2 * time.Second
+	// leastUse is the part of what limits allow that is used where more is asked for.
+	leastUse = 0.5
+)
+
+// limitPlay is processes before some upstreams that name a limit, beside others that do not.
+type limitPlay struct {
+	processes int
+	limited   int
+	others    int
+	limit     float64
+	varies    float64       // by how much answers name another, more or less, as a part of it
+	calls     float64       // a second, at all processes together
+	toFirst   float64       // part of the calls that come to one process
+	pause     time.Duration // without calls, in the middle of the play
+	told      time.Duration // after which a change is known to others
+	lost      float64       // part of the packets that are lost; heartbeats tell the same
+	cut       bool          // two halves of the processes hear nothing of each other
+	play      time.Duration
+}
+
+// limitResult is what a play came to.
+type limitResult struct {
+	most    float64 // that an upstream got in a window, as a part of what the rule allows
+	use     float64 // part of what the limits allow that was used
+	refused float64 // part of the calls
+	words   int     // views told
+}
+
+// process is one of the processes of a play.
+type limitProcess struct {
+	fleet *Fleet
+	box   string
+	next  time.Time // heartbeat
+}
+
+func newLimitProcess(p limitPlay, i int, r *rand.Rand) *limitProcess {
+	f := NewFleet(hollowgrade.SystemClock(), quiet())
+	f.SetChance(r.Float64)
+	f.SetPeers(func() int { return p.processes - 1 })
+	for u := range p.limited + p.others {
+		f.Put(hollowgrade.Upstream{ID: fmt.Sprintf("u%02d", u), Service: "s", Address: "u:1", Slots: 16})
+	}
+	h := Heartbeat(p.processes)
+	return &limitProcess{f, fmt.Sprint("b", i), time.Now().Add(time.Duration(r.Float64() * float64(h)))}
+}
+
+// tell lets others hear a process's shares.
+func (p limitPlay) tell(ps []*limitProcess, from int, cs map[hollowgrade.Life]Share, whole bool, r *rand.Rand) (words int) {
+	seen := ps[from].fleet.Seen(cs)
+	var to []*Fleet
+	for i, o := range ps {
+		if i == from || p.cut && (i < len(ps)/2) != (from < len(ps)/2) || !whole && r.Float64() < p.lost {
+			continue
+		}
+		to = append(to, o.fleet)
+	}
+	time.AfterFunc(p.told, func() {
+		for _, f := range to {
+			f.TakeView(ps[from].box, cs, whole)
+			for l, s := range seen {
+				if s.HasLimit {
+					f.TakeLimit(ps[from].box, l, s.Limit)
+				}
+			}
+		}
+	})
+	return len(to)
+}
+
+// run plays calls that are answered after 15 ms.
+func (p limitPlay) run(t *testing.T, seed uint64) (x limitResult) {
+	synctest.Test(t, func(*testing.T) {
+		r := rand.New(rand.NewPCG(seed, 42))
+		var ps []*limitProcess
+		for i := range p.processes {
+			ps = append(ps, newLimitProcess(p, i, r))
+		}
+		for i, o := range ps {
+			p.tell(ps, i, o.fleet.Shares(), true, r)
+		}
+		time.Sleep(time.Second)
+		got := map[string][]time.Time{}
+		refused, calls, begin := 0, 0, time.Now()
+		for time.Since(begin) < p.play {
+			time.Sleep(time.Duration(r.ExpFloat64() / p.calls * float64(time.Second)))
+			i := r.IntN(len(ps))
+			if r.Float64() < p.toFirst {
+				i = 0
+			}
+			if p.pause > 0 && time.Since(begin) > p.play/2 {
+				p.rest(ps, r)
+				p.play, p.pause = p.play+p.pause, 0
+			}
+			calls++
+			f := ps[i].fleet
+			k := f.pick("s", placement.Request{Left: time.Second}, nil)
+			if k == nil {
+				refused++
+			} else {
+				u := k.member.ID
+				got[u] = append(got[u], time.Now())
+				sent, says := time.Now(), p.signals(u, r)
+				time.AfterFunc(15*time.Millisecond, func() {
+					f.answered(k.member, "r", false, sent, hollowgrade.Head{Status: 200, Signals: says})
+					f.over(k, true)
+				})
+				x.words += p.tell(ps, i, f.Changes(false), false, r)
+			}
+			for j, o := range ps {
+				if !time.Now().Before(o.next) {
+					o.next = o.next.Add(Heartbeat(p.processes))
+					x.words += p.tell(ps, j, o.fleet.Shares(), true, r)
+				}
+			}
+		}
+		x.refused = float64(refused) / float64(calls)
+		used := 0
+		for u := range p.limited {
+			at := got[fmt.Sprintf("u%02d", u)]
+			known := begin.Add(limitKnown)
+			at = slices.DeleteFunc(at, func(t time.Time) bool { return t.Before(known) })
+			used += len(at)
+			x.most = max(x.most, float64(mostWithin(at, known))/(limitFactor*p.limit*limitWindow.Seconds()+limitExtra))
+		}
+		x.use = float64(used) / (p.limit * float64(p.limited) * (p.play - limitKnown).Seconds())
+		time.Sleep(10 * time.Second) // what is on its way
+	})
+	return x
+}
+
+// rest lets time pass without calls.
+func (p limitPlay) rest(ps []*limitProcess, r *rand.Rand) {
+	for end := time.Now().Add(p.pause); time.Now().Before(end); {
+		time.Sleep(Heartbeat(p.processes))
+		for i, o := range ps {
+			p.tell(ps, i, o.fleet.Shares(), true, r)
+		}
+	}
+}
+
+func (p limitPlay) signals(u string, r *rand.Rand) (s hollowgrade.Signals) {
+	if u < fmt.Sprintf("u%02d", p.limited) {
+		s.Limited, s.Limit = true, p.limit*(1+p.varies*(2*r.Float64()-1))
+	}
+	return s
+}
+
+// mostWithin returns the most moments in a window that ends at a time or later.
+func mostWithin(ts []time.Time, from time.Time) (n int) {
+	for i, t := range ts {
+		if t.Before(from) {
+			continue
+		}
+		in := 0
+		for _, o := range ts[:i+1] {
+			if t.Sub(o) < limitWindow {
+				in++
+			}
+		}
+		n = max(n, in)
+	}
+	return n
+}
+
+func TestLimitsAreSharedByManyProcesses(t *testing.T) {
+	for name, p := range map[string]limitPlay{
+		"0.2 before 5":                        {processes: 5, limited: 2, others: 4, limit: 0.2, calls: 50},
+		"1.4 before 5":                        {processes: 5, limited: 2, others: 4, limit: 1.4, calls: 50},
+		"1.4 of all before 5":                 {processes: 5, limited: 3, limit: 1.4, calls: 50},
+		"1.4 before 5, uneven":                {processes: 5, limited: 2, others: 4, limit: 1.4, calls: 50, toFirst: 0.5},
+		"1.4 of all, all calls to one of 28":  {processes: 28, limited: 6, limit: 1.4, calls: 50, toFirst: 1},
+		"1.4 of all before 28, after a pause": {processes: 28, limited: 6, limit: 1.4, calls: 300, pause: 30 * time.Second},
+		"1.4 of all before 28":                {processes: 28, limited: 6, limit: 1.4, calls: 300},
+		"1.4 before 28, uneven":               {processes: 28, limited: 2, others: 4, limit: 1.4, calls: 300, toFirst: 0.5},
+		"20 of all before 28":                 {processes: 28, limited: 6, limit: 20, calls: 300},
+		"1.4 of all before 28, lossy":         {processes: 28, limited: 6, limit: 1.4, calls: 300, lost: 0.1},
+		"1.4 of all before 5, halves":         {processes: 5, limited: 3, limit: 1.4, calls: 50, cut: true},
+		"1.4 of all before 420":               {processes: 420, limited: 3, limit: 1.4, calls: 700},
+		"2 more or less before 5":             {processes: 5, limited: 2, others: 4, limit: 2, calls: 50, varies: 0.4},
+		"20 of all before 420":                {processes: 420, limited: 3, limit: 20, calls: 700},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p.told, p.play = 40*time.Millisecond, 20*time.Second
+			seeds := uint64(2)
+			if p.processes > 100 {
+				p.play, seeds = 6*time.Second, 1 // each tells all others of itself each second
+			}
+			for seed := range seeds {
+				x := p.run(t, seed)
+				t.Logf("seed %d: most %.2f, use %.2f, refused %.2f, words %d", seed, x.most, x.use, x.refused, x.words)
+				require.LessOrEqual(t, x.most, 1.0)
+				if p.pause == 0 {
+					require.GreaterOrEqual(t, x.use, leastUse)
+				}
+			}
+		})
+	}
+}
--- a/core/pace.go
+++ b/core/pace.go
@@ -89,7 +89,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[id]
-	return m != nil && m.paceWord.own && m.slow(f.clock.Now())
+	return m != nil && !m.limit.named && m.paceWord.own && m.slow(f.clock.Now())
 }
 
 // TakePace takes the word of an engine on how many times as long as published it takes, said
@@ -148,10 +148,10 @@
 	return us
 }
 
-// askable reports whether nobody is known to have asked an upstream just now. The lock is
-// held.
+// askable reports whether nobody is known to have asked an upstream just now. One that names a limit
+// is left to calls. The lock is held.
 func (f *Fleet) askable(m *member, now time.Time) bool {
-	return now.Sub(m.asked) >= PaceAgain && now.Sub(m.paceWord.at) >= PaceAgain
+	return !m.limit.named && now.Sub(m.asked) >= PaceAgain && now.Sub(m.paceWord.at) >= PaceAgain
 }
 
 // SetAsker sets what asks upstreams how fast they are once one is found to be slow. It is called
--- a/core/place.go
+++ b/core/place.go
@@ -25,6 +25,7 @@
 	share   Share                            // at the member
 	slowest float64                          // how many times as long as published the slowest of its engines takes, as far as is known
 	since   time.Time                        // when it was chosen
+	metered []*member                        // those of which a limit was charged for it
 }
 
 // upstream returns what the registry said of the chosen upstream.
@@ -63,7 +64,7 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	f.expireViews(now)
-	ms := f.usableOf(service, now)
+	ms := f.within(f.usableOf(service, now), tried, now, r.Begun)
 	s := f.snapshot(ms, tried, now)
 	s.Unheard = f.unheard(service, now)
 	if r.Long() {
@@ -89,10 +90,12 @@
 		f.add(m, Share{Tokens: l.Kept})
 	}
 	f.add(p.member, p.share)
+	f.meter(p, p.member)
 	f.give(p, now, l.Reading)
 	p.slowest = p.member.pace(now)
 	for _, m := range p.helpers {
 		m.helping(now, l.First)
+		f.meter(p, m)
 		p.slowest = max(p.slowest, m.pace(now))
 	}
 	return p
@@ -124,8 +127,7 @@
 	for _, m := range ms {
 		f.candidates = append(f.candidates, m.candidate(tried[m.life], now))
 	}
-	others := max(len(f.views), f.peers())
-	return placement.Snapshot{Candidates: f.candidates, Others: others, Heard: float64(len(f.views)+1) / float64(others+1), Chance: f.chance}
+	return placement.Snapshot{Candidates: f.candidates, Others: max(len(f.views), f.peers()), Heard: f.heardShare(), Chance: f.chance}
 }
 
 // candidate returns what is known of the upstream.
@@ -141,6 +143,7 @@
 		Helps:   m.helps(now),
 		Avoided: now.Before(m.avoid),
 		Tried:   tried,
+		Limited: m.limit.named,
 	}
 	if now.Sub(m.loadAt) < loadAge {
 		c.Told = m.load.Running + m.load.Waiting
--- a/core/share.go
+++ b/core/share.go
@@ -63,7 +63,7 @@
 }
 
 // Shares returns all own shares that are not zero, and those of upstreams of which there is
-// something else to tell: that an engine named them as at fault, or that they are slow.
+// something else to tell: that an engine named them as at fault, that they are slow, or that they name a limit.
 func (f *Fleet) Shares() map[hollowgrade.Life]Share {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -74,7 +74,7 @@
 	now := f.clock.Now()
 	cs := map[hollowgrade.Life]Share{}
 	for id, m := range f.members {
-		if m.own != (Share{}) || now.Before(m.blamed) || m.paceWord.own && m.slow(now) {
+		if m.own != (Share{}) || now.Before(m.blamed) || m.paceWord.own && m.slow(now) || m.limit.tellable(now) {
 			cs[id] = m.own
 		}
 	}
@@ -135,6 +135,9 @@
 		if n := s.Open - old.Open; (known || v.whole) && n > 0 {
 			f.noteOthers(m.Service, n)
 		}
+		if known || v.whole {
+			f.hearSends(m, s.Sent-old.Sent, s.Wanted-old.Wanted)
+		}
 		if more := s.Given - old.Given; (known || v.whole) && more != 0 {
 			m.give(f.clock.Now(), more)
 			f.hearReading(v, m.Service, max(more, 0))
--- a/core/unheard.go
+++ b/core/unheard.go
@@ -25,23 +25,23 @@
 }
 
 // plus returns the rate after n more calls.
-func (r rate) plus(now time.Time, n int) rate {
-	return rate{r.value(now) + float64(n)/rateMemory.Seconds(), now}
+func (r rate) plus(now time.Time, n int, memory time.Duration) rate {
+	return rate{r.value(now, memory) + float64(n)/memory.Seconds(), now}
 }
 
-// value returns the rate in calls a second.
-func (r rate) value(now time.Time) float64 {
-	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateMemory.Seconds())
+// value returns the rate in calls a second. Memory is for how long calls count in it.
+func (r rate) value(now time.Time, memory time.Duration) float64 {
+	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/memory.Seconds())
 }
 
 // noteOthers notes that another process has placed calls of a service. The lock is
 // held.
 func (f *Fleet) noteOthers(service string, n int) {
-	f.placed[service] = f.placed[service].plus(f.clock.Now(), n)
+	f.placed[service] = f.placed[service].plus(f.clock.Now(), n, rateMemory)
 }
 
 // unheard returns how many calls of a service others are thought to have placed that
 // are not known here yet. The lock is held.
 func (f *Fleet) unheard(service string, now time.Time) float64 {
-	return f.placed[service].value(now) * unheardFor.Seconds()
+	return f.placed[service].value(now, rateMemory) * unheardFor.Seconds()
 }
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -356,6 +356,10 @@
 
 			PaceMilli:     int64(seen[id].Pace.Pace * paceUnit),
 			PaceAgeMillis: seen[id].Pace.Age.Milliseconds(),
+
+			Limit:  encodeLimit(seen[id]),
+			Sent:   int64(c.Sent),
+			Wanted: int64(c.Wanted),
 		})
 	}
 	return m
@@ -434,11 +438,21 @@
 			Stakes: decodeStakes(c.Stakes),
 			Given:  time.Duration(c.GivenMicros) * time.Microsecond,
 			Tokens: int(c.Tokens),
+			Sent:   int(c.Sent),
+			Wanted: int(c.Wanted),
 		}
 	}
 	return ss
 }
 
+// encodeLimit returns what is told of the limit of an upstream, nil if there is nothing.
+func encodeLimit(s core.Seen) *wire.RateLimit {
+	if !s.HasLimit {
+		return nil
+	}
+	return &wire.RateLimit{Named: s.Limit.Named, PerSecond: s.Limit.PerSecond, AgeMillis: s.Limit.Age.Milliseconds()}
+}
+
 // paceUnit is how the speed of an engine goes into a message: in thousandths.
 const paceUnit = 1000
 
--- a/placement/long.go
+++ b/placement/long.go
@@ -113,6 +113,7 @@
 func usable(all []Candidate, r Request) (cs []Candidate, at []int) {
 	cs = make([]Candidate, 0, len(all))
 	at = make([]int, 0, len(all))
+	ordered := keepers(r, r.Engine) > 1 // some get orders to set memory aside
 	free := func(c *Candidate) bool { return c.Helps < max(r.Engine.Slots-helpMargin, 1) }
 	for _, fits := range []func(c *Candidate) bool{
 		func(c *Candidate) bool { return !c.Avoided && free(c) },
@@ -120,10 +121,11 @@
 		func(*Candidate) bool { return true },
 	} {
 		for i := range all {
-			if !all[i].Tried && fits(&all[i]) {
-				cs = append(cs, all[i])
-				at = append(at, i)
+			if all[i].Tried || ordered && all[i].Limited || !fits(&all[i]) {
+				continue
 			}
+			cs = append(cs, all[i])
+			at = append(at, i)
 		}
 		if len(cs) >= keepers(r, r.Engine) && len(cs) > 0 {
 			break
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -51,6 +51,7 @@
 	Helps   int           // parts of prompts that it holds for other engines
 	Told    int           // calls that it has by its own word; 0 if that is old
 	Avoided bool          // it failed lately
+	Limited bool          // it bounds the requests that it takes, so that it gets no orders to keep parts of prompts
 	Tried   bool          // by the same call
 }
 
