platform, core: logs tell that an upstream says it leaves

Ten requests went to an upstream that had said in its answers that it leaves, and no line told of that word. Sight only: it is decoded and logged once for each life.

--- a/core/limit.go
+++ b/core/limit.go
@@ -73,12 +73,25 @@
 	if s.Foreign {
 		return
 	}
+	if s.Leaving {
+		f.setLeaving(m, "", id)
+	}
 	// An answer to a request that left before the limit was known may be older than the limit.
 	if s.Limited || m.limit.named && sent.After(m.limit.at) {
 		f.setLimit(m, "", id, RateLimit{Named: s.Limited, PerSecond: s.Limit})
 	}
 }
 
+// setLeaving takes the word of an upstream to this process or to a peer that it leaves. It holds for its life. The
+// lock is held.
+func (f *Fleet) setLeaving(m *member, peer, request string) {
+	if m.leaving {
+		return
+	}
+	m.leaving = true
+	f.log.Info("upstream says that it leaves", "upstream", m.life, "service", m.Service, "request", request, "peer", peer, "listed_draining", m.Draining)
+}
+
 // setLimit replaces what is known of the limit of an upstream by its word to this process or to a peer, unless it has
 // said something later. The lock is held.
 func (f *Fleet) setLimit(m *member, peer, request string, w RateLimit) {
--- a/exchange.go
+++ b/exchange.go
@@ -162,8 +162,10 @@
 type Signals struct {
 	// Foreign says that the answer is not known to come from the upstream that was asked, so that it tells nothing of it.
 	Foreign bool
-	Limited bool     // it names a limit
-	Limit   float64  // requests a second that it takes from all processes together
+	Limited bool    // it names a limit
+	Limit   float64 // requests a second that it takes from all processes together
+	// Leaving says that this life of it ends soon, and takes no new work.
+	Leaving bool
 	Unread  []string // headers whose values cannot be used
 }
 
