platform, core: logs tell that an upstream asks for rest

An engine that turned calls away and asked for 3 s of rest got up to five requests of one gateway in that time, and no line told of what it asked.

--- a/core/fleet.go
+++ b/core/fleet.go
@@ -66,6 +66,7 @@
 	// avoidedByAll is until when all processes avoid it, by the word of this one or of another.
 	avoidedByAll time.Time
 	limit        rateLimit
+	rest         time.Time // until when it wants nothing from this process, by its own word
 	leaving      bool      // by its own word, whatever the registry says
 	lapses       time.Time // until when it is used although its entry went; zero while it is listed
 }
--- a/core/limit.go
+++ b/core/limit.go
@@ -73,6 +73,9 @@
 	if s.Foreign {
 		return
 	}
+	if s.Rest > 0 {
+		f.setRest(m, id, s.Rest)
+	}
 	if s.Leaving {
 		f.setLeaving(m, "", id)
 	}
@@ -92,6 +95,15 @@
 	f.log.Info("upstream says that it leaves", "upstream", m.life, "service", m.Service, "request", request, "peer", peer, "listed_draining", m.Draining)
 }
 
+// setRest takes the word of an upstream that it wants nothing from this process for a while. A shorter rest does not
+// end a longer one. The lock is held.
+func (f *Fleet) setRest(m *member, request string, d time.Duration) {
+	now := f.clock.Now()
+	f.log.Info("upstream asks for rest", "upstream", m.life, "service", m.Service, "request", request, "for_ms", d.Milliseconds(),
+		"before_ms", max(m.rest.Sub(now), 0).Milliseconds())
+	m.rest = hollowgrade.Later(m.rest, now.Add(d))
+}
+
 // setLimit replaces what is known of the limit of an upstream by its word to this process or to a peer, unless it has
 // said something later. The lock is held.
 func (f *Fleet) setLimit(m *member, peer, request string, w RateLimit) {
