core, loadview: an upstream whose answers say that it leaves gets nothing new

Requests reached an upstream 2.1 to 4.3 s after its answers had said that it leaves: the registry alone said who leaves, and the store was away. Its own word now counts for this life of it, at once where it is heard, and is told to the others by whoever knows it, also to a gateway that starts later; an entry that says ready does not undo it, another instance at its address does not say it. Calls held back for it go elsewhere, those that run there go on. The word ends at the gateway.

--- a/core/fleet.go
+++ b/core/fleet.go
@@ -107,7 +107,7 @@
 	services   map[string][]*member
 	outdated   bool                           // whether services is to be made anew
 	unlisted   map[hollowgrade.Life]time.Time // until when upstreams read that are not listed here yet
-	told       map[hollowgrade.Life]toldLimit // limits that others have told of upstreams that are not listed here yet
+	told       map[hollowgrade.Life]toldWord  // what others have told of upstreams that are not listed here yet
 	promised   map[string]time.Time           // until when callers have been told to come back for room in limits, by service
 	views      map[string]*view               // what other processes have given to upstreams, by box
 	placed     map[string]rate                // calls that other processes have placed, by service
@@ -140,7 +140,7 @@
 		lives:    map[string]hollowgrade.Life{},
 		services: map[string][]*member{},
 		unlisted: map[hollowgrade.Life]time.Time{},
-		told:     map[hollowgrade.Life]toldLimit{},
+		told:     map[hollowgrade.Life]toldWord{},
 		promised: map[string]time.Time{},
 		views:    map[string]*view{},
 		placed:   map[string]rate{},
@@ -329,7 +329,7 @@
 
 // usable reports whether a member may be given new work. The lock is held.
 func (f *Fleet) usable(m *member, now time.Time) bool {
-	return !m.Draining && !m.lapsed(now)
+	return !m.Draining && !m.leaving && !m.lapsed(now)
 }
 
 // stillUsable reports whether a pick that was made a while ago may still be
@@ -385,6 +385,7 @@
 	// Limit is its newest word on its limit, whoever was told it; HasLimit is false if there is none to tell.
 	Limit    RateLimit
 	HasLimit bool
+	Leaving  bool // by its own word, whoever was told it
 }
 
 // Seen returns what this process has seen itself of the upstreams of some shares.
@@ -397,6 +398,7 @@
 		if m := f.members[l]; m != nil {
 			s := Seen{Avoid: max(m.blamed.Sub(now), 0), Pace: m.paceTold(now)}
 			s.Limit, s.HasLimit = m.limitTold(now)
+			s.Leaving = m.leaving
 			ss[l] = s
 		}
 	}
--- a/core/limit.go
+++ b/core/limit.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -64,46 +63,6 @@
 	return l.named || !l.at.IsZero() && now.Sub(l.at) < endOfLimitTold
 }
 
-// takeSignals takes what an upstream said of itself in an answer to a request that was sent at some moment. The lock
-// is held.
-func (f *Fleet) takeSignals(m *member, id string, sent time.Time, s hollowgrade.Signals) {
-	if len(s.Unread) > 0 {
-		f.log.Info("signal of upstream not used", "upstream", m.life, "service", m.Service, "request", id, "headers", s.Unread)
-	}
-	if s.Foreign {
-		return
-	}
-	if s.Rest > 0 {
-		f.setRest(m, id, s.Rest)
-	}
-	if s.Leaving {
-		f.setLeaving(m, "", id)
-	}
-	// An answer to a request that left before the limit was known may be older than the limit.
-	if s.Limited || m.limit.named && sent.After(m.limit.at) {
-		f.setLimit(m, "", id, RateLimit{Named: s.Limited, PerSecond: s.Limit})
-	}
-}
-
-// setLeaving takes the word of an upstream to this process or to a peer that it leaves. It holds for its life. The
-// lock is held.
-func (f *Fleet) setLeaving(m *member, peer, request string) {
-	if m.leaving {
-		return
-	}
-	m.leaving = true
-	f.log.Info("upstream says that it leaves", "upstream", m.life, "service", m.Service, "request", request, "peer", peer, "listed_draining", m.Draining)
-}
-
-// setRest takes the word of an upstream that it wants nothing from this process for a while. A shorter rest does not
-// end a longer one. The lock is held.
-func (f *Fleet) setRest(m *member, request string, d time.Duration) {
-	now := f.clock.Now()
-	f.log.Info("upstream asks for rest", "upstream", m.life, "service", m.Service, "request", request, "for_ms", d.Milliseconds(),
-		"before_ms", max(m.rest.Sub(now), 0).Milliseconds())
-	m.rest = hollowgrade.Later(m.rest, now.Add(d))
-}
-
 // setLimit replaces what is known of the limit of an upstream by its word to this process or to a peer, unless it has
 // said something later. The lock is held.
 func (f *Fleet) setLimit(m *member, peer, request string, w RateLimit) {
@@ -142,30 +101,7 @@
 		f.setLimit(m, box, "", w)
 		return
 	}
-	now := f.clock.Now()
-	maps.DeleteFunc(f.told, func(_ hollowgrade.Life, t toldLimit) bool { return now.Sub(t.at) > toldFor })
-	f.told[id] = toldLimit{now, box, w}
-}
-
-// toldFor is for how long what others tell of an upstream that is not listed here is kept.
-const toldFor = 10 * time.Second
-
-// toldLimit is the word of another process on the limit of an upstream that is not listed here yet.
-type toldLimit struct {
-	at    time.Time
-	box   string
-	limit RateLimit
-}
-
-// takeTold takes what others have told of an upstream before it was listed here. The lock is held.
-func (f *Fleet) takeTold(m *member) {
-	t, ok := f.told[m.life]
-	if !ok {
-		return
-	}
-	delete(f.told, m.life)
-	t.limit.Age += f.clock.Since(t.at)
-	f.setLimit(m, t.box, "", t.limit)
+	f.keepTold(id, func(t *toldWord) { t.limit, t.hasLimit = w, true })
 }
 
 // limitTold returns what others are told of the limit of an upstream; false if there is nothing to tell.
--- a/core/share.go
+++ b/core/share.go
@@ -63,7 +63,8 @@
 }
 
 // Shares returns all own shares that are not zero, and those of upstreams of which there is
-// something else to tell: that an engine named them as at fault, that they are slow, or that they name a limit.
+// something else to tell: that an engine named them as at fault, that they are slow, that they
+// name a limit, or that they leave.
 func (f *Fleet) Shares() map[hollowgrade.Life]Share {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -74,7 +75,7 @@
 	now := f.clock.Now()
 	cs := map[hollowgrade.Life]Share{}
 	for id, m := range f.members {
-		if m.own != (Share{}) || now.Before(m.blamed) || m.paceWord.own && m.slow(now) || m.limit.tellable(now) {
+		if m.own != (Share{}) || now.Before(m.blamed) || m.paceWord.own && m.slow(now) || m.limit.tellable(now) || m.leaving {
 			cs[id] = m.own
 		}
 	}
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -360,6 +360,8 @@
 			Limit:  encodeLimit(seen[id]),
 			Sent:   int64(c.Sent),
 			Wanted: int64(c.Wanted),
+
+			Leaving: seen[id].Leaving,
 		})
 	}
 	return m
--- a/loadview/taker.go
+++ b/loadview/taker.go
@@ -144,6 +144,9 @@
 	if c.PaceMilli > 0 {
 		t.fleet.TakePace(hollowgrade.Life(c.Upstream), float64(c.PaceMilli)/paceUnit, time.Duration(c.PaceAgeMillis)*time.Millisecond, box, "")
 	}
+	if c.Leaving {
+		t.fleet.TakeLeaving(box, hollowgrade.Life(c.Upstream))
+	}
 	if l := c.Limit; l != nil {
 		t.fleet.TakeLimit(box, hollowgrade.Life(c.Upstream), core.RateLimit{
 			Named: l.Named, PerSecond: l.PerSecond, Age: time.Duration(l.AgeMillis) * time.Millisecond,
