--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -42,6 +42,9 @@
 	arrivals []metered
 }
 
+// meterWork is how long it works on a request.
+const meterWork = 15 * time.Millisecond
+
 // metered is a request that reached an upstream.
 type metered struct {
 	at      time.Time
@@ -50,7 +53,14 @@
 
 func newMeter(t *testing.T, id string, work time.Duration) *meter {
 	m := &meter{told: map[string]time.Time{}}
-	m.Worker = platformtest.NewWorker(id, func(w *platformtest.Worker, c net.Conn, r *http.Request) {
+	m.Worker = platformtest.NewWorker(id, m.serve(work))
+	t.Cleanup(m.Close)
+	return m
+}
+
+// serve notes a request and answers it after some work.
+func (m *meter) serve(work time.Duration) platformtest.Behaviour {
+	return func(w *platformtest.Worker, c net.Conn, r *http.Request) {
 		g := r.Header.Get(through)
 		m.mu.Lock()
 		m.arrivals = append(m.arrivals, metered{time.Now(), g})
@@ -58,9 +68,7 @@
 		time.Sleep(work)
 		m.answers(g)
 		platformtest.Answer(http.StatusOK, w.ID)(w, c, r)
-	})
-	t.Cleanup(m.Close)
-	return m
+	}
 }
 
 // answers notes that a gateway is about to get an answer.
@@ -130,15 +138,22 @@
 }
 
 func newMeteredFleet(t *testing.T, upstreams, gateways int) *meteredFleet {
-	f := &meteredFleet{scene: newScene(t), statuses: map[int]int{}}
+	var ms []*meter
 	for i := range upstreams {
-		m := newMeter(t, fmt.Sprintf("i-%d", i), 15*time.Millisecond)
+		ms = append(ms, newMeter(t, fmt.Sprintf("i-%d", i), meterWork))
+	}
+	return newFleetOf(t, gateways, ms)
+}
+
+// newFleetOf starts gateways before some upstreams.
+func newFleetOf(t *testing.T, gateways int, ms []*meter) *meteredFleet {
+	f := &meteredFleet{scene: newScene(t), statuses: map[int]int{}, meters: ms}
+	for _, m := range ms {
 		f.scene.store.PutJSON("keyed.servers", m.ID, m.Record("s", "ready"))
-		f.meters = append(f.meters, m)
 	}
 	f.crowd = newCrowd(t, f.scene.store, gateways)
 	for _, g := range f.crowd.gateways {
-		require.Eventually(t, func() bool { return g.Core.Fleet().Size() == upstreams }, 20*time.Second, 5*time.Millisecond)
+		require.Eventually(t, func() bool { return g.Core.Fleet().Size() == len(ms) }, 20*time.Second, 5*time.Millisecond)
 	}
 	return f
 }
--- /dev/null
+++ b/internal/node/rest_test.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade/platform/platformtest"
+)
+
+// What may reach an upstream from one gateway that it asked for rest, from some time after its answer on until the end of that time.
+const (
+	restNoticed = 500 * time.Millisecond
+	restMost    = 2
+)
+
+// tired is an upstream that turns requests away while it is tired, and asks for rest.
+type tired struct {
+	*meter
+
+	from, until atomic.Int64 // Unix ms
+	asks        time.Duration
+	rests       map[string][]time.Time // when it asked for one, by gateway
+}
+
+// newTired adds an upstream to the meters of a fleet that is not yet made.
+func newTired(t *testing.T, id string, asks time.Duration) *tired {
+	s := &tired{asks: asks, rests: map[string][]time.Time{}}
+	s.meter = newMeter(t, id, meterWork)
+	calm := s.serve(meterWork)
+	s.SetBehaviour(func(w *platformtest.Worker, c net.Conn, r *http.Request) {
+		if now := time.Now().UnixMilli(); now < s.from.Load() || now >= s.until.Load() {
+			calm(w, c, r)
+			return
+		}
+		s.refuse(c, r.Header.Get(through))
+	})
+	return s
+}
+
+func (s *tired) refuse(c net.Conn, gateway string) {
+	now := time.Now()
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, metered{now, gateway})
+	s.rests[gateway] = append(s.rests[gateway], now)
+	s.mu.Unlock()
+	fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n",
+		strconv.FormatFloat(s.asks.Seconds(), 'f', -1, 64))
+}
+
+// tire makes the upstream tired from now on for some time.
+func (s *tired) tire(d time.Duration) {
+	s.from.Store(time.Now().UnixMilli())
+	s.until.Store(time.Now().Add(d).UnixMilli())
+}
+
+// disturbed returns the most requests that reached it from one gateway within a rest that it had asked of it.
+func (s *tired) disturbed() (most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for g, rs := range s.rests {
+		for _, at := range rs {
+			most = max(most, s.arrived(g, at.Add(restNoticed), at.Add(s.asks)))
+		}
+	}
+	return most
+}
+
+// arrived counts the requests of a gateway between two moments. The lock is held.
+func (s *tired) arrived(gateway string, from, to time.Time) (n int) {
+	for _, a := range s.arrivals {
+		if a.gateway == gateway && a.at.After(from) && a.at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// within returns how many requests reached it in some time after a moment.
+func (s *tired) within(from time.Time, d time.Duration) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.arrivals {
+		if a.at.After(from) && a.at.Before(from.Add(d)) {
+			n++
+		}
+	}
+	return n
+}
+
+func newTiredFleet(t *testing.T, upstreams, gateways int, asks time.Duration) (f *meteredFleet, ts []*tired) {
+	var ms []*meter
+	for i := range upstreams {
+		s := newTired(t, fmt.Sprintf("i-%d", i), asks)
+		ts, ms = append(ts, s), append(ms, s.meter)
+	}
+	return newFleetOf(t, gateways, ms), ts
+}
+
+// An engine that turned calls away and asked for 3 s of rest drew nine calls a second, having had none.
+func TestAnUpstreamThatAsksForRestIsLeftAlone(t *testing.T) {
+	t.Run("one of four", func(t *testing.T) {
+		t.Parallel()
+		f, ts := newTiredFleet(t, 4, 3, 2500*time.Millisecond)
+		ts[0].tire(4 * time.Second)
+		f.crowd.every(8*time.Second, 12500*time.Microsecond, f.call)
+		f.crowd.group.Wait()
+		t.Logf("%d requests of one gateway within its rest, %.3f served, %v", ts[0].disturbed(), f.share(), f.statuses)
+		require.NotEmpty(t, ts[0].rests)
+		require.LessOrEqual(t, ts[0].disturbed(), restMost)
+		require.Positive(t, ts[0].within(time.UnixMilli(ts[0].until.Load()), 4*time.Second), "it is used again")
+		require.GreaterOrEqual(t, f.share(), 0.97, "each gateway has one attempt a call to find out with")
+	})
+	t.Run("all of a service", func(t *testing.T) {
+		t.Parallel()
+		f, ts := newTiredFleet(t, 3, 3, 2*time.Second)
+		for _, s := range ts {
+			s.tire(1900 * time.Millisecond)
+		}
+		begin := time.Now()
+		f.crowd.every(5*time.Second, 12500*time.Microsecond, f.call)
+		f.crowd.group.Wait()
+		t.Logf("%v, slowest refusal %s, %d without a time", f.statuses, f.slowest, f.untold)
+		for _, s := range ts {
+			require.LessOrEqual(t, s.disturbed(), restMost)
+		}
+		require.Zero(t, f.untold)
+		require.Less(t, f.slowest, 500*time.Millisecond)
+		served := 0
+		for _, s := range ts {
+			served += s.within(begin.Add(2*time.Second), 3*time.Second)
+		}
+		require.GreaterOrEqual(t, served, 120, "half of the calls after the rest")
+	})
+}
