core: an upstream that asks for rest is left alone for that time

An engine that turned calls away with 503 and asked for 3 s of rest got five requests of one gateway in that time, and nine calls a second where it had none: Retry-After of an upstream had no reader, and what refuses holds nothing. A gateway now sends it nothing until the rest and up to a quarter more is over, then one call at a time until one is answered; a shorter rest does not cut a longer one. Where all upstreams of a service rest, callers are refused at once with when the first rest ends. Such an upstream is not asked for its speed either.

TestRestOfAnUpstream plays the times in virtual time.

--- a/core/fleet.go
+++ b/core/fleet.go
@@ -66,7 +66,7 @@
 	// avoidedByAll is until when all processes avoid it, by the word of this one or of another.
 	avoidedByAll time.Time
 	limit        rateLimit
-	rest         time.Time // until when it wants nothing from this process, by its own word
+	rest         rest
 	leaving      bool      // by its own word, whatever the registry says
 	lapses       time.Time // until when it is used although its entry went; zero while it is listed
 }
@@ -329,7 +329,7 @@
 
 // usable reports whether a member may be given new work. The lock is held.
 func (f *Fleet) usable(m *member, now time.Time) bool {
-	return !m.Draining && !m.leaving && !m.lapsed(now)
+	return !m.Draining && !m.leaving && !m.lapsed(now) && m.rest.over(now)
 }
 
 // stillUsable reports whether a pick that was made a while ago may still be
@@ -441,6 +441,9 @@
 	defer f.mu.Unlock()
 	m.heard = f.clock.Now()
 	f.takeSignals(m, id, sent, h.Signals)
+	if !h.NotRun && !h.Signals.Foreign {
+		f.noteAnswer(m, sent)
+	}
 	switch {
 	case h.Success():
 		m.failures, m.errors = 0, 0
--- a/core/flow.go
+++ b/core/flow.go
@@ -201,18 +201,18 @@
 		WithRetryAfter(p.ComeBack)
 }
 
-// refuseAny says that there is no upstream for a call: none is listed or was left untried, or none whose limit leaves
-// room now.
+// refuseAny says that there is no upstream for a call: none is listed or was left untried, or those that are take
+// none now.
 func (f *flow) refuseAny() error {
 	r := f.core.fleet.room(f.service.Name, f.tried)
-	if r.limited == 0 {
+	if r.limited+r.resting == 0 {
 		return fault.New(fault.NoUpstream, "no upstream of service %s can be tried, %d were", f.service.Name, len(f.tried)).
 			WithRetryAfter(shortRetry)
 	}
-	f.core.log.Info("not sent", "request", f.call.ID, "why", "upstreams take fewer requests a second than come", "limited", r.limited,
-		"per_second", round(r.perSecond), "come_back_ms", r.comeBack.Milliseconds())
-	return fault.New(fault.Overloaded, "%d upstreams of service %s take %.3g requests a second together", r.limited, f.service.Name, r.perSecond).
-		WithRetryAfter(r.comeBack)
+	f.core.log.Info("not sent", "request", f.call.ID, "why", "upstreams ask for rest or name limits", "limited", r.limited,
+		"per_second", round(r.perSecond), "resting", r.resting, "come_back_ms", r.comeBack.Milliseconds())
+	return fault.New(fault.Overloaded, "of service %s %d upstreams take %.3g requests a second together, and %d asked for rest",
+		f.service.Name, r.limited, r.perSecond, r.resting).WithRetryAfter(r.comeBack)
 }
 
 // round returns a figure as logs have it, to two places.
--- a/core/pace.go
+++ b/core/pace.go
@@ -89,7 +89,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[id]
-	return m != nil && !m.limit.named && m.paceWord.own && m.slow(f.clock.Now())
+	now := f.clock.Now()
+	return m != nil && f.usable(m, now) && !m.limit.named && m.paceWord.own && m.slow(now)
 }
 
 // TakePace takes the word of an engine on how many times as long as published it takes, said
@@ -149,9 +150,9 @@
 }
 
 // askable reports whether nobody is known to have asked an upstream just now. One that names a limit
-// is left to calls. The lock is held.
+// is left to calls, and one that leaves or rests is left alone. The lock is held.
 func (f *Fleet) askable(m *member, now time.Time) bool {
-	return !m.limit.named && now.Sub(m.asked) >= PaceAgain && now.Sub(m.paceWord.at) >= PaceAgain
+	return f.usable(m, now) && !m.limit.named && now.Sub(m.asked) >= PaceAgain && now.Sub(m.paceWord.at) >= PaceAgain
 }
 
 // SetAsker sets what asks upstreams how fast they are once one is found to be slow. It is called
--- a/core/place.go
+++ b/core/place.go
@@ -91,6 +91,7 @@
 	}
 	f.add(p.member, p.share)
 	f.meter(p, p.member)
+	f.noteProof(p.member, now)
 	f.give(p, now, l.Reading)
 	p.slowest = p.member.pace(now)
 	for _, m := range p.helpers {
@@ -109,11 +110,11 @@
 	return l
 }
 
-// usableOf returns the usable upstreams of a service in an order that all
-// processes share. The lock is held.
+// usableOf returns the upstreams of a service that may be given a call now, in an order that
+// all processes share. The lock is held.
 func (f *Fleet) usableOf(service string, now time.Time) (ms []*member) {
 	for _, m := range f.of(service) {
-		if f.usable(m, now) {
+		if f.usable(m, now) && !m.rest.awaited(now) {
 			ms = append(ms, m)
 		}
 	}
--- a/core/signals.go
+++ b/core/signals.go
@@ -52,15 +52,6 @@
 	f.keepTold(id, func(t *toldWord) { t.leaving = true })
 }
 
-// setRest takes the word of an upstream that it wants nothing from this process for a while. A shorter rest does not
-// end a longer one. The lock is held.
-func (f *Fleet) setRest(m *member, request string, d time.Duration) {
-	now := f.clock.Now()
-	f.log.Info("upstream asks for rest", "upstream", m.life, "service", m.Service, "request", request, "for_ms", d.Milliseconds(),
-		"before_ms", max(m.rest.Sub(now), 0).Milliseconds())
-	m.rest = hollowgrade.Later(m.rest, now.Add(d))
-}
-
 // toldFor is for how long what others tell of an upstream that is not listed here is kept.
 const toldFor = 10 * time.Second
 
--- /dev/null
+++ b/core/signals_test.go
@@ -0,0 +1,221 @@
+package core
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/placement"
+)
+
+// newSignalFleet returns a table with some upstreams of one service.
+func newSignalFleet(ids ...string) *Fleet {
+	f := NewFleet(hollowgrade.SystemClock(), quiet(), func(f *Fleet) { f.chance = func() float64 { return 0.999 } })
+	for _, id := range ids {
+		f.Put(hollowgrade.Upstream{ID: id, Service: "s", Address: id + ":1", Slots: 4})
+	}
+	return f
+}
+
+// give picks an upstream for a call, nil if there is none.
+func give(f *Fleet) *pick {
+	return f.pick("s", placement.Request{Left: 10 * time.Second}, nil)
+}
+
+// hear takes an answer of an upstream to a call that was sent at some moment.
+func hear(f *Fleet, id hollowgrade.Life, sent time.Time, h hollowgrade.Head) {
+	f.answered(f.members[id], "r", false, sent, h)
+}
+
+// refusal is an answer that asks for rest.
+func refusal(d time.Duration) hollowgrade.Head {
+	return hollowgrade.Head{Status: 503, NotRun: true, Signals: hollowgrade.Signals{Rest: d}}
+}
+
+var served = hollowgrade.Head{Status: 200}
+
+func TestRestOfAnUpstream(t *testing.T) {
+	const rest = 4 * time.Second
+	longest := time.Duration((1 + restSpread) * float64(rest))
+	t.Run("ends after its time and not much later", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u")
+			hear(f, "u", time.Now(), refusal(rest))
+			time.Sleep(rest - time.Millisecond)
+			require.Nil(t, give(f))
+			time.Sleep(longest - rest + time.Millisecond)
+			require.NotNil(t, give(f))
+		})
+	})
+	t.Run("is not cut by a shorter one", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u")
+			hear(f, "u", time.Now(), refusal(rest))
+			hear(f, "u", time.Now(), refusal(time.Second))
+			time.Sleep(rest - time.Millisecond)
+			require.Nil(t, give(f))
+		})
+	})
+	t.Run("is not ended by the answer to a call of before", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u")
+			sent := time.Now()
+			hear(f, "u", sent, refusal(rest))
+			time.Sleep(time.Second)
+			hear(f, "u", sent, served)
+			require.Nil(t, give(f))
+		})
+	})
+	t.Run("is followed by one call, and by others once that is answered", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u")
+			hear(f, "u", time.Now(), refusal(rest))
+			time.Sleep(longest)
+			require.NotNil(t, give(f))
+			require.Nil(t, give(f))
+			sent := time.Now()
+			time.Sleep(10 * time.Millisecond)
+			hear(f, "u", sent, served)
+			require.NotNil(t, give(f))
+			require.NotNil(t, give(f))
+		})
+	})
+	t.Run("is followed by another call if the first gets no answer", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u")
+			hear(f, "u", time.Now(), refusal(rest))
+			time.Sleep(longest)
+			require.NotNil(t, give(f))
+			time.Sleep(proveFor)
+			require.NotNil(t, give(f))
+		})
+	})
+	t.Run("holds also for a call that was held back for it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u")
+			p := give(f)
+			hear(f, "u", time.Now(), refusal(rest))
+			require.False(t, f.stillUsable(p))
+		})
+	})
+	t.Run("of all upstreams lets callers come back when the first ends", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u", "v")
+			hear(f, "u", time.Now(), refusal(rest))
+			hear(f, "v", time.Now(), refusal(10*time.Second))
+			r := f.room("s", nil)
+			require.Equal(t, 2, r.resting)
+			require.GreaterOrEqual(t, r.comeBack, rest)
+			require.LessOrEqual(t, r.comeBack, time.Duration((1+restSpread)*float64(longest)))
+		})
+	})
+	t.Run("is over with its life", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet()
+			f.Put(lifeAt(0))
+			hear(f, lifeAt(0).Life(), time.Now(), refusal(time.Hour))
+			f.Put(lifeAt(5000))
+			require.NotNil(t, give(f))
+		})
+	})
+}
+
+func TestWordsOfPeersOnUpstreamsThatAreNotListedYet(t *testing.T) {
+	for name, tell := range map[string]func(f *Fleet){
+		"that it leaves":            func(f *Fleet) { f.TakeLeaving("b", "u") },
+		"that it takes no requests": func(f *Fleet) { f.TakeLimit("b", "u", RateLimit{Named: true}) },
+		"both, one after the other": func(f *Fleet) { f.TakeLimit("b", "u", RateLimit{Named: true}); f.TakeLeaving("b", "u") },
+		"and an older one after it": func(f *Fleet) { f.TakeLeaving("b", "u"); f.TakeLimit("b", "u", RateLimit{Age: time.Hour}) },
+		"of a limit, told by two": func(f *Fleet) {
+			f.TakeLimit("b", "u", RateLimit{Named: true})
+			f.TakeLimit("c", "u", RateLimit{Named: true})
+		},
+		"of a limit, after some time": func(f *Fleet) { f.TakeLimit("b", "u", RateLimit{Named: true}); time.Sleep(5 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSignalFleet()
+				tell(f)
+				f.Put(hollowgrade.Upstream{ID: "u", Service: "s", Address: "u:1", Slots: 4})
+				require.Nil(t, give(f))
+			})
+		})
+	}
+}
+
+func TestWordsOnALimit(t *testing.T) {
+	named := hollowgrade.Head{Status: 200, Signals: hollowgrade.Signals{Limited: true, Limit: 2}}
+	t.Run("an answer to a call of before does not end it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u")
+			sent := time.Now()
+			time.Sleep(time.Millisecond)
+			hear(f, "u", sent, named)
+			time.Sleep(time.Millisecond)
+			hear(f, "u", sent, served)
+			require.True(t, f.members["u"].limit.named)
+		})
+	})
+	t.Run("an answer without it to a later call ends it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u")
+			time.Sleep(time.Millisecond)
+			hear(f, "u", time.Now(), named)
+			time.Sleep(time.Millisecond)
+			sent := time.Now()
+			time.Sleep(time.Millisecond)
+			hear(f, "u", sent, served)
+			require.NotNil(t, give(f))
+			require.False(t, f.members["u"].limit.named)
+		})
+	})
+	t.Run("an answer of another at its address says nothing", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u")
+			time.Sleep(time.Millisecond)
+			hear(f, "u", time.Now(), named)
+			time.Sleep(time.Second)
+			hear(f, "u", time.Now(), hollowgrade.Head{Status: 421, NotRun: true, Signals: hollowgrade.Signals{Foreign: true}})
+			require.True(t, f.members["u"].limit.named)
+		})
+	})
+	t.Run("an older word of a peer does not replace a newer one", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u")
+			time.Sleep(time.Minute)
+			hear(f, "u", time.Now(), named)
+			f.TakeLimit("b", "u", RateLimit{Age: time.Second})
+			require.True(t, f.members["u"].limit.named)
+			time.Sleep(2 * time.Second)
+			f.TakeLimit("b", "u", RateLimit{Age: time.Second})
+			require.False(t, f.members["u"].limit.named)
+		})
+	})
+	t.Run("what was not sent is given back", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u")
+			hear(f, "u", time.Now(), named)
+			time.Sleep(time.Minute)
+			p := give(f)
+			require.NotNil(t, p)
+			f.unsent(p)
+			require.Zero(t, f.members["u"].own.Sent)
+			require.NotNil(t, give(f))
+		})
+	})
+	t.Run("callers get places one after another", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSignalFleet("u")
+			hear(f, "u", time.Now(), named)
+			apart := time.Duration(float64(time.Second) / f.members["u"].limit.rate())
+			first := f.room("s", nil).comeBack
+			require.InDelta(t, float64(first+apart), float64(f.room("s", nil).comeBack), float64(time.Microsecond))
+			for range 100 {
+				require.LessOrEqual(t, f.room("s", nil).comeBack, latestRoom)
+			}
+		})
+	})
+}
