soak: workers that name limits, leave by their own word and ask for rest

Three faults more, each a worker's word in its answers: the checks count what reaches it by gateway, as the users' rules do, and hold whatever befalls the store. Nothing played these answers before.

--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -38,6 +38,20 @@
 	}
 }
 
+// told adds that the worker told a gateway something of itself.
+func told(h *history, g signal, seconds float64) {
+	h.words = append(h.words, word{signal: g, worker: "w", at: at(seconds)})
+}
+
+// arrive adds requests that reach the worker after it told a gateway something of itself, one each 0.1 s from 10.05 s on.
+func arrive(h *history, g signal, seconds float64, n int) {
+	told(h, g, seconds)
+	for i := range n - 1 {
+		wellServed(h, fmt.Sprint("more", i), 10.1+float64(i)/10)
+	}
+	told(h, signal{limit: g.limit}, 30)
+}
+
 // TestPlantedBreaches shows that each check finds a breach that was planted into a
 // history in which nothing else is wrong.
 func TestPlantedBreaches(t *testing.T) {
@@ -111,6 +125,27 @@
 			h.spans = []span{{what: silenceStore, from: at(12), to: at(14)}}
 		}, ""},
 		{"harmful and sent on without end", func(h *history, _ *request) { sentOn(h, 30, 0) }, "BUDGET"},
+		{"left by its word long before", func(h *history, _ *request) { told(h, signal{leaving: true}, 10.05-2.1) }, "DRAIN"},
+		{"left by its word just before", func(h *history, _ *request) { told(h, signal{leaving: true}, 10.05-1.9) }, ""},
+		{"left by its word to another life", func(h *history, _ *request) {
+			told(h, signal{leaving: true}, 10.05-2.1)
+			h.words[0].life++
+		}, ""},
+		{"left by its word, the store away since", func(h *history, _ *request) {
+			told(h, signal{leaving: true}, 10.05-2.1)
+			h.spans = []span{{what: awayStore, from: at(8), to: at(11)}}
+		}, "DRAIN"},
+		{"left by its word, the gateway stood still", func(h *history, _ *request) {
+			told(h, signal{leaving: true}, 10.05-2.1)
+			h.spans = []span{{what: pauseGateway, from: at(8), to: at(9)}}
+		}, ""},
+		{"rests and gets three", func(h *history, _ *request) { arrive(h, signal{rest: true}, 9, 3) }, "BUDGET"},
+		{"rests and gets two", func(h *history, _ *request) { arrive(h, signal{rest: true}, 9, 2) }, ""},
+		{"rests and gets three at once", func(h *history, _ *request) { arrive(h, signal{rest: true}, 10.1, 3) }, ""},
+		{"rests and gets three after it", func(h *history, _ *request) { arrive(h, signal{rest: true}, 7, 3) }, ""},
+		{"named a limit and got more", func(h *history, _ *request) { arrive(h, signal{limit: 1}, 6, 12) }, "LIMIT"},
+		{"named a limit and got as much", func(h *history, _ *request) { arrive(h, signal{limit: 1}, 6, 11) }, ""},
+		{"named a limit just now", func(h *history, _ *request) { arrive(h, signal{limit: 1}, 8.5, 12) }, ""},
 		{"at a worker that there is not", func(h *history, _ *request) { h.runs[0].worker = "strange-1" }, "ENTRIES"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -55,6 +55,7 @@
 	revoked  map[string]time.Time // keys
 	leaving  map[string]time.Time // workers
 	added    map[string]time.Time // paths of routes
+	words    []word               // that workers told gateways in answers
 }
 
 func newHistory() *history {
@@ -70,7 +71,7 @@
 
 // check returns the promises that were broken, one line each.
 func (h *history) check() (bs []string) {
-	for _, c := range []func() []string{h.mixed, h.ranMore, h.refused, h.unasked, h.revokedRan, h.drained, h.gone, h.late, h.cut, h.budget, h.harm, h.strangers} {
+	for _, c := range []func() []string{h.mixed, h.ranMore, h.refused, h.unasked, h.revokedRan, h.drained, h.gone, h.late, h.cut, h.budget, h.harm, h.strangers, h.leftByWord, h.rested, h.limited} {
 		bs = append(bs, c()...)
 	}
 	return bs
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -38,6 +38,9 @@
 	strangeEntries // of another writer, in the registry and among gateways
 	suspendGateway // with its machine: its steady clock stands still
 	turnAway       // all gateways but two are silent towards the store, one after another
+	nameLimit      // a worker names in its answers how many requests a second it takes
+	leaveInAnswers // a worker says there that it leaves, and the registry does not
+	askForRest     // a worker turns requests away and asks for rest
 	kinds
 )
 
@@ -46,6 +49,7 @@
 	"store loses answers", "store forgets", "delay worker", "reset worker", "silence worker", "deafen worker", "crash worker",
 	"drain worker", "revoke key", "add route", "grow configuration", "silence peers", "reset peers", "delay peers",
 	"harmful request", "strange entries", "suspend gateway", "turn readers away",
+	"name limit", "leave in answers", "ask for rest",
 }
 
 func (k kind) String() string {
@@ -53,7 +57,7 @@
 }
 
 // plannedWork disturbs no promise; everything else does.
-var plannedWork = []kind{stopGateway, reloadGateway, drainWorker, revokeKey, addRoute, growConfig}
+var plannedWork = []kind{stopGateway, reloadGateway, drainWorker, revokeKey, addRoute, growConfig, nameLimit, leaveInAnswers, askForRest}
 
 func (k kind) planned() bool {
 	return slices.Contains(plannedWork, k)
--- /dev/null
+++ b/internal/soak/signals_test.go
@@ -0,0 +1,189 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade/platform/platformtest"
+)
+
+// The bounds of what may reach a worker that says something of itself in its answers.
+const (
+	limitWindow  = 4 * time.Second
+	limitFactor  = 1.5
+	limitExtra   = 5
+	limitFrom    = touchAfter             // from when on after it was named first
+	toldBefore   = 500 * time.Millisecond // a gateway that was told so long ago keeps to it
+	restMost     = 2
+	restTime     = 2500 * time.Millisecond // that is asked for
+	signalLonger = 6 * time.Second         // by how much more than other faults it lasts
+)
+
+// signal is what a worker says of itself in its answers.
+type signal struct {
+	limit   float64 // 0 if it names none
+	leaving bool
+	rest    bool // it turns requests away and asks for rest
+}
+
+// word is a signal that a gateway was told in an answer.
+type word struct {
+	signal
+	worker        string
+	gateway, life int
+	at            time.Time
+}
+
+// signal lets a worker say something of itself for a while.
+func (w *world) signal(k *worker, s step) {
+	g := signal{leaving: s.what == leaveInAnswers, rest: s.what == askForRest}
+	if s.what == nameLimit {
+		g.limit = 0.5 + rand.New(rand.NewPCG(uint64(s.which), 2)).Float64()*3
+	}
+	if g.leaving {
+		w.replace(k)
+	}
+	w.setSignal(k, g)
+	time.Sleep(s.lasts + signalLonger)
+	if !g.leaving {
+		w.setSignal(k, signal{})
+		return
+	}
+	w.store.Put("keyed.servers", k.ID, nil)
+	time.Sleep(grace) // what it has is finished
+	k.Close()
+}
+
+func (w *world) setSignal(k *worker, g signal) {
+	h := http.Header{}
+	if g.limit > 0 {
+		h.Set("Server-Limit", strconv.FormatFloat(g.limit, 'f', 3, 64))
+	}
+	if g.leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	if g.rest {
+		h.Set("Retry-After", fmt.Sprint(restTime.Seconds()))
+	}
+	k.SetHeaders(h)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.signals[k.ID] = g
+}
+
+// saying notes what a worker tells the gateway of a request as it begins to answer.
+func (w *world) saying(b platformtest.Behaviour) platformtest.Behaviour {
+	return func(k *platformtest.Worker, c net.Conn, r *http.Request) {
+		w.mu.Lock()
+		g, q := w.signals[k.ID], w.history.requests[r.Header.Get("Attempt-Id")]
+		if g != (signal{}) && q != nil {
+			w.history.words = append(w.history.words, word{g, k.ID, q.gateway, q.life, time.Now()})
+		}
+		w.mu.Unlock()
+		b(k, c, r)
+	}
+}
+
+// What a gateway has been told by a worker holds whatever befalls the store; a gateway that stood still, or a link that was
+// disturbed, excuses it.
+var unheardBy = []kind{
+	killGateway, pauseGateway, suspendGateway, stopGateway, silencePeers, resetPeers, delayPeers,
+	delayWorker, resetWorker, silenceWorker, deafenWorker, crashWorker, harmfulRequest,
+}
+
+// hears reports whether gateways heard workers and each other in a time.
+func (h *history) hears(from, to time.Time) bool {
+	return !slices.ContainsFunc(h.spans, func(s span) bool {
+		return slices.Contains(unheardBy, s.what) && s.from.Before(to) && s.to.Add(touchAfter).After(from)
+	})
+}
+
+// eachWord calls a check for each run that came to a worker after a word of it to the same life of the gateway that sent it.
+func (h *history) eachWord(of func(w word) bool, c func(w word, r run)) {
+	for _, w := range h.words {
+		if !of(w) {
+			continue
+		}
+		for _, r := range h.runs {
+			q := h.requests[r.id]
+			if r.worker == w.worker && q != nil && q.gateway == w.gateway && q.life == w.life && r.at.After(w.at) {
+				c(w, r)
+			}
+		}
+	}
+}
+
+// leftByWord finds requests that reached a worker long after its answer had told their gateway that it leaves.
+func (h *history) leftByWord() (bs []string) {
+	h.eachWord(func(w word) bool { return w.leaving }, func(w word, r run) {
+		if r.at.Sub(w.at) > drainWithin && h.hears(w.at, r.at) && len(bs) == 0 {
+			bs = append(bs, fmt.Sprintf("DRAIN, request %s at worker %s %s after it told gateway %d that it leaves", r.id, r.worker, r.at.Sub(w.at), w.gateway))
+		}
+	})
+	return bs
+}
+
+// rested finds gateways that sent more to a worker than they may while it rests.
+func (h *history) rested() (bs []string) {
+	n := map[word]int{}
+	h.eachWord(func(w word) bool { return w.rest }, func(w word, r run) {
+		if d := r.at.Sub(w.at); d > toldBefore && d < restTime && h.hears(w.at, r.at) {
+			if n[w]++; n[w] > restMost && len(bs) == 0 {
+				bs = append(bs, fmt.Sprintf("BUDGET, worker %s had asked gateway %d for rest and got %d requests", w.worker, w.gateway, n[w]))
+			}
+		}
+	})
+	return bs
+}
+
+// limited finds workers that got more than the limit allows that they name.
+func (h *history) limited() (bs []string) {
+	first := map[string]time.Time{}    // word on a limit, by worker
+	told := map[[2]any]time.Time{}     // the same by worker and gateway
+	limits := map[string]float64{}     // the largest, by worker
+	over := map[string]time.Time{}     // last word on it
+	arrived := map[string][]*request{} // within its time
+	at := map[*request]time.Time{}
+	for _, w := range h.words {
+		if w.limit == 0 {
+			continue
+		}
+		if _, ok := first[w.worker]; !ok {
+			first[w.worker] = w.at
+		}
+		if _, ok := told[[2]any{w.worker, w.gateway}]; !ok {
+			told[[2]any{w.worker, w.gateway}] = w.at
+		}
+		limits[w.worker], over[w.worker] = max(limits[w.worker], w.limit), w.at
+	}
+	for _, r := range h.runs {
+		if q := h.requests[r.id]; q != nil && limits[r.worker] > 0 && !r.at.After(over[r.worker]) {
+			arrived[r.worker] = append(arrived[r.worker], q)
+			at[q] = r.at
+		}
+	}
+	for k, qs := range arrived {
+		for _, q := range qs {
+			t := at[q]
+			if t.Sub(first[k]) < limitFrom || !h.hears(first[k], t) {
+				continue
+			}
+			n := 0
+			for _, o := range qs {
+				w, ok := told[[2]any{k, o.gateway}]
+				if d := t.Sub(at[o]); ok && t.Sub(w) >= toldBefore && d >= 0 && d < limitWindow {
+					n++
+				}
+			}
+			if float64(n) > limitFactor*limits[k]*limitWindow.Seconds()+limitExtra {
+				return []string{fmt.Sprintf("LIMIT, worker %s named %.2f a second and got %d requests in %s", k, limits[k], n, limitWindow)}
+			}
+		}
+	}
+	return nil
+}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -79,14 +79,15 @@
 	made    int // workers
 	version int
 	keys    []string
-	routes  []string       // that were added
-	filler  int            // further routes, which nobody calls
+	routes  []string // that were added
+	filler  int      // further routes, which nobody calls
+	signals map[string]signal
 	ends    sync.WaitGroup // of workers that end by a request
 }
 
 func newWorld(t testing.TB, binary string, z size) *world {
 	t.Helper()
-	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory()}
+	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory(), signals: map[string]signal{}}
 	t.Cleanup(w.store.Close)
 	w.logs = filepath.Join(os.TempDir(), "hollowgrade-soak", fmt.Sprint(os.Getpid(), "-", time.Now().UnixNano()))
 	require.NoError(t, os.MkdirAll(w.logs, 0o755))
@@ -287,28 +288,31 @@
 		}
 	}
 	w.mu.Lock()
+	refuses := w.signals[k.ID].rest
 	w.history.runs = append(w.history.runs, run{
 		id: id, worker: k.ID, path: r.URL.Path, body: body, organisation: r.Header.Get("Tenant"), at: time.Now(),
-		refused: luck < 3 && !strings.HasPrefix(id, harmful) || r.Header.Get("Expect-Instance") != k.ID, key: r.Header.Get("Authorization") != "",
+		refused: refuses || luck < 3 && !strings.HasPrefix(id, harmful) || r.Header.Get("Expect-Instance") != k.ID, key: r.Header.Get("Authorization") != "",
 	})
 	w.mu.Unlock()
 	switch {
 	case r.Header.Get("Expect-Instance") != k.ID:
 		platformtest.Misdirected(k, c, r)
+	case refuses:
+		w.saying(platformtest.Shed)(k, c, r)
 	case strings.HasPrefix(id, harmful):
 		time.Sleep(harmfulTime)
 		w.endIn(k, returns(luck%uint64(ways)))
 	case luck < 3:
-		platformtest.Shed(k, c, r)
+		w.saying(platformtest.Shed)(k, c, r)
 	case luck < 5:
 		platformtest.Reset(k, c, r)
 	case luck < 7:
-		platformtest.Answer(http.StatusInternalServerError, "no")(k, c, r)
+		w.saying(platformtest.Answer(http.StatusInternalServerError, "no"))(k, c, r)
 	case luck < 8:
 		platformtest.Hang(k, c, r)
 	default:
 		time.Sleep(time.Duration(luck) * time.Millisecond)
-		answer(id, luck)(k, c, r)
+		w.saying(answer(id, luck))(k, c, r)
 	}
 }
 
@@ -496,6 +500,8 @@
 		w.store.Put("keyed.servers", k.ID, nil)
 		time.Sleep(grace) // what it has is finished
 		k.Close()
+	case nameLimit, leaveInAnswers, askForRest:
+		w.signal(k, s)
 	case revokeKey, addRoute, growConfig:
 		w.change(s)
 	}
