--- a/core/fleet.go
+++ b/core/fleet.go
@@ -453,7 +453,7 @@
 			f.avoid(m, id, fmt.Sprintf("status %d, %d in a row", h.Status, m.errors))
 		}
 	}
-	if h.HasLoad {
+	if h.HasLoad && !h.Signals.Foreign {
 		m.load, m.loadAt = h.Load, f.clock.Now()
 	}
 }
--- a/core/signals.go
+++ b/core/signals.go
@@ -28,6 +28,15 @@
 	}
 }
 
+// hearReport takes what an upstream said of itself in the answer to a report that it was asked for at some moment.
+func (f *Fleet) hearReport(id hollowgrade.Life, request string, asked time.Time, s hollowgrade.Signals) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[id]; m != nil {
+		f.takeSignals(m, request, asked, s)
+	}
+}
+
 // setLeaving takes the word of an upstream to this process or to a peer that it leaves. It holds for its life. The
 // lock is held.
 func (f *Fleet) setLeaving(m *member, peer, request string) {
--- a/core/signals_test.go
+++ b/core/signals_test.go
@@ -146,6 +146,24 @@
 	}
 }
 
+func TestAReportTellsThatAnEngineLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSignalFleet("u")
+		f.hearReport("u", "r", time.Now(), hollowgrade.Signals{Leaving: true})
+		require.Nil(t, give(f))
+		f.hearReport("another", "r", time.Now(), hollowgrade.Signals{Leaving: true})
+	})
+}
+
+func TestTheLoadOfAnotherAtTheAddressIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSignalFleet("u")
+		hear(f, "u", time.Now(), hollowgrade.Head{Status: 421, NotRun: true, HasLoad: true,
+			Load: hollowgrade.UpstreamLoad{Running: 3}, Signals: hollowgrade.Signals{Foreign: true}})
+		require.Zero(t, f.members["u"].load)
+	})
+}
+
 func TestWordsOnALimit(t *testing.T) {
 	named := hollowgrade.Head{Status: 200, Signals: hollowgrade.Signals{Limited: true, Limit: 2}}
 	t.Run("an answer to a call of before does not end it", func(t *testing.T) {
--- a/exchange.go
+++ b/exchange.go
@@ -75,6 +75,8 @@
 type UpstreamReport struct {
 	Pace float64 // how many times as long as published it takes for what it does
 	Born int64   // start of the life that says so, Unix ms, 0 if it does not tell that
+	// Signals is what the answer says beside the report, also if it is none.
+	Signals Signals
 }
 
 // Reporter asks upstreams about themselves.
