core: a limit that gateways tell each other ends with its upstream

A word now says whether its teller was told by the upstream itself; one that was relayed is taken only where nothing is known, others count as 500 ms older than they look, and that a limit has ended is said again by each answer.

--- a/core/limit.go
+++ b/core/limit.go
@@ -23,6 +23,8 @@
 	// wantedMemory is for how long requests count in the rate of those that would be sent. Others tell of theirs with
 	// each heartbeat.
 	wantedMemory = 2 * time.Second
+	// limitToldLate is by how much the word of another process may be older than it looks, as its way here takes time.
+	limitToldLate = 500 * time.Millisecond
 	// endOfLimitTold is for how long others are told that a limit has ended.
 	endOfLimitTold = 10 * time.Second
 )
@@ -32,6 +34,9 @@
 	Named     bool
 	PerSecond float64
 	Age       time.Duration // since it said so
+	// Relayed says that the process that tells it was told by another one. Such a word looks younger than it is, and is
+	// of use only where nothing is known.
+	Relayed bool
 }
 
 // rateLimit is the limit of an upstream, and this process's account of what all processes together may send there.
@@ -39,6 +44,9 @@
 	named     bool
 	perSecond float64
 	at        time.Time // when the upstream said so; zero if it has said nothing
+	own       bool      // whether it said so to this process
+	known     time.Time // when this process came to know it
+	changed   time.Time // when what is known became another
 	allowance float64   // requests that may be sent now; negative once more were sent
 	accrued   time.Time // until when the allowance has been added up
 	wanted    rate      // requests that others would send there
@@ -60,22 +68,23 @@
 
 // tellable reports whether others are to be told of the limit.
 func (l *rateLimit) tellable(now time.Time) bool {
-	return l.named || !l.at.IsZero() && now.Sub(l.at) < endOfLimitTold
+	return l.named || !l.changed.IsZero() && now.Sub(l.changed) < endOfLimitTold
 }
 
-// setLimit replaces what is known of the limit of an upstream by its word to this process or to a peer, unless it has
-// said something later. The lock is held.
+// setLimit replaces what is known of the limit of an upstream. Peer is the process that told it, empty if the upstream
+// said so to this one. The lock is held.
 func (f *Fleet) setLimit(m *member, peer, request string, w RateLimit) {
 	now := f.clock.Now()
-	at := now.Add(-max(w.Age, 0)) // a word from the future would outlive all that come after it
 	l := &m.limit
-	if !at.After(l.at) {
-		return
+	l.at, l.own = now.Add(-w.Age), peer == ""
+	changed := w.Named != l.named || w.PerSecond != l.perSecond
+	if changed || l.own {
+		l.known = now
 	}
-	l.at = at
-	if w.Named == l.named && w.PerSecond == l.perSecond {
+	if !changed {
 		return
 	}
+	l.changed = now
 	f.log.Info("limit of upstream", "upstream", m.life, "service", m.Service, "request", request, "peer", peer,
 		"age_ms", w.Age.Milliseconds(), "named", w.Named, "per_second", w.PerSecond, "was_named", l.named, "before", l.perSecond)
 	if l.named {
@@ -84,12 +93,13 @@
 		l.allowance, l.accrued = 0, now
 	}
 	l.named, l.perSecond = w.Named, w.PerSecond
-	if peer == "" {
+	if l.own {
 		f.change(m)
 	}
 }
 
-// TakeLimit takes the word of another process, by its box, on the limit of an upstream.
+// TakeLimit takes the word of another process, by its box, on the limit of an upstream, unless the upstream has said
+// something later.
 func (f *Fleet) TakeLimit(box string, id hollowgrade.Life, w RateLimit) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -97,11 +107,15 @@
 		f.log.Warn("limit of upstream not used", "upstream", id, "peer", box, "per_second", w.PerSecond)
 		return
 	}
-	if m := f.members[id]; m != nil {
-		f.setLimit(m, box, "", w)
+	w.Age = max(w.Age, 0) + limitToldLate
+	m := f.members[id]
+	if m == nil {
+		f.keepTold(id, func(t *toldWord) { t.takeLimit(w) })
 		return
 	}
-	f.keepTold(id, func(t *toldWord) { t.limit, t.hasLimit = w, true })
+	if m.limit.at.IsZero() || !w.Relayed && f.clock.Now().Add(-w.Age).After(m.limit.at) {
+		f.setLimit(m, box, "", w)
+	}
 }
 
 // limitTold returns what others are told of the limit of an upstream; false if there is nothing to tell.
@@ -109,7 +123,7 @@
 	if !m.limit.tellable(now) {
 		return w, false
 	}
-	return RateLimit{m.limit.named, m.limit.perSecond, now.Sub(m.limit.at)}, true
+	return RateLimit{m.limit.named, m.limit.perSecond, now.Sub(m.limit.at), !m.limit.own}, true
 }
 
 // heardShare returns the part of all processes whose load is known, this one among them. The lock is held.
@@ -137,6 +151,9 @@
 
 // within returns those of some upstreams whose limits leave room for a request now. The lock is held.
 func (f *Fleet) within(ms []*member, tried map[hollowgrade.Life]bool, now time.Time, begun bool) (free []*member) {
+	if !slices.ContainsFunc(ms, func(m *member) bool { return m.limit.named }) {
+		return ms
+	}
 	for _, m := range ms {
 		if tried[m.life] || f.admits(m, now, begun) {
 			free = append(free, m)
--- a/core/limit_test.go
+++ b/core/limit_test.go
@@ -219,3 +219,41 @@
 		})
 	}
 }
+
+// Each hop makes a word on a limit look younger by the time that it took.
+func TestALimitThatProcessesTellEachOtherEndsWithItsUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := rand.New(rand.NewPCG(1, 42))
+		p := limitPlay{processes: 5, limited: 1, others: 1, limit: 3, calls: 50, told: 40 * time.Millisecond}
+		var ps []*limitProcess
+		for i := range p.processes {
+			ps = append(ps, newLimitProcess(p, i, r))
+			p.tell(ps, i, ps[i].fleet.Shares(), true, r)
+		}
+		begin := time.Now()
+		const named, after = 4 * time.Second, 6 * time.Second
+		for time.Since(begin) < named+after {
+			time.Sleep(25 * time.Millisecond)
+			for i, o := range ps {
+				p.tell(ps, i, o.fleet.Shares(), true, r)
+			}
+			f := ps[r.IntN(len(ps))].fleet
+			k := f.pick("s", placement.Request{Left: time.Second}, nil)
+			if k == nil {
+				continue
+			}
+			sent, says := time.Now(), p.signals(k.member.ID, r)
+			time.AfterFunc(60*time.Millisecond, func() {
+				if time.Since(begin) > named {
+					says = hollowgrade.Signals{}
+				}
+				f.answered(k.member, "r", false, sent, hollowgrade.Head{Status: 200, Signals: says})
+				f.over(k, true)
+			})
+		}
+		for _, o := range ps {
+			require.False(t, o.fleet.members["u00"].limit.named, "%s still keeps it", o.box)
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/core/share.go
+++ b/core/share.go
@@ -136,7 +136,7 @@
 		if n := s.Open - old.Open; (known || v.whole) && n > 0 {
 			f.noteOthers(m.Service, n)
 		}
-		if known || v.whole {
+		if m.limit.named && (known || v.whole) {
 			f.hearSends(m, s.Sent-old.Sent, s.Wanted-old.Wanted)
 		}
 		if more := s.Given - old.Given; (known || v.whole) && more != 0 {
--- a/core/signals.go
+++ b/core/signals.go
@@ -22,8 +22,9 @@
 	if s.Leaving {
 		f.setLeaving(m, "", id)
 	}
-	// An answer to a request that left before the limit was known may be older than the limit.
-	if s.Limited || m.limit.named && sent.After(m.limit.at) {
+	// An answer to a request that left before the limit was known may be older than the limit. That it has ended is
+	// said again by each answer.
+	if s.Limited || m.limit.tellable(f.clock.Now()) && sent.After(m.limit.known) {
 		f.setLimit(m, "", id, RateLimit{Named: s.Limited, PerSecond: s.Limit})
 	}
 }
@@ -72,6 +73,13 @@
 	leaving  bool
 }
 
+// takeLimit takes a word on the limit unless a later one has come.
+func (t *toldWord) takeLimit(w RateLimit) {
+	if !t.hasLimit || w.Age < t.limit.Age {
+		t.limit, t.hasLimit = w, true
+	}
+}
+
 // keepTold keeps what another process tells of an upstream until that is listed here. The lock is held.
 func (f *Fleet) keepTold(id hollowgrade.Life, add func(t *toldWord)) {
 	now := f.clock.Now()
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -452,7 +452,7 @@
 	if !s.HasLimit {
 		return nil
 	}
-	return &wire.RateLimit{Named: s.Limit.Named, PerSecond: s.Limit.PerSecond, AgeMillis: s.Limit.Age.Milliseconds()}
+	return &wire.RateLimit{Named: s.Limit.Named, PerSecond: s.Limit.PerSecond, AgeMillis: s.Limit.Age.Milliseconds(), Relayed: s.Limit.Relayed}
 }
 
 // paceUnit is how the speed of an engine goes into a message: in thousandths.
--- a/loadview/taker.go
+++ b/loadview/taker.go
@@ -149,7 +149,7 @@
 	}
 	if l := c.Limit; l != nil {
 		t.fleet.TakeLimit(box, hollowgrade.Life(c.Upstream), core.RateLimit{
-			Named: l.Named, PerSecond: l.PerSecond, Age: time.Duration(l.AgeMillis) * time.Millisecond,
+			Named: l.Named, PerSecond: l.PerSecond, Age: time.Duration(l.AgeMillis) * time.Millisecond, Relayed: l.Relayed,
 		})
 	}
 }
