--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -141,49 +141,69 @@
 	return bs
 }
 
-// limited finds workers that got more than the limit allows that they name.
-func (h *history) limited() (bs []string) {
-	first := map[string]time.Time{}    // word on a limit, by worker
-	told := map[[2]any]time.Time{}     // the same by worker and gateway
-	limits := map[string]float64{}     // the largest, by worker
-	over := map[string]time.Time{}     // last word on it
-	arrived := map[string][]*request{} // within its time
-	at := map[*request]time.Time{}
+// namedLimit is what a worker that named a limit told, and what reached it until it named it last.
+type namedLimit struct {
+	limit       float64 // the largest
+	first, last time.Time
+	told        map[int]time.Time // by gateway, the first word
+	arrivals    []arrival
+}
+
+// arrival is a request that reached a worker.
+type arrival struct {
+	at      time.Time
+	gateway int
+}
+
+// namedLimits returns those of all workers.
+func (h *history) namedLimits() map[string]*namedLimit {
+	ls := map[string]*namedLimit{}
 	for _, w := range h.words {
 		if w.limit == 0 {
 			continue
 		}
-		if _, ok := first[w.worker]; !ok {
-			first[w.worker] = w.at
+		l := ls[w.worker]
+		if l == nil {
+			l = &namedLimit{first: w.at, told: map[int]time.Time{}}
+			ls[w.worker] = l
 		}
-		if _, ok := told[[2]any{w.worker, w.gateway}]; !ok {
-			told[[2]any{w.worker, w.gateway}] = w.at
+		if _, ok := l.told[w.gateway]; !ok {
+			l.told[w.gateway] = w.at
 		}
-		limits[w.worker], over[w.worker] = max(limits[w.worker], w.limit), w.at
+		l.limit, l.last = max(l.limit, w.limit), w.at
 	}
 	for _, r := range h.runs {
-		if q := h.requests[r.id]; q != nil && limits[r.worker] > 0 && !r.at.After(over[r.worker]) {
-			arrived[r.worker] = append(arrived[r.worker], q)
-			at[q] = r.at
+		l, q := ls[r.worker], h.requests[r.id]
+		if l != nil && q != nil && !r.at.After(l.last) {
+			l.arrivals = append(l.arrivals, arrival{r.at, q.gateway})
+		}
+	}
+	return ls
+}
+
+// within counts what reached the worker in the window that ends at a moment, from gateways that it had told.
+func (l *namedLimit) within(end time.Time) (n int) {
+	for _, a := range l.arrivals {
+		told, ok := l.told[a.gateway]
+		if d := end.Sub(a.at); ok && end.Sub(told) >= toldBefore && d >= 0 && d < limitWindow {
+			n++
 		}
 	}
-	for k, qs := range arrived {
-		for _, q := range qs {
-			t := at[q]
-			if t.Sub(first[k]) < limitFrom || !h.hears(first[k], t) {
+	return n
+}
+
+// limited finds workers that got more than the limit allows that they name.
+func (h *history) limited() (bs []string) {
+	for k, l := range h.namedLimits() {
+		for _, a := range l.arrivals {
+			if a.at.Sub(l.first) < limitFrom || !h.hears(l.first, a.at) {
 				continue
 			}
-			n := 0
-			for _, o := range qs {
-				w, ok := told[[2]any{k, o.gateway}]
-				if d := t.Sub(at[o]); ok && t.Sub(w) >= toldBefore && d >= 0 && d < limitWindow {
-					n++
-				}
-			}
-			if float64(n) > limitFactor*limits[k]*limitWindow.Seconds()+limitExtra {
-				return []string{fmt.Sprintf("LIMIT, worker %s named %.2f a second and got %d requests in %s", k, limits[k], n, limitWindow)}
+			if n := l.within(a.at); float64(n) > limitFactor*l.limit*limitWindow.Seconds()+limitExtra {
+				bs = append(bs, fmt.Sprintf("LIMIT, worker %s named %.2f a second and got %d requests in %s", k, l.limit, n, limitWindow))
+				break
 			}
 		}
 	}
-	return nil
+	return bs
 }
