--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -110,8 +110,31 @@
 
 // Ports of gateways are taken from below those that the system gives to outgoing
 // connections, or one of these has a port by the time when its gateway starts
-// again.
-const firstPort, lastPort = 12_000, 32_000
+// again. Each run takes a part of them for itself, since others may run beside it.
+const firstPort, portsOfRun, runsBeside = 12_000, 2_000, 10
+
+// ownPorts returns the first port of this run's part, which is locked until the process ends.
+var ownPorts = sync.OnceValues(func() (first int, err error) {
+	d := filepath.Join(os.TempDir(), "hollowgrade-soak-ports")
+	if err = os.MkdirAll(d, 0o755); err != nil {
+		return 0, err
+	}
+	for i := range runsBeside {
+		f, err := os.OpenFile(filepath.Join(d, fmt.Sprint(i)), os.O_CREATE|os.O_RDWR, 0o600)
+		if err != nil {
+			return 0, err
+		}
+		if syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
+			portsLock = f
+			return firstPort + i*portsOfRun, nil
+		}
+		_ = f.Close() // another run has it
+	}
+	return 0, fmt.Errorf("%d runs have all ports", runsBeside)
+})
+
+// portsLock is held open for as long as the process runs.
+var portsLock *os.File
 
 // given has the ports that were handed out: one is free until its gateway starts, and was handed out
 // twice.
@@ -119,9 +142,11 @@
 
 func freeAddress(t testing.TB) string {
 	t.Helper()
+	first, err := ownPorts()
+	require.NoError(t, err)
 	var k net.ListenConfig
-	for range lastPort - firstPort {
-		p := firstPort + rand.IntN(lastPort-firstPort)
+	for range portsOfRun {
+		p := first + rand.IntN(portsOfRun)
 		a := fmt.Sprint("127.0.0.1:", p)
 		if given[p] {
 			continue
