core, platform: evacuate data halls, and bound the calls to cold upstreams

All halls of a service: HG2011 at once. Small records of a topic overtake a large one between gateways. Cold upstreams are limited by the account of limits, with the configuration's rate, until their entries say that they are warm. Status, metrics, log lines.

--- a/core/catalog.go
+++ b/core/catalog.go
@@ -59,6 +59,7 @@
 	HealthPath     string
 	MaxConnections int             // to one upstream, for all callers together
 	Engine         *engine.Figures // nil for a plain service
+	Cold           ColdRule
 }
 
 // Limits bound what callers may send. A zero value means no bound.
@@ -134,6 +135,15 @@
 	return o, ok
 }
 
+// coldRules returns the rules for cold upstreams, by service.
+func (c *Catalog) coldRules() map[string]ColdRule {
+	rs := make(map[string]ColdRule, len(c.Services))
+	for n, s := range c.Services {
+		rs[n] = s.Cold
+	}
+	return rs
+}
+
 // NeedsKey reports whether calls on the route need a key.
 func (c *Catalog) NeedsKey(r Route) bool {
 	return c.keysRequired && !r.Public
--- a/core/core.go
+++ b/core/core.go
@@ -232,6 +232,7 @@
 			return false
 		}
 		if c.catalog.CompareAndSwap(old, n) {
+			c.fleet.SetColdRules(n.coldRules())
 			return true
 		}
 	}
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -67,6 +67,7 @@
 	avoidedByAllUntil time.Time
 	limit             rateLimit
 	cooldown          cooldownState
+	coldUntil         time.Time // when it counts as warm if it does not report that it is; zero if it is warm
 	leaving           bool      // by its own signal, whatever the registry says
 	expiresAt         time.Time // when a member without an entry is removed; zero while it is listed
 }
@@ -119,6 +120,8 @@
 	random            func() float64                              // random number from 0 to 1
 	demands           map[string]*demand                          // by service
 	candidates        []placement.Candidate                       // of the last decision; the memory is reused
+	evacuation        Evacuation                                  // data halls that get no calls
+	coldRules         map[string]ColdRule                         // by service
 }
 
 // FleetOption configures a [Fleet].
@@ -189,7 +192,8 @@
 	defer f.mu.Unlock()
 	l := u.Instance()
 	m, ok := f.members[l]
-	if ok && m.Upstream == u && m.expiresAt.IsZero() {
+	if ok && sameEntry(m.Upstream, u) && m.expiresAt.IsZero() {
+		f.setCold(m, u.ColdFor, "its entry says so")
 		return
 	}
 	if !ok && f.entryOutdated(u) {
@@ -202,6 +206,7 @@
 		"draining", u.Draining, "was_draining", m.Draining, "new", !ok)
 	m.Upstream = u
 	m.expiresAt = time.Time{}
+	f.setCold(m, u.ColdFor, "its entry says so")
 	f.outdated = true
 	if !ok {
 		f.onInstanceStart(u)
@@ -279,6 +284,7 @@
 	u.StartMillis = born
 	n := f.startInstance(id, u.Instance())
 	n.Upstream, n.startReportedAt = u, f.clock.Now()
+	f.setCold(n, f.coldRules[u.Service].Time, "it started again")
 	f.onInstanceStart(u)
 	f.log.Info("upstream started again", "upstream", n.instance, "service", u.Service, "before", m.instance, "why", "it says so")
 }
@@ -328,7 +334,7 @@
 
 // usable reports whether a member may get new calls. The lock is held.
 func (f *Fleet) usable(m *member, now time.Time) bool {
-	return !m.Draining && !m.leaving && !m.expired(now) && m.cooldown.ended(now)
+	return !m.Draining && !m.leaving && !m.expired(now) && m.cooldown.ended(now) && !f.evacuation.Covers(m.Hall)
 }
 
 // stillUsable reports whether the members of an earlier pick may still get the call. It charges the
--- a/core/flow.go
+++ b/core/flow.go
@@ -203,6 +203,11 @@
 // those that are take no call now.
 func (f *flow) noUpstreamError() error {
 	r := f.core.fleet.unavailability(f.service.Name, f.tried)
+	if r.limited+r.coolingDown == 0 && r.evacuated > 0 {
+		f.core.log.Info("not sent", "request", f.call.ID, "why", "its upstreams are being evacuated", "evacuated", r.evacuated, "come_back_ms", r.retryAfter.Milliseconds())
+		return fault.New(fault.Evacuated, "all %d upstreams of service %s are in data halls that operators are evacuating", r.evacuated, f.service.Name).
+			WithRetryAfter(r.retryAfter)
+	}
 	if r.limited+r.coolingDown == 0 {
 		return fault.New(fault.NoUpstream, "no upstream of service %s can be tried, %d were", f.service.Name, len(f.tried)).
 			WithRetryAfter(shortRetryAfter)
--- a/core/limit.go
+++ b/core/limit.go
@@ -56,11 +56,36 @@
 	allowance    float64   // requests that may be sent now; negative if too many were sent
 	accruedUntil time.Time // time up to which the allowance is added up
 	wanted       rate      // requests that peers would send
+	// coldPerSecond is a further limit while the upstream is cold, which all processes learn from its
+	// registry entry; 0 while it is warm.
+	coldPerSecond float64
+}
+
+// inForce reports whether any limit applies now.
+func (l *rateLimit) inForce() bool {
+	return l.named || l.coldPerSecond > 0
 }
 
 // rate returns how many requests per second all processes send together.
 func (l *rateLimit) rate() float64 {
-	return limitShare * max(l.perSecond, minLimitPerSecond)
+	most := math.Inf(1)
+	if l.named {
+		most = l.perSecond
+	}
+	if l.coldPerSecond > 0 {
+		most = min(most, l.coldPerSecond)
+	}
+	return limitShare * max(most, minLimitPerSecond)
+}
+
+// change applies a change of the limits, and accounts for the time before it by the earlier ones.
+func (l *rateLimit) change(now time.Time, knownShare float64, apply func()) {
+	if l.inForce() {
+		l.accrue(now, knownShare)
+	} else {
+		l.allowance, l.accruedUntil = 0, now
+	}
+	apply()
 }
 
 // accrue adds to the allowance what accumulated since the last call. Only the knownShare of all
@@ -93,12 +118,7 @@
 	l.changedAt = now
 	f.log.Info("limit of upstream", "upstream", m.instance, "service", m.Service, "request", request, "peer", peer,
 		"age_ms", w.Age.Milliseconds(), "named", w.Named, "per_second", w.PerSecond, "was_named", l.named, "before", l.perSecond)
-	if l.named {
-		l.accrue(now, f.knownShare())
-	} else {
-		l.allowance, l.accruedUntil = 0, now
-	}
-	l.named, l.perSecond = w.Named, w.PerSecond
+	l.change(now, f.knownShare(), func() { l.named, l.perSecond = w.Named, w.PerSecond })
 	if l.direct {
 		f.markChanged(m)
 	}
@@ -143,8 +163,9 @@
 // Because the sends of peers become known late, the remaining allowance is given out at random, in
 // proportion to what each process would send. The lock is held.
 func (f *Fleet) admits(m *member, now time.Time, begun bool) bool {
+	f.limitIfCold(m, now)
 	l := &m.limit
-	if !l.named {
+	if !l.inForce() {
 		return true
 	}
 	m.ownShare.Wanted++
@@ -159,7 +180,7 @@
 
 // withinLimits returns the members whose limits leave room for a request now. The lock is held.
 func (f *Fleet) withinLimits(ms []*member, tried map[hollowgrade.Instance]bool, now time.Time, begun bool) (free []*member) {
-	if !slices.ContainsFunc(ms, func(m *member) bool { return m.limit.named }) {
+	if !slices.ContainsFunc(ms, func(m *member) bool { return m.limit.inForce() }) {
 		return ms
 	}
 	for _, m := range ms {
@@ -172,7 +193,7 @@
 
 // chargeLimit charges a request to the limit of an upstream. The lock is held.
 func (f *Fleet) chargeLimit(p *pick, m *member) {
-	if !m.limit.named {
+	if !m.limit.inForce() {
 		return
 	}
 	m.limit.allowance--
@@ -204,7 +225,8 @@
 // they leave room. The lock is held.
 func (f *Fleet) chargeNewLimits(p *pick, now time.Time) bool {
 	for _, m := range append([]*member{p.member}, p.helpers...) {
-		if !m.limit.named || slices.Contains(p.charged, m) {
+		f.limitIfCold(m, now)
+		if !m.limit.inForce() || slices.Contains(p.charged, m) {
 			continue
 		}
 		if !f.admits(m, now, p.request.StreamStarted) {
--- a/core/share.go
+++ b/core/share.go
@@ -132,7 +132,7 @@
 		if n := s.Open - old.Open; (known || v.complete) && n > 0 {
 			f.recordPeerCalls(m.Service, n)
 		}
-		if m.limit.named && (known || v.complete) {
+		if m.limit.inForce() && (known || v.complete) {
 			f.recordPeerSends(m, s.Sent-old.Sent, s.Wanted-old.Wanted)
 		}
 		if more := s.Prefill - old.Prefill; (known || v.complete) && more != 0 {
--- a/core/unavailability.go
+++ b/core/unavailability.go
@@ -10,6 +10,9 @@
 const (
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
+	// evacuatedRetryAfter is the retry delay while operators evacuate all data halls of a service. When
+	// they end that is not known, so callers are sent away for long rather than to come back in vain.
+	evacuatedRetryAfter = maxRetryAfter
 )
 
 // unavailability says why no upstream of a service takes a call now.
@@ -17,6 +20,7 @@
 	limited     int           // upstreams that only their limits exclude
 	perSecond   float64       // requests per second that these accept from all processes together
 	coolingDown int           // upstreams that asked for a cooldown
+	evacuated   int           // upstreams in data halls that operators are evacuating
 	retryAfter  time.Duration // retry delay for the caller
 }
 
@@ -30,12 +34,14 @@
 	for _, m := range f.membersOf(service) {
 		switch {
 		case tried[m.instance] || m.leaving || m.Draining || m.expired(now):
+		case f.evacuation.Covers(m.Hall):
+			r.evacuated++
 		case !m.cooldown.ended(now) || m.cooldown.trialPending(now):
 			r.coolingDown++
 			if e := m.cooldown.nextCallAt(); firstCooldownEnd.IsZero() || e.Before(firstCooldownEnd) {
 				firstCooldownEnd = e
 			}
-		case m.limit.named:
+		case m.limit.inForce():
 			r.limited++
 			r.perSecond += m.limit.rate()
 		}
@@ -46,6 +52,8 @@
 	case r.coolingDown > 0:
 		d := firstCooldownEnd.Sub(now)
 		r.retryAfter = max(d+time.Duration(f.random()*cooldownJitter*float64(d)), minRetryAfter)
+	case r.evacuated > 0:
+		r.retryAfter = evacuatedRetryAfter
 	}
 	return r
 }
--- a/exchange.go
+++ b/exchange.go
@@ -38,6 +38,8 @@
 	Hall        string // data hall
 	Slots       int    // number of requests that it serves at a time
 	Draining    bool   // it is shutting down and must get no new calls
+	// ColdFor is how much longer it can take only a part of its usual calls, 0 if it is warm.
+	ColdFor time.Duration
 }
 
 // Sending is one attempt at a call, sent to one upstream.
--- a/fault/registry.go
+++ b/fault/registry.go
@@ -34,6 +34,7 @@
 	GroupBusy         Code = "HG2008"
 	StaleConfig       Code = "HG2009"
 	Quarantined       Code = "HG2010"
+	Evacuated         Code = "HG2011"
 	DeadlinePassed    Code = "HG3001"
 	UpstreamLost      Code = "HG3002"
 	AnswerCut         Code = "HG3003"
@@ -60,6 +61,7 @@
 	first              = "0.1" // the release that introduced a code
 	second             = "0.2"
 	third              = "0.3"
+	fourth             = "0.4"
 	statusClientClosed = 499 // customary for a caller that closed its connection
 )
 
@@ -89,6 +91,7 @@
 	{GroupBusy, "The group of engines could not be reserved in time", "The prompt needs the memory of several engines at once, and they did not come free together within the allowed time.", first, Transient, hollowgrade.NotRun, http.StatusServiceUnavailable},
 	{StaleConfig, "The configuration may be out of date", "The box has not been able to confirm for some time that its configuration is the newest, so it cannot tell whether the key still holds or whether a route is gone; or it knows that there is a newer one, which has not reached it. Nothing was sent to an upstream. Another box may know; come back after the time given.", second, Transient, hollowgrade.NotRun, http.StatusServiceUnavailable},
 	{Quarantined, "Upstreams end under this request", "Upstreams that began to run this request, the same organisation, path and body, ended one after another, and no run of it was answered since. It is sent to none until the time given has passed; where only two or three ended so far, one run of it at a time is let through. This answer was not run; an earlier attempt of the same call may have been, and then the outcome says so. Sending it again sooner brings the same answer. Change the request, or ask the operators, who see all such requests with 'hollowgrade quarantine list' and can end one with 'hollowgrade quarantine lift'.", third, Operator, hollowgrade.NotRun, http.StatusServiceUnavailable},
+	{Evacuated, "The upstreams are being evacuated", "Operators are emptying every data hall in which the service has an upstream that could take the request, so that nothing is sent there. It has not run. Come back after the time given; 'hollowgrade config status' shows the data halls.", fourth, Operator, hollowgrade.NotRun, http.StatusServiceUnavailable},
 	{DeadlinePassed, "The allowed time has passed", "The request was given up at its deadline, and what ran of it was cancelled at the upstream. The outcome says whether any of it ran.", first, Transient, hollowgrade.Failed, http.StatusGatewayTimeout},
 	{UpstreamLost, "The upstream was lost", "The upstream, or the agent beside it, went away while the request was there, and the policy allows no second run.", first, Transient, hollowgrade.Unknown, http.StatusBadGateway},
 	{AnswerCut, "The answer was cut short", "The answer ended before its last token. What was received is not the whole answer.", first, Transient, hollowgrade.Failed, http.StatusBadGateway},
--- a/feed/excerpt.go
+++ b/feed/excerpt.go
@@ -26,7 +26,8 @@
 	age   time.Duration            // of the whole view
 }
 
-// excerptFrom returns the newest records from an offset on, as many as fit into one answer. Ok is
+// excerptFrom returns the newest records from an offset on, as many as fit into one answer. Small
+// records after a large one are included, so that they don't wait until its value has arrived. Ok is
 // false if the view has never been complete.
 func (f *Feed) excerptFrom(from int64) (p excerpt, ok bool) {
 	hollowgrade.CheckSuspension(f.clock) // peers adopt this age, so it must include the time of a suspension
@@ -39,12 +40,16 @@
 	p.Next, p.End = f.next, f.next
 	left := maxPageBytes
 	for _, r := range f.newestFrom(from) {
-		left -= recordOverheadBytes + len(r.Key) + len(r.Value)
-		if large := len(r.Value) > largeValueBytes; large || left < 0 {
-			p.Next = r.Offset
-			if large {
-				p.large = &r
-			}
+		large := len(r.Value) > largeValueBytes
+		if large && p.large != nil {
+			continue
+		}
+		if large {
+			p.Next, p.large = r.Offset, &r
+			continue
+		}
+		if left -= recordOverheadBytes + len(r.Key) + len(r.Value); left < 0 {
+			p.Next = min(p.Next, r.Offset)
 			break
 		}
 		p.Records = append(p.Records, r)
--- a/feed/transfer_test.go
+++ b/feed/transfer_test.go
@@ -308,6 +308,24 @@
 }
 
 // Callers must be able to read the view's age while a watcher processes a large value.
+// Guards against a small record that waits until a large one before it has been transferred.
+func TestSmallRecordsOvertakeALargeOne(t *testing.T) {
+	f := feedWith(1, large(1, 3*largeValueBytes))
+	f.Merge(page(3, hollowgrade.KeyedRecord{Key: "small", Value: []byte("v"), Offset: 2}), time.Now())
+	p, ok := f.excerptFrom(0)
+	require.True(t, ok)
+	require.NotNil(t, p.large)
+	require.EqualValues(t, 1, p.Next, "the large record is missing")
+	require.Len(t, p.Records, 1)
+	o := New("f", newTopic(), WithLogger(log.New(io.Discard)))
+	o.Merge(p.KeyedPage, time.Time{})
+	r, ok := o.value("small")
+	require.True(t, ok)
+	require.Equal(t, "v", string(r.Value))
+	require.EqualValues(t, 1, o.Next())
+	require.False(t, o.complete())
+}
+
 func TestAgeIsToldWhileAWatcherWorks(t *testing.T) {
 	f := feedWith(3, large(1, 20_000))
 	working, done := make(chan struct{}), make(chan struct{})
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -221,7 +222,7 @@
 		newest = max(newest, v.Revision)
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "box\trole\tdata hall\trevision\tlog seen\tready")
+	fmt.Fprintln(t, "box\trole\tdata hall\trevision\tlog seen\tready\tevacuated halls")
 	behind := 0
 	for _, v := range ss {
 		if v.Revision < newest {
@@ -231,7 +232,7 @@
 		if !v.Ready {
 			ready = "no: " + v.Reason
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.1f s ago\t%s\n", v.Box, v.Role, v.Hall, v.Revision, v.LogAge, ready)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.1f s ago\t%s\t%s\n", v.Box, v.Role, v.Hall, v.Revision, v.LogAge, ready, cmp.Or(strings.Join(v.Evacuated, ", "), "none"))
 	}
 	if err := t.Flush(); err != nil {
 		return err
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -111,7 +111,7 @@
 		core.WithProcesses(n.members.count),
 		core.WithObserver(func(o core.Observation) { b.sample(callSample(o)) }))
 	b.clock.OnSuspension(func(time.Duration) { n.Core.Resume() })
-	n.config.Watch(n.applyConfig)
+	n.config.Watch(n.applyOperatorRecords)
 	fleet.Watch(n.applyFleet)
 	others.Watch(n.members.apply)
 	n.heldStore = &heldStore{table: n.Core.Quarantine(), topic: s.Held(), clock: n.clock, log: g, breaker: relay.Breaker(), unused: n.unused}
@@ -266,13 +266,32 @@
 }
 
 func (n *GatewayNode) configState() ConfigState {
-	s := ConfigState{Next: n.config.Next(), Fresh: n.config.Fresh()}
+	s := ConfigState{Next: n.config.Next(), Fresh: n.config.Fresh(), Evacuated: n.Core.Fleet().Evacuation().Halls()}
 	if c := n.Core.Catalog(); c != nil {
 		s.Revision = c.Version
 	}
 	return s
 }
 
+// applyOperatorRecords applies changes of the operators' topic.
+func (n *GatewayNode) applyOperatorRecords(cs []feed.Change) {
+	for _, c := range cs {
+		if hall, ok := platform.EvacuatedHall(c.Key); ok {
+			n.applyEvacuation(hall, c.Dropped())
+		}
+	}
+	n.applyConfig(cs)
+}
+
+// applyEvacuation starts or ends the evacuation of a data hall.
+func (n *GatewayNode) applyEvacuation(hall string, ended bool) {
+	if ended {
+		n.Core.Fleet().EndEvacuation(hall)
+	} else {
+		n.Core.Fleet().Evacuate(hall)
+	}
+}
+
 // applyConfig puts a new configuration in force. One that is invalid or not newer is ignored.
 func (n *GatewayNode) applyConfig(cs []feed.Change) {
 	for _, c := range cs {
@@ -334,6 +353,12 @@
 			}
 			return 0
 		}),
+		n.metrics.Gauge("hollowgrade.halls_evacuated", "Data halls whose upstreams get no calls, since operators are emptying them.", func() float64 {
+			return float64(len(n.Core.Fleet().Evacuation().Halls()))
+		}),
+		n.metrics.Gauge("hollowgrade.cold_upstreams", "Upstreams that are cold and get a bounded number of calls.", func() float64 {
+			return float64(n.Core.Fleet().Cold())
+		}),
 		n.metrics.Gauge("hollowgrade.slow_upstreams", "Upstreams that are known to take longer than published.", func() float64 {
 			return float64(n.Core.Fleet().Slow())
 		}),
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -29,11 +29,12 @@
 	Role        hollowgrade.Role `json:"role"`
 	Hall        string           `json:"hall"`
 	Incarnation string           `json:"incarnation"`
-	Revision    int64            `json:"revision"` // in force
-	Next        int64            `json:"next"`     // first log offset that was not read
-	LogAge      float64          `json:"log_age"`  // seconds since the end of the log was seen, -1 if never
-	Ready       bool             `json:"ready"`    // whether it accepts work
-	Reason      string           `json:"reason"`   // why it does not
+	Revision    int64            `json:"revision"`  // in force
+	Next        int64            `json:"next"`      // first log offset that was not read
+	LogAge      float64          `json:"log_age"`   // seconds since the end of the log was seen, -1 if never
+	Ready       bool             `json:"ready"`     // whether it accepts work
+	Reason      string           `json:"reason"`    // why it does not
+	Evacuated   []string         `json:"evacuated"` // data halls whose upstreams get no calls
 }
 
 // ConfigState is the state of a process's configuration.
@@ -41,6 +42,8 @@
 	Revision int64     // in force
 	Next     int64     // first offset of the log or topic that was not read
 	Fresh    time.Time // when the end was last seen; zero if never
+	// Evacuated are the data halls whose upstreams get no calls.
+	Evacuated []string
 }
 
 const operatorsHeaderTimeout = 5 * time.Second
@@ -91,6 +94,7 @@
 		Revision:    c.Revision,
 		Next:        c.Next,
 		LogAge:      -1,
+		Evacuated:   c.Evacuated,
 	}
 	if !c.Fresh.IsZero() {
 		s.LogAge = o.node.clock.Since(c.Fresh).Seconds()
