callers: cut off callers that stop reading, and bound the bodies of open calls

Cause: a caller that read nothing of its answer kept its upstream busy until its deadline; the bodies of all open calls had no bound together.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -52,6 +52,8 @@
 	// memoryLimitShare is the runtime's memory limit as a share of the box's memory.
 	memoryLimitShare = 0.8
 	megabyte         = 1 << 20
+	// bodyMemoryShare is the part of the box's memory that the bodies of open calls may take.
+	bodyMemoryShare = 0.25
 	// gcPercent is how much the heap may grow between collections, in percent, within the memory
 	// limit. With 103 gateways and 20 MB live, 150 peaks at 63 MB and spends 0.3% of the processor
 	// time on collections, and 400 peaks at 112 MB.
@@ -70,6 +72,7 @@
 	heldStore *heldStore
 	members   *members
 	unused    *atomic.Int64 // records of the store that could not be used
+	bodies    *callers.Budget
 	receiver  *loadview.Receiver
 }
 
@@ -161,7 +164,8 @@
 	if err != nil {
 		return err
 	}
-	handler := platform.NewHandler(n.Core, n.limits, n.clock, g)
+	n.bodies = callers.NewBudget(int64(bodyMemoryShare * float64(c.MemoryMB) * megabyte))
+	handler := platform.NewHandler(n.Core, n.limits, n.clock, g, platform.WithStall(c.CallerStall), platform.WithBodies(n.bodies))
 	n.callers = callers.New(netutil.LimitListener(l, c.MaxConnections), handler,
 		callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(c.Linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
 	l, err = listen(c.Readiness)
@@ -353,6 +357,9 @@
 			}
 			return 0
 		}),
+		n.metrics.Gauge("hollowgrade.body_bytes", "Bytes of the bodies of requests that are open.", func() float64 {
+			return float64(n.bodies.Held())
+		}),
 		n.metrics.Gauge("hollowgrade.halls_evacuated", "Data halls whose upstreams get no calls, since operators are emptying them.", func() float64 {
 			return float64(len(n.Core.Fleet().Evacuation().Halls()))
 		}),
--- a/setting/gateway.go
+++ b/setting/gateway.go
@@ -30,6 +30,7 @@
 	Grace          time.Duration `help:"How long a planned stop may take in all; the platform kills the process after it." default:"8s" min:"1s" group:"limits"`
 	Linger         time.Duration `help:"How long a planned stop goes on taking connections, until the balancer leads elsewhere. It asks each second and believes the second miss." default:"2700ms" min:"0s" group:"limits"`
 	ConfigMaxBytes int           `help:"Size of the largest configuration that is taken; a larger one leaves the one before in force, with a line in the log. Twice what the design counts with." default:"8388608" min:"65536" group:"limits"`
+	CallerStall    time.Duration `help:"How long a caller may read nothing of its answer before it is cut off, so that it keeps no upstream busy. One that reads slowly is waited for." default:"1500ms" min:"100ms" max:"1m" group:"limits"`
 	LinkMbps       float64       `name:"link-mbps" help:"Rate of the box's link, 0 if not known. Gateways with wide links read the store for the others, and send large values to more of them at a time." default:"0" min:"0" group:"limits"`
 	MemoryMB       int           `name:"memory-mb" help:"Memory that the process may use, in MB; 0 to leave it unbounded." default:"0" min:"0" group:"limits"`
 }
