feed: few readers of the store in fleets of any size, and starts from peers

Cause: one gateway in twenty read the store, so that 21 of 402 did; each that started read all newest records of four topics itself; and each change of the registry made every reader read again after 250 ms, whatever the users' bound.

Change: seven readers at the most. Where more than twenty processes would poll one of them, further sources poll the readers and say so (FeedReply.forwarded), and only clients count that as served. A process that starts and is no reader waits for its peers, as long as they send, for two seconds at the most. The registry is read again after an eighth of leave_within (the platform's drainMs).

--- a/feed/backup.go
+++ b/feed/backup.go
@@ -37,20 +37,34 @@
 	return min(n, all)
 }
 
-// peerStatus is what a peer last reported: whether the store serves it, that is, it reads all
-// topics and the store answers these reads in time.
+// standing is a process's connection to the store.
+type standing int
+
+// The values of [standing], in ascending order.
+const (
+	unservedPeer   standing = iota // it knows no more than any other
+	forwardingPeer                 // it passes on what processes reply that the store serves
+	servedPeer                     // it reads all topics, and the store answers these reads in time
+)
+
+// peerStatus is what a peer last reported.
 type peerStatus struct {
-	served bool
-	at     time.Time
+	standing standing
+	at       time.Time
 }
 
-// noteReply records that a peer replied, and whether the store serves it and it sent all feeds.
-func (r *Relay) noteReply(address string, served bool) {
+// noteReply records that a peer replied, and its standing. A source does not rely on others that
+// forward, since these may rely on it.
+func (r *Relay) noteReply(address string, s standing) {
+	least := servedPeer
+	if !slices.Contains(r.sources(), r.self) {
+		least = forwardingPeer
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastReply = r.clock.Now()
-	r.setStatus(address, served)
-	if !served {
+	r.setStatus(address, s)
+	if s < least {
 		r.noteUnserved()
 		return
 	}
@@ -61,7 +75,7 @@
 func (r *Relay) noteNoReply(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.setStatus(address, false)
+	r.setStatus(address, unservedPeer)
 	r.noteUnserved()
 }
 
@@ -81,21 +95,21 @@
 }
 
 // setStatus records the status of a peer, and removes expired ones. The caller holds the lock.
-func (r *Relay) setStatus(address string, served bool) {
+func (r *Relay) setStatus(address string, s standing) {
 	if len(r.peerStatuses) > maxPeerStatuses {
 		maps.DeleteFunc(r.peerStatuses, func(a string, _ peerStatus) bool {
 			_, ok := r.status(a)
 			return !ok
 		})
 	}
-	r.peerStatuses[address] = peerStatus{served, r.clock.Now()}
+	r.peerStatuses[address] = peerStatus{s, r.clock.Now()}
 }
 
 // status returns the recent status of a peer, and false if there is none. The caller holds the
 // lock.
-func (r *Relay) status(address string) (served, ok bool) {
-	s, ok := r.peerStatuses[address]
-	return s.served, ok && r.clock.Since(s.at) <= r.timing.statusTTL()
+func (r *Relay) status(address string) (s standing, ok bool) {
+	p, ok := r.peerStatuses[address]
+	return p.standing, ok && r.clock.Since(p.at) <= r.timing.statusTTL()
 }
 
 // preferServed leaves out the peers that the store does not serve by their status, unless none are
@@ -112,8 +126,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(as), func(a string) bool {
-		served, ok := r.status(a)
-		return a == r.self || ok && !served
+		s, ok := r.status(a)
+		return a == r.self || ok && s == unservedPeer
 	})
 }
 
@@ -130,8 +144,8 @@
 		return false
 	}
 	return stale || r.clock.Since(r.lastServedReply) > servedReplyTimeout || !slices.ContainsFunc(readers, func(a string) bool {
-		served, ok := r.status(a)
-		return a != r.self && (!ok || served)
+		s, ok := r.status(a)
+		return a != r.self && (!ok || s == servedPeer)
 	})
 }
 
@@ -168,7 +182,7 @@
 // holds the lock.
 func (r *Relay) countServed(as []string) (n int) {
 	for _, a := range as {
-		if served, ok := r.status(a); ok && served && a != r.self {
+		if s, ok := r.status(a); ok && s == servedPeer && a != r.self {
 			n++
 		}
 	}
@@ -180,7 +194,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for a := range r.peerStatuses {
-		if served, ok := r.status(a); ok && served && !slices.Contains(as, a) {
+		if s, ok := r.status(a); ok && s == servedPeer && !slices.Contains(as, a) {
 			as = append(as, a)
 		}
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -38,13 +38,14 @@
 	// maxBases is how many earlier values of a key are kept if they are large, so that a peer that
 	// is a few changes behind receives only the difference.
 	maxBases = 3
-	// minReadInterval is the least time between a read that returned records and the next one.
-	// Records come in bursts and each read has a cost, but a change must be in force within two
-	// seconds.
-	minReadInterval = 250 * time.Millisecond
+	// defaultMinReadInterval is the least time between a read that returned records and the next one,
+	// where a change must be in force within two seconds.
+	defaultMinReadInterval = 250 * time.Millisecond
 	// followCheckInterval is how often a process that does not read the store checks whether it has
 	// to.
 	followCheckInterval = 100 * time.Millisecond
+	// startCheckInterval is the same for a process that has just started and has no view yet.
+	startCheckInterval = 10 * time.Millisecond
 	// Bounds of the exponential delay between failed reads.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = time.Second
@@ -71,6 +72,8 @@
 	name          string
 	topic         hollowgrade.Topic
 	isReader      func() bool // whether this process reads the store itself now
+	peersFirst    func() bool // whether a view that was never complete waits for peers
+	minInterval   time.Duration
 	breaker       *Breaker
 	clock         hollowgrade.Clock
 	log           *log.Logger
@@ -130,8 +133,20 @@
 	return func(f *Feed) { f.timing = t }
 }
 
+// WithPeersFirst sets the function that reports whether a process that is no reader and has no view
+// yet waits for its peers before it reads the store.
+func WithPeersFirst(f func() bool) Option {
+	return func(d *Feed) { d.peersFirst = f }
+}
+
+// WithMinReadInterval sets the least time between a read that returned records and the next one.
+// Records come in bursts, and each read has a cost.
+func WithMinReadInterval(d time.Duration) Option {
+	return func(f *Feed) { f.minInterval = d }
+}
+
 // WithReader sets the function that reports whether this process reads the store itself. Otherwise
-// the view is updated by peers, after one initial read in any case.
+// the view is updated by peers, after an initial read unless [WithPeersFirst] says otherwise.
 func WithReader(f func() bool) Option {
 	return func(d *Feed) { d.isReader = f }
 }
@@ -152,6 +167,8 @@
 		name:          name,
 		topic:         t,
 		isReader:      func() bool { return true },
+		peersFirst:    func() bool { return false },
+		minInterval:   defaultMinReadInterval,
 		clock:         hollowgrade.SystemClock(),
 		log:           log.Default(),
 		wait:          defaultWait,
@@ -216,8 +233,8 @@
 	p.InitialInterval = minRetryDelay
 	p.MaxInterval = maxRetryDelay
 	for ctx.Err() == nil {
-		if f.setFollowing(f.complete() && !f.isReader()) {
-			hollowgrade.Sleep(ctx, f.clock, f.timing.UrgentPollInterval)
+		if f.setFollowing(!f.isReader() && (f.complete() || f.peersFirst())) {
+			hollowgrade.Sleep(ctx, f.clock, f.followInterval())
 			continue
 		}
 		probe, wait := f.breaker.Begin()
@@ -232,7 +249,7 @@
 			p.Reset()
 			f.noteReadAnswered()
 			if records > 0 {
-				hollowgrade.Sleep(ctx, f.clock, minReadInterval-f.clock.Since(sent))
+				hollowgrade.Sleep(ctx, f.clock, f.minInterval-f.clock.Since(sent))
 			}
 			continue
 		}
@@ -247,12 +264,20 @@
 	}
 }
 
+// followInterval returns when to check again whether this process has to read.
+func (f *Feed) followInterval() time.Duration {
+	if f.complete() {
+		return f.timing.UrgentPollInterval
+	}
+	return startCheckInterval
+}
+
 // setFollowing records whether this process relies on peers for now, and returns that.
 func (f *Feed) setFollowing(following bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.following && !following {
-		f.nextAnswerDue = f.clock.Now().Add(minReadInterval + f.timing.AnswerGrace) // the first read may have to wait for the probe of another topic
+		f.nextAnswerDue = f.clock.Now().Add(f.minInterval + f.timing.AnswerGrace) // the first read may have to wait for the probe of another topic
 	}
 	f.following = following
 	f.answered = f.answered && !following
@@ -501,7 +526,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answered = true
-	f.nextAnswerDue = hollowgrade.Later(f.nextAnswerDue, f.clock.Now().Add(minReadInterval+f.timing.AnswerGrace))
+	f.nextAnswerDue = hollowgrade.Later(f.nextAnswerDue, f.clock.Now().Add(f.minInterval+f.timing.AnswerGrace))
 	if !f.readFailing {
 		return
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -31,6 +31,7 @@
 	first   int64 // offset of the first retained record
 	down    bool
 	reads   int
+	scans   int           // reads of all newest records
 	slow    time.Duration // how long reading the newest records takes
 	changed chan struct{}
 }
@@ -64,6 +65,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.scans++
 	if t.down {
 		return p, errDown
 	}
@@ -169,7 +171,7 @@
 
 // pause waits until a feed may read again after it has read records.
 func pause() {
-	time.Sleep(minReadInterval)
+	time.Sleep(defaultMinReadInterval)
 	synctest.Wait()
 }
 
@@ -429,6 +431,66 @@
 	})
 }
 
+// Guards against a start of all processes in which each reads all newest records from the store.
+func TestStartFromPeers(t *testing.T) {
+	start := func(t *testing.T, k *fakeTopic, peersFirst func() bool) (f *Feed, stop func()) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f = New("f", k, WithLogger(log.New(io.Discard)), WithReader(func() bool { return false }), WithPeersFirst(peersFirst))
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		return f, func() {
+			cancel()
+			<-done
+		}
+	}
+	t.Run("one that peers tell reads nothing", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			k := newTopic()
+			put(t, k, "a", "1")
+			f, stop := start(t, k, func() bool { return true })
+			time.Sleep(50 * time.Millisecond)
+			f.Merge(page(1, hollowgrade.KeyedRecord{Key: "a", Value: []byte("1")}), time.Now())
+			time.Sleep(time.Second)
+			require.True(t, f.complete())
+			require.Zero(t, k.scans)
+			stop()
+		})
+	})
+	t.Run("one that they don't reads the store", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			k := newTopic()
+			put(t, k, "a", "1")
+			begun := time.Now()
+			f, stop := start(t, k, func() bool { return time.Since(begun) < peersFirstTime })
+			time.Sleep(peersFirstTime - time.Millisecond)
+			require.Zero(t, k.scans)
+			time.Sleep(2 * startCheckInterval)
+			require.True(t, f.complete())
+			require.Equal(t, 1, k.scans)
+			stop()
+		})
+	})
+	t.Run("it waits while they send", func(t *testing.T) {
+		clock := clockwork.NewFakeClock()
+		r := NewRelay("a", func() []string { return []string{"b"} }, WithRelayClock(clock))
+		clock.Advance(peersFirstTime - time.Millisecond)
+		require.True(t, r.PeersFirst())
+		r.noteProgress()
+		clock.Advance(peersFirstTime - time.Millisecond)
+		require.True(t, r.PeersFirst())
+		clock.Advance(time.Millisecond)
+		require.False(t, r.PeersFirst())
+		for clock.Since(r.started) < maxPeersFirstTime {
+			r.noteProgress()
+			clock.Advance(peersFirstTime / 2)
+		}
+		require.False(t, r.PeersFirst(), "not for ever")
+	})
+}
+
 func TestReaders(t *testing.T) {
 	all := func(n int) (as []string) {
 		for i := range n {
@@ -440,7 +502,7 @@
 		return NewRelay(self, func() []string { return all(n) }, append(os, WithRelayLogger(log.New(io.Discard)))...)
 	}
 	t.Run("all agree on them", func(t *testing.T) {
-		for n, want := range map[int]int{1: 1, 2: 2, 5: 4, 28: 6, 60: 7, 103: 7, 240: 12} {
+		for n, want := range map[int]int{1: 1, 2: 2, 5: 4, 28: 6, 60: 7, 103: 7, 240: 7, 1600: 7} {
 			rs := relay(all(n)[0], n).readers()
 			require.Len(t, rs, want)
 			for _, a := range all(n) {
--- a/feed/poll.go
+++ b/feed/poll.go
@@ -52,16 +52,15 @@
 // that are due, and some others. That holds for a reader too: one that started during an outage and
 // polled nobody got a change 3.3 s late.
 func (r *Relay) pollTargets() (as []string) {
-	rs := r.readers()
-	large := largeReaders(rs)
+	readers, sources := r.readers(), r.sources()
 	served := r.isServed()
 	switch {
-	case !slices.Contains(rs, r.self):
-		as = r.addSample(nil, r.withServedPeers(rs))
-	case !slices.Contains(large, r.self), r.unservedOnSome():
-		as = r.addSample(nil, r.withServedPeers(large))
+	case !slices.Contains(sources, r.self):
+		as = r.addSample(nil, r.withServedPeers(sources))
+	case !slices.Contains(readers, r.self), r.unservedOnSome():
+		as = r.addSample(nil, r.withServedPeers(readers))
 	}
-	if served && !slices.Contains(rs, r.self) {
+	if served && !slices.Contains(readers, r.self) {
 		as = r.addSample(as, r.higherRanked()) // those that it replaces as a backup may be served by now
 	}
 	r.mu.Lock()
@@ -70,7 +69,7 @@
 	if len(r.staleFeeds()) == 0 && (served || !lacksReply) {
 		return as
 	}
-	as = append(as, slices.DeleteFunc(r.withoutUnserved(rs), func(a string) bool { return slices.Contains(as, a) })...)
+	as = append(as, slices.DeleteFunc(r.withoutUnserved(readers), func(a string) bool { return slices.Contains(as, a) })...)
 	as = r.addSample(as, r.dueBackups())
 	return r.addSample(as, r.peers())
 }
@@ -116,9 +115,9 @@
 
 // pollResult is the result of one poll of a peer.
 type pollResult struct {
-	feeds  int  // number of feeds in the answer
-	served bool // whether the peer reported that the store serves it
-	bytes  int64
+	feeds    int      // number of feeds in the answer
+	standing standing // as the peer reported it
+	bytes    int64
 	more   *Feed            // a feed of which the peer can send the next page at once, or nil
 	large  []announcedValue // records whose values have to be requested
 }
@@ -253,10 +252,13 @@
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	defer func() { t.bytes = s.Received() }()
-	for t.served = true; ; t.feeds++ {
+	for t.standing = servedPeer; ; t.feeds++ {
 		m, err := s.Receive()
 		if errors.Is(err, io.EOF) {
-			r.noteReply(address, t.served && t.feeds >= len(r.feeds))
+			if t.feeds < len(r.feeds) {
+				t.standing = unservedPeer
+			}
+			r.noteReply(address, t.standing)
 			return t, nil
 		}
 		if err != nil {
@@ -286,14 +288,20 @@
 	if f == nil {
 		return
 	}
-	if m.Unserved {
-		t.served = false
+	switch {
+	case m.Unserved && m.Forwarded:
+		t.standing = min(t.standing, forwardingPeer)
+	case m.Unserved:
+		t.standing = unservedPeer
 	}
 	before, _ := f.Age()
 	p := hollowgrade.KeyedPage{Next: m.Next, End: max(m.End, m.Next), From: address}
 	for _, k := range m.Records {
 		p.Records = append(p.Records, hollowgrade.KeyedRecord{Key: k.Key, Value: k.Value, Offset: k.Offset})
 	}
+	if len(p.Records) > 0 {
+		r.noteProgress()
+	}
 	f.Merge(p, sent.Add(-time.Duration(m.AgeMicros)*time.Microsecond))
 	if after, ok := f.Age(); ok && after < before && (before > r.timing.staleAge(f.wait) || len(p.Records) > 0) {
 		r.log.Info("view updated from a peer", "feed", f.name, "peer", address, "next", m.Next, "records", len(p.Records),
--- a/feed/readers.go
+++ b/feed/readers.go
@@ -8,21 +8,19 @@
 )
 
 const (
-	// At least minReaders processes read the store, and one in processesPerReader up to
-	// targetReaders. A third of all processes may lose the store at once while the others still
-	// have to learn of a change within two seconds, so it must be rare that all readers are among
-	// them: once in 2,000 times with seven readers. More readers cost calls: one in five of 103
-	// gateways makes 18 calls a second at rest, seven make 7 (BenchmarkCalls of internal/spread).
+	// At least minReaders processes read the store, and one in processesPerReader up to maxReaders. A
+	// third of all processes may lose the store at once while the others still have to learn of a
+	// change within two seconds, so it must be rare that all readers are among them: once in 2,000
+	// times with seven readers. More readers cost calls, and their number must not grow with the
+	// fleet: one in five of 103 gateways makes 18 calls a second at rest, seven make 7 (BenchmarkCalls
+	// of internal/spread).
 	minReaders         = 4
 	processesPerReader = 5
-	targetReaders      = 7
-	// maxClientsPerReader is how many processes poll one reader at the most: more would make more
-	// than 150 polls a second.
-	maxClientsPerReader = 20
-	// maxLargeReaders is how many processes read a topic with large records: each read returns a
-	// whole record, and all reads share the store's 80 MB a second. Sixteen copies of 4 MB take 0.8
-	// s, the 84 of one in five of 420 processes would take 4.2 s. The other readers poll these.
-	maxLargeReaders = 16
+	maxReaders         = 7
+	// maxClientsPerSource is how many processes poll one source at the most: more would make more than
+	// 150 polls a second. Fleets with more clients than the readers may have get further sources,
+	// which poll the readers.
+	maxClientsPerSource = 20
 	// rankingTTL is how long the ranking is cached. Each feed needs it ten times a second, and
 	// computing it takes 0.05 ms for 103 processes and 0.24 ms for 420 (BenchmarkReaders).
 	rankingTTL = followCheckInterval
@@ -44,8 +42,8 @@
 	hallIndex int // position among the processes of its hall
 }
 
-// readers returns the processes that read the store, those that read topics with large records
-// first. All processes with the same member list get the same result. Halls alternate, so that few
+// readers returns the processes that read the store. All processes with the same member list get the
+// same result. Halls alternate, so that few
 // halls have no reader and have to poll others; within a hall wide links come first, since a reader
 // serves the others.
 func (r *Relay) readers() []string {
@@ -53,6 +51,13 @@
 	return slices.Clone(order[:n])
 }
 
+// sources returns the processes that the others poll: the readers, and in large fleets further ones,
+// the next by rank, which poll the readers.
+func (r *Relay) sources() []string {
+	order, _ := r.rankedProcesses()
+	return slices.Clone(order[:sourceCount(len(order))])
+}
+
 // higherRanked returns the processes of a higher rank than this one. The caller must not change
 // them.
 func (r *Relay) higherRanked() []string {
@@ -95,8 +100,12 @@
 
 // readerCount returns how many of n processes read the store.
 func readerCount(n int) int {
-	share := min(ceilDiv(n, processesPerReader), targetReaders)
-	return min(max(minReaders, share, ceilDiv(n, maxClientsPerReader)), n)
+	return min(max(minReaders, min(ceilDiv(n, processesPerReader), maxReaders)), n)
+}
+
+// sourceCount returns how many of n processes the others poll.
+func sourceCount(n int) int {
+	return max(readerCount(n), ceilDiv(n, maxClientsPerSource))
 }
 
 func ceilDiv(a, b int) int {
@@ -106,8 +115,3 @@
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(cmp.Compare(b.place.Link, a.place.Link), cmp.Compare(b.rank, a.rank), cmp.Compare(a.address, b.address))
 }
-
-// largeReaders returns those of the readers that read topics with large records.
-func largeReaders(rs []string) []string {
-	return rs[:min(maxLargeReaders, len(rs))]
-}
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -61,6 +61,7 @@
 	noneServed      bool                  // whether no peer of a round was served by the store, and no served one has replied since
 	lastServedReply time.Time             // time of the last complete reply of a served peer, or the start time of this process
 	lastReply       time.Time             // time of the last reply of any peer
+	lastProgress    time.Time             // time of the last reply with records
 	isBackup        bool                  // whether this process reads as a backup
 	outageSince     time.Time             // since when the store has seemed to serve no reader; zero if it does
 	lastReads       readDecision          // last result of Reads
@@ -160,7 +161,7 @@
 // ReadsLarge reports the same for topics with large records. While a peer sends one, this process
 // does not read another copy from the store, since both would share one link.
 func (r *Relay) ReadsLarge() bool {
-	rs := largeReaders(r.readers())
+	rs := r.readers()
 	if r.transferring() {
 		return slices.Contains(rs, r.self)
 	}
@@ -177,8 +178,7 @@
 	higherRanked := r.higherRanked()
 	served := r.isServed()
 	stale := len(r.staleFeeds()) > 0
-	large := largeReaders(r.readers())
-	group := backupGroup(max(len(higherRanked)-len(large), 0))
+	group := backupGroup(max(len(higherRanked)-len(readers), 0))
 	becameBackup := false
 	defer func() {
 		if becameBackup {
@@ -187,7 +187,7 @@
 	}()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.updateOutage(large, served, stale)
+	r.updateOutage(readers, served, stale)
 	r.isBackup = r.actsAsBackup(group, higherRanked, served)
 	reads := reader || r.isBackup
 	if readDecision(reads) != *last {
@@ -208,6 +208,66 @@
 	return r.clock.Since(r.outageSince).Milliseconds()
 }
 
+const (
+	// peersFirstTime is how long a process that has just started, and does not read the store for the
+	// others, waits for data of its peers before it reads the store itself. Callers wait for longer at
+	// its start.
+	peersFirstTime = 300 * time.Millisecond
+	// maxPeersFirstTime is the same while peers send data: as long as the largest configuration takes
+	// to reach all processes.
+	maxPeersFirstTime = 2 * time.Second
+)
+
+// PeersFirst reports whether this process should wait for data of its peers rather than read the store
+// for itself alone: it has just started, and each read of all newest records costs as many calls as
+// there are pages of them.
+func (r *Relay) PeersFirst() bool {
+	now := r.clock.Now()
+	if now.Sub(r.started) >= maxPeersFirstTime {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(hollowgrade.Later(r.started, r.lastProgress)) < peersFirstTime || len(r.transfers) > 0
+}
+
+// noteProgress records that a peer has sent records.
+func (r *Relay) noteProgress() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastProgress = r.clock.Now()
+}
+
+// PollSoon polls peers at once if this process lacks data. It is called when peers become known.
+func (r *Relay) PollSoon() {
+	if !slices.ContainsFunc(r.feeds, func(f *Feed) bool { return !f.complete() }) {
+		return
+	}
+	select {
+	case r.pollNow <- struct{}{}:
+	default: // a poll is due already
+	}
+}
+
+// forwards reports whether this process is a source that does not read the store itself, and a
+// process that the store serves has replied to it lately.
+func (r *Relay) forwards() bool {
+	if slices.Contains(r.readers(), r.self) || !slices.Contains(r.sources(), r.self) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.lacksServedReply()
+}
+
+// NewServer returns a server for the feeds of the relay at a box with a link of so many Mbit/s, 0 if
+// unknown.
+func (r *Relay) NewServer(link float64) *Server {
+	s := NewServer(link, r.feeds...)
+	s.forwards = r.forwards
+	return s
+}
+
 // isStarting reports whether this process has just started and knows no other yet. It reads all
 // newest records in any case; whether it keeps reading is decided with the list of the others.
 // Without this wait, gateways that start together make seven calls each instead of four.
--- a/feed/server.go
+++ b/feed/server.go
@@ -38,8 +38,9 @@
 
 // Server answers peers with excerpts of feeds and with large values.
 type Server struct {
-	feeds []*Feed
-	slots int
+	feeds    []*Feed
+	slots    int
+	forwards func() bool // whether this process passes on what a served process replies
 
 	mu      sync.Mutex
 	busy    int
@@ -55,7 +56,7 @@
 
 // NewServer returns a server for feeds at a box with a link of so many Mbit/s, 0 if unknown.
 func NewServer(link float64, fs ...*Feed) *Server {
-	return &Server{feeds: fs, slots: min(max(int(link/mbitPerSlot), minSlots), maxSlots)}
+	return &Server{feeds: fs, slots: min(max(int(link/mbitPerSlot), minSlots), maxSlots), forwards: func() bool { return false }}
 }
 
 // Serve answers one exchange that a peer has opened. It is meant to be called by a [peer.Handler].
@@ -74,6 +75,7 @@
 func (s *Server) sendFeeds(t *peer.Stream, q *wire.FeedRequest) (err error) {
 	defer errs.Annotate(&err, "answer with feeds")
 	unserved := !allServed(s.feeds)
+	forwarded := unserved && s.forwards()
 	for _, o := range q.Positions {
 		f := feedByName(s.feeds, o.Feed)
 		if f == nil {
@@ -83,15 +85,15 @@
 		if !ok || f.unconfirmedSinceFailure() && o.Next > 0 {
 			continue // the view may be outdated, and the peer has one of its own
 		}
-		if err = t.Send(reply(f.Name(), p, unserved)); err != nil {
+		if err = t.Send(reply(f.Name(), p, unserved, forwarded)); err != nil {
 			return err
 		}
 	}
 	return t.Finish()
 }
 
-func reply(name string, p excerpt, unserved bool) *wire.Frame {
-	m := &wire.FeedReply{Feed: name, Next: p.Next, End: p.End, AgeMicros: p.age.Microseconds(), Unserved: unserved}
+func reply(name string, p excerpt, unserved, forwarded bool) *wire.Frame {
+	m := &wire.FeedReply{Feed: name, Next: p.Next, End: p.End, AgeMicros: p.age.Microseconds(), Unserved: unserved, Forwarded: forwarded}
 	if p.Next < p.End {
 		m.AgeMicros = unknownAge.Microseconds()
 	}
--- a/feed/timing.go
+++ b/feed/timing.go
@@ -68,6 +68,12 @@
 	return t.answerDue(wait) + t.AnswerGrace + t.PollInterval + 2*t.UrgentPollInterval + time.Duration(group)*t.BackupDelay
 }
 
+// maxForwardedAge is the same for a process that polls sources which forward: these take the readers
+// for served until their last served reply is too old.
+func (t Timing) maxForwardedAge(wait time.Duration, group int) time.Duration {
+	return t.maxAge(wait, group) + t.maxReplyGap()
+}
+
 // maxReplyGap is how long a process goes without a served reply before it polls all readers. It
 // polls them at once if all of a round replied that they are not served.
 func (t Timing) maxReplyGap() time.Duration {
--- a/feed/timing_test.go
+++ b/feed/timing_test.go
@@ -14,6 +14,14 @@
 			require.Less(t, m.maxAge(m.ReadWait, backupGroup(102-readerCount(103))), b*5/7, "keys are good for %s", b)
 		}
 	})
+	t.Run("through sources that forward it stays within the bound", func(t *testing.T) {
+		for _, b := range []time.Duration{MinViewAge, 2200 * time.Millisecond, nominalViewAge, 9200 * time.Millisecond} {
+			m := NewTiming(b)
+			for _, n := range []int{420, 1600} {
+				require.Less(t, m.maxForwardedAge(m.ReadWait, backupGroup(n-1-readerCount(n))), b*9/10, "keys are good for %s, %d gateways", b, n)
+			}
+		}
+	})
 	t.Run("a longer bound makes reads wait longer, and nothing later", func(t *testing.T) {
 		m, l := NewTiming(nominalViewAge), NewTiming(2*nominalViewAge)
 		require.Equal(t, 2*m.ReadWait, l.ReadWait)
--- a/feed/transfer_test.go
+++ b/feed/transfer_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hollowgrade/hollowgrade"
@@ -301,7 +302,7 @@
 	})
 	t.Run("one that does not reach the end makes nobody fresh", func(t *testing.T) {
 		p, _ := f.excerptFrom(0)
-		m := reply("f", p, false).GetFeedReply()
+		m := reply("f", p, false, false).GetFeedReply()
 		require.Equal(t, unknownAge.Microseconds(), m.AgeMicros, "for processes that do not know of an end")
 		require.Less(t, m.Next, m.End)
 	})
@@ -359,31 +360,69 @@
 		halls[places[a].Hall]++
 	}
 	require.Len(t, halls, 4, "each hall has a reader")
-	t.Run("a reader of small records only says so once", func(t *testing.T) {
-		var many []string
-		for i := range 420 {
-			many = append(many, fmt.Sprintf("10.1.%d.%d:1", i/250, i%250))
-		}
-		peers := func() []string { return append([]string(nil), many...) }
+	t.Run("whether this process reads is logged once", func(t *testing.T) {
+		peers := func() []string { return processes(420) }
 		l := &logBuffer{}
-		rs := NewRelay(many[0], peers).readers()
-		r := NewRelay(rs[maxLargeReaders], peers, WithRelayLogger(log.New(l)))
-		r.lastServedReply = time.Now()
+		r := NewRelay(NewRelay(processes(420)[0], peers).readers()[0], peers, WithRelayLogger(log.New(l)))
 		for range 10 {
 			require.True(t, r.Reads())
-			require.False(t, r.ReadsLarge())
+			require.True(t, r.ReadsLarge())
 		}
-		require.Equal(t, 1, strings.Count(l.String(), "reading of the store changed"))
+		require.Equal(t, 2, strings.Count(l.String(), "reading of the store changed"), "for each kind of topics")
 	})
-	t.Run("few read topics with large records", func(t *testing.T) {
-		var many []string
-		for i := range 420 {
-			many = append(many, fmt.Sprintf("10.1.%d.%d:1", i/250, i%250))
-		}
-		r := NewRelay(many[0], func() []string { return append([]string(nil), many...) })
-		rs := r.readers()
-		require.Len(t, rs, 21)
-		require.Len(t, largeReaders(rs), maxLargeReaders)
+}
+
+// processes returns the addresses of n processes.
+func processes(n int) (as []string) {
+	for i := range n {
+		as = append(as, fmt.Sprintf("10.1.%d.%d:1", i/250, i%250))
+	}
+	return as
+}
+
+// Guards against calls to the store that grow with the fleet, as with one reader in twenty, and
+// against polls of one process that do, as with few readers alone.
+func TestSourcesOfLargeFleets(t *testing.T) {
+	for n, sources := range map[int]int{28: 6, 103: 7, 140: 7, 420: 21, 1600: 80} {
+		peers := func() []string { return processes(n) }
+		r := NewRelay(processes(n)[0], peers)
+		rs, ss := r.readers(), r.sources()
+		require.LessOrEqual(t, len(rs), maxReaders)
+		require.Len(t, ss, sources)
+		require.Equal(t, rs, ss[:len(rs)], "the readers are sources")
+		require.LessOrEqual(t, n-sources, maxClientsPerSource*sources)
+	}
+	const n = 420
+	peers := func() []string { return processes(n) }
+	at := func(rank int) *Relay {
+		order, _ := NewRelay(processes(n)[0], peers).rankedProcesses()
+		r := NewRelay(order[rank], peers, WithRelayLogger(log.New(io.Discard)), WithRelayClock(clockwork.NewFakeClock()))
+		return r
+	}
+	readers, sources := at(0).readers(), at(0).sources()
+	forwarder, client := at(maxReaders), at(sourceCount(n))
+	t.Run("a source polls readers, a client sources", func(t *testing.T) {
+		require.Subset(t, readers, forwarder.pollTargets())
+		require.Subset(t, sources, client.pollTargets())
+	})
+	t.Run("a source forwards while a served process replies", func(t *testing.T) {
+		clock := clockwork.NewFakeClock()
+		forwarder.clock = clock
+		forwarder.noteReply(readers[0], servedPeer)
+		require.True(t, forwarder.forwards())
+		clock.Advance(forwarder.timing.maxReplyGap() + time.Millisecond)
+		require.False(t, forwarder.forwards())
+	})
+	t.Run("a source does not rely on one that forwards, a client does", func(t *testing.T) {
+		forwarder.noteReply(sources[maxReaders+1], forwardingPeer)
+		require.False(t, forwarder.forwards())
+		client.noteReply(sources[maxReaders+1], forwardingPeer)
+		require.False(t, client.lacksServedReply())
+		require.False(t, client.forwards(), "it is no source")
+	})
+	t.Run("what forwards does not count as served", func(t *testing.T) {
+		client.noteReply(readers[1], forwardingPeer)
+		require.Zero(t, client.countServed(readers))
 	})
 }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -96,10 +96,10 @@
 		os = append([]feed.Option{feed.WithLogger(g), feed.WithClock(b.clock), feed.WithWait(wait), feed.WithReader(relay.Reads), feed.WithBreaker(relay.Breaker()), feed.WithTiming(c.Timing())}, os...)
 		return feed.New(name, t, os...)
 	}
-	n.config = follow(configFeed, s.Config(), c.ReadWait(), feed.WithReader(relay.ReadsLarge), feed.WithMaxValueBytes(c.ConfigMaxBytes))
-	fleet := follow(fleetFeed, s.Workers(), c.FleetWait)
+	n.config = follow(configFeed, s.Config(), c.ReadWait(), feed.WithReader(relay.ReadsLarge), feed.WithPeersFirst(relay.PeersFirst), feed.WithMaxValueBytes(c.ConfigMaxBytes))
+	fleet := follow(fleetFeed, s.Workers(), c.FleetWait, feed.WithPeersFirst(relay.PeersFirst), feed.WithMinReadInterval(c.RegistryInterval()))
 	others := follow(membersFeed, s.Members(), c.MembersWait)
-	n.held = follow(heldFeed, s.Held(), c.MembersWait)
+	n.held = follow(heldFeed, s.Held(), c.MembersWait, feed.WithPeersFirst(relay.PeersFirst))
 	n.state = n.configState
 	w := platform.NewWorkers()
 	n.Core = core.New(w, w,
@@ -116,11 +116,13 @@
 	b.clock.OnSuspension(func(time.Duration) { n.Core.Resume() })
 	n.config.Watch(n.applyOperatorRecords)
 	fleet.Watch(n.applyFleet)
-	others.Watch(n.members.apply)
+	others.Watch(func(cs []feed.Change) {
+		n.members.apply(cs)
+		relay.PollSoon()
+	})
 	n.heldStore = &heldStore{table: n.Core.Quarantine(), topic: s.Held(), clock: n.clock, log: g, breaker: relay.Breaker(), unused: n.unused}
 	n.held.Watch(n.heldStore.apply)
-	feeds := []*feed.Feed{n.config, fleet, others, n.held}
-	relay.Add(feeds...)
+	relay.Add(n.config, fleet, others, n.held)
 	n.receiver = loadview.NewReceiver(n.Core.Fleet())
 	n.receiver.SetQuarantine(n.Core.Quarantine())
 	loadOptions := []loadview.Option{loadview.WithLogger(g), loadview.WithClock(b.clock), loadview.WithQuarantine(n.Core.Quarantine())}
@@ -135,7 +137,7 @@
 	sender := loadview.New(instanceName(c.Box, b.Incarnation), n.Core.Fleet(), n.members.addresses, loadOptions...)
 	n.receiver.OnStream(sender.Redial)
 	b.Register(FeedsService, newRunner(n.config.Run, fleet.Run, others.Run, n.held.Run, relay.Run, sender.Run, n.heldStore.run))
-	if err = n.listen(c, feeds, g); err != nil {
+	if err = n.listen(c, relay, g); err != nil {
 		return nil, err
 	}
 	return n, n.gauges(relay)
@@ -151,13 +153,13 @@
 }
 
 // listen opens the listeners and registers what serves them.
-func (n *GatewayNode) listen(c setting.Gateway, feeds []*feed.Feed, g *log.Logger) error {
+func (n *GatewayNode) listen(c setting.Gateway, r *feed.Relay, g *log.Logger) error {
 	if c.Peers != "" {
 		l, err := listen(c.Peers)
 		if err != nil {
 			return err
 		}
-		n.Register(PeersService, newPeers(l, n.peerHandler(feed.NewServer(c.LinkMbps, feeds...)), g))
+		n.Register(PeersService, newPeers(l, n.peerHandler(r.NewServer(c.LinkMbps)), g))
 	}
 	n.Register(MembersService, n.members)
 	l, err := listen(c.Callers)
--- a/internal/spread/fleet_test.go
+++ b/internal/spread/fleet_test.go
@@ -301,12 +301,12 @@
 	quiet := log.New(io.Discard)
 	w := &gateway{box: box}
 	w.relay = feed.NewRelay(box, func() []string { return append([]string(nil), all...) }, feed.WithRelayLogger(quiet), feed.WithDialer(f.net.dialer(box)), feed.WithPlaces(f.net.place), feed.WithRelayTiming(f.timing))
-	w.config = feed.New("config", f.remoteTopic(f.config, box, delay), feed.WithLogger(quiet), feed.WithTiming(f.timing), feed.WithWait(min(f.timing.ReadWait, 1500*time.Millisecond)), feed.WithReader(w.relay.ReadsLarge), feed.WithBreaker(w.relay.Breaker()))
-	w.fleet = feed.New("fleet", f.remoteTopic(f.fleet, box, delay), feed.WithLogger(quiet), feed.WithTiming(f.timing), feed.WithWait(3*time.Second), feed.WithReader(w.relay.Reads), feed.WithBreaker(w.relay.Breaker()))
+	w.config = feed.New("config", f.remoteTopic(f.config, box, delay), feed.WithLogger(quiet), feed.WithTiming(f.timing), feed.WithWait(min(f.timing.ReadWait, 1500*time.Millisecond)), feed.WithReader(w.relay.ReadsLarge), feed.WithPeersFirst(w.relay.PeersFirst), feed.WithBreaker(w.relay.Breaker()))
+	w.fleet = feed.New("fleet", f.remoteTopic(f.fleet, box, delay), feed.WithLogger(quiet), feed.WithTiming(f.timing), feed.WithWait(3*time.Second), feed.WithReader(w.relay.Reads), feed.WithPeersFirst(w.relay.PeersFirst), feed.WithBreaker(w.relay.Breaker()))
 	w.members = feed.New("members", f.remoteTopic(f.members, box, delay), feed.WithLogger(quiet), feed.WithTiming(f.timing), feed.WithWait(20*time.Second), feed.WithReader(w.relay.Reads), feed.WithBreaker(w.relay.Breaker()))
 	fs := []*feed.Feed{w.config, w.fleet, w.members}
 	w.relay.Add(fs...)
-	v := feed.NewServer(f.net.place(box).Link, fs...)
+	v := w.relay.NewServer(f.net.place(box).Link)
 	s := peer.NewServer(func(_ context.Context, s *peer.Stream, first *wire.Frame) error { return v.Serve(s, first) }, func(net.Addr, error) {})
 	l := f.net.listen(box)
 	ctx, cancel := context.WithCancel(ctx)
--- a/setting/gateway.go
+++ b/setting/gateway.go
@@ -24,6 +24,7 @@
 	KeyFreshness   time.Duration `help:"Longest time for which a key is taken as good without word of the configuration: a key that was revoked that long ago admits nothing any more." default:"5s" min:"1s" group:"promises"`
 	KeyOutage      time.Duration `help:"Further time for which a key that was good stays good while the configuration cannot be confirmed. 0 where a revoked key has to end on time whatever the store does; more lets callers be served while the store is away, at the risk that a key which is revoked meanwhile is served as well." default:"0s" min:"0s" max:"24h" group:"promises"`
 	Freshness      time.Duration `help:"Longest time for which a route or key that is missing is taken as gone rather than as not yet known." default:"2s" min:"100ms" group:"promises"`
+	LeaveWithin    time.Duration `help:"Longest time within which an upstream that is listed as leaving must get no more calls from any gateway. Readers of the registry read its changes eight times in it." default:"2s" min:"1s" max:"1m" group:"promises"`
 	RetryRatio     float64       `help:"Repeats for each first send to a service, over all gateways and each window." default:"0.2" min:"0" max:"1" group:"retries"`
 	RetrySlack     float64       `help:"Further repeats to a service in each window, over all gateways." default:"100" min:"0" group:"retries"`
 	RetryWindow    time.Duration `help:"Length of the window that repeats are counted in." default:"10s" min:"1s" group:"retries"`
@@ -55,6 +56,15 @@
 	return min(g.ConfigWait, g.Timing().ReadWait)
 }
 
+// readsPerLeave is how many reads of the registry fit into LeaveWithin. The rest of that time is for
+// the way from the reader to each gateway.
+const readsPerLeave = 8
+
+// RegistryInterval returns the least time between two reads of the registry that return changes.
+func (g Gateway) RegistryInterval() time.Duration {
+	return g.LeaveWithin / readsPerLeave
+}
+
 // CheckFreshness returns an error with the smallest supported key_freshness if this one is smaller:
 // keys would expire now and then while the store rejects some gateways. A gateway runs with it all
 // the same.
