core, node: divide large fleets into cells that use and report the same upstreams

Cause: each gateway told its load to each other one. At 402 gateways a gateway with 0.4 requests a second received 401 heartbeats a second and kept 802 connections, at a processor of 0.144 of a core; half of it was taken by that.

Change: above 64 gateways a fleet is divided into cells of equal size by rank, each with members of all data halls, and each service's upstreams as well. A gateway uses the upstreams of its cell, or any if none of these is usable, and tells its load to its cell only. Services with fewer than 32 upstreams for each cell are divided less. Below 65 gateways there is one cell, as before.

--- a/core/cold.go
+++ b/core/cold.go
@@ -71,7 +71,7 @@
 	if r == l.coldPerSecond {
 		return
 	}
-	l.change(now, f.knownShare(), func() { l.coldPerSecond = r })
+	l.change(now, f.knownShare(m.Service), func() { l.coldPerSecond = r })
 }
 
 // sameEntry reports whether two registry entries differ only in how long the upstream stays cold,
--- a/core/core.go
+++ b/core/core.go
@@ -65,6 +65,7 @@
 	age          func() (time.Duration, bool)
 	outdated     func() time.Duration
 	processes    func() int
+	peers        func() int
 	fleet        *Fleet
 	box          string
 	quarantine   *quarantine.Table // requests that were lost in crashes of upstreams
@@ -141,12 +142,18 @@
 	return func(c *Core) { c.prober = p }
 }
 
-// WithProcesses sets the function that returns the number of processes that share the upstreams and
-// the retry budget, including this one.
+// WithProcesses sets the function that returns the number of processes that share the retry budget,
+// including this one.
 func WithProcesses(f func() int) Option {
 	return func(c *Core) { c.processes = f }
 }
 
+// WithPeers sets the function that returns the number of other processes of the same cell, which
+// report their load to this one. Without it they are all others.
+func WithPeers(f func() int) Option {
+	return func(c *Core) { c.peers = f }
+}
+
 // WithBox sets the name of this box, which is sent to peers.
 func WithBox(box string) Option {
 	return func(c *Core) { c.box = box }
@@ -173,12 +180,15 @@
 	for _, o := range os {
 		o(c)
 	}
+	if c.peers == nil {
+		c.peers = func() int { return c.processes() - 1 }
+	}
 	c.started = c.clock.Now()
 	c.fleet = NewFleet(c.clock, c.log)
 	c.unconfirmed = &unconfirmedLosses{clock: c.clock, losses: map[string][]unconfirmedLoss{}}
 	c.fleet.SetOnInstanceStart(c.instanceStarted)
 	c.fleet.SetPaceRequester(c.requestPaces)
-	c.fleet.SetPeers(func() int { return c.processes() - 1 })
+	c.fleet.SetPeers(c.peers)
 	c.quarantine = quarantine.New(quarantine.WithBox(c.box), quarantine.WithClock(c.clock), quarantine.WithLogger(c.log),
 		quarantine.WithUpstreams(c.fleet.Count))
 	return c
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -105,6 +105,9 @@
 	members           map[hollowgrade.Instance]*member
 	instances         map[string]hollowgrade.Instance // current instance of each upstream, by id
 	services          map[string][]*member
+	cell              Cell                                    // of this process
+	cellServices      map[string][]*member                    // those of services that this process's cell uses
+	parts             map[string]int                          // into how many parts each service is divided
 	outdated          bool                                    // whether services must be rebuilt
 	unlistedBusyUntil map[hollowgrade.Instance]time.Time      // end of the prefill backlog of upstreams that aren't listed here yet
 	unlistedReports   map[hollowgrade.Instance]unlistedReport // peers' reports on upstreams that aren't listed here yet
@@ -161,7 +164,7 @@
 	return f
 }
 
-// SetPeers sets the function that returns the number of other processes that use the same upstreams.
+// SetPeers sets the function that returns the number of other processes of the same cell.
 // Decisions allow for the load of peers whose reports haven't arrived.
 func (f *Fleet) SetPeers(peers func() int) {
 	f.mu.Lock()
@@ -289,13 +292,19 @@
 	f.log.Info("upstream started again", "upstream", n.instance, "service", u.Service, "before", m.instance, "why", "it says so")
 }
 
-// membersOf returns the upstreams of a service, sorted by instance. The lists are rebuilt on read
+// membersOf returns the upstreams of a service that this process's cell uses, sorted by instance. The lists are rebuilt on read
 // instead of on each change, because a process learns of thousands of upstreams at once when it
 // starts. The lock is held.
 func (f *Fleet) membersOf(service string) []*member {
 	if f.outdated {
 		f.rebuild()
 	}
+	return f.cellServices[service]
+}
+
+// allMembersOf is membersOf without regard to cells. The lock is held.
+func (f *Fleet) allMembersOf(service string) []*member {
+	f.membersOf(service)
 	return f.services[service]
 }
 
@@ -315,6 +324,7 @@
 	for _, l := range f.services {
 		slices.SortFunc(l, func(a, b *member) int { return cmp.Compare(a.instance, b.instance) })
 	}
+	f.divideServices()
 }
 
 // Size returns the number of upstreams.
@@ -325,7 +335,7 @@
 	return len(f.members)
 }
 
-// Count returns the number of upstreams of a service.
+// Count returns the number of upstreams of a service that this process's cell uses.
 func (f *Fleet) Count(service string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/limit.go
+++ b/core/limit.go
@@ -118,7 +118,7 @@
 	l.changedAt = now
 	f.log.Info("limit of upstream", "upstream", m.instance, "service", m.Service, "request", request, "peer", peer,
 		"age_ms", w.Age.Milliseconds(), "named", w.Named, "per_second", w.PerSecond, "was_named", l.named, "before", l.perSecond)
-	l.change(now, f.knownShare(), func() { l.named, l.perSecond = w.Named, w.PerSecond })
+	l.change(now, f.knownShare(m.Service), func() { l.named, l.perSecond = w.Named, w.PerSecond })
 	if l.direct {
 		f.markChanged(m)
 	}
@@ -152,11 +152,10 @@
 	return RateLimit{m.limit.named, m.limit.perSecond, now.Sub(m.limit.reportedAt), !m.limit.direct}, true
 }
 
-// knownShare returns the part of all processes whose load is known, including this one. The lock is
-// held.
-func (f *Fleet) knownShare() float64 {
-	others := max(len(f.views), f.peers())
-	return float64(len(f.views)+1) / float64(others+1)
+// knownShare returns the part of the processes that use the same upstreams of a service whose load is
+// known, including this one. The lock is held.
+func (f *Fleet) knownShare(service string) float64 {
+	return float64(len(f.views)+1) / float64(f.sharers(service)+1)
 }
 
 // admits reports whether the limit of an upstream leaves room for a request of this process now.
@@ -170,7 +169,7 @@
 	}
 	m.ownShare.Wanted++
 	f.changed[m.instance] = true // sent with the next report
-	l.accrue(now, f.knownShare())
+	l.accrue(now, f.knownShare(m.Service))
 	if l.allowance < 1 {
 		return false
 	}
@@ -216,7 +215,7 @@
 // and counts what it would have sent. The lock is held.
 func (f *Fleet) recordPeerSends(m *member, sent, wanted int) {
 	now := f.clock.Now()
-	m.limit.accrue(now, f.knownShare())
+	m.limit.accrue(now, f.knownShare(m.Service))
 	m.limit.allowance -= float64(sent)
 	m.limit.wanted = m.limit.wanted.plus(now, max(wanted, 0), wantedRateWindow)
 }
--- a/core/pace.go
+++ b/core/pace.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	f.surveyedAt[service] = now
-	part := float64(surveyorsPerEngine) / float64(max(len(f.views), f.peers())+1)
+	part := float64(surveyorsPerEngine) / float64(f.sharers(service)+1)
 	for _, m := range f.usableMembers(service, now) {
 		if f.mayRequestPace(m, now) && f.random() < part {
 			m.paceAskedAt = now
--- a/core/place.go
+++ b/core/place.go
@@ -65,7 +65,7 @@
 	now := f.clock.Now()
 	f.expireViews(now)
 	ms := f.withinLimits(f.usableMembers(service, now), tried, now, r.StreamStarted)
-	s := f.snapshot(ms, tried, now)
+	s := f.snapshot(service, ms, tried, now)
 	s.UncountedCalls = f.unreportedCalls(service, now)
 	if r.Long() {
 		s.Demand = f.expected(service, now)
@@ -111,9 +111,17 @@
 }
 
 // usableMembers returns the upstreams of a service that may get a call now, in an order that all
-// processes share. The lock is held.
-func (f *Fleet) usableMembers(service string, now time.Time) (ms []*member) {
-	for _, m := range f.membersOf(service) {
+// processes of a cell share: those of the cell, or all if none of these may. The lock is held.
+func (f *Fleet) usableMembers(service string, now time.Time) []*member {
+	if ms := f.usableOf(f.membersOf(service), now); len(ms) > 0 {
+		return ms
+	}
+	return f.usableOf(f.allMembersOf(service), now)
+}
+
+// usableOf returns those of some members that may get a call now. The lock is held.
+func (f *Fleet) usableOf(all []*member, now time.Time) (ms []*member) {
+	for _, m := range all {
 		if f.usable(m, now) && !m.cooldown.trialPending(now) {
 			ms = append(ms, m)
 		}
@@ -123,12 +131,12 @@
 
 // snapshot returns the state of members for placement. It is valid until the next call. The lock is
 // held.
-func (f *Fleet) snapshot(ms []*member, tried map[hollowgrade.Instance]bool, now time.Time) placement.Snapshot {
+func (f *Fleet) snapshot(service string, ms []*member, tried map[hollowgrade.Instance]bool, now time.Time) placement.Snapshot {
 	f.candidates = f.candidates[:0]
 	for _, m := range ms {
 		f.candidates = append(f.candidates, m.candidate(tried[m.instance], now))
 	}
-	return placement.Snapshot{Candidates: f.candidates, Peers: max(len(f.views), f.peers()), KnownPeerShare: f.knownShare(), Random: f.random}
+	return placement.Snapshot{Candidates: f.candidates, Peers: f.sharers(service), KnownPeerShare: f.knownShare(service), Random: f.random}
 }
 
 // candidate returns the state of the upstream for placement.
--- a/core/unavailability.go
+++ b/core/unavailability.go
@@ -31,7 +31,7 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	var firstCooldownEnd time.Time // when the first cooldown ends
-	for _, m := range f.membersOf(service) {
+	for _, m := range f.allMembersOf(service) {
 		switch {
 		case tried[m.instance] || m.leaving || m.Draining || m.expired(now):
 		case f.evacuation.Covers(m.Hall):
@@ -61,7 +61,7 @@
 // nextRetryAfter returns the retry delay of a caller refused because of limits. Callers are spaced
 // by this process's part of what the limits allow. The lock is held.
 func (f *Fleet) nextRetryAfter(service string, perSecond float64, now time.Time) time.Duration {
-	part := perSecond / float64(max(len(f.views), f.peers())+1)
+	part := perSecond / float64(f.sharers(service)+1)
 	next := hollowgrade.Later(f.lastRetryAt[service], now).Add(time.Duration(float64(time.Second) / part))
 	d := next.Sub(now)
 	if d > maxRetryAfter {
--- a/experiment/file.go
+++ b/experiment/file.go
@@ -110,6 +110,10 @@
 	Name      string `toml:"name"`
 	Decisions string `toml:"decisions"`
 	Alone     bool   `toml:"alone"` // gateways exchange no updates
+	Cells     int    `toml:"cells"` // parts that gateways and engines are divided into; 0 counts as 1
+	// Subset is how many engines each gateway uses, by rendezvous rank; 0 for all. Gateways with a
+	// common engine exchange updates, which are nearly all.
+	Subset int `toml:"subset"`
 	// Perfect simulates a single decider that knows the whole load, in place of all gateways. The
 	// difference to it is what the gateways lose for lack of information.
 	Perfect bool              `toml:"perfect"`
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -16,6 +16,7 @@
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/placement"
+	"github.com/hollowgrade/hollowgrade/sched"
 )
 
 // serviceName is the name of the engines' service in decisions.
@@ -61,6 +62,7 @@
 	clock          *clockwork.FakeClock
 	engines        map[string]*simulatedEngine
 	gateways       []decider
+	cells          []int // of the gateways
 	openJobs       map[*job]bool
 	results        []Result
 }
@@ -100,8 +102,9 @@
 		ids[i] = fmt.Sprintf("engine-%03d", i)
 		p.engines[ids[i]] = &simulatedEngine{id: ids[i], figures: f.Engines.figures(), sim: p, pace: 1}
 	}
+	p.cells = p.divideGateways()
 	for i := range f.gateways(v) {
-		p.gateways = append(p.gateways, p.newDecider(uint64(i), ids))
+		p.gateways = append(p.gateways, p.newDecider(i, ids))
 	}
 	for i := range f.Kinds {
 		p.scheduleArrivals(&f.Kinds[i])
@@ -377,7 +380,7 @@
 			continue
 		}
 		for j, b := range p.gateways {
-			if i != j {
+			if i != j && p.cells[i] == p.cells[j] {
 				b.receiveView(fmt.Sprint(i), cs, complete)
 			}
 		}
@@ -401,14 +404,49 @@
 	stillSlow(id string) bool
 }
 
-func (p *simulation) newDecider(number uint64, ids []string) decider {
+// divideGateways returns the cell of each gateway.
+func (p *simulation) divideGateways() []int {
+	ms := make([]core.CellMember, p.file.gateways(p.variant))
+	for i := range ms {
+		ms[i].Name = fmt.Sprint(i)
+	}
+	cell, cells := core.Divide(ms, max(p.variant.Cells, 1)), make([]int, len(ms))
+	for i, m := range ms {
+		cells[i] = cell[m.Name]
+	}
+	return cells
+}
+
+// subset returns the engines that a gateway uses.
+func (p *simulation) subset(number int, ids []string) []string {
+	if p.variant.Subset <= 0 {
+		return ids
+	}
+	rank := func(id string) uint64 { return sched.Rank(fmt.Sprint(number), id) }
+	ids = slices.SortedFunc(slices.Values(ids), func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
+	return ids[:min(p.variant.Subset, len(ids))]
+}
+
+// cellSize returns how many gateways are in the same cell as one.
+func (p *simulation) cellSize(number int) (n int) {
+	for _, c := range p.cells {
+		if c == p.cells[number] {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *simulation) newDecider(number int, ids []string) decider {
 	if p.variant.Decisions != Worth {
 		return &baseline{decisions: p.variant.Decisions, ids: ids, openRequests: map[string]int{}, prefill: map[string]time.Duration{}, figures: p.file.Engines.figures()}
 	}
 	f := core.NewFleet(p.clock, log.New(io.Discard), core.WithPolicy(p.policy()))
-	f.SetRandom(rand.New(rand.NewPCG(p.file.Seed, number)).Float64)
-	f.SetPeers(func() int { return p.file.gateways(p.variant) - 1 })
-	for _, id := range ids {
+	f.SetRandom(rand.New(rand.NewPCG(p.file.Seed, uint64(number))).Float64)
+	peers := p.cellSize(number) - 1
+	f.SetPeers(func() int { return peers })
+	f.SetCell(core.Cell{Index: p.cells[number], Count: p.variant.Cells})
+	for _, id := range p.subset(number, ids) {
 		f.Put(hollowgrade.Upstream{ID: id, Service: serviceName, Slots: p.file.Engines.Slots})
 	}
 	g := &gateway{fleet: f, service: core.Service{Name: serviceName, Engine: p.file.Engines.figures()}}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -112,7 +112,9 @@
 		core.WithAge(n.config.Age),
 		core.WithOutdated(n.config.OutdatedFor),
 		core.WithProcesses(n.members.count),
+		core.WithPeers(n.members.peers),
 		core.WithObserver(func(o core.Observation) { b.sample(callSample(o)) }))
+	n.members.onCell = n.Core.Fleet().SetCell
 	b.clock.OnSuspension(func(time.Duration) { n.Core.Resume() })
 	n.config.Watch(n.applyOperatorRecords)
 	fleet.Watch(n.applyFleet)
@@ -134,7 +136,7 @@
 		b.Register(PacketsService, newPackets(p, n.receiver, g))
 		loadOptions = append(loadOptions, loadview.WithPackets(p))
 	}
-	sender := loadview.New(instanceName(c.Box, b.Incarnation), n.Core.Fleet(), n.members.addresses, loadOptions...)
+	sender := loadview.New(instanceName(c.Box, b.Incarnation), n.Core.Fleet(), n.members.cellAddresses, loadOptions...)
 	n.receiver.OnStream(sender.Redial)
 	b.Register(FeedsService, newRunner(n.config.Run, fleet.Run, others.Run, n.held.Run, relay.Run, sender.Run, n.heldStore.run))
 	if err = n.listen(c, relay, g); err != nil {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/feed"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/kernel"
@@ -42,6 +43,10 @@
 	mu     sync.Mutex
 	known  map[string]member     // by box
 	places map[string]feed.Place // by peer address; looked up for each gateway many times a second
+	others []string              // peer addresses of the other gateways
+	cell   core.Cell             // of this process
+	mates  []string              // peer addresses of the others of the cell
+	onCell func(core.Cell)       // called with the lock held when the cell may have changed
 }
 
 // member is a gateway's record in the store's list.
@@ -79,6 +84,7 @@
 		unused: unused,
 		rejoin: make(chan struct{}, 1),
 		known:  map[string]member{},
+		onCell: func(core.Cell) {},
 	}
 	m.index()
 	m.runner = newRunner(m.join)
@@ -129,9 +135,15 @@
 }
 
 // addresses returns the peer addresses of the other gateways.
-func (m *members) addresses() (as []string) {
+func (m *members) addresses() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return slices.Clone(m.others)
+}
+
+// listOthers returns the peer addresses of the other gateways, from the list and the settings. The
+// caller holds m.mu, or m is not shared yet.
+func (m *members) listOthers() (as []string) {
 	for _, k := range m.known {
 		as = append(as, k.Peers)
 	}
@@ -147,13 +159,52 @@
 	return m.places[address]
 }
 
-// index rebuilds places. The caller holds m.mu, or m is not shared yet.
+// index rebuilds what is derived from the list. The caller holds m.mu, or m is not shared yet.
 func (m *members) index() {
 	m.places = map[string]feed.Place{}
 	for _, k := range m.known {
 		m.places[k.Peers] = k.place()
 	}
 	m.places[m.own.Peers] = m.own.place()
+	m.others = m.listOthers()
+	m.divide()
+	m.onCell(m.cell)
+}
+
+// divide determines the cell of this process and who else is in it. Processes with the same list get
+// the same cells. The caller holds m.mu, or m is not shared yet.
+func (m *members) divide() {
+	m.cell.Count = core.CellCount(len(m.places), m.cell.Count)
+	if m.cell.Count == 1 {
+		m.cell.Index, m.mates = 0, m.others
+		return
+	}
+	m.mates = nil
+	ms := make([]core.CellMember, 0, len(m.places))
+	for a, p := range m.places {
+		ms = append(ms, core.CellMember{Name: a, Hall: p.Hall})
+	}
+	cells := core.Divide(ms, m.cell.Count)
+	m.cell.Index = cells[m.own.Peers]
+	for a, c := range cells {
+		if c == m.cell.Index && a != m.own.Peers {
+			m.mates = append(m.mates, a)
+		}
+	}
+}
+
+// cellAddresses returns the peer addresses of the other gateways of the cell.
+func (m *members) cellAddresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.mates)
+}
+
+// peers returns how many other gateways the cell has.
+func (m *members) peers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.mates)
 }
 
 func (m member) place() feed.Place {
@@ -162,7 +213,9 @@
 
 // count returns how many gateways there are.
 func (m *members) count() int {
-	return len(m.addresses()) + 1
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.others) + 1
 }
 
 // join writes this process into the list, and again whenever it is missing.
