feed: wait for the list of processes before deciding who reads the store

Cause: the settings name three gateways, so that each gateway that started took itself for one of four readers, and read all topics itself: its ranking was of those, and kept for 100 ms after the list had been read.

Change: a ranking says whether it is of the whole list, and is made anew when the list changes; until then nobody is a reader, for 0.9 s at the most.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -529,6 +529,12 @@
 		r.started = time.Now().Add(-2 * servedReplyTimeout)
 		require.True(t, r.Reads(), "it is alone")
 	})
+	t.Run("one that has just started and knows a few from its settings waits as well", func(t *testing.T) {
+		r := relay("10.0.0.0:1", 4, WithListed(func() bool { return false }))
+		require.False(t, r.Reads(), "of so few each would be a reader")
+		r.started = time.Now().Add(-2 * servedReplyTimeout)
+		require.True(t, r.Reads())
+	})
 	t.Run("the others ask some of them at a time, and all in turn", func(t *testing.T) {
 		rs := relay("10.0.0.0:1", 60).readers()
 		for _, a := range all(60) {
--- a/feed/poll.go
+++ b/feed/poll.go
@@ -118,8 +118,8 @@
 	feeds    int      // number of feeds in the answer
 	standing standing // as the peer reported it
 	bytes    int64
-	more   *Feed            // a feed of which the peer can send the next page at once, or nil
-	large  []announcedValue // records whose values have to be requested
+	more     *Feed            // a feed of which the peer can send the next page at once, or nil
+	large    []announcedValue // records whose values have to be requested
 }
 
 // announcedValue is a record that a peer announced without its value.
--- a/feed/readers.go
+++ b/feed/readers.go
@@ -79,16 +79,25 @@
 	if r.ranked != nil && now.Sub(r.listedAt) < rankingTTL {
 		return r.ranked, readerCount(len(r.ranked))
 	}
+	r.rankedList = r.listed() // before the list, which may grow meanwhile
 	all := append(r.peers(), r.self)
 	slices.Sort(all)
 	all = slices.Compact(all)
 	r.listedAt = now
-	if r.ranked == nil || !slices.Equal(all, r.listed) || now.Sub(r.rankedAt) >= placesTTL {
-		r.ranked, r.listed, r.rankedAt = r.rank(all), all, now
+	if r.ranked == nil || !slices.Equal(all, r.rankedOf) || now.Sub(r.rankedAt) >= placesTTL {
+		r.ranked, r.rankedOf, r.rankedAt = r.rank(all), all, now
 	}
 	return r.ranked, readerCount(len(r.ranked))
 }
 
+// ranksList reports whether the ranking is of the whole list of processes.
+func (r *Relay) ranksList() bool {
+	r.rankedProcesses()
+	r.rankedMu.Lock()
+	defer r.rankedMu.Unlock()
+	return r.rankedList
+}
+
 // rank computes the ranking of all processes.
 func (r *Relay) rank(all []string) (as []string) {
 	rs := make([]candidate, len(all))
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -45,15 +45,18 @@
 	pollNow          chan struct{} // signals a round in which no polled peer was served: others are polled at once
 
 	breaker *Breaker
-	started time.Time // when this process started
+	started time.Time   // when this process started
+	listed  func() bool // whether the list of processes has been read
 
 	timing Timing
 
 	rankedMu sync.Mutex
 	ranked   []string // cached ranking of all processes, readers first
 	rankedAt time.Time
-	listed   []string // processes that were ranked
+	rankedOf []string // processes that were ranked
 	listedAt time.Time
+	// rankedList is whether the list of processes had been read before they were ranked.
+	rankedList bool
 
 	mu              sync.Mutex
 	conns           map[string]*peer.Conn
@@ -95,6 +98,12 @@
 	return func(r *Relay) { r.placeOf = f }
 }
 
+// WithListed sets the function that reports whether the list of processes has been read. Until then
+// only a few from the settings are known, all of which would seem to be readers.
+func WithListed(f func() bool) RelayOption {
+	return func(r *Relay) { r.listed = f }
+}
+
 // WithRelayTiming sets the intervals of polls and the delays of backups.
 func WithRelayTiming(t Timing) RelayOption {
 	return func(r *Relay) { r.timing = t }
@@ -107,6 +116,7 @@
 		self:         self,
 		peers:        peers,
 		placeOf:      func(string) Place { return Place{} },
+		listed:       func() bool { return true },
 		dial:         peer.TCP(),
 		clock:        hollowgrade.SystemClock(),
 		log:          log.Default(),
@@ -240,8 +250,12 @@
 	r.lastProgress = r.clock.Now()
 }
 
-// PollSoon polls peers at once if this process lacks data. It is called when peers become known.
-func (r *Relay) PollSoon() {
+// ProcessesChanged has to be called when the list of processes has changed. A process that lacks data
+// polls its peers at once.
+func (r *Relay) ProcessesChanged() {
+	r.rankedMu.Lock()
+	r.listedAt = time.Time{}
+	r.rankedMu.Unlock()
 	if !slices.ContainsFunc(r.feeds, func(f *Feed) bool { return !f.complete() }) {
 		return
 	}
@@ -270,11 +284,10 @@
 	return s
 }
 
-// isStarting reports whether this process has just started and knows no other yet. It reads all
-// newest records in any case; whether it keeps reading is decided with the list of the others.
-// Without this wait, gateways that start together make seven calls each instead of four.
+// isStarting reports whether this process has just started and does not know the others yet. Whether
+// it reads the store for them is decided with their list.
 func (r *Relay) isStarting(readers int) bool {
-	return readers <= 1 && r.clock.Since(r.started) <= servedReplyTimeout
+	return (readers <= 1 || !r.ranksList()) && r.clock.Since(r.started) <= servedReplyTimeout
 }
 
 // Run polls peers until ctx ends.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -91,7 +91,7 @@
 	if err = c.CheckFreshness(); err != nil {
 		g.Warn("keys may expire while the store refuses gateways", "why", err)
 	}
-	relay := feed.NewRelay(c.PeerAddress(), n.members.addresses, feed.WithRelayLogger(g), feed.WithRelayClock(b.clock), feed.WithPlaces(n.members.place), feed.WithRelayTiming(c.Timing()))
+	relay := feed.NewRelay(c.PeerAddress(), n.members.addresses, feed.WithRelayLogger(g), feed.WithRelayClock(b.clock), feed.WithPlaces(n.members.place), feed.WithListed(n.members.listed), feed.WithRelayTiming(c.Timing()))
 	follow := func(name string, t hollowgrade.Topic, wait time.Duration, os ...feed.Option) *feed.Feed {
 		os = append([]feed.Option{feed.WithLogger(g), feed.WithClock(b.clock), feed.WithWait(wait), feed.WithReader(relay.Reads), feed.WithBreaker(relay.Breaker()), feed.WithTiming(c.Timing())}, os...)
 		return feed.New(name, t, os...)
@@ -120,7 +120,7 @@
 	fleet.Watch(n.applyFleet)
 	others.Watch(func(cs []feed.Change) {
 		n.members.apply(cs)
-		relay.PollSoon()
+		relay.ProcessesChanged()
 	})
 	n.heldStore = &heldStore{table: n.Core.Quarantine(), topic: s.Held(), clock: n.clock, log: g, breaker: relay.Breaker(), unused: n.unused}
 	n.held.Watch(n.heldStore.apply)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -193,6 +193,13 @@
 	}
 }
 
+// listed reports whether the store's list has been read.
+func (m *members) listed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.known) > 0
+}
+
 // cellAddresses returns the peer addresses of the other gateways of the cell.
 func (m *members) cellAddresses() []string {
 	m.mu.Lock()
