--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -433,7 +433,7 @@
 
 // Guards against a start of all processes in which each reads all newest records from the store.
 func TestStartFromPeers(t *testing.T) {
-	start := func(t *testing.T, k *fakeTopic, peersFirst func() bool) (f *Feed, stop func()) {
+	start := func(k *fakeTopic, peersFirst func() bool) (f *Feed, stop func()) {
 		ctx, cancel := context.WithCancel(context.Background())
 		f = New("f", k, WithLogger(log.New(io.Discard)), WithReader(func() bool { return false }), WithPeersFirst(peersFirst))
 		done := make(chan struct{})
@@ -450,7 +450,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			k := newTopic()
 			put(t, k, "a", "1")
-			f, stop := start(t, k, func() bool { return true })
+			f, stop := start(k, func() bool { return true })
 			time.Sleep(50 * time.Millisecond)
 			f.Merge(page(1, hollowgrade.KeyedRecord{Key: "a", Value: []byte("1")}), time.Now())
 			time.Sleep(time.Second)
@@ -464,7 +464,7 @@
 			k := newTopic()
 			put(t, k, "a", "1")
 			begun := time.Now()
-			f, stop := start(t, k, func() bool { return time.Since(begun) < peersFirstTime })
+			f, stop := start(k, func() bool { return time.Since(begun) < peersFirstTime })
 			time.Sleep(peersFirstTime - time.Millisecond)
 			require.Zero(t, k.scans)
 			time.Sleep(2 * startCheckInterval)
