feed: starting processes wait for the list of processes, and suspect no outage

Cause: of 402 gateways that start together 280 gave up on their peers 300 ms after their own start, before the list of processes had reached them, and read all topics; and all of them took readers that had not begun to read yet for ones that the store does not serve, and read the store in their place.

Change: the wait counts from the list, or from the last data of a peer, for two seconds at the most; a process that waits suspects no outage. Two tests that mean processes that have run for a while say so.

--- a/feed/backup.go
+++ b/feed/backup.go
@@ -150,13 +150,14 @@
 }
 
 // updateOutage records since when the store has seemed to serve no reader. A process that the store
-// serves suspects no outage. The caller holds the lock.
-func (r *Relay) updateOutage(readers []string, served, stale bool) {
+// serves suspects no outage, and one that is starting waits for peers that may be starting as well. The
+// caller holds the lock.
+func (r *Relay) updateOutage(readers []string, served, stale, starting bool) {
 	if served {
 		r.lastServedReply, r.noneServed = r.clock.Now(), false
 	}
 	switch {
-	case !r.suspectsOutage(readers, stale):
+	case starting, !r.suspectsOutage(readers, stale):
 		r.outageSince = time.Time{}
 	case r.outageSince.IsZero():
 		r.outageSince = r.clock.Now()
--- a/feed/breaker_test.go
+++ b/feed/breaker_test.go
@@ -116,6 +116,7 @@
 	countReads := func(silent time.Duration, reach bool) (reads int) {
 		for _, a := range all {
 			r := NewRelay(a, func() []string { return append([]string(nil), all...) }, WithRelayLogger(log.New(io.Discard)))
+			r.started = time.Now().Add(-time.Minute) // not one that is starting
 			r.noteReply("a peer", servedPeer)
 			if !reach {
 				r.lastReply = time.Time{}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -478,7 +478,7 @@
 		r := NewRelay("a", func() []string { return []string{"b"} }, WithRelayClock(clock))
 		clock.Advance(peersFirstTime - time.Millisecond)
 		require.True(t, r.PeersFirst())
-		r.noteProgress()
+		r.ProcessesChanged()
 		clock.Advance(peersFirstTime - time.Millisecond)
 		require.True(t, r.PeersFirst())
 		clock.Advance(time.Millisecond)
@@ -489,6 +489,18 @@
 		}
 		require.False(t, r.PeersFirst(), "not for ever")
 	})
+	t.Run("it waits for the list of processes first", func(t *testing.T) {
+		clock := clockwork.NewFakeClock()
+		listed := false
+		r := NewRelay("a", func() []string { return []string{"b"} }, WithRelayClock(clock), WithListed(func() bool { return listed }))
+		clock.Advance(maxPeersFirstTime - peersFirstTime/2)
+		require.True(t, r.PeersFirst())
+		listed = true
+		r.ProcessesChanged()
+		require.True(t, r.PeersFirst())
+		clock.Advance(peersFirstTime)
+		require.False(t, r.PeersFirst())
+	})
 }
 
 func TestReaders(t *testing.T) {
@@ -520,6 +532,8 @@
 			require.Equal(t, reader, r.Reads())
 			require.Equal(t, reader, len(r.pollTargets()) == 0)
 			r.lastServedReply = time.Now().Add(-2 * servedReplyTimeout)
+			require.Equal(t, reader, r.Reads(), "its peers may be starting as well")
+			r.started = time.Now().Add(-time.Minute)
 			require.True(t, r.Reads())
 		}
 	})
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -66,7 +66,7 @@
 	noneServed      bool                  // whether no peer of a round was served by the store, and no served one has replied since
 	lastServedReply time.Time             // time of the last complete reply of a served peer, or the start time of this process
 	lastReply       time.Time             // time of the last reply of any peer
-	lastProgress    time.Time             // time of the last reply with records
+	lastProgress    time.Time             // time of the last reply with records, or of a change of the list of processes
 	isBackup        bool                  // whether this process reads as a backup
 	outageSince     time.Time             // since when the store has seemed to serve no reader; zero if it does
 	lastReads       readDecision          // last result of Reads
@@ -190,6 +190,7 @@
 	higherRanked := r.higherRanked()
 	served := r.isServed()
 	stale := len(r.staleFeeds()) > 0
+	starting := r.PeersFirst()
 	group := backupGroup(max(len(higherRanked)-len(readers), 0))
 	becameBackup := false
 	defer func() {
@@ -199,7 +200,7 @@
 	}()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.updateOutage(readers, served, stale)
+	r.updateOutage(readers, served, stale, starting)
 	r.isBackup = r.actsAsBackup(group, higherRanked, served)
 	reads := reader || r.isBackup
 	if readDecision(reads) != *last {
@@ -238,12 +239,15 @@
 	if now.Sub(r.started) >= maxPeersFirstTime {
 		return false
 	}
+	if !r.ranksList() {
+		return true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return now.Sub(hollowgrade.Later(r.started, r.lastProgress)) < peersFirstTime || len(r.transfers) > 0
 }
 
-// noteProgress records that a peer has sent records.
+// noteProgress records that a peer has sent records, or that the list of processes has been read.
 func (r *Relay) noteProgress() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -256,6 +260,7 @@
 	r.rankedMu.Lock()
 	r.listedAt = time.Time{}
 	r.rankedMu.Unlock()
+	r.noteProgress()
 	if !slices.ContainsFunc(r.feeds, func(f *Feed) bool { return !f.complete() }) {
 		return
 	}
