--- a/core/closing.go
+++ b/core/closing.go
@@ -11,9 +11,7 @@
 // A relay, a supervisor's socket or a proxy in front of an upstream may accept connections while the
 // upstream is down. Each call sent there is lost at once, may have run as far as is known, and uses
 // up a retry. So an upstream that closes the connection of a probe is probed repeatedly, and all
-// gateways avoid it until it keeps one. Without this, when a request crashed upstreams behind relays
-// (3 gateways, 24 upstreams), 0.943 to 0.975 of the other calls were served instead of 0.998 to
-// 1.000, mostly because their only attempt was lost (TestRequestThatEndsUpstreamsBehindRelays).
+// gateways avoid it until it keeps one.
 
 const (
 	// reprobeInterval is the interval of probes of an upstream that closes connections. Four
--- a/core/losses.go
+++ b/core/losses.go
@@ -11,10 +11,8 @@
 )
 
 // The bounds on attempts and retries don't protect from a request that crashes the upstreams which
-// run it and is sent again by its caller. With 3 gateways and 24 upstreams, each down for 1.5 s
-// after a crash, one such request sent ten times a second crashed upstreams 100 times in 8 s and
-// left 0.520 of the other calls served (TestRequestThatEndsUpstreams). So each attempt asks the
-// quarantine for admission by the request's fingerprint, and reports its outcome.
+// run it and is sent again by its caller. So each attempt asks the quarantine for admission by the
+// request's fingerprint, and reports its outcome.
 
 // Only crashes of upstreams count, since connections break for other reasons as well (see
 // probeOnce). A crash that a probe doesn't show at once is confirmed by the next instance (see
--- a/core/pace.go
+++ b/core/pace.go
@@ -10,10 +10,7 @@
 
 // An engine that is slow without failing looks idle, since its backlog is assumed to shrink at its
 // published speed, and gets more work. Engines report how slow they are when asked, and are asked
-// only on suspicion, so that there are no requests while all is well. In simulations with 150
-// engines and 103 gateways this raised the share of the worth served from 0.684 to 0.720 (24 engines
-// 5 times slower for 20 s) and from 0.793 to 0.844 (27 engines 2.7 times slower for 6.4 s; 0.836
-// without the survey).
+// only on suspicion, so that there are no requests while all is well.
 const (
 	// A first event is overdue, and the engines of its call are suspected, when it is this much
 	// later than predicted. Nine in ten first events of engines at normal speed come within 1.7
--- a/core/parts.go
+++ b/core/parts.go
@@ -7,7 +7,7 @@
 
 // minPartTime is the least time for which a part of a prompt that another engine answers counts as
 // occupying an engine, because the engine keeps its part until all parts of the prompt are prefilled.
-// Without this, engines were sent twelve parts of 3 to 30 ms each within 0.6 s and refused the next.
+// Otherwise many short parts would fill its slots, and it would refuse the next.
 const minPartTime = 400 * time.Millisecond
 
 // addPart records that an engine got a part of a prompt that another engine answers, whose first
--- a/core/peerrate.go
+++ b/core/peerrate.go
@@ -7,10 +7,7 @@
 
 const (
 	// peerCallDelay is the time until a call that a peer has placed is known here: it is decided,
-	// sent in a packet and received, each on a box with a small part of a core. In a burst with 103
-	// gateways, picks less than 5 ms apart met at the same engine 9 times as often as by chance,
-	// after 5 to 10 ms 5 times, and after 30 ms 1.15 times. With 28 gateways it was 18 times below 3
-	// ms, and half of that after 6 ms.
+	// sent in a packet and received, each on a box with a small part of a core.
 	peerCallDelay = 10 * time.Millisecond
 	// peerRateWindow is the time constant of the rate: a burst is noticed within a few hundred ms,
 	// and at 100 calls a second 30 of them count.
--- a/core/probe.go
+++ b/core/probe.go
@@ -30,9 +30,8 @@
 }
 
 // probeOnce returns the result of a probe of an upstream whose connection broke: of one in progress
-// or just made, or of a new one. A broken connection alone is no crash: upstreams reset a prompt of
-// 296,000 tokens before they had read it and continued with other calls, and without a probe the
-// prompt would have been blocked for that.
+// or just made, or of a new one. A broken connection alone is no crash: an upstream may reset a
+// long prompt before it has read it, and go on with other calls.
 func (c *Core) probeOnce(u hollowgrade.Upstream, request string) probeResult {
 	if c.prober == nil {
 		return probeResult{}
--- a/core/share.go
+++ b/core/share.go
@@ -7,8 +7,8 @@
 	"github.com/hollowgrade/hollowgrade"
 )
 
-// The heartbeat slows with the number of processes: at one each half second 103 gateways received
-// 200 heartbeats a second each, which was a third of the traffic between halls.
+// The heartbeat slows with the number of peers, so that a process receives a hundred a second at the
+// most.
 const (
 	shortestHeartbeat = 500 * time.Millisecond
 	longestHeartbeat  = time.Second
@@ -177,9 +177,8 @@
 }
 
 // ReceivePrefillBacklogs applies a peer's report of the prefill that upstreams have still to do. A
-// process that has just started cannot derive this from shares: a restarted gateway assigned 0.9 s
-// of prefill to each of six engines that had 0.6 s left, and short answers there paused for a
-// second.
+// process that has just started cannot derive this from shares, and would assign more to engines that
+// are busy.
 func (f *Fleet) ReceivePrefillBacklogs(box string, rs map[hollowgrade.Instance]time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/feed/breaker.go
+++ b/feed/breaker.go
@@ -12,8 +12,7 @@
 
 // Breaker is a circuit breaker for calls to the store, shared by all callers of a process: while
 // the store does not answer, one call at a time probes it, and the others resume once it has
-// answered. Without it the three feeds of each of 103 gateways make 403 calls a second during an
-// outage (BenchmarkCalls of internal/spread). It is safe for concurrent use.
+// answered. It is safe for concurrent use.
 type Breaker struct {
 	clock         hollowgrade.Clock
 	probeInterval func() time.Duration
--- a/feed/encode.go
+++ b/feed/encode.go
@@ -63,8 +63,7 @@
 	l := zstd.SpeedFastest
 	os := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true)}
 	if len(base) > 0 {
-		// The fastest level finds few matches in a base of several MB: 297 KB of 4 MB for one
-		// changed route, where this one needs 1.5 KB.
+		// The fastest level finds few matches in a base of several MB.
 		l = zstd.SpeedDefault
 		os = append(os, zstd.WithEncoderDictRaw(dictionaryID, base), zstd.WithWindowSize(window(len(value)+len(base))))
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -26,8 +26,7 @@
 	defaultWait = 1500 * time.Millisecond
 	// answerMargin bounds how long a read may take beyond its wait until its answer begins, and
 	// each pause within an answer: a few round trips and the store's own time. The whole answer has
-	// no bound, since one of 2.2 s kept cutting reads of a configuration of 0.8 MB on a busy link
-	// of 20 Mbit/s.
+	// no bound, since a large one takes long on a busy, narrow link.
 	answerMargin = 700 * time.Millisecond
 	// newestMargin is the same for the read of all newest records, whose answer starts later while
 	// many processes start. A process that starts during an outage waits that long in vain; peers
@@ -109,58 +108,6 @@
 	announcedAt time.Time // when a peer first announced it
 }
 
-// Option configures a feed.
-type Option func(*Feed)
-
-// WithClock sets the clock.
-func WithClock(c hollowgrade.Clock) Option {
-	return func(f *Feed) { f.clock = c }
-}
-
-// WithLogger sets the logger.
-func WithLogger(l *log.Logger) Option {
-	return func(f *Feed) { f.log = l }
-}
-
-// WithWait sets how long one read waits at the store for a record. While the store serves, a view
-// is at most that wait plus the time of an answer old.
-func WithWait(d time.Duration) Option {
-	return func(f *Feed) { f.wait = d }
-}
-
-// WithTiming sets when answers of the store are overdue.
-func WithTiming(t Timing) Option {
-	return func(f *Feed) { f.timing = t }
-}
-
-// WithPeersFirst sets the function that reports whether a process that is no reader and has no view
-// yet waits for its peers before it reads the store.
-func WithPeersFirst(f func() bool) Option {
-	return func(d *Feed) { d.peersFirst = f }
-}
-
-// WithMinReadInterval sets the least time between a read that returned records and the next one.
-// Records come in bursts, and each read has a cost.
-func WithMinReadInterval(d time.Duration) Option {
-	return func(f *Feed) { f.minInterval = d }
-}
-
-// WithReader sets the function that reports whether this process reads the store itself. Otherwise
-// the view is updated by peers, after an initial read unless [WithPeersFirst] says otherwise.
-func WithReader(f func() bool) Option {
-	return func(d *Feed) { d.isReader = f }
-}
-
-// WithBreaker sets the breaker for calls to the store, which feeds of a process share.
-func WithBreaker(a *Breaker) Option {
-	return func(f *Feed) { f.breaker = a }
-}
-
-// WithMaxValueBytes sets the size in bytes of the largest accepted value.
-func WithMaxValueBytes(n int) Option {
-	return func(f *Feed) { f.maxValueBytes = n }
-}
-
 // New returns a feed of the topic. Name identifies it in logs and to peers.
 func New(name string, t hollowgrade.Topic, os ...Option) *Feed {
 	f := &Feed{
--- a/feed/poll.go
+++ b/feed/poll.go
@@ -49,8 +49,7 @@
 // pollTargets returns the peers to poll now. A process that does not read all topics, or that the
 // store does not answer, polls a sample of the processes that the store may serve. While no served
 // process replies, or a view is stale, it polls all readers that may be served, some of the backups
-// that are due, and some others. That holds for a reader too: one that started during an outage and
-// polled nobody got a change 3.3 s late.
+// that are due, and some others. That holds for a reader too, which may have started during an outage.
 func (r *Relay) pollTargets() (as []string) {
 	readers, sources := r.readers(), r.sources()
 	served := r.isServed()
--- a/feed/readers.go
+++ b/feed/readers.go
@@ -13,8 +13,7 @@
 	// third of all processes may lose the store at once while the others still have to learn of a
 	// change within two seconds, so it must be rare that all readers are among them: once in 2,000
 	// times with seven readers. More readers cost calls, and their number must not grow with the
-	// fleet: one in five of 103 gateways makes 18 calls a second at rest, seven make 7 (BenchmarkCalls
-	// of internal/spread).
+	// fleet.
 	minReaders         = 4
 	processesPerReader = 5
 	maxReaders         = 7
@@ -23,8 +22,7 @@
 	// which poll the readers.
 	maxClientsPerSource = 20
 	// rankingTTL is how long the ranking is used without a look at the list of processes. Each feed
-	// needs it ten times a second, and computing it takes 0.05 ms for 103 processes and 0.24 ms for
-	// 420 (BenchmarkReaders).
+	// needs it ten times a second.
 	rankingTTL = followCheckInterval
 	// placesTTL is how long the ranking of an unchanged list is used. A process that starts again on
 	// another box may have the address of an earlier one.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -55,8 +53,7 @@
 	// bodyMemoryShare is the part of the box's memory that the bodies of open calls may take.
 	bodyMemoryShare = 0.25
 	// gcPercent is how much the heap may grow between collections, in percent, within the memory
-	// limit. With 103 gateways and 20 MB live, 150 peaks at 63 MB and spends 0.3% of the processor
-	// time on collections, and 400 peaks at 112 MB.
+	// limit. More saves processor time and costs memory.
 	gcPercent = 150
 )
 
@@ -281,121 +278,6 @@
 	return s
 }
 
-// applyOperatorRecords applies changes of the operators' topic.
-func (n *GatewayNode) applyOperatorRecords(cs []feed.Change) {
-	for _, c := range cs {
-		if hall, ok := platform.EvacuatedHall(c.Key); ok {
-			n.applyEvacuation(hall, c.Dropped())
-		}
-	}
-	n.applyConfig(cs)
-}
-
-// applyEvacuation starts or ends the evacuation of a data hall.
-func (n *GatewayNode) applyEvacuation(hall string, ended bool) {
-	if ended {
-		n.Core.Fleet().EndEvacuation(hall)
-	} else {
-		n.Core.Fleet().Evacuate(hall)
-	}
-}
-
-// applyConfig puts a new configuration in force. One that is invalid or not newer is ignored.
-func (n *GatewayNode) applyConfig(cs []feed.Change) {
-	for _, c := range cs {
-		if c.Key != platform.ConfigKey || c.Dropped() {
-			continue
-		}
-		g := n.log.With("offset", c.Offset, "bytes", len(c.Value), "from", c.Source())
-		k, err := platform.DecodeCatalog(c.Value)
-		switch {
-		case err != nil:
-			n.unused.Add(1)
-			g.Error("configuration not used", "version", platform.CatalogVersion(c.Value), "why", err)
-		case !n.Core.SetCatalog(k):
-			g.Warn("configuration not used", "version", k.Version, "why", "it is not newer than the one in force", "in_force", n.Core.Catalog().Version)
-		default:
-			g.Info("configuration read", "version", k.Version, "in_force", true)
-		}
-	}
-}
-
-// applyFleet puts changes of the registry into the table of upstreams.
-func (n *GatewayNode) applyFleet(cs []feed.Change) {
-	for _, c := range cs {
-		if c.Dropped() {
-			n.Core.Fleet().Drop(c.Key, c.UncertainUntil)
-			continue
-		}
-		u, err := platform.DecodeUpstream(c.KeyedRecord)
-		if err != nil {
-			// Another writer may have written it. Calls in progress at this upstream finish there.
-			n.unused.Add(1)
-			n.log.Error("upstream not used", "key", fmt.Sprintf("%.64q", c.Key), "offset", c.Offset, "bytes", len(c.Value), "err", err)
-			n.Core.Fleet().Drop(c.Key, time.Time{})
-			continue
-		}
-		n.Core.Fleet().Put(u)
-	}
-}
-
-// WatchLog adds a gauge of the log lines that were dropped.
-func (n *GatewayNode) WatchLog(w *LogWriter) error {
-	return n.metrics.Gauge("hollowgrade.log_dropped", "Log lines dropped since the output did not keep up.", func() float64 {
-		return float64(w.Dropped())
-	})
-}
-
-func (n *GatewayNode) gauges(r *feed.Relay) error {
-	return errors.Join(
-		n.metrics.Gauge("hollowgrade.config_age", "Seconds since the configuration was last known to be the newest; -1 if never.", func() float64 {
-			age, ok := n.config.Age()
-			if !ok {
-				return -1
-			}
-			return age.Seconds()
-		}),
-		n.metrics.Gauge("hollowgrade.config_version", "Version of the configuration in force; 0 if none.", func() float64 {
-			if c := n.Core.Catalog(); c != nil {
-				return float64(c.Version)
-			}
-			return 0
-		}),
-		n.metrics.Gauge("hollowgrade.body_bytes", "Bytes of the bodies of requests that are open.", func() float64 {
-			return float64(n.bodies.Held())
-		}),
-		n.metrics.Gauge("hollowgrade.halls_evacuated", "Data halls whose upstreams get no calls, since operators are emptying them.", func() float64 {
-			return float64(len(n.Core.Fleet().Evacuation().Halls()))
-		}),
-		n.metrics.Gauge("hollowgrade.cold_upstreams", "Upstreams that are cold and get a bounded number of calls.", func() float64 {
-			return float64(n.Core.Fleet().Cold())
-		}),
-		n.metrics.Gauge("hollowgrade.slow_upstreams", "Upstreams that are known to take longer than published.", func() float64 {
-			return float64(n.Core.Fleet().Slow())
-		}),
-		n.metrics.Gauge("hollowgrade.suspended", "Seconds for which the machine was suspended since the start.", func() float64 {
-			_, total := n.clock.Suspensions()
-			return total.Seconds()
-		}),
-		n.metrics.Gauge("hollowgrade.records_not_used", "Records of the store since the start that could not be used; the log has a line for each.", func() float64 {
-			return float64(n.unused.Load())
-		}),
-		n.metrics.Gauge("hollowgrade.requests_held", "Requests that are sent to no upstream, since upstreams ended under them.", func() float64 {
-			return float64(len(n.Core.Quarantine().Blocks()))
-		}),
-		n.metrics.Gauge("hollowgrade.requests_lost", "Requests that are remembered since an upstream was lost under them.", func() float64 {
-			return float64(n.Core.Quarantine().Size())
-		}),
-		n.metrics.Gauge("hollowgrade.peer_bytes", "Bytes that other gateways have told of the store since the start.", func() float64 {
-			all, _ := r.Received()
-			return float64(all)
-		}),
-		n.metrics.Gauge("hollowgrade.peer_bytes_wasted", "Those of them that were of answers that were cut, and told nothing.", func() float64 {
-			_, wasted := r.Received()
-			return float64(wasted)
-		}))
-}
-
 func callSample(o core.Observation) measure.Sample {
 	return measure.Sample{
 		Organisation: o.Organisation,
--- /dev/null
+++ b/internal/node/gauges.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"errors"
+
+	"github.com/hollowgrade/hollowgrade/feed"
+)
+
+// WatchLog adds a gauge of the log lines that were dropped.
+func (n *GatewayNode) WatchLog(w *LogWriter) error {
+	return n.metrics.Gauge("hollowgrade.log_dropped", "Log lines dropped since the output did not keep up.", func() float64 {
+		return float64(w.Dropped())
+	})
+}
+
+func (n *GatewayNode) gauges(r *feed.Relay) error {
+	return errors.Join(
+		n.metrics.Gauge("hollowgrade.config_age", "Seconds since the configuration was last known to be the newest; -1 if never.", func() float64 {
+			age, ok := n.config.Age()
+			if !ok {
+				return -1
+			}
+			return age.Seconds()
+		}),
+		n.metrics.Gauge("hollowgrade.config_version", "Version of the configuration in force; 0 if none.", func() float64 {
+			if c := n.Core.Catalog(); c != nil {
+				return float64(c.Version)
+			}
+			return 0
+		}),
+		n.metrics.Gauge("hollowgrade.body_bytes", "Bytes of the bodies of requests that are open.", func() float64 {
+			return float64(n.bodies.Held())
+		}),
+		n.metrics.Gauge("hollowgrade.halls_evacuated", "Data halls whose upstreams get no calls, since operators are emptying them.", func() float64 {
+			return float64(len(n.Core.Fleet().Evacuation().Halls()))
+		}),
+		n.metrics.Gauge("hollowgrade.cold_upstreams", "Upstreams that are cold and get a bounded number of calls.", func() float64 {
+			return float64(n.Core.Fleet().Cold())
+		}),
+		n.metrics.Gauge("hollowgrade.slow_upstreams", "Upstreams that are known to take longer than published.", func() float64 {
+			return float64(n.Core.Fleet().Slow())
+		}),
+		n.metrics.Gauge("hollowgrade.suspended", "Seconds for which the machine was suspended since the start.", func() float64 {
+			_, total := n.clock.Suspensions()
+			return total.Seconds()
+		}),
+		n.metrics.Gauge("hollowgrade.records_not_used", "Records of the store since the start that could not be used; the log has a line for each.", func() float64 {
+			return float64(n.unused.Load())
+		}),
+		n.metrics.Gauge("hollowgrade.requests_held", "Requests that are sent to no upstream, since upstreams ended under them.", func() float64 {
+			return float64(len(n.Core.Quarantine().Blocks()))
+		}),
+		n.metrics.Gauge("hollowgrade.requests_lost", "Requests that are remembered since an upstream was lost under them.", func() float64 {
+			return float64(n.Core.Quarantine().Size())
+		}),
+		n.metrics.Gauge("hollowgrade.peer_bytes", "Bytes that other gateways have told of the store since the start.", func() float64 {
+			all, _ := r.Received()
+			return float64(all)
+		}),
+		n.metrics.Gauge("hollowgrade.peer_bytes_wasted", "Those of them that were of answers that were cut, and told nothing.", func() float64 {
+			_, wasted := r.Received()
+			return float64(wasted)
+		}))
+}
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -32,18 +32,15 @@
 	// busy gateway; a view is out of date by as much.
 	minSendInterval = 25 * time.Millisecond
 	// wholeViewInterval is the time between two whole views, which correct mistakes. A whole view
-	// has what a gateway has sent to each upstream since its start: 4.5 KB on the large fleet, to
-	// each of 102 peers. With one in every tenth heartbeat of 0.5 s all heartbeats took 68 KB a
-	// second, with this interval 14 KB (TestHeartbeatsOfManyGatewaysAreSmall).
+	// has what a gateway has sent to each upstream since its start, some KB.
 	wholeViewInterval = 30 * time.Second
 	// dialTimeout bounds an attempt to connect to a peer, and redialInterval is the pause between
 	// two.
 	dialTimeout    = 500 * time.Millisecond
 	redialInterval = time.Second
 	// startupSyncs is the number of times that peers are looked up after the start,
-	// [minSendInterval] apart: gateways that start at the same time are listed within a second.
-	// With a look-up per heartbeat alone they placed prompts for half a second without views of
-	// each other.
+	// [minSendInterval] apart: gateways that start at the same time are listed within a second, and
+	// would place prompts without views of each other until the next heartbeat.
 	startupSyncs = 40
 	// maxSharesPerPacket bounds the upstreams in one packet. A share takes some 65 bytes with ids
 	// of the usual length and three pause classes, and a packet holds 1,400 bytes.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -32,8 +32,7 @@
 
 	// acceptBacklog is how many exchanges of a connection may wait to be accepted; one more waits
 	// where it is opened. Their buffers are allocated per connection, of which a gateway has
-	// hundreds: with 4,096 both ends hold 121 KB, with 64 they hold 43 KB
-	// (BenchmarkMemoryOfAConnection).
+	// many.
 	acceptBacklog = 64
 
 	keepAliveInterval = 5 * time.Second
