--- a/callers/server.go
+++ b/callers/server.go
@@ -211,6 +211,13 @@
 	return s.active
 }
 
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connKey{}).(net.Conn)
 	s.beginRequest(c)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -245,6 +245,8 @@
 	switch {
 	case n.callers.Stopping():
 		return false, "stopping"
+	case n.callers.Connections() >= n.settings.Load().MaxConnections:
+		return false, "as many connections as allowed are open"
 	case n.Core.Catalog() == nil:
 		return false, "no configuration yet"
 	case n.Core.Fleet().Size() == 0:
