node: tell the fleet of its cell without the lock on the list of gateways

Cause: reading the diff. The list held its lock while it told the fleet of the cell, and the fleet asks the list for the number of peers with its own lock held: two goroutines could wait for each other for good.

Change: the cell is told after the lock is released.

Measured: TestGatewaysOfACell, where the fleet calls back, hangs before and passes now.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -45,8 +45,9 @@
 	places map[string]feed.Place // by peer address; looked up for each gateway many times a second
 	others []string              // peer addresses of the other gateways
 	cell   core.Cell             // of this process
-	mates  []string              // peer addresses of the others of the cell
-	onCell func(core.Cell)       // called with the lock held when the cell may have changed
+	// cellPeers are the peer addresses of the others of the cell.
+	cellPeers []string
+	onCell    func(core.Cell) // called when the cell may have changed
 }
 
 // member is a gateway's record in the store's list.
@@ -103,9 +104,13 @@
 // apply applies changes of the members' topic. The store may apply a write of an earlier instance on
 // this box late, over the record of this one: then the record is written again.
 func (m *members) apply(cs []feed.Change) {
+	m.onCell(m.update(cs)) // without the lock, since the fleet calls back with its own held
+}
+
+// update is apply without the call of onCell. It returns the cell of this process.
+func (m *members) update(cs []feed.Change) core.Cell {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	defer m.index()
 	for _, c := range cs {
 		var k member
 		if !c.Dropped() {
@@ -121,6 +126,8 @@
 			m.requestJoin()
 		}
 	}
+	m.index()
+	return m.cell
 }
 
 // decode decodes a record. It returns no address for an invalid one, which another writer may have
@@ -168,7 +175,6 @@
 	m.places[m.own.Peers] = m.own.place()
 	m.others = m.listOthers()
 	m.divide()
-	m.onCell(m.cell)
 }
 
 // divide determines the cell of this process and who else is in it. Processes with the same list get
@@ -176,10 +182,10 @@
 func (m *members) divide() {
 	m.cell.Count = core.CellCount(len(m.places), m.cell.Count)
 	if m.cell.Count == 1 {
-		m.cell.Index, m.mates = 0, m.others
+		m.cell.Index, m.cellPeers = 0, m.others
 		return
 	}
-	m.mates = nil
+	m.cellPeers = nil
 	ms := make([]core.CellMember, 0, len(m.places))
 	for a, p := range m.places {
 		ms = append(ms, core.CellMember{Name: a, Hall: p.Hall})
@@ -188,7 +194,7 @@
 	m.cell.Index = cells[m.own.Peers]
 	for a, c := range cells {
 		if c == m.cell.Index && a != m.own.Peers {
-			m.mates = append(m.mates, a)
+			m.cellPeers = append(m.cellPeers, a)
 		}
 	}
 }
@@ -204,14 +210,14 @@
 func (m *members) cellAddresses() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.Clone(m.mates)
+	return slices.Clone(m.cellPeers)
 }
 
 // peers returns how many other gateways the cell has.
 func (m *members) peers() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.mates)
+	return len(m.cellPeers)
 }
 
 func (m member) place() feed.Place {
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -71,6 +71,13 @@
 		require.Equal(t, 59, m.peers())
 		require.Equal(t, m.addresses(), m.cellAddresses())
 	})
+	t.Run("the fleet may call back when it is told", func(t *testing.T) {
+		m := membersAmong(t, 7, 100)
+		called := false
+		m.onCell = func(core.Cell) { called = m.peers() > 0 && len(m.cellAddresses()) > 0 }
+		m.apply(nil)
+		require.True(t, called)
+	})
 	t.Run("the fleet is told of the cell", func(t *testing.T) {
 		var told core.Cell
 		m := membersAmong(t, 7, 60)
