--- a/callers/write.go
+++ b/callers/write.go
@@ -76,7 +76,7 @@
 	_ = w.control.SetWriteDeadline(d) // a closed connection ends the request by itself
 }
 
-// note records whether a write failed since it made no progress.
+// note records an error that means that the caller has stopped reading.
 func (w *Writer) note(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) && w.stall > 0 && time.Now().Before(w.deadline) {
 		w.stalled = true
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -292,9 +292,9 @@
 	f.log.Info("upstream started again", "upstream", n.instance, "service", u.Service, "before", m.instance, "why", "it says so")
 }
 
-// membersOf returns the upstreams of a service that this process's cell uses, sorted by instance. The lists are rebuilt on read
-// instead of on each change, because a process learns of thousands of upstreams at once when it
-// starts. The lock is held.
+// membersOf returns the upstreams of a service that this process's cell uses, sorted by instance. The
+// lists are rebuilt on read instead of on each change, because a process learns of thousands of
+// upstreams at once when it starts. The lock is held.
 func (f *Fleet) membersOf(service string) []*member {
 	if f.outdated {
 		f.rebuild()
--- a/core/unavailability.go
+++ b/core/unavailability.go
@@ -10,8 +10,8 @@
 const (
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
-	// evacuatedRetryAfter is the retry delay while operators evacuate all data halls of a service. When
-	// they end that is not known, so callers are sent away for long rather than to come back in vain.
+	// evacuatedRetryAfter is the retry delay while operators evacuate all data halls of a service. The
+	// end of an evacuation is not known, and callers that retry before it are refused again.
 	evacuatedRetryAfter = maxRetryAfter
 )
 
--- a/feed/readers.go
+++ b/feed/readers.go
@@ -46,9 +46,8 @@
 }
 
 // readers returns the processes that read the store. All processes with the same member list get the
-// same result. Halls alternate, so that few
-// halls have no reader and have to poll others; within a hall wide links come first, since a reader
-// serves the others.
+// same result. Halls alternate, so that few halls have no reader and have to poll others; within a
+// hall wide links come first, since a reader serves the others.
 func (r *Relay) readers() []string {
 	order, n := r.rankedProcesses()
 	return slices.Clone(order[:n])
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -223,8 +223,8 @@
 
 const (
 	// peersFirstTime is how long a process that has just started, and does not read the store for the
-	// others, waits for data of its peers before it reads the store itself. Callers wait for longer at
-	// its start.
+	// others, waits for data of its peers before it reads the store itself. It is shorter than the time for
+	// which callers' connections wait at the start of a process.
 	peersFirstTime = 300 * time.Millisecond
 	// maxPeersFirstTime is the same while peers send data: as long as the largest configuration takes
 	// to reach all processes.
