feed, platform: tell the era of the store, and that it ends before what is known

Cause: no line and no metric said which end and which offsets a read of all newest records named, how many of them were passed over since the view has later ones, or which state of the store (Store-Era) an answer is of: a store that went back and a store that answers with old records looked the same.

One line for each change of the era, a warning where the store ends before what is known of it, gauge hollowgrade_store_era. No decision changes.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -90,6 +90,7 @@
 	newest        map[string]hollowgrade.KeyedRecord
 	earlier       map[string][]hollowgrade.KeyedRecord // large values before the newest, latest first
 	next          int64                                // all records below this offset are known
+	era           int64                                // of the store, as its answers last told; 0 if unknown
 	missing       []missingRecord                      // records that are known to exist but not received yet, by offset
 	fresh         time.Time                            // when the view was last known to be complete
 	synced        bool                                 // whether the next read can continue at next
@@ -248,12 +249,17 @@
 		return len(p.Records), err
 	}
 	p, err := f.topic.Wait(ctx, next, wait, answerMargin)
+	var trimmed *hollowgrade.TrimmedError
+	if errors.As(err, &trimmed) {
+		f.noteEra(trimmed.Era)
+	}
 	switch {
 	case errors.Is(err, hollowgrade.ErrTrimmed):
 		f.mu.Lock()
 		f.synced = false
 		f.mu.Unlock()
 	case err == nil:
+		f.noteEra(p.Era)
 		f.mergePage(p, f.completeAsOf(sent, wait, len(p.Records)))
 	}
 	return len(p.Records), err
@@ -288,13 +294,41 @@
 	return sent.Add(waited)
 }
 
+// noteEra records the era of the store that an answer tells.
+func (f *Feed) noteEra(era int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if era == 0 || era == f.era {
+		return
+	}
+	f.log.Info("era of the store", "feed", f.name, "era", era, "before", f.era, "next", f.next)
+	f.era = era
+}
+
+// Era returns the era of the store that its answers last told, 0 if they did not.
+func (f *Feed) Era() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // resync merges all newest records. A key that is not among them was dropped.
 func (f *Feed) resync(p hollowgrade.KeyedPage, sent time.Time) {
+	f.noteEra(p.Era)
 	listed := map[string]bool{}
+	passedOver := 0
 	for _, r := range p.Records {
 		listed[r.Key] = true
 	}
 	f.mu.Lock()
+	for _, r := range p.Records {
+		if f.newest[r.Key].Offset > r.Offset {
+			passedOver++
+		}
+	}
+	if p.End < f.next || passedOver > 0 {
+		f.log.Warn("the store ends before what is known of it", "feed", f.name, "era", f.era, "end", p.End, "next", f.next, "records", len(p.Records), "passed_over", passedOver)
+	}
 	for k, r := range f.newest {
 		if !listed[k] && !r.Dropped() && r.Offset < p.Next {
 			p.Records = append(p.Records, hollowgrade.KeyedRecord{Key: k, Offset: p.Next - 1})
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -28,6 +28,9 @@
 			}
 			return 0
 		}),
+		n.metrics.Gauge("hollowgrade.store_era", "Era of the platform's store; it rises when the store comes back from an older copy; 0 if unknown.", func() float64 {
+			return float64(n.config.Era())
+		}),
 		n.metrics.Gauge("hollowgrade.body_bytes", "Bytes of the bodies of requests that are open.", func() float64 {
 			return float64(n.bodies.Held())
 		}),
--- a/platform.go
+++ b/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -10,6 +11,22 @@
 // deleted.
 var ErrTrimmed = errors.New("offset is no longer kept")
 
+// TrimmedError is the [ErrTrimmed] that [Topic.Wait] returns.
+type TrimmedError struct {
+	Era   int64 // of the store; 0 if unknown
+	First int64 // first offset that the topic keeps
+}
+
+// Error implements error.
+func (e *TrimmedError) Error() string {
+	return fmt.Sprintf("%v: era %d, the first one is %d", ErrTrimmed, e.Era, e.First)
+}
+
+// Unwrap returns [ErrTrimmed].
+func (e *TrimmedError) Unwrap() error {
+	return ErrTrimmed
+}
+
 // Log is the platform's append-only log. An append that returns an error may still have taken effect,
 // which can only be determined by reading the log.
 type Log interface {
--- a/topic.go
+++ b/topic.go
@@ -14,8 +14,9 @@
 	// Newest returns the newest record of each key. It may miss records written during the read;
 	// calling Wait with the page's Next returns all of these.
 	Newest(ctx context.Context, patience time.Duration) (KeyedPage, error)
-	// Wait returns the records from an offset on, after waiting up to d for the first. It returns
-	// [ErrTrimmed] if records from the offset on have been deleted.
+	// Wait returns the records from an offset on, after waiting up to d for the first. It returns a
+	// [TrimmedError] if the topic does not have the offset: records from there on have been deleted, or
+	// the store came back from an older copy and the topic ends before.
 	Wait(ctx context.Context, from int64, d, patience time.Duration) (KeyedPage, error)
 	// Put writes a record, or deletes the key if value is empty. A put that returns an error may have
 	// taken effect, or may do so later.
@@ -25,6 +26,7 @@
 // KeyedPage is a page of records, ordered by offset.
 type KeyedPage struct {
 	Records []KeyedRecord
+	Era     int64  // of the store that the offsets are of; 0 if unknown
 	Next    int64  // offset at which to continue reading
 	End     int64  // offset that the topic's next record will get
 	From    string // peer that sent the page; empty for the store itself
