feed, node: registry entries that the store lost are believed for four seconds

Cause: an entry that the store lost was believed until somebody wrote it again, which nobody does for an upstream that ended meanwhile: it stayed listed for good. The records of a topic of which the newest one was lost counted as uncertain, though all before was known, and an evacuation ended after five seconds; a log that differs from its first record on counted as uncertain as well. After a return the first read waited as long as any (20 s for the list of gateways).

Change: feed.WithLossTime, four seconds for the registry; a lost record has to be explained by a later one only if it is before the difference; reads do not wait until the view is complete in the new era.

Tests, on the code before: an upstream that is not written again, an evacuation that ended and begins anew: red. A key that was revoked, upstreams that drain or are gone, one that was listed by a lost entry: green there too, kept, since they hold what the new order must not break. All pass now; 40,000 courses of the model.

--- a/feed/era.go
+++ b/feed/era.go
@@ -393,7 +393,7 @@
 	d = f.compareNewest(newest)
 	history := slices.DeleteFunc(slices.Clone(f.history), func(l loggedRecord) bool { return l.offset >= min(d.offset, d.unknown) })
 	f.mu.Unlock()
-	if d.intact == d.offset && d.unknown == d.offset && !d.lost && len(d.unlisted) == 0 {
+	if d.offset == 0 || d.intact == d.offset && d.unknown == d.offset && !d.lost && len(d.unlisted) == 0 {
 		d.exact = true
 		return d, nil
 	}
@@ -418,7 +418,7 @@
 		if err != nil {
 			return d, err
 		}
-		if d.exact = alike && c.certain && c.drops(d.unlisted); d.exact || last {
+		if d.exact = alike && c.certain && c.explains(d.unlisted); d.exact || last {
 			d.offset = min(d.offset, c.offset)
 			return d, nil
 		}
@@ -441,21 +441,21 @@
 
 // doubt makes records expire of which it isn't known whether they were dropped. The caller holds the lock.
 func (f *Feed) doubt(d difference) {
-	for _, k := range d.unlisted {
+	for _, r := range d.unlisted {
 		if !d.exact {
-			f.lost[k] = true
+			f.lost[r.Key] = true
 		}
 	}
 }
 
 // difference is how a log differs from the known one.
 type difference struct {
-	offset   int64    // from which on it differs at the latest
-	exact    bool     // whether it does not differ before
-	unknown  int64    // offset of the first newest record that may be a new one
-	intact   int64    // offset below which it does not differ, as far as the newest records tell
-	lost     bool     // whether records of the view were lost, or are not of the known log
-	unlisted []string // keys of the view that were dropped since, or whose records were lost
+	offset   int64                     // from which on it differs at the latest
+	exact    bool                      // whether it does not differ before
+	unknown  int64                     // offset of the first newest record that may be a new one
+	intact   int64                     // offset below which it does not differ, as far as the newest records tell
+	lost     bool                      // whether records of the view were lost, or are not of the known log
+	unlisted []hollowgrade.KeyedRecord // whose keys were dropped since, or that were lost
 }
 
 // compareNewest compares the newest records of a log with the view. The caller holds the lock.
@@ -485,7 +485,7 @@
 		}
 		d.lost = d.lost || lost
 		if unlisted {
-			d.unlisted = append(d.unlisted, k)
+			d.unlisted = append(d.unlisted, r)
 		}
 	}
 	return d
@@ -520,9 +520,9 @@
 	dropped map[string]bool // keys that were dropped from there on
 }
 
-// drops reports whether all keys were dropped.
-func (c logComparison) drops(keys []string) bool {
-	return !slices.ContainsFunc(keys, func(k string) bool { return !c.dropped[k] })
+// explains reports whether the keys of all records were dropped that are before the difference.
+func (c logComparison) explains(rs []hollowgrade.KeyedRecord) bool {
+	return !slices.ContainsFunc(rs, func(r hollowgrade.KeyedRecord) bool { return r.Offset < c.offset && !c.dropped[r.Key] })
 }
 
 // compareLog compares a page, and those that follow it, with the known log up to the first difference, or
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -300,7 +300,7 @@
 	if left, due := f.lossesDue(); due {
 		wait = min(wait, left)
 	}
-	if probe || f.readFailing {
+	if probe || f.readFailing || f.returning {
 		wait = 0 // the freshness of the view has to be known at once
 	}
 	f.nextAnswerDue = sent.Add(wait + min(f.timing.AnswerGrace+2*f.lag, answerMargin))
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -94,7 +94,7 @@
 		return feed.New(name, t, os...)
 	}
 	n.config = follow(configFeed, s.Config(), c.ReadWait(), feed.WithReader(relay.ReadsLarge), feed.WithPeersFirst(relay.PeersFirst), feed.WithMaxValueBytes(c.ConfigMaxBytes), feed.WithVersion(platform.CatalogVersion))
-	fleet := follow(fleetFeed, s.Workers(), c.FleetWait, feed.WithPeersFirst(relay.PeersFirst), feed.WithMinReadInterval(c.RegistryInterval()))
+	fleet := follow(fleetFeed, s.Workers(), c.FleetWait, feed.WithPeersFirst(relay.PeersFirst), feed.WithMinReadInterval(c.RegistryInterval()), feed.WithLossTime(registryLossTime))
 	others := follow(membersFeed, s.Members(), c.MembersWait)
 	n.held = follow(heldFeed, s.Held(), c.MembersWait, feed.WithPeersFirst(relay.PeersFirst))
 	n.state = n.configState
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -8,6 +8,11 @@
 	"github.com/hollowgrade/hollowgrade/platform"
 )
 
+// registryLossTime is how long entries of the registry are believed that the store lost. Upstreams that
+// run write theirs again within two seconds, and the store drops the entry of one that does not after
+// three missed heartbeats.
+const registryLossTime = 4 * time.Second
+
 // applyOperatorRecords applies changes of the operators' topic.
 func (n *GatewayNode) applyOperatorRecords(cs []feed.Change) {
 	for _, c := range cs {
