node, quarantine: write records again that the store lost

Cause: an acknowledged write counted as kept. The records of gateways and of blocked requests that the store lost with an older copy were gone for all that started later.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -95,8 +95,8 @@
 	}
 	n.config = follow(configFeed, s.Config(), c.ReadWait(), feed.WithReader(relay.ReadsLarge), feed.WithPeersFirst(relay.PeersFirst), feed.WithMaxValueBytes(c.ConfigMaxBytes), feed.WithVersion(platform.CatalogVersion))
 	fleet := follow(fleetFeed, s.Workers(), c.FleetWait, feed.WithPeersFirst(relay.PeersFirst), feed.WithMinReadInterval(c.RegistryInterval()), feed.WithLossTime(registryLossTime))
-	others := follow(membersFeed, s.Members(), c.MembersWait)
-	n.held = follow(heldFeed, s.Held(), c.MembersWait, feed.WithPeersFirst(relay.PeersFirst))
+	others := follow(membersFeed, s.Members(), c.MembersWait, feed.WithOnReturn(n.members.storeReturned))
+	n.held = follow(heldFeed, s.Held(), c.MembersWait, feed.WithPeersFirst(relay.PeersFirst), feed.WithOnReturn(func(kept func(key string) bool) { n.heldStore.storeReturned(kept) }))
 	n.state = n.configState
 	w := platform.NewWorkers()
 	n.Core = core.New(w, w,
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,9 @@
 	// apply a write without an answer some seconds later.
 	joinRetryDelay = 2 * time.Second
 	joinTimeout    = 2 * time.Second
+	// rejoinsPerSecond bounds how many gateways together write their records again after a return of
+	// the store.
+	rejoinsPerSecond = 200
 )
 
 // members lists the gateways from the store and the settings, and keeps this one in the store's list.
@@ -38,7 +42,7 @@
 	log    *log.Logger
 	unused *atomic.Int64 // records that could not be used
 	runner *runner
-	rejoin chan struct{} // receives a value when the list lacks this process
+	rejoin chan time.Duration // receives a delay when the list lacks this process
 
 	mu     sync.Mutex
 	known  map[string]member     // by box
@@ -83,24 +87,34 @@
 		clock:  k,
 		log:    g,
 		unused: unused,
-		rejoin: make(chan struct{}, 1),
+		rejoin: make(chan time.Duration, 1),
 		known:  map[string]member{},
 		onCell: func(core.Cell) {},
 	}
 	m.index()
 	m.runner = newRunner(m.join)
-	m.requestJoin()
+	m.requestJoin(0)
 	return m
 }
 
-// requestJoin asks for this process's record to be written.
-func (m *members) requestJoin() {
+// requestJoin asks for this process's record to be written after a delay.
+func (m *members) requestJoin(d time.Duration) {
 	select {
-	case m.rejoin <- struct{}{}:
+	case m.rejoin <- d:
 	default:
 	}
 }
 
+// storeReturned writes this process's record again if the store lost it.
+func (m *members) storeReturned(kept func(key string) bool) {
+	if m.own.Peers == "" || kept(m.box) {
+		return
+	}
+	spread := time.Duration(m.count()) * time.Second / rejoinsPerSecond
+	m.log.Info("the store lost the record of this box, it is written again", "box", m.box, "within_ms", spread.Milliseconds())
+	m.requestJoin(rand.N(spread + 1))
+}
+
 // apply applies changes of the members' topic. The store may apply a write of an earlier instance on
 // this box late, over the record of this one: then the record is written again.
 func (m *members) apply(cs []feed.Change) {
@@ -123,7 +137,7 @@
 		}
 		if c.Key == m.box && k != m.own && m.own.Peers != "" {
 			m.log.Warn("the list of gateways has another record for this box", "box", m.box, "address", k.Peers, "own", m.own.Peers)
-			m.requestJoin()
+			m.requestJoin(0)
 		}
 	}
 	m.index()
@@ -245,11 +259,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-m.rejoin:
+		case d := <-m.rejoin:
+			hollowgrade.Sleep(ctx, m.clock, d)
 		}
 		if err = m.put(ctx, v); err != nil && ctx.Err() == nil {
 			m.log.Warn("could not join the list of gateways", "err", err)
-			m.requestJoin()
+			m.requestJoin(0)
 			hollowgrade.Sleep(ctx, m.clock, joinRetryDelay)
 		}
 	}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -133,6 +133,11 @@
 	return s.topic.Put(ctx, f.String(), value)
 }
 
+// storeReturned writes the blocks again that the store lost.
+func (s *heldStore) storeReturned(kept func(key string) bool) {
+	s.table.StoreReturned(func(f hollowgrade.Fingerprint) bool { return kept(f.String()) })
+}
+
 // apply applies changes of the topic. A record that cannot be decoded is skipped.
 func (s *heldStore) apply(cs []feed.Change) {
 	now, wall := s.clock.Now(), hollowgrade.WallTime(s.clock)
--- a/internal/node/storeera_test.go
+++ b/internal/node/storeera_test.go
@@ -196,3 +196,13 @@
 		}
 	})
 }
+
+// Guards against gateways that are missing from the list, since the store lost their records.
+func TestGatewaysWriteTheirRecordsAgainWhenTheStoreGoesBack(t *testing.T) {
+	f := newRecordingFleet(t, 1, 4)
+	f.lose(t, func() {}, func(*gateway) bool { return true })
+	f.fixture.store.GoBack(time.Hour)
+	for _, g := range f.callers.gateways {
+		require.Eventually(t, func() bool { return f.fixture.store.Value("keyed.members", g.Box.Name) != "" }, 5*time.Second, 10*time.Millisecond)
+	}
+}
--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -89,6 +89,25 @@
 	}
 }
 
+// StoreReturned records that the store came back from an older copy, and which blocks it still has. The
+// gateway that blocked a request writes its block again, and another one if that is gone.
+func (t *Table) StoreReturned(kept func(f hollowgrade.Fingerprint) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	for f, r := range t.records {
+		if r.storedUntil.IsZero() || kept(f) {
+			continue
+		}
+		r.storedUntil = time.Time{}
+		delay := peerStoreDelay
+		if r.block.By == t.box {
+			delay = 0
+		}
+		t.scheduleStore(r, now, delay)
+	}
+}
+
 // RecordDropped records that the store no longer has a block of a request. If the block hasn't
 // expired, another process has found the request harmless.
 func (t *Table) RecordDropped(f hollowgrade.Fingerprint) {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -280,6 +280,33 @@
 }
 
 func TestTheStoreKeepsHolds(t *testing.T) {
+	t.Run("written again by the gateway that made them when the store lost them", func(t *testing.T) {
+		w, s, d := newCluster(t, 2), request(1), fakeStore{}
+		w.block(w.gateways[0], s)
+		w.exchange()
+		require.Equal(t, 1, d.write(w.gateways[0]))
+		d.read(w.gateways[1])
+		clear(d)
+		for _, b := range w.gateways {
+			b.StoreReturned(func(f hollowgrade.Fingerprint) bool { _, ok := d[f]; return ok })
+		}
+		require.Zero(t, d.write(w.gateways[1]))
+		require.Equal(t, 1, d.write(w.gateways[0]))
+		d.read(w.gateways[1])
+		w.clock.Advance(2 * peerStoreDelay)
+		require.Zero(t, d.write(w.gateways[1]), "once is enough")
+	})
+	t.Run("written again by another gateway when the one that made them is gone", func(t *testing.T) {
+		w, s, d := newCluster(t, 2), request(1), fakeStore{}
+		w.block(w.gateways[0], s)
+		w.exchange()
+		d.write(w.gateways[0])
+		d.read(w.gateways[1])
+		clear(d)
+		w.gateways[1].StoreReturned(func(hollowgrade.Fingerprint) bool { return false })
+		w.clock.Advance(2 * peerStoreDelay)
+		require.Equal(t, 1, d.write(w.gateways[1]))
+	})
 	t.Run("over the loss of all gateways", func(t *testing.T) {
 		w, s, d := newCluster(t, 2), request(1), fakeStore{}
 		w.block(w.gateways[0], s)
