--- a/feed/era.go
+++ b/feed/era.go
@@ -91,10 +91,11 @@
 	e.starts = append(e.starts, eraStart{e.current, before, offset, offset + 1, true})
 }
 
-// canLearn reports whether a start of the current era tells this process what differs, if it is from
-// where on the log differs from that of an era before.
-func (e *eras) canLearn(before int64) bool {
-	return e.first == e.current || before <= e.before()
+// canLearn reports whether a start of the current era tells this process more than it knows, if it is
+// from where on the log differs from that of an era before.
+func (e *eras) canLearn(offset, before int64) bool {
+	s := e.starts[len(e.starts)-1]
+	return e.first == e.current || before <= s.before && offset < s.offset
 }
 
 // before returns the era whose log was known before the current one.
@@ -287,7 +288,7 @@
 // era before. The caller holds the lock.
 func (f *Feed) learnStart(offset, eraBefore int64) {
 	before, known := f.eras.start()
-	if known && before <= offset || !f.eras.canLearn(eraBefore) {
+	if known && before <= offset || !f.eras.canLearn(offset, eraBefore) {
 		return
 	}
 	f.eras.learnStart(offset, eraBefore)
@@ -393,25 +394,20 @@
 	d = f.compareNewest(newest)
 	history := slices.DeleteFunc(slices.Clone(f.history), func(l loggedRecord) bool { return l.offset >= min(d.offset, d.unknown) })
 	f.mu.Unlock()
-	if d.offset == 0 || d.intact == d.offset && d.unknown == d.offset && !d.lost && len(d.unlisted) == 0 {
+	if d.isCertain() {
 		d.exact = true
 		return d, nil
 	}
 	// The log differs from an earlier offset on if a record before is not the known one. Mostly little
 	// was lost, so the latest records are compared first.
-	for size := compareBytes; ; size *= compareGrowth {
-		from, last := compareFrom(history, size)
-		p, err := f.readEra(ctx, from, newest.Era)
-		trimmed := (*hollowgrade.TrimmedError)(nil)
-		if errors.As(err, &trimmed) && trimmed.First > from { // the history before is gone
-			from, last = trimmed.First, true
-			p, err = f.readEra(ctx, from, newest.Era)
-		}
+	for size, last := compareBytes, false; !d.exact && !last; size *= compareGrowth {
+		from, first := compareFrom(history, size)
+		p, trimmed, err := f.readEra(ctx, from, newest.Era)
 		if err != nil {
 			return d, err
 		}
-		alike := from == 0 || f.startsAlike(p)
-		if !last && !alike {
+		alike := f.startsAlike(p) || from == 0 && !trimmed
+		if last = first || trimmed; !alike && !last {
 			continue
 		}
 		c, err := f.compareLog(ctx, p, newest.Era, len(d.unlisted) > 0)
@@ -420,9 +416,14 @@
 		}
 		if d.exact = alike && c.certain && c.explains(d.unlisted); d.exact || last {
 			d.offset = min(d.offset, c.offset)
-			return d, nil
 		}
 	}
+	return d, nil
+}
+
+// isCertain reports whether the newest records alone tell from where on the log differs.
+func (d difference) isCertain() bool {
+	return d.offset == 0 || d.intact == d.offset && d.unknown == d.offset && !d.lost && len(d.unlisted) == 0
 }
 
 // compareFrom returns the offset of the first of the latest records that have a size together, and
@@ -469,10 +470,10 @@
 		if ok && !f.lost[r.Key] && known.Offset > r.Offset {
 			d.offset = min(d.offset, known.Offset) // otherwise it would still be the newest one
 		}
-		switch c := f.compare(r); {
-		case c == otherRecord:
+		switch f.compare(r) {
+		case otherRecord:
 			d.offset = min(d.offset, r.Offset)
-		case c == sameRecord:
+		case sameRecord:
 			d.intact = max(d.intact, r.Offset+1)
 		default:
 			d.unknown = min(d.unknown, r.Offset)
@@ -491,19 +492,19 @@
 	return d
 }
 
-// readEra reads the log from an offset on without waiting.
-func (f *Feed) readEra(ctx context.Context, from, era int64) (p hollowgrade.KeyedPage, err error) {
+// readEra reads the log of an era from an offset on, without waiting. Trimmed is whether the records from
+// there on are no longer kept, and the page begins with the first that is.
+func (f *Feed) readEra(ctx context.Context, from, era int64) (p hollowgrade.KeyedPage, trimmed bool, err error) {
 	p, err = f.topic.Wait(ctx, from, 0, answerMargin)
-	got := p.Era
-	if trimmed := (*hollowgrade.TrimmedError)(nil); errors.As(err, &trimmed) {
-		got = trimmed.Era
-	} else if err != nil {
-		return p, err
+	var t *hollowgrade.TrimmedError
+	if errors.As(err, &t) && t.First > from {
+		trimmed = true
+		p, err = f.topic.Wait(ctx, t.First, 0, answerMargin)
 	}
-	if got != era {
-		return p, errEraChanged
+	if err == nil && p.Era != era {
+		err = errEraChanged
 	}
-	return p, err
+	return p, trimmed, err
 }
 
 // startsAlike reports whether the first record of a page is known.
@@ -553,7 +554,7 @@
 			}
 			return c, nil
 		}
-		if p, err = f.readEra(ctx, p.Next, era); err != nil {
+		if p, _, err = f.readEra(ctx, p.Next, era); err != nil {
 			return c, err
 		}
 	}
--- a/feed/era_model_test.go
+++ b/feed/era_model_test.go
@@ -125,11 +125,6 @@
 	}
 }
 
-// trim drops the history, but for the newest record of each key.
-func (m *eraModel) trim() {
-	m.topic.set(func() { m.topic.first = int64(len(m.topic.records)) })
-}
-
 // poll lets a gateway ask another one.
 func (m *eraModel) poll(from, to int) {
 	a, b := m.gateways[from], m.gateways[to]
--- a/feed/era_test.go
+++ b/feed/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -122,6 +123,25 @@
 	require.Fail(t, "the view is not complete after ten reads")
 }
 
+// Guards against a lost large value that is requested over and over, since what comes is not merged.
+func TestLostLargeValuesAreFetchedOnce(t *testing.T) {
+	value := large(1, 200_000)
+	k, f, _ := eraFeed(t, "1", string(value))
+	k.goBack(1)
+	requireRead(t, f)
+	n := New("f", k, WithLogger(log.New(io.Discard)), WithWait(0))
+	requireRead(t, n)
+	r, l := relayOf(t, n)
+	address := serveFeeds(t, f)
+	for range 3 {
+		r.poll(context.Background(), address)
+		r.exchanges.Wait()
+	}
+	v, _ := n.value("a")
+	require.Equal(t, len(value), len(v.Value))
+	require.Equal(t, 1, strings.Count(l.String(), "value received"))
+}
+
 func TestFeedOfAStoreThatWentBack(t *testing.T) {
 	ctx := context.Background()
 	t.Run("what is written under a lower offset is read", func(t *testing.T) {
--- a/feed/excerpt.go
+++ b/feed/excerpt.go
@@ -176,10 +176,11 @@
 	p := peerPage{KeyedPage: hollowgrade.KeyedPage{Era: a.era, From: from}}
 	if a.lost {
 		p.End, p.lost = 1, []hollowgrade.KeyedRecord{r}
-	} else {
-		p.First, p.Next, p.End = a.at.Offset, min(a.at.Offset, r.Offset)+1, r.Offset+2
-		p.Records = []hollowgrade.KeyedRecord{r}
+		f.merge(p, time.Time{})
+		return
 	}
+	p.First, p.Next, p.End = a.at.Offset, min(a.at.Offset, r.Offset)+1, r.Offset+2
+	p.Records = []hollowgrade.KeyedRecord{r}
 	f.mergePeerPage(p, time.Time{})
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -387,26 +387,10 @@
 func (f *Feed) storeRecords(p peerPage) (cs []Change, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch {
-	case p.From != "" && !f.followPeer(p):
+	if !f.accepts(p) {
 		return nil, false
-	case p.From == "" && p.Era != 0 && p.Era != f.eras.current, p.First > f.next:
-		return nil, false // a peer has told of a later era meanwhile, or from where to read anew
-	}
-	if p.whole {
-		f.eras.complete = max(f.eras.complete, p.End)
-	}
-	rs := slices.Clone(p.Records)
-	slices.SortFunc(rs, func(a, b hollowgrade.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
-	for i, r := range rs {
-		rs[i].Position = f.eras.written(r.Offset)
-		if p.From == "" || !r.Dropped() { // the offset at which a peer lists a dropped key may be a later one
-			f.remember(r)
-		}
-	}
-	for _, k := range p.absent {
-		rs = append(rs, hollowgrade.KeyedRecord{Key: k, Position: f.eras.written(p.Next - 1)})
 	}
+	rs := f.place(p)
 	uncertainUntil := f.uncertainUntil()
 	if f.lossesExpired {
 		p.lost = nil
@@ -423,6 +407,35 @@
 	return cs, true
 }
 
+// accepts reports whether a page is of the view's era and tells all that follows what the view has. The
+// caller holds the lock.
+func (f *Feed) accepts(p peerPage) bool {
+	if p.From != "" {
+		return f.followPeer(p) && p.First <= f.next
+	}
+	return (p.Era == 0 || p.Era == f.eras.current) && p.First <= f.next // a peer may have told of a later era meanwhile
+}
+
+// place returns the records of a page with their positions, by offset, and remembers them. The caller
+// holds the lock.
+func (f *Feed) place(p peerPage) (rs []hollowgrade.KeyedRecord) {
+	if p.whole {
+		f.eras.complete = max(f.eras.complete, p.End)
+	}
+	rs = slices.Clone(p.Records)
+	slices.SortFunc(rs, func(a, b hollowgrade.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
+	for i, r := range rs {
+		rs[i].Position = f.eras.written(r.Offset)
+		if p.From == "" || !r.Dropped() { // the offset at which a peer lists a dropped key may be a later one
+			f.remember(r)
+		}
+	}
+	for _, k := range p.absent {
+		rs = append(rs, hollowgrade.KeyedRecord{Key: k, Position: f.eras.written(p.Next - 1)})
+	}
+	return rs
+}
+
 // followPeer follows the era of a peer's page. It returns false if the page has to be ignored. The
 // caller holds the lock.
 func (f *Feed) followPeer(p peerPage) bool {
@@ -433,6 +446,9 @@
 		f.eras.begin(p.Era)
 	case p.Era < current:
 		return false
+	case p.Era > current && len(f.newest) == 0:
+		f.enterEra(p.Era, 0, false, p.From) // nothing is known that could be lost
+		return true
 	case p.Era > current && !p.startKnown:
 		f.laterEra = true
 		return false
--- a/feed/poll.go
+++ b/feed/poll.go
@@ -302,17 +302,24 @@
 	if len(p.Records) > 0 {
 		r.noteProgress()
 	}
-	for _, l := range announced {
-		if f.noteAnnounced(l, address) {
-			t.large = append(t.large, announcedValue{f, l})
-		}
-	}
 	f.mergePeerPage(p, sent.Add(-time.Duration(m.AgeMicros)*time.Microsecond))
 	if after, ok := f.Age(); ok && after < before && (before > r.timing.staleAge(f.wait) || len(p.Records) > 0) {
 		r.log.Info("view updated from a peer", "feed", f.name, "peer", address, "next", m.Next, "records", len(p.Records),
 			"age_ms", after.Milliseconds(), "age_before_ms", before.Milliseconds())
 	}
-	if f.Era() != p.Era || f.Next() != p.Next || p.Next == p.End {
+	if f.Era() == p.Era && f.Next() == p.Next {
+		t.request(f, m, announced, address)
+	}
+}
+
+// request adds to the result what has to be requested after a reply that was merged.
+func (t *pollResult) request(f *Feed, m *wire.FeedReply, announced []announcement, address string) {
+	for _, l := range announced {
+		if f.noteAnnounced(l, address) {
+			t.large = append(t.large, announcedValue{f, l})
+		}
+	}
+	if m.Next >= m.End {
 		return
 	}
 	if l := m.Large; l != nil {
