soak, spread: a store that comes back from an older copy

The soak's store returns up to three times a run, some of them soon after each other, from copies of 0.3 to 3 s, after a moment away; operators and workers write again 0.05 to 4 s later.

--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -173,5 +173,5 @@
 			seen[s.kind] = true
 		}
 	}
-	require.Len(t, seen, int(kinds), "each kind occurs")
+	require.Len(t, seen, len(kindNames), "each kind occurs")
 }
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -41,15 +41,18 @@
 	nameLimit      // a worker announces a limit of requests a second in its answers
 	leaveInAnswers // a worker announces in its answers only, not in the registry, that it leaves
 	askForRest     // a worker refuses requests with a Retry-After header
-	kinds
+	kinds          // of the steps that are drawn among each other
+
+	restoreStore = kinds // the store comes back from an older copy
 )
 
-var kindNames = [kinds]string{
+var kindNames = [kinds + 1]string{
 	"kill gateway", "pause gateway", "stop gateway", "reload gateway", "silence store", "reset store", "store busy", "store away",
 	"store loses answers", "store forgets", "delay worker", "reset worker", "silence worker", "deafen worker", "crash worker",
 	"drain worker", "revoke key", "add route", "grow configuration", "silence peers", "reset peers", "delay peers",
 	"harmful request", "strange entries", "suspend gateway", "turn readers away",
 	"name limit", "leave in answers", "ask for rest",
+	"restore store",
 }
 
 func (k kind) String() string {
@@ -85,6 +88,12 @@
 	drawsPerCalm = 12
 	calmPause    = 5 * time.Second
 	maxSeries    = 3 // maximum of steps of one kind in a row
+	// Returns of the store come in addition, some of them soon after each other.
+	maxRestores                      = 3
+	maxRestoreGap                    = 6 * time.Second
+	restoresStream                   = 1 // of the random numbers of a seed, so that the other steps stay the same
+	minCopyAge, maxCopyAge           = 300 * time.Millisecond, 3 * time.Second
+	minRewriteDelay, maxRewriteDelay = 50 * time.Millisecond, 4 * time.Second
 )
 
 // newPlan generates the steps of a seed.
@@ -105,6 +114,17 @@
 			at += calmPause
 		}
 	}
+	return append(ss, newRestores(seed, length)...)
+}
+
+// newRestores generates the returns of the store of a seed.
+func newRestores(seed uint64, length time.Duration) (ss []step) {
+	r := rand.New(rand.NewPCG(seed, restoresStream))
+	at := time.Duration(r.Int64N(int64(length)))
+	for range r.IntN(maxRestores + 1) {
+		ss = append(ss, step{at: at, duration: minFaultTime, kind: restoreStore, target: r.IntN(1_000_000)})
+		at += time.Duration(r.Int64N(int64(maxRestoreGap)))
+	}
 	return ss
 }
 
--- a/internal/spread/fleet_test.go
+++ b/internal/spread/fleet_test.go
@@ -40,12 +40,23 @@
 type memTopic struct {
 	mu      sync.Mutex
 	records []hollowgrade.KeyedRecord
+	era     int64
 	down    bool
 	changed chan struct{}
 }
 
 func newTopic() *memTopic {
-	return &memTopic{changed: make(chan struct{})}
+	return &memTopic{era: 1, changed: make(chan struct{})}
+}
+
+// goBack makes the topic one of a store that came back from a copy without its last records.
+func (t *memTopic) goBack(records int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.records = slices.Clone(t.records[:max(len(t.records)-records, 0)])
+	t.era++
+	close(t.changed)
+	t.changed = make(chan struct{})
 }
 
 func (t *memTopic) Put(_ context.Context, key string, value []byte) error {
@@ -69,7 +80,7 @@
 	}
 	p.Records = slices.Collect(maps.Values(newest))
 	p.Next = int64(len(t.records))
-	p.End = p.Next
+	p.End, p.Era = p.Next, t.era
 	return p, nil
 }
 
@@ -78,6 +89,7 @@
 	for {
 		t.mu.Lock()
 		down, end, changed := t.down, int64(len(t.records)), t.changed
+		p.Era = t.era
 		if from < end {
 			p.Records = slices.Clone(t.records[from:])
 		}
@@ -86,6 +98,8 @@
 		switch {
 		case down:
 			return p, errDown
+		case from > end:
+			return p, &hollowgrade.TrimmedError{Era: p.Era}
 		case len(p.Records) > 0:
 			return p, nil
 		}
