cli: config status tells the era of the store

What an operator looks at after a drill is whether all gateways know that the store came back, and since when: a column beside the evacuated halls, from the fields that /status has had since.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -216,13 +216,25 @@
 	return writeStatus(s.out, ss, len(as))
 }
 
+// formatEra returns the era of the store as a box knows it, and since when if it has risen.
+func formatEra(s node.Status) string {
+	switch {
+	case s.StoreEra == 0:
+		return "unknown"
+	case s.EraAge < 0:
+		return fmt.Sprint(s.StoreEra)
+	default:
+		return fmt.Sprintf("%d, since %.1f s", s.StoreEra, s.EraAge)
+	}
+}
+
 func writeStatus(w io.Writer, ss []node.Status, total int) error {
 	var newest int64
 	for _, v := range ss {
 		newest = max(newest, v.Revision)
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "box\trole\tdata hall\trevision\tlog seen\tready\tevacuated halls")
+	fmt.Fprintln(t, "box\trole\tdata hall\trevision\tlog seen\tready\tevacuated halls\tstore era")
 	behind := 0
 	for _, v := range ss {
 		if v.Revision < newest {
@@ -232,7 +244,7 @@
 		if !v.Ready {
 			ready = "no: " + v.Reason
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.1f s ago\t%s\t%s\n", v.Box, v.Role, v.Hall, v.Revision, v.LogAge, ready, cmp.Or(strings.Join(v.Evacuated, ", "), "none"))
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.1f s ago\t%s\t%s\t%s\n", v.Box, v.Role, v.Hall, v.Revision, v.LogAge, ready, cmp.Or(strings.Join(v.Evacuated, ", "), "none"), formatEra(v))
 	}
 	if err := t.Flush(); err != nil {
 		return err
