feed: take what gateways of the version before tell, and no more

Cause: a reply without an era was held against the era of the view: an older view of such a peer made one fresher, and its large values were never requested, so that during an update gateway by gateway each new one would have read the store itself.

Change: a reply without an era counts as one of the view's, until the store has come back once; then it changes nothing.

--- a/feed/era_test.go
+++ b/feed/era_test.go
@@ -142,6 +142,33 @@
 	require.Equal(t, 1, strings.Count(l.String(), "value received"))
 }
 
+// Guards against an update of gateways one after another in which those of the new version take nothing
+// from those of the one before, or too much.
+func TestPeersThatDoNotKnowOfEras(t *testing.T) {
+	value := large(1, 200_000)
+	k, f, v := eraFeed(t, "1", "2")
+	t.Run("one that knows less makes a view no fresher", func(t *testing.T) {
+		fresh := f.Fresh()
+		p := page(1)
+		p.From = "peer:1"
+		f.Merge(p, time.Now().Add(time.Hour))
+		require.Equal(t, fresh, f.Fresh())
+	})
+	t.Run("one that knows more tells its records, also large ones", func(t *testing.T) {
+		r, _ := relayOf(t, f)
+		requireFetched(t, r, f, serveFeeds(t, feedWith(7, value)), value)
+		require.Equal(t, int64(8), f.Next())
+	})
+	t.Run("none is believed after a return of the store", func(t *testing.T) {
+		k.goBack(1)
+		requireRead(t, f)
+		p := page(9, hollowgrade.KeyedRecord{Key: "a", Value: []byte("9"), Position: hollowgrade.Position{Offset: 8}})
+		p.From = "peer:1"
+		f.Merge(p, time.Now().Add(time.Hour))
+		require.NotEqual(t, "map[a:9]", v.all())
+	})
+}
+
 func TestFeedOfAStoreThatWentBack(t *testing.T) {
 	ctx := context.Background()
 	t.Run("what is written under a lower offset is read", func(t *testing.T) {
--- a/feed/excerpt.go
+++ b/feed/excerpt.go
@@ -157,7 +157,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !a.lost {
-		return a.era == f.eras.current && f.next <= a.at.Offset
+		return (a.era == 0 || a.era == f.eras.current) && f.next <= a.at.Offset
 	}
 	return f.lacks(a.key, a.at)
 }
--- a/feed/merge.go
+++ b/feed/merge.go
@@ -121,6 +121,11 @@
 	return true
 }
 
+// isOfEra reports whether a peer's view is of the same era, as far as it tells.
+func (f *Feed) isOfEra(era int64) bool {
+	return era == 0 || era == f.Era()
+}
+
 // hasToRead reports whether this process has to read the store once, since no peer could tell from
 // where to read the log of a later era.
 func (f *Feed) hasToRead() bool {
@@ -195,7 +200,7 @@
 
 // mergePeerPage merges a page that a peer sent, complete as of fresh.
 func (f *Feed) mergePeerPage(p peerPage, fresh time.Time) {
-	if p.Era == f.Era() && p.Next < f.Next() {
+	if f.isOfEra(p.Era) && p.Next < f.Next() {
 		return // the peer knows less: records that it knows as lost may have been dropped since
 	}
 	f.merge(p, fresh)
--- a/feed/poll.go
+++ b/feed/poll.go
@@ -307,7 +307,7 @@
 		r.log.Info("view updated from a peer", "feed", f.name, "peer", address, "next", m.Next, "records", len(p.Records),
 			"age_ms", after.Milliseconds(), "age_before_ms", before.Milliseconds())
 	}
-	if f.Era() == p.Era && f.Next() == p.Next {
+	if f.isOfEra(p.Era) && f.Next() == p.Next {
 		t.request(f, m, announced, address)
 	}
 }
