feed: a topic of which nothing was lost is told by its newest records alone

Cause: where the last record of a topic is a dropped key, and the store keeps its log for 20 s only, a process could not tell that nothing of it was lost: it told its peers nothing about the era, and each of them had to read the store itself; one that the store turns away can't, and its view grows too old.

--- a/feed/divergence.go
+++ b/feed/divergence.go
@@ -166,7 +166,7 @@
 
 // isCertain reports whether the newest records alone tell from where on the log differs.
 func (d difference) isCertain() bool {
-	return d.offset == 0 || d.intact == d.offset && d.unknown == d.offset && !d.lost && len(d.unlisted) == 0
+	return d.offset == 0 || (d.intact == d.offset || d.sameEnd) && d.unknown == d.offset && !d.lost && len(d.unlisted) == 0
 }
 
 // compareFrom returns the offset of the first of the latest records that have a size together, and
@@ -198,6 +198,7 @@
 	exact    bool                      // whether it does not differ before
 	unknown  int64                     // offset of the first newest record that may be a new one
 	intact   int64                     // offset below which it does not differ, as far as the newest records tell
+	sameEnd  bool                      // whether the log ends where the known one does, with no other newest record
 	lost     bool                      // whether records of the view were lost, or are not of the known log
 	unlisted []hollowgrade.KeyedRecord // whose keys were dropped since, or that were lost
 }
@@ -222,6 +223,7 @@
 			d.unknown = min(d.unknown, r.Offset)
 		}
 	}
+	d.sameEnd = newest.End == f.next && d.offset == f.next
 	for k, r := range f.newest {
 		lost, unlisted := r.Offset >= d.offset, !listed[k] && !r.Dropped()
 		if f.lost[k] || !lost && !unlisted {
