feed: ask for all records page by page until the view is complete

Cause: since a peer that does not know which keys were dropped answers only those that know nothing, and a process that had the first page of a large registry no longer counted as one: its second ask was refused, and it read the store after two seconds.

Change: a view that was never complete asks as one that knows nothing.

--- a/feed/era.go
+++ b/feed/era.go
@@ -136,7 +136,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q := askedPosition{next: f.next, lostSum: lostSum(f.lostRecords())}
-	if len(f.newest) > 0 && !f.refetching {
+	if len(f.newest) > 0 && !f.refetching && !f.fresh.IsZero() { // until it is complete, all is asked for page by page
 		q.era = f.eras.current
 	}
 	return q
