feed: say what an asked position without an era means

Cause: since a view that is not complete yet asks without one as well; the comment said that it knows no record. A comment only; vet passes.

--- a/feed/excerpt.go
+++ b/feed/excerpt.go
@@ -37,7 +37,7 @@
 
 // askedPosition is how far a peer knows a topic.
 type askedPosition struct {
-	era     int64 // 0 if it knows no record
+	era     int64 // 0 if it asks for all records
 	next    int64
 	lostSum uint64 // of the records that it knows the store lost
 }
