calendar: long prompts wait for their turn

A lower price alone lets all of them in at once, and all are late: what was missing is an order in time.

Change: where long_wait is set, a prompt that takes an engine half of its goal or longer waits at its gateway until the engines' backlog is small, by rank and due time among the prompts that wait at all gateways of the cell, which they tell each other beside their loads. When there is no time for all, the one of least worth a second of prefill is refused.

--- a/core/fleet.go
+++ b/core/fleet.go
@@ -125,6 +125,10 @@
 	candidates        []placement.Candidate                       // of the last decision; the memory is reused
 	evacuation        Evacuation                                  // data halls that get no calls
 	coldRules         map[string]ColdRule                         // by service
+	calendar          bool                                        // whether long prompts wait for their turn
+	waits             map[string]*Wait                            // long prompts that wait here, by attempt
+	calendarVersion   uint64                                      // counts the changes of all waits
+	waitsUnsent       bool                                        // whether own waits have changed since the last call of [Fleet.Waits]
 }
 
 // FleetOption configures a [Fleet].
@@ -152,6 +156,7 @@
 		changed:           map[hollowgrade.Instance]bool{},
 		surveyedAt:        map[string]time.Time{},
 		demands:           map[string]*demand{},
+		waits:             map[string]*Wait{},
 		notify:            make(chan struct{}, 1),
 		peers:             func() int { return 0 },
 		requestPaces:      func([]hollowgrade.Upstream, string) {},
--- a/core/flow.go
+++ b/core/flow.go
@@ -9,6 +9,7 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/placement"
 	"github.com/hollowgrade/hollowgrade/retry"
 )
 
@@ -65,6 +66,7 @@
 	lastEventAt  time.Time     // when the last event arrived
 	longestPause time.Duration // longest between two events
 	predicted    time.Duration // the prediction of first for the first attempt
+	turnWait     time.Duration // for the turn of the present attempt
 	failure      *answer       // an upstream's error answer, kept while another attempt may succeed
 }
 
@@ -121,12 +123,9 @@
 	now := f.core.clock.Now()
 	r := newRequest(f.service, f.route, f.call, f.deadline.Sub(now), now.Sub(f.call.Arrived))
 	r.StreamStarted = f.headSent
-	p := f.core.fleet.pick(f.service.Name, r, f.tried)
-	if p == nil {
-		return Try{Err: f.noUpstreamError()}
-	}
-	if p.Refused {
-		return Try{Err: f.refuse(p)}
+	p, err := f.place(ctx, r)
+	if err != nil {
+		return Try{Err: err}
 	}
 	u := p.upstream()
 	f.tried[u.Instance()] = true
@@ -135,7 +134,7 @@
 		f.predicted = p.FirstEvent
 	}
 	a := &attempt{flow: f, pick: p, number: n, last: left == 1}
-	err := f.prepare(ctx, a)
+	err = f.prepare(ctx, a)
 	defer a.reservation.end()
 	if err != nil {
 		f.core.fleet.refundLimits(p)
@@ -151,6 +150,25 @@
 	return f.classifyFailure(a, err)
 }
 
+// place picks the upstream for an attempt. Long prompts wait for their turn before.
+func (f *flow) place(ctx context.Context, r placement.Request) (p *pick, err error) {
+	if f.core.fleet.schedules(r) {
+		p, err = f.awaitTurn(ctx, r)
+	} else {
+		p = f.core.fleet.pick(f.service.Name, r, f.tried)
+	}
+	switch {
+	case err != nil:
+		return nil, err
+	case p == nil:
+		return nil, f.noUpstreamError()
+	case p.Refused:
+		return nil, f.refuse(p)
+	default:
+		return p, nil
+	}
+}
+
 // prepare waits for the engines and reserves memory between the pick of an attempt and its sending.
 // It fails if an upstream has begun to leave meanwhile.
 func (f *flow) prepare(ctx context.Context, a *attempt) (err error) {
@@ -172,7 +190,7 @@
 	p := a.pick
 	f.core.log.Info("sent", "request", f.call.ID, "fingerprint", f.fingerprint, "attempt", a.number, "upstream", p.upstream().ID, "service", f.service.Name,
 		"helpers", ids(p.helpers), "reading_ms", p.PrefillTime.Milliseconds(), "predicted_ms", p.FirstEvent.Milliseconds(),
-		"times_slower", round(p.slowest), "turn", p.CallsAhead, "held_ms", a.heldBack.Milliseconds(), "after", f.lastEventID, "left_ms", left.Milliseconds(),
+		"times_slower", round(p.slowest), "turn", p.CallsAhead, "held_ms", a.heldBack.Milliseconds(), "turn_wait_ms", f.turnWait.Milliseconds(), "after", f.lastEventID, "left_ms", left.Milliseconds(),
 		"version", f.catalog.Version, "age_ms", f.age.Milliseconds())
 }
 
--- a/core/place.go
+++ b/core/place.go
@@ -64,16 +64,28 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	f.expireViews(now)
-	ms := f.withinLimits(f.usableMembers(service, now), tried, now, r.StreamStarted)
+	l, ms, ok := f.place(service, r, tried, now)
+	if !ok {
+		return nil
+	}
+	return f.assign(service, r, l, ms, now)
+}
+
+// place makes the plan for a call and returns the members that its indices refer to. The lock is
+// held.
+func (f *Fleet) place(service string, r placement.Request, tried map[hollowgrade.Instance]bool, now time.Time) (l placement.Plan, ms []*member, ok bool) {
+	ms = f.withinLimits(f.usableMembers(service, now), tried, now, r.StreamStarted)
 	s := f.snapshot(service, ms, tried, now)
 	s.UncountedCalls = f.unreportedCalls(service, now)
 	if r.Long() {
 		s.Demand = f.expected(service, now)
 	}
-	l, ok := f.policy.Place(s, r)
-	if !ok {
-		return nil
-	}
+	l, ok = f.policy.Place(s, r)
+	return l, ms, ok
+}
+
+// assign accounts for the work of a plan. The lock is held.
+func (f *Fleet) assign(service string, r placement.Request, l placement.Plan, ms []*member, now time.Time) *pick {
 	p := &pick{Plan: l, request: r, member: ms[l.Target], helpers: membersAt(ms, l.Helpers), keepers: membersAt(ms, l.Keepers), chosenAt: now}
 	if l.Refused {
 		return p
--- a/core/share.go
+++ b/core/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/calendar"
 )
 
 // The heartbeat slows with the number of peers, so that a process receives a hundred a second at the
@@ -32,6 +33,7 @@
 // view is the load that one peer has assigned to upstreams, as it reports.
 type view struct {
 	shares        map[hollowgrade.Instance]Share
+	waits         []calendar.Entry // long prompts that wait at the peer
 	receivedAt    time.Time
 	recentPrefill peerPrefill
 	complete      bool // whether a complete report was received, so that upstreams that appear later are new
--- /dev/null
+++ b/core/turn.go
@@ -0,0 +1,66 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/placement"
+)
+
+// awaitTurn waits until a long prompt has its turn and returns its pick, nil if there is no upstream
+// for it.
+func (f *flow) awaitTurn(ctx context.Context, r placement.Request) (*pick, error) {
+	begin := f.core.clock.Now()
+	w, retryAfter := f.core.fleet.wait(f.call.ID, f.service.Name, r)
+	if w == nil {
+		return nil, f.noTime(r, 0, retryAfter)
+	}
+	defer f.core.fleet.leave(w)
+	for {
+		waited := f.core.clock.Since(begin)
+		p, state, again := f.core.fleet.start(w, after(r, waited), f.tried)
+		switch state {
+		case Started:
+			f.turnWait = waited
+			return p, nil
+		case Dropped:
+			return nil, f.noTime(r, waited, again)
+		}
+		if !hollowgrade.Sleep(ctx, f.core.clock, again) {
+			return nil, f.waitEnded(ctx, waited)
+		}
+	}
+}
+
+// noTime returns the error for a long prompt that the engines have no time for.
+func (f *flow) noTime(r placement.Request, waited, retryAfter time.Duration) error {
+	f.core.log.Info("not sent", "request", f.call.ID, "why", "the engines have no time for it", "prompt_tokens", f.call.PromptTokens,
+		"goal_ms", f.route.Goal.Milliseconds(), "waited_ms", r.Waited.Milliseconds(), "turn_wait_ms", waited.Milliseconds(),
+		"again", r.RefusedBefore, "worth", round(r.Worth()), "work_ms", r.Engine.PrefillTime(r.PromptTokens, 1).Milliseconds(),
+		"come_back_ms", retryAfter.Milliseconds(), "peers_heard", f.core.fleet.SyncedPeers())
+	return fault.New(fault.CannotMakeIt, "the engines have no time for %d tokens now", f.call.PromptTokens).WithRetryAfter(retryAfter)
+}
+
+// waitEnded returns the error for a call that ended while it waited for its turn.
+func (f *flow) waitEnded(ctx context.Context, waited time.Duration) error {
+	c := context.Cause(ctx)
+	f.core.log.Info("not sent", "request", f.call.ID, "why", "it ended while it waited for its turn", "turn_wait_ms", waited.Milliseconds(), "cause", c)
+	switch {
+	case errors.Is(c, hollowgrade.ErrStopping):
+		return fault.New(fault.Draining, "this box is being stopped").WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetryAfter)
+	case errors.Is(c, errOutOfTime):
+		return fault.New(fault.DeadlinePassed, "the allowed time passed before the call could be sent").WithOutcome(hollowgrade.NotRun)
+	default:
+		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.NotRun)
+	}
+}
+
+// after returns the request as it is when it has waited for d.
+func after(r placement.Request, d time.Duration) placement.Request {
+	r.Waited += d
+	r.TimeLeft -= d
+	return r
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -86,6 +86,13 @@
 	return s.scale(time.Duration(max(f.Stride, 1)) * step)
 }
 
+// UsualPass returns the time from the end of a prompt's prefill to its first event at an engine that
+// uses half of its slots for requests of the usual length.
+func (f *Figures) UsualPass() time.Duration {
+	n := f.Slots / 2
+	return f.PassTime(State{Decoding: n, Context: n * f.UsualPrompt}) * 3 / 2
+}
+
 // TimeToFirstEvent returns the predicted time to the first event of a request that adds prefill to
 // the engine: the backlog, its own prefill, half a pass until it is admitted, and the pass that
 // writes the event.
--- a/experiment/baseline.go
+++ b/experiment/baseline.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/calendar"
 	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/engine"
 )
@@ -58,6 +59,22 @@
 	}
 }
 
+func (n *baseline) wait(*job, time.Duration) (*core.Wait, core.Plan) {
+	return nil, core.Plan{}
+}
+
+func (n *baseline) start(*job, *core.Wait, time.Duration, time.Duration) (core.Plan, core.WaitState, time.Duration) {
+	return core.Plan{}, core.Dropped, 0
+}
+
+func (n *baseline) leave(*core.Wait) {}
+
+func (n *baseline) waits() ([]calendar.Entry, bool) {
+	return nil, false
+}
+
+func (n *baseline) receiveWaits(string, []calendar.Entry) {}
+
 func (n *baseline) began(d core.Plan) {
 	n.addPrefill(d, -d.PredictedFirst)
 }
--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -9,6 +9,8 @@
 // job is one request in progress.
 type job struct {
 	kind          *Kind
+	number        int           // in the order of arrival
+	placedAt      time.Duration // when its present attempt arrived
 	promptTokens  int
 	answerTokens  int
 	arrived       time.Duration
--- a/experiment/file.go
+++ b/experiment/file.go
@@ -116,10 +116,11 @@
 	Subset int `toml:"subset"`
 	// Perfect simulates a single decider that knows the whole load, in place of all gateways. The
 	// difference to it is what the gateways lose for lack of information.
-	Perfect bool              `toml:"perfect"`
-	Unasked bool              `toml:"unasked"` // engines are not asked for their pace
-	Pricing placement.Pricing `toml:"pricing"` // how long prompts are priced; empty for the default
-	Without []string          `toml:"without"` // mechanisms of package placement to disable
+	Perfect  bool              `toml:"perfect"`
+	Calendar bool              `toml:"calendar"` // long prompts wait for their turn
+	Unasked  bool              `toml:"unasked"`  // engines are not asked for their pace
+	Pricing  placement.Pricing `toml:"pricing"`  // how long prompts are priced; empty for the default
+	Without  []string          `toml:"without"`  // mechanisms of package placement to disable
 }
 
 // gateways returns how many processes decide.
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/calendar"
 	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/placement"
 )
@@ -63,6 +64,7 @@
 	gateways       []decider
 	cells          []int // of the gateways
 	openJobs       map[*job]bool
+	jobs           int // requests that have arrived
 	results        []Result
 }
 
@@ -192,7 +194,9 @@
 		promptTokens: p.drawPrompt(k),
 		answerTokens: p.drawSize(k.Answer, answerSpread, 0),
 		arrived:      p.now,
+		number:       p.jobs,
 	}
+	p.jobs++
 	p.placeRequest(j)
 }
 
@@ -234,7 +238,39 @@
 	j.gateway = p.decisionRandom.IntN(len(p.gateways))
 	g := p.gateways[j.gateway]
 	j.tries++
-	d, ok := g.decide(j, j.kind.Allowed.Std()-(p.now-j.arrived))
+	j.placedAt = p.now
+	if w, d := g.wait(j, p.timeLeft(j)); w != nil {
+		p.awaitTurn(g, j, w)
+		return
+	} else if d.Refused {
+		p.retry(j, d.RetryAfter)
+		return
+	}
+	d, ok := g.decide(j, p.timeLeft(j))
+	p.start(g, j, d, ok)
+}
+
+// timeLeft returns how long the caller of a request still waits.
+func (p *simulation) timeLeft(j *job) time.Duration {
+	return j.kind.Allowed.Std() - (p.now - j.arrived)
+}
+
+// awaitTurn lets a request wait for its turn at a gateway.
+func (p *simulation) awaitTurn(g decider, j *job, w *core.Wait) {
+	d, state, again := g.start(j, w, p.timeLeft(j), p.now-j.placedAt)
+	switch state {
+	case core.Started:
+		p.start(g, j, d, !d.Refused)
+	case core.Dropped:
+		g.leave(w)
+		p.retry(j, again)
+	default:
+		p.schedule(again, func() { p.awaitTurn(g, j, w) })
+	}
+}
+
+// start carries out a decision.
+func (p *simulation) start(g decider, j *job, d core.Plan, ok bool) {
 	if !ok || d.Refused {
 		p.retry(j, d.RetryAfter)
 		return
@@ -375,12 +411,14 @@
 	p.updates++
 	for i, a := range p.gateways {
 		cs := a.changes(complete)
-		if len(cs) == 0 && !complete {
+		es, waitsChanged := a.waits()
+		if len(cs) == 0 && !complete && !waitsChanged {
 			continue
 		}
 		for j, b := range p.gateways {
 			if i != j && p.cells[i] == p.cells[j] {
 				b.receiveView(fmt.Sprint(i), cs, complete)
+				b.receiveWaits(fmt.Sprint(i), es)
 			}
 		}
 	}
@@ -392,6 +430,12 @@
 // decider decides for one gateway.
 type decider interface {
 	decide(j *job, left time.Duration) (core.Plan, bool)
+	// wait makes a request wait for its turn. It returns nil if it doesn't have to.
+	wait(j *job, left time.Duration) (*core.Wait, core.Plan)
+	start(j *job, w *core.Wait, left, waited time.Duration) (core.Plan, core.WaitState, time.Duration)
+	leave(w *core.Wait)
+	waits() (es []calendar.Entry, changed bool)
+	receiveWaits(from string, es []calendar.Entry)
 	began(d core.Plan)
 	done(d core.Plan)
 	changes(whole bool) map[hollowgrade.Instance]core.Share
@@ -408,6 +452,7 @@
 		return &baseline{decisions: p.variant.Decisions, ids: ids, openRequests: map[string]int{}, prefill: map[string]time.Duration{}, figures: p.file.Engines.figures()}
 	}
 	f := core.NewFleet(p.clock, log.New(io.Discard), core.WithPolicy(p.policy()))
+	f.SetCalendar(p.variant.Calendar)
 	f.SetRandom(rand.New(rand.NewPCG(p.file.Seed, uint64(number))).Float64)
 	peers := p.cellSize(number) - 1
 	f.SetPeers(func() int { return peers })
@@ -444,9 +489,38 @@
 }
 
 func (g *gateway) decide(j *job, left time.Duration) (core.Plan, bool) {
-	r := core.Route{Goal: j.kind.Goal.Std(), PauseGoal: j.kind.Pause.Std(), Timeout: j.kind.Allowed.Std()}
-	c := hollowgrade.Call{PromptTokens: j.promptTokens, MaxTokens: j.answerTokens, Patience: left}
-	return g.fleet.Plan(g.service, r, c, left)
+	return g.fleet.Plan(g.service, j.route(), j.call(left), left)
+}
+
+func (g *gateway) wait(j *job, left time.Duration) (*core.Wait, core.Plan) {
+	return g.fleet.Wait(g.service, j.route(), j.call(left), left)
+}
+
+func (g *gateway) start(j *job, w *core.Wait, left, waited time.Duration) (core.Plan, core.WaitState, time.Duration) {
+	return g.fleet.Start(w, g.service, j.route(), j.call(left+waited), left, waited)
+}
+
+func (g *gateway) leave(w *core.Wait) {
+	g.fleet.Leave(w)
+}
+
+func (g *gateway) waits() (es []calendar.Entry, changed bool) {
+	es, _ = g.fleet.Waits()
+	return es, g.fleet.TakeWaitsChanged()
+}
+
+func (g *gateway) receiveWaits(from string, es []calendar.Entry) {
+	g.fleet.ReceiveWaits(from, es)
+}
+
+// route returns the configuration of the request's kind.
+func (j *job) route() core.Route {
+	return core.Route{Goal: j.kind.Goal.Std(), PauseGoal: j.kind.Pause.Std(), Timeout: j.kind.Allowed.Std()}
+}
+
+// call returns the attempt that is being placed, of a caller that still waits for left.
+func (j *job) call(left time.Duration) hollowgrade.Call {
+	return hollowgrade.Call{ID: fmt.Sprint(j.number, "/", j.tries), PromptTokens: j.promptTokens, MaxTokens: j.answerTokens, Patience: left}
 }
 
 func (g *gateway) began(core.Plan) {}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -112,6 +112,7 @@
 		core.WithPeers(n.members.peers),
 		core.WithObserver(func(o core.Observation) { b.sample(callSample(o)) }))
 	n.members.onCell = n.Core.Fleet().SetCell
+	n.Core.Fleet().SetCalendar(c.LongWait)
 	b.clock.OnSuspension(func(time.Duration) { n.Core.Resume() })
 	n.config.Watch(n.applyOperatorRecords)
 	fleet.Watch(n.applyFleet)
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -140,7 +140,7 @@
 			lastWhole = s.heartbeat(lastWhole)
 			t.Reset(core.Heartbeat(s.peerCount()))
 		case <-s.fleet.Changed():
-			s.sendChanges(s.fleet.Changes(false))
+			s.sendChanges(s.fleet.Changes(false), s.fleet.TakeWaitsChanged())
 			hollowgrade.Sleep(ctx, s.clock, minSendInterval)
 		case <-s.updatePending():
 			s.sendUpdate(s.quarantine.NextUpdate())
@@ -216,18 +216,24 @@
 	return p
 }
 
-// sendChanges sends changes at once, in packets to the peers that have a stream, and again with the
-// next heartbeat. Without packets they go on streams.
-func (s *Sender) sendChanges(cs map[hollowgrade.Instance]core.Share) {
+// sendChanges sends changed shares, and the prompts that wait if these have changed, at once in packets
+// to the peers that have a stream, and again with the next heartbeat. Without packets they go on streams.
+func (s *Sender) sendChanges(cs map[hollowgrade.Instance]core.Share, waits bool) {
 	if s.packets == nil {
 		s.sendOnStreams(cs, false)
 		return
 	}
 	to := s.addShares(cs, false)
-	if len(to) == 0 || len(cs) == 0 {
+	if len(to) == 0 {
 		return
 	}
-	for _, f := range s.frames(cs) {
+	fs := s.frames(cs)
+	if waits {
+		f := s.frame(nil, false)
+		s.addWaits(f.GetLoadView())
+		fs = append(fs, f)
+	}
+	for _, f := range fs {
 		if err := s.packets.Send(f, to); err != nil {
 			s.log.Debug("packet not sent; the next heartbeat has the same update", "err", err)
 		}
@@ -314,6 +320,7 @@
 	if l.first {
 		addPrefillBacklogs(m, s.fleet.PrefillBacklogs())
 	}
+	s.addWaits(m)
 	m.Suspicions = encodeUpdate(l.update, s.clock.Now())
 	l.update = quarantine.Update{}
 	clear(l.pending)
@@ -326,6 +333,13 @@
 	return &wire.Frame{Body: &wire.Frame_LoadView{LoadView: s.view(cs, whole)}}
 }
 
+// addWaits adds the prompts that wait here to a view, none if such calls don't wait at all.
+func (s *Sender) addWaits(m *wire.LoadView) {
+	if es, ok := s.fleet.Waits(); ok {
+		m.Waits = encodeWaits(es, s.clock.Now())
+	}
+}
+
 // addPrefillBacklogs adds the prefill backlog of upstreams to a view.
 func addPrefillBacklogs(m *wire.LoadView, rs map[hollowgrade.Instance]time.Duration) {
 	for _, c := range m.Shares {
--- a/loadview/receiver.go
+++ b/loadview/receiver.go
@@ -27,6 +27,7 @@
 type sequences struct {
 	last       uint64                          // the highest sequence number received
 	byUpstream map[hollowgrade.Instance]uint64 // the same for each upstream
+	waits      uint64                          // the same for the prompts that wait at the peer
 }
 
 // NewReceiver returns a receiver for a fleet.
@@ -127,6 +128,10 @@
 	whole := m.Whole && m.Sequence >= o.last
 	o.last = max(o.last, m.Sequence)
 	t.fleet.ReceiveView(m.Box, ss, whole)
+	if m.Waits != nil && m.Sequence >= o.waits {
+		o.waits = m.Sequence
+		t.fleet.ReceiveWaits(m.Box, decodeWaits(m.Waits, t.fleet.Now()))
+	}
 	if rs := decodePrefillBacklogs(m); len(rs) > 0 {
 		t.fleet.ReceivePrefillBacklogs(m.Box, rs)
 	}
--- a/placement/long.go
+++ b/placement/long.go
@@ -11,6 +11,8 @@
 const (
 	minSplitTokens = 9_000 // tokens of the shortest prompt whose prefill may be split
 	maxHelpers     = 16    // for one prompt; an engine accepts no more
+	// MaxParts is the number of engines that may share the prefill of one prompt.
+	MaxParts = 1 + maxHelpers
 	// lateLossShare is the part of a call's worth that is lost when it is late.
 	lateLossShare = 0.75
 )
@@ -88,7 +90,9 @@
 		}
 	}
 	l.pickKeepers(cs, r)
-	l.Displaced = p.pricing(p, s, cs, set, r, l)
+	if !r.Scheduled {
+		l.Displaced = p.pricing(p, s, cs, set, r, l)
+	}
 	l.Refused = p.has(Refusing) && !p.worthwhile(r, l) || p.has(Rooming) && l.OutOfMemory && !r.StreamStarted
 	if l.Refused {
 		l.RetryAfter = p.forecastRetryAfter(s, cs, set, r, l)
@@ -254,7 +258,14 @@
 	for rank, i := range is {
 		hs[rank] = engineLoss{i, rank, p.pauseLoss(&cs[i], r, part)}
 	}
-	slices.SortStableFunc(hs, func(a, b engineLoss) int { return cmp.Compare(a.loss, b.loss) })
+	slices.SortStableFunc(hs, func(a, b engineLoss) int {
+		c := cmp.Compare(a.loss, b.loss)
+		if c == 0 && r.Scheduled {
+			// Engines that decode are left to their calls, which so end sooner.
+			c = cmp.Compare(min(cs[a.engine].Open, 1), min(cs[b.engine].Open, 1))
+		}
+		return c
+	})
 	return hs
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -20,6 +20,9 @@
 	Waited        time.Duration // estimated time since the caller's first attempt
 	RefusedBefore bool          // the call was probably refused before
 	StreamStarted bool          // the caller has received a part of the answer
+	// Scheduled means that the call has waited for its turn, so that it doesn't pay for the engines'
+	// time and is sent at once.
+	Scheduled bool
 }
 
 // Long reports whether several engines may share the prefill of the prompt.
@@ -161,7 +164,7 @@
 	default:
 		l, ok = p.placeShort(s, r)
 	}
-	if p.has(Holding) {
+	if p.has(Holding) && !r.Scheduled {
 		l.SendDelay = time.Duration(sendDelayShare * float64(l.Wait))
 	}
 	if r.Engine != nil {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -45,8 +45,8 @@
 	l := requirePlan(t, New(), s, r)
 	require.Equal(t, want, l.Refused, "first event after %s", l.FirstEvent)
 	if want {
-		require.GreaterOrEqual(t, l.RetryAfter, minRetryAfter)
-		require.LessOrEqual(t, l.RetryAfter, maxRetryAfter)
+		require.GreaterOrEqual(t, l.RetryAfter, MinRetryAfter)
+		require.LessOrEqual(t, l.RetryAfter, MaxRetryAfter)
 	}
 }
 
--- a/placement/retryafter.go
+++ b/placement/retryafter.go
@@ -8,8 +8,8 @@
 // Bounds of the retry delay after a refusal: the load hardly changes sooner, and the backlog of a
 // burst is done by the upper bound.
 const (
-	minRetryAfter = time.Second
-	maxRetryAfter = 4 * time.Second
+	MinRetryAfter = time.Second
+	MaxRetryAfter = 4 * time.Second
 	// retryAfterStep is the resolution of the forecast.
 	retryAfterStep = 250 * time.Millisecond
 )
@@ -17,7 +17,7 @@
 // defaultRetryAfter returns the retry delay where there is no forecast, from the predicted time of
 // the first event.
 func defaultRetryAfter(first time.Duration) time.Duration {
-	return min(max(first/2, minRetryAfter), maxRetryAfter)
+	return min(max(first/2, MinRetryAfter), MaxRetryAfter)
 }
 
 // forecastRetryAfter returns the delay after which a refused long prompt would be admitted, given
@@ -31,7 +31,7 @@
 	if idle <= 0 {
 		return defaultRetryAfter(l.FirstEvent)
 	}
-	for d := minRetryAfter; d <= maxRetryAfter; d += retryAfterStep {
+	for d := MinRetryAfter; d <= MaxRetryAfter; d += retryAfterStep {
 		retried, plan := r.afterRefusal(d), l
 		drained := withLessBacklog(cs, time.Duration(idle*float64(d)))
 		plan.FirstEvent = l.FirstEvent - l.Wait + maxBacklog(drained, set)
--- a/placement/target_test.go
+++ b/placement/target_test.go
@@ -91,7 +91,7 @@
 		l := requirePlan(t, New(), full(), memoryFillingCall())
 		require.True(t, l.OutOfMemory)
 		require.True(t, l.Refused)
-		require.GreaterOrEqual(t, l.RetryAfter, minRetryAfter)
+		require.GreaterOrEqual(t, l.RetryAfter, MinRetryAfter)
 	})
 	t.Run("go on once their stream has begun", func(t *testing.T) {
 		r := memoryFillingCall()
