--- a/core/calendar_test.go
+++ b/core/calendar_test.go
@@ -167,7 +167,7 @@
 		require.Empty(t, c.fleet.waits)
 		require.Len(t, f.sentCalls(), 1)
 	})
-	run("are told to come back when the box stops", func(t *testing.T, c *Core, f *fakeUpstreams) {
+	run("are told to come back when the box stops", func(t *testing.T, c *Core, _ *fakeUpstreams) {
 		require.NoError(t, c.Serve(context.Background(), longCall("a"), &fakeSink{}))
 		ctx, cancel := context.WithCancelCause(context.Background())
 		time.AfterFunc(50*time.Millisecond, func() { cancel(hollowgrade.ErrStopping) })
