experiment: the engines' time by second

Cause: nobody could see whether prompts are refused while engines' time lies idle.

Change: a recorder of passes, refusals and results; for each variant the shares of all engines' time by second in the JSON report (engine_time_by_second), and as a table with --by-second.

Tests of experiment, losses and internal/cli pass.

--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -108,6 +108,7 @@
 	p.prefills = nil
 	rest := p.startDecoding(prefills)
 	decoding := p.decoding
+	p.sim.engineTime.addPass(p.sim.now, p.prefillTime(prefills), p.passTime(prefills, decoding))
 	if len(rest) > 0 {
 		p.sim.schedule(p.prefillTime(prefills), func() { p.finishPrefill(rest) })
 	}
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -28,6 +28,7 @@
 	Kinds         []KindSummary   `json:"kinds"`
 	Lengths       []LengthSummary `json:"lengths"`
 	WorthOverTime []float64       `json:"worth_by_second"` // by time of arrival, per [worthStep]; -1 where none arrived
+	EngineTime    []EngineSecond  `json:"engine_time_by_second"`
 }
 
 // KindSummary is the part of a [Summary] for one kind of request.
@@ -54,7 +55,10 @@
 func Compare(f File) Report {
 	r := Report{Seed: f.Seed}
 	for _, v := range f.Variants {
-		r.Variants = append(r.Variants, summarise(f, v, Simulate(f, v)))
+		rs, ss := simulate(f, v)
+		s := summarise(f, v, rs)
+		s.EngineTime = ss
+		r.Variants = append(r.Variants, s)
 	}
 	return r
 }
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -64,6 +64,7 @@
 	cells          []int // of the gateways
 	openJobs       map[*job]bool
 	results        []Result
+	engineTime     *engineTime
 }
 
 // Result is the outcome of one request.
@@ -87,6 +88,12 @@
 
 // Simulate simulates one variant. It is deterministic: the same file gives the same result.
 func Simulate(f File, v Variant) []Result {
+	rs, _ := simulate(f, v)
+	return rs
+}
+
+// simulate simulates one variant and returns the engines' time by second too.
+func simulate(f File, v Variant) ([]Result, []EngineSecond) {
 	p := &simulation{
 		file:           f,
 		variant:        v,
@@ -95,6 +102,7 @@
 		clock:          clockwork.NewFakeClock(),
 		engines:        map[string]*simulatedEngine{},
 		openJobs:       map[*job]bool{},
+		engineTime:     newEngineTime(f),
 	}
 	ids := make([]string, f.Engines.Count)
 	for i := range ids {
@@ -119,7 +127,7 @@
 		p.results = append(p.results, j.result(math.MaxInt64))
 	}
 	slices.SortStableFunc(p.results, func(a, b Result) int { return cmp.Compare(a.Arrived, b.Arrived) })
-	return p.results
+	return p.results, p.engineTime.complete(f.Kinds, p.results)
 }
 
 // drainTime is the maximum time that a run continues after the last arrival.
@@ -209,6 +217,7 @@
 // retry schedules the retry of a refused request after the given delay, unless the caller has no
 // retries left.
 func (p *simulation) retry(j *job, delay time.Duration) {
+	p.engineTime.addRefused(p.now, j.promptTokens)
 	left := j.kind.Allowed.Std() - (p.now - j.arrived)
 	if j.tries > j.kind.Retries {
 		p.results = append(p.results, j.refusedResult())
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -11,12 +11,13 @@
 
 // experimentCommand runs experiments.
 type experimentCommand struct {
-	File    string `arg:"" help:"Experiment, in TOML, or a folder of them; see examples/experiments."`
-	JSON    bool   `help:"Print one JSON document."`
-	SVG     string `name:"svg" help:"Write plots to a file." placeholder:"FILE"`
-	Seed    uint64 `help:"Seed in place of the file's."`
-	Seeds   int    `help:"Seeds to play, counted from the first; several, or a folder, give a table of means." default:"1"`
-	Workers int    `help:"Runs at a time." default:"4"`
+	File     string `arg:"" help:"Experiment, in TOML, or a folder of them; see examples/experiments."`
+	JSON     bool   `help:"Print one JSON document."`
+	SVG      string `name:"svg" help:"Write plots to a file." placeholder:"FILE"`
+	BySecond bool   `help:"Print the engines' time by second as well; of one file and seed."`
+	Seed     uint64 `help:"Seed in place of the file's."`
+	Seeds    int    `help:"Seeds to play, counted from the first; several, or a folder, give a table of means." default:"1"`
+	Workers  int    `help:"Runs at a time." default:"4"`
 }
 
 // Run runs the command.
@@ -31,6 +32,9 @@
 		}
 	}
 	if len(ns) > 1 || c.Seeds > 1 {
+		if c.BySecond {
+			return fault.New(fault.BadSetting, "--by-second needs one file and one seed")
+		}
 		return c.simulateSet(s, ns)
 	}
 	r := experiment.Compare(ns[0].File)
@@ -42,7 +46,10 @@
 	if c.JSON {
 		return r.WriteJSON(s.out)
 	}
-	return r.WriteText(s.out)
+	if err = r.WriteText(s.out); err != nil || !c.BySecond {
+		return err
+	}
+	return r.WriteEngineTime(s.out)
 }
 
 // simulateSet simulates several files or seeds.
