experiment: a yardstick that knows all arrivals ahead

Cause: the worth that the engines' time allows was not known, so neither was what a better decision could gain.

Tests of experiment and internal/cli pass.

--- a/experiment/baseline.go
+++ b/experiment/baseline.go
@@ -29,6 +29,8 @@
 func (n *baseline) decide(j *job, _ time.Duration) (core.Plan, bool) {
 	d := core.Plan{}
 	switch n.decisions {
+	case refuseAll:
+		return d, false
 	case RoundRobin:
 		d.Upstream = n.ids[n.next%len(n.ids)]
 		n.next++
--- a/experiment/enginetime.go
+++ b/experiment/enginetime.go
@@ -12,7 +12,7 @@
 type EngineSecond struct {
 	Second  int     `json:"second"`
 	Prefill float64 `json:"prefill"`
-	Decode  float64 `json:"decode"`  // time of passes without their prefill
+	Decode  float64 `json:"decode"`  // time of passes without their prefill; [KnownFuture] has none
 	Idle    float64 `json:"idle"`    // time without a pass
 	Asked   float64 `json:"asked"`   // prompts that arrive, without retries
 	Refused float64 `json:"refused"` // attempts that are refused, retries included
--- a/experiment/file.go
+++ b/experiment/file.go
@@ -103,6 +103,8 @@
 	LeastRequests = "least_requests" // fewest open requests of this gateway
 	LeastPrefill  = "least_reading"  // least prefill assigned by this gateway; 16 helpers for long prompts
 	RoundRobin    = "round_robin"
+	KnownFuture   = "known_future" // a yardstick that knows all arrivals ahead
+	refuseAll     = "refuse_all"   // for the arrivals of a file
 )
 
 // Variant is one way of deciding.
@@ -175,9 +177,9 @@
 		return fmt.Errorf("pricing is %q, allowed: %v", v.Pricing, placement.Pricings())
 	}
 	switch v.Decisions {
-	case Worth, LeastRequests, LeastPrefill, RoundRobin:
+	case Worth, LeastRequests, LeastPrefill, RoundRobin, KnownFuture:
 		return nil
 	default:
-		return fmt.Errorf("decisions is %q, allowed: %s, %s, %s, %s", v.Decisions, Worth, LeastRequests, LeastPrefill, RoundRobin)
+		return fmt.Errorf("decisions is %q, allowed: %s, %s, %s, %s, %s", v.Decisions, Worth, LeastRequests, LeastPrefill, RoundRobin, KnownFuture)
 	}
 }
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -94,6 +94,9 @@
 
 // simulate simulates one variant and returns the engines' time by second too.
 func simulate(f File, v Variant) ([]Result, []EngineSecond) {
+	if v.Decisions == KnownFuture {
+		return simulateKnownFuture(f)
+	}
 	p := &simulation{
 		file:           f,
 		variant:        v,
