losses: the engines' time by second

Cause: the logs of gateways say what was refused, but nothing set it beside the engines' time that was used in the same seconds.

A line sent, not sent, upstream listed or unlisted whose fields have other types counts as skipped.

Tests of losses and internal/cli pass.

--- a/internal/cli/losses.go
+++ b/internal/cli/losses.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"os"
+	"time"
 
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/losses"
@@ -11,8 +12,11 @@
 
 // lossesCommand reports lost and late calls from logs.
 type lossesCommand struct {
-	Logs []string `arg:"" optional:"" help:"Files with the log lines of gateways; standard input if there is none."`
-	JSON bool     `name:"json" help:"Print JSON."`
+	Logs     []string       `arg:"" optional:"" help:"Files with the log lines of gateways; standard input if there is none."`
+	JSON     bool           `name:"json" help:"Print JSON."`
+	BySecond bool           `help:"Print the engines' time by second in place of the losses."`
+	Engines  map[string]int `help:"Number of engines of a service, in place of those that the logs list." placeholder:"SERVICE=N"`
+	Long     time.Duration  `help:"Published prefill time on one engine from which a prompt counts as long." default:"1s"`
 }
 
 // Run runs the command.
@@ -30,12 +34,15 @@
 		}
 		in = io.MultiReader(rs...)
 	}
-	r, err := losses.Read(in)
+	r, err := losses.Read(in, losses.WithLong(c.Long), losses.WithEngines(c.Engines))
 	if err != nil {
 		return err
 	}
 	if c.JSON {
 		return writeJSON(s.out, r)
 	}
+	if c.BySecond {
+		return r.WriteEngineTime(s.out)
+	}
 	return r.WriteText(s.out)
 }
--- a/losses/losses.go
+++ b/losses/losses.go
@@ -1,5 +1,6 @@
 // Package losses summarises the logs of gateways after an incident, when only logs are left: the
-// requests that were lost by route, by reason, and by the second in which they arrived.
+// requests that were lost by route, by reason, and by the second in which they arrived, and the
+// engines' time by second.
 package losses
 
 import (
@@ -72,21 +73,24 @@
 
 // Report is the summary of logs.
 type Report struct {
-	Rows    []Row    `json:"rows"`    // the route with the most prompt tokens first
-	Seconds []Second `json:"seconds"` // without those in which nothing was lost
-	Skipped int      `json:"skipped"` // lines that aren't JSON objects
+	Rows       []Row          `json:"rows"`                  // the route with the most prompt tokens first
+	Seconds    []Second       `json:"seconds"`               // without those in which nothing was lost
+	EngineTime []EngineSecond `json:"engine_time_by_second"` // of services with prefill, without seconds in which nothing was sent or refused
+	Skipped    int            `json:"skipped"`               // lines that aren't JSON objects
 }
 
 // Read makes a report from logs with a JSON object in each line. Text before the object, such as
 // the name of a box, is ignored.
-func Read(r io.Reader) (p Report, err error) {
+func Read(r io.Reader, os ...Option) (p Report, err error) {
+	t := newEngineTime(os)
 	rows := map[[2]string]*Row{}
 	seconds := map[time.Time]*Second{}
 	l := bufio.NewScanner(r)
 	l.Buffer(nil, maxLineBytes)
 	for l.Scan() {
-		e, ok := parse(l.Text())
-		if !ok {
+		o := object(l.Text())
+		e, ok := parse(o)
+		if !ok || !t.add(o, e.Message) {
 			p.Skipped++
 			continue
 		}
@@ -105,15 +109,21 @@
 		}
 	}
 	slices.SortFunc(p.Seconds, func(a, b Second) int { return a.At.Compare(b.At) })
+	p.EngineTime = t.seconds()
 	return p, nil
 }
 
-func parse(line string) (e entry, ok bool) {
+// object returns the JSON object of a line, or nothing if it has none.
+func object(line string) string {
 	at := strings.IndexByte(line, '{')
 	if at < 0 {
-		return e, false
+		return ""
 	}
-	err := json.Unmarshal([]byte(line[at:]), &e)
+	return line[at:]
+}
+
+func parse(object string) (e entry, ok bool) {
+	err := json.Unmarshal([]byte(object), &e)
 	return e, err == nil
 }
 
