experiment, losses: shorter tests of the engines' time

Cause: the tests of the engines' time and of the yardstick repeated their set-up.

Change: the yardstick's refusal beyond the timeout is checked beside the prompt that fits; the log of losses is read in one closure. What is required stays the same. Tests of experiment, losses and internal/cli pass.

--- a/experiment/enginetime_test.go
+++ b/experiment/enginetime_test.go
@@ -25,9 +25,8 @@
 	})
 	t.Run("a prompt counts when it comes, when it is refused, and when its goal has passed", func(t *testing.T) {
 		e := newEngineTime(f)
-		k := Kind{Name: "x", Goal: config.Duration(time.Second)}
 		e.addRefused(1500*time.Millisecond, 100_000)
-		ss := e.complete([]Kind{k}, []Result{
+		ss := e.complete([]Kind{{Name: "x", Goal: config.Duration(time.Second)}}, []Result{
 			{Kind: "x", Prompt: 100_000, First: 2 * time.Second},
 			{Kind: "x", Prompt: 100_000, First: time.Second},
 			{Kind: "x", Prompt: 100_000, Refused: true},
@@ -38,9 +37,7 @@
 		require.Equal(t, 1.0, ss[2].Idle)
 	})
 	t.Run("engines do what they are asked for", func(t *testing.T) {
-		f.Bursts = nil
-		f.Kinds = f.Kinds[:1]
-		f.Duration = config.Duration(10 * time.Second)
+		f.Bursts, f.Kinds, f.Duration = nil, f.Kinds[:1], config.Duration(10*time.Second)
 		_, ss := simulate(f, Variant{Decisions: LeastRequests})
 		asked, done := 0.0, 0.0
 		for _, s := range ss {
--- a/experiment/knownfuture_test.go
+++ b/experiment/knownfuture_test.go
@@ -26,12 +26,14 @@
 		newKnownFuture(f).serveAll(rs)
 		return rs
 	}
-	t.Run("one prompt takes all engines that it can have", func(t *testing.T) {
+	t.Run("a prompt takes all engines that it can have, and none if it would be over its timeout", func(t *testing.T) {
 		tokens := long(time.Second)
-		r := serve(Result{Kind: "long", Prompt: tokens, Owed: 8})[0]
+		rs := serve(Result{Kind: "long", Prompt: tokens, Owed: 8}, Result{Kind: "long", Prompt: long(time.Minute), Owed: 800})
 		pass := figures.PassTime(engine.State{Decoding: 1, Context: tokens})
-		require.InDelta(t, (time.Second + pass).Seconds(), r.First.Seconds(), gridStep.Seconds())
-		require.Equal(t, r.Owed, r.Earned)
+		require.InDelta(t, (time.Second + pass).Seconds(), rs[0].First.Seconds(), gridStep.Seconds())
+		require.Equal(t, 8.0, rs[0].Earned)
+		require.True(t, rs[1].Refused)
+		require.Zero(t, rs[1].Earned)
 	})
 	t.Run("the greater worth a second goes first, and the other is late", func(t *testing.T) {
 		rs := serve(
@@ -48,11 +50,6 @@
 		require.Equal(t, 0.01, rs[1].Earned)
 		require.Equal(t, 1000.0, rs[0].Earned)
 	})
-	t.Run("what can't be served at all is refused", func(t *testing.T) {
-		r := serve(Result{Kind: "long", Prompt: long(time.Minute), Owed: 8})[0]
-		require.True(t, r.Refused)
-		require.Zero(t, r.Earned)
-	})
 }
 
 // The yardstick has the arrivals of the other variants and earns more.
--- a/losses/enginetime_test.go
+++ b/losses/enginetime_test.go
@@ -9,32 +9,30 @@
 	"github.com/stretchr/testify/require"
 )
 
-func readEngineTime(t *testing.T, options ...Option) Report {
-	t.Helper()
-	b, err := os.ReadFile("testdata/placements.log")
-	require.NoError(t, err)
-	r, err := Read(bytes.NewReader(b), options...)
-	require.NoError(t, err)
-	require.Zero(t, r.Skipped)
-	return r
-}
-
 func TestEngineTime(t *testing.T) {
+	log, err := os.ReadFile("testdata/placements.log")
+	require.NoError(t, err)
+	read := func(os ...Option) Report {
+		r, err := Read(bytes.NewReader(log), os...)
+		require.NoError(t, err)
+		require.Zero(t, r.Skipped)
+		return r
+	}
 	at := time.Date(2026, 4, 23, 17, 0, 10, 0, time.UTC)
 	want := []EngineSecond{
 		{Service: "engines", At: at, Engines: 2, Used: 0.5, Refused: 1.6},
 		{Service: "engines", At: at.Add(4 * time.Second), Engines: 1, Used: 1.6, Sent: 1.6, Again: 1.6},
 	}
 	t.Run("engines are those listed", func(t *testing.T) {
-		require.Equal(t, want, readEngineTime(t).EngineTime)
+		require.Equal(t, want, read().EngineTime)
 	})
 	t.Run("engines and the length of long prompts are given", func(t *testing.T) {
-		ss := readEngineTime(t, WithEngines(map[string]int{"engines": 5}), WithLong(500*time.Millisecond)).EngineTime
+		ss := read(WithEngines(map[string]int{"engines": 5}), WithLong(500*time.Millisecond)).EngineTime
 		require.Equal(t, 5, ss[0].Engines)
 		require.Equal(t, 0.5, ss[0].Sent)
 	})
 	t.Run("text has shares, or seconds where the number of engines isn't known", func(t *testing.T) {
-		r := readEngineTime(t)
+		r := read()
 		r.EngineTime[1].Engines = 0
 		var b bytes.Buffer
 		require.NoError(t, r.WriteEngineTime(&b))
