placement: guess a call's worth in one function, by rank as well

An engine's second costs a call what prompts of its own rank earn in it. With rank 0 every figure is the same to the bit; no caller sets another yet.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -20,6 +20,7 @@
 	Waited        time.Duration // estimated time since the caller's first attempt
 	RefusedBefore bool          // the call was probably refused before
 	StreamStarted bool          // the caller has received a part of the answer
+	Rank          int           // place among the ranks of the service, 0 for the most urgent; 0 for all calls if ranks don't differ
 }
 
 // Long reports whether several engines may share the prefill of the prompt.
@@ -27,15 +28,6 @@
 	return r.Engine != nil && r.PromptTokens >= minSplitTokens
 }
 
-// Worth estimates the worth of a call relative to others from the length of its prompt, since no
-// worth is configured.
-func (r Request) Worth() float64 {
-	return 1 + float64(r.PromptTokens)/worthTokens
-}
-
-// worthTokens is the number of prompt tokens that add 1 to a call's base worth of 1.
-const worthTokens = 10_000
-
 // Candidate is an upstream that may get the call, with its known load from all gateways.
 type Candidate struct {
 	Slots          int           // calls that it processes concurrently
--- a/placement/pricing.go
+++ b/placement/pricing.go
@@ -54,7 +54,7 @@
 
 // priceByMeanBacklog implements [MeanBacklog].
 func priceByMeanBacklog(_ *Policy, _ Snapshot, cs []Candidate, _ []int, r Request, _ Plan) float64 {
-	return pricePerSecond(cs, r.Engine) * r.Engine.PrefillTime(r.PromptTokens, 1).Seconds()
+	return r.referenceWorthShare() * pricePerSecond(cs, r.Engine) * r.Engine.PrefillTime(r.PromptTokens, 1).Seconds()
 }
 
 // priceByBusyEngines implements [BusyEngines]. The mean backlog is misleading where a few engines
@@ -65,7 +65,7 @@
 		busy += min(float64(cs[i].PrefillBacklog)/float64(fullPriceBacklog), 1)
 	}
 	busy /= float64(max(len(cs), 1))
-	return min(max(slotShortage(cs, r.Engine), busy, minBusyShare), 1) * worthPerSecond(r.Engine) * r.Engine.PrefillTime(r.PromptTokens, 1).Seconds()
+	return r.referenceWorthShare() * min(max(slotShortage(cs, r.Engine), busy, minBusyShare), 1) * worthPerSecond(r.Engine) * r.Engine.PrefillTime(r.PromptTokens, 1).Seconds()
 }
 
 // priceByDisplacement implements [Displacement], for loads whose mix and sizes change: engine time
@@ -79,7 +79,7 @@
 	ds := demandByDensity(s.Demand, r.Engine, horizon)
 	displaced := servedWorth(ds, before.Seconds()) - servedWorth(ds, after.Seconds())
 	unknown := (1 - s.Demand.KnownShare) * priceByMeanBacklog(p, s, cs, set, r, l)
-	return max(s.Demand.KnownShare*displaced+unknown, slotPricePerSecond(cs, r.Engine)*r.Engine.PrefillTime(r.PromptTokens, 1).Seconds())
+	return max(s.Demand.KnownShare*displaced+unknown, r.referenceWorthShare()*slotPricePerSecond(cs, r.Engine)*r.Engine.PrefillTime(r.PromptTokens, 1).Seconds())
 }
 
 // slotPricePerSecond is the worth of a second of an engine where slots are short.
