--- a/placement/pricing.go
+++ b/placement/pricing.go
@@ -50,6 +50,20 @@
 type ExpectedPrompts struct {
 	Rate        float64       // prompts a second
 	PrefillTime time.Duration // of one prompt, by published figures
+	RankShares  []float64     // part of the prompts that is of each rank; nil where ranks don't differ
+}
+
+// worth returns the mean worth of the prompts.
+func (x ExpectedPrompts) worth(e *engine.Figures) (worth float64) {
+	r := Request{PromptTokens: e.PrefillTokens(x.PrefillTime)}
+	if len(x.RankShares) == 0 {
+		return r.Worth()
+	}
+	for rank, share := range x.RankShares {
+		r.Rank = rank
+		worth += share * r.Worth()
+	}
+	return worth
 }
 
 // priceByMeanBacklog implements [MeanBacklog].
@@ -139,7 +153,7 @@
 		}
 		one := x.PrefillTime.Seconds()
 		n := x.Rate * h
-		ds = append(ds, expectedDemand{Request{PromptTokens: e.PrefillTokens(x.PrefillTime)}.Worth() / one, n * one, n * one * one * spread})
+		ds = append(ds, expectedDemand{x.worth(e) / one, n * one, n * one * one * spread})
 	}
 	slices.SortFunc(ds, func(a, b expectedDemand) int { return cmp.Compare(b.density, a.density) })
 	return ds
