core: give calls their rank where those of a service differ

Cause: the priorities of routes and organisations were decoded and decided nothing.

Change: the catalog finds the ranks that calls of each service may have. Where they differ, a call's request has its place among them, an organisation's before the route's, and the engine gets it in the header Priority, 0 as well, because engines take a call without it as 5. Each gateway learns from its own calls which part of the prompts of a size is of each rank, and adds that to the demand. Refused calls of a ranked service count as demand. Calls that leave their place to more urgent ones get an error of their own; the lines "sent" and "not sent" name the rank.

Measured: core/testdata/plans.txt is unchanged.

--- a/core/demand.go
+++ b/core/demand.go
@@ -132,5 +132,7 @@
 			f.countPeerPrefill(v)
 		}
 	}
-	return f.demandOf(service).expected(now)
+	d := f.demandOf(service).expected(now)
+	f.addRankShares(service, d)
+	return d
 }
--- a/core/plan.go
+++ b/core/plan.go
@@ -24,7 +24,7 @@
 // Plan decides about a call that arrives now as [Core.Serve] does, and accounts for it. It returns
 // false if there is no upstream. A plan that is not refused must be ended with [Fleet.Done].
 func (f *Fleet) Plan(s Service, r Route, c hollowgrade.Call, left time.Duration) (p Plan, ok bool) {
-	x := f.pick(s.Name, newRequest(s, r, c, left, 0), nil)
+	x := f.pick(s.Name, newRequest(s, r, Organisation{}, c, left, 0), nil)
 	if x == nil {
 		return p, false
 	}
