--- a/experiment/file.go
+++ b/experiment/file.go
@@ -12,6 +12,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/hollowgrade/hollowgrade/config"
+	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/engine"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/placement"
@@ -79,6 +80,7 @@
 	Worth     float64         `toml:"worth"`
 	Late      float64         `toml:"late"`    // worth of a late answer
 	Retries   int             `toml:"retries"` // maximum retries after a refusal
+	Rank      int             `toml:"rank"`    // 0 is the most urgent
 }
 
 // Burst multiplies the rate of a kind for some time.
@@ -116,10 +118,23 @@
 	Subset int `toml:"subset"`
 	// Perfect simulates a single decider that knows the whole load, in place of all gateways. The
 	// difference to it is what the gateways lose for lack of information.
-	Perfect bool              `toml:"perfect"`
-	Unasked bool              `toml:"unasked"` // engines are not asked for their pace
-	Pricing placement.Pricing `toml:"pricing"` // how long prompts are priced; empty for the default
-	Without []string          `toml:"without"` // mechanisms of package placement to disable
+	Perfect  bool              `toml:"perfect"`
+	Unasked  bool              `toml:"unasked"`  // engines are not asked for their pace
+	Unranked bool              `toml:"unranked"` // gateways take all ranks as equal
+	Pricing  placement.Pricing `toml:"pricing"`  // how long prompts are priced; empty for the default
+	Without  []string          `toml:"without"`  // mechanisms of package placement to disable
+}
+
+// ranks returns the different ranks of the kinds as a variant sees them.
+func (f File) ranks(v Variant) []int {
+	if v.Unranked {
+		return nil
+	}
+	var rs []int
+	for _, k := range f.Kinds {
+		rs = append(rs, k.Rank)
+	}
+	return core.DistinctRanks(rs)
 }
 
 // gateways returns how many processes decide.
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -415,7 +415,7 @@
 	for _, id := range p.subset(number, ids) {
 		f.Put(hollowgrade.Upstream{ID: id, Service: serviceName, Slots: p.file.Engines.Slots})
 	}
-	g := &gateway{fleet: f, service: core.Service{Name: serviceName, Engine: p.file.Engines.figures()}}
+	g := &gateway{fleet: f, service: core.Service{Name: serviceName, Engine: p.file.Engines.figures(), Ranks: p.file.ranks(p.variant)}}
 	f.SetPaceRequester(func(us []hollowgrade.Upstream, _ string) {
 		for _, u := range us {
 			p.requestPace(g, u.ID)
@@ -444,7 +444,7 @@
 }
 
 func (g *gateway) decide(j *job, left time.Duration) (core.Plan, bool) {
-	r := core.Route{Goal: j.kind.Goal.Std(), PauseGoal: j.kind.Pause.Std(), Timeout: j.kind.Allowed.Std()}
+	r := core.Route{Goal: j.kind.Goal.Std(), PauseGoal: j.kind.Pause.Std(), Timeout: j.kind.Allowed.Std(), Priority: j.kind.Rank}
 	c := hollowgrade.Call{PromptTokens: j.promptTokens, MaxTokens: j.answerTokens, Patience: left}
 	return g.fleet.Plan(g.service, r, c, left)
 }
