internal/spread: a store that serves few after an outage, and one after another

Cause, from the traces: the three gateways that the store serves lost it with all others at 11.539 s, when it went away for half a second, and made no call from then until the check failed at 17.039 s, five seconds after the return: each waited for its next probe for a random time with a mean of gateways / 20 s, 5.15 s at 103, as all gateways do that are not readers. Nothing of the store's eras is involved: whoever heard of era 2 followed it at once.

The same delay holds a backup back when its turn comes anew, if the store refused it shortly before.

--- a/internal/spread/storefault_test.go
+++ b/internal/spread/storefault_test.go
@@ -172,6 +172,51 @@
 	}
 }
 
+// Guards against views that expire after an outage of the store if it serves only gateways that stood
+// in for the readers before: if these probe it as rarely as all others, ten seconds can pass at 103
+// gateways until a probe is answered.
+func TestReturnOfAStoreThatServesFew(t *testing.T) {
+	for _, n := range []int{some, many} {
+		for _, w := range storeFaults[:2] {
+			t.Run(fmt.Sprintf("gateways=%d/%s", n, w.name), func(t *testing.T) {
+				inNetwork(t, fleetPlaces(n), storeDelay, func(t *testing.T, f *testFleet) {
+					f.failReaders(w, failingShares[3].with)
+					time.Sleep(settleTime)
+					for _, outage := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second} {
+						f.setDown(true)
+						time.Sleep(outage)
+						f.setDown(false)
+						time.Sleep(settleTime)
+						oldest := f.oldestView()
+						t.Logf("oldest view %s, %s after an outage of %s", oldest, settleTime, outage)
+						require.Less(t, oldest, viewAgeGoal(maxViewAge))
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against views that expire when the store serves one gateway after another: those that it refused
+// shortly before must not wait for the end of a long delay when their turn to stand in comes.
+func TestViewsWhileTheStoreServesOneAfterAnother(t *testing.T) {
+	for _, n := range []int{some, many} {
+		for _, w := range storeFaults[:2] {
+			t.Run(fmt.Sprintf("gateways=%d/%s", n, w.name), func(t *testing.T) {
+				inNetwork(t, fleetPlaces(n), storeDelay, func(t *testing.T, f *testFleet) {
+					for turn := range 4 {
+						f.failBoxes(w, func(box string) bool { return box != f.gateways[n-1-turn].box })
+						oldest, last := f.oldestViewDuring(settleTime), f.oldestView()
+						t.Logf("turn %d: oldest view %s, %s at the end", turn, oldest, last)
+						require.Less(t, oldest, maxViewAge)
+						require.Less(t, last, viewAgeGoal(maxViewAge))
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against views that expire, or a change that is lost, when the readers fail while 4 MB are
 // transmitted over links of 20 Mbit/s.
 func TestViewsWhileALargeChangeSpreads(t *testing.T) {
