feed: those that stood in for the readers probe as often as readers

Cause: after an outage of the store for all, only gateways that it serves can find its return. All but the readers wait for their next probe for a random time with a mean of gateways / 20 s, also those that read in place of readers which the store turns away. At 103 gateways of which the store serves three, no call that could be answered was made for up to 4.9 s after the return.

Change: a process that the store served as a backup, and that was needed as one, uses the exponential delay alone, as a reader does (1.5 s at the most), until the store serves a peer again while it does not serve this process. These are few, so that calls in an outage do not grow with the gateways.

--- a/feed/backup.go
+++ b/feed/backup.go
@@ -158,6 +158,7 @@
 	}
 	switch {
 	case starting, !r.suspectsOutage(readers, stale):
+		r.standsIn = r.standsIn && (served || r.outageSince.IsZero()) // otherwise the store serves a peer again
 		r.outageSince = time.Time{}
 	case r.outageSince.IsZero():
 		r.outageSince = r.clock.Now()
@@ -169,7 +170,8 @@
 // served. The caller holds the lock.
 func (r *Relay) actsAsBackup(group int, higherRanked []string, served bool) bool {
 	if r.isBackup && served {
-		return r.countServed(higherRanked) < min(minServedAbove, len(higherRanked))
+		r.standsIn = r.countServed(higherRanked) < min(minServedAbove, len(higherRanked))
+		return r.standsIn
 	}
 	if r.outageSince.IsZero() {
 		return false
--- a/feed/breaker_test.go
+++ b/feed/breaker_test.go
@@ -134,6 +134,21 @@
 	t.Run("are all that reach nobody", func(t *testing.T) {
 		require.Equal(t, n-readerCount(n), countReads(servedReplyTimeout+time.Millisecond, false))
 	})
+	t.Run("probe as often as readers until the store serves a peer", func(t *testing.T) {
+		r := NewRelay(all[0], func() []string { return append([]string(nil), all...) }, WithRelayLogger(log.New(io.Discard)))
+		readers, higherRanked := r.readers(), r.higherRanked()
+		require.NotContains(t, readers, r.self)
+		r.noteReply("a peer", unservedPeer)
+		require.NotZero(t, r.probeInterval())
+		r.isBackup = true
+		require.True(t, r.actsAsBackup(0, higherRanked, true))
+		r.lastServedReply = time.Now().Add(-time.Minute)
+		r.updateOutage(readers, false, true, false)
+		require.Zero(t, r.probeInterval())
+		r.noteReply("a peer", servedPeer)
+		r.updateOutage(readers, false, false, false)
+		require.NotZero(t, r.probeInterval())
+	})
 }
 
 func TestAccessOfOneTopicThatIsAway(t *testing.T) {
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -68,6 +68,7 @@
 	lastReply       time.Time             // time of the last reply of any peer
 	lastProgress    time.Time             // time of the last reply with records, or of a change of the list of processes
 	isBackup        bool                  // whether this process reads as a backup
+	standsIn        bool                  // whether the store served this process as a backup, and has served no peer since it stopped
 	outageSince     time.Time             // since when the store has seemed to serve no reader; zero if it does
 	lastReads       readDecision          // last result of Reads
 	lastReadsLarge  readDecision          // last result of ReadsLarge
@@ -143,21 +144,22 @@
 	return r.breaker
 }
 
-// probeInterval is the mean time between probes of a store that does not answer. Readers and
-// isolated processes use the exponential delay alone; all others together make
-// [backupProbesPerSecond].
+// probeInterval is the mean time between probes of a store that does not answer. Readers, isolated
+// processes and those that the store served in place of the readers use the exponential delay alone;
+// all others together make [backupProbesPerSecond].
 func (r *Relay) probeInterval() time.Duration {
-	if slices.Contains(r.readers(), r.self) || r.isolated() {
+	if slices.Contains(r.readers(), r.self) || r.isolatedOrStandsIn() {
 		return 0
 	}
 	return time.Duration(len(r.peers())) * time.Second / backupProbesPerSecond
 }
 
-// isolated reports whether no peer has replied lately.
-func (r *Relay) isolated() bool {
+// isolatedOrStandsIn reports whether no peer has replied lately, or this process stands in for the
+// readers: after an outage the store may serve nobody else.
+func (r *Relay) isolatedOrStandsIn() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.clock.Since(r.lastReply) > servedReplyTimeout
+	return r.standsIn || r.clock.Since(r.lastReply) > servedReplyTimeout
 }
 
 // Add adds feeds. It is called before Run.
