Revert "Merge the rank of routes"

What decides between organisations' and routes' ranks has to be said by the users before room is kept by it.

--- a/core/calendar.go
+++ b/core/calendar.go
@@ -73,7 +73,6 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	f.expireViews(now)
-	f.recordRank(service, now, r)
 	w = &Wait{since: now, entry: calendar.Entry{
 		ID:       id,
 		Service:  service,
@@ -81,7 +80,6 @@
 		Due:      now.Add(time.Duration(dueShare*float64(r.Goal)) - r.Waited),
 		Deadline: now.Add(time.Duration(giveUpShare * float64(r.TimeLeft))),
 		Worth:    r.Worth(),
-		Rank:     r.Rank,
 	}}
 	es, g := f.entries(service), f.engines(service, r, now)
 	if len(f.waits) >= maxWaits || overflows(append(es, w.entry), g, id, now) {
--- a/core/catalog.go
+++ b/core/catalog.go
@@ -42,7 +42,7 @@
 	Timeout     time.Duration // longest time that a call may take
 	Goal        time.Duration // time to the first part within which an answer is of full use
 	PauseGoal   time.Duration // longest pause between events that counts as in time
-	Priority    int           // rank of its calls, 0 is the highest
+	Priority    int           // 0 is the highest
 	Targets     []Target
 	MaxAttempts int // number of upstreams that one call may be sent to
 }
@@ -60,7 +60,6 @@
 	MaxConnections int             // to one upstream, for all callers together
 	Engine         *engine.Figures // nil for a plain service
 	Cold           ColdRule
-	Ranks          []int // ranks that its calls may have, in order; nil if they don't differ. [NewCatalog] sets it
 }
 
 // Limits bound what callers may send. A zero value means no bound.
@@ -84,7 +83,6 @@
 	Version      int64
 	Limits       Limits
 	Services     map[string]Service
-	Warnings     []string           // entries that were replaced because they are invalid
 	routes       map[string][]Route // by host, longest prefix first
 	keys         map[string]Organisation
 	keysRequired bool // whether any organisation is configured, so that routes need keys
@@ -107,9 +105,7 @@
 	for _, l := range c.routes {
 		slices.SortStableFunc(l, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	ranks := c.ranks(os)
 	for _, s := range ss {
-		s.Ranks = DistinctRanks(ranks[s.Name])
 		c.Services[s.Name] = s
 	}
 	for _, o := range os {
@@ -120,13 +116,6 @@
 	return c
 }
 
-// WithWarnings returns the catalog with warnings about its entries.
-func (c *Catalog) WithWarnings(ws []string) *Catalog {
-	n := *c
-	n.Warnings = ws
-	return &n
-}
-
 // Match returns the route of the host that has the longest matching prefix of the path.
 func (c *Catalog) Match(host, path string) (r Route, ok bool) {
 	if h, _, found := strings.Cut(host, ":"); found {
--- a/core/demand.go
+++ b/core/demand.go
@@ -132,7 +132,5 @@
 			f.countPeerPrefill(v)
 		}
 	}
-	d := f.demandOf(service).expected(now)
-	f.addRankShares(service, d)
-	return d
+	return f.demandOf(service).expected(now)
 }
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -38,8 +38,6 @@
 		TimeLeft:     left,
 		LastEventID:  f.lastEventID,
 		Helpers:      a.reservation.helpersOf(a.pick),
-		Priority:     a.pick.request.Rank,
-		HasPriority:  f.service.Ranked(),
 	}
 }
 
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -122,8 +122,6 @@
 	onInstanceStart   func(u hollowgrade.Upstream)                // called with the lock held for each instance that starts; must not use the fleet
 	random            func() float64                              // random number from 0 to 1
 	demands           map[string]*demand                          // by service
-	rankMixes         map[string]*rankMix                         // by service, where ranks differ
-	holdTimes         map[string]time.Duration                    // mean time for which a call takes a slot, by plain service
 	candidates        []placement.Candidate                       // of the last decision; the memory is reused
 	evacuation        Evacuation                                  // data halls that get no calls
 	coldRules         map[string]ColdRule                         // by service
@@ -159,8 +157,6 @@
 		surveyedAt:        map[string]time.Time{},
 		demands:           map[string]*demand{},
 		waits:             map[string]*Wait{},
-		rankMixes:         map[string]*rankMix{},
-		holdTimes:         map[string]time.Duration{},
 		notify:            make(chan struct{}, 1),
 		peers:             func() int { return 0 },
 		requestPaces:      func([]hollowgrade.Upstream, string) {},
--- a/core/flow.go
+++ b/core/flow.go
@@ -121,7 +121,7 @@
 // send picks an upstream and makes one attempt.
 func (f *flow) send(ctx context.Context, n, left int) Try {
 	now := f.core.clock.Now()
-	r := newRequest(f.service, f.route, f.organisation, f.call, f.deadline.Sub(now), now.Sub(f.call.Arrived))
+	r := newRequest(f.service, f.route, f.call, f.deadline.Sub(now), now.Sub(f.call.Arrived))
 	r.StreamStarted = f.headSent
 	p, err := f.place(ctx, r)
 	if err != nil {
@@ -190,7 +190,7 @@
 	p := a.pick
 	f.core.log.Info("sent", "request", f.call.ID, "fingerprint", f.fingerprint, "attempt", a.number, "upstream", p.upstream().ID, "service", f.service.Name,
 		"helpers", ids(p.helpers), "reading_ms", p.PrefillTime.Milliseconds(), "predicted_ms", p.FirstEvent.Milliseconds(),
-		"times_slower", round(p.slowest), "rank", p.request.Rank, "turn", p.CallsAhead, "held_ms", a.heldBack.Milliseconds(), "turn_wait_ms", f.turnWait.Milliseconds(), "after", f.lastEventID, "left_ms", left.Milliseconds(),
+		"times_slower", round(p.slowest), "turn", p.CallsAhead, "held_ms", a.heldBack.Milliseconds(), "turn_wait_ms", f.turnWait.Milliseconds(), "after", f.lastEventID, "left_ms", left.Milliseconds(),
 		"version", f.catalog.Version, "age_ms", f.age.Milliseconds())
 }
 
@@ -205,11 +205,8 @@
 // refuse returns the error for a long prompt that would cost other calls more than it is worth, or
 // for which no engine has memory.
 func (f *flow) refuse(p *pick) error {
-	if p.Outranked {
-		return f.refuseOutranked(p)
-	}
 	f.core.log.Info("not sent", "request", f.call.ID, "prompt_tokens", f.call.PromptTokens, "predicted_ms", p.FirstEvent.Milliseconds(),
-		"goal_ms", f.route.Goal.Milliseconds(), "engines", 1+len(p.helpers), "rank", p.request.Rank, "waited_ms", p.request.Waited.Milliseconds(),
+		"goal_ms", f.route.Goal.Milliseconds(), "engines", 1+len(p.helpers), "waited_ms", p.request.Waited.Milliseconds(),
 		"again", p.request.RefusedBefore, "worth", round(p.request.Worth()), "cost", round(p.Cost), "displaced", round(p.Displaced), "asked", round(p.DemandShare), "asked_known", round(p.DemandKnown),
 		"work_ms", f.service.Engine.PrefillTime(f.call.PromptTokens, 1).Milliseconds(), "backlog_ms", p.MeanBacklog.Milliseconds(),
 		"slots_taken", round(p.SlotShare), "full", p.OutOfMemory, "come_back_ms", p.RetryAfter.Milliseconds(), "peers_heard", f.core.fleet.SyncedPeers())
--- a/core/place.go
+++ b/core/place.go
@@ -37,10 +37,10 @@
 // that it was refused before.
 const retryPatienceShare = 0.97
 
-// newRequest returns the placement request of an organisation's call that arrived waited ago. A caller that retries
+// newRequest returns the placement request of a call that arrived waited ago. A caller that retries
 // has less time left than the route allows: the difference is added to waited, because its goal
 // counts from its first try.
-func newRequest(s Service, r Route, o Organisation, c hollowgrade.Call, left, waited time.Duration) placement.Request {
+func newRequest(s Service, r Route, c hollowgrade.Call, left, waited time.Duration) placement.Request {
 	again := c.Patience > 0 && float64(c.Patience) < retryPatienceShare*float64(r.Timeout)
 	if again {
 		waited += r.Timeout - c.Patience
@@ -54,7 +54,6 @@
 		TimeLeft:      left,
 		Waited:        waited,
 		RefusedBefore: again,
-		Rank:          s.rank(r, o),
 	}
 }
 
@@ -65,7 +64,6 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	f.expireViews(now)
-	f.recordRank(service, now, r)
 	l, ms, ok := f.place(service, r, tried, now)
 	if !ok {
 		return nil
@@ -79,8 +77,7 @@
 	ms = f.withinLimits(f.usableMembers(service, now), tried, now, r.StreamStarted)
 	s := f.snapshot(service, ms, tried, now)
 	s.UncountedCalls = f.unreportedCalls(service, now)
-	s.HoldTime = f.holdTimes[service]
-	if r.Long() || r.Rank > 0 {
+	if r.Long() {
 		s.Demand = f.expected(service, now)
 	}
 	l, ok = f.policy.Place(s, r)
@@ -90,12 +87,12 @@
 // assign accounts for the work of a plan. The lock is held.
 func (f *Fleet) assign(service string, r placement.Request, l placement.Plan, ms []*member, now time.Time) *pick {
 	p := &pick{Plan: l, request: r, member: ms[l.Target], helpers: membersAt(ms, l.Helpers), keepers: membersAt(ms, l.Keepers), chosenAt: now}
-	if r.Engine != nil && (!l.Refused || f.rankMixes[service] != nil) {
-		f.demandOf(service).add(now, r.Engine.PrefillTime(r.PromptTokens, 1)) // where ranks differ, room is left for refused calls as well
-	}
 	if l.Refused {
 		return p
 	}
+	if r.Engine != nil {
+		f.demandOf(service).add(now, r.Engine.PrefillTime(r.PromptTokens, 1))
+	}
 	p.entries = map[*member]hollowgrade.Upstream{p.member: p.member.Upstream}
 	for _, m := range p.helpers {
 		p.entries[m] = m.Upstream
@@ -190,9 +187,8 @@
 func (f *Fleet) release(p *pick, began bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clock.Now()
-	f.recordHold(p, now)
 	if !began {
+		now := f.clock.Now()
 		f.addPrefill(p, now, -max(p.PrefillTime-now.Sub(p.chosenAt), 0))
 	}
 	f.add(p.member, Share{}.Minus(p.share))
--- a/core/plan.go
+++ b/core/plan.go
@@ -24,7 +24,7 @@
 // Plan decides about a call that arrives now as [Core.Serve] does, and accounts for it. It returns
 // false if there is no upstream. A plan that is not refused must be ended with [Fleet.Done].
 func (f *Fleet) Plan(s Service, r Route, c hollowgrade.Call, left time.Duration) (p Plan, ok bool) {
-	x := f.pick(s.Name, newRequest(s, r, Organisation{}, c, left, 0), nil)
+	x := f.pick(s.Name, newRequest(s, r, c, left, 0), nil)
 	if x == nil {
 		return p, false
 	}
@@ -51,7 +51,7 @@
 // returns nil if such calls don't wait, and a refused plan if there is no time for the call. A wait
 // ends with [Fleet.Start] or [Fleet.Leave].
 func (f *Fleet) Wait(s Service, r Route, c hollowgrade.Call, left time.Duration) (w *Wait, p Plan) {
-	q := newRequest(s, r, Organisation{}, c, left, 0)
+	q := newRequest(s, r, c, left, 0)
 	if !f.schedules(q) {
 		return nil, p
 	}
@@ -62,7 +62,7 @@
 // Start places a waiting call if its turn has come. Otherwise it returns when to try again, unless
 // the call is refused because there is no time left for it.
 func (f *Fleet) Start(w *Wait, s Service, r Route, c hollowgrade.Call, left, waited time.Duration) (p Plan, st WaitState, again time.Duration) {
-	x, st, again := f.start(w, newRequest(s, r, Organisation{}, c, left, waited), nil)
+	x, st, again := f.start(w, newRequest(s, r, c, left, waited), nil)
 	if st != Started || x == nil {
 		return Plan{Refused: true, RetryAfter: again}, st, again
 	}
--- a/core/turn.go
+++ b/core/turn.go
@@ -39,7 +39,7 @@
 func (f *flow) noTime(r placement.Request, waited, retryAfter time.Duration) error {
 	f.core.log.Info("not sent", "request", f.call.ID, "why", "the engines have no time for it", "prompt_tokens", f.call.PromptTokens,
 		"goal_ms", f.route.Goal.Milliseconds(), "waited_ms", r.Waited.Milliseconds(), "turn_wait_ms", waited.Milliseconds(),
-		"again", r.RefusedBefore, "rank", r.Rank, "worth", round(r.Worth()), "work_ms", r.Engine.PrefillTime(r.PromptTokens, 1).Milliseconds(),
+		"again", r.RefusedBefore, "worth", round(r.Worth()), "work_ms", r.Engine.PrefillTime(r.PromptTokens, 1).Milliseconds(),
 		"come_back_ms", retryAfter.Milliseconds(), "peers_heard", f.core.fleet.SyncedPeers())
 	return fault.New(fault.CannotMakeIt, "the engines have no time for %d tokens now", f.call.PromptTokens).WithRetryAfter(retryAfter)
 }
--- a/exchange.go
+++ b/exchange.go
@@ -51,7 +51,6 @@
 	LastEventID  string        // id of the last event that the caller has received
 	Helpers      []Helper      // upstreams that prefill parts of the prompt
 	Priority     int           // 0 is the highest
-	HasPriority  bool          // whether Priority is sent, because calls of the service differ in it
 }
 
 // Helper is an upstream that prefills a part of a prompt for another one.
--- a/experiment/file.go
+++ b/experiment/file.go
@@ -12,7 +12,6 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/hollowgrade/hollowgrade/config"
-	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/engine"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/placement"
@@ -80,7 +79,6 @@
 	Worth     float64         `toml:"worth"`
 	Late      float64         `toml:"late"`    // worth of a late answer
 	Retries   int             `toml:"retries"` // maximum retries after a refusal
-	Rank      int             `toml:"rank"`    // 0 is the most urgent
 }
 
 // Burst multiplies the rate of a kind for some time.
@@ -123,23 +121,10 @@
 	Perfect  bool              `toml:"perfect"`
 	Calendar bool              `toml:"calendar"` // long prompts wait for their turn
 	Unasked  bool              `toml:"unasked"`  // engines are not asked for their pace
-	Unranked bool              `toml:"unranked"` // gateways take all ranks as equal
 	Pricing  placement.Pricing `toml:"pricing"`  // how long prompts are priced; empty for the default
 	Without  []string          `toml:"without"`  // mechanisms of package placement to disable
 }
 
-// ranks returns the different ranks of the kinds as a variant sees them.
-func (f File) ranks(v Variant) []int {
-	if v.Unranked {
-		return nil
-	}
-	var rs []int
-	for _, k := range f.Kinds {
-		rs = append(rs, k.Rank)
-	}
-	return core.DistinctRanks(rs)
-}
-
 // gateways returns how many processes decide.
 func (f File) gateways(v Variant) int {
 	if v.Perfect {
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -472,7 +472,7 @@
 	for _, id := range p.subset(number, ids) {
 		f.Put(hollowgrade.Upstream{ID: id, Service: serviceName, Slots: p.file.Engines.Slots})
 	}
-	g := &gateway{fleet: f, service: core.Service{Name: serviceName, Engine: p.file.Engines.figures(), Ranks: p.file.ranks(p.variant)}}
+	g := &gateway{fleet: f, service: core.Service{Name: serviceName, Engine: p.file.Engines.figures()}}
 	f.SetPaceRequester(func(us []hollowgrade.Upstream, _ string) {
 		for _, u := range us {
 			p.requestPace(g, u.ID)
@@ -527,7 +527,7 @@
 
 // route returns the configuration of the request's kind.
 func (j *job) route() core.Route {
-	return core.Route{Goal: j.kind.Goal.Std(), PauseGoal: j.kind.Pause.Std(), Timeout: j.kind.Allowed.Std(), Priority: j.kind.Rank}
+	return core.Route{Goal: j.kind.Goal.Std(), PauseGoal: j.kind.Pause.Std(), Timeout: j.kind.Allowed.Std()}
 }
 
 // call returns the attempt that is being placed, of a caller that still waits for left.
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -52,9 +52,6 @@
 			g.Warn("configuration not used", "version", k.Version, "why", "it is not newer than the one in force", "in_force", n.Core.Catalog().Version)
 		default:
 			g.Info("configuration read", "version", k.Version, "in_force", true)
-			for _, w := range k.Warnings {
-				g.Warn("configuration entry replaced", "version", k.Version, "what", w)
-			}
 		}
 	}
 }
--- a/placement/long.go
+++ b/placement/long.go
@@ -30,7 +30,7 @@
 		return l, true
 	}
 	alone := p.pauseLoss(&s.Candidates[a.Target], r, a.PrefillTime)*lateLossShare + r.Worth()*lateLossShare*r.lateness(a.FirstEvent)
-	split := l.Cost + r.referenceWorthShare()*pricePerSecond(s.Candidates, e)*e.HopTime(r.MaxTokens).Seconds()
+	split := l.Cost + pricePerSecond(s.Candidates, e)*e.HopTime(r.MaxTokens).Seconds()
 	if alone <= split {
 		return a, true
 	}
@@ -145,7 +145,7 @@
 }
 
 // An engine's second has at most the worth of a second of prefill of a prompt of
-// referencePromptTokens of the first rank.
+// referencePromptTokens.
 const (
 	referencePromptTokens = 100_000     // tokens
 	fullPriceBacklog      = time.Second // prefill backlog from which a second has its full price
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,7 +23,6 @@
 	// Scheduled means that the call has waited for its turn, so that it doesn't pay for the engines'
 	// time and is sent at once.
 	Scheduled bool
-	Rank      int // place among the ranks of the service, 0 for the most urgent; 0 for all calls if ranks don't differ
 }
 
 // Long reports whether several engines may share the prefill of the prompt.
@@ -31,6 +30,15 @@
 	return r.Engine != nil && r.PromptTokens >= minSplitTokens
 }
 
+// Worth estimates the worth of a call relative to others from the length of its prompt, since no
+// worth is configured.
+func (r Request) Worth() float64 {
+	return 1 + float64(r.PromptTokens)/worthTokens
+}
+
+// worthTokens is the number of prompt tokens that add 1 to a call's base worth of 1.
+const worthTokens = 10_000
+
 // Candidate is an upstream that may get the call, with its known load from all gateways.
 type Candidate struct {
 	Slots          int           // calls that it processes concurrently
@@ -62,8 +70,7 @@
 	Peers          int            // other gateways that send calls to the same upstreams
 	KnownPeerShare float64        // part of all gateways, including this one, whose load is known
 	UncountedCalls float64        // estimate of the calls that known peers have placed but not yet reported
-	Demand         Demand         // for long prompts and for calls that are not of the first rank
-	HoldTime       time.Duration  // mean time for which a call of a plain service takes a slot; 0 if unknown
+	Demand         Demand         // for long prompts
 	Random         func() float64 // random numbers from 0 to 1 for tie-breaking
 }
 
@@ -86,8 +93,7 @@
 	DemandShare float64       // part of the engines' time that expected prompts take
 	DemandKnown float64       // part of that demand that is known, from 0 to 1
 	OutOfMemory bool          // no engine has memory for the call
-	Outranked   bool          // the room is left to more urgent calls
-	Refused     bool          // the call costs others more than it is worth, would be late, finds no memory, or is outranked
+	Refused     bool          // the call costs others more than it is worth, would be late, or finds no memory
 	// RetryAfter is the retry delay for the caller of a refused call.
 	RetryAfter time.Duration
 }
@@ -109,12 +115,11 @@
 	Rooming     Mechanism = "rooming"     // long calls go where there is memory, and are refused where there is none
 	Forecasting Mechanism = "forecasting" // the retry delay of a refused long call is when it would be admitted
 	Returning   Mechanism = "returning"   // calls that were refused before are admitted more readily
-	Ranking     Mechanism = "ranking"     // calls are refused where they leave too little room for more urgent ones
 )
 
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{Packing, Spreading, Turns, Splitting, Pauses, Restricting, Holding, Refusing, Shedding, Rooming, Forecasting, Returning, Ranking}
+	return []Mechanism{Packing, Spreading, Turns, Splitting, Pauses, Restricting, Holding, Refusing, Shedding, Rooming, Forecasting, Returning}
 }
 
 // Policy places calls. It is immutable.
@@ -153,16 +158,12 @@
 func (p *Policy) Place(s Snapshot, r Request) (l Plan, ok bool) {
 	switch {
 	case r.Engine == nil:
-		l, ok = p.placePlain(s, r)
+		l, ok = p.placePlain(s)
 	case r.Long() && p.has(Splitting):
 		l, ok = p.placeLongOrShort(s, r)
 	default:
 		l, ok = p.placeShort(s, r)
 	}
-	if ok && r.Engine != nil && !l.Refused && p.has(Ranking) && s.outranked(r, l) {
-		l.Refused, l.Outranked = true, true
-		l.RetryAfter = defaultRetryAfter(l.FirstEvent)
-	}
 	if p.has(Holding) && !r.Scheduled {
 		l.SendDelay = time.Duration(sendDelayShare * float64(l.Wait))
 	}
@@ -193,15 +194,12 @@
 
 // placePlain picks the upstream with the fewest calls per slot, by its own report or by what the
 // gateways have placed on it, whichever is more.
-func (p *Policy) placePlain(s Snapshot, r Request) (l Plan, ok bool) {
+func (p *Policy) placePlain(s Snapshot) (l Plan, ok bool) {
 	cost := func(_ int, c *Candidate) float64 {
 		return float64(max(c.Open, c.ReportedCalls))/float64(max(c.Slots, 1)) + s.Random()*tieBreakCost
 	}
 	l.CallsAhead = p.callsAhead(s)
 	_, l.Target = cheapestAfter(s.Candidates, l.CallsAhead, cost, func(c *Candidate) { c.Open = max(c.Open, c.ReportedCalls) + 1 })
-	if p.has(Ranking) {
-		s.refuseOutranked(&l, r)
-	}
 	return l, l.Target >= 0
 }
 
--- a/placement/pricing.go
+++ b/placement/pricing.go
@@ -50,25 +50,11 @@
 type ExpectedPrompts struct {
 	Rate        float64       // prompts a second
 	PrefillTime time.Duration // of one prompt, by published figures
-	RankShares  []float64     // part of the prompts that is of each rank; nil where ranks don't differ
-}
-
-// worth returns the mean worth of the prompts.
-func (x ExpectedPrompts) worth(e *engine.Figures) (worth float64) {
-	r := Request{PromptTokens: e.PrefillTokens(x.PrefillTime)}
-	if len(x.RankShares) == 0 {
-		return r.Worth()
-	}
-	for rank, share := range x.RankShares {
-		r.Rank = rank
-		worth += share * r.Worth()
-	}
-	return worth
 }
 
 // priceByMeanBacklog implements [MeanBacklog].
 func priceByMeanBacklog(_ *Policy, _ Snapshot, cs []Candidate, _ []int, r Request, _ Plan) float64 {
-	return r.referenceWorthShare() * pricePerSecond(cs, r.Engine) * r.Engine.PrefillTime(r.PromptTokens, 1).Seconds()
+	return pricePerSecond(cs, r.Engine) * r.Engine.PrefillTime(r.PromptTokens, 1).Seconds()
 }
 
 // priceByBusyEngines implements [BusyEngines]. The mean backlog is misleading where a few engines
@@ -79,7 +65,7 @@
 		busy += min(float64(cs[i].PrefillBacklog)/float64(fullPriceBacklog), 1)
 	}
 	busy /= float64(max(len(cs), 1))
-	return r.referenceWorthShare() * min(max(slotShortage(cs, r.Engine), busy, minBusyShare), 1) * worthPerSecond(r.Engine) * r.Engine.PrefillTime(r.PromptTokens, 1).Seconds()
+	return min(max(slotShortage(cs, r.Engine), busy, minBusyShare), 1) * worthPerSecond(r.Engine) * r.Engine.PrefillTime(r.PromptTokens, 1).Seconds()
 }
 
 // priceByDisplacement implements [Displacement], for loads whose mix and sizes change: engine time
@@ -93,7 +79,7 @@
 	ds := demandByDensity(s.Demand, r.Engine, horizon)
 	displaced := servedWorth(ds, before.Seconds()) - servedWorth(ds, after.Seconds())
 	unknown := (1 - s.Demand.KnownShare) * priceByMeanBacklog(p, s, cs, set, r, l)
-	return max(s.Demand.KnownShare*displaced+unknown, r.referenceWorthShare()*slotPricePerSecond(cs, r.Engine)*r.Engine.PrefillTime(r.PromptTokens, 1).Seconds())
+	return max(s.Demand.KnownShare*displaced+unknown, slotPricePerSecond(cs, r.Engine)*r.Engine.PrefillTime(r.PromptTokens, 1).Seconds())
 }
 
 // slotPricePerSecond is the worth of a second of an engine where slots are short.
@@ -153,7 +139,7 @@
 		}
 		one := x.PrefillTime.Seconds()
 		n := x.Rate * h
-		ds = append(ds, expectedDemand{x.worth(e) / one, n * one, n * one * one * spread})
+		ds = append(ds, expectedDemand{Request{PromptTokens: e.PrefillTokens(x.PrefillTime)}.Worth() / one, n * one, n * one * one * spread})
 	}
 	slices.SortFunc(ds, func(a, b expectedDemand) int { return cmp.Compare(b.density, a.density) })
 	return ds
