core: know earlier attempts of callers by the refusals, not by the time they state

Cause: the calendar took a caller that states less than 0.97 of its route's timeout for one that had been refused and had waited for the difference. Callers state 0.85 to 1.0 on their first attempt: four of five first attempts counted as late by up to 2.25 s.

Change: gateways remember the long prompts that they refused for want of time, by fingerprint, tell each other with each heartbeat, and count a prompt that comes back from its first arrival. All other prompts of the calendar are on their first attempt.

Tests of core and loadview for it pass.

--- a/core/fleet.go
+++ b/core/fleet.go
@@ -127,6 +127,8 @@
 	coldRules         map[string]ColdRule                         // by service
 	calendar          bool                                        // whether long prompts wait for their turn
 	waits             map[string]*Wait                            // long prompts that wait here, by attempt
+	refusals          map[hollowgrade.Fingerprint]Refusal         // of long prompts by this process
+	peerRefusals      map[hollowgrade.Fingerprint]Refusal         // by peers
 	calendarVersion   uint64                                      // counts the changes of all waits
 	waitsUnsent       bool                                        // whether own waits have changed since the last call of [Fleet.Waits]
 }
@@ -157,6 +159,8 @@
 		surveyedAt:        map[string]time.Time{},
 		demands:           map[string]*demand{},
 		waits:             map[string]*Wait{},
+		refusals:          map[hollowgrade.Fingerprint]Refusal{},
+		peerRefusals:      map[hollowgrade.Fingerprint]Refusal{},
 		notify:            make(chan struct{}, 1),
 		peers:             func() int { return 0 },
 		requestPaces:      func([]hollowgrade.Upstream, string) {},
--- a/core/turn.go
+++ b/core/turn.go
@@ -14,6 +14,7 @@
 // for it.
 func (f *flow) awaitTurn(ctx context.Context, r placement.Request) (*pick, error) {
 	begin := f.core.clock.Now()
+	r = f.sinceFirstArrival(r)
 	w, retryAfter := f.core.fleet.wait(f.call.ID, f.service.Name, r)
 	if w == nil {
 		return nil, f.noTime(r, 0, retryAfter)
@@ -37,6 +38,7 @@
 
 // noTime returns the error for a long prompt that the engines have no time for.
 func (f *flow) noTime(r placement.Request, waited, retryAfter time.Duration) error {
+	f.core.fleet.recordRefusal(f.fingerprint, f.core.clock.Now().Add(-r.Waited-waited))
 	f.core.log.Info("not sent", "request", f.call.ID, "why", "the engines have no time for it", "prompt_tokens", f.call.PromptTokens,
 		"goal_ms", f.route.Goal.Milliseconds(), "waited_ms", r.Waited.Milliseconds(), "turn_wait_ms", waited.Milliseconds(),
 		"again", r.RefusedBefore, "worth", round(r.Worth()), "work_ms", r.Engine.PrefillTime(r.PromptTokens, 1).Milliseconds(),
--- a/loadview/loadview.go
+++ b/loadview/loadview.go
@@ -321,6 +321,7 @@
 		addPrefillBacklogs(m, s.fleet.PrefillBacklogs())
 	}
 	s.addWaits(m)
+	m.Refused = encodeRefusals(s.fleet.Refusals(), s.fleet.Now())
 	m.Suspicions = encodeUpdate(l.update, s.clock.Now())
 	l.update = quarantine.Update{}
 	clear(l.pending)
@@ -336,7 +337,7 @@
 // addWaits adds the prompts that wait here to a view, none if such calls don't wait at all.
 func (s *Sender) addWaits(m *wire.LoadView) {
 	if es, ok := s.fleet.Waits(); ok {
-		m.Waits = encodeWaits(es, s.clock.Now())
+		m.Waits = encodeWaits(es, s.fleet.Now())
 	}
 }
 
--- a/loadview/receiver.go
+++ b/loadview/receiver.go
@@ -135,6 +135,9 @@
 	if rs := decodePrefillBacklogs(m); len(rs) > 0 {
 		t.fleet.ReceivePrefillBacklogs(m.Box, rs)
 	}
+	if len(m.Refused) > 0 {
+		t.fleet.ReceiveRefusals(decodeRefusals(m.Refused, t.fleet.Now()))
+	}
 	for _, c := range m.Shares {
 		if _, ok := ss[hollowgrade.Instance(c.Upstream)]; ok {
 			t.receiveUpstream(m.Box, c)
--- a/loadview/waits.go
+++ b/loadview/waits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hollowgrade/hollowgrade/calendar"
+	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 )
 
@@ -47,3 +48,31 @@
 	}
 	return es
 }
+
+// encodeRefusals returns the prompts that were refused here as messages.
+func encodeRefusals(rs []core.Refusal, now time.Time) (ps []*wire.RefusedPrompt) {
+	for _, r := range rs {
+		ps = append(ps, &wire.RefusedPrompt{
+			Fingerprint:    r.Fingerprint[:],
+			FirstAgeMicros: now.Sub(r.FirstArrival).Microseconds(),
+			AgeMicros:      now.Sub(r.Refused).Microseconds(),
+		})
+	}
+	return ps
+}
+
+// decodeRefusals returns the prompts that a peer refused. Invalid ones are left out.
+func decodeRefusals(ps []*wire.RefusedPrompt, now time.Time) (rs []core.Refusal) {
+	for _, p := range ps {
+		r := core.Refusal{
+			FirstArrival: now.Add(-time.Duration(p.FirstAgeMicros) * time.Microsecond),
+			Refused:      now.Add(-time.Duration(p.AgeMicros) * time.Microsecond),
+		}
+		if len(p.Fingerprint) != len(r.Fingerprint) || p.AgeMicros < 0 || p.FirstAgeMicros < p.AgeMicros {
+			continue
+		}
+		copy(r.Fingerprint[:], p.Fingerprint)
+		rs = append(rs, r)
+	}
+	return rs
+}
--- a/loadview/waits_test.go
+++ b/loadview/waits_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/calendar"
+	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 )
 
@@ -30,3 +32,18 @@
 		require.Len(t, decodeWaits(m, now), 1)
 	})
 }
+
+func TestRefusalsOnTheWire(t *testing.T) {
+	now := time.Now()
+	r := core.Refusal{Fingerprint: hollowgrade.Fingerprint{1, 2}, FirstArrival: now.Add(-3 * time.Second), Refused: now.Add(-time.Second)}
+	ps := encodeRefusals([]core.Refusal{r}, now)
+	require.Equal(t, []core.Refusal{r}, decodeRefusals(ps, now))
+	for name, p := range map[string]*wire.RefusedPrompt{
+		"a short fingerprint":            {Fingerprint: []byte{1}},
+		"a refusal in the future":        {Fingerprint: r.Fingerprint[:], AgeMicros: -1, FirstAgeMicros: 1},
+		"an attempt after the refusal":   {Fingerprint: r.Fingerprint[:], AgeMicros: 2, FirstAgeMicros: 1},
+		"a refusal without anything set": {},
+	} {
+		t.Run(name, func(t *testing.T) { require.Empty(t, decodeRefusals([]*wire.RefusedPrompt{p}, now)) })
+	}
+}
