core, calendar: what the review of the calendar found

Cause, by the review: late prompts were refused on idle engines; the quarantine was asked before the wait, not after it; two calls with one id shared a wait; a wait could outlive the configuration that admitted it; a prompt for which no engine has memory kept all behind it waiting; a silent peer's prompts kept others waiting for the life of its view; a service without engines got another refusal; a second attempt waited for a second turn; a prompt that waits counted each look as a wanted call only to be refused by limits.

Change: a late prompt goes when its own turn would come after its deadline, with a quarter of the time for those ahead of it alone; the quarantine and the admission are asked after the turn; waits have ids of their own; memory that no engine has drops a prompt; waits of peers are valid for a heartbeat and 300 ms; a wait is bounded by two goals as well. Streams that callers resume, and the first seconds of a process, go by the time that callers state.

--- a/calendar/calendar.go
+++ b/calendar/calendar.go
@@ -14,7 +14,7 @@
 
 // Entry is a long prompt that waits for its turn.
 type Entry struct {
-	ID       string // of the attempt; unique among all gateways
+	ID       string // unique among all gateways
 	Service  string
 	Prefill  time.Duration // of the whole prompt by one engine
 	Due      time.Time     // when its first event has to come for the answer to be in time
@@ -142,12 +142,11 @@
 // first of them could start at the given time.
 func overdue(late []queued, g Engines, start time.Time) (ids []string) {
 	for _, q := range late {
-		turn := time.Duration(float64(g.turnTime(q.Prefill)) / lateShare)
-		if start.Add(turn).After(q.Deadline) {
+		if start.Add(g.ownTime(q.Prefill)).After(q.Deadline) {
 			ids = append(ids, q.ID)
 			continue
 		}
-		start = start.Add(turn)
+		start = start.Add(time.Duration(float64(g.turnTime(q.Prefill)) / lateShare))
 	}
 	return ids
 }
--- a/core/calendar.go
+++ b/core/calendar.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
@@ -25,12 +27,16 @@
 	// giveUpShare is the part of a caller's time after which a prompt that can't be in time any more
 	// waits no longer.
 	giveUpShare = 0.5
+	// giveUpGoals bounds the same wait. Callers leave after four goals without an event.
+	giveUpGoals = 2
 	// maxWaits bounds the prompts that wait at one gateway. Peers are told of all of them in a packet.
 	maxWaits = 24
 	// turnInterval is how often a waiting prompt looks whether its turn has come. The time from one
 	// turn to the next is a multiple of it.
 	turnInterval = 10 * time.Millisecond
 	maxTurnPause = 100 * time.Millisecond
+	// waitsGrace is added to the interval of peers' reports for the time that their waits are valid.
+	waitsGrace = 300 * time.Millisecond
 )
 
 // Wait is a long prompt of this process that waits for its turn.
@@ -52,45 +58,50 @@
 
 // SetCalendar sets whether long prompts wait for their turn.
 func (f *Fleet) SetCalendar(on bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.calendar = on
+	f.calendar.Store(on)
 }
 
 // schedules reports whether calls like this wait for their turn.
 func (f *Fleet) schedules(r placement.Request) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.calendar || !r.Long() || r.Goal < minCalendarGoal || r.StreamStarted {
+	if !f.calendar.Load() || !r.Long() || r.Goal < minCalendarGoal || r.StreamStarted {
 		return false
 	}
 	return r.Engine.PrefillTime(r.PromptTokens, 1) >= time.Duration(minPrefillShare*float64(r.Goal))
 }
 
 // wait adds a call to the calendar. It returns nil and when to come back if there is no time for it.
-func (f *Fleet) wait(id, service string, r placement.Request) (w *Wait, retryAfter time.Duration) {
+func (f *Fleet) wait(service string, r placement.Request) (w *Wait, retryAfter time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	f.expireViews(now)
 	w = &Wait{since: now, entry: calendar.Entry{
-		ID:       id,
+		ID:       newWaitID(),
 		Service:  service,
 		Prefill:  r.Engine.PrefillTime(r.PromptTokens, 1),
 		Due:      now.Add(time.Duration(dueShare*float64(r.Goal)) - r.Waited),
-		Deadline: now.Add(time.Duration(giveUpShare * float64(r.TimeLeft))),
+		Deadline: now.Add(min(time.Duration(giveUpShare*float64(r.TimeLeft)), giveUpGoals*r.Goal)),
 		Worth:    r.Worth(),
 	}}
 	es, g := f.entries(service), f.engines(service, r, now)
-	if len(f.waits) >= maxWaits || overflows(append(es, w.entry), g, id, now) {
+	if len(f.waits) >= maxWaits || overflows(append(es, w.entry), g, w.entry.ID, now) {
 		return nil, retryAfterDrain(calendar.Drained(es, g, w.entry.Prefill))
 	}
-	f.waits[id] = w
+	f.waits[w.entry.ID] = w
 	f.waitsChanged()
 	w.version = f.calendarVersion
 	return w, 0
 }
 
+// newWaitID returns an id for a waiting prompt. The ids of calls are their callers' and may be used
+// twice.
+func newWaitID() string {
+	return strconv.FormatUint(rand.Uint64(), waitIDBase)
+}
+
+// waitIDBase makes ids of 13 digits.
+const waitIDBase = 36
+
 // overflows reports whether there is no time for an entry.
 func overflows(es []calendar.Entry, g calendar.Engines, id string, now time.Time) bool {
 	return slices.Contains(calendar.Overflow(es, g, now), id)
@@ -102,23 +113,21 @@
 	return min(max(d, placement.MinRetryAfter), placement.MaxRetryAfter)
 }
 
-// start places a waiting call if its turn has come. Otherwise it returns when to look again.
+// start places a waiting call if its turn has come. Otherwise it returns when to look again, or, if
+// there is no time for the call any more, when its caller should come back.
 func (f *Fleet) start(w *Wait, r placement.Request, tried map[hollowgrade.Instance]bool) (p *pick, st WaitState, again time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	f.expireViews(now)
 	es, g := f.entries(w.entry.Service), f.engines(w.entry.Service, r, now)
-	t := calendar.TurnOf(es, w.entry.ID, g, now)
-	drained := retryAfterDrain(calendar.Drained(es, g, 0))
-	if t.Late && now.After(w.entry.Deadline) {
-		return nil, Dropped, drained
+	if g.Count == 0 {
+		f.endWait(w)
+		return nil, Started, 0
 	}
-	if w.version != f.calendarVersion {
-		w.version = f.calendarVersion
-		if overflows(es, g, w.entry.ID, now) {
-			return nil, Dropped, drained
-		}
+	t := calendar.TurnOf(es, w.entry.ID, g, now)
+	if f.outOfTime(w, t, es, g, now) {
+		return nil, Dropped, retryAfterDrain(calendar.Drained(es, g, 0))
 	}
 	bound := time.Duration(startBacklogShare * float64(r.Goal))
 	if t.Late {
@@ -127,18 +136,46 @@
 	if t.Ahead > bound {
 		return nil, Waiting, turnPause(t.Ahead - bound)
 	}
+	return f.startNow(w, r, tried, bound-t.Ahead)
+}
+
+// outOfTime reports whether there is no time for a waiting call any more. The lock is held.
+func (f *Fleet) outOfTime(w *Wait, t calendar.Turn, es []calendar.Entry, g calendar.Engines, now time.Time) bool {
+	if t.Late && now.After(w.entry.Deadline) {
+		return true
+	}
+	if w.version == f.calendarVersion {
+		return false
+	}
+	w.version = f.calendarVersion
+	return overflows(es, g, w.entry.ID, now)
+}
+
+// startNow places a call whose turn has come, unless the engines have more than the given backlog. A
+// call for which no engine has memory is dropped, so that it keeps no others waiting. The lock is held.
+func (f *Fleet) startNow(w *Wait, r placement.Request, tried map[hollowgrade.Instance]bool, backlog time.Duration) (*pick, WaitState, time.Duration) {
+	now := f.clock.Now()
 	r.Scheduled = true
 	l, ms, ok := f.place(w.entry.Service, r, tried, now)
-	if !ok {
-		return nil, Started, 0
-	}
-	if l.Refused || l.Wait+t.Ahead > bound {
-		return nil, Waiting, turnPause(l.Wait + t.Ahead - bound)
+	switch {
+	case !ok:
+		return nil, Waiting, maxTurnPause // limits leave no engine for it now
+	case l.OutOfMemory && l.Refused:
+		return nil, Dropped, defaultMemoryRetry
+	case l.Refused:
+		return nil, Waiting, maxTurnPause
+	case l.Wait > backlog:
+		return nil, Waiting, turnPause(l.Wait - backlog)
+	default:
+		f.endWait(w)
+		return f.assign(w.entry.Service, r, l, ms, now), Started, 0
 	}
-	f.endWait(w)
-	return f.assign(w.entry.Service, r, l, ms, now), Started, 0
 }
 
+// defaultMemoryRetry is when the caller of a prompt should come back for which no engine has memory:
+// answers end and free theirs within a second or two.
+const defaultMemoryRetry = placement.MinRetryAfter
+
 // turnPause returns how long to wait before looking again for a turn that is expected after d.
 func turnPause(d time.Duration) time.Duration {
 	return min(max(d, turnInterval), maxTurnPause)
@@ -176,7 +213,11 @@
 			es = append(es, w.entry)
 		}
 	}
+	now, oldest := f.clock.Now(), Heartbeat(f.peers())+waitsGrace
 	for _, v := range f.views {
+		if now.Sub(v.receivedAt) > oldest {
+			continue // a silent peer must not keep others waiting
+		}
 		for _, e := range v.waits {
 			if e.Service == service {
 				es = append(es, e)
@@ -204,7 +245,7 @@
 	for _, w := range f.waits {
 		es = append(es, w.entry)
 	}
-	return es, f.calendar
+	return es, f.calendar.Load()
 }
 
 // TakeWaitsChanged reports whether the prompts that wait at this process have changed since the last
--- a/core/calendar_test.go
+++ b/core/calendar_test.go
@@ -62,9 +62,9 @@
 		require.False(t, f.schedules(long(300_000)))
 	})
 	run("a prompt has its turn at once while engines are idle, and the next one when they nearly are", func(t *testing.T, f *Fleet) {
-		a, _ := f.wait("a", "e", long(300_000))
+		a, _ := f.wait("e", long(300_000))
 		requireStart(t, f, a, 300_000)
-		b, _ := f.wait("b", "e", long(300_000))
+		b, _ := f.wait("e", long(300_000))
 		requireWaiting(t, f, b, 300_000)
 		time.Sleep(time.Second)
 		requireStart(t, f, b, 300_000)
@@ -72,14 +72,14 @@
 	})
 	run("a prompt waits behind one at a peer that is due sooner, until that has gone", func(t *testing.T, f *Fleet) {
 		f.ReceiveWaits("peer", []calendar.Entry{peerPrompt(f, "first", 8*time.Second, 2*time.Second)})
-		w, _ := f.wait("a", "e", long(300_000))
+		w, _ := f.wait("e", long(300_000))
 		requireWaiting(t, f, w, 300_000)
 		f.ReceiveWaits("peer", nil)
 		requireStart(t, f, w, 300_000)
 	})
 	run("what a peer told is dropped with its view", func(t *testing.T, f *Fleet) {
 		f.ReceiveWaits("peer", []calendar.Entry{peerPrompt(f, "first", 8*time.Second, 2*time.Second)})
-		w, _ := f.wait("a", "e", long(300_000))
+		w, _ := f.wait("e", long(300_000))
 		f.DropView("peer")
 		requireStart(t, f, w, 300_000)
 	})
@@ -91,15 +91,15 @@
 			es = append(es, e)
 		}
 		f.ReceiveWaits("peer", es)
-		w, after := f.wait("a", "e", long(300_000))
+		w, after := f.wait("e", long(300_000))
 		require.Nil(t, w)
 		require.GreaterOrEqual(t, after, time.Second)
 		require.Empty(t, f.waits)
 	})
 	run("a prompt that waits is dropped for others of more worth a second", func(t *testing.T, f *Fleet) {
-		busy, _ := f.wait("busy", "e", long(300_000))
+		busy, _ := f.wait("e", long(300_000))
 		requireStart(t, f, busy, 300_000)
-		w, _ := f.wait("a", "e", long(400_000))
+		w, _ := f.wait("e", long(400_000))
 		var es []calendar.Entry
 		for i := range 6 {
 			e := peerPrompt(f, fmt.Sprint(i), 4*time.Second, 2600*time.Millisecond)
@@ -112,11 +112,45 @@
 		require.Equal(t, Dropped, state)
 		require.Positive(t, after)
 	})
+	run("a prompt that is late is placed on idle engines", func(t *testing.T, f *Fleet) {
+		r := long(900_000)
+		w, _ := f.wait("e", r)
+		require.NotNil(t, w)
+		p, state, _ := f.start(w, r, nil)
+		require.Equal(t, Started, state)
+		require.NotNil(t, p)
+	})
+	run("a peer that says nothing keeps others waiting for a second at the most", func(t *testing.T, f *Fleet) {
+		f.ReceiveWaits("peer", []calendar.Entry{peerPrompt(f, "first", 8*time.Second, 2500*time.Millisecond)})
+		w, _ := f.wait("e", long(300_000))
+		requireWaiting(t, f, w, 300_000)
+		time.Sleep(time.Second)
+		requireStart(t, f, w, 300_000)
+	})
+	run("a prompt for which no engine has memory is dropped, so that it keeps no others waiting", func(t *testing.T, f *Fleet) {
+		for id := range f.members {
+			f.ReceiveView("peer", map[hollowgrade.Instance]Share{id: {Open: 1, Tokens: 400_000}}, false)
+		}
+		w, _ := f.wait("e", long(300_000))
+		_, state, after := f.start(w, long(300_000), nil)
+		require.Equal(t, Dropped, state)
+		require.Positive(t, after)
+	})
+	run("without engines a prompt doesn't wait", func(t *testing.T, f *Fleet) {
+		w, _ := f.wait("e", long(300_000))
+		for i := range 18 {
+			f.Drop(fmt.Sprintf("u%02d", i), time.Time{})
+		}
+		p, state, _ := f.start(w, long(300_000), nil)
+		require.Nil(t, p)
+		require.Equal(t, Started, state)
+		require.Empty(t, f.waits)
+	})
 	run("the number of prompts that wait is bounded", func(t *testing.T, f *Fleet) {
-		for i := range 3 * maxWaits {
+		for range 3 * maxWaits {
 			r := long(900_000)
 			r.Goal, r.TimeLeft = time.Minute, time.Hour
-			f.wait(fmt.Sprint(i), "e", r)
+			f.wait("e", r)
 		}
 		require.LessOrEqual(t, len(f.waits), maxWaits)
 	})
@@ -184,4 +218,23 @@
 		require.Len(t, f.sentCalls(), 2)
 		require.Empty(t, c.fleet.waits)
 	})
+	run("are refused when their route has gone meanwhile", func(t *testing.T, c *Core, f *fakeUpstreams) {
+		require.NoError(t, c.Serve(context.Background(), longCall("a"), &fakeSink{}))
+		time.AfterFunc(time.Millisecond, func() {
+			c.SetCatalog(NewCatalog(2, nil, []Service{{Name: "e", Engine: figures()}}, nil, Limits{}))
+		})
+		x := fault.As(c.Serve(context.Background(), longCall("b"), &fakeSink{}), hollowgrade.Unknown)
+		requireFault(t, x, fault.NoRoute, hollowgrade.NotRun)
+		require.Len(t, f.sentCalls(), 1)
+		requireNothingAccounted(t, c.fleet)
+	})
+}
+
+// requireNothingAccounted requires that no calls and no memory are accounted for any upstream.
+func requireNothingAccounted(t *testing.T, f *Fleet) {
+	t.Helper()
+	for id, m := range f.members {
+		require.Zero(t, m.ownShare.Open, id)
+		require.Zero(t, m.ownShare.Tokens, id)
+	}
 }
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -125,7 +126,7 @@
 	candidates        []placement.Candidate                       // of the last decision; the memory is reused
 	evacuation        Evacuation                                  // data halls that get no calls
 	coldRules         map[string]ColdRule                         // by service
-	calendar          bool                                        // whether long prompts wait for their turn
+	calendar          atomic.Bool                                 // whether long prompts wait for their turn
 	waits             map[string]*Wait                            // long prompts that wait here, by attempt
 	refusals          map[hollowgrade.Fingerprint]Refusal         // of long prompts by this process
 	peerRefusals      map[hollowgrade.Fingerprint]Refusal         // by peers
--- a/core/flow.go
+++ b/core/flow.go
@@ -110,31 +110,58 @@
 
 // Try implements [Work].
 func (f *flow) Try(ctx context.Context, n, left int) Try {
+	r := f.request()
+	var p *pick
+	if f.waitsForTurn(n, r) {
+		var err error
+		if p, err = f.takeTurn(ctx, r); err != nil {
+			return Try{Err: err}
+		}
+	}
 	l := f.core.quarantine.Begin(f.fingerprint)
 	if !l.Granted {
+		if p != nil {
+			f.dropPick(p)
+		}
 		return Try{Err: f.quarantinedError(l)}
 	}
 	defer f.core.quarantine.End(f.fingerprint, l)
-	return f.send(ctx, n, left)
+	if p == nil {
+		p = f.core.fleet.pick(f.service.Name, r, f.tried)
+	}
+	if p == nil {
+		return Try{Err: f.noUpstreamError()}
+	}
+	if p.Refused {
+		return Try{Err: f.refuse(p)}
+	}
+	return f.send(ctx, p, n, left)
 }
 
-// send picks an upstream and makes one attempt.
-func (f *flow) send(ctx context.Context, n, left int) Try {
+// request returns the placement request of the next attempt.
+func (f *flow) request() placement.Request {
 	now := f.core.clock.Now()
 	r := newRequest(f.service, f.route, f.call, f.deadline.Sub(now), now.Sub(f.call.Arrived))
 	r.StreamStarted = f.headSent
-	p, err := f.place(ctx, r)
-	if err != nil {
-		return Try{Err: err}
-	}
+	return r
+}
+
+// waitsForTurn reports whether an attempt waits for its turn. Later ones have had theirs, and requests
+// that may end upstreams are refused or sent alone without one.
+func (f *flow) waitsForTurn(n int, r placement.Request) bool {
+	return n == 1 && !f.core.quarantine.Has(f.fingerprint) && f.core.fleet.schedules(r) && f.core.fleet.hasUntried(f.service.Name, f.tried)
+}
+
+// send makes one attempt with a pick.
+func (f *flow) send(ctx context.Context, p *pick, n, left int) Try {
 	u := p.upstream()
 	f.tried[u.Instance()] = true
 	f.upstreams = append(f.upstreams, u.ID)
 	if n == 1 {
-		f.predicted = p.FirstEvent
+		f.predicted = f.turnWait + p.FirstEvent
 	}
 	a := &attempt{flow: f, pick: p, number: n, last: left == 1}
-	err = f.prepare(ctx, a)
+	err := f.prepare(ctx, a)
 	defer a.reservation.end()
 	if err != nil {
 		f.core.fleet.refundLimits(p)
@@ -150,25 +177,6 @@
 	return f.classifyFailure(a, err)
 }
 
-// place picks the upstream for an attempt. Long prompts wait for their turn before.
-func (f *flow) place(ctx context.Context, r placement.Request) (p *pick, err error) {
-	if f.core.fleet.schedules(r) {
-		p, err = f.awaitTurn(ctx, r)
-	} else {
-		p = f.core.fleet.pick(f.service.Name, r, f.tried)
-	}
-	switch {
-	case err != nil:
-		return nil, err
-	case p == nil:
-		return nil, f.noUpstreamError()
-	case p.Refused:
-		return nil, f.refuse(p)
-	default:
-		return p, nil
-	}
-}
-
 // prepare waits for the engines and reserves memory between the pick of an attempt and its sending.
 // It fails if an upstream has begun to leave meanwhile.
 func (f *flow) prepare(ctx context.Context, a *attempt) (err error) {
--- a/core/plan.go
+++ b/core/plan.go
@@ -55,7 +55,7 @@
 	if !f.schedules(q) {
 		return nil, p
 	}
-	w, retryAfter := f.wait(c.ID, s.Name, q)
+	w, retryAfter := f.wait(s.Name, q)
 	return w, Plan{Refused: w == nil, RetryAfter: retryAfter}
 }
 
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -78,9 +78,13 @@
 }
 
 // sinceFirstArrival replaces what a request's remaining time says of earlier attempts by what gateways
-// know of them: callers state less time than the route allows on their first attempt, too.
+// know of them: callers state less time than the route allows on their first attempt, too. That is
+// all there is for streams that callers resume, and while a process has just started.
 func (f *flow) sinceFirstArrival(r placement.Request) placement.Request {
 	now := f.core.clock.Now()
+	if f.call.LastEventID != "" || now.Sub(f.core.started) < refusalMemory {
+		return r
+	}
 	first := f.call.Arrived
 	x, ok := f.core.fleet.takeRefusal(f.fingerprint)
 	if ok && x.FirstArrival.Before(first) {
--- a/core/turn.go
+++ b/core/turn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
@@ -10,12 +11,47 @@
 	"github.com/hollowgrade/hollowgrade/placement"
 )
 
+// takeTurn waits until a long prompt has its turn and returns its pick. What admitted the call may have
+// changed meanwhile.
+func (f *flow) takeTurn(ctx context.Context, r placement.Request) (*pick, error) {
+	p, err := f.awaitTurn(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if p == nil {
+		return nil, f.noUpstreamError()
+	}
+	if err = f.readmit(); err != nil {
+		f.dropPick(p)
+		return nil, err
+	}
+	return p, nil
+}
+
+// readmit checks whether a call that has waited would still be admitted for the same service.
+func (f *flow) readmit() error {
+	g := &flow{core: f.core, call: f.call}
+	if err := f.core.admit(g); err != nil {
+		return err
+	}
+	if !slices.ContainsFunc(g.route.Targets, func(t Target) bool { return t.Service == f.service.Name }) {
+		return fault.New(fault.StaleConfig, "the route %s leads to other services now", g.route.Name).WithRetryAfter(shortRetryAfter)
+	}
+	return nil
+}
+
+// dropPick ends the accounting of a pick of which nothing was sent.
+func (f *flow) dropPick(p *pick) {
+	f.core.fleet.refundLimits(p)
+	f.core.fleet.release(p, false)
+}
+
 // awaitTurn waits until a long prompt has its turn and returns its pick, nil if there is no upstream
 // for it.
 func (f *flow) awaitTurn(ctx context.Context, r placement.Request) (*pick, error) {
 	begin := f.core.clock.Now()
 	r = f.sinceFirstArrival(r)
-	w, retryAfter := f.core.fleet.wait(f.call.ID, f.service.Name, r)
+	w, retryAfter := f.core.fleet.wait(f.service.Name, r)
 	if w == nil {
 		return nil, f.noTime(r, 0, retryAfter)
 	}
--- a/loadview/waits.go
+++ b/loadview/waits.go
@@ -33,7 +33,7 @@
 // out.
 func decodeWaits(w *wire.Waits, now time.Time) (es []calendar.Entry) {
 	for _, p := range w.Prompts {
-		if p.Id == "" || p.PrefillMicros <= 0 {
+		if p.Id == "" || p.PrefillMicros <= 0 || !plausible(p.PrefillMicros, p.DueMicros, p.DeadlineMicros) {
 			continue
 		}
 		es = append(es, calendar.Entry{
@@ -49,6 +49,19 @@
 	return es
 }
 
+// maxPlausible bounds the times in a message, of prompts that wait for some seconds.
+const maxPlausible = time.Hour
+
+// plausible reports whether times in microseconds are within maxPlausible.
+func plausible(micros ...int64) bool {
+	for _, x := range micros {
+		if x > maxPlausible.Microseconds() || x < -maxPlausible.Microseconds() {
+			return false
+		}
+	}
+	return true
+}
+
 // encodeRefusals returns the prompts that were refused here as messages.
 func encodeRefusals(rs []core.Refusal, now time.Time) (ps []*wire.RefusedPrompt) {
 	for _, r := range rs {
--- a/placement/long.go
+++ b/placement/long.go
@@ -94,7 +94,7 @@
 		l.Displaced = p.pricing(p, s, cs, set, r, l)
 	}
 	l.Refused = p.has(Refusing) && !p.worthwhile(r, l) || p.has(Rooming) && l.OutOfMemory && !r.StreamStarted
-	if l.Refused {
+	if l.Refused && !r.Scheduled {
 		l.RetryAfter = p.forecastRetryAfter(s, cs, set, r, l)
 	}
 	l.Target = at[target]
--- a/placement/short.go
+++ b/placement/short.go
@@ -31,6 +31,9 @@
 	}
 	c := &cs[target]
 	l.Target = target
+	if r.Scheduled {
+		l.Wait = c.PrefillBacklog
+	}
 	l.FirstEvent = e.TimeToFirstEvent(c.state(r), l.PrefillTime) + slotWait(c, r)
 	l.Refused = p.has(Shedding) && !r.StreamStarted && r.missesGoal(l.FirstEvent) && allSlotsTaken(cs, e)
 	l.RetryAfter = defaultRetryAfter(l.FirstEvent)
