feed: the wait for a probe ends when the turn to stand in comes again

Cause: a process that the store refused waits for its next probe for a random time with a mean of gateways / 20 s, up to 10.3 s at 103. When its turn to read for the others came anew in that time, since the store refused those that it had served, it waited on, and where it was the only one served all views expired: 4.67 s old (refused) where 4.2 s are allowed, 4.19 s three seconds after the change (silent) where 3 s are.

Change: the turn ends the wait, but not sooner than two seconds after the failure, so that calls stay bounded while the store fails all again and again.

--- a/feed/breaker.go
+++ b/feed/breaker.go
@@ -10,6 +10,11 @@
 	"github.com/hollowgrade/hollowgrade"
 )
 
+// minTurnInterval is the least time from a probe that failed until a backup probes again as its turn comes.
+// It bounds calls to the store while it fails all processes again and again, and is shorter than the three
+// seconds after which views have to be fresh again.
+const minTurnInterval = 2 * time.Second
+
 // Breaker is a circuit breaker for calls to the store, shared by all callers of a process: while
 // the store does not answer, one call at a time probes it, and the others resume once it has
 // answered. It is safe for concurrent use.
@@ -17,11 +22,12 @@
 	clock         hollowgrade.Clock
 	probeInterval func() time.Duration
 
-	mu        sync.Mutex
-	down      bool
-	probing   bool      // whether a probe is under way
-	nextProbe time.Time // earliest time of the next probe
-	delays    *backoff.ExponentialBackOff
+	mu          sync.Mutex
+	down        bool
+	probing     bool      // whether a probe is under way
+	lastFailure time.Time // when the store last failed a call
+	nextProbe   time.Time // earliest time of the next probe
+	delays      *backoff.ExponentialBackOff
 }
 
 // NewBreaker returns a breaker. ProbeInterval returns the mean time between probes where that is
@@ -65,15 +71,20 @@
 		a.delays.Reset()
 		return
 	}
-	a.nextProbe = a.clock.Now().Add(max(a.delays.NextBackOff(), randomDelay(interval)))
+	a.lastFailure = a.clock.Now()
+	a.nextProbe = a.lastFailure.Add(max(a.delays.NextBackOff(), randomDelay(interval)))
 }
 
 // SuspectOutage makes the next call a probe. It is called when this process starts to call the store
-// because the store doesn't answer the readers.
+// because the store doesn't answer the readers. The delay since a failure before that applies for
+// [minTurnInterval] only: the store may serve others now.
 func (a *Breaker) SuspectOutage() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.down = true
+	if due := a.lastFailure.Add(minTurnInterval); due.Before(a.nextProbe) {
+		a.nextProbe = due
+	}
 }
 
 // randomDelay returns a random time with a given mean, so that processes that begin to wait
--- a/feed/breaker_test.go
+++ b/feed/breaker_test.go
@@ -76,6 +76,21 @@
 		a.Report(true, true)
 		requireMayCall(t, a, true, false)
 	})
+	t.Run("a turn ends a long delay, but does not shorten the least one", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			a := NewBreaker(hollowgrade.SystemClock(), func() time.Duration { return 10_000 * time.Hour })
+			a.Report(false, false)
+			time.Sleep(minTurnInterval)
+			requireMayCall(t, a, false, false)
+			a.SuspectOutage()
+			requireMayCall(t, a, true, true)
+			a.Report(true, false)
+			a.SuspectOutage()
+			requireMayCall(t, a, false, false)
+			time.Sleep(minTurnInterval)
+			requireMayCall(t, a, true, true)
+		})
+	})
 }
 
 // A probe must not wait at the store: on a topic whose reads wait long, its answer would come
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -203,10 +203,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.updateOutage(readers, served, stale, starting)
+	wasBackup := r.isBackup
 	r.isBackup = r.actsAsBackup(group, higherRanked, served)
+	becameBackup = !reader && r.isBackup && !wasBackup
 	reads := reader || r.isBackup
 	if readDecision(reads) != *last {
-		becameBackup = !reader && reads
 		*last = readDecision(reads)
 		r.log.Info("reading of the store changed", "topics", topics, "reads", reads, "reader", reader, "turn", group, "served", served,
 			"told_ms", r.clock.Since(r.lastServedReply).Milliseconds(), "doubted_ms", r.outageMillis(), "stale", stale, "better_served", r.countServed(higherRanked))
