--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,7 +150,7 @@
 func paddedConfig(version, bytes int) []byte {
 	return []byte(fmt.Sprintf(`{"version":%d,"routes":[
  {"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe","timeoutMs":5000,"goalLatencyMs":300,"maxAttempts":1,"service":"s"},
- {"name":"%0*d","host":"other","pathPrefix":"/other/","kind":"unsafe","service":"s"}],
+ {"name":"%s","host":"other","pathPrefix":"/other/","kind":"unsafe","service":"s"}],
  "services":[{"name":"s"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"o","apiKeys":["k1"]}]}`, version, bytes, 0))
+ "tenants":[{"name":"o","apiKeys":["k1"]}]}`, version, strings.Repeat("0", bytes)))
 }
