core: further attempts of a prompt that had its turn are sent at once

Cause: a second attempt no longer waits for a turn, but was priced and held back as prompts of services without a calendar are, after its first had been admitted.

Change: it counts as scheduled.

--- a/core/flow.go
+++ b/core/flow.go
@@ -66,7 +66,8 @@
 	lastEventAt  time.Time     // when the last event arrived
 	longestPause time.Duration // longest between two events
 	predicted    time.Duration // the prediction of first for the first attempt
-	turnWait     time.Duration // for the turn of the present attempt
+	turnWait     time.Duration // for the turn of the first attempt
+	hadTurn      bool          // whether it waited for its turn, so that further attempts need not
 	failure      *answer       // an upstream's error answer, kept while another attempt may succeed
 }
 
@@ -143,6 +144,7 @@
 	now := f.core.clock.Now()
 	r := newRequest(f.service, f.route, f.call, f.deadline.Sub(now), now.Sub(f.call.Arrived))
 	r.StreamStarted = f.headSent
+	r.Scheduled = f.hadTurn
 	return r
 }
 
--- a/core/turn.go
+++ b/core/turn.go
@@ -61,7 +61,7 @@
 		p, state, again := f.core.fleet.start(w, after(r, waited), f.tried)
 		switch state {
 		case Started:
-			f.turnWait = waited
+			f.turnWait, f.hadTurn = waited, true
 			return p, nil
 		case Dropped:
 			return nil, f.noTime(r, waited, again)
