core: log the whole wait of a call that ends before its turn

Cause: the line "not sent" of a call that ended while it waited for its turn had as turn_wait_ms the wait until its last look, up to 100 ms less than it waited (0 ms of 50 ms in a test).

Change: the wait is measured when it ends. No decision is changed.

--- a/core/turn.go
+++ b/core/turn.go
@@ -30,7 +30,7 @@
 			return nil, f.noTime(r, waited, again)
 		}
 		if !hollowgrade.Sleep(ctx, f.core.clock, again) {
-			return nil, f.waitEnded(ctx, waited)
+			return nil, f.waitEnded(ctx, f.core.clock.Since(begin))
 		}
 	}
 }
