measure: metrics of the prompts that wait for their turn

Cause: only log lines told whether long prompts wait, how long, and how many are refused for want of time.

Change: hollowgrade.prompts_waiting is a gauge of the prompts that wait at the gateway, without attributes as the other gauges. hollowgrade.turn_wait is a histogram in seconds by service and result (came, refused, ended); its count gives the refusals. A call with several attempts counts once, by the last of them that had to wait. core.Observation has Turn and TurnWait. No decision is changed.

Measured: tests of core, measure, and those of internal/node that match Reload|Metrics|Log|Gateway pass without the race detector; the gauge has no test of its own.

--- a/core/calendar_test.go
+++ b/core/calendar_test.go
@@ -185,3 +185,63 @@
 		require.Empty(t, c.fleet.waits)
 	})
 }
+
+// calendarObserver returns a core as calendarCore does, and the observations of its calls.
+func calendarObserver() (*Core, *[]Observation) {
+	os := &[]Observation{}
+	c := calendarCore(&fakeUpstreams{replies: []reply{events(1, 3, io.EOF)}})
+	c.observe = func(o Observation) { *os = append(*os, o) }
+	return c, os
+}
+
+func TestTurnsAreObserved(t *testing.T) {
+	run := func(name string, do func(t *testing.T, c *Core, os *[]Observation)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, os := calendarObserver()
+				do(t, c, os)
+			})
+		})
+	}
+	requireTurn := func(t *testing.T, o Observation, r TurnResult, least, most time.Duration) {
+		t.Helper()
+		require.Equal(t, r, o.Turn)
+		require.GreaterOrEqual(t, o.TurnWait, least)
+		require.LessOrEqual(t, o.TurnWait, most)
+		require.Equal(t, "e", o.Service)
+	}
+	run("that came, at once and after a wait", func(t *testing.T, c *Core, os *[]Observation) {
+		require.NoError(t, c.Serve(context.Background(), longCall("a"), &fakeSink{}))
+		require.NoError(t, c.Serve(context.Background(), longCall("b"), &fakeSink{}))
+		require.Len(t, *os, 2)
+		requireTurn(t, (*os)[0], TurnCame, 0, 0)
+		requireTurn(t, (*os)[1], TurnCame, turnInterval, (*os)[1].Took)
+	})
+	run("of prompts that are refused", func(t *testing.T, c *Core, os *[]Observation) {
+		var es []calendar.Entry
+		for i := range 8 {
+			e := peerPrompt(c.fleet, fmt.Sprint(i), 6*time.Second, 2650*time.Millisecond)
+			e.Worth = 100
+			es = append(es, e)
+		}
+		c.fleet.ReceiveWaits("peer", es)
+		requireFault(t, fault.As(c.Serve(context.Background(), longCall("a"), &fakeSink{}), hollowgrade.Unknown), fault.CannotMakeIt, hollowgrade.NotRun)
+		require.Len(t, *os, 1)
+		requireTurn(t, (*os)[0], TurnRefused, 0, 0)
+	})
+	run("of calls that end before", func(t *testing.T, c *Core, os *[]Observation) {
+		require.NoError(t, c.Serve(context.Background(), longCall("a"), &fakeSink{}))
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		require.Error(t, c.Serve(ctx, longCall("b"), &fakeSink{}))
+		require.Len(t, *os, 2)
+		requireTurn(t, (*os)[1], TurnEnded, 50*time.Millisecond, 50*time.Millisecond)
+	})
+	run("of none that does not wait", func(t *testing.T, c *Core, os *[]Observation) {
+		x := longCall("a")
+		x.PromptTokens = 1000
+		require.NoError(t, c.Serve(context.Background(), x, &fakeSink{}))
+		require.Len(t, *os, 1)
+		requireTurn(t, (*os)[0], "", 0, 0)
+	})
+}
--- a/core/core.go
+++ b/core/core.go
@@ -94,6 +94,8 @@
 	Took         time.Duration
 	Attempts     int
 	Events       int
+	Turn         TurnResult    // of the last attempt that had to wait for its turn
+	TurnWait     time.Duration // for that turn
 }
 
 // Option configures a [Core].
--- a/core/flow.go
+++ b/core/flow.go
@@ -66,7 +66,8 @@
 	lastEventAt  time.Time     // when the last event arrived
 	longestPause time.Duration // longest between two events
 	predicted    time.Duration // the prediction of first for the first attempt
-	turnWait     time.Duration // for the turn of the present attempt
+	turn         TurnResult    // of the last attempt that had to wait for its turn
+	turnWait     time.Duration // for that turn
 	failure      *answer       // an upstream's error answer, kept while another attempt may succeed
 }
 
@@ -293,6 +294,8 @@
 		Took:         f.core.clock.Since(f.call.Arrived),
 		Attempts:     len(f.upstreams),
 		Events:       f.events,
+		Turn:         f.turn,
+		TurnWait:     f.turnWait,
 	}
 	v := int64(0)
 	if f.catalog != nil {
--- a/core/turn.go
+++ b/core/turn.go
@@ -10,6 +10,21 @@
 	"github.com/hollowgrade/hollowgrade/placement"
 )
 
+// TurnResult is how the wait of a long prompt for its turn ended.
+type TurnResult string
+
+// The values of [TurnResult]. It is empty for calls that don't wait for a turn.
+const (
+	TurnCame    TurnResult = "came"
+	TurnRefused TurnResult = "refused" // the engines have no time for the prompt
+	TurnEnded   TurnResult = "ended"   // the call ended before its turn
+)
+
+// endTurn records how the wait for a turn ended.
+func (f *flow) endTurn(r TurnResult, waited time.Duration) {
+	f.turn, f.turnWait = r, waited
+}
+
 // awaitTurn waits until a long prompt has its turn and returns its pick, nil if there is no upstream
 // for it.
 func (f *flow) awaitTurn(ctx context.Context, r placement.Request) (*pick, error) {
@@ -24,7 +39,7 @@
 		p, state, again := f.core.fleet.start(w, after(r, waited), f.tried)
 		switch state {
 		case Started:
-			f.turnWait = waited
+			f.endTurn(TurnCame, waited)
 			return p, nil
 		case Dropped:
 			return nil, f.noTime(r, waited, again)
@@ -37,6 +52,7 @@
 
 // noTime returns the error for a long prompt that the engines have no time for.
 func (f *flow) noTime(r placement.Request, waited, retryAfter time.Duration) error {
+	f.endTurn(TurnRefused, waited)
 	f.core.log.Info("not sent", "request", f.call.ID, "why", "the engines have no time for it", "prompt_tokens", f.call.PromptTokens,
 		"goal_ms", f.route.Goal.Milliseconds(), "waited_ms", r.Waited.Milliseconds(), "turn_wait_ms", waited.Milliseconds(),
 		"again", r.RefusedBefore, "worth", round(r.Worth()), "work_ms", r.Engine.PrefillTime(r.PromptTokens, 1).Milliseconds(),
@@ -46,6 +62,7 @@
 
 // waitEnded returns the error for a call that ended while it waited for its turn.
 func (f *flow) waitEnded(ctx context.Context, waited time.Duration) error {
+	f.endTurn(TurnEnded, waited)
 	c := context.Cause(ctx)
 	f.core.log.Info("not sent", "request", f.call.ID, "why", "it ended while it waited for its turn", "turn_wait_ms", waited.Milliseconds(), "cause", c)
 	switch {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -285,6 +285,7 @@
 	return measure.Sample{
 		Organisation: o.Organisation,
 		Kind:         o.Route,
+		Service:      o.Service,
 		Outcome:      o.Outcome,
 		Code:         string(o.Code),
 		PromptTokens: o.PromptTokens,
@@ -292,6 +293,8 @@
 		Predicted:    o.Predicted,
 		Took:         o.Took,
 		Attempts:     o.Attempts,
+		Turn:         string(o.Turn),
+		TurnWait:     o.TurnWait,
 	}
 }
 
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -43,6 +43,10 @@
 		n.metrics.Gauge("hollowgrade.slow_upstreams", "Upstreams that are known to take longer than published.", func() float64 {
 			return float64(n.Core.Fleet().Slow())
 		}),
+		n.metrics.Gauge("hollowgrade.prompts_waiting", "Long prompts that wait at this gateway for their turn.", func() float64 {
+			es, _ := n.Core.Fleet().Waits()
+			return float64(len(es))
+		}),
 		n.metrics.Gauge("hollowgrade.suspended", "Seconds for which the machine was suspended since the start.", func() float64 {
 			_, total := n.clock.Suspensions()
 			return total.Seconds()
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -1,6 +1,8 @@
 package measure
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -82,3 +84,25 @@
 	}
 	require.Equal(t, otherName, r.BoundedKind("one too many"))
 }
+
+func TestTurnsAreMetrics(t *testing.T) {
+	m, err := NewMetrics()
+	require.NoError(t, err)
+	m.Add(Sample{Service: "e"})
+	m.Add(Sample{Service: "e", Turn: "came", TurnWait: 300 * time.Millisecond})
+	m.Add(Sample{Service: "e", Turn: "refused"})
+	m.Add(Sample{Service: "f", Turn: "refused"})
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	body := w.Body.String()
+	requireSeries := func(series, result, service, value string) {
+		t.Helper()
+		labels := `{otel_scope_name="hollowgrade",otel_scope_schema_url="",otel_scope_version="",result="` + result + `",service="` + service + `"} `
+		require.Contains(t, body, "hollowgrade_turn_wait_seconds_"+series+labels+value+"\n")
+	}
+	requireSeries("count", "came", "e", "1")
+	requireSeries("sum", "came", "e", "0.3")
+	requireSeries("count", "refused", "e", "1")
+	requireSeries("count", "refused", "f", "1")
+	require.NotContains(t, body, `result=""`)
+}
--- a/measure/otel.go
+++ b/measure/otel.go
@@ -24,6 +24,7 @@
 	took     metric.Float64Histogram
 	attempts metric.Int64Counter
 	ratio    metric.Float64Histogram
+	turns    metric.Float64Histogram
 }
 
 // NewMetrics returns instruments that a Prometheus endpoint can read.
@@ -49,6 +50,10 @@
 	if m.ratio, err = m.meter.Float64Histogram("hollowgrade.prediction_ratio", ratios, metric.WithDescription("Time to first token as seen over as predicted when the request was placed, by prompt length.")); err != nil {
 		return nil, err
 	}
+	waits := metric.WithExplicitBucketBoundaries(0.01, 0.02, 0.05, 0.1, 0.2, 0.42, 0.8, 1.5, 3, 6, 12, 25)
+	if m.turns, err = m.meter.Float64Histogram("hollowgrade.turn_wait", metric.WithUnit("s"), waits, metric.WithDescription("Time that long prompts waited for their turn, by service and result: came, refused or ended.")); err != nil {
+		return nil, err
+	}
 	m.took, err = m.meter.Float64Histogram("hollowgrade.took", metric.WithUnit("s"), bounds, metric.WithDescription("Time until the final answer, by kind."))
 	return m, err
 }
@@ -70,6 +75,9 @@
 	m.requests.Add(ctx, 1, metric.WithAttributes(kind, attribute.String("outcome", string(s.Outcome)), attribute.String("code", s.Code)))
 	m.attempts.Add(ctx, int64(s.Attempts))
 	m.took.Record(ctx, s.Took.Seconds(), metric.WithAttributes(kind))
+	if s.Turn != "" {
+		m.turns.Record(ctx, s.TurnWait.Seconds(), metric.WithAttributes(attribute.String("service", s.Service), attribute.String("result", s.Turn)))
+	}
 	if s.FirstToken > 0 && s.Predicted > 0 {
 		m.ratio.Record(ctx, float64(s.FirstToken)/float64(s.Predicted), metric.WithAttributes(attribute.String("length", Bucket(s.PromptTokens))))
 	}
--- a/measure/recorder.go
+++ b/measure/recorder.go
@@ -44,6 +44,7 @@
 type Sample struct {
 	Organisation string
 	Kind         string
+	Service      string
 	Outcome      hollowgrade.Outcome
 	Code         string
 	PromptTokens int
@@ -52,6 +53,8 @@
 	Took         time.Duration
 	Attempts     int
 	Predicted    time.Duration // time to first token predicted at placement, zero if it was not placed
+	Turn         string        // how its wait for a turn ended, empty if it didn't have to wait
+	TurnWait     time.Duration // for that turn
 }
 
 // The range of the histograms. Times are in microseconds, slowdowns in
