loadview: a test that a full list of waiting prompts fits into a packet

Cause: peers are told of all waiting prompts in one packet, and no test held that against peer.MaxPacket.

Change: TestWaitsFitIntoAPacket, 24 prompts with ids of 16 digits and a service name of 10 letters. core.MaxWaits is exported for it.

RED: 1,472 bytes when the deadlines have passed, since deadline_micros is an int64, which takes 10 bytes when negative. Packets.Send refuses such a packet, and the list goes with the next heartbeat.

--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -57,7 +57,7 @@
 		es = append(es, peerPrompt(f, fmt.Sprintf("%016x", i), 8*time.Second, 2600*time.Millisecond))
 	}
 	for i := 0; len(es) > 0; i++ {
-		k := min(maxWaits, len(es))
+		k := min(MaxWaits, len(es))
 		box := fmt.Sprintf("peer%02d", i)
 		f.ReceiveView(box, nil, true)
 		f.ReceiveWaits(box, es[:k])
--- a/core/calendar.go
+++ b/core/calendar.go
@@ -25,14 +25,15 @@
 	// giveUpShare is the part of a caller's time after which a prompt that can't be in time any more
 	// waits no longer.
 	giveUpShare = 0.5
-	// maxWaits bounds the prompts that wait at one gateway. Peers are told of all of them in a packet.
-	maxWaits = 24
 	// turnInterval is how often a waiting prompt looks whether its turn has come. The time from one
 	// turn to the next is a multiple of it.
 	turnInterval = 10 * time.Millisecond
 	maxTurnPause = 100 * time.Millisecond
 )
 
+// MaxWaits bounds the prompts that wait at one gateway. Peers are told of all of them in a packet.
+const MaxWaits = 24
+
 // Wait is a long prompt of this process that waits for its turn.
 type Wait struct {
 	entry   calendar.Entry
@@ -82,7 +83,7 @@
 		Worth:    r.Worth(),
 	}}
 	es, g := f.entries(service), f.engines(service, r, now)
-	if len(f.waits) >= maxWaits || overflows(append(es, w.entry), g, id, now) {
+	if len(f.waits) >= MaxWaits || overflows(append(es, w.entry), g, id, now) {
 		return nil, retryAfterDrain(calendar.Drained(es, g, w.entry.Prefill))
 	}
 	f.waits[id] = w
--- a/core/calendar_test.go
+++ b/core/calendar_test.go
@@ -113,12 +113,12 @@
 		require.Positive(t, after)
 	})
 	run("the number of prompts that wait is bounded", func(t *testing.T, f *Fleet) {
-		for i := range 3 * maxWaits {
+		for i := range 3 * MaxWaits {
 			r := long(900_000)
 			r.Goal, r.TimeLeft = time.Minute, time.Hour
 			f.wait(fmt.Sprint(i), "e", r)
 		}
-		require.LessOrEqual(t, len(f.waits), maxWaits)
+		require.LessOrEqual(t, len(f.waits), MaxWaits)
 	})
 }
 
--- a/loadview/waits_test.go
+++ b/loadview/waits_test.go
@@ -1,13 +1,17 @@
 package loadview
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/hollowgrade/hollowgrade/calendar"
+	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/peer"
 )
 
 func TestWaitsOnTheWire(t *testing.T) {
@@ -30,3 +34,37 @@
 		require.Len(t, decodeWaits(m, now), 1)
 	})
 }
+
+// waitsFrame returns the frame of a full list of prompts that wait, due and given up after some time.
+func waitsFrame(s *Sender, due, deadline time.Duration) *wire.Frame {
+	now := time.Now()
+	var es []calendar.Entry
+	for i := range core.MaxWaits {
+		es = append(es, calendar.Entry{
+			ID:       fmt.Sprintf("%016x", uint64(i)),
+			Service:  "service-12",
+			Prefill:  20 * time.Second,
+			Due:      now.Add(due),
+			Deadline: now.Add(deadline),
+			Worth:    101, // a million tokens
+			Rank:     9,
+		})
+	}
+	m := s.view(nil, false)
+	m.Waits = encodeWaits(es, now)
+	return &wire.Frame{Body: &wire.Frame_LoadView{LoadView: m}}
+}
+
+func TestWaitsFitIntoAPacket(t *testing.T) {
+	s := New("box-of-a-long-name-in-a-data-hall/incarnation", newFleet(), func() []string { return nil })
+	run := func(name string, due, deadline time.Duration) {
+		t.Run(name, func(t *testing.T) {
+			f := waitsFrame(s, due, deadline)
+			require.Len(t, f.GetLoadView().Waits.Prompts, core.MaxWaits)
+			require.LessOrEqual(t, proto.Size(f), peer.MaxPacket)
+		})
+	}
+	run("of prompts that can be in time", 10*time.Second, 30*time.Second)
+	run("of prompts that are overdue", -10*time.Second, 30*time.Second)
+	run("of prompts whose wait is over", -10*time.Second, -time.Millisecond)
+}
