loadview: a deadline that has passed takes no more bytes

Cause: deadline_micros is an int64, so a negative one takes 10 bytes, and 24 such prompts don't fit into a packet (1,472 bytes, 1,400 allowed; TestWaitsFitIntoAPacket).

Change: a deadline that has passed is sent as now. It decides alike: calendar.overdue compares the deadline with a time after now, and only the sender itself looks at its own deadline when a prompt starts.

Measured: TestWaitsFitIntoAPacket passes, unchanged, and so do the tests of loadview, without the race detector.

--- a/loadview/waits.go
+++ b/loadview/waits.go
@@ -20,7 +20,7 @@
 			Service:        e.Service,
 			PrefillMicros:  e.Prefill.Microseconds(),
 			DueMicros:      e.Due.Sub(now).Microseconds(),
-			DeadlineMicros: e.Deadline.Sub(now).Microseconds(),
+			DeadlineMicros: max(e.Deadline.Sub(now), 0).Microseconds(), // a negative one takes 10 bytes, and is no different
 			WorthMilli:     int64(e.Worth * worthUnit),
 			Rank:           int32(e.Rank),
 		})
