--- a/core/calendar.go
+++ b/core/calendar.go
@@ -29,8 +29,6 @@
 	giveUpShare = 0.5
 	// giveUpGoals bounds the same wait. Callers leave after four goals without an event.
 	giveUpGoals = 2
-	// maxWaits bounds the prompts that wait at one gateway. Peers are told of all of them in a packet.
-	maxWaits = 24
 	// turnInterval is how often a waiting prompt looks whether its turn has come. The time from one
 	// turn to the next is a multiple of it.
 	turnInterval = 10 * time.Millisecond
@@ -39,6 +37,9 @@
 	waitsGrace = 300 * time.Millisecond
 )
 
+// MaxWaits bounds the prompts that wait at one gateway. Peers are told of all of them in a packet.
+const MaxWaits = 24
+
 // Wait is a long prompt of this process that waits for its turn.
 type Wait struct {
 	entry   calendar.Entry
@@ -84,7 +85,7 @@
 		Worth:    r.Worth(),
 	}}
 	es, g := f.entries(service), f.engines(service, r, now)
-	if len(f.waits) >= maxWaits || overflows(append(es, w.entry), g, w.entry.ID, now) {
+	if len(f.waits) >= MaxWaits || overflows(append(es, w.entry), g, w.entry.ID, now) {
 		return nil, retryAfterDrain(calendar.Drained(es, g, w.entry.Prefill))
 	}
 	f.waits[w.entry.ID] = w
--- a/core/flow.go
+++ b/core/flow.go
@@ -66,8 +66,8 @@
 	lastEventAt  time.Time     // when the last event arrived
 	longestPause time.Duration // longest between two events
 	predicted    time.Duration // the prediction of first for the first attempt
-	turnWait     time.Duration // for the turn of the first attempt
-	hadTurn      bool          // whether it waited for its turn, so that further attempts need not
+	turn         TurnResult    // of the last attempt that had to wait for its turn
+	turnWait     time.Duration // for that turn
 	failure      *answer       // an upstream's error answer, kept while another attempt may succeed
 }
 
@@ -144,7 +144,7 @@
 	now := f.core.clock.Now()
 	r := newRequest(f.service, f.route, f.call, f.deadline.Sub(now), now.Sub(f.call.Arrived))
 	r.StreamStarted = f.headSent
-	r.Scheduled = f.hadTurn
+	r.Scheduled = f.turn == TurnCame
 	return r
 }
 
@@ -303,6 +303,8 @@
 		Took:         f.core.clock.Since(f.call.Arrived),
 		Attempts:     len(f.upstreams),
 		Events:       f.events,
+		Turn:         f.turn,
+		TurnWait:     f.turnWait,
 	}
 	v := int64(0)
 	if f.catalog != nil {
