core: count what parties ask and get of long prompts

Cause: a gateway that lets long prompts wait needs to know whose prompts were left out.

Change: the table of upstreams owns an account of package fairness. A long prompt counts as asked at its first attempt and as got when it is first sent, for its organisation, the data hall of the gateway's box (new option WithHall) and its size.

--- a/core/core.go
+++ b/core/core.go
@@ -68,6 +68,7 @@
 	peers        func() int
 	fleet        *Fleet
 	box          string
+	hall         string            // data hall that callers come to
 	quarantine   *quarantine.Table // requests that were lost in crashes of upstreams
 	unconfirmed  *unconfirmedLosses
 	catalog      atomic.Pointer[Catalog]
@@ -159,6 +160,11 @@
 	return func(c *Core) { c.box = box }
 }
 
+// WithHall sets the data hall of this box, to which its callers come.
+func WithHall(hall string) Option {
+	return func(c *Core) { c.hall = hall }
+}
+
 // New returns a core that sends calls through x and reserves memory through r. It has no
 // configuration and no upstreams yet.
 func New(x hollowgrade.Exchanger, r hollowgrade.Reserver, os ...Option) *Core {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fairness"
 	"github.com/hollowgrade/hollowgrade/placement"
 )
 
@@ -125,6 +126,7 @@
 	candidates        []placement.Candidate                       // of the last decision; the memory is reused
 	evacuation        Evacuation                                  // data halls that get no calls
 	coldRules         map[string]ColdRule                         // by service
+	fairness          *fairness.Account                           // what parties asked and got of long prompts
 }
 
 // FleetOption configures a [Fleet].
@@ -152,6 +154,7 @@
 		changed:           map[hollowgrade.Instance]bool{},
 		surveyedAt:        map[string]time.Time{},
 		demands:           map[string]*demand{},
+		fairness:          fairness.New(),
 		notify:            make(chan struct{}, 1),
 		peers:             func() int { return 0 },
 		requestPaces:      func([]hollowgrade.Upstream, string) {},
--- a/core/flow.go
+++ b/core/flow.go
@@ -54,6 +54,7 @@
 	budget       *retry.Window
 	deadline     time.Time
 
+	countedGot   bool                          // whether the call counts as placed for its party
 	noMemory     int                           // attempts that failed for want of free memory
 	retryPaid    atomic.Bool                   // whether the next retry is already taken out of the budget
 	tried        map[hollowgrade.Instance]bool // instances that were picked for the call
@@ -121,6 +122,9 @@
 	now := f.core.clock.Now()
 	r := newRequest(f.service, f.route, f.call, f.deadline.Sub(now), now.Sub(f.call.Arrived))
 	r.StreamStarted = f.headSent
+	if n == 1 {
+		f.recordAsked(r)
+	}
 	p := f.core.fleet.pick(f.service.Name, r, f.tried)
 	if p == nil {
 		return Try{Err: f.noUpstreamError()}
@@ -142,6 +146,7 @@
 		f.core.fleet.release(p, false)
 		return Try{Err: err, Placed: f.noMemory < maxMemoryTries, Free: true}
 	}
+	f.recordGot(r)
 	err = a.run(ctx)
 	f.core.fleet.release(p, a.answerBegan)
 	f.recordOutcome(ctx, a, err)
--- a/core/share.go
+++ b/core/share.go
@@ -227,6 +227,7 @@
 }
 
 func (f *Fleet) dropView(box string) {
+	f.fairness.Drop(box)
 	v := f.views[box]
 	if v == nil {
 		return
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -103,6 +103,7 @@
 		core.WithLogger(g),
 		core.WithClock(b.clock),
 		core.WithBox(c.Box),
+		core.WithHall(c.Hall),
 		core.WithReporter(w),
 		core.WithProber(w),
 		core.WithBounds(bounds(c)),
