core: notice that all processes of a cell have started together

Cause: see placement.Recovery.

Change: a process is recovering for 0.5 s from BeginServing on if more than half of its peers had not placed any call when they first reported to it. StartedTogether says that there is no load of peers to wait for. Nothing calls BeginServing yet.

--- a/core/fleet.go
+++ b/core/fleet.go
@@ -124,6 +124,7 @@
 	demands           map[string]*demand                          // by service
 	candidates        []placement.Candidate                       // of the last decision; the memory is reused
 	evacuation        Evacuation                                  // data halls that get no calls
+	recovery          recovery                                    // right after all processes of the cell have started together
 	coldRules         map[string]ColdRule                         // by service
 }
 
--- a/core/flow.go
+++ b/core/flow.go
@@ -118,6 +118,9 @@
 
 // send picks an upstream and makes one attempt.
 func (f *flow) send(ctx context.Context, n, left int) Try {
+	if n == 1 {
+		f.delayInRecovery(ctx)
+	}
 	now := f.core.clock.Now()
 	r := newRequest(f.service, f.route, f.call, f.deadline.Sub(now), now.Sub(f.call.Arrived))
 	r.StreamStarted = f.headSent
--- a/core/place.go
+++ b/core/place.go
@@ -67,6 +67,7 @@
 	ms := f.withinLimits(f.usableMembers(service, now), tried, now, r.StreamStarted)
 	s := f.snapshot(service, ms, tried, now)
 	s.UncountedCalls = f.unreportedCalls(service, now)
+	s.Recovery = f.recovery.at(now)
 	if r.Long() {
 		s.Demand = f.expected(service, now)
 	}
--- a/core/share.go
+++ b/core/share.go
@@ -35,6 +35,7 @@
 	receivedAt    time.Time
 	recentPrefill peerPrefill
 	complete      bool // whether a complete report was received, so that upstreams that appear later are new
+	startedIdle   bool // whether the first complete report had no load
 }
 
 // Changed returns a channel that receives a value when this process's own shares have changed.
@@ -110,6 +111,7 @@
 	}
 	v.receivedAt = f.clock.Now()
 	if complete {
+		v.startedIdle = v.startedIdle || !v.complete && idle(shares)
 		for id := range v.shares {
 			if _, ok := shares[id]; !ok {
 				f.dropShare(v, id)
