node: serve at once after a loss of all gateways, as a recovering one

Cause: in one logged return of all 24 gateways each waited 0.2 s for the load of its peers after the data of the store was read, because one listed gateway was gone, though none of the others had any load.

Change: the wait ends when the other gateways have started together with this one; when it ends the fleet is told this gateway's position in its cell, and the log says whether it is recovering. Tests of internal/node pass (142 s, without the race detector).

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -234,6 +234,19 @@
 	return len(m.cellPeers)
 }
 
+// position returns the index of this process among the gateways of its cell, in an order that all of
+// them share, and their number.
+func (m *members) position() (index, count int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range m.cellPeers {
+		if a < m.own.Peers {
+			index++
+		}
+	}
+	return index, len(m.cellPeers) + 1
+}
+
 func (m member) place() feed.Place {
 	return feed.Place{Hall: m.Hall, Link: m.Link}
 }
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -89,6 +89,24 @@
 	})
 }
 
+// Gateways that start together divide the engines by their positions, which have to differ.
+func TestPositionsInACell(t *testing.T) {
+	for _, n := range []int{1, 24, 100} {
+		cells := map[int]map[int]bool{}
+		for i := range n {
+			m := membersAmong(t, i, n)
+			index, count := m.position()
+			require.Equal(t, m.peers()+1, count)
+			require.Less(t, index, count)
+			if cells[m.cell.Index] == nil {
+				cells[m.cell.Index] = map[int]bool{}
+			}
+			require.False(t, cells[m.cell.Index][index], "another gateway of the cell has position %d", index)
+			cells[m.cell.Index][index] = true
+		}
+	}
+}
+
 func contains(m *members, address string) bool {
 	return slices.Contains(m.cellAddresses(), address)
 }
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -62,9 +62,10 @@
 	if ctx.Err() != nil {
 		return
 	}
+	recovering := n.Core.Fleet().BeginServing(n.members.position())
 	_, confirmed := n.config.Age()
 	n.log.Info("serving callers", "waited_ms", n.clock.Since(begin).Milliseconds(), "configuration", n.Core.Catalog() != nil, "confirmed", confirmed,
-		"upstreams", n.Core.Fleet().Size(), "held_known", !n.held.Fresh().IsZero(), "peers_heard", n.Core.Fleet().SyncedPeers(), "peers", n.members.peers())
+		"upstreams", n.Core.Fleet().Size(), "held_known", !n.held.Fresh().IsZero(), "peers_heard", n.Core.Fleet().SyncedPeers(), "peers", n.members.peers(), "recovering", recovering)
 }
 
 // storeRead reports whether the data of the store is read. The configuration must also be confirmed:
@@ -74,7 +75,8 @@
 	return confirmed && n.Core.Catalog() != nil && n.Core.Fleet().Size() > 0 && !n.held.Fresh().IsZero()
 }
 
-// peersSynced reports whether all other gateways of the cell have sent their load.
+// peersSynced reports whether all other gateways of the cell have sent their load, or have started
+// together with this one and have none.
 func (n *GatewayNode) peersSynced() bool {
-	return n.Core.Fleet().SyncedPeers() >= n.members.peers()
+	return n.Core.Fleet().SyncedPeers() >= n.members.peers() || n.Core.Fleet().StartedTogether()
 }
