--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -87,6 +87,15 @@
 
 // Simulate simulates one variant. It is deterministic: the same file gives the same result.
 func Simulate(f File, v Variant) []Result {
+	p := newSimulation(f, v)
+	for i := range f.Kinds {
+		p.scheduleArrivals(&f.Kinds[i])
+	}
+	return p.finish()
+}
+
+// newSimulation returns a simulation without requests.
+func newSimulation(f File, v Variant) *simulation {
 	p := &simulation{
 		file:           f,
 		variant:        v,
@@ -105,15 +114,17 @@
 	for i := range f.gateways(v) {
 		p.gateways = append(p.gateways, p.newDecider(i, ids))
 	}
-	for i := range f.Kinds {
-		p.scheduleArrivals(&f.Kinds[i])
-	}
 	for _, s := range f.Slow {
 		p.scheduleSlowdown(s, ids)
 	}
 	if f.View > 0 && !v.Alone {
 		p.schedule(f.View.Std(), p.sendUpdates)
 	}
+	return p
+}
+
+// finish runs the simulation and returns the outcome of each request.
+func (p *simulation) finish() []Result {
 	p.run()
 	for j := range p.openJobs {
 		p.results = append(p.results, j.result(math.MaxInt64))
@@ -231,8 +242,13 @@
 }
 
 func (p *simulation) placeRequest(j *job) {
-	j.gateway = p.decisionRandom.IntN(len(p.gateways))
-	g := p.gateways[j.gateway]
+	p.placeRequestAt(j, p.decisionRandom.IntN(len(p.gateways)))
+}
+
+// placeRequestAt lets a gateway place a request.
+func (p *simulation) placeRequestAt(j *job, gateway int) {
+	j.gateway = gateway
+	g := p.gateways[gateway]
 	j.tries++
 	d, ok := g.decide(j, j.kind.Allowed.Std()-(p.now-j.arrived))
 	if !ok || d.Refused {
