soak: send long prompts that wait for their turn

Cause: the setting long_wait lets long prompts wait at gateways, and no run of real processes with faults from outside played it.

Change: the gateways run with long_wait, two workers are engines of a service with published figures, and a caller sends them prompts that ask for all the time of both. Each such call has to end within 2 s of what its caller allows, with an answer or an error; a 503 has a Retry-After and did not run, and no call runs twice. The stand-ins answer a gateway's question how slow they are, which the check of unasked runs took for a call: the logs have the question for the same engine within 0.15 s.

--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -25,6 +25,17 @@
 	return q
 }
 
+// makeLong gives a request a long prompt, a status, an end after some seconds and faults at its gateway.
+func makeLong(h *history, q *request, status int, seconds float64, faults ...kind) {
+	q.promptTokens, q.status, q.retryAfter, q.ended = minLongPrompt, status, status == 503, at(10+seconds)
+	if status == 0 {
+		q.complete, q.err = false, "EOF"
+	}
+	for _, k := range faults {
+		h.spans = append(h.spans, span{kind: k, from: at(9), to: at(13)})
+	}
+}
+
 // addHarmful adds a harmful request that reached workers first times in time, and late times after
 // every gateway has to know it.
 func addHarmful(h *history, first, late int) {
@@ -148,6 +159,32 @@
 		{"named a limit and got more", func(h *history, _ *request) { addArrivals(h, signal{limit: 1}, 6, 12) }, "LIMIT"},
 		{"named a limit and got as much", func(h *history, _ *request) { addArrivals(h, signal{limit: 1}, 6, 11) }, ""},
 		{"named a limit just now", func(h *history, _ *request) { addArrivals(h, signal{limit: 1}, 8.5, 12) }, ""},
+		{"long prompt that ends late", func(h *history, q *request) { makeLong(h, q, 200, 5.6, awayStore) }, "WAIT"},
+		{"long prompt that ends in time", func(h *history, q *request) { makeLong(h, q, 200, 5.4) }, ""},
+		{"long prompt that ends late, its gateway stood still", func(h *history, q *request) { makeLong(h, q, 0, 5.6, pauseGateway) }, ""},
+		{"long prompt that ends late, another gateway stood still", func(h *history, q *request) {
+			makeLong(h, q, 200, 5.6, pauseGateway)
+			h.spans[0].gateway++
+		}, "WAIT"},
+		{"long prompt without an answer", func(h *history, q *request) { makeLong(h, q, 0, 2) }, "WAIT"},
+		{"long prompt cut by a kill", func(h *history, q *request) { makeLong(h, q, 0, 2, killGateway) }, ""},
+		{"long prompt that waits and is cut by a planned stop", func(h *history, q *request) {
+			makeLong(h, q, 0, 2, stopGateway)
+			h.runs = nil
+		}, "WAIT"},
+		{"long prompt that a stopping gateway does not accept", func(h *history, q *request) {
+			makeLong(h, q, 0, 0.1, stopGateway)
+			h.runs = nil
+		}, ""},
+		{"long prompt refused without a time", func(h *history, q *request) {
+			makeLong(h, q, 503, 2)
+			h.runs, q.retryAfter = nil, false
+		}, "REFUSED"},
+		{"long prompt refused", func(h *history, q *request) {
+			makeLong(h, q, 503, 2)
+			h.runs = nil
+		}, ""},
+		{"long prompt refused, and it ran", func(h *history, q *request) { makeLong(h, q, 503, 2) }, "REFUSED"},
 		{"at a worker that there is not", func(h *history, _ *request) { h.runs[0].worker = "strange-1" }, "ENTRIES"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -15,6 +15,7 @@
 
 const (
 	requestTimeout   = 3500 * time.Millisecond
+	callerGrace      = 2 * time.Second       // for which callers stay beyond it
 	meanCallInterval = 25 * time.Millisecond // average pause between two requests of a caller
 )
 
@@ -63,10 +64,7 @@
 	q.want = "answer to " + q.id
 	switch kind {
 	case "stream":
-		q.want = ""
-		for i := range streamEvents {
-			q.want += platformtest.Event(i + 1)
-		}
+		q.want = wholeStream()
 	case "probe":
 		if len(w.routes) == 0 {
 			q.path = "/again/" + q.id
@@ -80,9 +78,17 @@
 	return q
 }
 
+// wholeStream returns the events of a stream.
+func wholeStream() (s string) {
+	for i := range streamEvents {
+		s += platformtest.Event(i + 1)
+	}
+	return s
+}
+
 // send sends a request and records its answer or error.
 func (w *world) send(t *http.Transport, q *request) {
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout+2*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout+callerGrace)
 	defer cancel()
 	h, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.gateways[q.gateway].callersAddress+q.path, strings.NewReader(q.body))
 	if err != nil {
@@ -94,6 +100,9 @@
 	h.Header.Set("Attempt-Id", q.id)
 	h.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
 	h.Header.Set("Authorization", "Bearer "+q.key)
+	if q.promptTokens > 0 {
+		h.Header.Set("Token-Usage", fmt.Sprint(q.promptTokens, ",", streamEvents))
+	}
 	a, err := t.RoundTrip(h)
 	body := []byte(nil)
 	if err == nil {
@@ -105,6 +114,7 @@
 	q.ended, q.complete, q.answer = time.Now(), err == nil, string(body)
 	if a != nil {
 		q.status, q.signed = a.StatusCode, a.Header.Get("Response-Seal") != ""
+		q.retryAfter = a.Header.Get("Retry-After") != ""
 	}
 	if err != nil {
 		q.err = err.Error()
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -14,6 +14,7 @@
 	routeRevertTolerance = 250 * time.Millisecond // from a route's first success until a 404 is a violation
 	settleTime           = 3 * time.Second        // after a fault, during which bounds in time are not checked
 	stopGrace            = 4 * time.Second        // bounds a planned stop
+	stopLinger           = time.Second            // from the start of a stop until the gateway accepts no connections
 	retryRatio           = 0.2
 	retrySlack           = 16
 	retryWindow          = 10 * time.Second
@@ -28,6 +29,8 @@
 	signed, complete    bool
 	answer, want        string // received body, and the body that a worker would have sent
 	err                 string
+	retryAfter          bool   // the answer has the header
+	promptTokens        int    // 0 if it states none
 	atMostOnce          bool   // it must not run twice
 	probedRoute         string // path prefix of the route that it tests; empty if none
 }
@@ -71,7 +74,7 @@
 
 // check returns the violations that it finds, one line each.
 func (h *history) check() (bs []string) {
-	for _, c := range []func() []string{h.wrongAnswers, h.repeatedRuns, h.ranAfterRefusal, h.unrequestedRuns, h.ranWithRevokedKey, h.ranWhileDraining, h.revertedRoutes, h.lateRoutes, h.cutByPlannedStop, h.retryBudget, h.harmfulForwarded, h.runsAtUnlistedWorkers, h.ranAfterLeaving, h.ranDuringRetryDelay, h.overLimit} {
+	for _, c := range []func() []string{h.wrongAnswers, h.repeatedRuns, h.ranAfterRefusal, h.unrequestedRuns, h.ranWithRevokedKey, h.ranWhileDraining, h.revertedRoutes, h.lateRoutes, h.cutByPlannedStop, h.retryBudget, h.harmfulForwarded, h.runsAtUnlistedWorkers, h.ranAfterLeaving, h.ranDuringRetryDelay, h.overLimit, h.longWithoutEnd} {
 		bs = append(bs, c()...)
 	}
 	return bs
--- a/internal/soak/harm_test.go
+++ b/internal/soak/harm_test.go
@@ -70,10 +70,10 @@
 	defer w.mu.Unlock()
 	if how == replaceWorker {
 		w.store.Put("keyed.servers", k.ID, nil)
-		w.addWorker()
+		w.addWorker(k.service)
 		return
 	}
-	b := &worker{Worker: platformtest.NewWorker(k.ID, w.behave), proxy: k.proxy, startTime: time.Now()}
+	b := &worker{Worker: platformtest.NewWorker(k.ID, w.behave), proxy: k.proxy, service: k.service, startTime: time.Now()}
 	if how == restartInPlace {
 		b.proxy.setTarget(b.Address())
 	} else {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -78,6 +79,7 @@
 	for i := range *callers {
 		cs.Go(func() { w.runCaller(ctx, seed, i) })
 	}
+	cs.Go(func() { w.runLongCaller(ctx, seed) })
 	for _, s := range p {
 		fs.Go(func() {
 			time.Sleep(s.at - time.Since(start))
@@ -138,14 +140,15 @@
 	}
 }
 
-// countLogged counts the occurrences of a text in the gateways' logs.
-func (w *world) countLogged(text string) (n int) {
+// countLogged counts the matches of a pattern in the gateways' logs.
+func (w *world) countLogged(pattern string) (n int) {
+	p := regexp.MustCompile(pattern)
 	for _, g := range w.gateways {
 		b, err := os.ReadFile(filepath.Join(w.logs, g.name+".log"))
 		if err != nil {
 			w.t.Errorf("log of %s: %v", g.name, err)
 		}
-		n += strings.Count(string(b), text)
+		n += len(p.FindAll(b, -1))
 	}
 	return n
 }
@@ -157,14 +160,20 @@
 	bs = append(bs, w.check()...)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	ok := 0
+	ok, long, longOK := 0, 0, 0
 	for _, q := range w.history.requests {
+		if q.promptTokens > 0 {
+			long++
+		}
+		if q.promptTokens > 0 && success(q) && q.complete {
+			longOK++
+		}
 		if success(q) && q.complete {
 			ok++
 		}
 	}
-	t.Logf("seed %d: %d faults, %d requests, %d served, %d arrivals at workers, %d large values from peers, %d suspensions, %d promises broken",
-		seed, len(p), len(w.history.requests), ok, len(w.history.runs), w.countLogged("value received"), w.countLogged("machine was suspended"), len(bs))
+	t.Logf("seed %d: %d faults, %d requests, %d served, %d arrivals at workers, %d large values from peers, %d suspensions, %d of %d long prompts answered, %d sent and %d refused after a wait, %d promises broken",
+		seed, len(p), len(w.history.requests), ok, len(w.history.runs), w.countLogged("value received"), w.countLogged("machine was suspended"), longOK, long, w.countLogged(`"sent".*"turn_wait_ms":[1-9]`), w.countLogged(`"not sent".*"turn_wait_ms":[1-9]`), len(bs))
 	if len(bs) == 0 && !t.Failed() {
 		require.NoError(t, os.RemoveAll(w.logs))
 		return
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -63,6 +63,7 @@
 type worker struct {
 	*platformtest.Worker
 	proxy     *proxy
+	service   string
 	startTime time.Time // of a later instance with the same id
 }
 
@@ -83,12 +84,13 @@
 	routes         []string // paths of the added routes
 	filler         int      // number of further routes, which no caller uses
 	signals        map[string]signal
-	crashes        sync.WaitGroup // pending crashes and restarts of workers
+	engineBusy     map[string]time.Time // until when an engine prefills, by id
+	crashes        sync.WaitGroup       // pending crashes and restarts of workers
 }
 
 func newWorld(t testing.TB, binary string, z worldSize) *world {
 	t.Helper()
-	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory(), signals: map[string]signal{}}
+	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory(), signals: map[string]signal{}, engineBusy: map[string]time.Time{}}
 	t.Cleanup(w.store.Close)
 	w.logs = filepath.Join(os.TempDir(), "hollowgrade-soak", fmt.Sprint(os.Getpid(), "-", time.Now().UnixNano()))
 	require.NoError(t, os.MkdirAll(w.logs, 0o755))
@@ -97,7 +99,10 @@
 	}
 	w.writeConfig()
 	for range z.workers {
-		w.addWorker()
+		w.addWorker(plainService)
+	}
+	for range longEngines {
+		w.addWorker(longService)
 	}
 	var seeds []string
 	for i := range z.gateways {
@@ -191,11 +196,12 @@
 key_freshness = %q
 freshness = %q
 grace = %q
-linger = "1s"
+linger = %q
+long_wait = true
 retry_ratio = %g
 retry_slack = %d
 retry_window = %q
-`, g.name, g.callersAddress, g.readyAddress, peers, g.peers.address(), link, strings.Join(*seeds, `", "`), g.store.address(), keyFreshness, maxApplyDelay, stopGrace,
+`, g.name, g.callersAddress, g.readyAddress, peers, g.peers.address(), link, strings.Join(*seeds, `", "`), g.store.address(), keyFreshness, maxApplyDelay, stopGrace, stopLinger,
 		retryRatio, retrySlack, retryWindow)
 	require.NoError(w.t, os.WriteFile(g.config, []byte(text), 0o600))
 	return g
@@ -271,29 +277,30 @@
 	route("/once/", `"kind":"unsafe","maxAttempts":2`)
 	route("/again/", `"kind":"safe","maxAttempts":2`)
 	route("/stream/", `"kind":"streaming","resumable":true,"gap_aim_ms":200,"maxAttempts":3`)
+	routes = append(routes, longRoute)
 	for _, p := range w.routes {
 		route(p, `"kind":"safe","maxAttempts":2`)
 	}
 	for i := range w.filler {
 		route(fmt.Sprintf("/filler-%x/", hash(fmt.Sprint(i))), `"kind":"safe","maxAttempts":2`)
 	}
-	w.store.Put("keyed.op", "config", []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],
+	w.store.Put("keyed.op", "config", []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"},%s],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"o","apiKeys":["%s"]}]}`, w.version, strings.Join(routes, ","), strings.Join(w.keys, `","`))))
+ "tenants":[{"name":"o","apiKeys":["%s"]}]}`, w.version, strings.Join(routes, ","), longServiceRecord, strings.Join(w.keys, `","`))))
 }
 
-// addWorker starts a worker and registers it.
-func (w *world) addWorker() {
+// addWorker starts a worker of a service and registers it.
+func (w *world) addWorker(service string) {
 	id := fmt.Sprint("i-", w.workersStarted)
 	w.workersStarted++
-	k := &worker{Worker: platformtest.NewWorker(id, w.behave)}
+	k := &worker{Worker: platformtest.NewWorker(id, w.behave), service: service}
 	k.proxy = newProxy(w.t, k.Address())
 	w.workers = append(w.workers, k)
 	w.register(k, "ready")
 }
 
 func (w *world) register(k *worker, state string) {
-	r := k.Record("s", state)
+	r := k.Record(k.service, state)
 	r["address"] = k.proxy.address()
 	if !k.startTime.IsZero() {
 		r["born"] = k.startTime.UnixMilli()
@@ -304,6 +311,10 @@
 // behave answers a request according to a hash of its id, so that the load of a seed meets the same
 // failures in each run.
 func (w *world) behave(k *platformtest.Worker, c net.Conn, r *http.Request) {
+	if isReportRequest(k, r) {
+		platformtest.Answer(http.StatusOK, `{"pace":1}`)(k, c, r)
+		return
+	}
 	id := r.Header.Get("Attempt-Id")
 	draw := hash(k.ID+id) % 100
 	body := ""
@@ -336,6 +347,7 @@
 	case draw < 8:
 		platformtest.Hang(k, c, r)
 	default:
+		w.prefill(k, r)
 		time.Sleep(time.Duration(draw) * time.Millisecond)
 		w.recordSignal(answer(id, draw))(k, c, r)
 	}
@@ -343,7 +355,7 @@
 
 func answer(id string, draw uint64) platformtest.Behaviour {
 	switch {
-	case !strings.HasPrefix(id, "stream"):
+	case !strings.HasPrefix(id, "stream") && !strings.HasPrefix(id, longPrefix):
 		return platformtest.Answer(http.StatusOK, "answer to "+id)
 	case draw < 20:
 		return platformtest.Stream(streamEvents, int(draw)-7)
@@ -552,7 +564,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.workers = slices.DeleteFunc(w.workers, func(x *worker) bool { return x == k })
-	w.addWorker()
+	w.addWorker(k.service)
 }
 
 // changeConfig writes a new version of the configuration.
