core, loadview: bound what is remembered of refused prompts, and what peers may tell

Cause, found by reading the change once more: refused prompts were bounded in time but not in number, and those in a peer's message not at all; a heartbeat with an unchanged list of waiting prompts made every prompt look at its overflow again; a wait kept a time that nothing read; three comments said what the code doesn't do.

Change: 64 refusals a gateway, the oldest forgotten; at most as many refusals and waits of a peer are taken; the calendar's version rises when the waiting prompts change. Decisions are otherwise the same.

The tests of turns, waits, refusals, order, overflow, views and decisions in core, loadview and calendar pass; vet and linter of these packages are clean.

--- a/calendar/calendar.go
+++ b/calendar/calendar.go
@@ -61,8 +61,8 @@
 	late bool
 }
 
-// order sorts entries by rank, those that can be in time first. These go by when they are due, late
-// ones by length, so that most of them are answered.
+// order sorts entries: those that can be in time before late ones, each by rank. Entries of one rank
+// that can be in time go by when they are due, late ones by length, so that most of them are answered.
 func order(es []Entry, g Engines, now time.Time) []queued {
 	qs := make([]queued, len(es))
 	for i, e := range es {
--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -66,7 +66,7 @@
 	for range 4 * n {
 		f.pick("e", short(), nil)
 	}
-	return f, &Wait{since: f.Now(), entry: peerPrompt(f, "own", 8*time.Second, 2600*time.Millisecond)}
+	return f, &Wait{entry: peerPrompt(f, "own", 8*time.Second, 2600*time.Millisecond)}
 }
 
 // BenchmarkStart measures one look of a waiting prompt at whether its turn has come; docs/CAPACITY.md has
--- a/core/calendar.go
+++ b/core/calendar.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -18,8 +19,8 @@
 	// minPrefillShare is the part of its goal that one engine takes at least for the prefill of a prompt
 	// that waits. Shorter prompts hardly delay others, and are placed at once.
 	minPrefillShare = 0.5
-	// dueShare is the part of a goal by which the first event is scheduled. Predictions are off by a
-	// tenth when engines are busy.
+	// dueShare is the part of a goal by which the first event is scheduled. The rest allows for
+	// predictions that are too short.
 	dueShare = 0.9
 	// startBacklogShare is the part of its goal that a prompt may wait at the engines. It bounds what
 	// one pass prefills, and covers the time in which gateways hear of each other.
@@ -43,7 +44,6 @@
 // Wait is a long prompt of this process that waits for its turn.
 type Wait struct {
 	entry   calendar.Entry
-	since   time.Time
 	version uint64 // of the calendar when it was last checked for overflow
 }
 
@@ -76,7 +76,7 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	f.expireViews(now)
-	w = &Wait{since: now, entry: calendar.Entry{
+	w = &Wait{entry: calendar.Entry{
 		ID:       newWaitID(),
 		Service:  service,
 		Prefill:  r.Engine.PrefillTime(r.PromptTokens, 1),
@@ -239,13 +239,14 @@
 	return g
 }
 
-// Waits returns the prompts that wait at this process. It returns false if none ever do.
+// Waits returns the prompts that wait at this process, by id. It returns false if none ever do.
 func (f *Fleet) Waits() (es []calendar.Entry, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, w := range f.waits {
 		es = append(es, w.entry)
 	}
+	slices.SortFunc(es, func(a, b calendar.Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return es, f.calendar.Load()
 }
 
@@ -271,6 +272,8 @@
 	if v == nil || len(es) == 0 && len(v.waits) == 0 {
 		return
 	}
+	if !slices.EqualFunc(v.waits, es, func(a, b calendar.Entry) bool { return a.ID == b.ID }) {
+		f.calendarVersion++
+	}
 	v.waits = es
-	f.calendarVersion++
 }
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -127,11 +127,11 @@
 	evacuation        Evacuation                                  // data halls that get no calls
 	coldRules         map[string]ColdRule                         // by service
 	calendar          atomic.Bool                                 // whether long prompts wait for their turn
-	waits             map[string]*Wait                            // long prompts that wait here, by attempt
+	waits             map[string]*Wait                            // long prompts that wait here, by id
 	refusals          map[hollowgrade.Fingerprint]Refusal         // of long prompts by this process
 	peerRefusals      map[hollowgrade.Fingerprint]Refusal         // by peers
 	calendarVersion   uint64                                      // counts the changes of all waits
-	waitsUnsent       bool                                        // whether own waits have changed since the last call of [Fleet.Waits]
+	waitsUnsent       bool                                        // whether own waits have changed since the last call of [Fleet.TakeWaitsChanged]
 }
 
 // FleetOption configures a [Fleet].
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -14,10 +14,11 @@
 	// refusalMemory is how long gateways remember that they refused a long prompt. Callers come back
 	// after the time that they are told, [placement.MaxRetryAfter] at the most.
 	refusalMemory = 2 * placement.MaxRetryAfter
-	// maxRefusals bounds the refused prompts of one gateway that peers are told of.
-	maxRefusals = 64
 )
 
+// MaxRefusals bounds the refused prompts that one gateway remembers and tells its peers of.
+const MaxRefusals = 64
+
 // Refusal is a long prompt that was refused for want of time. Its caller may come back to any gateway.
 type Refusal struct {
 	Fingerprint  hollowgrade.Fingerprint
@@ -31,9 +32,18 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	f.expireRefusals(now)
+	if len(f.refusals) >= MaxRefusals {
+		f.forgetOldestRefusal()
+	}
 	f.refusals[p] = Refusal{Fingerprint: p, FirstArrival: first, Refused: now}
 }
 
+// forgetOldestRefusal makes room for another refusal of this process. The lock is held.
+func (f *Fleet) forgetOldestRefusal() {
+	oldest := slices.MinFunc(slices.Collect(maps.Values(f.refusals)), func(a, b Refusal) int { return a.Refused.Compare(b.Refused) })
+	delete(f.refusals, oldest.Fingerprint)
+}
+
 // expireRefusals forgets refusals whose callers won't come back. The lock is held.
 func (f *Fleet) expireRefusals(now time.Time) {
 	old := func(r Refusal) bool { return now.Sub(r.Refused) > refusalMemory }
@@ -41,8 +51,8 @@
 	maps.DeleteFunc(f.peerRefusals, func(_ hollowgrade.Fingerprint, r Refusal) bool { return old(r) })
 }
 
-// takeRefusal returns the refusal of a prompt that has come back, and forgets it: a further prompt of
-// the same content is another caller's.
+// takeRefusal returns the refusal of a prompt that has come back, and forgets it until a peer reports it
+// again: a further prompt of the same content may be another caller's.
 func (f *Fleet) takeRefusal(p hollowgrade.Fingerprint) (r Refusal, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -56,15 +66,14 @@
 	return r, ok
 }
 
-// Refusals returns the newest prompts that this process refused.
+// Refusals returns the prompts that this process refused, the newest first.
 func (f *Fleet) Refusals() []Refusal {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.expireRefusals(f.clock.Now())
-	rs := slices.SortedFunc(maps.Values(f.refusals), func(a, b Refusal) int {
+	return slices.SortedFunc(maps.Values(f.refusals), func(a, b Refusal) int {
 		return cmp.Or(b.Refused.Compare(a.Refused), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
 	})
-	return rs[:min(len(rs), maxRefusals)]
 }
 
 // ReceiveRefusals adds prompts that a peer refused.
--- a/core/refusal_test.go
+++ b/core/refusal_test.go
@@ -54,12 +54,12 @@
 		require.Empty(t, f.Refusals())
 	})
 	run("are told in a bounded number, the newest", func(t *testing.T, f *Fleet, first time.Time) {
-		for i := range 2 * maxRefusals {
+		for i := range 2 * MaxRefusals {
 			f.recordRefusal(hollowgrade.Fingerprint{byte(i), 1}, first)
 			time.Sleep(time.Millisecond)
 		}
-		require.Len(t, f.Refusals(), maxRefusals)
-		require.Equal(t, byte(2*maxRefusals-1), f.Refusals()[0].Fingerprint[0])
+		require.Len(t, f.Refusals(), MaxRefusals)
+		require.Equal(t, byte(2*MaxRefusals-1), f.Refusals()[0].Fingerprint[0])
 	})
 }
 
--- a/loadview/waits.go
+++ b/loadview/waits.go
@@ -32,7 +32,7 @@
 // decodeWaits returns the prompts that wait at a peer. Those without an id or a prefill time are left
 // out.
 func decodeWaits(w *wire.Waits, now time.Time) (es []calendar.Entry) {
-	for _, p := range w.Prompts {
+	for _, p := range w.Prompts[:min(len(w.Prompts), core.MaxWaits)] {
 		if p.Id == "" || p.PrefillMicros <= 0 || !plausible(p.PrefillMicros, p.DueMicros, p.DeadlineMicros) {
 			continue
 		}
@@ -76,7 +76,7 @@
 
 // decodeRefusals returns the prompts that a peer refused. Invalid ones are left out.
 func decodeRefusals(ps []*wire.RefusedPrompt, now time.Time) (rs []core.Refusal) {
-	for _, p := range ps {
+	for _, p := range ps[:min(len(ps), core.MaxRefusals)] {
 		r := core.Refusal{
 			FirstArrival: now.Add(-time.Duration(p.FirstAgeMicros) * time.Microsecond),
 			Refused:      now.Add(-time.Duration(p.AgeMicros) * time.Microsecond),
