--- a/core/flow.go
+++ b/core/flow.go
@@ -212,6 +212,17 @@
 	return s
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the shared parts of a prompt for logs.
+func loggedParts(ps []hollowgrade.PartID) (s []string) {
+	for _, p := range ps[:min(len(ps), maxLoggedParts)] {
+		s = append(s, p.String())
+	}
+	return s
+}
+
 // refuse returns the error for a long prompt that would cost other calls more than it is worth, or
 // for which no engine has memory.
 func (f *flow) refuse(p *pick) error {
@@ -263,7 +274,7 @@
 	case fault.UpstreamLost, fault.AnswerCut:
 		f.core.fleet.recordFailure(a.pick.member, f.call.ID, err.Error())
 	}
-	f.core.log.Info("attempt failed", "request", f.call.ID, "fingerprint", f.fingerprint, "upstream", a.pick.upstream().ID, "code", x.Code,
+	f.core.log.Info("attempt failed", "request", f.call.ID, "fingerprint", f.fingerprint, "parts", loggedParts(f.call.Parts), "upstream", a.pick.upstream().ID, "code", x.Code,
 		"outcome", x.Outcome, "events", f.events, "after_ms", f.core.clock.Since(a.pick.chosenAt).Milliseconds(), "err", err)
 	return t
 }
@@ -314,7 +325,7 @@
 		x := fault.As(err, hollowgrade.Unknown)
 		o.Outcome, o.Code = x.Outcome, x.Code
 	}
-	f.core.log.Info("request ended", "request", f.call.ID, "fingerprint", f.fingerprint, "organisation", o.Organisation, "route", o.Route, "service", o.Service,
+	f.core.log.Info("request ended", "request", f.call.ID, "fingerprint", f.fingerprint, "parts", loggedParts(f.call.Parts), "organisation", o.Organisation, "route", o.Route, "service", o.Service,
 		"repeat", f.route.Repeat.String(), "outcome", o.Outcome, "code", o.Code, "attempts", o.Attempts, "upstreams", f.upstreams,
 		"events", o.Events, "prompt_tokens", o.PromptTokens, "goal_ms", f.route.Goal.Milliseconds(), "first_ms", o.First.Milliseconds(),
 		"pause_goal_ms", f.route.PauseGoal.Milliseconds(),
--- a/exchange.go
+++ b/exchange.go
@@ -22,6 +22,9 @@
 	Key         string // API key, empty if the caller sent none
 	LastEventID string // id of the last event of the answer that the caller already has
 	Model       string
+	// Parts are the parts of the prompt that other prompts may share, without duplicates: all but the
+	// last, and [MaxParts] at most, the first ones.
+	Parts []PartID
 	// PromptTokens and MaxTokens are zero for calls that generate nothing.
 	PromptTokens int
 	MaxTokens    int
@@ -29,6 +32,9 @@
 	Patience     time.Duration // how long the caller waits, counted from Arrived; 0 if unknown
 }
 
+// MaxParts bounds [Call.Parts].
+const MaxParts = 16
+
 // Upstream is one instance of a back end, as listed in the platform's registry.
 type Upstream struct {
 	ID          string // may stay the same when the upstream restarts
