--- a/internal/node/ends_test.go
+++ b/internal/node/ends_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 	store    *platformtest.Store
 	downtime time.Duration
 	proxied  bool // a proxy before each keeps accepting connections, and it restarts under its id
+	// crashingParts are parts of prompts that crash upstreams, as they begin in a list of parts.
+	crashingParts []string
 
 	mu         sync.Mutex
 	workers    map[string]*platformtest.Worker
@@ -91,7 +94,7 @@
 
 func (m *crashingPool) serve(w *platformtest.Worker, c net.Conn, r *http.Request) {
 	b, _ := io.ReadAll(r.Body)
-	if string(b) == crashingBody {
+	if string(b) == crashingBody || m.hasCrashingPart(r) {
 		m.mu.Lock()
 		m.crashSends = append(m.crashSends, time.Now())
 		m.mu.Unlock()
@@ -103,6 +106,11 @@
 	platformtest.PacedStream(eventCount, eventInterval)(w, c, r)
 }
 
+// hasCrashingPart reports whether a request's prompt has a part that crashes upstreams.
+func (m *crashingPool) hasCrashingPart(r *http.Request) bool {
+	return slices.ContainsFunc(m.crashingParts, func(p string) bool { return strings.Contains(r.Header.Get("Prompt-Prefix"), p) })
+}
+
 // crash ends an upstream's process, by a request or otherwise. Its entry is removed after the downtime.
 func (m *crashingPool) crash(id string, byRequest bool) {
 	m.mu.Lock()
@@ -157,12 +165,28 @@
 // lateSends returns how often a crashing request reached upstreams after all gateways have to know of
 // it, and how many upstreams it has crashed in all.
 func (m *crashingPool) lateSends() (sends, crashed int) {
+	return m.sendsAfter(3, quarantineDelay)
+}
+
+// sinceCrash returns the time since the n-th crash, 0 if there were fewer.
+func (m *crashingPool) sinceCrash(n int) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.crashes) < n {
+		return 0
+	}
+	return time.Since(m.crashes[n-1])
+}
+
+// sendsAfter returns how often crashing requests reached upstreams later than d after the n-th crash,
+// or after the last one if there were fewer, and how many upstreams crashed in all.
+func (m *crashingPool) sendsAfter(n int, d time.Duration) (sends, crashed int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.crashes) < 3 {
-		return 0, len(m.crashes)
+	if len(m.crashes) == 0 {
+		return 0, 0
 	}
-	known := m.crashes[2].Add(quarantineDelay)
+	known := m.crashes[min(n, len(m.crashes))-1].Add(d)
 	for _, t := range m.crashSends {
 		if t.After(known) {
 			sends++
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -151,11 +151,17 @@
 
 // post sends a request with a body.
 func (g *gateway) post(path, id, key, text string) (status int, body string, err error) {
+	return g.postWith(http.Header{}, path, id, key, text)
+}
+
+// postWith sends a request with further headers and a body.
+func (g *gateway) postWith(more http.Header, path, id, key, text string) (status int, body string, err error) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+g.callersAddress+path, strings.NewReader(text))
 	if err != nil {
 		return 0, "", err
 	}
 	r.Host = "h"
+	r.Header = more
 	r.Header.Set("Attempt-Id", id)
 	r.Header.Set("Deadline-Ms", "4000")
 	r.Header.Set("Authorization", "Bearer "+key)
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -83,6 +83,25 @@
 	b.End(s.Fingerprint, l)
 }
 
+// Guards against calls that are held for crashes which a blocked request explains.
+func TestNeighboursOfABlockedRequestAreNotHeld(t *testing.T) {
+	w, s, neighbour := newCluster(t, 1), request(1), request(2)
+	b := w.gateways[0]
+	for i := range 4 {
+		sent := w.clock.Now()
+		w.clock.Advance(runTime)
+		for _, r := range []Subject{s, neighbour} {
+			if r == s || i > 0 {
+				b.RecordLoss(Loss{Subject: r, Upstream: instance("u", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
+			}
+		}
+		w.clock.Advance(settleTime)
+		b.StoreChanges()
+	}
+	requireBlocked(t, b, s, true)
+	requireBlocked(t, b, neighbour, false)
+}
+
 func TestThreeLossesInARow(t *testing.T) {
 	t.Run("hold a request for long, at all gateways", func(t *testing.T) {
 		w, s := newCluster(t, 3), request(1)
