quarantine: crashes that a block explains count for nobody

Cause: crashes under a blocked request were taken out of the crash rate that other losses are weighed against, but the losses in them still counted against the calls that were cut. With no other crash left, three of them had odds of 1e-9, and each wrong block explained further crashes.

A loss in a crash that a block explains is now left out of the consecutive losses, unless the request has more of them than the blocked one, so that a wrong block hides no harmful request. A new block releases the requests that were blocked for crashes which it explains.

--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -53,11 +53,7 @@
 // add records a lost run with the crash of its upstream.
 func (e *crashHistory) add(l Loss) {
 	e.list = slices.DeleteFunc(e.list, func(x crash) bool { return l.Lost.Sub(x.at) > 2*crashRateWindow })
-	for i := range e.list {
-		x := &e.list[i]
-		if x.upstream != l.Upstream || l.Lost.Sub(x.at).Abs() > crashRateWindow {
-			continue
-		}
+	if x := e.crashOf(l); x != nil {
 		if _, ok := x.find(l.Fingerprint); !ok && len(x.lostRuns) < maxLossesPerCrash {
 			x.lostRuns = append(x.lostRuns, lostRun{l.Fingerprint, l.Sent})
 		}
@@ -69,14 +65,22 @@
 	e.list = append(e.list, crash{upstream: l.Upstream, at: l.Lost, lostRuns: []lostRun{{l.Fingerprint, l.Sent}}})
 }
 
-// backgroundOf counts the crashes around a loss. Those in which a run of a blocked request was lost
-// are attributed to that request.
-func (e *crashHistory) backgroundOf(l Loss, blocked func(hollowgrade.Fingerprint) bool) (b background) {
-	explained := func(u lostRun) bool { return blocked(u.fingerprint) }
+// crashOf returns the crash in which a run was lost, or nil if it is no longer kept.
+func (e *crashHistory) crashOf(l Loss) *crash {
+	for i := range e.list {
+		if x := &e.list[i]; x.upstream == l.Upstream && l.Lost.Sub(x.at).Abs() <= crashRateWindow {
+			return x
+		}
+	}
+	return nil
+}
+
+// backgroundOf counts the crashes around a loss that nothing explains.
+func (e *crashHistory) backgroundOf(l Loss, explained func(x *crash) bool) (b background) {
 	for i := range e.list {
 		x := &e.list[i]
 		before := l.Lost.Sub(x.at)
-		if before > crashRateWindow || before < -sameEventWindow || x.upstream == l.Upstream || slices.ContainsFunc(x.lostRuns, explained) {
+		if before > crashRateWindow || before < -sameEventWindow || x.upstream == l.Upstream || explained(x) {
 			continue
 		}
 		own, with := x.find(l.Fingerprint)
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -65,6 +65,7 @@
 	learnedAt time.Time // when this process learned of it
 	odds      float64   // probability that a harmless run is lost like this
 	oddsFinal bool      // the odds were computed after the loss had settled
+	explained bool      // the crash is attributed to another request, which is blocked
 }
 
 // settled reports whether other crashes of the same event are known by now.
@@ -73,11 +74,12 @@
 }
 
 // consecutiveLosses returns the consecutive losses since a time: each run was sent after the loss
-// before it. The losses are ordered by the time of the loss.
-func consecutiveLosses(ms []keptLoss, since time.Time) (consecutive []keptLoss) {
+// before it. The losses are ordered by the time of the loss. Those that are explained are left out
+// unless all is set.
+func consecutiveLosses(ms []keptLoss, since time.Time, all bool) (consecutive []keptLoss) {
 	last := since
 	for _, m := range ms {
-		if m.Sent.After(last) {
+		if m.Sent.After(last) && (all || !m.explained) {
 			consecutive = append(consecutive, m)
 			last = m.Lost
 		}
@@ -85,11 +87,11 @@
 	return consecutive
 }
 
-// crashEvents returns the number of separate crash events.
+// crashEvents returns the number of separate crash events that nothing else explains.
 func crashEvents(ms []keptLoss) (n int) {
 	var last time.Time
 	for _, m := range ms {
-		if n == 0 || m.Lost.Sub(last) > sameEventWindow {
+		if !m.explained && (n == 0 || m.Lost.Sub(last) > sameEventWindow) {
 			n, last = n+1, m.Lost
 		}
 	}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -31,13 +31,24 @@
 	return now.Before(r.block.Until)
 }
 
-// consecutive returns the consecutive losses that are kept, and their number including reported
-// ones.
+// consecutive returns the consecutive losses that are kept and that nothing else explains, and their
+// number including reported ones.
 func (r *record) consecutive() (ms []keptLoss, losses int) {
-	ms = consecutiveLosses(r.losses, r.clearedAt)
+	ms = consecutiveLosses(r.losses, r.clearedAt, false)
 	return ms, len(ms) + r.reportedLosses
 }
 
+// allConsecutive returns the number of consecutive losses, whatever explains them.
+func (r *record) allConsecutive() int {
+	return len(consecutiveLosses(r.losses, r.clearedAt, true)) + r.reportedLosses
+}
+
+// explains reports whether a crash in which a run of the request was lost is attributed to it, rather
+// than to another request that has some consecutive losses.
+func (r *record) explains(at time.Time, losses int) bool {
+	return !r.block.Since.IsZero() && at.Before(r.block.Until) && max(r.block.Losses, r.allConsecutive()) >= losses
+}
+
 // suspect reports whether runs are admitted one at a time.
 func (r *record) suspect() bool {
 	ms, n := r.consecutive()
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -308,6 +308,7 @@
 		"losses", n, "upstreams", r.block.Upstreams, "odds", odds, "upstreams_in_all", b.upstreamCount, "ends_without_it", b.crashes,
 		"at_once", b.simultaneous, "by", t.box, "for_ms", d.Milliseconds())
 	t.pending.add(Update{Blocks: []Block{r.block}})
+	t.releaseExplained(r, now)
 }
 
 // evaluateSettled evaluates the requests whose new losses have settled. The lock is held.
@@ -327,10 +328,8 @@
 // updateOdds updates the odds of the losses of a request while crashes around them are kept, and
 // returns the background of the last loss. The lock is held.
 func (t *Table) updateOdds(r *record, now time.Time) (b background) {
-	blocked := func(f hollowgrade.Fingerprint) bool {
-		o := t.records[f]
-		return o != nil && o.blocked(now)
-	}
+	losses := r.allConsecutive()
+	explained := func(x *crash) bool { return x != nil && t.explained(x, r, losses) }
 	for i := range r.losses {
 		m := &r.losses[i]
 		if now.Sub(m.Lost) > crashRateWindow {
@@ -339,13 +338,37 @@
 			}
 			continue
 		}
-		b = t.crashes[m.Service].backgroundOf(m.Loss, blocked)
+		e := t.crashes[m.Service]
+		b = e.backgroundOf(m.Loss, explained)
 		b.upstreamCount = t.upstreams(m.Service)
-		m.odds, m.oddsFinal = lossOdds(m.Loss, b), m.settled(now)
+		m.odds, m.oddsFinal, m.explained = lossOdds(m.Loss, b), m.settled(now), explained(e.crashOf(m.Loss))
 	}
 	return b
 }
 
+// explained reports whether a crash is attributed to another request than that of a record with some
+// consecutive losses. The lock is held.
+func (t *Table) explained(x *crash, r *record, losses int) bool {
+	return slices.ContainsFunc(x.lostRuns, func(u lostRun) bool {
+		o := t.records[u.fingerprint]
+		return o != nil && o != r && o.explains(x.at, losses)
+	})
+}
+
+// releaseExplained ends the blocks on requests whose losses the block on another one explains. The lock
+// is held.
+func (t *Table) releaseExplained(by *record, now time.Time) {
+	for _, r := range t.records {
+		if r == by || !r.blocked(now) || r.reportedLosses > 0 || len(r.losses) == 0 {
+			continue
+		}
+		t.updateOdds(r, now)
+		if ms, n := r.consecutive(); blockTime(n, r.odds(ms)) == 0 {
+			t.clear(r, now, "another request explains its losses", "")
+		}
+	}
+}
+
 // sweep deletes old records, and evicts some if there are too many. The lock is held.
 func (t *Table) sweep(now time.Time) {
 	if now.Sub(t.lastSweep) < sweepInterval && len(t.records) < maxRecords {
