--- a/core/flow.go
+++ b/core/flow.go
@@ -119,14 +119,14 @@
 			return Try{Err: err}
 		}
 	}
-	l := f.core.quarantine.Begin(f.fingerprint)
+	l := f.core.quarantine.Begin(f.identity())
 	if !l.Granted {
 		if p != nil {
 			f.dropPick(p)
 		}
 		return Try{Err: f.quarantinedError(l)}
 	}
-	defer f.core.quarantine.End(f.fingerprint, l)
+	defer f.core.quarantine.End(l)
 	if p == nil {
 		p = f.core.fleet.pick(f.service.Name, r, f.tried)
 	}
@@ -151,7 +151,7 @@
 // waitsForTurn reports whether an attempt waits for its turn. Later ones have had theirs, and requests
 // that may end upstreams are refused or sent alone without one.
 func (f *flow) waitsForTurn(n int, r placement.Request) bool {
-	return n == 1 && !f.core.quarantine.Has(f.fingerprint) && f.core.fleet.schedules(r) && f.core.fleet.hasUntried(f.service.Name, f.tried)
+	return n == 1 && !f.core.quarantine.Suspected(f.identity()) && f.core.fleet.schedules(r) && f.core.fleet.hasUntried(f.service.Name, f.tried)
 }
 
 // send makes one attempt with a pick.
--- a/core/losses.go
+++ b/core/losses.go
@@ -11,8 +11,9 @@
 )
 
 // The bounds on attempts and retries don't protect from a request that crashes the upstreams which
-// run it and is sent again by its caller. So each attempt asks the quarantine for admission by the
-// request's fingerprint, and reports its outcome.
+// run it and is sent again by its caller, nor from requests that share a part of their prompts which
+// does. So each attempt asks the quarantine for admission by the request's fingerprint and parts, and
+// reports its outcome.
 
 // Only crashes of upstreams count, since connections break for other reasons as well (see
 // probeOnce). A crash that a probe doesn't show at once is confirmed by the next instance (see
@@ -25,11 +26,19 @@
 		return fault.New(fault.Quarantined, "upstreams ended under this request; one run of it at a time is let through, and one is under way").
 			WithRetryAfter(l.RetryAfter)
 	}
-	return fault.New(fault.Quarantined, "%d upstreams ended one after another under this request, the last was %s; it is sent to none for another %s",
-		l.Block.Losses, lastUpstream(l.Block.Upstreams), l.RetryAfter.Round(time.Second)).
+	return fault.New(fault.Quarantined, "%d upstreams ended one after another under %s, the last was %s; it is sent to none for another %s",
+		l.Block.Losses, suspectName(l.Block), lastUpstream(l.Block.Upstreams), l.RetryAfter.Round(time.Second)).
 		WithRetryAfter(l.RetryAfter)
 }
 
+// suspectName names what is blocked to callers.
+func suspectName(b quarantine.Block) string {
+	if b.Kind == quarantine.KindPart {
+		return "requests with part " + hollowgrade.PartID(b.Fingerprint).String() + " in their prompts, as this one has"
+	}
+	return "this request"
+}
+
 func lastUpstream(us []hollowgrade.Instance) hollowgrade.Instance {
 	if len(us) == 0 {
 		return "not told"
@@ -37,9 +46,12 @@
 	return us[len(us)-1]
 }
 
-// subject identifies the call's request in reports to peers.
-func (f *flow) subject() quarantine.Subject {
-	return quarantine.Subject{Fingerprint: f.fingerprint, Organisation: f.organisation.Name, Route: f.route.Name, Service: f.service.Name}
+// identity identifies the call's request in the quarantine.
+func (f *flow) identity() quarantine.Request {
+	return quarantine.Request{
+		Subject: quarantine.Subject{Fingerprint: f.fingerprint, Organisation: f.organisation.Name, Route: f.route.Name, Service: f.service.Name},
+		Parts:   f.call.Parts,
+	}
 }
 
 // recordOutcome reports to the quarantine that the upstream of a sent attempt answered, or was lost.
@@ -49,23 +61,23 @@
 	var x *fault.Error
 	switch {
 	case err == nil, errors.As(err, &x) && x.Code == fault.UpstreamFailed:
-		f.core.quarantine.RecordAnswer(f.fingerprint)
+		f.core.quarantine.RecordAnswer(f.identity(), err == nil && a.head.Success())
 	case connectionLost(err):
 		f.recordLoss(ctx, a, f.core.clock.Now())
 	}
 }
 
-// recordLoss reports a lost run if its upstream has crashed. If the request was already lost before, it
+// recordLoss reports a lost run if its upstream has crashed. If the request is suspected already, it
 // waits until that is known or ctx ends, so that no other run of the request begins meanwhile.
 func (f *flow) recordLoss(ctx context.Context, a *attempt, at time.Time) {
 	u := a.pick.upstream()
-	l := quarantine.Loss{Subject: f.subject(), Upstream: u.Instance(), Engines: 1 + len(a.pick.helpers), Sent: a.sent, Lost: at}
+	l := quarantine.Loss{Request: f.identity(), Upstream: u.Instance(), Engines: 1 + len(a.pick.helpers), Sent: a.sent, Lost: at}
 	noted := make(chan struct{})
 	go func() {
 		defer close(noted)
 		f.core.recordLoss(u, l, f.call.ID)
 	}()
-	if !f.core.quarantine.Has(f.fingerprint) {
+	if !f.core.quarantine.Suspected(f.identity()) {
 		return
 	}
 	select {
--- a/core/losses_test.go
+++ b/core/losses_test.go
@@ -14,6 +14,7 @@
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/engine"
 	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/quarantine"
 )
 
 // callInterval is the time between two calls. A loss is judged once it is known which other calls
@@ -219,15 +220,29 @@
 	})
 }
 
-// BenchmarkLeave measures the cost of tracking losses for a harmless request, without its
-// fingerprint: 50 to 60 ns and no allocation, also while a thousand other requests are remembered.
+// BenchmarkLeave measures the cost of tracking losses for a harmless request with four parts, without
+// its fingerprint, while nothing and while a thousand other requests are remembered.
 func BenchmarkLeave(b *testing.B) {
-	c := newCore(&fakeUpstreams{})
-	f := hollowgrade.NewFingerprint("o", call("/again/"))
-	b.ReportAllocs()
-	for b.Loop() {
-		l := c.quarantine.Begin(f)
-		c.quarantine.RecordAnswer(f)
-		c.quarantine.End(f, l)
+	q := quarantine.Request{Subject: quarantine.Subject{Fingerprint: hollowgrade.NewFingerprint("o", call("/again/")), Service: "s"}}
+	for i := range 4 {
+		q.Parts = append(q.Parts, hollowgrade.PartID{byte(i)})
+	}
+	for _, remembered := range []int{0, 1000} {
+		b.Run(fmt.Sprintf("%d remembered", remembered), func(b *testing.B) {
+			c := newCore(&fakeUpstreams{})
+			for i := range remembered {
+				f := hollowgrade.NewFingerprint("o", hollowgrade.Call{Target: fmt.Sprint(i)})
+				l := quarantine.Request{Subject: quarantine.Subject{Fingerprint: f, Service: "s"}, Parts: []hollowgrade.PartID{{1: byte(i)}}}
+				c.quarantine.RecordLoss(quarantine.Loss{Request: l, Upstream: hollowgrade.Instance(fmt.Sprint(i)), Sent: time.Now(), Lost: time.Now()})
+			}
+			time.Sleep(callInterval) // the losses settle
+			c.quarantine.StoreChanges()
+			b.ReportAllocs()
+			for b.Loop() {
+				l := c.quarantine.Begin(q)
+				c.quarantine.RecordAnswer(q, true)
+				c.quarantine.End(l)
+			}
+		})
 	}
 }
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -17,8 +18,8 @@
 // quarantineCommand lists and lifts the blocks of requests that are suspected of crashing
 // upstreams.
 type quarantineCommand struct {
-	List quarantineList `cmd:"" help:"List the requests that are held, why and since when."`
-	Lift quarantineLift `cmd:"" help:"End the hold of a request, at all gateways."`
+	List quarantineList `cmd:"" help:"List the requests and parts of prompts that are held, why and since when."`
+	Lift quarantineLift `cmd:"" help:"End the hold of a request or of a part of prompts, at all gateways."`
 }
 
 type quarantineList struct {
@@ -59,9 +60,9 @@
 
 func writeHeld(w io.Writer, hs []node.HeldRequest) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "fingerprint\torganisation\troute\tsince\tuntil\tlosses\todds\tby\tupstreams")
+	fmt.Fprintln(t, "suspect\twith\torganisation\troute\tsince\tuntil\tlosses\todds\tby\tupstreams")
 	for _, h := range hs {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%.0e\t%s\t%s\n", h.Fingerprint, h.Organisation, h.Route,
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%.0e\t%s\t%s\n", h.Fingerprint, strings.Join(h.With, " "), h.Organisation, h.Route,
 			h.Since.Format(time.TimeOnly), h.Until.Format(time.TimeOnly), h.Losses, h.Odds, h.By, strings.Trim(fmt.Sprint(h.Upstreams), "[]"))
 	}
 	return t.Flush()
@@ -69,7 +70,7 @@
 
 type quarantineLift struct {
 	boxes
-	Fingerprint string `arg:"" help:"The request, as 'quarantine list' and the logs have it."`
+	Fingerprint string `arg:"" help:"The request or the part of prompts, as 'quarantine list' and the logs have it."`
 }
 
 // Run runs the command. One gateway is enough: it informs the others and the store.
@@ -91,7 +92,7 @@
 // lift asks one box to lift a block.
 func lift(ctx context.Context, address, fingerprint string) (err error) {
 	defer errs.Annotate(&err, "box at %s", address)
-	status, b, err := doRequest(ctx, http.MethodDelete, "http://"+address+node.QuarantinePath+"/"+fingerprint)
+	status, b, err := doRequest(ctx, http.MethodDelete, "http://"+address+node.QuarantinePath+"/"+url.PathEscape(fingerprint))
 	switch {
 	case err != nil:
 		return err
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -38,7 +39,9 @@
 	storeTimeout = 2 * time.Second
 )
 
-// heldRecord is a blocked request as stored under its fingerprint.
+// heldRecord is a blocked request, or a blocked part of prompts, as stored under the text of its
+// suspect. A gateway that knows no parts doesn't use the record of one, since its key is no
+// fingerprint.
 type heldRecord struct {
 	Organisation string                 `json:"organisation"`
 	Route        string                 `json:"route"`
@@ -49,20 +52,21 @@
 	Odds         float64                `json:"odds"`
 	Upstreams    []hollowgrade.Instance `json:"upstreams"`
 	By           string                 `json:"by"`
+	With         []string               `json:"with,omitempty"` // ids of parts
 }
 
 // encodeBlock encodes a record. Its times are converted from this process's clock, on which it is
 // now, to wall time.
 func encodeBlock(h quarantine.Block, now, wall time.Time) ([]byte, error) {
 	ms := func(t time.Time) int64 { return wall.Add(t.Sub(now)).UnixMilli() }
-	return json.Marshal(heldRecord{h.Organisation, h.Route, h.Service, ms(h.Since), ms(h.Until), h.Losses, h.Odds, h.Upstreams, h.By})
+	return json.Marshal(heldRecord{h.Organisation, h.Route, h.Service, ms(h.Since), ms(h.Until), h.Losses, h.Odds, h.Upstreams, h.By, partNames(h.With)})
 }
 
 // decodeBlock decodes a record. Its times are converted from wall time to this process's clock, on
 // which it is now.
 func decodeBlock(key string, v []byte, now, wall time.Time) (h quarantine.Block, err error) {
 	defer errs.Annotate(&err, "decode the held request %s", key)
-	f, err := hollowgrade.ParseFingerprint(key)
+	s, err := quarantine.ParseSuspect(key)
 	if err != nil {
 		return h, err
 	}
@@ -73,9 +77,14 @@
 	if r.Since <= 0 || r.Until <= r.Since || r.Losses <= 0 {
 		return h, errors.New("since, until or losses is missing")
 	}
+	with, err := parseParts(r.With)
+	if err != nil {
+		return h, err
+	}
 	onClock := func(ms int64) time.Time { return now.Add(time.UnixMilli(ms).Sub(wall)) }
 	return quarantine.Block{
-		Subject:   quarantine.Subject{Fingerprint: f, Organisation: r.Organisation, Route: r.Route, Service: r.Service},
+		Subject:   quarantine.Subject{Kind: s.Kind, Fingerprint: s.Fingerprint, Organisation: r.Organisation, Route: r.Route, Service: cmp.Or(s.Service, r.Service)},
+		With:      with,
 		Since:     onClock(r.Since),
 		Until:     onClock(r.Until),
 		Losses:    r.Losses,
@@ -85,6 +94,25 @@
 	}, nil
 }
 
+// partNames returns the ids of parts as callers write them.
+func partNames(ps []hollowgrade.PartID) (names []string) {
+	for _, p := range ps {
+		names = append(names, p.String())
+	}
+	return names
+}
+
+func parseParts(names []string) (ps []hollowgrade.PartID, err error) {
+	for _, n := range names {
+		p, err := hollowgrade.ParsePartID(n)
+		if err != nil {
+			return nil, err
+		}
+		ps = append(ps, p)
+	}
+	return ps, nil
+}
+
 // run writes changes to the store until ctx ends.
 func (s *heldStore) run(ctx context.Context) {
 	for hollowgrade.Sleep(ctx, s.clock, storeInterval) {
@@ -113,29 +141,29 @@
 		if err != nil {
 			return err
 		}
-		if err = s.put(ctx, h.Fingerprint, v); err != nil {
+		if err = s.put(ctx, h.Suspect(), v); err != nil {
 			return err
 		}
 		s.table.RecordStored(h)
 	}
-	for _, f := range changes.Drop {
-		if err = s.put(ctx, f, nil); err != nil {
+	for _, x := range changes.Drop {
+		if err = s.put(ctx, x, nil); err != nil {
 			return err
 		}
-		s.table.RecordDropped(f)
+		s.table.RecordDropped(x)
 	}
 	return nil
 }
 
-func (s *heldStore) put(ctx context.Context, f hollowgrade.Fingerprint, value []byte) error {
+func (s *heldStore) put(ctx context.Context, x quarantine.Suspect, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return s.topic.Put(ctx, f.String(), value)
+	return s.topic.Put(ctx, x.String(), value)
 }
 
 // storeReturned writes the blocks again that the store lost.
 func (s *heldStore) storeReturned(kept func(key string) bool) {
-	s.table.StoreReturned(func(f hollowgrade.Fingerprint) bool { return kept(f.String()) })
+	s.table.StoreReturned(func(x quarantine.Suspect) bool { return kept(x.String()) })
 }
 
 // apply applies changes of the topic. A record that cannot be decoded is skipped.
@@ -143,8 +171,8 @@
 	now, wall := s.clock.Now(), hollowgrade.WallTime(s.clock)
 	for _, c := range cs {
 		if c.Dropped() {
-			if f, err := hollowgrade.ParseFingerprint(c.Key); err == nil {
-				s.table.RecordDropped(f)
+			if x, err := quarantine.ParseSuspect(c.Key); err == nil {
+				s.table.RecordDropped(x)
 			}
 			continue
 		}
@@ -161,12 +189,14 @@
 // The paths of the operators' listener for blocked requests.
 const (
 	QuarantinePath = "/quarantine"
-	liftPath       = QuarantinePath + "/{fingerprint}"
+	liftPath       = QuarantinePath + "/{suspect}"
 )
 
-// HeldRequest is a blocked request as shown to operators.
+// HeldRequest is a blocked request, or a blocked part of prompts, as shown to operators.
 type HeldRequest struct {
-	Fingerprint  string                 `json:"fingerprint"`
+	Kind         string                 `json:"kind"`        // request or part
+	Fingerprint  string                 `json:"fingerprint"` // of a request; part:ID@SERVICE for a part
+	With         []string               `json:"with"`        // ids of the parts that a prompt must have beside it
 	Organisation string                 `json:"organisation"`
 	Route        string                 `json:"route"`
 	Service      string                 `json:"service"`
@@ -185,16 +215,16 @@
 		now, wall := s.clock.Now(), hollowgrade.WallTime(s.clock)
 		wallTime := func(t time.Time) time.Time { return wall.Add(t.Sub(now)) }
 		for _, h := range s.table.Blocks() {
-			hs = append(hs, HeldRequest{h.Fingerprint.String(), h.Organisation, h.Route, h.Service, wallTime(h.Since), wallTime(h.Until), h.Losses, h.Odds, h.Upstreams, h.By})
+			hs = append(hs, HeldRequest{h.Kind.String(), h.Suspect().String(), partNames(h.With), h.Organisation, h.Route, h.Service, wallTime(h.Since), wallTime(h.Until), h.Losses, h.Odds, h.Upstreams, h.By})
 		}
 		writeJSON(w, hs)
 	}).Methods(http.MethodGet)
 	r.HandleFunc(liftPath, func(w http.ResponseWriter, q *http.Request) {
-		f, err := hollowgrade.ParseFingerprint(mux.Vars(q)["fingerprint"])
+		x, err := quarantine.ParseSuspect(mux.Vars(q)["suspect"])
 		switch {
 		case err != nil:
 			http.Error(w, err.Error(), http.StatusBadRequest)
-		case !s.table.Lift(f):
+		case !s.table.Lift(x):
 			http.Error(w, "no such request is held", http.StatusNotFound)
 		default:
 			w.WriteHeader(http.StatusNoContent)
--- a/loadview/suspicions_test.go
+++ b/loadview/suspicions_test.go
@@ -20,9 +20,9 @@
 		f := hollowgrade.NewFingerprint("o", hollowgrade.Call{Target: fmt.Sprint(i)})
 		s := quarantine.Subject{Fingerprint: f, Organisation: "organisation-12", Route: "r-umqqzgd", Service: "draft-llm"}
 		u := hollowgrade.Instance("i-f54a3dfbfc#mf0abcde")
-		w.Losses = append(w.Losses, quarantine.Loss{Subject: s, Upstream: u, Engines: 17, Sent: now.Add(-3 * time.Second), Lost: now.Add(-time.Second)})
-		w.Harmless = append(w.Harmless, quarantine.Harmless{Fingerprint: f, At: now})
-		w.Trials = append(w.Trials, quarantine.Trial{Fingerprint: f, At: now, Over: i%2 == 0})
+		w.Losses = append(w.Losses, quarantine.Loss{Request: quarantine.Request{Subject: s}, Upstream: u, Engines: 17, Sent: now.Add(-3 * time.Second), Lost: now.Add(-time.Second)})
+		w.Harmless = append(w.Harmless, quarantine.Harmless{Suspect: s.Suspect(), At: now})
+		w.Trials = append(w.Trials, quarantine.Trial{Suspect: s.Suspect(), At: now, Over: i%2 == 0})
 		w.Blocks = append(w.Blocks, quarantine.Block{Subject: s, Since: now.Add(-time.Minute), Until: now.Add(9 * time.Minute), Losses: 3, Odds: 1e-9,
 			Upstreams: []hollowgrade.Instance{u, u, u}, By: "edge-hcm-quang-trung-17"})
 	}
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -16,22 +16,34 @@
 	upstream hollowgrade.Instance
 	at       time.Time
 	lostRuns []lostRun // runs that were lost in it
+
+	explanations []*record // of what was blocked and lost in it, see [Table.explanations]
+	explainedAt  int       // [Table.blockChanges] when they were found
 }
 
 // lostRun is a run that was lost in a crash.
 type lostRun struct {
-	fingerprint hollowgrade.Fingerprint
-	sent        time.Time
+	Request
+	sent time.Time
+}
+
+// has reports whether it is a run with a suspect.
+func (u lostRun) has(s Suspect) bool {
+	if s.Kind == KindRequest {
+		return u.Fingerprint == s.Fingerprint
+	}
+	return slices.Contains(u.Parts, hollowgrade.PartID(s.Fingerprint))
 }
 
-// find returns the run of a request that was lost in the crash.
-func (e *crash) find(f hollowgrade.Fingerprint) (u lostRun, ok bool) {
-	for _, u = range e.lostRuns {
-		if u.fingerprint == f {
-			return u, true
+// find returns the run with a suspect that was lost in the crash, the one sent last if there are
+// several.
+func (e *crash) find(s Suspect) (found lostRun, ok bool) {
+	for _, u := range e.lostRuns {
+		if u.has(s) && (!ok || u.sent.After(found.sent)) {
+			found, ok = u, true
 		}
 	}
-	return lostRun{}, false
+	return found, ok
 }
 
 // maxLossesPerCrash bounds the lost runs kept per crash. A request beyond it counts as not having
@@ -50,19 +62,63 @@
 	list []crash // in order of arrival here
 }
 
+// unaccounted returns in how many of some crashes runs with a part were lost that neither a single
+// request nor a rarer part accounts for.
+func unaccounted(xs []*crash, part Suspect) (n int) {
+	runs, crashes := map[Suspect]int{}, map[Suspect]int{}
+	for _, x := range xs {
+		seen := map[Suspect]bool{}
+		for _, u := range x.lostRuns {
+			for s := range u.suspects() {
+				runs[s]++
+				if !seen[s] {
+					seen[s] = true
+					crashes[s]++
+				}
+			}
+		}
+	}
+	accounted := 0
+	for s, n := range crashes {
+		if s.Kind == KindRequest || runs[s] < runs[part] {
+			accounted = max(accounted, n)
+		}
+	}
+	return crashes[part] - accounted
+}
+
+// commonParts returns the parts that all runs with a part that were lost in some crashes have beside it.
+func commonParts(xs []*crash, part Suspect) (ps []hollowgrade.PartID) {
+	first := true
+	for _, x := range xs {
+		for _, u := range x.lostRuns {
+			switch {
+			case !u.has(part):
+			case first:
+				first = false
+				ps = slices.DeleteFunc(slices.Clone(u.Parts), func(p hollowgrade.PartID) bool { return p == hollowgrade.PartID(part.Fingerprint) })
+			default:
+				ps = slices.DeleteFunc(ps, func(p hollowgrade.PartID) bool { return !slices.Contains(u.Parts, p) })
+			}
+		}
+	}
+	return ps
+}
+
 // add records a lost run with the crash of its upstream.
 func (e *crashHistory) add(l Loss) {
 	e.list = slices.DeleteFunc(e.list, func(x crash) bool { return l.Lost.Sub(x.at) > 2*crashRateWindow })
 	if x := e.crashOf(l); x != nil {
-		if _, ok := x.find(l.Fingerprint); !ok && len(x.lostRuns) < maxLossesPerCrash {
-			x.lostRuns = append(x.lostRuns, lostRun{l.Fingerprint, l.Sent})
+		if _, ok := x.find(l.Suspect()); !ok && len(x.lostRuns) < maxLossesPerCrash {
+			x.lostRuns = append(x.lostRuns, lostRun{l.Request, l.Sent})
+			x.explainedAt = 0
 		}
 		return
 	}
 	if len(e.list) >= maxCrashesPerService {
 		e.list = e.list[1:]
 	}
-	e.list = append(e.list, crash{upstream: l.Upstream, at: l.Lost, lostRuns: []lostRun{{l.Fingerprint, l.Sent}}})
+	e.list = append(e.list, crash{upstream: l.Upstream, at: l.Lost, lostRuns: []lostRun{{l.Request, l.Sent}}})
 }
 
 // crashOf returns the crash in which a run was lost, or nil if it is no longer kept.
@@ -83,7 +139,7 @@
 		if before > crashRateWindow || before < -sameEventWindow || x.upstream == l.Upstream || explained(x) {
 			continue
 		}
-		own, with := x.find(l.Fingerprint)
+		own, with := x.find(l.Suspect())
 		if !with {
 			b.crashes++
 		}
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -74,12 +74,11 @@
 }
 
 // consecutiveLosses returns the consecutive losses since a time: each run was sent after the loss
-// before it. The losses are ordered by the time of the loss. Those that are explained are left out
-// unless all is set.
-func consecutiveLosses(ms []keptLoss, since time.Time, all bool) (consecutive []keptLoss) {
+// before it. The losses are ordered by the time of the loss. Those that are explained are left out.
+func consecutiveLosses(ms []keptLoss, since time.Time) (consecutive []keptLoss) {
 	last := since
 	for _, m := range ms {
-		if m.Sent.After(last) && (all || !m.explained) {
+		if !m.explained && m.Sent.After(last) {
 			consecutive = append(consecutive, m)
 			last = m.Lost
 		}
@@ -87,6 +86,17 @@
 	return consecutive
 }
 
+// countConsecutive returns the number of consecutive losses, whatever explains them.
+func countConsecutive(ms []keptLoss, since time.Time) (n int) {
+	last := since
+	for i := range ms {
+		if ms[i].Sent.After(last) {
+			n, last = n+1, ms[i].Lost
+		}
+	}
+	return n
+}
+
 // crashEvents returns the number of separate crash events that nothing else explains.
 func crashEvents(ms []keptLoss) (n int) {
 	var last time.Time
--- a/quarantine/made_up_test.go
+++ b/quarantine/made_up_test.go
@@ -13,8 +13,8 @@
 
 // uniqueRequests returns a source of distinct requests of an organisation, which also differ from
 // those of others.
-func uniqueRequests(organisation string, from int) func() Subject {
-	return func() Subject {
+func uniqueRequests(organisation string, from int) func() Request {
+	return func() Request {
 		from++
 		s := request(from)
 		s.Organisation = organisation
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,12 +1,16 @@
-// Package quarantine blocks requests that crash the upstreams which run them. A request is
-// identified by its fingerprint, whatever its id and whichever gateway it arrives at.
+// Package quarantine blocks requests that crash the upstreams which run them. What crashes them may
+// be a whole request, identified by its fingerprint whatever its id and whichever gateway it arrives
+// at, or a part of the prompt that requests share which are otherwise distinct.
 //
-// A run that is lost because its upstream crashed is a loss of its request. Any answer of the
-// upstream, even an error, clears the request. Losses are consecutive only if each run was sent
-// after the loss before it, so that many upstreams that crash at the same time count once. After
-// three consecutive losses the request is blocked for a time that depends on how probable they are
-// for a harmless request at the current crash rate. After two, or after crashes at three separate
-// times, all gateways together admit one run of it at a time.
+// A run that is lost because its upstream crashed is a loss of its request and of each shared part.
+// Any answer of the upstream, even an error, clears the request, and a successful one its parts.
+// Losses are consecutive only if each run was sent after the loss before it, so that many upstreams
+// that crash at the same time count once. After three consecutive losses a suspect is blocked for a
+// time that depends on how probable they are for a harmless one at the current crash rate. After two,
+// or after crashes at three separate times, all gateways together admit one run with it at a time.
+//
+// A part is suspected only of crashes that no single request and no rarer part accounts for, and of
+// crashes that a block explains nothing else is suspected.
 //
 // A blocked request is called held in settings, help, keys of records and log messages.
 //
@@ -20,40 +24,40 @@
 	"github.com/hollowgrade/hollowgrade"
 )
 
-// Subject identifies a request, with what operators need beside its fingerprint.
-type Subject struct {
-	Fingerprint  hollowgrade.Fingerprint
-	Organisation string
-	Route        string
-	Service      string
-}
-
 // Loss is a run that was lost because its upstream crashed.
 type Loss struct {
-	Subject
+	Request
 	Upstream hollowgrade.Instance
 	Engines  int // that took part in the run: the upstream and those that prefilled parts of the prompt for it
 	Sent     time.Time
 	Lost     time.Time
 }
 
-// Harmless clears a request of its losses up to a time: a run of it was answered, or an operator
+// of returns the loss as one of a part of the prompt.
+func (l Loss) of(p hollowgrade.PartID) Loss {
+	l.Request = Request{Subject: l.part(p)}
+	return l
+}
+
+// Harmless clears a suspect of its losses up to a time: a run with it was answered, or an operator
 // lifted its block.
 type Harmless struct {
-	Fingerprint hollowgrade.Fingerprint
-	At          time.Time
+	Suspect
+	At time.Time
 }
 
 // Trial is the start or the end of a run that is admitted alone.
 type Trial struct {
-	Fingerprint hollowgrade.Fingerprint
-	At          time.Time
-	Over        bool
+	Suspect
+	At   time.Time
+	Over bool
 }
 
-// Block is a block on a request: it is sent to no upstream until the block expires.
+// Block is a block on a request, or on all requests with a part of prompts: they are sent to no
+// upstream until the block expires.
 type Block struct {
 	Subject
+	With      []hollowgrade.PartID // that a prompt must have beside the blocked one; not told apart from it yet
 	Since     time.Time
 	Until     time.Time
 	Losses    int                    // consecutive
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -10,15 +10,19 @@
 // maxLossesPerRequest bounds the losses kept per request.
 const maxLossesPerRequest = 32
 
-// record is the state of one request that was lost.
+// record is the state of one suspect of which runs were lost.
 type record struct {
 	subject        Subject
+	unaccounted    int        // crashes that no single request and no rarer part accounts for; of a part only
 	losses         []keptLoss // since the last answered run, ordered by the time of the loss
-	clearedAt      time.Time  // time up to which the request is cleared of losses
+	clearedAt      time.Time  // time up to which the suspect is cleared of losses
 	reportedLosses int        // consecutive losses that a block reported and that aren't in losses
 	block          Block      // the last one, also after its expiry
 	updatedAt      time.Time  // last update
 
+	judgedBlocks int // [Table.blockChanges] when the odds of all losses were last updated
+	judgedLosses int // consecutive losses then
+
 	localTrial bool      // whether this process runs a trial
 	trialStart time.Time // start of a trial at any gateway; zero if none runs
 
@@ -26,33 +30,53 @@
 	storeDue    time.Time // from when on this process updates the store
 }
 
-// blocked reports whether the request is blocked.
+// blocked reports whether the suspect is blocked.
 func (r *record) blocked(now time.Time) bool {
 	return now.Before(r.block.Until)
 }
 
+// blocks reports whether a request with the suspect is blocked.
+func (r *record) blocks(q Request, now time.Time) bool {
+	return r.blocked(now) && q.hasAll(r.block.With)
+}
+
+// The least number of crashes that only a part accounts for, with which it is blocked, and with which
+// one run is admitted at a time. A single request crashes two or three upstreams before it is blocked
+// itself, with all of its parts.
+const (
+	crashesToBlockPart  = 2
+	crashesToTryOutPart = 1
+)
+
+// implicated reports whether a suspect accounts for some crashes that nothing more specific does. What
+// was blocked before has been found to.
+func (r *record) implicated(crashes int) bool {
+	return r.subject.Kind == KindRequest || !r.block.Since.IsZero() || r.unaccounted >= crashes
+}
+
 // consecutive returns the consecutive losses that are kept and that nothing else explains, and their
 // number including reported ones.
 func (r *record) consecutive() (ms []keptLoss, losses int) {
-	ms = consecutiveLosses(r.losses, r.clearedAt, false)
+	ms = consecutiveLosses(r.losses, r.clearedAt)
 	return ms, len(ms) + r.reportedLosses
 }
 
 // allConsecutive returns the number of consecutive losses, whatever explains them.
 func (r *record) allConsecutive() int {
-	return len(consecutiveLosses(r.losses, r.clearedAt, true)) + r.reportedLosses
+	return countConsecutive(r.losses, r.clearedAt) + r.reportedLosses
 }
 
 // explains reports whether a crash in which a run of the request was lost is attributed to it, rather
 // than to another request that has some consecutive losses.
 func (r *record) explains(at time.Time, losses int) bool {
-	return !r.block.Since.IsZero() && at.Before(r.block.Until) && max(r.block.Losses, r.allConsecutive()) >= losses
+	return !r.block.Since.IsZero() && at.Before(r.block.Until) &&
+		(r.block.Losses >= losses || r.allConsecutive() >= losses)
 }
 
 // suspect reports whether runs are admitted one at a time.
 func (r *record) suspect() bool {
 	ms, n := r.consecutive()
-	return (n >= lossesForTrials || crashEvents(r.losses) >= eventsForTrials) && r.odds(ms) <= maxTrialOdds
+	return r.implicated(crashesToTryOutPart) && (n >= lossesForTrials || crashEvents(r.losses) >= eventsForTrials) && r.odds(ms) <= maxTrialOdds
 }
 
 // odds returns the joint probability of losses for a harmless request, including those that a block
@@ -74,7 +98,7 @@
 	return r.localTrial || !r.trialStart.IsZero() && now.Sub(r.trialStart) < trialTimeout
 }
 
-// upstreams returns the upstreams that crashed under the request since it was last cleared.
+// upstreams returns the upstreams that crashed under the suspect since it was last cleared.
 func (r *record) upstreams() (us []hollowgrade.Instance) {
 	for _, m := range r.losses {
 		if !slices.Contains(us, m.Upstream) {
@@ -93,11 +117,22 @@
 	return us[max(len(us)-maxNamedUpstreams, 0):]
 }
 
-// add adds a loss, unless it is known or the request was cleared after it.
+// add adds a loss, unless it is known or the suspect was cleared after it. Of the losses of a part in
+// one crash it keeps the one sent last.
 func (r *record) add(l Loss, now time.Time) {
 	if !l.Lost.After(r.clearedAt) || slices.ContainsFunc(r.losses, l.matches) {
 		return
 	}
+	if r.subject.Kind == KindPart {
+		i := slices.IndexFunc(r.losses, l.sameCrash)
+		if i >= 0 && !l.Sent.After(r.losses[i].Sent) {
+			return
+		}
+		if i >= 0 {
+			now = r.losses[i].learnedAt
+			r.losses = slices.Delete(r.losses, i, i+1)
+		}
+	}
 	i, _ := slices.BinarySearchFunc(r.losses, l, func(m keptLoss, l Loss) int { return m.Lost.Compare(l.Lost) })
 	r.losses = slices.Insert(r.losses, i, keptLoss{Loss: l, learnedAt: now, odds: 1})
 	if len(r.losses) > maxLossesPerRequest {
@@ -114,7 +149,12 @@
 	return m.Upstream == l.Upstream && m.Lost.Sub(l.Lost).Abs() < sameLossTolerance && m.Sent.Sub(l.Sent).Abs() < sameLossTolerance
 }
 
-// clear clears the request of losses up to a time, and reports whether that ends a block. Later
+// sameCrash reports whether a kept loss is of the same crash.
+func (l Loss) sameCrash(m keptLoss) bool {
+	return m.Upstream == l.Upstream && m.Lost.Sub(l.Lost).Abs() < sameEventWindow
+}
+
+// clear clears the suspect of losses up to a time, and reports whether that ends a block. Later
 // losses stay.
 func (r *record) clear(at time.Time) (ends bool) {
 	r.clearedAt = hollowgrade.Later(r.clearedAt, at)
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -20,11 +21,28 @@
 // stream is requests that are sent at a rate.
 type stream struct {
 	rate        float64 // a second
-	subject     func() Subject
+	subject     func() Request
 	harmful     bool
-	maxAttempts int // attempts per call
+	crashAfter  time.Duration // until a harmful run crashes its upstream, [crashDelay] if 0
+	maxAttempts int           // attempts per call
 
 	calls, sent, lost, served, refused, blocked int
+
+	crashed, sentAt []time.Time // of a harmful stream: when its runs crashed upstreams, and when they were sent
+}
+
+// lateSends returns how many runs of a harmful stream were sent later than d after its n-th crash.
+func (s *stream) lateSends(n int, d time.Duration) (late int) {
+	if len(s.crashed) == 0 {
+		return 0
+	}
+	known := s.crashed[min(n, len(s.crashed))-1].Add(d)
+	for _, t := range s.sentAt {
+		if t.After(known) {
+			late++
+		}
+	}
+	return late
 }
 
 // servedShare returns the part of the calls that were served.
@@ -35,7 +53,7 @@
 // run is an attempt that is running, or that waits to be retried.
 type run struct {
 	stream    *stream
-	subject   Subject
+	subject   Request
 	gateway   *Table
 	admission Admission
 	upstream  int // index of the upstream
@@ -56,10 +74,11 @@
 	crashTimes   []time.Time
 	lastExchange time.Time
 	crashPattern crashPattern
-	retryPauses  bool // the same gateway retries a call after a pause
-	reroutes     bool // an attempt that finds its upstream down goes to another one at once
-	relays       bool // a relay in front of an upstream goes on accepting after a crash; the upstream's next instance shows the crash
-	probed       bool // the same, but the second probe that is closed shows the crash
+	downFor      time.Duration // of an upstream that crashed, [downTime] if 0
+	retryPauses  bool          // the same gateway retries a call after a pause
+	reroutes     bool          // an attempt that finds its upstream down goes to another one at once
+	relays       bool          // a relay in front of an upstream goes on accepting after a crash; the upstream's next instance shows the crash
+	probed       bool          // the same, but the second probe that is closed shows the crash
 	undetected   []undetectedLoss
 }
 
@@ -134,17 +153,17 @@
 }
 
 // send sends a request to an upstream by a random gateway.
-func (p *simulation) send(s *stream, subject Subject, attempt int) {
+func (p *simulation) send(s *stream, subject Request, attempt int) {
 	p.sendBy(p.gateways[p.random.IntN(len(p.gateways))], s, subject, attempt)
 }
 
 // sendBy sends a request to a random upstream by one gateway.
-func (p *simulation) sendBy(b *Table, s *stream, subject Subject, attempt int) {
+func (p *simulation) sendBy(b *Table, s *stream, subject Request, attempt int) {
 	now := p.clock.Now()
 	if attempt == 1 {
 		s.calls++
 	}
-	l := b.Begin(subject.Fingerprint)
+	l := b.Begin(subject)
 	if !l.Granted {
 		s.refused++
 		if !l.Block.Since.IsZero() {
@@ -157,13 +176,14 @@
 		at = p.random.IntN(poolSize)
 	}
 	if now.Before(p.upAt[at]) {
-		b.End(subject.Fingerprint, l) // the upstream is down and nothing was sent
+		b.End(l) // the upstream is down and nothing was sent
 		return
 	}
 	s.sent++
 	took := 200*time.Millisecond + time.Duration(p.random.IntN(1000))*time.Millisecond
 	if s.harmful {
-		took = crashDelay
+		took = cmp.Or(s.crashAfter, crashDelay)
+		s.sentAt = append(s.sentAt, now)
 	}
 	p.runs = append(p.runs, &run{s, subject, b, l, at, now, now.Add(took), attempt})
 }
@@ -171,7 +191,8 @@
 // finish ends the runs whose time is over, and crashes the upstreams of those that are harmful.
 func (p *simulation) finish(now time.Time) {
 	for _, r := range slices.Clone(p.runs) {
-		if r.stream.harmful && !now.Before(r.endsAt) {
+		if r.stream.harmful && !now.Before(r.endsAt) && !now.Before(p.upAt[r.upstream]) {
+			r.stream.crashed = append(r.stream.crashed, now)
 			p.crashUpstream(r.upstream)
 		}
 	}
@@ -180,8 +201,8 @@
 			return false
 		}
 		r.stream.served++
-		r.gateway.RecordAnswer(r.subject.Fingerprint)
-		r.gateway.End(r.subject.Fingerprint, r.admission)
+		r.gateway.RecordAnswer(r.subject, true)
+		r.gateway.End(r.admission)
 		return true
 	})
 }
@@ -192,7 +213,7 @@
 	if now.Before(p.upAt[at]) {
 		return
 	}
-	p.upAt[at] = now.Add(downTime)
+	p.upAt[at] = now.Add(cmp.Or(p.downFor, downTime))
 	p.crashCounts[at]++
 	p.crashTimes = append(p.crashTimes, now)
 	rs := p.runs
@@ -204,8 +225,8 @@
 			continue
 		}
 		r.stream.lost++
-		p.reportLoss(r.gateway, Loss{Subject: r.subject, Upstream: instance("u", at, ".", p.crashCounts[at]), Engines: 1, Sent: r.sent, Lost: now})
-		r.gateway.End(r.subject.Fingerprint, r.admission)
+		p.reportLoss(r.gateway, Loss{Request: r.subject, Upstream: instance("u", at, ".", p.crashCounts[at]), Engines: 1, Sent: r.sent, Lost: now})
+		r.gateway.End(r.admission)
 		if r.attempt < r.stream.maxAttempts {
 			retries = append(retries, r)
 		}
@@ -237,14 +258,14 @@
 }
 
 // distinctRequests returns a source of requests that all differ.
-func distinctRequests() func() Subject {
+func distinctRequests() func() Request {
 	n := 1000
-	return func() Subject { n++; return request(n) }
+	return func() Request { n++; return request(n) }
 }
 
 // sameRequest returns a source of one request.
-func sameRequest(n int) func() Subject {
-	return func() Subject { return request(n) }
+func sameRequest(n int) func() Request {
+	return func() Request { return request(n) }
 }
 
 // crashPattern returns the upstreams that crash by themselves in a step.
@@ -418,8 +439,8 @@
 	for i := 0; b.Loop(); i++ {
 		s := request(i / 3 % maxRecords)
 		now := w.clock.Now()
-		t.RecordLoss(Loss{Subject: s, Upstream: instance("u", i%600), Engines: 1, Sent: now.Add(-crashDelay), Lost: now})
-		t.Begin(s.Fingerprint)
+		t.RecordLoss(Loss{Request: s, Upstream: instance("u", i%600), Engines: 1, Sent: now.Add(-crashDelay), Lost: now})
+		t.Begin(s)
 		t.NextUpdate()
 		w.clock.Advance(20 * time.Millisecond)
 	}
--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/hollowgrade/hollowgrade"
 )
 
 const (
@@ -41,7 +39,7 @@
 // StoreChanges is the changes to write to the store.
 type StoreChanges struct {
 	Save []Block
-	Drop []hollowgrade.Fingerprint
+	Drop []Suspect
 }
 
 // StoreChanges evaluates losses that have settled and returns what this process has to write to the
@@ -58,7 +56,7 @@
 			stored++
 		}
 	}
-	for f, r := range t.records {
+	for s, r := range t.records {
 		switch {
 		case now.Before(r.storeDue):
 		case r.blocked(now) && r.block.Until.Sub(r.storedUntil) > clockSkewTolerance:
@@ -67,11 +65,11 @@
 			}
 		case r.storedUntil.IsZero():
 		case r.block.Since.IsZero():
-			k.Drop = append(k.Drop, f)
+			k.Drop = append(k.Drop, s)
 		case now.Sub(r.block.Until) > expiredBlockRetention && r.storeDue.Before(r.block.Until):
 			t.scheduleStore(r, now, deletionSpread)
 		case now.Sub(r.block.Until) > expiredBlockRetention:
-			k.Drop = append(k.Drop, f)
+			k.Drop = append(k.Drop, s)
 		}
 	}
 	return k
@@ -90,13 +88,13 @@
 }
 
 // StoreReturned records that the store came back from an older copy, and which blocks it still has. The
-// gateway that blocked a request writes its block again, and another one if that is gone.
-func (t *Table) StoreReturned(kept func(f hollowgrade.Fingerprint) bool) {
+// gateway that blocked a suspect writes its block again, and another one if that is gone.
+func (t *Table) StoreReturned(kept func(s Suspect) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	for f, r := range t.records {
-		if r.storedUntil.IsZero() || kept(f) {
+	for s, r := range t.records {
+		if r.storedUntil.IsZero() || kept(s) {
 			continue
 		}
 		r.storedUntil = time.Time{}
@@ -110,10 +108,10 @@
 
 // RecordDropped records that the store no longer has a block of a request. If the block hasn't
 // expired, another process has found the request harmless.
-func (t *Table) RecordDropped(f hollowgrade.Fingerprint) {
+func (t *Table) RecordDropped(s Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[f]
+	r := t.records[s]
 	if r == nil {
 		return
 	}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -51,20 +51,20 @@
 	}
 }
 
-func request(n int) Subject {
+func request(n int) Request {
 	c := hollowgrade.Call{Target: fmt.Sprint("/", n)}
-	return Subject{Fingerprint: hollowgrade.NewFingerprint("o", c), Organisation: "o", Route: "r", Service: "s"}
+	return Request{Subject: Subject{Fingerprint: hollowgrade.NewFingerprint("o", c), Organisation: "o", Route: "r", Service: "s"}}
 }
 
 // loseRun runs a request for some time and crashes its upstream.
-func (w *cluster) loseRun(b *Table, s Subject, upstream hollowgrade.Instance, took time.Duration) {
+func (w *cluster) loseRun(b *Table, s Request, upstream hollowgrade.Instance, took time.Duration) {
 	w.t.Helper()
-	l := b.Begin(s.Fingerprint)
+	l := b.Begin(s)
 	require.True(w.t, l.Granted)
 	sent := w.clock.Now()
 	w.clock.Advance(took)
-	b.RecordLoss(Loss{Subject: s, Upstream: upstream, Engines: 1, Sent: sent, Lost: w.clock.Now()})
-	b.End(s.Fingerprint, l)
+	b.RecordLoss(Loss{Request: s, Upstream: upstream, Engines: 1, Sent: sent, Lost: w.clock.Now()})
+	b.End(l)
 	w.clock.Advance(time.Millisecond)
 }
 
@@ -75,12 +75,12 @@
 
 const runTime = 200 * time.Millisecond
 
-func requireBlocked(t *testing.T, b *Table, s Subject, blocked bool) {
+func requireBlocked(t *testing.T, b *Table, s Request, blocked bool) {
 	t.Helper()
 	b.clock.(*clockwork.FakeClock).Advance(settleTime)
-	l := b.Begin(s.Fingerprint)
+	l := b.Begin(s)
 	require.Equal(t, blocked, !l.Block.Since.IsZero(), "at %s", b.box)
-	b.End(s.Fingerprint, l)
+	b.End(l)
 }
 
 // Guards against calls that are held for crashes which a blocked request explains.
@@ -90,9 +90,9 @@
 	for i := range 4 {
 		sent := w.clock.Now()
 		w.clock.Advance(runTime)
-		for _, r := range []Subject{s, neighbour} {
-			if r == s || i > 0 {
-				b.RecordLoss(Loss{Subject: r, Upstream: instance("u", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
+		for _, r := range []Request{s, neighbour} {
+			if r.Fingerprint == s.Fingerprint || i > 0 {
+				b.RecordLoss(Loss{Request: r, Upstream: instance("u", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
 			}
 		}
 		w.clock.Advance(settleTime)
@@ -112,7 +112,7 @@
 		}
 		for _, b := range w.gateways {
 			requireBlocked(t, b, s, true)
-			require.Greater(t, b.Begin(s.Fingerprint).RetryAfter, 9*time.Minute)
+			require.Greater(t, b.Begin(s).RetryAfter, 9*time.Minute)
 		}
 	})
 	t.Run("say nothing of its neighbours", func(t *testing.T) {
@@ -120,21 +120,21 @@
 		for i := range 3 {
 			u := instance("u", i)
 			for n := range 9 {
-				w.gateways[0].RecordLoss(Loss{Subject: request(100*i + n + 2), Upstream: u, Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now().Add(time.Millisecond)})
+				w.gateways[0].RecordLoss(Loss{Request: request(100*i + n + 2), Upstream: u, Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now().Add(time.Millisecond)})
 			}
 			w.loseRun(w.gateways[0], s, u, runTime)
 		}
 		w.clock.Advance(settleTime)
 		w.gateways[0].StoreChanges()
 		require.Len(t, w.gateways[0].Blocks(), 1)
-		require.Equal(t, s, w.gateways[0].Blocks()[0].Subject)
+		require.Equal(t, s.Subject, w.gateways[0].Blocks()[0].Subject)
 	})
 	t.Run("count one after another only", func(t *testing.T) {
 		w, s := newCluster(t, 1), request(1)
 		sent := w.clock.Now()
 		w.clock.Advance(runTime)
 		for i := range 10 { // ten copies at once, and a rack that is lost
-			w.gateways[0].RecordLoss(Loss{Subject: s, Upstream: instance("u", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
+			w.gateways[0].RecordLoss(Loss{Request: s, Upstream: instance("u", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
 		}
 		requireBlocked(t, w.gateways[0], s, false)
 	})
@@ -144,7 +144,7 @@
 			w.loseRun(w.gateways[0], s, instance("u", i), runTime)
 			if i%2 == 1 {
 				w.exchange()
-				w.gateways[1].RecordAnswer(s.Fingerprint)
+				w.gateways[1].RecordAnswer(s, true)
 				w.exchange()
 				w.clock.Advance(time.Millisecond)
 			}
@@ -155,13 +155,13 @@
 		w, s := newCluster(t, 1), request(1)
 		for i := range 3 {
 			for n := range 2 {
-				w.gateways[0].RecordLoss(Loss{Subject: request(100*i + n + 2), Upstream: instance("other", i, n), Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now().Add(time.Millisecond)})
+				w.gateways[0].RecordLoss(Loss{Request: request(100*i + n + 2), Upstream: instance("other", i, n), Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now().Add(time.Millisecond)})
 				w.clock.Advance(time.Second)
 			}
 			w.loseRun(w.gateways[0], s, instance("u", i), runTime)
 		}
 		w.clock.Advance(settleTime)
-		l := w.gateways[0].Begin(s.Fingerprint)
+		l := w.gateways[0].Begin(s)
 		require.False(t, l.Granted)
 		require.Equal(t, shortBlockTime, l.RetryAfter.Round(time.Second))
 	})
@@ -169,7 +169,7 @@
 		w, s := newCluster(t, 1), request(1)
 		for i := range 3 {
 			for n := range 5 {
-				w.gateways[0].RecordLoss(Loss{Subject: request(100*i + n + 2), Upstream: instance("other", i, n), Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now().Add(runTime)})
+				w.gateways[0].RecordLoss(Loss{Request: request(100*i + n + 2), Upstream: instance("other", i, n), Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now().Add(runTime)})
 			}
 			w.loseRun(w.gateways[0], s, instance("u", i), runTime)
 			w.clock.Advance(11 * time.Second)
@@ -184,20 +184,20 @@
 		w.loseRun(w.gateways[0], s, "u0", runTime)
 		w.loseRun(w.gateways[0], s, "u1", runTime)
 		w.exchange()
-		l := w.gateways[1].Begin(s.Fingerprint)
+		l := w.gateways[1].Begin(s)
 		require.True(t, l.Granted)
 		w.exchange()
 		for _, b := range w.gateways {
-			o := b.Begin(s.Fingerprint)
+			o := b.Begin(s)
 			require.False(t, o.Granted)
 			require.Equal(t, trialRetryAfter, o.RetryAfter)
 		}
-		w.gateways[1].RecordAnswer(s.Fingerprint)
-		w.gateways[1].End(s.Fingerprint, l)
+		w.gateways[1].RecordAnswer(s, true)
+		w.gateways[1].End(l)
 		w.exchange()
 		for _, b := range w.gateways {
-			require.True(t, b.Begin(s.Fingerprint).Granted)
-			require.False(t, b.Begin(s.Fingerprint).Trial, "it is harmless")
+			require.True(t, b.Begin(s).Granted)
+			require.False(t, b.Begin(s).Trial, "it is harmless")
 		}
 	})
 	t.Run("once upstreams ended at three moments under copies of it", func(t *testing.T) {
@@ -205,27 +205,27 @@
 		sent := w.clock.Now()
 		w.clock.Advance(runTime)
 		for i := range 3 {
-			require.False(t, w.gateways[0].Begin(s.Fingerprint).Trial)
+			require.False(t, w.gateways[0].Begin(s).Trial)
 			w.clock.Advance(2 * sameEventWindow)
-			w.gateways[0].RecordLoss(Loss{Subject: s, Upstream: instance("u", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
+			w.gateways[0].RecordLoss(Loss{Request: s, Upstream: instance("u", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
 		}
-		require.True(t, w.gateways[0].Begin(s.Fingerprint).Trial)
-		require.False(t, w.gateways[0].Begin(s.Fingerprint).Granted)
+		require.True(t, w.gateways[0].Begin(s).Trial)
+		require.False(t, w.gateways[0].Begin(s).Granted)
 	})
 	t.Run("not for ever if the gateway that has the run is lost", func(t *testing.T) {
 		w, s := newCluster(t, 2), request(1)
 		w.loseRun(w.gateways[0], s, "u0", runTime)
 		w.loseRun(w.gateways[0], s, "u1", runTime)
-		w.gateways[0].Begin(s.Fingerprint)
+		w.gateways[0].Begin(s)
 		w.exchange()
-		require.False(t, w.gateways[1].Begin(s.Fingerprint).Granted)
+		require.False(t, w.gateways[1].Begin(s).Granted)
 		w.clock.Advance(trialTimeout)
-		require.True(t, w.gateways[1].Begin(s.Fingerprint).Granted)
+		require.True(t, w.gateways[1].Begin(s).Granted)
 	})
 }
 
 // block gets a request blocked at a gateway.
-func (w *cluster) block(b *Table, s Subject) {
+func (w *cluster) block(b *Table, s Request) {
 	for i := range lossesToBlock {
 		w.loseRun(b, s, instance("u", i), runTime)
 	}
@@ -237,12 +237,12 @@
 		w, s := newCluster(t, 1), request(1)
 		w.block(w.gateways[0], s)
 		w.clock.Advance(longBlockTime)
-		l := w.gateways[0].Begin(s.Fingerprint)
+		l := w.gateways[0].Begin(s)
 		require.True(t, l.Trial)
-		require.False(t, w.gateways[0].Begin(s.Fingerprint).Granted)
-		w.gateways[0].RecordAnswer(s.Fingerprint)
-		w.gateways[0].End(s.Fingerprint, l)
-		require.Equal(t, Admission{Granted: true}, w.gateways[0].Begin(s.Fingerprint))
+		require.False(t, w.gateways[0].Begin(s).Granted)
+		w.gateways[0].RecordAnswer(s, true)
+		w.gateways[0].End(l)
+		require.Equal(t, Admission{Granted: true}, w.gateways[0].Begin(s))
 	})
 	t.Run("and begin again if that run is lost", func(t *testing.T) {
 		w, s := newCluster(t, 1), request(1)
@@ -256,12 +256,12 @@
 		w, s := newCluster(t, 3), request(1)
 		w.block(w.gateways[0], s)
 		w.exchange()
-		require.True(t, w.gateways[2].Lift(s.Fingerprint))
+		require.True(t, w.gateways[2].Lift(s.Suspect()))
 		w.exchange()
 		for _, b := range w.gateways {
-			require.Equal(t, Admission{Granted: true}, b.Begin(s.Fingerprint))
+			require.Equal(t, Admission{Granted: true}, b.Begin(s))
 		}
-		require.False(t, w.gateways[2].Lift(s.Fingerprint))
+		require.False(t, w.gateways[2].Lift(s.Suspect()))
 	})
 	t.Run("an older word does not bring them back", func(t *testing.T) {
 		w, s := newCluster(t, 2), request(1)
@@ -269,7 +269,7 @@
 		h := w.gateways[0].Blocks()[0]
 		w.exchange()
 		w.clock.Advance(time.Second)
-		require.True(t, w.gateways[1].Lift(s.Fingerprint))
+		require.True(t, w.gateways[1].Lift(s.Suspect()))
 		w.gateways[1].Receive("box-0", Update{Blocks: []Block{h}})
 		w.gateways[1].RecordStored(h)
 		requireBlocked(t, w.gateways[1], s, false)
@@ -277,12 +277,12 @@
 }
 
 // fakeStore keeps the blocks that gateways write to the store, for others to read.
-type fakeStore map[hollowgrade.Fingerprint]Block
+type fakeStore map[Suspect]Block
 
 func (s fakeStore) write(b *Table) (writes int) {
 	k := b.StoreChanges()
 	for _, h := range k.Save {
-		s[h.Fingerprint] = h
+		s[h.Suspect()] = h
 		b.RecordStored(h)
 	}
 	for _, f := range k.Drop {
@@ -307,7 +307,7 @@
 		d.read(w.gateways[1])
 		clear(d)
 		for _, b := range w.gateways {
-			b.StoreReturned(func(f hollowgrade.Fingerprint) bool { _, ok := d[f]; return ok })
+			b.StoreReturned(func(s Suspect) bool { _, ok := d[s]; return ok })
 		}
 		require.Zero(t, d.write(w.gateways[1]))
 		require.Equal(t, 1, d.write(w.gateways[0]))
@@ -322,7 +322,7 @@
 		d.write(w.gateways[0])
 		d.read(w.gateways[1])
 		clear(d)
-		w.gateways[1].StoreReturned(func(hollowgrade.Fingerprint) bool { return false })
+		w.gateways[1].StoreReturned(func(Suspect) bool { return false })
 		w.clock.Advance(2 * peerStoreDelay)
 		require.Equal(t, 1, d.write(w.gateways[1]))
 	})
@@ -354,10 +354,10 @@
 		d.write(w.gateways[0])
 		w.exchange()
 		d.read(w.gateways[1])
-		require.True(t, w.gateways[1].Lift(s.Fingerprint))
+		require.True(t, w.gateways[1].Lift(s.Suspect()))
 		require.Equal(t, 1, d.write(w.gateways[1]))
 		require.Empty(t, d)
-		w.gateways[0].RecordDropped(s.Fingerprint) // its peer's update was lost
+		w.gateways[0].RecordDropped(s.Suspect()) // its peer's update was lost
 		requireBlocked(t, w.gateways[0], s, false)
 	})
 	t.Run("nor long after the end of the hold", func(t *testing.T) {
@@ -385,8 +385,8 @@
 	t.Run("by a clock that is far off it is held no longer than usual", func(t *testing.T) {
 		w, s := newCluster(t, 1), request(1)
 		now := w.clock.Now()
-		w.gateways[0].RecordStored(Block{Subject: s, Since: now, Until: now.Add(24 * time.Hour), Losses: 3})
-		require.LessOrEqual(t, w.gateways[0].Begin(s.Fingerprint).RetryAfter, longBlockTime)
+		w.gateways[0].RecordStored(Block{Subject: s.Subject, Since: now, Until: now.Add(24 * time.Hour), Losses: 3})
+		require.LessOrEqual(t, w.gateways[0].Begin(s).RetryAfter, longBlockTime)
 	})
 }
 
@@ -397,13 +397,13 @@
 	w.block(b, held)
 	for i := range 3 * maxRecords {
 		now := w.clock.Now()
-		b.RecordLoss(Loss{Subject: request(i + 1), Upstream: "u", Engines: 1, Sent: now.Add(-runTime), Lost: now})
+		b.RecordLoss(Loss{Request: request(i + 1), Upstream: "u", Engines: 1, Sent: now.Add(-runTime), Lost: now})
 		w.clock.Advance(time.Millisecond)
 	}
 	require.LessOrEqual(t, b.Size(), maxRecords)
 	requireBlocked(t, b, held, true)
 	require.LessOrEqual(t, len(b.NextUpdate().Losses), maxPendingEntries)
 	w.clock.Advance(longBlockTime + recordRetention + sweepInterval)
-	b.RecordLoss(Loss{Subject: request(1), Upstream: "u", Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now()})
+	b.RecordLoss(Loss{Request: request(1), Upstream: "u", Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now()})
 	require.Equal(t, 1, b.Size())
 }
