quarantine: losses that a block overtakes get their odds all the same

Cause: a blocked suspect was not evaluated. A gateway that heard of the block before the losses had settled never computed their odds, counted them with odds of 1 once their crashes were no longer kept, and took the suspect for harmless. Odds are now computed during a block as well.

TestHoldsEnd/and_the_next_run_decides failed before at the other gateway.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -415,14 +415,14 @@
 
 // evaluate blocks a suspect if its losses call for it and have settled. The lock is held.
 func (t *Table) evaluate(r *record, now time.Time) {
-	if r.blocked(now) {
-		t.widenByLosses(r)
-		return
-	}
 	if len(r.losses) == 0 {
 		return
 	}
 	t.updateOdds(r, now)
+	if r.blocked(now) {
+		t.widenByLosses(r)
+		return
+	}
 	ms, n := r.consecutive()
 	odds := r.odds(ms)
 	d := blockTime(n, odds)
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -252,6 +252,22 @@
 		requireBlocked(t, w.gateways[0], s, true)
 		require.Equal(t, lossesToBlock+1, w.gateways[0].Blocks()[0].Losses)
 	})
+	t.Run("and the next run decides, also if most losses had not settled before", func(t *testing.T) {
+		w, s := newCluster(t, 2), request(1)
+		w.block(w.gateways[0], s)
+		sent := w.clock.Now()
+		w.clock.Advance(runTime)
+		w.gateways[1].RecordLoss(Loss{Request: s, Upstream: "u8", Engines: 1, Sent: sent, Lost: w.clock.Now()})
+		w.exchange()
+		w.clock.Advance(10 * settleTime)
+		for _, b := range w.gateways {
+			b.StoreChanges()
+		}
+		w.clock.Advance(longBlockTime)
+		for _, b := range w.gateways {
+			require.True(t, b.Begin(s).Trial, "at %s", b.box)
+		}
+	})
 	t.Run("when an operator lifts them, everywhere", func(t *testing.T) {
 		w, s := newCluster(t, 3), request(1)
 		w.block(w.gateways[0], s)
