quarantine, core: a trial of which the end isn't known yet keeps the next waiting

Cause: a trial ended with its connection, and the next began, while whether the upstream had crashed showed 0.25 to 1.9 s later. The table is now told that a lost run is unconfirmed; the trial lasts until its loss is recorded, or times out.

--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -25,6 +25,7 @@
 
 	localTrial bool      // whether this process runs a trial
 	trialStart time.Time // start of a trial at any gateway; zero if none runs
+	undecided  bool      // the trial of this process was lost, and whether by a crash isn't known yet
 
 	storedUntil time.Time // expiry of the block in the store; zero if it has none
 	storeDue    time.Time // from when on this process updates the store
@@ -133,6 +134,9 @@
 			r.losses = slices.Delete(r.losses, i, i+1)
 		}
 	}
+	if !r.localTrial && l.Sent.After(r.trialStart.Add(-sameLossTolerance)) {
+		r.trialStart = time.Time{} // this decides the trial
+	}
 	i, _ := slices.BinarySearchFunc(r.losses, l, func(m keptLoss, l Loss) int { return m.Lost.Compare(l.Lost) })
 	r.losses = slices.Insert(r.losses, i, keptLoss{Loss: l, learnedAt: now, odds: 1})
 	if len(r.losses) > maxLossesPerRequest {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -185,12 +185,35 @@
 	defer t.mu.Unlock()
 	for _, s := range a.trials {
 		if r := t.records[s]; r != nil {
-			r.localTrial, r.trialStart = false, time.Time{}
-			t.pending.add(Update{Trials: []Trial{{Suspect: s, At: t.clock.Now(), Over: true}}})
+			t.endTrial(r)
 		}
 	}
 }
 
+// endTrial ends the trial of a suspect, unless its outcome is not known yet. The lock is held.
+func (t *Table) endTrial(r *record) {
+	undecided := r.undecided
+	r.localTrial, r.undecided = false, false
+	if undecided {
+		return
+	}
+	r.trialStart = time.Time{}
+	t.pending.add(Update{Trials: []Trial{{Suspect: r.subject.Suspect(), At: t.clock.Now(), Over: true}}})
+}
+
+// RecordUnconfirmed records a lost run of this process of which it isn't known yet whether its upstream
+// crashed. If it was a trial, the next one waits until that is known, [trialTimeout] at most.
+func (t *Table) RecordUnconfirmed(q Request) {
+	if t.size.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for r := range t.recordsOf(q) {
+		r.undecided = r.localTrial
+	}
+}
+
 // Suspected reports whether a request was lost before, or one of its parts is suspected of crashing
 // upstreams.
 func (t *Table) Suspected(q Request) bool {
@@ -288,6 +311,7 @@
 	r := t.records[x.Suspect]
 	switch {
 	case r == nil || r.localTrial:
+	case !x.Over && slices.ContainsFunc(r.losses, func(m keptLoss) bool { return m.Sent.After(x.At) }): // already decided
 	case !x.Over:
 		r.trialStart = hollowgrade.Later(r.trialStart, x.At)
 	case !r.trialStart.After(x.At):
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -212,6 +212,30 @@
 		require.True(t, w.gateways[0].Begin(s).Trial)
 		require.False(t, w.gateways[0].Begin(s).Granted)
 	})
+	t.Run("one after another also while it isn't known yet whether the last one crashed its upstream", func(t *testing.T) {
+		w, s := newCluster(t, 2), request(1)
+		w.loseRun(w.gateways[0], s, "u0", runTime)
+		w.loseRun(w.gateways[0], s, "u1", runTime)
+		w.exchange()
+		l := w.gateways[0].Begin(s)
+		require.True(t, l.Trial)
+		sent := w.clock.Now()
+		w.clock.Advance(runTime)
+		lost := Loss{Request: s, Upstream: "u2", Engines: 1, Sent: sent, Lost: w.clock.Now()}
+		w.gateways[0].RecordUnconfirmed(s)
+		w.gateways[0].End(l)
+		w.exchange()
+		for _, b := range w.gateways {
+			require.False(t, b.Begin(s).Granted, "at %s", b.box)
+		}
+		w.clock.Advance(time.Second)
+		w.gateways[0].RecordLoss(lost)
+		w.exchange()
+		w.clock.Advance(time.Second)
+		for _, b := range w.gateways {
+			requireBlocked(t, b, s, true)
+		}
+	})
 	t.Run("not for ever if the gateway that has the run is lost", func(t *testing.T) {
 		w, s := newCluster(t, 2), request(1)
 		w.loseRun(w.gateways[0], s, "u0", runTime)
