core: a long prompt that waits for its turn leaves once it is blocked

A prompt in the calendar learned of a block only when its turn came, and took the place of others until then.

--- a/core/calendar_test.go
+++ b/core/calendar_test.go
@@ -13,6 +13,7 @@
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/calendar"
 	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/quarantine"
 )
 
 // newCalendarFleet returns a fleet of 18 engines at which long prompts wait for their turn.
@@ -175,6 +176,12 @@
 	return hollowgrade.Call{ID: id, Host: "h", Path: "/long/", Arrived: time.Now(), Patience: 15 * time.Second, PromptTokens: 300_000, MaxTokens: 500}
 }
 
+// blockOfPart returns a peer's word that it has blocked part {1} of prompts for the engines.
+func blockOfPart() quarantine.Update {
+	s := quarantine.Subject{Kind: quarantine.KindPart, Fingerprint: hollowgrade.Fingerprint{1}, Service: "e"}
+	return quarantine.Update{Blocks: []quarantine.Block{{Subject: s, Since: time.Now(), Until: time.Now().Add(time.Minute), Losses: 3}}}
+}
+
 func TestCallsThatWaitForTheirTurn(t *testing.T) {
 	run := func(name string, do func(t *testing.T, c *Core, f *fakeUpstreams)) {
 		t.Run(name, func(t *testing.T) {
@@ -201,6 +208,23 @@
 		require.Empty(t, c.fleet.waits)
 		require.Len(t, f.sentCalls(), 1)
 	})
+	run("are refused when a part of their prompts is blocked while they wait", func(t *testing.T, c *Core, f *fakeUpstreams) {
+		for i := range 3 {
+			require.NoError(t, c.Serve(context.Background(), longCall(fmt.Sprint("before", i)), &fakeSink{}))
+		}
+		k := longCall("b")
+		k.Parts = []hollowgrade.PartID{{1}}
+		time.AfterFunc(turnInterval, func() {
+			c.quarantine.Receive("peer", blockOfPart())
+		})
+		begin := time.Now()
+		x := fault.As(c.Serve(context.Background(), k, &fakeSink{}), hollowgrade.Unknown)
+		requireFault(t, x, fault.Quarantined, hollowgrade.NotRun)
+		require.Contains(t, x.Message, "requests with part ")
+		require.Less(t, time.Since(begin), turnInterval+2*maxTurnPause)
+		require.Empty(t, c.fleet.waits)
+		require.Len(t, f.sentCalls(), 3)
+	})
 	run("are told to come back when the box stops", func(t *testing.T, c *Core, _ *fakeUpstreams) {
 		require.NoError(t, c.Serve(context.Background(), longCall("a"), &fakeSink{}))
 		ctx, cancel := context.WithCancelCause(context.Background())
--- a/core/turn.go
+++ b/core/turn.go
@@ -73,6 +73,10 @@
 	defer f.core.fleet.leave(w)
 	for {
 		waited := f.core.clock.Since(begin)
+		if a, blocked := f.core.quarantine.Blocked(f.identity()); blocked {
+			f.endTurn(TurnEnded, waited)
+			return nil, f.quarantinedError(a)
+		}
 		p, state, again := f.core.fleet.start(w, after(r, waited), f.tried)
 		switch state {
 		case Started:
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -164,6 +164,22 @@
 	return t.admit(suspects, now)
 }
 
+// Blocked returns the refusal of a request that is blocked, and false if it isn't.
+func (t *Table) Blocked(q Request) (a Admission, blocked bool) {
+	if t.size.Load() == 0 {
+		return a, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	for r := range t.recordsOf(q) {
+		if left := r.block.Until.Sub(now); r.blocks(q, now) && left > a.RetryAfter {
+			a.Block, a.RetryAfter = r.block, left
+		}
+	}
+	return a, a.RetryAfter > 0
+}
+
 // admit admits a run, alone if its request has suspects. The lock is held.
 func (t *Table) admit(suspects []*record, now time.Time) Admission {
 	a := Admission{Granted: true, Trial: len(suspects) > 0}
