soak: requests that share a part of their prompts which ends workers

Every second step of harmful requests sends distinct ones that have only a part in common, within the usual series of faults. After the fifth end three more may follow in calm times, 40 in all; breaches are planted for both.

--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -39,12 +39,21 @@
 // addHarmful adds a harmful request that reached workers first times in time, and late times after
 // every gateway has to know it.
 func addHarmful(h *history, first, late int) {
+	addHarmfulRuns(h, harmfulPrefix, first, late)
+}
+
+// addHarmfulPart adds requests with a harmful part in the same way.
+func addHarmfulPart(h *history, first, late int) {
+	addHarmfulRuns(h, harmfulPartPrefix, first, late)
+}
+
+func addHarmfulRuns(h *history, prefix string, first, late int) {
 	for i := range first + late {
 		t := at(10)
 		if i >= first {
 			t = at(10).Add(crashDelay + settleTime + time.Second)
 		}
-		q := &request{id: fmt.Sprint(harmfulPrefix, "-1-", i), path: "/again/" + harmfulPrefix, body: harmfulPrefix + "-1", sent: t, ended: t, status: 502}
+		q := &request{id: fmt.Sprint(prefix, "-1-", i), path: "/again/" + prefix, body: prefix + "-1", sent: t, ended: t, status: 502}
 		h.requests[q.id] = q
 		h.runs = append(h.runs, run{id: q.id, worker: "w", path: q.path, body: q.body, organisation: "o", at: t})
 	}
@@ -137,6 +146,9 @@
 			addHarmful(h, 3, 4)
 			h.spans = []span{{kind: silenceStore, from: at(12), to: at(14)}}
 		}, ""},
+		{"a harmful part and sent on", func(h *history, _ *request) { addHarmfulPart(h, 5, 4) }, "BUDGET"},
+		{"a harmful part and sent on three times", func(h *history, _ *request) { addHarmfulPart(h, 5, 3) }, ""},
+		{"a harmful part and sent on without end", func(h *history, _ *request) { addHarmfulPart(h, 50, 0) }, "BUDGET"},
 		{"harmful and sent on without end", func(h *history, _ *request) { addHarmful(h, 30, 0) }, "BUDGET"},
 		{"left by its word long before", func(h *history, _ *request) { addSignal(h, signal{leaving: true}, 10.05-2.1) }, "DRAIN"},
 		{"left by its word just before", func(h *history, _ *request) { addSignal(h, signal{leaving: true}, 10.05-1.9) }, ""},
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -103,6 +103,9 @@
 	if q.promptTokens > 0 {
 		h.Header.Set("Token-Usage", fmt.Sprint(q.promptTokens, ",", streamEvents))
 	}
+	if q.parts != "" {
+		h.Header.Set("Prompt-Prefix", q.parts)
+	}
 	a, err := t.RoundTrip(h)
 	body := []byte(nil)
 	if err == nil {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -31,6 +31,7 @@
 	err                 string
 	retryAfter          bool   // the answer has the header
 	promptTokens        int    // 0 if it states none
+	parts               string // list of its prompt's parts, empty if it has none
 	atMostOnce          bool   // it must not run twice
 	probedRoute         string // path prefix of the route that it tests; empty if none
 }
--- a/internal/soak/harm_test.go
+++ b/internal/soak/harm_test.go
@@ -13,26 +13,44 @@
 
 const (
 	// harmfulPrefix is the prefix of the ids of requests that crash the workers which run them. The
-	// requests of one step have the same path and body.
-	harmfulPrefix   = "harm"
-	harmfulInterval = 60 * time.Millisecond // between two requests of a step, each to a random gateway
-	crashDelay      = 50 * time.Millisecond // from the arrival at a worker to its crash
-	workerDownTime  = 700 * time.Millisecond
+	// requests of one step have the same path and body, or, with harmfulPartPrefix, only a part of
+	// their prompts in common. The ids of one step differ after the last dash.
+	harmfulPrefix     = "harm"
+	harmfulPartPrefix = harmfulPrefix + "part"
+	harmfulInterval   = 60 * time.Millisecond // between two requests of a step, each to a random gateway
+	crashDelay        = 50 * time.Millisecond // from the arrival at a worker to its crash
+	workerDownTime    = 700 * time.Millisecond
 	// Every gateway has to know a harmful request settleTime after the third crash; maxLateHarmful
 	// more may follow. Gateways that fail, or reach neither the store nor each other, may each have
 	// to detect it on their own, which maxHarmful allows for.
 	maxLateHarmful = 3
 	maxHarmful     = 24
+	// A part of prompts has to be known after more crashes, also at each gateway on its own.
+	crashesOfRequest = 3
+	crashesOfPart    = 5
+	maxHarmfulPart   = maxHarmful * crashesOfPart / crashesOfRequest
 )
 
-// sendHarmful sends the same harmful request repeatedly, under a new id each time.
+// harmfulRequestOf returns the n-th harmful request of a step: of every second one the same under
+// another id, and else one that shares only a part of its prompt with the others.
+func harmfulRequestOf(s step, n int) *request {
+	ms := s.at.Milliseconds()
+	if s.target%2 == 0 {
+		name := fmt.Sprint(harmfulPrefix, "-", ms)
+		return &request{id: fmt.Sprint(name, "-", n), path: "/again/" + name, body: name}
+	}
+	id := fmt.Sprint(harmfulPartPrefix, "-", ms, "-", n)
+	return &request{id: id, path: "/again/" + id, body: id, parts: fmt.Sprintf("a1:40,bad%x:100,%x:50", ms, n)}
+}
+
+// sendHarmful sends the harmful requests of a step.
 func (w *world) sendHarmful(s step) {
 	r := rand.New(rand.NewPCG(uint64(s.target), 1))
 	t := &http.Transport{DisableKeepAlives: true}
-	name := fmt.Sprint(harmfulPrefix, "-", s.at.Milliseconds())
 	for n, end := 0, time.Now().Add(s.duration); time.Now().Before(end); n++ {
 		g := r.IntN(len(w.gateways))
-		q := &request{id: fmt.Sprint(name, "-", n), path: "/again/" + name, body: name, key: "key-0", gateway: g, instance: w.gateways[g].currentInstance(), sent: time.Now()}
+		q := harmfulRequestOf(s, n)
+		q.key, q.gateway, q.instance, q.sent = "key-0", g, w.gateways[g].currentInstance(), time.Now()
 		w.mu.Lock()
 		w.history.requests[q.id] = q
 		w.mu.Unlock()
@@ -128,25 +146,30 @@
 	})
 }
 
-// harmfulForwarded finds harmful requests that gateways forwarded too often, or after they had to
-// know them.
+// harmfulForwarded finds harmful requests, or requests with a harmful part, that gateways forwarded too
+// often, or after they had to know them.
 func (h *history) harmfulForwarded() (bs []string) {
-	at := map[string][]time.Time{} // arrival times at workers, by body
+	at := map[string][]time.Time{} // arrival times at workers, by step
 	for _, r := range h.runs {
 		if strings.HasPrefix(r.id, harmfulPrefix) && !r.refused {
-			at[r.body] = append(at[r.body], r.at)
+			name := r.id[:strings.LastIndex(r.id, "-")]
+			at[name] = append(at[name], r.at)
 		}
 	}
-	for body, ts := range at {
+	for name, ts := range at {
 		slices.SortFunc(ts, func(a, b time.Time) int { return a.Compare(b) })
+		crashes, most := crashesOfRequest, maxHarmful
+		if strings.HasPrefix(name, harmfulPartPrefix) {
+			crashes, most = crashesOfPart, maxHarmfulPart
+		}
 		late := 0
 		for _, t := range ts {
-			if third := ts[min(2, len(ts)-1)].Add(crashDelay); t.After(third.Add(settleTime)) && h.undisturbed(third, t) {
+			if last := ts[min(crashes, len(ts))-1].Add(crashDelay); t.After(last.Add(settleTime)) && h.undisturbed(last, t) {
 				late++
 			}
 		}
-		if late > maxLateHarmful || len(ts) > maxHarmful {
-			bs = append(bs, fmt.Sprintf("BUDGET, harmful request %s was sent %d times, %d of them late", body, len(ts), late))
+		if late > maxLateHarmful || len(ts) > most {
+			bs = append(bs, fmt.Sprintf("BUDGET, harmful request %s was sent %d times, %d of them late", name, len(ts), late))
 		}
 	}
 	return bs
