quarantine, node, loadview: tests of blocked parts, tie-break, a gauge

Of parts that can't be told apart the later one in the prompt is named, which fewer prompts share; callers and operators see all of them. Tests: blocks of parts over the loss of all gateways, without the store, lifted by operators, records of earlier and other versions, packets with many parts, and what tells parts apart.

--- a/core/losses.go
+++ b/core/losses.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
@@ -33,10 +34,14 @@
 
 // suspectName names what is blocked to callers.
 func suspectName(b quarantine.Block) string {
-	if b.Kind == quarantine.KindPart {
-		return "requests with part " + hollowgrade.PartID(b.Fingerprint).String() + " in their prompts, as this one has"
+	if b.Kind == quarantine.KindRequest {
+		return "this request"
 	}
-	return "this request"
+	ids := []string{hollowgrade.PartID(b.Fingerprint).String()}
+	for _, p := range b.With {
+		ids = append(ids, p.String())
+	}
+	return "requests with part " + strings.Join(ids, " and ") + " in their prompts, as this one has"
 }
 
 func lastUpstream(us []hollowgrade.Instance) hollowgrade.Instance {
--- a/internal/cli/quarantine_test.go
+++ b/internal/cli/quarantine_test.go
@@ -14,7 +14,10 @@
 	"github.com/hollowgrade/hollowgrade/internal/node"
 )
 
-const someFingerprint = "14d3233db8aeb9edd5e73e5f4b553f9a"
+const (
+	someFingerprint = "14d3233db8aeb9edd5e73e5f4b553f9a"
+	somePart        = "part:5c1e07a2@draft-llm"
+)
 
 // startOperatorsServer starts a fake of a gateway's operators' listener, which has one blocked
 // request if held is set, and counts the requests to lift it.
@@ -27,6 +30,8 @@
 		if held {
 			hs = append(hs, node.HeldRequest{Fingerprint: someFingerprint, Organisation: "club-2", Route: "captions", Since: time.Unix(0, 0), Until: time.Unix(600, 0),
 				Losses: 3, Odds: 1e-9, Upstreams: []hollowgrade.Instance{"i-1", "i-2"}, By: "box-1"})
+			hs = append(hs, node.HeldRequest{Kind: "part", Fingerprint: somePart, With: []string{"a1"}, Organisation: "club-3", Route: "captions", Since: time.Unix(0, 0), Until: time.Unix(600, 0),
+				Losses: 3, Odds: 1e-9, By: "box-1"})
 		}
 		_ = writeJSON(w, hs)
 	})
@@ -38,6 +43,10 @@
 		*lifted++
 		w.WriteHeader(http.StatusNoContent)
 	})
+	m.HandleFunc("DELETE "+node.QuarantinePath+"/"+somePart, func(w http.ResponseWriter, _ *http.Request) {
+		*lifted++
+		w.WriteHeader(http.StatusNoContent)
+	})
 	s := httptest.NewServer(m)
 	t.Cleanup(s.Close)
 	return strings.TrimPrefix(s.URL, "http://"), lifted
@@ -52,6 +61,14 @@
 func TestQuarantineCommand(t *testing.T) {
 	knows, lifted := startOperatorsServer(t, true)
 	empty, _ := startOperatorsServer(t, false)
+	t.Run("lists and lifts parts of prompts", func(t *testing.T) {
+		box, lifted := startOperatorsServer(t, true)
+		_, out, _ := runCommandLine("quarantine", "list", "--box", box)
+		require.Regexp(t, somePart+" +a1 +club-3", out)
+		code, _, _ := runCommandLine("quarantine", "lift", "--box", box, somePart)
+		require.Equal(t, exitOK, code)
+		require.Equal(t, 1, *lifted)
+	})
 	t.Run("lists what any box knows, once", func(t *testing.T) {
 		code, out, _ := runCommandLine("quarantine", "list", "--box", knows, "--box", empty, "--box", knows)
 		require.Equal(t, exitOK, code)
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"github.com/hollowgrade/hollowgrade/feed"
+	"github.com/hollowgrade/hollowgrade/quarantine"
 )
 
 // WatchLog adds a gauge of the log lines that were dropped.
@@ -55,9 +56,12 @@
 			return float64(n.unused.Load())
 		}),
 		n.metrics.Gauge("hollowgrade.requests_held", "Requests that are sent to no upstream, since upstreams ended under them.", func() float64 {
-			return float64(len(n.Core.Quarantine().Blocks()))
+			return n.blockCount(quarantine.KindRequest)
 		}),
-		n.metrics.Gauge("hollowgrade.requests_lost", "Requests that are remembered since an upstream was lost under them.", func() float64 {
+		n.metrics.Gauge("hollowgrade.parts_held", "Parts of prompts of which the requests are sent to no upstream, since upstreams ended under them.", func() float64 {
+			return n.blockCount(quarantine.KindPart)
+		}),
+		n.metrics.Gauge("hollowgrade.requests_lost", "Requests and parts of prompts that are remembered since an upstream was lost under them.", func() float64 {
 			return float64(n.Core.Quarantine().Size())
 		}),
 		n.metrics.Gauge("hollowgrade.peer_bytes", "Bytes that other gateways have told of the store since the start.", func() float64 {
@@ -69,3 +73,13 @@
 			return float64(wasted)
 		}))
 }
+
+// blockCount returns how many suspects of a kind are blocked.
+func (n *GatewayNode) blockCount(k quarantine.Kind) (count float64) {
+	for _, h := range n.Core.Quarantine().Blocks() {
+		if h.Kind == k {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/node/parts_test.go
+++ b/internal/node/parts_test.go
@@ -3,12 +3,18 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/platform/platformtest"
+	"github.com/hollowgrade/hollowgrade/quarantine"
+	"github.com/hollowgrade/hollowgrade/setting"
 )
 
 const (
@@ -96,3 +102,105 @@
 		})
 	}
 }
+
+// callUntilPartBlocked sends requests with the bad part until the first gateway blocks it.
+func (c *partCallers) callUntilPartBlocked() {
+	c.t.Helper()
+	require.Eventually(c.t, func() bool {
+		c.send("a1:40,bad:100,own:50")
+		return slices.ContainsFunc(c.gateways[0].Core.Quarantine().Blocks(), isPart)
+	}, 20*time.Second, 50*time.Millisecond)
+}
+
+func isPart(h quarantine.Block) bool {
+	return h.Kind == quarantine.KindPart
+}
+
+// requirePartBlocked checks that gateways refuse requests with the bad part, which reach no upstream.
+func requirePartBlocked(t *testing.T, m *crashingPool, gs ...*gateway) {
+	t.Helper()
+	before := m.sendCount()
+	for i, g := range gs {
+		require.Eventually(t, func() bool { return slices.ContainsFunc(g.Core.Quarantine().Blocks(), isPart) }, quarantineDelay, 5*time.Millisecond)
+		st, body, err := g.postWith(http.Header{"Prompt-Prefix": {"a1:40,bad:100,fff:50"}}, "/stream/x", fmt.Sprint("known", i), "k1", "another text")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, st, "it was not run")
+		require.Contains(t, body, "HG2010")
+		require.Contains(t, body, "part bad ")
+	}
+	require.Equal(t, before, m.sendCount())
+}
+
+func TestABlockedPartIsKnown(t *testing.T) {
+	const key = "part:bad@s"
+	start := func(t *testing.T, gateways int) (*fixture, *partCallers) {
+		t.Helper()
+		s := newFixture(t)
+		m := newCrashingPool(t, s.store, 0, 300*time.Millisecond)
+		m.crashingParts = []string{"bad:"}
+		for range 8 {
+			m.start()
+		}
+		return s, &partCallers{callerGroup: newCallerGroup(t, s.store, gateways), pool: m}
+	}
+	t.Run("after the loss of all gateways", func(t *testing.T) {
+		s, c := start(t, 2)
+		c.callUntilPartBlocked()
+		require.Eventually(t, func() bool { return s.store.Value("keyed.held", key) != "" }, 10*time.Second, 5*time.Millisecond)
+		after := startGateway(t, s.store.Address(), func(c *setting.Gateway) { c.Peers = "" }) // no peer informs it
+		after.waitReady(t)
+		requirePartBlocked(t, c.pool, after)
+	})
+	t.Run("while the store is away, also by those at which it never came", func(t *testing.T) {
+		s, c := start(t, 3)
+		s.store.SetMode(platformtest.Silent)
+		all := c.gateways
+		c.gateways = all[:1]
+		c.callUntilPartBlocked()
+		requirePartBlocked(t, c.pool, all...)
+		s.store.SetMode(platformtest.Serving)
+		require.Eventually(t, func() bool { return s.store.Value("keyed.held", key) != "" }, 20*time.Second, 5*time.Millisecond)
+	})
+	t.Run("by operators, who can end it", func(t *testing.T) {
+		s, c := start(t, 2)
+		c.callUntilPartBlocked()
+		requirePartBlocked(t, c.pool, c.gateways...)
+		r, err := http.NewRequest(http.MethodDelete, "http://"+c.gateways[1].Operators+QuarantinePath+"/"+key, nil)
+		require.NoError(t, err)
+		a, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNoContent, a.StatusCode)
+		for _, g := range c.gateways {
+			require.Eventually(t, func() bool { return !slices.ContainsFunc(g.Core.Quarantine().Blocks(), isPart) }, quarantineDelay, 5*time.Millisecond)
+		}
+		require.Eventually(t, func() bool { return s.store.Value("keyed.held", key) == "" }, 10*time.Second, 5*time.Millisecond)
+	})
+}
+
+func TestRecordsOfBlocks(t *testing.T) {
+	now := time.Now().Truncate(time.Millisecond)
+	h := quarantine.Block{
+		Subject: quarantine.Subject{Kind: quarantine.KindPart, Fingerprint: hollowgrade.Fingerprint{15: 0xba}, Organisation: "o", Route: "r", Service: "s"},
+		With:    []hollowgrade.PartID{{15: 0xa1}}, Since: now, Until: now.Add(time.Minute), Losses: 3, Odds: 1e-9, Upstreams: []hollowgrade.Instance{"i-1"}, By: "box",
+	}
+	v, err := encodeBlock(h, now, now)
+	require.NoError(t, err)
+	t.Run("of parts are read as they were written", func(t *testing.T) {
+		d, err := decodeBlock(h.Suspect().String(), v, now, now)
+		require.NoError(t, err)
+		require.Equal(t, h, d)
+	})
+	t.Run("of requests as earlier versions wrote them", func(t *testing.T) {
+		f := strings.Repeat("ab", 16)
+		d, err := decodeBlock(f, []byte(`{"organisation":"o","route":"r","service":"s","since":1,"until":2,"losses":3,"odds":1e-9,"upstreams":["i-1"],"by":"b"}`), now, now)
+		require.NoError(t, err)
+		require.Equal(t, quarantine.KindRequest, d.Kind)
+		require.Equal(t, f, d.Fingerprint.String())
+	})
+	t.Run("under other keys are passed over", func(t *testing.T) {
+		for _, key := range []string{"", "part:", "part:bad", "part:@s", "part:xyz@s", "organisation:o", strings.Repeat("ab", 17)} {
+			_, err := decodeBlock(key, v, now, now)
+			require.Error(t, err, key)
+		}
+	})
+}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -107,3 +107,115 @@
 		}
 	}
 }
+
+// losePart loses distinct requests with some parts, each with another upstream.
+func (w *cluster) losePart(b *Table, from, n int, parts ...byte) {
+	source := withParts(1000*from, parts...)
+	for i := range n {
+		q, sent := source(), w.clock.Now()
+		w.clock.Advance(runTime)
+		b.RecordLoss(Loss{Request: q, Upstream: instance("p", from, ".", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
+		w.clock.Advance(time.Millisecond)
+	}
+	w.exchange()
+	w.clock.Advance(time.Second)
+	for _, g := range w.gateways {
+		g.StoreChanges()
+	}
+	w.exchange()
+}
+
+func requireGranted(t *testing.T, b *Table, granted bool, parts ...byte) {
+	t.Helper()
+	q := withParts(900_000, parts...)()
+	a := b.Begin(q)
+	require.Equal(t, granted, a.Granted, "at %s", b.box)
+	b.End(a)
+}
+
+func TestPartsThatAreNotToldApart(t *testing.T) {
+	start := func(t *testing.T) *cluster {
+		t.Helper()
+		w := newCluster(t, 2)
+		w.losePart(w.gateways[0], 1, 3, soundPart, badPart)
+		hs := w.gateways[0].Blocks()
+		require.Len(t, hs, 1)
+		require.Equal(t, KindPart, hs[0].Kind)
+		require.Equal(t, hollowgrade.Fingerprint{badPart}, hs[0].Fingerprint, "the later one in the prompt")
+		require.Equal(t, []hollowgrade.PartID{{soundPart}}, hs[0].With)
+		return w
+	}
+	t.Run("are blocked in prompts that have all of them", func(t *testing.T) {
+		for _, b := range start(t).gateways {
+			requireGranted(t, b, false, soundPart, badPart)
+			requireGranted(t, b, true, soundPart)
+		}
+	})
+	t.Run("until a run with one of them is answered, at any gateway", func(t *testing.T) {
+		w := start(t)
+		w.gateways[1].RecordAnswer(withParts(5000, soundPart)(), true)
+		w.exchange()
+		for _, b := range w.gateways {
+			require.Empty(t, b.Blocks()[0].With)
+			requireGranted(t, b, false, badPart)
+			requireGranted(t, b, true, soundPart)
+		}
+	})
+	t.Run("but not by an upstream's error, which may come before its answer begins", func(t *testing.T) {
+		w := start(t)
+		w.gateways[1].RecordAnswer(withParts(5000, soundPart)(), false)
+		w.exchange()
+		require.NotEmpty(t, w.gateways[0].Blocks()[0].With)
+	})
+	t.Run("until a run without one of them crashes its upstream", func(t *testing.T) {
+		w := start(t)
+		w.losePart(w.gateways[1], 2, 1, badPart)
+		for _, b := range w.gateways {
+			require.Empty(t, b.Blocks()[0].With)
+			requireGranted(t, b, false, badPart)
+		}
+	})
+	t.Run("and the store learns of it", func(t *testing.T) {
+		w, d := start(t), fakeStore{}
+		d.write(w.gateways[0])
+		w.gateways[0].RecordAnswer(withParts(5000, soundPart)(), true)
+		require.Equal(t, 1, d.write(w.gateways[0]))
+		b := w.newGateway("after")
+		d.read(b)
+		requireGranted(t, b, false, badPart)
+	})
+}
+
+func TestSinglePartsAreNotBlamed(t *testing.T) {
+	t.Run("for what one request with them does", func(t *testing.T) {
+		w, q := newCluster(t, 1), withParts(1, soundPart)()
+		w.block(w.gateways[0], q)
+		requireGranted(t, w.gateways[0], true, soundPart)
+	})
+	t.Run("for what a rarer part does that some of their requests have", func(t *testing.T) {
+		w := newCluster(t, 1)
+		b := w.gateways[0]
+		bad, sound := withParts(1000, soundPart, badPart), withParts(2000, soundPart)
+		for i := range 6 {
+			sent := w.clock.Now()
+			w.clock.Advance(runTime)
+			for _, q := range []Request{bad(), sound(), sound()} {
+				b.RecordLoss(Loss{Request: q, Upstream: instance("u", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
+			}
+			w.clock.Advance(settleTime)
+			b.StoreChanges()
+		}
+		require.Len(t, b.Blocks(), 1)
+		require.Equal(t, hollowgrade.Fingerprint{badPart}, b.Blocks()[0].Fingerprint)
+		requireGranted(t, b, false, soundPart, badPart)
+		requireGranted(t, b, true, soundPart)
+	})
+}
+
+func TestParseSuspect(t *testing.T) {
+	for _, s := range []Suspect{request(1).Suspect(), withParts(1, soundPart)().part(hollowgrade.PartID{15: 7}).Suspect(), {KindPart, hollowgrade.Fingerprint{}, "a@b"}} {
+		p, err := ParseSuspect(s.String())
+		require.NoError(t, err)
+		require.Equal(t, s, p)
+	}
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -13,6 +13,7 @@
 // record is the state of one suspect of which runs were lost.
 type record struct {
 	subject        Subject
+	position       int        // of a part in the prompt of the last request that was lost with it
 	unaccounted    int        // crashes that no single request and no rarer part accounts for; of a part only
 	losses         []keptLoss // since the last answered run, ordered by the time of the loss
 	clearedAt      time.Time  // time up to which the suspect is cleared of losses
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -366,15 +366,17 @@
 	}
 	e.add(l)
 	now := t.clock.Now()
-	add := func(l Loss) {
-		t.record(l.Subject).add(l, now)
+	add := func(l Loss, position int) {
+		r := t.record(l.Subject)
+		r.position = position
+		r.add(l, now)
 		t.unevaluated[l.Suspect()] = true
 	}
-	for _, p := range l.Parts {
-		add(l.of(p))
+	for i, p := range l.Parts {
+		add(l.of(p), i)
 	}
 	l.Parts = nil // the crash has them
-	add(l)
+	add(l, 0)
 }
 
 // record returns the record of a suspect, creating it if there is none. The lock is held.
@@ -514,8 +516,9 @@
 	return xs
 }
 
-// evaluateSettled evaluates the suspects whose new losses have settled, parts first and among them
-// those that fewer runs were lost with. The lock is held.
+// evaluateSettled evaluates the suspects whose new losses have settled: parts first, among them those
+// with fewer losses, and among these the later ones in their prompts, which fewer prompts share. The
+// lock is held.
 func (t *Table) evaluateSettled(now time.Time) {
 	t.lastEvaluation = now
 	var rs []*record
@@ -530,7 +533,7 @@
 		}
 	}
 	slices.SortFunc(rs, func(a, b *record) int {
-		return cmp.Or(cmp.Compare(b.subject.Kind, a.subject.Kind), cmp.Compare(len(a.losses), len(b.losses)),
+		return cmp.Or(cmp.Compare(b.subject.Kind, a.subject.Kind), cmp.Compare(len(a.losses), len(b.losses)), cmp.Compare(b.position, a.position),
 			slices.Compare(a.subject.Fingerprint[:], b.subject.Fingerprint[:]))
 	})
 	for _, r := range rs {
