feed: a turn to stand in counts from the begin of the last probe

Where the store serves one gateway after another and is silent to the others, views grew up to 4.386 s old at 103 gateways, where 4.2 s are allowed.

Cause, by reading: a backup whose turn comes probes 2 s after its last failed probe, counted from the failure. A silent store fails a probe 0.7 s and more after its begin, so that a gateway which the store served meanwhile waited for the rest, and a turn that came during a probe was lost to a random delay of 5.15 s on average. Both count from the begin of the probe now.

TestAccess/a_turn_counts_from_the_begin failed before.

--- a/feed/breaker.go
+++ b/feed/breaker.go
@@ -10,9 +10,10 @@
 	"github.com/hollowgrade/hollowgrade"
 )
 
-// minTurnInterval is the least time from a probe that failed until a backup probes again as its turn comes.
-// It bounds calls to the store while it fails all processes again and again, and is shorter than the three
-// seconds after which views have to be fresh again.
+// minTurnInterval is the least time from the begin of a probe that failed until a backup probes again as its
+// turn comes. It bounds calls to the store while it fails all processes again and again, and is shorter than
+// the three seconds after which views have to be fresh again. A store that is silent fails a probe long after
+// its begin, and the failure says nothing of the time between.
 const minTurnInterval = 2 * time.Second
 
 // Breaker is a circuit breaker for calls to the store, shared by all callers of a process: while
@@ -22,12 +23,13 @@
 	clock         hollowgrade.Clock
 	probeInterval func() time.Duration
 
-	mu          sync.Mutex
-	down        bool
-	probing     bool      // whether a probe is under way
-	lastFailure time.Time // when the store last failed a call
-	nextProbe   time.Time // earliest time of the next probe
-	delays      *backoff.ExponentialBackOff
+	mu         sync.Mutex
+	down       bool
+	probing    bool      // whether a probe is under way
+	turnCame   bool      // [Breaker.SuspectOutage] was called during it
+	probeBegun time.Time // when the last probe began, or another call failed
+	nextProbe  time.Time // earliest time of the next probe
+	delays     *backoff.ExponentialBackOff
 }
 
 // NewBreaker returns a breaker. ProbeInterval returns the mean time between probes where that is
@@ -53,7 +55,7 @@
 	case now.Before(a.nextProbe):
 		return false, min(a.nextProbe.Sub(now), followCheckInterval)
 	default:
-		a.probing = true
+		a.probing, a.turnCame, a.probeBegun = true, false, now
 		return true, 0
 	}
 }
@@ -71,18 +73,29 @@
 		a.delays.Reset()
 		return
 	}
-	a.lastFailure = a.clock.Now()
-	a.nextProbe = a.lastFailure.Add(max(a.delays.NextBackOff(), randomDelay(interval)))
+	now := a.clock.Now()
+	a.nextProbe = now.Add(max(a.delays.NextBackOff(), randomDelay(interval)))
+	switch {
+	case !probe:
+		a.probeBegun = now
+	case a.turnCame:
+		a.probeForTurn()
+	}
 }
 
 // SuspectOutage makes the next call a probe. It is called when this process starts to call the store
-// because the store doesn't answer the readers. The delay since a failure before that applies for
+// because the store doesn't answer the readers. The delay since a probe before that applies for
 // [minTurnInterval] only: the store may serve others now.
 func (a *Breaker) SuspectOutage() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.down = true
-	if due := a.lastFailure.Add(minTurnInterval); due.Before(a.nextProbe) {
+	a.down, a.turnCame = true, true
+	a.probeForTurn()
+}
+
+// probeForTurn ends a longer delay of the next probe. The lock is held.
+func (a *Breaker) probeForTurn() {
+	if due := a.probeBegun.Add(minTurnInterval); due.Before(a.nextProbe) {
 		a.nextProbe = due
 	}
 }
--- a/feed/breaker_test.go
+++ b/feed/breaker_test.go
@@ -76,6 +76,25 @@
 		a.Report(true, true)
 		requireMayCall(t, a, true, false)
 	})
+	t.Run("a turn counts from the begin of a probe that a silent store failed, also if it came during it", func(t *testing.T) {
+		for _, during := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				a := NewBreaker(hollowgrade.SystemClock(), func() time.Duration { return 10_000 * time.Hour })
+				a.SuspectOutage()
+				requireMayCall(t, a, true, true)
+				time.Sleep(minTurnInterval / 2)
+				if during {
+					a.SuspectOutage()
+				}
+				a.Report(true, false)
+				time.Sleep(minTurnInterval / 2)
+				if !during {
+					a.SuspectOutage()
+				}
+				requireMayCall(t, a, true, true)
+			})
+		}
+	})
 	t.Run("a turn ends a long delay, but does not shorten the least one", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			a := NewBreaker(hollowgrade.SystemClock(), func() time.Duration { return 10_000 * time.Hour })
