quarantine: a joint block outlives the crashes that it rests on

A block on parts that always came together lost all but one of them 20 s later, when their crashes were no longer kept, and refused prompts that have only the one named first, whichever of them crashes upstreams. And a record of the store that was read late kept the wider block from being written.

--- a/quarantine/evaluation.go
+++ b/quarantine/evaluation.go
@@ -51,10 +51,11 @@
 // widenByLosses drops the parts beside a blocked one without which runs with it were lost. The lock is
 // held.
 func (t *Table) widenByLosses(r *record) {
-	if len(r.block.With) == 0 {
+	xs := t.crashesOf(r.losses)
+	if len(r.block.With) == 0 || len(xs) == 0 {
 		return
 	}
-	common := commonParts(t.crashesOf(r.losses), r.subject.Suspect())
+	common := commonParts(xs, r.subject.Suspect())
 	t.widen(r, func(p hollowgrade.PartID) bool { return !slices.Contains(common, p) }, "")
 }
 
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -151,6 +151,16 @@
 			requireGranted(t, b, true, soundPart)
 		}
 	})
+	t.Run("also once their crashes are no longer kept", func(t *testing.T) {
+		w := start(t)
+		w.clock.Advance(time.Minute)
+		w.losePart(w.gateways[0], 3, 1, 9)
+		for _, b := range w.gateways {
+			requireGranted(t, b, true, soundPart)
+			requireGranted(t, b, true, badPart)
+			requireGranted(t, b, false, soundPart, badPart)
+		}
+	})
 	t.Run("until a run with one of them is answered, at any gateway", func(t *testing.T) {
 		w := start(t)
 		w.gateways[1].RecordAnswer(withParts(5000, soundPart)(), true)
@@ -178,7 +188,9 @@
 	t.Run("and the store learns of it", func(t *testing.T) {
 		w, d := start(t), fakeStore{}
 		d.write(w.gateways[0])
+		older := w.gateways[0].Blocks()[0]
 		w.gateways[0].RecordAnswer(withParts(5000, soundPart)(), true)
+		w.gateways[0].RecordStored(older) // is read from the store late
 		require.Equal(t, 1, d.write(w.gateways[0]))
 		b := w.newGateway("after")
 		d.read(b)
--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 )
 
@@ -81,7 +82,9 @@
 	defer t.mu.Unlock()
 	t.receiveBlock(h, "store")
 	r := t.record(h.Subject)
-	r.storedUntil = h.Until
+	if !r.blocked(t.clock.Now()) || slices.Equal(h.With, r.block.With) {
+		r.storedUntil = h.Until // else the record is older than the block here
+	}
 	if r.block.Since.IsZero() {
 		t.scheduleStore(r, t.clock.Now(), peerStoreDelay) // the request is harmless, or forgotten everywhere
 	}
