--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -17,6 +17,13 @@
 	trials []Suspect
 }
 
+// refuse refuses a request that is blocked, until the last of its blocks ends.
+func (a *Admission) refuse(b Block, now time.Time) {
+	if left := b.Until.Sub(now); left > a.RetryAfter {
+		a.Block, a.RetryAfter = b, left
+	}
+}
+
 // Begin decides whether a request may be sent to an upstream. [Table.End] ends the run.
 func (t *Table) Begin(q Request) (a Admission) {
 	if t.size.Load() == 0 {
@@ -34,9 +41,7 @@
 		_, losses := r.consecutive()
 		switch {
 		case r.blocks(q, now):
-			if left := r.block.Until.Sub(now); left > a.RetryAfter {
-				a.Block, a.RetryAfter = r.block, left
-			}
+			a.refuse(r.block, now)
 		case !r.suspect():
 		case r.trialRunning(now), losses >= lossesToBlock && !r.settled(now):
 			a.RetryAfter = max(a.RetryAfter, trialRetryAfter)
@@ -59,8 +64,8 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	for r := range t.recordsOf(q) {
-		if left := r.block.Until.Sub(now); r.blocks(q, now) && left > a.RetryAfter {
-			a.Block, a.RetryAfter = r.block, left
+		if r.blocks(q, now) {
+			a.refuse(r.block, now)
 		}
 	}
 	return a, a.RetryAfter > 0
@@ -135,6 +140,7 @@
 
 func (t *Table) receiveTrial(x Trial) {
 	r := t.records[x.Suspect]
+// receiveTrial applies a trial of another gateway. The lock is held.
 	switch {
 	case r == nil || r.localTrial:
 	case !x.Over && slices.ContainsFunc(r.losses, func(m keptLoss) bool { return m.Sent.After(x.At) }): // already decided
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -21,12 +21,17 @@
 	explainedAt  int       // [Table.blockChanges] when they were found
 }
 
-// lostRun is a run that was lost in a crash.
+// lostRun is a run that was lost in a crash. It has no organisation and no route.
 type lostRun struct {
 	Request
 	sent time.Time
 }
 
+func newLostRun(l Loss) lostRun {
+	s := Subject{Fingerprint: l.Fingerprint, Service: l.Service}
+	return lostRun{Request{s, l.Parts}, l.Sent}
+}
+
 // has reports whether it is a run with a suspect.
 func (u lostRun) has(s Suspect) bool {
 	if s.Kind == KindRequest {
@@ -50,11 +55,11 @@
 // run there, which is in its favour.
 const maxLossesPerCrash = 64
 
-// background is the crashes of a service's upstreams that a request doesn't explain.
+// background is the crashes of a service's upstreams that a suspect doesn't explain.
 type background struct {
 	upstreamCount int // number of upstreams of the service
-	crashes       int // without the request, within [crashRateWindow] before the loss
-	simultaneous  int // of other upstreams within [sameEventWindow] of the loss; with the request only if both runs overlapped
+	crashes       int // without the suspect, within [crashRateWindow] before the loss
+	simultaneous  int // of other upstreams within [sameEventWindow] of the loss; with the suspect only if both runs overlapped
 }
 
 // crashHistory keeps the crashes of the upstreams of one service.
@@ -110,7 +115,7 @@
 	e.list = slices.DeleteFunc(e.list, func(x crash) bool { return l.Lost.Sub(x.at) > 2*crashRateWindow })
 	if x := e.crashOf(l); x != nil {
 		if _, ok := x.find(l.Suspect()); !ok && len(x.lostRuns) < maxLossesPerCrash {
-			x.lostRuns = append(x.lostRuns, lostRun{l.Request, l.Sent})
+			x.lostRuns = append(x.lostRuns, newLostRun(l))
 			x.explainedAt = 0
 		}
 		return
@@ -118,7 +123,7 @@
 	if len(e.list) >= maxCrashesPerService {
 		e.list = e.list[1:]
 	}
-	e.list = append(e.list, crash{upstream: l.Upstream, at: l.Lost, lostRuns: []lostRun{{l.Request, l.Sent}}})
+	e.list = append(e.list, crash{upstream: l.Upstream, at: l.Lost, lostRuns: []lostRun{newLostRun(l)}})
 }
 
 // crashOf returns the crash in which a run was lost, or nil if it is no longer kept.
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -65,7 +65,7 @@
 	learnedAt time.Time // when this process learned of it
 	odds      float64   // probability that a harmless run is lost like this
 	oddsFinal bool      // the odds were computed after the loss had settled
-	explained bool      // the crash is attributed to another request, which is blocked
+	explained bool      // the crash is attributed to another suspect, which is or was blocked
 }
 
 // settled reports whether other crashes of the same event are known by now.
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -43,11 +43,11 @@
 }
 
 // The least number of crashes that only a part accounts for, with which it is blocked, and with which
-// one run is admitted at a time. A single request crashes two or three upstreams before it is blocked
-// itself, with all of its parts.
+// one run is admitted at a time. The parts of a single request that crashes upstreams are lost with it
+// each time.
 const (
-	crashesToBlockPart  = 2
-	crashesToTryOutPart = 1
+	crashesToBlockPart   = 2
+	crashesForPartTrials = 1
 )
 
 // implicated reports whether a suspect accounts for some crashes that nothing more specific does. What
@@ -68,8 +68,8 @@
 	return countConsecutive(r.losses, r.clearedAt) + r.reportedLosses
 }
 
-// explains reports whether a crash in which a run of the request was lost is attributed to it, rather
-// than to another request that has some consecutive losses.
+// explains reports whether a crash in which a run of the suspect was lost is attributed to it, rather
+// than to another one that has some consecutive losses.
 func (r *record) explains(at time.Time, losses int) bool {
 	return !r.block.Since.IsZero() && at.Before(r.block.Until) &&
 		(r.block.Losses >= losses || r.allConsecutive() >= losses)
@@ -78,7 +78,7 @@
 // suspect reports whether runs are admitted one at a time.
 func (r *record) suspect() bool {
 	ms, n := r.consecutive()
-	return r.implicated(crashesToTryOutPart) && (n >= lossesForTrials || crashEvents(r.losses) >= eventsForTrials) && r.odds(ms) <= maxTrialOdds
+	return r.implicated(crashesForPartTrials) && (n >= lossesForTrials || crashEvents(r.losses) >= eventsForTrials) && r.odds(ms) <= maxTrialOdds
 }
 
 // odds returns the joint probability of losses for a harmless request, including those that a block
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -36,7 +36,8 @@
 	sweepInterval = 10 * time.Second
 )
 
-// Table keeps the state of suspects: requests that were lost, and the parts of their prompts. It is safe for concurrent use.
+// Table keeps the state of suspects: requests that were lost, and the parts of their prompts. It is
+// safe for concurrent use.
 type Table struct {
 	box       string
 	clock     hollowgrade.Clock
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -436,8 +436,11 @@
 	held := request(0)
 	w.block(b, held)
 	for i := range 3 * maxRecords {
-		now := w.clock.Now()
-		b.RecordLoss(Loss{Request: request(i + 1), Upstream: "u", Engines: 1, Sent: now.Add(-runTime), Lost: now})
+		q, now := request(i+1), w.clock.Now()
+		for n := range hollowgrade.MaxParts {
+			q.Parts = append(q.Parts, hollowgrade.PartID{byte(n), byte(i), byte(i >> 8)})
+		}
+		b.RecordLoss(Loss{Request: q, Upstream: "u", Engines: 1, Sent: now.Add(-runTime), Lost: now})
 		w.clock.Advance(time.Millisecond)
 	}
 	require.LessOrEqual(t, b.Size(), maxRecords)
