quarantine: only the trial's own run leaves it undecided

While a suspect was being tried out, the loss of a run that was sent before the trial, at an upstream that closes connections, made the trial count as undecided: others were refused for up to 10 s after it had ended. A run counts for the trial now if it was sent after its start.

--- a/core/losses.go
+++ b/core/losses.go
@@ -101,7 +101,7 @@
 	}
 	c.unconfirmed.add(u, l)
 	if p.presence == hollowgrade.Closing {
-		c.quarantine.RecordUnconfirmed(l.Request)
+		c.quarantine.RecordUnconfirmed(l)
 		<-c.watch(u, request, p)
 	}
 }
--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -110,14 +110,16 @@
 
 // RecordUnconfirmed records a lost run of this process of which it isn't known yet whether its upstream
 // crashed. If it was a trial, the next one waits until that is known, [trialTimeout] at most.
-func (t *Table) RecordUnconfirmed(q Request) {
+func (t *Table) RecordUnconfirmed(l Loss) {
 	if t.size.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for r := range t.recordsOf(q) {
-		r.undecided = r.localTrial
+	for r := range t.recordsOf(l.Request) {
+		if r.localTrial && !l.Sent.Before(r.trialStart) {
+			r.undecided = true
+		}
 	}
 }
 
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -112,7 +112,7 @@
 		b.RecordLoss(l)
 		return
 	}
-	b.RecordUnconfirmed(l.Request)
+	b.RecordUnconfirmed(l)
 	p.undetected = append(p.undetected, undetectedLoss{l, b, l.Lost.Add(after)})
 }
 
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -222,7 +222,7 @@
 		sent := w.clock.Now()
 		w.clock.Advance(runTime)
 		lost := Loss{Request: s, Upstream: "u2", Engines: 1, Sent: sent, Lost: w.clock.Now()}
-		w.gateways[0].RecordUnconfirmed(s)
+		w.gateways[0].RecordUnconfirmed(lost)
 		w.gateways[0].End(l)
 		w.exchange()
 		for _, b := range w.gateways {
@@ -236,6 +236,18 @@
 			requireBlocked(t, b, s, true)
 		}
 	})
+	t.Run("and end even if the end of an earlier run isn't known yet", func(t *testing.T) {
+		w, s := newCluster(t, 2), request(1)
+		earlier := Loss{Request: s, Upstream: "u2", Engines: 1, Sent: w.clock.Now()}
+		w.loseRun(w.gateways[0], s, "u0", runTime)
+		w.loseRun(w.gateways[0], s, "u1", runTime)
+		l := w.gateways[0].Begin(s)
+		require.True(t, l.Trial)
+		earlier.Lost = w.clock.Now()
+		w.gateways[0].RecordUnconfirmed(earlier)
+		w.gateways[0].End(l)
+		require.True(t, w.gateways[0].Begin(s).Granted)
+	})
 	t.Run("not for ever if the gateway that has the run is lost", func(t *testing.T) {
 		w, s := newCluster(t, 2), request(1)
 		w.loseRun(w.gateways[0], s, "u0", runTime)
