core, quarantine: an answer in progress clears the parts of its prompt

A part that sound requests share was cleared only by an answer that was complete: where callers leave early, or answers last longer than upstreams do, nothing cleared it, and its losses at crashes that others cause added up. An upstream that has written an answer for 2 s speaks for the parts now, whatever ends the answer; what crashes it as it begins to answer does so sooner. The request itself is cleared by an answer only, as before.

TestAnswersInProgressClearParts failed before.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -22,6 +22,8 @@
 	heldBack         time.Duration // how long the sending was held back
 	sent             time.Time
 	answerBegan      bool // whether the answer has begun
+	begunAt          time.Time
+	progressRecorded bool // see recordProgress
 	head             hollowgrade.Head
 	stopOverdueTimer func() bool // stops the timer of an overdue first event
 }
@@ -184,7 +186,7 @@
 	if a.answerBegan {
 		return
 	}
-	a.answerBegan = true
+	a.answerBegan, a.begunAt = true, a.flow.core.clock.Now()
 	a.stopOverdueTimer()
 	if a.flow.first == 0 {
 		a.flow.first = a.flow.core.clock.Since(a.flow.call.Arrived)
@@ -206,6 +208,7 @@
 		w.reset(a.stallTimeout())
 		f.core.fleet.recordActivity(a.pick.member)
 		a.recordAnswerStart()
+		a.recordProgress()
 		f.recordEvent()
 		if !newer(p.Event, f.lastEventID) {
 			continue
--- a/core/fake_test.go
+++ b/core/fake_test.go
@@ -160,6 +160,28 @@
 	}
 }
 
+// endlessExchange sends an event each 100 ms until its caller leaves.
+type endlessExchange struct {
+	fakeExchange
+	sent int
+}
+
+func (x *endlessExchange) Next() (p hollowgrade.Part, err error) {
+	select {
+	case <-x.ctx.Done():
+		return p, x.ctx.Err()
+	case <-time.After(100 * time.Millisecond):
+	}
+	x.sent++
+	return hollowgrade.Part{Data: []byte("e"), Event: fmt.Sprint(x.sent)}, nil
+}
+
+// endless replies with a stream that doesn't end.
+func endless(ctx context.Context, s hollowgrade.Sending) (hollowgrade.Exchange, error) {
+	head := hollowgrade.Head{Status: 200, Header: http.Header{"From": {s.Upstream.ID}}, Signed: true, Stream: true}
+	return &endlessExchange{fakeExchange: fakeExchange{ctx: ctx, head: head}}, nil
+}
+
 // fakeSink implements [hollowgrade.Sink].
 type fakeSink struct {
 	head *hollowgrade.Head
--- a/core/losses.go
+++ b/core/losses.go
@@ -72,6 +72,21 @@
 	}
 }
 
+// minWritingTime is how long an upstream has to write an answer until that speaks for the parts of its
+// prompt. What crashes an upstream as it begins to answer does so in a fraction of that.
+const minWritingTime = 2 * time.Second
+
+// recordProgress reports that an answer has been written for some time, whatever ends it later: its
+// caller may leave, or another request may crash the upstream.
+func (a *attempt) recordProgress() {
+	f := a.flow
+	if a.progressRecorded || f.core.clock.Since(a.begunAt) < minWritingTime {
+		return
+	}
+	a.progressRecorded = true
+	f.core.quarantine.RecordProgress(f.identity())
+}
+
 // recordLoss reports a lost run if its upstream has crashed. If the request is suspected already, it
 // waits until that is known or ctx ends, so that no other run of the request begins meanwhile.
 func (f *flow) recordLoss(ctx context.Context, a *attempt, at time.Time) {
--- a/core/losses_test.go
+++ b/core/losses_test.go
@@ -188,6 +188,33 @@
 	}
 }
 
+// Guards against parts that nothing clears, since callers leave before the end of their answers.
+func TestAnswersInProgressClearParts(t *testing.T) {
+	for name, c := range map[string]struct {
+		writes time.Duration
+		clears bool
+	}{
+		"once they have been written for a while": {2 * minWritingTime, true},
+		"but not those that have only begun":      {minWritingTime / 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := newCore(&fakeUpstreams{replies: []reply{endless}})
+				lost := quarantine.Request{Subject: quarantine.Subject{Fingerprint: hollowgrade.Fingerprint{9}, Service: "s"}, Parts: []hollowgrade.PartID{{1}}}
+				k.quarantine.RecordLoss(quarantine.Loss{Request: lost, Upstream: "u", Engines: 1, Sent: time.Now(), Lost: time.Now()})
+				time.Sleep(callInterval)
+				k.quarantine.NextUpdate()
+				ctx, cancel := context.WithTimeout(context.Background(), c.writes)
+				defer cancel()
+				x := call("/resume/")
+				x.Parts = lost.Parts
+				require.Error(t, k.Serve(ctx, x, &fakeSink{}))
+				require.Equal(t, c.clears, len(k.quarantine.NextUpdate().Harmless) == 1)
+			})
+		})
+	}
+}
+
 func TestWhatACallThatRanIsTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		xs, _, f := serveOnNewCore(t, "/again/", 2, nil, delayed(broken))
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -53,6 +53,7 @@
 	joint          map[Suspect]*record      // records whose block names further parts
 	blockChanges   int                      // number of changes of blocks, from 1
 	crashes        map[string]*crashHistory // by service
+	answeredAt     map[string]time.Time     // by service, when an upstream last answered a run of this process
 	unevaluated    map[Suspect]bool         // with losses that aren't evaluated yet
 	lastSweep      time.Time
 	lastEvaluation time.Time // of all new losses
@@ -92,6 +93,7 @@
 		joint:        map[Suspect]*record{},
 		blockChanges: 1,
 		crashes:      map[string]*crashHistory{},
+		answeredAt:   map[string]time.Time{},
 		unevaluated:  map[Suspect]bool{},
 	}
 	for _, o := range os {
@@ -118,14 +120,26 @@
 // RecordAnswer records a run of this process that its upstream answered, which clears the request
 // of earlier losses, and its parts if the answer was a success.
 func (t *Table) RecordAnswer(q Request, success bool) {
+	t.recordAnswer(q, func(k Kind) bool { return success || k == KindRequest })
+}
+
+// RecordProgress records that an upstream goes on writing its answer to a run of this process, which
+// clears the parts of the prompt. The request itself may still crash the upstream.
+func (t *Table) RecordProgress(q Request) {
+	t.recordAnswer(q, func(k Kind) bool { return k == KindPart })
+}
+
+func (t *Table) recordAnswer(q Request, clears func(k Kind) bool) {
 	if t.size.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.clock.Now()
+	t.answeredAt[q.Service] = now
 	for r := range t.recordsOf(q) {
-		if (r.subject.Kind == KindRequest || success) && (len(r.losses) > 0 || !r.block.Since.IsZero()) {
-			t.clear(r, t.clock.Now(), "a run of it was answered", "")
+		if clears(r.subject.Kind) && (len(r.losses) > 0 || !r.block.Since.IsZero()) {
+			t.clear(r, now, "a run of it was answered", "")
 		}
 	}
 }
