quarantine: a part is blocked for a minute at most where nothing is answered

Where upstreams of a service crash for reasons of their own and answer nothing, a part that all of its requests share is in each loss, with odds that put it down to the part: all calls were refused for ten minutes, whether the upstreams were well again or not. Without any answer of the service since the first loss there is nothing to tell the part from the service, and the block is bounded by a minute.

TestPartOfAServiceThatAnswersNothing failed before.

--- a/quarantine/evaluation.go
+++ b/quarantine/evaluation.go
@@ -21,6 +21,9 @@
 	ms, n := r.consecutive()
 	odds := r.odds(ms)
 	d := blockTime(n, odds)
+	if r.subject.Kind == KindPart && !t.answersOthers(r) {
+		d = min(d, maxBlockWithoutAnswers)
+	}
 	if d == 0 || !r.settled(now) || !r.block.Until.Before(r.losses[len(r.losses)-1].Lost) || !r.implicated(crashesToBlockPart) {
 		return
 	}
@@ -35,6 +38,12 @@
 	t.releaseExplained(r, now)
 }
 
+// answersOthers reports whether upstreams of the service have answered any run since the first loss of a
+// suspect. If none has, they may crash for reasons of their own. The lock is held.
+func (t *Table) answersOthers(r *record) bool {
+	return t.answeredAt[r.subject.Service].After(r.losses[0].Lost)
+}
+
 // inseparable returns the parts that all lost runs with a part have beside it, and that no run was
 // answered with since the first of them was lost. The lock is held.
 func (t *Table) inseparable(r *record) []hollowgrade.PartID {
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -34,6 +34,9 @@
 	maxShortBlockOdds = 1e-2
 	shortBlockTime    = 5 * time.Second
 	longBlockTime     = 10 * time.Minute
+	// maxBlockWithoutAnswers bounds the block on a part while the service answers nothing. All of its
+	// requests may share the part, and are refused for as long once the upstreams are well again.
+	maxBlockWithoutAnswers = time.Minute
 
 	// minCrashesPerSecond is the lowest crash rate assumed per upstream. 270 crashes and restarts a
 	// day on 1000 boxes, as in the users' sizing sheet, are 3e-6 a second; the rest allows for
