--- a/feed/breaker.go
+++ b/feed/breaker.go
@@ -12,8 +12,8 @@
 
 // minTurnInterval is the least time from the begin of a probe that failed until a backup probes again as its
 // turn comes. It bounds calls to the store while it fails all processes again and again, and is shorter than
-// the three seconds after which views have to be fresh again. A store that is silent fails a probe long after
-// its begin, and the failure says nothing of the time between.
+// the three seconds after which views have to be fresh again. It counts from the begin because a store that is
+// silent may serve this process long before the probe times out.
 const minTurnInterval = 2 * time.Second
 
 // Breaker is a circuit breaker for calls to the store, shared by all callers of a process: while
--- a/internal/node/parts_test.go
+++ b/internal/node/parts_test.go
@@ -80,7 +80,7 @@
 // Guards against prompts that share a part which crashes upstreams, and differ in all else.
 func TestPartOfPromptsThatEndsUpstreams(t *testing.T) {
 	for name, k := range map[string]struct {
-		crashing []string // lists of parts, of which bad and worse crash upstreams
+		crashing []string // lists of parts, of which bad and bad2 crash upstreams
 		sound    string
 		proxied  bool
 	}{
--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -140,9 +140,9 @@
 	return false
 }
 
+// receiveTrial applies a trial of another gateway. The lock is held.
 func (t *Table) receiveTrial(x Trial) {
 	r := t.records[x.Suspect]
-// receiveTrial applies a trial of another gateway. The lock is held.
 	switch {
 	case r == nil || r.localTrial:
 	case !x.Over && slices.ContainsFunc(r.losses, func(m keptLoss) bool { return m.Sent.After(x.At) }): // already decided
