--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -430,115 +429,6 @@
 	require.Eventually(t, listed, 20*time.Second, time.Millisecond)
 }
 
-// logCauses returns the message and the code of each of the log lines.
-func logCauses(ls []map[string]any) (cs []string) {
-	for _, l := range ls {
-		cs = append(cs, strings.TrimSpace(fmt.Sprint(l["msg"], " ", valueOr(l["code"], ""))))
-	}
-	return cs
-}
-
-func valueOr(v, w any) any {
-	if v == nil {
-		return w
-	}
-	return v
-}
-
-func TestFollowARequestThroughTheLog(t *testing.T) {
-	t.Run("a refusal", func(t *testing.T) {
-		s := newFixture(t, platformtest.Shed)
-		st, _, err := s.gateway.call(t, "/once/x", "a1", "k1")
-		require.NoError(t, err)
-		require.Equal(t, 503, st)
-		ls := s.gateway.log.linesOf("a1")
-		require.Equal(t, []string{"sent", "attempt failed HG2001", "request ended HG2001"}, logCauses(ls))
-		require.Equal(t, "not_run", ls[2]["outcome"])
-		require.Equal(t, "i-0", ls[0]["upstream"])
-		require.InDelta(t, 1, ls[0]["version"], 0)
-		require.Contains(t, ls[0], "age_ms")
-	})
-	t.Run("a stream cut midway", func(t *testing.T) {
-		s := newFixture(t, platformtest.Stream(9, 4))
-		_, body, err := s.gateway.call(t, "/stream/x", "a1", "k1")
-		require.Error(t, err)
-		require.Equal(t, stream(4), body)
-		ls := s.gateway.log.linesOf("a1")
-		require.Contains(t, logCauses(ls), "attempt failed HG3003")
-		ended, last := ls[len(ls)-2], ls[len(ls)-1]
-		require.Equal(t, "request ended", ended["msg"])
-		require.InDelta(t, 4, ended["events"], 0)
-		require.Equal(t, "failed", ended["outcome"])
-		require.Equal(t, "connection closed without a whole answer", last["msg"])
-		require.Equal(t, true, last["head_sent"])
-	})
-	t.Run("an answer that does not come in time", func(t *testing.T) {
-		s := newFixture(t, platformtest.Hang)
-		s.configure(2, 100, "k1")
-		require.Eventually(t, func() bool { return s.gateway.Revision() == 2 }, 10*time.Second, time.Millisecond)
-		st, _, err := s.gateway.call(t, "/once/x", "a1", "k1")
-		require.NoError(t, err)
-		require.Equal(t, 504, st)
-		ls := s.gateway.log.linesOf("a1")
-		require.Equal(t, []string{"sent", "attempt failed HG3001", "request ended HG3001"}, logCauses(ls))
-		require.Equal(t, "unknown", ls[2]["outcome"])
-		require.Contains(t, ls[2], "took_ms")
-	})
-	t.Run("a call that cannot be read", func(t *testing.T) {
-		s := newFixture(t, platformtest.Echo)
-		r, err := http.NewRequest(http.MethodPost, "http://"+s.gateway.callersAddress+"/once/x", strings.NewReader(strings.Repeat("x", 1001)))
-		require.NoError(t, err)
-		r.Header.Set("Attempt-Id", "a9")
-		res, err := http.DefaultTransport.RoundTrip(r)
-		require.NoError(t, err)
-		require.NoError(t, res.Body.Close())
-		require.Equal(t, 413, res.StatusCode)
-		require.Equal(t, []string{"request refused"}, logCauses(s.gateway.log.linesOf("a9")))
-	})
-}
-
-// blockedWriter is an output whose writes block.
-type blockedWriter struct {
-	release chan struct{}
-}
-
-func (s blockedWriter) Write(b []byte) (int, error) {
-	<-s.release
-	return len(b), nil
-}
-
-func TestLogNeverBlocks(t *testing.T) {
-	out := blockedWriter{make(chan struct{})}
-	w := NewLogWriter(out)
-	g, err := Logger(w, "info")
-	require.NoError(t, err)
-	const extra = 100
-	for i := range maxQueuedLines + extra {
-		g.Info("x", "i", i)
-	}
-	require.GreaterOrEqual(t, w.Dropped(), int64(extra-1))
-	close(out.release)
-	require.NoError(t, w.Close())
-}
-
-func TestLogSaysWhatItDropped(t *testing.T) {
-	r, p := io.Pipe()
-	w := NewLogWriter(p)
-	for range maxQueuedLines + 10 {
-		_, err := w.Write([]byte("x\n"))
-		require.NoError(t, err)
-	}
-	in := bufio.NewScanner(r)
-	for in.Scan() {
-		if strings.Contains(in.Text(), "log lines dropped") {
-			break
-		}
-	}
-	require.Contains(t, in.Text(), `"lines":`)
-	go func() { _, _ = io.Copy(io.Discard, r) }()
-	require.NoError(t, w.Close())
-}
-
 func TestReload(t *testing.T) {
 	s := newFixture(t, platformtest.Echo)
 	file := func(text string) string {
