review: case 2, a gateway keeps a worker whose entry went while it was cut off

Where the store tells no eras, a peer that started after the drop of a key answers with its own end as the next offset, without the drop, and the asking gateway never learns of it.

--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -24,3 +24,7 @@
 func TestReviewCase1(t *testing.T) {
 	playCase(t, "1")
 }
+
+func TestReviewCase2(t *testing.T) {
+	playCase(t, "2")
+}
--- a/review/cmd/cases/hangup.go
+++ b/review/cmd/cases/hangup.go
@@ -27,7 +27,10 @@
 	if err = w.startWorkers(3); err != nil {
 		return o, err
 	}
-	if err = w.startGateways(3, true, func(int) string { return w.store.Addr() }); err != nil {
+	if err = w.prepareGateways(3); err != nil {
+		return o, err
+	}
+	if err = w.startGateways(w.plainSettings); err != nil {
 		return o, err
 	}
 	quit := make(chan struct{})
--- a/review/cmd/cases/main.go
+++ b/review/cmd/cases/main.go
@@ -26,7 +26,7 @@
 		fmt.Fprintln(os.Stderr, "usage: cases CASE BINARY FOLDER")
 		os.Exit(failed)
 	}
-	cases := map[string]func(*world) (outcome, error){"hangup": hangup}
+	cases := map[string]func(*world) (outcome, error){"hangup": hangup, "leaving": leaving}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
--- a/review/cmd/cases/world.go
+++ b/review/cmd/cases/world.go
@@ -120,19 +120,22 @@
 	return nil
 }
 
-// startGateways starts gateways and waits until they are ready.
-func (w *world) startGateways(n int, strict bool, storeOf func(i int) string) error {
-	var seeds []string
+// prepareGateways prepares gateways on free ports.
+func (w *world) prepareGateways(n int) error {
 	for i := range n {
 		g, err := stand.NewGateway(fmt.Sprintf("edge-%d", i+1), w.binary, w.dir, w.record)
 		if err != nil {
 			return err
 		}
 		w.gateways = append(w.gateways, g)
-		seeds = append(seeds, g.Peers)
 	}
+	return nil
+}
+
+// startGateways starts the gateways with their settings and waits until they are ready.
+func (w *world) startGateways(settings func(i int) stand.Settings) error {
 	for i, g := range w.gateways {
-		if err := g.WriteSettings(stand.Settings{Store: storeOf(i), Seeds: seeds, StrictRevoke: strict}); err != nil {
+		if err := g.WriteSettings(settings(i)); err != nil {
 			return err
 		}
 		if err := g.Start(); err != nil {
@@ -147,6 +150,15 @@
 	return nil
 }
 
+// plainSettings returns settings of a gateway with direct links to the store and to its peers.
+func (w *world) plainSettings(int) stand.Settings {
+	var seeds []string
+	for _, g := range w.gateways {
+		seeds = append(seeds, g.Peers)
+	}
+	return stand.Settings{Store: w.store.Addr(), Seeds: seeds, StrictRevoke: true}
+}
+
 // nextID returns the id of a new attempt.
 func (w *world) nextID() string {
 	return fmt.Sprintf("%016x", 0x5eed000000000000+uint64(w.attempts.Add(1)))
--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -18,6 +18,7 @@
 	Store        string
 	Seeds        []string
 	StrictRevoke bool
+	Announce     string // peer address that the others are told; empty for its own
 }
 
 // Gateway is one gateway on a box of its own, as a process of the built program.
@@ -90,6 +91,9 @@
 leave_within = "2000ms"
 long_wait = true
 `, g.laidOut, g.Name, g.Callers, g.Readiness, g.Peers, strings.Join(s.Seeds, `", "`), s.Store, outage)
+	if s.Announce != "" {
+		text += fmt.Sprintf("announce = %q\n", s.Announce)
+	}
 	next := g.file + ".next"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -27,8 +27,9 @@
 	record      *Record
 	events      func(path string) (n int, pause time.Duration) // n is 0 for a plain answer after the pause
 
-	mu   sync.Mutex
-	runs []*Run
+	mu    sync.Mutex
+	runs  []*Run
+	conns map[net.Conn]bool
 }
 
 // NewWorker starts a worker on a free port.
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w = &Worker{ID: id, Service: service, listener: l, record: r, events: events}
+	w = &Worker{ID: id, Service: service, listener: l, record: r, events: events, conns: map[net.Conn]bool{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -55,6 +56,19 @@
 	_ = w.listener.Close()
 }
 
+// Stop ends the worker with what it runs.
+func (w *Worker) Stop() {
+	w.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
 // Entry returns the worker's entry in the registry.
 func (w *Worker) Entry() map[string]any {
 	return map[string]any{
@@ -74,7 +88,15 @@
 }
 
 func (w *Worker) serve(c net.Conn) {
-	defer c.Close()
+	w.mu.Lock()
+	w.conns[c] = true
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.conns, c)
+		_ = c.Close()
+	}()
 	q, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
