--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,4 @@
 root=../..
 [ -x "$root/target/hollowgrade" ] || { echo "target/hollowgrade is missing: run the build command of deploy/system.toml"; exit 2; }
 ../build.sh || exit 2
-exec timeout --signal=KILL 115 "$root/target/review-cases" hangup "$root/target/hollowgrade" .
+exec timeout --signal=KILL 118 "$root/target/review-cases" hangup "$root/target/hollowgrade" .
--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -28,3 +28,7 @@
 func TestReviewCase2(t *testing.T) {
 	playCase(t, "2")
 }
+
+func TestReviewCase3(t *testing.T) {
+	playCase(t, "3")
+}
--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"os"
@@ -18,9 +19,13 @@
 	Store        string
 	Seeds        []string
 	StrictRevoke bool
-	Announce     string // peer address that the others are told; empty for its own
+	Announce     string        // peer address that the others are told; empty for its own
+	Grace        time.Duration // graceS; 0 for that of the site
 }
 
+// siteGrace is graceS of the site.
+const siteGrace = 8 * time.Second
+
 // Gateway is one gateway on a box of its own, as a process of the built program.
 type Gateway struct {
 	Name      string
@@ -83,14 +88,14 @@
 memory_mb = 284
 key_freshness = "5000ms"
 %sfreshness = "2000ms"
-grace = "8s"
+grace = "%ds"
 retry_ratio = 0.2
 retry_slack = 106
 retry_window = "10s"
 caller_stall = "1500ms"
 leave_within = "2000ms"
 long_wait = true
-`, g.laidOut, g.Name, g.Callers, g.Readiness, g.Peers, strings.Join(s.Seeds, `", "`), s.Store, outage)
+`, g.laidOut, g.Name, g.Callers, g.Readiness, g.Peers, strings.Join(s.Seeds, `", "`), s.Store, outage, int(cmp.Or(s.Grace, siteGrace).Seconds()))
 	if s.Announce != "" {
 		text += fmt.Sprintf("announce = %q\n", s.Announce)
 	}
