--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -44,14 +45,25 @@
 	state  string // how the last process ended
 }
 
+// The ports of gateways lie below those that the system takes for outgoing connections, or one of these
+// could hold the port of a gateway that starts again.
+const (
+	firstPort = 12_000
+	ports     = 20_000
+	portTries = 100
+)
+
 // FreePort returns a loopback address with a free port.
-func FreePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+func FreePort() (address string, err error) {
+	for range portTries {
+		address = fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(ports))
+		l, e := net.Listen("tcp", address)
+		if e == nil {
+			return address, l.Close()
+		}
+		err = e
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // NewGateway prepares a gateway whose settings file and log lie in dir.
