--- a/callers/server.go
+++ b/callers/server.go
@@ -49,7 +49,7 @@
 	acceptGate func(context.Context)
 
 	mu             sync.Mutex
-	conns          map[net.Conn]*conn
+	conns          map[net.Conn]*connState
 	active         int // requests in the handler
 	stopping       bool
 	group          sync.WaitGroup
@@ -58,8 +58,8 @@
 	cancelRequests context.CancelCauseFunc
 }
 
-// conn is the state of a connection.
-type conn struct {
+// connState is the state of a connection.
+type connState struct {
 	state   http.ConnState
 	since   time.Time
 	handled bool // whether the handler has started on the request
@@ -106,7 +106,7 @@
 		clock:      hollowgrade.SystemClock(),
 		log:        log.Default(),
 		acceptGate: func(context.Context) {},
-		conns:      map[net.Conn]*conn{},
+		conns:      map[net.Conn]*connState{},
 	}
 	for _, o := range os {
 		o(s)
@@ -131,7 +131,7 @@
 	s.group.Go(func() { s.sweepLoop(ctx) })
 	s.group.Go(func() {
 		s.acceptGate(ctx)
-		if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := s.server.Serve(listener{Listener: s.listener, clock: s.clock}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			s.log.Error("callers' listener failed", "err", err)
 		}
 	})
@@ -251,7 +251,7 @@
 		delete(s.conns, c)
 		return
 	}
-	s.conns[c] = &conn{state: st, since: s.clock.Now()}
+	s.conns[c] = &connState{state: st, since: s.clock.Now()}
 }
 
 func (s *Server) sweepLoop(ctx context.Context) {
@@ -272,12 +272,35 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
+	var closed closeCount
 	for c, k := range s.conns {
 		age := now.Sub(k.since)
 		slow := k.state == http.StateActive && !k.handled && age > l.HeaderTimeout
 		idle := k.state != http.StateActive && age > l.IdleTimeout
 		if slow || idle {
+			closed.add(c, k, idle)
 			_ = c.Close()
 		}
 	}
+	if closed.idle+closed.slow > 0 {
+		s.log.Info("connections closed", "idle", closed.idle, "slow", closed.slow, "after_read", closed.afterRead, "idle_limit_ms", l.IdleTimeout.Milliseconds(),
+			"header_limit_ms", l.HeaderTimeout.Milliseconds(), "open", len(s.conns), "took_ms", s.clock.Since(now).Milliseconds())
+	}
+}
+
+// closeCount counts connections that were closed by why they were.
+type closeCount struct {
+	idle, slow int
+	afterRead  int // of them, those from which bytes had been read since their last answer
+}
+
+func (n *closeCount) add(c net.Conn, k *connState, idle bool) {
+	if idle {
+		n.idle++
+	} else {
+		n.slow++
+	}
+	if t, ok := c.(*conn); ok && t.lastRead().After(k.since) {
+		n.afterRead++
+	}
 }
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -51,7 +51,7 @@
 		case !n.Core.SetCatalog(k):
 			g.Warn("configuration not used", "version", k.Version, "why", "it is not newer than the one in force", "in_force", n.Core.Catalog().Version)
 		default:
-			g.Info("configuration read", "version", k.Version, "in_force", true)
+			g.Info("configuration read", "version", k.Version, "in_force", true, "idle_limit_ms", k.Limits.IdleTimeout.Milliseconds(), "header_limit_ms", k.Limits.HeaderTimeout.Milliseconds())
 		}
 	}
 }
