callers: a connection is closed by its reader, after a read that returned nothing

What had been read by then was cut; what lay in the kernel's queue of a box that had been busy was not looked at.

Now each connection has a phase of its own lock, and the goroutine that reads from it closes it, only after a read that returned nothing: at the deadline the kernel is read once more, and again while the process was not scheduled in between. A connection keeps the limit that its caller was told in Keep-Alive, unless connections are scarce; it rests half a second longer than the limit. A head that takes too long gets 408. Stops wait for connections in the same way; they no longer call SetKeepAlivesEnabled, which closes by the same stale state.

TestLimitsChangeWhileItRuns asked that a limit that gets shorter closes a connection that had been told an hour; it asks now that such a connection still answers, that the next one is closed within a second of its limit, and that the slow head is refused.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -1,17 +1,49 @@
 package callers
 
 import (
+	"errors"
+	"io"
 	"net"
-	"sync/atomic"
+	"os"
+	"sync"
 	"time"
+)
+
+// phase is how far the next request on a connection has come.
+type phase int
 
-	"github.com/hollowgrade/hollowgrade"
+const (
+	phaseIdle phase = iota // nothing of it was read
+	phaseHead              // its head was read in part, or not parsed yet
+	phaseOpen              // its head is known; it is open until its answer is written
+)
+
+const (
+	// idleGrace is how much longer a connection may be idle than its limit, so that a request that
+	// is sent within the limit arrives before the connection is closed.
+	idleGrace = 500 * time.Millisecond
+	// headCheckInterval is how often a head that is incomplete is checked against the limit, which may
+	// have changed.
+	headCheckInterval = 250 * time.Millisecond
+	// drainHeadTimeout bounds the rest of a head that is incomplete when a planned stop accepts
+	// nothing new.
+	drainHeadTimeout = time.Second
+	// lastReadTime is how long a connection that is due to be closed is read from once more. Its
+	// deadline may have passed while the process was not scheduled and bytes arrived.
+	lastReadTime = 20 * time.Millisecond
+	// maxLastReads bounds the last reads. Another one follows one that returned a part of a head, or
+	// that took over twice lastReadTime, since then the process was not scheduled again.
+	maxLastReads = 8
+	// timeoutAnswer is the answer to a head that takes too long. Callers take it to mean that the
+	// request has not run.
+	timeoutAnswer    = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	timeoutWriteTime = 100 * time.Millisecond
 )
 
 // listener accepts connections as [conn].
 type listener struct {
 	net.Listener
-	clock hollowgrade.Clock
+	server *Server
 }
 
 // Accept implements [net.Listener].
@@ -20,30 +52,168 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, clock: l.clock}, nil
+	return &conn{Conn: c, server: l.server, since: l.server.clock.Now()}, nil
 }
 
-// conn is a caller's connection that records when bytes were last read from it.
+// conn is a caller's connection. Whether it is closed for its age is decided by the goroutine that
+// reads from it, and only when a read has returned nothing: a request that was read is never cut.
 type conn struct {
 	net.Conn
-	clock  hollowgrade.Clock
-	readAt atomic.Pointer[time.Time]
+	server *Server
+
+	mu        sync.Mutex
+	phase     phase
+	since     time.Time     // when the phase began
+	told      time.Duration // the idle limit that the last answer named
+	waiting   bool          // whether a read waits for the bytes of a head
+	lastReads int           // since the connection is due to be closed
+	lastUntil time.Time     // until when the last of them waits
+	progress  bool          // whether it returned bytes
+}
+
+// Read implements [net.Conn]. Between requests and within heads it returns
+// [os.ErrDeadlineExceeded] when the connection has been idle or slow for too long.
+func (c *conn) Read(b []byte) (n int, err error) {
+	if !c.beginWait() {
+		return c.Conn.Read(b)
+	}
+	for {
+		n, err = c.Conn.Read(b)
+		if c.waitOn(n, err) {
+			continue
+		}
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			c.endForAge()
+		}
+		return n, err
+	}
+}
+
+// endForAge ends a connection that has been idle or slow for too long.
+func (c *conn) endForAge() {
+	c.mu.Lock()
+	p := c.phase
+	c.mu.Unlock()
+	c.server.recordClose(p)
+	if p == phaseHead {
+		_ = c.SetWriteDeadline(time.Now().Add(timeoutWriteTime))
+		_, _ = io.WriteString(c, timeoutAnswer) // a caller that is gone needs no answer
+	}
+	_ = c.Close() // before net/http answers an incomplete head with 400
+}
+
+// beginWait sets the deadline for bytes of a head. It reports false while a request is open.
+func (c *conn) beginWait() bool {
+	now := c.server.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseOpen {
+		return false
+	}
+	c.waiting = true
+	c.setDeadline(now, c.due(now))
+	return true
+}
+
+// waitOn decides on the result of a read whether another one follows.
+func (c *conn) waitOn(n int, err error) bool {
+	now := c.server.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if until, ok := c.extend(now); ok {
+			c.setDeadline(now, until)
+			return true
+		}
+	}
+	if n > 0 && c.phase == phaseIdle {
+		c.begin(phaseHead, now)
+	}
+	c.waiting, c.progress = false, n > 0
+	_ = c.SetReadDeadline(time.Time{}) // a closed connection ends the next read by itself
+	return false
 }
 
-// Read implements [net.Conn].
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		now := c.clock.Now()
-		c.readAt.Store(&now)
+// extend returns until when the connection is read from after a deadline has passed. It reports
+// false if the connection is to be closed.
+func (c *conn) extend(now time.Time) (until time.Time, ok bool) {
+	if d := c.due(now); d.After(now) {
+		c.lastReads = 0
+		return d, true
 	}
-	return n, err
+	stalled := now.Sub(c.lastUntil) > lastReadTime
+	if c.lastReads > 0 && !stalled && !c.progress || c.lastReads >= maxLastReads {
+		return time.Time{}, false
+	}
+	c.lastReads++
+	c.lastUntil = now.Add(lastReadTime)
+	c.progress = false
+	return c.lastUntil, true
+}
+
+// due returns when the connection is to be closed or checked again.
+func (c *conn) due(now time.Time) time.Time {
+	l, drainedAt := c.server.effectiveLimits(), c.server.drainStart()
+	if c.phase == phaseIdle {
+		if !drainedAt.IsZero() {
+			return now
+		}
+		return c.since.Add(c.idleLimit(l) + idleGrace)
+	}
+	d := c.since.Add(l.HeaderTimeout)
+	if !drainedAt.IsZero() {
+		d = earlier(d, drainedAt.Add(drainHeadTimeout))
+	}
+	return earlier(d, now.Add(headCheckInterval))
+}
+
+// idleLimit returns how long the connection may be idle. A limit that got shorter does not hold for
+// a connection that was told a longer one, unless connections are scarce.
+func (c *conn) idleLimit(l Limits) time.Duration {
+	if c.server.crowded() {
+		return l.IdleTimeout
+	}
+	return max(c.told, l.IdleTimeout)
+}
+
+// setDeadline sets the deadline of the read that waits.
+func (c *conn) setDeadline(now, until time.Time) {
+	_ = c.SetReadDeadline(time.Now().Add(until.Sub(now)))
+}
+
+// recheck sets the deadline of a read that waits by what is in force now.
+func (c *conn) recheck() {
+	now := c.server.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting {
+		c.setDeadline(now, c.due(now))
+	}
+}
+
+// setPhase records how far the next request has come.
+func (c *conn) setPhase(p phase) {
+	now := c.server.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begin(p, now)
+}
+
+func (c *conn) begin(p phase, now time.Time) {
+	c.phase, c.since = p, now
+	c.lastReads = 0
+}
+
+// setTold records the idle limit that the caller is told.
+func (c *conn) setTold(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told = d
 }
 
-// lastRead returns when bytes were last read, the zero time if never.
-func (c *conn) lastRead() time.Time {
-	if t := c.readAt.Load(); t != nil {
-		return *t
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return time.Time{}
+	return b
 }
--- a/callers/server.go
+++ b/callers/server.go
@@ -5,20 +5,30 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/net/netutil"
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/kernel"
 )
 
 const (
-	// sweepInterval is how often connections are checked against the limits.
-	sweepInterval = 250 * time.Millisecond
+	// closeLogInterval is the least time between two log lines on closed connections.
+	closeLogInterval = time.Second
+	// crowdedShare is the share of the connections that are allowed from which on they are scarce.
+	crowdedShare = 0.75
+	// relieveInterval is how often connections are checked against a limit that got shorter while they
+	// are scarce.
+	relieveInterval = 250 * time.Millisecond
 	// maxHeaderBytes bounds the headers that are read before the handler applies the published
 	// limit.
 	maxHeaderBytes = 1 << 20
@@ -48,8 +58,12 @@
 	linger     time.Duration
 	acceptGate func(context.Context)
 
+	maxConns int                       // 0 for no bound
+	drained  atomic.Pointer[time.Time] // when a planned stop began to close connections
+
 	mu             sync.Mutex
-	conns          map[net.Conn]*connState
+	conns          map[*conn]struct{}
+	closed         closeCount
 	active         int // requests in the handler
 	stopping       bool
 	group          sync.WaitGroup
@@ -58,13 +72,6 @@
 	cancelRequests context.CancelCauseFunc
 }
 
-// connState is the state of a connection.
-type connState struct {
-	state   http.ConnState
-	since   time.Time
-	handled bool // whether the handler has started on the request
-}
-
 // Option configures a server.
 type Option func(*Server)
 
@@ -95,6 +102,11 @@
 	return func(s *Server) { s.acceptGate = f }
 }
 
+// WithMaxConnections sets how many connections are open at once. More wait in the listener's queue.
+func WithMaxConnections(n int) Option {
+	return func(s *Server) { s.maxConns = n }
+}
+
 type connKey struct{}
 
 // New returns a server for the listener.
@@ -106,11 +118,14 @@
 		clock:      hollowgrade.SystemClock(),
 		log:        log.Default(),
 		acceptGate: func(context.Context) {},
-		conns:      map[net.Conn]*connState{},
+		conns:      map[*conn]struct{}{},
 	}
 	for _, o := range os {
 		o(s)
 	}
+	if s.maxConns > 0 {
+		s.listener = netutil.LimitListener(s.listener, s.maxConns)
+	}
 	s.baseContext, s.cancelRequests = context.WithCancelCause(context.Background())
 	s.server = &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return s.baseContext },
@@ -118,7 +133,7 @@
 		ConnState:         s.trackConn,
 		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: 0, // the sweep applies the limit in force
+		ReadHeaderTimeout: 0, // conn applies the limit in force
 		ErrorLog:          s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	return s
@@ -128,10 +143,10 @@
 func (s *Server) Start(context.Context, *kernel.Kernel) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.group.Go(func() { s.sweepLoop(ctx) })
+	s.group.Go(func() { s.relieve(ctx) })
 	s.group.Go(func() {
 		s.acceptGate(ctx)
-		if err := s.server.Serve(listener{Listener: s.listener, clock: s.clock}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := s.server.Serve(listener{Listener: s.listener, server: s}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			s.log.Error("callers' listener failed", "err", err)
 		}
 	})
@@ -146,52 +161,31 @@
 }
 
 // Stop implements [kernel.Service]. It goes on serving until the balancer sends callers elsewhere,
-// and its answers ask callers to close their connections. Then it accepts nothing new and waits for
-// open requests, for as long as ctx lasts.
+// and its answers ask callers to close their connections. Then it accepts nothing new, closes
+// connections as they become idle and waits for the others, for as long as ctx lasts.
 func (s *Server) Stop(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
 	hollowgrade.Sleep(ctx, s.clock, s.linger)
 	_ = s.listener.Close()
-	s.server.SetKeepAlivesEnabled(false) // earlier answers did not ask the caller to close
-	err := s.drain(ctx)
 	s.cancel()
-	_ = s.server.Close()
 	s.group.Wait()
+	err := s.drain(ctx)
+	_ = s.server.Close()
+	s.logClosed()
 	return err
 }
 
-// closeUnused closes the connections on which no request is open.
-func (s *Server) closeUnused() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c, k := range s.conns {
-		if k.state != http.StateActive {
-			_ = c.Close()
-		}
-	}
-}
-
-// busy reports whether a request is open or the end of its answer is still being written. The
-// writing goes on after the handler has returned, and the connection stays active until it is done.
-func (s *Server) busy() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, k := range s.conns {
-		if k.state == http.StateActive && k.handled {
-			return true
-		}
-	}
-	return s.active > 0
-}
-
-// drain waits until no request is open, and accepts no new one. Shortly before ctx ends, the
-// requests that are still open are cancelled with [hollowgrade.ErrStopping] as the cause.
+// drain closes connections as they become idle and waits until none is open. Shortly before ctx
+// ends, the requests that are still open are cancelled with [hollowgrade.ErrStopping] as the cause.
 func (s *Server) drain(ctx context.Context) error {
 	const pollInterval = 20 * time.Millisecond
 	end, bounded := ctx.Deadline()
-	for s.closeUnused(); s.busy(); s.closeUnused() {
+	now := s.clock.Now()
+	s.drained.Store(&now)
+	s.recheck()
+	for s.Connections() > 0 {
 		if bounded && time.Until(end) < finalAnswerTime && s.baseContext.Err() == nil {
 			s.log.Warn("cancelled the requests that were still open", "requests", s.Active(), "why", "the time of the stop is over")
 			s.cancelRequests(hollowgrade.ErrStopping)
@@ -204,6 +198,39 @@
 	return nil
 }
 
+// drainStart returns when a planned stop began to close connections, the zero time before that.
+func (s *Server) drainStart() time.Time {
+	if t := s.drained.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
+// recheck checks all connections against what is in force now.
+func (s *Server) recheck() {
+	s.mu.Lock()
+	cs := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
+	for _, c := range cs {
+		c.recheck()
+	}
+}
+
+// crowded reports whether connections are scarce.
+func (s *Server) crowded() bool {
+	return s.maxConns > 0 && float64(s.Connections()) >= crowdedShare*float64(s.maxConns)
+}
+
+// relieve closes connections that have been idle for longer than the limit in force while
+// connections are scarce.
+func (s *Server) relieve(ctx context.Context) {
+	for hollowgrade.Sleep(ctx, s.clock, relieveInterval) {
+		if s.crowded() {
+			s.recheck()
+		}
+	}
+}
+
 // Active returns the number of requests that are being served.
 func (s *Server) Active() int {
 	s.mu.Lock()
@@ -219,22 +246,33 @@
 }
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	c, _ := r.Context().Value(connKey{}).(net.Conn)
-	s.beginRequest(c)
+	s.beginRequest()
 	defer s.endRequest()
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	s.announce(c, w.Header())
+	s.handler.ServeHTTP(w, r)
+}
+
+// announce tells the caller how long its connection is kept.
+func (s *Server) announce(c *conn, h http.Header) {
 	if s.Stopping() {
-		w.Header().Set("Connection", "close")
+		h.Set("Connection", "close")
+		return
+	}
+	d := s.limits().IdleTimeout
+	if c == nil || d <= 0 {
+		return
+	}
+	c.setTold(d)
+	if d >= time.Second {
+		h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(d.Seconds())))
 	}
-	s.handler.ServeHTTP(w, r)
 }
 
-func (s *Server) beginRequest(c net.Conn) {
+func (s *Server) beginRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.active++
-	if k := s.conns[c]; k != nil {
-		k.handled = true
-	}
 }
 
 func (s *Server) endRequest() {
@@ -244,24 +282,26 @@
 }
 
 // trackConn records the state of a connection.
-func (s *Server) trackConn(c net.Conn, st http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if st == http.StateClosed || st == http.StateHijacked {
+func (s *Server) trackConn(nc net.Conn, st http.ConnState) {
+	c := nc.(*conn)
+	switch st {
+	case http.StateNew:
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+	case http.StateActive:
+		c.setPhase(phaseOpen)
+	case http.StateIdle:
+		c.setPhase(phaseIdle)
+	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
 		delete(s.conns, c)
-		return
+		s.mu.Unlock()
 	}
-	s.conns[c] = &connState{state: st, since: s.clock.Now()}
 }
 
-func (s *Server) sweepLoop(ctx context.Context) {
-	for hollowgrade.Sleep(ctx, s.clock, sweepInterval) {
-		s.sweep()
-	}
-}
-
-// sweep closes connections that have been idle or slow for too long.
-func (s *Server) sweep() {
+// effectiveLimits returns the limits in force, with defaults for those that are not set.
+func (s *Server) effectiveLimits() Limits {
 	l := s.limits()
 	if l.HeaderTimeout <= 0 {
 		l.HeaderTimeout = defaultHeaderTimeout
@@ -269,38 +309,38 @@
 	if l.IdleTimeout <= 0 {
 		l.IdleTimeout = defaultIdleTimeout
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	var closed closeCount
-	for c, k := range s.conns {
-		age := now.Sub(k.since)
-		slow := k.state == http.StateActive && !k.handled && age > l.HeaderTimeout
-		idle := k.state != http.StateActive && age > l.IdleTimeout
-		if slow || idle {
-			closed.add(c, k, idle)
-			_ = c.Close()
-		}
-	}
-	if closed.idle+closed.slow > 0 {
-		s.log.Info("connections closed", "idle", closed.idle, "slow", closed.slow, "after_read", closed.afterRead, "idle_limit_ms", l.IdleTimeout.Milliseconds(),
-			"header_limit_ms", l.HeaderTimeout.Milliseconds(), "open", len(s.conns), "took_ms", s.clock.Since(now).Milliseconds())
-	}
+	return l
 }
 
-// closeCount counts connections that were closed by why they were.
+// closeCount counts connections that were closed for their age.
 type closeCount struct {
 	idle, slow int
-	afterRead  int // of them, those from which bytes had been read since their last answer
 }
 
-func (n *closeCount) add(c net.Conn, k *connState, idle bool) {
-	if idle {
-		n.idle++
+// recordClose counts a connection that is closed for its age, in the phase that took too long.
+func (s *Server) recordClose(p phase) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed == (closeCount{}) {
+		s.clock.AfterFunc(closeLogInterval, s.logClosed)
+	}
+	if p == phaseIdle {
+		s.closed.idle++
 	} else {
-		n.slow++
+		s.closed.slow++
 	}
-	if t, ok := c.(*conn); ok && t.lastRead().After(k.since) {
-		n.afterRead++
+}
+
+// logClosed writes a line on the connections that were closed since the last one.
+func (s *Server) logClosed() {
+	s.mu.Lock()
+	n, open := s.closed, len(s.conns)
+	s.closed = closeCount{}
+	s.mu.Unlock()
+	if n == (closeCount{}) {
+		return
 	}
+	l := s.effectiveLimits()
+	s.log.Info("connections closed", "idle", n.idle, "slow", n.slow, "idle_limit_ms", l.IdleTimeout.Milliseconds(),
+		"header_limit_ms", l.HeaderTimeout.Milliseconds(), "open", open, "stopping", s.Stopping())
 }
--- a/callers/server_test.go
+++ b/callers/server_test.go
@@ -65,20 +65,77 @@
 	require.Error(t, err)
 }
 
+// requireTimeout waits until the server refuses a request whose head is incomplete.
+func requireTimeout(t *testing.T, in *bufio.Reader) {
+	t.Helper()
+	r, err := http.ReadResponse(in, nil)
+	require.NoError(t, err)
+	require.NoError(t, r.Body.Close())
+	require.Equal(t, http.StatusRequestTimeout, r.StatusCode)
+	requireEnd(t, in)
+}
+
 func ok(http.ResponseWriter, *http.Request) {}
 
+// closeTime is how long after its limit a connection is closed at the latest.
+const closeTime = time.Second
+
 func TestLimitsChangeWhileItRuns(t *testing.T) {
 	var l atomic.Pointer[Limits]
 	l.Store(&Limits{HeaderTimeout: time.Hour, IdleTimeout: time.Hour})
 	_, a := start(t, ok, WithLimits(func() Limits { return *l.Load() }))
-	idle, idleIn := dial(t, a)
-	exchange(t, idle, idleIn)
+	told, toldIn := dial(t, a)
+	require.Equal(t, "timeout=3600", exchange(t, told, toldIn).Header.Get("Keep-Alive"))
 	slow, slowIn := dial(t, a)
 	fmt.Fprint(slow, "GET / HT")
-	exchange(t, idle, idleIn)
+	exchange(t, told, toldIn)
 	l.Store(&Limits{HeaderTimeout: time.Millisecond, IdleTimeout: time.Millisecond})
+	started := time.Now()
+	idle, idleIn := dial(t, a)
+	require.Empty(t, exchange(t, idle, idleIn).Header.Get("Keep-Alive"), "a time under a second")
 	requireEnd(t, idleIn)
-	requireEnd(t, slowIn)
+	requireTimeout(t, slowIn)
+	require.Less(t, time.Since(started), closeTime)
+	time.Sleep(closeTime)
+	exchange(t, told, toldIn)
+	requireEnd(t, toldIn)
+}
+
+func TestIdleLimitThatGetsLonger(t *testing.T) {
+	var limit atomic.Int64
+	limit.Store(int64(time.Second))
+	_, a := start(t, ok, WithLimits(func() Limits { return Limits{IdleTimeout: time.Duration(limit.Load())} }))
+	c, in := dial(t, a)
+	exchange(t, c, in)
+	limit.Store(int64(3 * time.Second))
+	time.Sleep(2500 * time.Millisecond)
+	exchange(t, c, in)
+}
+
+func TestScarceConnectionsAreClosedByTheShorterLimit(t *testing.T) {
+	const most = 8
+	var limit atomic.Int64
+	limit.Store(int64(time.Hour))
+	_, a := start(t, ok, WithMaxConnections(most), WithLimits(func() Limits { return Limits{IdleTimeout: time.Duration(limit.Load())} }))
+	for range most {
+		c, in := dial(t, a)
+		exchange(t, c, in)
+	}
+	limit.Store(int64(time.Millisecond))
+	started := time.Now()
+	c, in := dial(t, a)
+	exchange(t, c, in)
+	require.Less(t, time.Since(started), closeTime)
+}
+
+func TestStopWhileAllConnectionsAreTaken(t *testing.T) {
+	s, a := start(t, ok, WithMaxConnections(1))
+	c, in := dial(t, a)
+	exchange(t, c, in)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, s.Stop(ctx))
+	requireEnd(t, in)
 }
 
 func TestSlowAnswersAreNotCut(t *testing.T) {
@@ -87,7 +144,7 @@
 		WithLimits(func() Limits { return Limits{HeaderTimeout: time.Millisecond, IdleTimeout: time.Millisecond} }))
 	c, in := dial(t, a)
 	fmt.Fprint(c, request)
-	time.AfterFunc(3*sweepInterval, func() { close(release) })
+	time.AfterFunc(closeTime, func() { close(release) })
 	r, err := http.ReadResponse(in, nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, r.StatusCode)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"golang.org/x/net/netutil"
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/callers"
@@ -168,8 +167,8 @@
 	}
 	n.bodies = callers.NewBudget(int64(bodyMemoryShare * float64(c.MemoryMB) * megabyte))
 	handler := platform.NewHandler(n.Core, n.limits, n.clock, g, platform.WithStall(c.CallerStall), platform.WithBodies(n.bodies))
-	n.callers = callers.New(netutil.LimitListener(l, c.MaxConnections), handler,
-		callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(c.Linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
+	n.callers = callers.New(l, handler,
+		callers.WithMaxConnections(c.MaxConnections), callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(c.Linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
 	l, err = listen(c.Readiness)
 	if err != nil {
 		return err
