--- a/callers/conn.go
+++ b/callers/conn.go
@@ -21,7 +21,7 @@
 const (
 	// idleGrace is how much longer a connection may be idle than its limit, so that a request that
 	// is sent within the limit arrives before the connection is closed.
-	idleGrace = 500 * time.Millisecond
+	idleGrace = 250 * time.Millisecond
 	// headCheckInterval is how often a head that is incomplete is checked against the limit, which may
 	// have changed.
 	headCheckInterval = 250 * time.Millisecond
@@ -32,7 +32,7 @@
 	// deadline may have passed while the process was not scheduled and bytes arrived.
 	lastReadTime = 20 * time.Millisecond
 	// maxLastReads bounds the last reads. Another one follows one that returned a part of a head, or
-	// that took over twice lastReadTime, since then the process was not scheduled again.
+	// during which the process was not scheduled in time.
 	maxLastReads = 8
 	// timeoutAnswer is the answer to a head that takes too long. Callers take it to mean that the
 	// request has not run.
@@ -78,8 +78,9 @@
 		return c.Conn.Read(b)
 	}
 	for {
+		begun := time.Now()
 		n, err = c.Conn.Read(b)
-		if c.waitOn(n, err) {
+		if c.waitOn(n, err, time.Since(begun)) {
 			continue
 		}
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -115,13 +116,13 @@
 	return true
 }
 
-// waitOn decides on the result of a read whether another one follows.
-func (c *conn) waitOn(n int, err error) bool {
+// waitOn decides on the result of a read that took the given time whether another one follows.
+func (c *conn) waitOn(n int, err error, took time.Duration) bool {
 	now := c.server.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		if until, ok := c.extend(now); ok {
+		if until, ok := c.extend(now, took); ok {
 			c.setDeadline(now, until)
 			return true
 		}
@@ -134,14 +135,15 @@
 	return false
 }
 
-// extend returns until when the connection is read from after a deadline has passed. It reports
-// false if the connection is to be closed.
-func (c *conn) extend(now time.Time) (until time.Time, ok bool) {
+// extend returns until when the connection is read from after a deadline has passed in a read that
+// took the given time. It reports false if the connection is to be closed.
+func (c *conn) extend(now time.Time, took time.Duration) (until time.Time, ok bool) {
 	if d := c.due(now); d.After(now) {
 		c.lastReads = 0
 		return d, true
 	}
-	stalled := now.Sub(c.lastUntil) > lastReadTime
+	// A deadline that has passed before the read makes it return without a look at the kernel's queue.
+	stalled := now.Sub(c.lastUntil) > lastReadTime || took < lastReadTime/2
 	if c.lastReads > 0 && !stalled && !c.progress || c.lastReads >= maxLastReads {
 		return time.Time{}, false
 	}
@@ -168,12 +170,12 @@
 }
 
 // idleLimit returns how long the connection may be idle. A limit that got shorter does not hold for
-// a connection that was told a longer one, unless connections are scarce.
+// a connection whose caller was told a longer one, or may know of it, unless connections are scarce.
 func (c *conn) idleLimit(l Limits) time.Duration {
 	if c.server.crowded() {
 		return l.IdleTimeout
 	}
-	return max(c.told, l.IdleTimeout)
+	return max(c.told, l.IdleTimeout, c.server.longestIdleLimit(c.since))
 }
 
 // setDeadline sets the deadline of the read that waits.
@@ -186,7 +188,7 @@
 	now := c.server.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.waiting {
+	if c.waiting && c.lastReads == 0 {
 		c.setDeadline(now, c.due(now))
 	}
 }
--- a/callers/server.go
+++ b/callers/server.go
@@ -26,9 +26,10 @@
 	closeLogInterval = time.Second
 	// crowdedShare is the share of the connections that are allowed from which on they are scarce.
 	crowdedShare = 0.75
-	// relieveInterval is how often connections are checked against a limit that got shorter while they
-	// are scarce.
-	relieveInterval = 250 * time.Millisecond
+	// maxIdleLimits is how many idle limits are remembered; older ones count as the oldest of them.
+	maxIdleLimits = 32
+	// limitsInterval is how often the limits are looked at for changes.
+	limitsInterval = 250 * time.Millisecond
 	// maxHeaderBytes bounds the headers that are read before the handler applies the published
 	// limit.
 	maxHeaderBytes = 1 << 20
@@ -63,6 +64,7 @@
 
 	mu             sync.Mutex
 	conns          map[*conn]struct{}
+	idleLimits     []idleLimit // those of the recent past, the newest last
 	closed         closeCount
 	active         int // requests in the handler
 	stopping       bool
@@ -119,6 +121,7 @@
 		log:        log.Default(),
 		acceptGate: func(context.Context) {},
 		conns:      map[*conn]struct{}{},
+		cancel:     func() {},
 	}
 	for _, o := range os {
 		o(s)
@@ -143,7 +146,7 @@
 func (s *Server) Start(context.Context, *kernel.Kernel) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.group.Go(func() { s.relieve(ctx) })
+	s.group.Go(func() { s.watchLimits(ctx) })
 	s.group.Go(func() {
 		s.acceptGate(ctx)
 		if err := s.server.Serve(listener{Listener: s.listener, server: s}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -221,10 +224,11 @@
 	return s.maxConns > 0 && float64(s.Connections()) >= crowdedShare*float64(s.maxConns)
 }
 
-// relieve closes connections that have been idle for longer than the limit in force while
+// watchLimits records the idle limit, and closes connections that have been idle for longer while
 // connections are scarce.
-func (s *Server) relieve(ctx context.Context) {
-	for hollowgrade.Sleep(ctx, s.clock, relieveInterval) {
+func (s *Server) watchLimits(ctx context.Context) {
+	for ; ctx.Err() == nil; hollowgrade.Sleep(ctx, s.clock, limitsInterval) {
+		s.recordIdleLimit(s.effectiveLimits().IdleTimeout)
 		if s.crowded() {
 			s.recheck()
 		}
@@ -263,6 +267,7 @@
 	if c == nil || d <= 0 {
 		return
 	}
+	s.recordIdleLimit(d)
 	c.setTold(d)
 	if d >= time.Second {
 		h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(d.Seconds())))
@@ -312,6 +317,41 @@
 	return l
 }
 
+// idleLimit is an idle limit and since when it has been in force.
+type idleLimit struct {
+	since time.Time
+	limit time.Duration
+}
+
+// recordIdleLimit records the idle limit in force.
+func (s *Server) recordIdleLimit(d time.Duration) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.idleLimits
+	if n := len(l); n > 0 && l[n-1].limit == d {
+		return
+	}
+	if len(l) == maxIdleLimits {
+		l[1].limit = max(l[0].limit, l[1].limit)
+		l = l[1:]
+	}
+	s.idleLimits = append(l, idleLimit{since: now, limit: d})
+}
+
+// longestIdleLimit returns the longest idle limit that was in force at any time since t.
+func (s *Server) longestIdleLimit(t time.Time) (d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range slices.Backward(s.idleLimits) {
+		d = max(d, l.limit)
+		if l.since.Before(t) {
+			break
+		}
+	}
+	return d
+}
+
 // closeCount counts connections that were closed for their age.
 type closeCount struct {
 	idle, slow int
