entry: callers' connections are served by package callers

A planned stop of an entry ended with net/http's Shutdown, which closes connections by a state that is set once a head was parsed, and drops a request that is parsed after it began (shown on net/http alone by the review). It closes connections as a gateway does now.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/callers"
 	"github.com/hollowgrade/hollowgrade/config"
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/kernel"
@@ -57,12 +57,11 @@
 	limits      Limits
 	clock       hollowgrade.Clock
 	log         *log.Logger
-	listener    net.Listener
 	dial        peer.Dialer
 	agents      func(context.Context) []hollowgrade.Box
 	placement   sched.Placement
 	observe     func(Observation)
-	server      *http.Server
+	callers     *callers.Server
 
 	config atomic.Pointer[config.Config]
 	ctx    context.Context // ends when the entry stops
@@ -147,7 +146,6 @@
 		limits:      DefaultLimits(),
 		clock:       hollowgrade.SystemClock(),
 		log:         log.Default(),
-		listener:    l,
 		dial:        peer.TCP(),
 		agents:      agents,
 		placement:   sched.NewQuickest(),
@@ -162,10 +160,15 @@
 	}
 	e.config.Store(&config.Config{})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.server = &http.Server{Handler: e.router(), ReadHeaderTimeout: e.limits.HeaderTimeout, IdleTimeout: idleTimeout}
+	e.callers = callers.New(l, e.router(), callers.WithClock(e.clock), callers.WithLogger(e.log), callers.WithLimits(e.connLimits))
 	return e
 }
 
+// connLimits returns the limits of callers' connections.
+func (e *Entry) connLimits() callers.Limits {
+	return callers.Limits{HeaderTimeout: e.limits.HeaderTimeout, IdleTimeout: idleTimeout}
+}
+
 // SetConfig puts a configuration in force. An older one never replaces a newer one.
 func (e *Entry) SetConfig(c *config.Config) {
 	for {
@@ -177,14 +180,9 @@
 }
 
 // Start implements [kernel.Service].
-func (e *Entry) Start(context.Context, *kernel.Kernel) error {
+func (e *Entry) Start(ctx context.Context, k *kernel.Kernel) error {
 	e.group.Go(e.linkLoop)
-	e.group.Go(func() {
-		if err := e.server.Serve(e.listener); err != nil && e.ctx.Err() == nil {
-			e.log.Info("callers' listener closed", "err", err)
-		}
-	})
-	return nil
+	return e.callers.Start(ctx, k)
 }
 
 // Stop implements [kernel.Service]. First the entry reports itself not ready and goes on serving,
@@ -200,10 +198,9 @@
 		err = ctx.Err()
 	}
 	e.cancel()
-	if e := e.server.Shutdown(ctx); err == nil {
+	if e := e.callers.Stop(ctx); err == nil {
 		err = e
 	}
-	_ = e.server.Close()
 	e.group.Wait()
 	return err
 }
