core: a plain answer that arrives is not taken for silence

Callers of routes that may be repeated got a part of an answer of over 256 KB and a closed connection when it took longer than 0.9 s or three goals (a gateway before a worker that sends 1.3 MB in 2 s: 557,056 bytes, then EOF; log 'upstream went silent', head_sent true). A shorter one that arrived as slowly was run at a second upstream.

Cause: the wait for signs of life was set when the exchange was opened, and only streams renewed it. Each part renews it now, and once the head has gone out it ends, since the answer can't be replaced any more.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -67,7 +67,7 @@
 	if a.head.Stream && a.head.Success() {
 		return cause(ctx, a.passStream(x, w))
 	}
-	return cause(ctx, a.passWhole(x))
+	return cause(ctx, a.passWhole(x, w))
 }
 
 // startOverdueTimer starts a timer that asks the engines of the attempt for their speed if the answer
@@ -122,7 +122,7 @@
 }
 
 // passWhole reads and passes on an answer that is not a stream.
-func (a *attempt) passWhole(x hollowgrade.Exchange) error {
+func (a *attempt) passWhole(x hollowgrade.Exchange, d *watchdog) error {
 	f := a.flow
 	if a.head.NotRun {
 		a.markAtFault()
@@ -138,9 +138,10 @@
 		if err != nil {
 			return err
 		}
+		d.reset(a.stallTimeout())
 		w.body = append(w.body, p.Data)
 		if size += len(p.Data); size > maxBufferedBytes {
-			return a.passLong(x, w)
+			return a.passLong(x, w, d)
 		}
 	}
 	a.recordAnswerStart()
@@ -162,8 +163,9 @@
 }
 
 // passLong passes on an answer that is too long to be buffered.
-func (a *attempt) passLong(x hollowgrade.Exchange, w *answer) error {
+func (a *attempt) passLong(x hollowgrade.Exchange, w *answer, d *watchdog) error {
 	a.recordAnswerStart()
+	d.stop() // an answer of which the caller has a part can't be replaced
 	if err := a.flow.passAnswer(w); err != nil {
 		return errors.Join(errSink, err)
 	}
