core: a caller that does not read is not taken for a silent upstream

A stream was run at a second upstream, with a retry out of the budget, when its caller read nothing for 1.3 s, less than the 1.5 s after which it is cut off: the wait for the upstream's next event ran while the event before was being written to the caller. It stands still then.

TestCallerThatDoesNotReadIsNotTakenForASilentUpstream: two upstreams before, one now.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -215,6 +215,7 @@
 		if !newer(p.Event, f.lastEventID) {
 			continue
 		}
+		w.reset(0) // silence of the caller is not the upstream's
 		if err = f.passHead(a.head); err != nil {
 			return err
 		}
@@ -225,6 +226,7 @@
 		if p.Event != "" {
 			f.lastEventID = p.Event
 		}
+		w.reset(a.stallTimeout())
 	}
 }
 
--- a/core/silence_test.go
+++ b/core/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -54,3 +55,49 @@
 		})
 	}
 }
+
+// slowSink takes its time over one part.
+type slowSink struct {
+	fakeSink
+	n int
+	d time.Duration
+}
+
+func (s *slowSink) Part(b []byte) error {
+	if s.n++; s.n == 3 {
+		time.Sleep(s.d)
+	}
+	return s.fakeSink.Part(b)
+}
+
+// eventsExchange sends an event each 100 ms.
+type eventsExchange struct {
+	fakeExchange
+	at, to int
+}
+
+func (x *eventsExchange) Next() (p hollowgrade.Part, err error) {
+	if x.at == x.to {
+		return p, io.EOF
+	}
+	if err = x.ctx.Err(); err != nil {
+		return p, err
+	}
+	time.Sleep(100 * time.Millisecond)
+	x.at++
+	return hollowgrade.Part{Data: []byte(fmt.Sprint(x.at, ",")), Event: fmt.Sprint(x.at)}, nil
+}
+
+func TestCallerThatDoesNotReadIsNotTakenForASilentUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := func(ctx context.Context, s hollowgrade.Sending) (hollowgrade.Exchange, error) {
+			h := hollowgrade.Head{Status: 200, Header: http.Header{"From": {s.Upstream.ID}}, Signed: true, Stream: true}
+			return &eventsExchange{fakeExchange{ctx: ctx, head: h}, 0, 10}, nil
+		}
+		f := &fakeUpstreams{replies: []reply{r, r, r}}
+		s := &slowSink{d: 1300 * time.Millisecond}
+		err := newCore(f).Serve(context.Background(), call("/resume/"), s)
+		require.NoError(t, err)
+		require.Len(t, f.sentCalls(), 1)
+	})
+}
