node: an operators' connection does not delay a planned stop of callers

One connection to the operators' listener that was just opened and sent nothing took five seconds of the time of a planned stop: it stops first, and net/http waits that long for a new connection. Until then the gateway called itself ready and took calls, which were cut at the end. Operators' connections are served until the callers' are done, and waited for half a second.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -174,13 +174,13 @@
 		return err
 	}
 	n.Register(ReadinessService, newHTTP(l, platform.Readiness(n.ready), g))
-	n.Register(CallersService, n.callers)
 	o, err := newOperators(c.Operators, n.Node, n.ready, n.heldStore.serve)
 	if err != nil {
 		return err
 	}
 	n.Operators = o.address()
 	n.Register(OperatorsService, o)
+	n.Register(CallersService, n.callers) // the last one is stopped first and has the most time
 	return nil
 }
 
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -50,7 +50,11 @@
 	EraSince  time.Time // when it rose; zero if it did not
 }
 
-const operatorsHeaderTimeout = 5 * time.Second
+const (
+	operatorsHeaderTimeout = 5 * time.Second
+	// operatorsStopTimeout bounds how long a planned stop waits for operators' connections.
+	operatorsStopTimeout = 500 * time.Millisecond
+)
 
 // operators serves operators' tools on a listener apart from callers'.
 type operators struct {
@@ -128,7 +132,13 @@
 	return nil
 }
 
-// Stop implements [kernel.Service].
+// Stop implements [kernel.Service]. Connections that are in use after [operatorsStopTimeout] are closed.
 func (o *operators) Stop(ctx context.Context) error {
-	return o.server.Shutdown(ctx)
+	c, cancel := context.WithTimeout(ctx, operatorsStopTimeout)
+	defer cancel()
+	if err := o.server.Shutdown(c); err != nil {
+		o.node.log.Info("operators' connections closed", "why", "they were in use as the planned stop ended", "err", err)
+		return o.server.Close()
+	}
+	return nil
 }
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -64,3 +64,25 @@
 		require.Equal(t, http.StatusOK, a.status)
 	})
 }
+
+func TestOperatorsConnectionDoesNotDelayAPlannedStop(t *testing.T) {
+	s := newFixture(t)
+	w := platformtest.NewWorker("i-0", platformtest.Echo)
+	t.Cleanup(w.Close)
+	s.store.PutJSON("keyed.servers", w.ID, w.Record("s", "ready"))
+	g, err := setUpGateway(t, s.store.Address(), nil)
+	require.NoError(t, err)
+	require.NoError(t, g.Start(context.Background()))
+	g.waitReady(t)
+	c, err := net.Dial("tcp", g.Operators) // sends nothing, which net/http waits for
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	begun := time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- g.Stop(ctx) }()
+	require.Eventually(t, func() bool { _, why := g.GatewayNode.ready(); return why == "stopping" }, time.Second, time.Millisecond)
+	require.NoError(t, <-stopped)
+	require.Less(t, time.Since(begun), 5*time.Second, "the linger, and half a second for the operators' connection")
+}
