cli: receives signals from the first line of main until the process exits

SIGHUP before the gateway had logged its start ended it as well, and SIGHUP at any time ended an entry or an agent and cut their streams.

Cause: SIGHUP was caught by the goroutine that reloads a gateway's settings, from after the start until SIGTERM; before and after, and in the other roles, its default action held. The handlers of SIGINT and SIGTERM were removed before the process exited. Now main registers all three before anything else and no code removes them, except that operators' commands, which serve nobody, still end with their terminal. A gateway reloads its settings during the stop too.

Evidence: TestSignalsInSeriesCutNoRequest starts real processes, holds the gateway's start by a pipe as its settings file, and sends series of signals at the start, while serving and during the stop.

--- a/cmd/hollowgrade/main.go
+++ b/cmd/hollowgrade/main.go
@@ -9,5 +9,6 @@
 )
 
 func main() {
-	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+	ctx, h := cli.NotifySignals()
+	os.Exit(cli.Run(ctx, h, os.Args[1:], os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/cmd/hollowgrade/signals_test.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade/platform/platformtest"
+)
+
+const (
+	signalsConfig = `{"version":1,"routes":[
+ {"name":"stream","host":"h","pathPrefix":"/stream/","kind":"streaming","resumable":true,"timeoutMs":9000,"goalLatencyMs":300,"gap_aim_ms":200,"maxAttempts":3,"service":"s"},
+ {"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe","timeoutMs":9000,"goalLatencyMs":300,"maxAttempts":1,"service":"s"}],
+ "services":[{"name":"s"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"o","apiKeys":["k1"]}]}`
+	signalsEvents = 60
+	signalsPause  = 30 * time.Millisecond // before each event of an answer
+	signalGap     = 20 * time.Millisecond // between two signals of a series
+)
+
+// drainSeries are orders in which signals arrive while requests are open. Each has one that begins a
+// planned stop.
+var drainSeries = [][]syscall.Signal{
+	{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM},
+	{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP},
+	{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGINT},
+	{syscall.SIGINT, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP},
+}
+
+func seriesName(ss []syscall.Signal) string {
+	return strings.ReplaceAll(strings.Trim(fmt.Sprint(ss), "[]"), " ", ", ")
+}
+
+// signalGateway is a gateway process with its settings file, and stand-ins for store and upstream.
+type signalGateway struct {
+	*process
+	settings  string
+	callers   string
+	readiness string
+	held      *os.File // a settings file that the process waits for
+	path      string
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startHeld starts a gateway that waits for its settings until release is called: its settings file
+// is a pipe.
+func startHeld(t *testing.T) *signalGateway {
+	t.Helper()
+	s := platformtest.NewStore()
+	t.Cleanup(s.Close)
+	w := platformtest.NewWorker("i-0", platformtest.PacedStream(signalsEvents, signalsPause))
+	t.Cleanup(w.Close)
+	s.PutJSON("keyed.servers", w.ID, w.Record("s", "ready"))
+	s.Put("keyed.op", "config", []byte(signalsConfig))
+	g := &signalGateway{callers: freeAddress(t), readiness: freeAddress(t), path: filepath.Join(t.TempDir(), "gateway.toml")}
+	g.settings = fmt.Sprintf("role = \"gateway\"\nbox = \"b\"\nhall = \"z\"\ncallers = %q\nreadiness = %q\nstore = %q\nlinger = \"200ms\"\n", g.callers, g.readiness, s.Address())
+	require.NoError(t, syscall.Mkfifo(g.path, 0o600))
+	g.process = start(t, binaries.hollowgrade, "gateway", "--config", g.path)
+	var err error
+	g.held, err = os.OpenFile(g.path, os.O_WRONLY, 0) // returns once the process reads
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = g.held.Close() })
+	return g
+}
+
+// release gives the process its settings. Later readers find them in a plain file.
+func (g *signalGateway) release(t *testing.T) {
+	t.Helper()
+	next := g.path + ".next"
+	require.NoError(t, os.WriteFile(next, []byte(g.settings), 0o600))
+	require.NoError(t, os.Rename(next, g.path))
+	_, err := io.WriteString(g.held, g.settings)
+	require.NoError(t, err)
+	require.NoError(t, g.held.Close())
+}
+
+func (g *signalGateway) awaitReady(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		res, err := http.Get("http://" + g.readiness + "/v1/readyz")
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	}, 20*time.Second, 10*time.Millisecond)
+}
+
+// send sends a request and returns its answer after the headers.
+func (g *signalGateway) send(t *testing.T, path, id string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+g.callers+path, strings.NewReader("hello"))
+	require.NoError(t, err)
+	r.Host = "h"
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Deadline-Ms", "8000")
+	r.Header.Set("Authorization", "Bearer k1")
+	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, res.StatusCode)
+	return res
+}
+
+// sendSignals sends a series of signals, one shortly after the other.
+func (p *process) sendSignals(t *testing.T, ss ...syscall.Signal) {
+	t.Helper()
+	for _, s := range ss {
+		require.NoError(t, p.Process.Signal(s))
+		time.Sleep(signalGap)
+	}
+}
+
+// requireExit waits for the end of the process, which must come by itself with status 0.
+func (p *process) requireExit(t *testing.T) {
+	t.Helper()
+	end := make(chan error, 1)
+	go func() { end <- p.Wait() }()
+	select {
+	case err := <-end:
+		require.NoError(t, err)
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "process runs on")
+	}
+}
+
+func requireWholeStream(t *testing.T, res *http.Response) {
+	t.Helper()
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(b), platformtest.Event(signalsEvents))
+}
+
+// Guards against requests that are cut since a signal ends the process by its default action.
+func TestSignalsInSeriesCutNoRequest(t *testing.T) {
+	for _, ss := range drainSeries {
+		t.Run("gateway: "+seriesName(ss), func(t *testing.T) {
+			t.Parallel()
+			g := startHeld(t)
+			g.sendSignals(t, syscall.SIGHUP, syscall.SIGHUP) // at the start
+			g.release(t)
+			g.sendSignals(t, syscall.SIGHUP)
+			g.awaitReady(t)
+			stream, once := g.send(t, "/stream/x", "a1"), g.send(t, "/once/x", "a2")
+			g.sendSignals(t, syscall.SIGHUP, syscall.SIGHUP) // while serving
+			g.sendSignals(t, ss...)
+			requireWholeStream(t, stream)
+			requireWholeStream(t, once)
+			g.requireExit(t)
+		})
+	}
+	t.Run("gateway: a stop during the start", func(t *testing.T) {
+		t.Parallel()
+		g := startHeld(t)
+		g.sendSignals(t, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM)
+		g.release(t)
+		g.requireExit(t)
+	})
+	for i, role := range []string{"entry", "agent"} {
+		t.Run(role, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, 1, 1+i, step)
+			res := f.complete(t, 0, "Extra time", longAnswerTokens)
+			p := f.entries[0]
+			if role == "agent" {
+				p = f.agents[f.servingEngine(t)]
+			}
+			p.sendSignals(t, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP)
+			requireAnswer(t, "Extra time", longAnswerTokens, res)
+			p.requireExit(t)
+		})
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 
+	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/setting"
 )
@@ -46,10 +48,22 @@
 	out, err io.Writer
 }
 
-// Run runs the command line and returns the exit code.
-func Run(args []string, out, messages io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
+// Hangups delivers each SIGHUP, or one for several that arrive together.
+type Hangups <-chan os.Signal
+
+// NotifySignals receives SIGINT, SIGTERM and SIGHUP until the process exits, so that none of them
+// ends it by its default action. The context ends with the first SIGINT or SIGTERM; later ones have
+// no effect. Call it before anything else.
+func NotifySignals() (context.Context, Hangups) {
+	h := make(chan os.Signal, 1)
+	signal.Notify(h, syscall.SIGHUP)
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	return ctx, h
+}
+
+// Run runs the command line and returns the exit code. The context and h are those of
+// [NotifySignals].
+func Run(ctx context.Context, h Hangups, args []string, out, messages io.Writer) int {
 	code := exitOK
 	exited := false
 	k, err := kong.New(&commands{},
@@ -59,6 +73,7 @@
 		kong.Writers(out, messages),
 		kong.Exit(func(c int) { code, exited = c, true }),
 		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(h),
 		kong.Bind(&streams{out: out, err: messages}))
 	if err != nil {
 		fmt.Fprintln(messages, "hollowgrade:", err)
@@ -72,6 +87,9 @@
 		fmt.Fprintln(messages, "hollowgrade:", err)
 		return exitUsage
 	}
+	if _, ok := setting.Roles()[hollowgrade.Role(c.Command())]; !ok {
+		signal.Reset(syscall.SIGHUP) // operators' commands end with their terminal
+	}
 	if err = c.Run(); err != nil {
 		fmt.Fprintln(messages, "hollowgrade:", err)
 		return exitCode(err)
--- a/internal/cli/quarantine_test.go
+++ b/internal/cli/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -54,7 +55,7 @@
 
 func runCommandLine(args ...string) (code int, out, messages string) {
 	var o, m bytes.Buffer
-	code = Run(args, &o, &m)
+	code = Run(context.Background(), nil, args, &o, &m)
 	return code, o.String(), m.String()
 }
 
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -20,7 +18,7 @@
 }
 
 // Run runs the command.
-func (c *entryCommand) Run(ctx context.Context, s *streams) error {
+func (c *entryCommand) Run(ctx context.Context, s *streams, h Hangups) error {
 	g, err := node.Logger(s.err, c.Verbosity)
 	if err != nil {
 		return err
@@ -29,6 +27,7 @@
 	if err != nil {
 		return err
 	}
+	go logHangups(ctx, h, g)
 	g.Info("entry starts", "box", c.Box, "callers", n.Callers, "operators", n.Operators, "incarnation", n.Incarnation)
 	return runUntil(ctx, n.Node, c.DrainTimeout, g)
 }
@@ -40,7 +39,7 @@
 }
 
 // Run runs the command.
-func (c *agentCommand) Run(ctx context.Context, s *streams) error {
+func (c *agentCommand) Run(ctx context.Context, s *streams, h Hangups) error {
 	g, err := node.Logger(s.err, c.Verbosity)
 	if err != nil {
 		return err
@@ -49,6 +48,7 @@
 	if err != nil {
 		return err
 	}
+	go logHangups(ctx, h, g)
 	g.Info("agent starts", "box", c.Box, "peers", n.Peers, "operators", n.Operators, "incarnation", n.Incarnation)
 	return runUntil(ctx, n.Node, c.DrainTimeout, g)
 }
@@ -64,7 +64,7 @@
 const reloadInterval = time.Second
 
 // Run runs the command.
-func (c *gatewayCommand) Run(ctx context.Context, s *streams) error {
+func (c *gatewayCommand) Run(ctx context.Context, s *streams, h Hangups) error {
 	w := node.NewLogWriter(s.out)
 	defer func() { _ = w.Close() }()
 	g, err := node.Logger(w, c.Verbosity)
@@ -81,18 +81,29 @@
 	}
 	g.Info("gateway starts", "box", c.Box, "hall", c.Hall, "callers", c.Callers, "readiness", c.Readiness, "peers", c.Peers,
 		"operators", n.Operators, "store", c.Store, "incarnation", n.Incarnation)
-	go watchSettings(ctx, string(c.Config), func() { _ = n.Reload(string(c.Config)) })
+	l, cancel := context.WithCancel(context.WithoutCancel(ctx)) // settings are also reloaded during a planned stop
+	defer cancel()
+	go watchSettings(l, string(c.Config), h, func() { _ = n.Reload(string(c.Config)) })
 	return runUntil(ctx, n.Node, n.Grace(), g)
 }
 
+// logHangups says at each SIGHUP that the role doesn't reload its settings.
+func logHangups(ctx context.Context, h Hangups, g *log.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h:
+			g.Warn("settings not reloaded, this role reads them at its start only")
+		}
+	}
+}
+
 // watchSettings calls reload at each SIGHUP and whenever the file has changed.
-func watchSettings(ctx context.Context, path string, reload func()) {
+func watchSettings(ctx context.Context, path string, h Hangups, reload func()) {
 	if path == "" {
 		return
 	}
-	h := make(chan os.Signal, 1)
-	signal.Notify(h, syscall.SIGHUP)
-	defer signal.Stop(h)
 	t := time.NewTicker(reloadInterval)
 	defer t.Stop()
 	last := readFileVersion(path)
