setting: a reload reads the settings as a start does

A value of the file also took the place of one of the command line, which has precedence at the start.

Cause: Gateway.Reread laid the values of the file over those in force. Now ParseGateway parses the arguments of the process again, with the environment, the file and the defaults.

Evidence: TestReload, "a setting that is gone from the file has its default again", red before ("Should be zero, but was 10m0s"), green now with the other parts. TestReload calls Reload with arguments in place of a path; its checks are the same, and three are new.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -48,6 +48,9 @@
 	out, err io.Writer
 }
 
+// arguments are those of the command line.
+type arguments []string
+
 // Hangups delivers each SIGHUP, or one for several that arrive together.
 type Hangups <-chan os.Signal
 
@@ -73,7 +76,7 @@
 		kong.Writers(out, messages),
 		kong.Exit(func(c int) { code, exited = c, true }),
 		kong.BindTo(ctx, (*context.Context)(nil)),
-		kong.Bind(h),
+		kong.Bind(h, arguments(args)),
 		kong.Bind(&streams{out: out, err: messages}))
 	if err != nil {
 		fmt.Fprintln(messages, "hollowgrade:", err)
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -64,7 +64,7 @@
 const reloadInterval = time.Second
 
 // Run runs the command.
-func (c *gatewayCommand) Run(ctx context.Context, s *streams, h Hangups) error {
+func (c *gatewayCommand) Run(ctx context.Context, s *streams, h Hangups, a arguments) error {
 	w := node.NewLogWriter(s.out)
 	defer func() { _ = w.Close() }()
 	g, err := node.Logger(w, c.Verbosity)
@@ -83,7 +83,7 @@
 		"operators", n.Operators, "store", c.Store, "incarnation", n.Incarnation)
 	l, cancel := context.WithCancel(context.WithoutCancel(ctx)) // settings are also reloaded during a planned stop
 	defer cancel()
-	go watchSettings(l, string(c.Config), h, func() { _ = n.Reload(string(c.Config)) })
+	go watchSettings(l, string(c.Config), h, func() { _ = n.Reload(a) })
 	return runUntil(ctx, n.Node, n.Grace(), g)
 }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -219,13 +219,13 @@
 	return n.settings.Load().Grace - exitMargin
 }
 
-// Reload reads the settings file again and applies the settings that can change while the process
-// runs.
-func (n *GatewayNode) Reload(path string) error {
+// Reload reads the settings again, as a start with the arguments would, and applies those that can
+// change while the process runs.
+func (n *GatewayNode) Reload(args []string) error {
 	old := n.settings.Load()
-	c, err := old.Reread(path)
+	c, err := setting.ParseGateway(args)
 	if err != nil {
-		n.log.Error("settings not reloaded, the old ones stay in force", "path", path, "err", err)
+		n.log.Error("settings not reloaded, the old ones stay in force", "err", err)
 		return err
 	}
 	n.settings.Store(&c)
@@ -235,7 +235,7 @@
 	}
 	restart := c.Callers != old.Callers || c.Readiness != old.Readiness || c.PeerAddress() != old.PeerAddress() || c.Peers != old.Peers || c.Store != old.Store ||
 		c.ReadWait() != old.ReadWait() || c.Timing().PollInterval != old.Timing().PollInterval
-	n.log.Info("settings reloaded", "path", path, "key_freshness_ms", c.KeyFreshness.Milliseconds(), "key_outage_ms", c.KeyOutage.Milliseconds(),
+	n.log.Info("settings reloaded", "key_freshness_ms", c.KeyFreshness.Milliseconds(), "key_outage_ms", c.KeyOutage.Milliseconds(),
 		"retry_ratio", c.RetryRatio, "retry_slack", c.RetrySlack, "needs_restart", restart)
 	return nil
 }
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -431,10 +431,10 @@
 
 func TestReload(t *testing.T) {
 	s := newFixture(t, platformtest.Echo)
-	file := func(text string) string {
+	file := func(text string) (args []string) {
 		p := t.TempDir() + "/gateway.toml"
 		require.NoError(t, writeFile(p, text))
-		return p
+		return []string{"gateway", "--config", p}
 	}
 	c := s.gateway.settings.Load()
 	base := fmt.Sprintf("role = \"gateway\"\nbox = %q\nhall = \"z1\"\ncallers = %q\nreadiness = %q\nstore = %q\n", c.Box, c.Callers, c.Readiness, c.Store)
@@ -446,8 +446,23 @@
 		require.ErrorContains(t, err, "gateway.toml:7: key_freshness must be a duration")
 		require.Equal(t, 7*time.Second, s.gateway.settings.Load().KeyFreshness)
 	})
+	t.Run("settings that do not fit each other change nothing", func(t *testing.T) {
+		require.ErrorContains(t, s.gateway.Reload(file(base+"linger = \"9s\"\n")), "linger is 9s, it must be shorter than grace (8s)")
+		require.Equal(t, 7*time.Second, s.gateway.settings.Load().KeyFreshness)
+	})
 	t.Run("a missing file changes nothing", func(t *testing.T) {
-		require.Error(t, s.gateway.Reload("/nonexistent"))
+		require.Error(t, s.gateway.Reload([]string{"gateway", "--config", "/nonexistent"}))
+	})
+	t.Run("a setting that is gone from the file has its default again", func(t *testing.T) {
+		require.NoError(t, s.gateway.Reload(file(base+"key_outage = \"10m\"\n")))
+		require.Equal(t, 10*time.Minute, s.gateway.settings.Load().KeyOutage)
+		require.NoError(t, s.gateway.Reload(file(base)))
+		require.Zero(t, s.gateway.settings.Load().KeyOutage)
+		require.Equal(t, setting.DefaultGateway().KeyFreshness, s.gateway.settings.Load().KeyFreshness)
+	})
+	t.Run("the command line has precedence, as at the start", func(t *testing.T) {
+		require.NoError(t, s.gateway.Reload(append(file(base+"key_outage = \"10m\"\n"), "--key-outage", "1m")))
+		require.Equal(t, time.Minute, s.gateway.settings.Load().KeyOutage)
 	})
 }
 
--- a/setting/gateway.go
+++ b/setting/gateway.go
@@ -5,7 +5,8 @@
 	"fmt"
 	"time"
 
-	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/alecthomas/kong"
+
 	"github.com/hollowgrade/hollowgrade/feed"
 )
 
@@ -98,21 +99,24 @@
 	return checkBounds(g)
 }
 
-// Reread returns the settings with the current values of the file; those that the file doesn't set
-// keep their values.
-func (g Gateway) Reread(path string) (n Gateway, err error) {
-	f, err := Read(path)
+// ParseGateway returns the settings that a gateway would start with now, given its arguments: those
+// of the command line, of the environment, and of the settings file that they name, in this order of
+// precedence, and else the defaults. Errors of the file have the code [fault.BadSetting].
+func ParseGateway(args []string) (g Gateway, err error) {
+	var c struct {
+		Gateway struct {
+			Config Flag
+			Gateway
+		} `cmd:""`
+	}
+	k, err := kong.New(&c, kong.DefaultEnvars(EnvPrefix))
 	if err != nil {
 		return g, err
 	}
-	n = g
-	if err = f.apply(&n); err != nil {
+	if _, err = k.Parse(args); err != nil {
 		return g, err
 	}
-	if err = n.Validate(); err != nil {
-		return g, fault.New(fault.BadSetting, "%s: %v", path, err)
-	}
-	return n, nil
+	return c.Gateway.Gateway, nil
 }
 
 // DefaultGateway returns the settings of a gateway with all defaults.
