cli: a planned stop has the grace of the settings file at SIGTERM

What callers saw: where graceS had become longer in changed settings, a gateway that was stopped ended within the earlier grace and cut streams that still had time (LOST).

Cause: the time of a planned stop was passed on by value at the start. Reload stored the new one, which nothing read. Now runUntil asks for the time when the stop begins, and a gateway reads its file again at that moment, since the file may change without a signal and is checked once a second only. Of the same cause: the first check took the file's version after the settings had been read, so that a change between the two was never seen. The first check now always reloads.

Evidence: TestStopHasTheGraceOfTheChangedFile, real processes, without a signal and with SIGHUP before or after SIGTERM: 3 of 3 parts red before ("unexpected EOF" of the stream), green now. TestSettingsThatChangeDuringTheStartAreReloaded: red before (no reload in 10 s), green now. Both also with the race detector.

--- a/cmd/hollowgrade/signals_test.go
+++ b/cmd/hollowgrade/signals_test.go
@@ -80,13 +80,25 @@
 	return g
 }
 
-// release gives the process its settings. Later readers find them in a plain file.
-func (g *signalGateway) release(t *testing.T) {
+// layOut replaces the settings file by a plain one with further lines.
+func (g *signalGateway) layOut(t *testing.T, more string) {
 	t.Helper()
 	next := g.path + ".next"
-	require.NoError(t, os.WriteFile(next, []byte(g.settings), 0o600))
+	require.NoError(t, os.WriteFile(next, []byte(g.settings+more), 0o600))
 	require.NoError(t, os.Rename(next, g.path))
-	_, err := io.WriteString(g.held, g.settings)
+}
+
+// release gives the process its settings, with further lines. Later readers find a plain file.
+func (g *signalGateway) release(t *testing.T, more string) {
+	t.Helper()
+	g.layOut(t, more)
+	g.releaseOnly(t, more)
+}
+
+// releaseOnly gives the process its settings and leaves the file as it is.
+func (g *signalGateway) releaseOnly(t *testing.T, more string) {
+	t.Helper()
+	_, err := io.WriteString(g.held, g.settings+more)
 	require.NoError(t, err)
 	require.NoError(t, g.held.Close())
 }
@@ -155,7 +167,7 @@
 			t.Parallel()
 			g := startHeld(t)
 			g.sendSignals(t, syscall.SIGHUP, syscall.SIGHUP) // at the start
-			g.release(t)
+			g.release(t, "")
 			g.sendSignals(t, syscall.SIGHUP)
 			g.awaitReady(t)
 			stream, once := g.send(t, "/stream/x", "a1"), g.send(t, "/once/x", "a2")
@@ -170,7 +182,7 @@
 		t.Parallel()
 		g := startHeld(t)
 		g.sendSignals(t, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM)
-		g.release(t)
+		g.release(t, "")
 		g.requireExit(t)
 	})
 	for i, role := range []string{"entry", "agent"} {
@@ -188,3 +200,37 @@
 		})
 	}
 }
+
+// Guards against a planned stop that is as short as the settings said earlier.
+func TestStopHasTheGraceOfTheChangedFile(t *testing.T) {
+	t.Parallel()
+	for name, signals := range map[string][]syscall.Signal{
+		"without a signal":   {syscall.SIGTERM},
+		"with a late signal": {syscall.SIGTERM, syscall.SIGHUP},
+		"with a signal":      {syscall.SIGHUP, syscall.SIGTERM},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := startHeld(t)
+			g.release(t, "grace = \"2s\"\n") // shorter than the stream
+			g.awaitReady(t)
+			stream, once := g.send(t, "/stream/x", "a1"), g.send(t, "/once/x", "a2")
+			g.layOut(t, "grace = \"8s\"\n")
+			g.sendSignals(t, signals...)
+			requireWholeStream(t, stream)
+			requireWholeStream(t, once)
+			g.requireExit(t)
+		})
+	}
+}
+
+// Guards against a changed file that is never read since it changed between the reading of the
+// settings at the start and the first check for changes.
+func TestSettingsThatChangeDuringTheStartAreReloaded(t *testing.T) {
+	t.Parallel()
+	g := startHeld(t)
+	g.layOut(t, "key_freshness = \"7s\"\n")
+	g.releaseOnly(t, "key_freshness = \"5s\"\n")
+	defer time.AfterFunc(10*time.Second, func() { _ = g.Process.Kill() }).Stop()
+	require.Equal(t, "7000", field(t, g.await(t, "settings reloaded"), "key_freshness_ms"))
+}
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -29,7 +29,7 @@
 	}
 	go logHangups(ctx, h, g)
 	g.Info("entry starts", "box", c.Box, "callers", n.Callers, "operators", n.Operators, "incarnation", n.Incarnation)
-	return runUntil(ctx, n.Node, c.DrainTimeout, g)
+	return runUntil(ctx, n.Node, func() time.Duration { return c.DrainTimeout }, g)
 }
 
 // agentCommand runs an agent.
@@ -50,7 +50,7 @@
 	}
 	go logHangups(ctx, h, g)
 	g.Info("agent starts", "box", c.Box, "peers", n.Peers, "operators", n.Operators, "incarnation", n.Incarnation)
-	return runUntil(ctx, n.Node, c.DrainTimeout, g)
+	return runUntil(ctx, n.Node, func() time.Duration { return c.DrainTimeout }, g)
 }
 
 // gatewayCommand runs a gateway.
@@ -84,7 +84,16 @@
 	l, cancel := context.WithCancel(context.WithoutCancel(ctx)) // settings are also reloaded during a planned stop
 	defer cancel()
 	go watchSettings(l, string(c.Config), h, func() { _ = n.Reload(a) })
-	return runUntil(ctx, n.Node, n.Grace(), g)
+	return runUntil(ctx, n.Node, func() time.Duration { return c.currentGrace(n, a) }, g)
+}
+
+// currentGrace returns how long a planned stop that begins now may take. The file may have changed
+// since the last check.
+func (c *gatewayCommand) currentGrace(n *node.GatewayNode, a arguments) time.Duration {
+	if c.Config != "" {
+		_ = n.Reload(a)
+	}
+	return n.Grace()
 }
 
 // logHangups says at each SIGHUP that the role doesn't reload its settings.
@@ -99,14 +108,15 @@
 	}
 }
 
-// watchSettings calls reload at each SIGHUP and whenever the file has changed.
+// watchSettings calls reload at each SIGHUP and whenever the file has changed. The first check
+// always does: the file may have changed since it was read at the start.
 func watchSettings(ctx context.Context, path string, h Hangups, reload func()) {
 	if path == "" {
 		return
 	}
 	t := time.NewTicker(reloadInterval)
 	defer t.Stop()
-	last := readFileVersion(path)
+	var last fileVersion
 	for {
 		select {
 		case <-ctx.Done():
@@ -136,14 +146,16 @@
 	return fileVersion{size: i.Size(), changed: i.ModTime()}
 }
 
-// runUntil runs a process until ctx ends, such as by SIGTERM, and then drains it.
-func runUntil(ctx context.Context, n *node.Node, drain time.Duration, g *log.Logger) error {
+// runUntil runs a process until ctx ends, such as by SIGTERM, and then drains it for at most the time
+// that drain returns at that moment.
+func runUntil(ctx context.Context, n *node.Node, drain func() time.Duration, g *log.Logger) error {
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
 	<-ctx.Done()
-	g.Info("draining", "box", n.Box.Name, "timeout", drain.String())
-	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), drain)
+	d := drain()
+	g.Info("draining", "box", n.Box.Name, "timeout", d.String())
+	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), d)
 	defer cancel()
 	err := n.Stop(c)
 	g.Info("stopped", "box", n.Box.Name, "err", err)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -62,6 +62,7 @@
 	*Node
 	Core      *core.Core
 	Operators string
+	reloading sync.Mutex
 	settings  atomic.Pointer[setting.Gateway]
 	callers   *callers.Server
 	config    *feed.Feed
@@ -222,6 +223,8 @@
 // Reload reads the settings again, as a start with the arguments would, and applies those that can
 // change while the process runs.
 func (n *GatewayNode) Reload(args []string) error {
+	n.reloading.Lock()
+	defer n.reloading.Unlock()
 	old := n.settings.Load()
 	c, err := setting.ParseGateway(args)
 	if err != nil {
