core: a changed ratio of retries is in force for services that were called before

Cause: a service's window took its ratio when it was made; only the slack was set anew. Now both are.

Evidence: TestChangedRetryRatioIsInForce, red before ("0" is not positive: no retry under a ratio of 0.5), green now, also with the race detector.

--- a/core/core.go
+++ b/core/core.go
@@ -207,7 +207,8 @@
 	}
 }
 
-// SetBounds replaces the bounds that calls have to meet.
+// SetBounds replaces the bounds that calls have to meet. The length of the window for retries stays
+// for services that have been called.
 func (c *Core) SetBounds(b Bounds) {
 	c.bounds.Store(&b)
 }
@@ -256,12 +257,14 @@
 	defer c.mu.Unlock()
 	b := c.bounds.Load()
 	slack := budgetShare * b.RetrySlack / float64(max(c.processes(), minProcesses))
+	ratio := budgetShare * b.RetryRatio
 	w, ok := c.budgets[service]
 	if !ok {
-		w = retry.NewWindow(b.RetryWindow, budgetShare*b.RetryRatio, slack, c.started)
+		w = retry.NewWindow(b.RetryWindow, ratio, slack, c.started)
 		c.budgets[service] = w
 	}
 	w.SetSlack(slack)
+	w.SetRatio(ratio)
 	return w
 }
 
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -420,6 +420,29 @@
 	require.Equal(t, calls, retries+spent)
 }
 
+// Guards against a changed ratio of retries that is in force for new services only.
+func TestChangedRetryRatioIsInForce(t *testing.T) {
+	f := &fakeUpstreams{replies: []reply{broken}}
+	b := Bounds{KeyFreshness: time.Minute, Freshness: time.Minute, RetryWindow: time.Minute}
+	c := newCore(f, WithBounds(b))
+	retriesOf := func(from, to int) (n int) {
+		before := len(f.sentCalls())
+		for i := from; i < to; i++ {
+			k := call("/again/")
+			k.Body = fmt.Append(nil, i) // one request that is lost repeatedly is quarantined
+			_ = c.Serve(context.Background(), k, &fakeSink{})
+		}
+		return len(f.sentCalls()) - before - (to - from)
+	}
+	require.Zero(t, retriesOf(0, 20))
+	b.RetryRatio = 0.5
+	c.SetBounds(b)
+	require.Positive(t, retriesOf(20, 40))
+	b.RetryRatio = 0
+	c.SetBounds(b)
+	require.Zero(t, retriesOf(40, 60))
+}
+
 func TestWeights(t *testing.T) {
 	r := Route{Targets: []Target{{"a", 90}, {"b", 10}, {"c", 0}}}
 	n := map[string]int{}
--- a/retry/window.go
+++ b/retry/window.go
@@ -65,6 +65,13 @@
 	w.slack = n
 }
 
+// SetRatio sets the number of retries that are allowed for each first attempt.
+func (w *Window) SetRatio(r float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ratio = r
+}
+
 // allows reports whether one more retry is within the bound. The lock is held.
 func (w *Window) allows(now time.Time) bool {
 	f, a := 0, 0
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -57,4 +57,11 @@
 		w.SetSlack(1)
 		require.True(t, w.Spend(at(0)))
 	})
+	t.Run("the ratio changes", func(t *testing.T) {
+		w := NewWindow(10*time.Second, 0, 0, start)
+		w.RecordFirst(at(0))
+		require.False(t, w.Spend(at(0)))
+		w.SetRatio(1)
+		require.True(t, w.Spend(at(0)))
+	})
 }
