node: a reload puts each changed setting in force or names it as in need of a restart

What operators saw: the line of a reload said needs_restart false for 15 changed settings that were not in force (a scratch trial over all settings, one changed at a time): box, hall, operators, seeds, fleet_wait, members_wait, config_max_bytes, leave_within, link_mbps, long_wait, max_connections, memory_mb, retry_window, linger and caller_stall. max_connections and retry_window were in force in part.

Cause: what a reload does stood nowhere; each use of a setting decided it. Values in need of a restart stay those of the start everywhere, and the line lists their names, as a warning if there are any. linger and caller_stall are read when they are used, so that they are in force at once.

WithLinger takes a function; the tests of callers pass one with the values of before.

--- a/callers/server.go
+++ b/callers/server.go
@@ -45,7 +45,7 @@
 	limits     func() Limits
 	clock      hollowgrade.Clock
 	log        *log.Logger
-	linger     time.Duration
+	linger     func() time.Duration
 	acceptGate func(context.Context)
 
 	mu             sync.Mutex
@@ -83,10 +83,10 @@
 	return func(s *Server) { s.limits = f }
 }
 
-// WithLinger sets for how long a planned stop goes on accepting connections, until the balancer
-// sends callers elsewhere.
-func WithLinger(d time.Duration) Option {
-	return func(s *Server) { s.linger = d }
+// WithLinger sets the function that returns for how long a planned stop that begins goes on accepting
+// connections, until the balancer sends callers elsewhere.
+func WithLinger(f func() time.Duration) Option {
+	return func(s *Server) { s.linger = f }
 }
 
 // WithAcceptGate sets a function that must return before the first connection is accepted. Earlier
@@ -103,6 +103,7 @@
 		listener:   l,
 		handler:    h,
 		limits:     func() Limits { return Limits{} },
+		linger:     func() time.Duration { return 0 },
 		clock:      hollowgrade.SystemClock(),
 		log:        log.Default(),
 		acceptGate: func(context.Context) {},
@@ -152,7 +153,7 @@
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
-	hollowgrade.Sleep(ctx, s.clock, s.linger)
+	hollowgrade.Sleep(ctx, s.clock, s.linger())
 	_ = s.listener.Close()
 	s.server.SetKeepAlivesEnabled(false) // earlier answers did not ask the caller to close
 	err := s.drain(ctx)
--- a/callers/server_test.go
+++ b/callers/server_test.go
@@ -93,6 +93,18 @@
 	require.Equal(t, http.StatusOK, r.StatusCode)
 }
 
+// Guards against a linger that is changed while the server runs and not in force.
+func TestLingerIsThatOfTheTimeOfTheStop(t *testing.T) {
+	var linger atomic.Int64
+	linger.Store(int64(time.Hour))
+	s, _ := start(t, func(http.ResponseWriter, *http.Request) {}, WithLinger(func() time.Duration { return time.Duration(linger.Load()) }))
+	linger.Store(0)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, s.Stop(ctx))
+	require.NoError(t, ctx.Err())
+}
+
 func TestPlannedStop(t *testing.T) {
 	release := make(chan struct{})
 	entered := make(chan struct{})
@@ -101,7 +113,7 @@
 			close(entered)
 			<-release
 		}
-	}, WithLinger(time.Second))
+	}, WithLinger(func() time.Duration { return time.Second }))
 	kept, keptIn := dial(t, a)
 	require.False(t, exchange(t, kept, keptIn).Close)
 	long, longIn := dial(t, a)
@@ -173,7 +185,7 @@
 		close(entered)
 		<-release
 		l.slow.Store(true)
-	}, WithLinger(0))
+	}, WithLinger(func() time.Duration { return 0 }))
 	c, in := dial(t, a)
 	fmt.Fprint(c, request)
 	<-entered
@@ -201,7 +213,7 @@
 		require.NoError(t, http.NewResponseController(w).Flush())
 		close(entered)
 		<-release
-	}, WithLinger(0))
+	}, WithLinger(func() time.Duration { return 0 }))
 	c, in := dial(t, a)
 	fmt.Fprint(c, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")
 	<-entered
--- a/core/core.go
+++ b/core/core.go
@@ -213,6 +213,11 @@
 	c.bounds.Store(&b)
 }
 
+// Bounds returns the bounds that calls have to meet.
+func (c *Core) Bounds() Bounds {
+	return *c.bounds.Load()
+}
+
 // Fleet returns the table of upstreams.
 func (c *Core) Fleet() *Fleet {
 	return c.fleet
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -63,7 +63,8 @@
 	Core      *core.Core
 	Operators string
 	reloading sync.Mutex
-	settings  atomic.Pointer[setting.Gateway]
+	started   setting.Gateway                 // the settings at the start
+	settings  atomic.Pointer[setting.Gateway] // those in force
 	callers   *callers.Server
 	config    *feed.Feed
 	held      *feed.Feed // blocked requests
@@ -83,7 +84,7 @@
 		return nil, err
 	}
 	s := platform.NewStore(c.Store)
-	n = &GatewayNode{Node: b, unused: new(atomic.Int64)}
+	n = &GatewayNode{Node: b, unused: new(atomic.Int64), started: c}
 	n.members = newMembers(c, s.Members(), b.clock, g, n.unused)
 	n.settings.Store(&c)
 	if err = c.CheckFreshness(); err != nil {
@@ -168,9 +169,9 @@
 		return err
 	}
 	n.bodies = callers.NewBudget(int64(bodyMemoryShare * float64(c.MemoryMB) * megabyte))
-	handler := platform.NewHandler(n.Core, n.limits, n.clock, g, platform.WithStall(c.CallerStall), platform.WithBodies(n.bodies))
+	handler := platform.NewHandler(n.Core, n.limits, n.clock, g, platform.WithStall(n.callerStall), platform.WithBodies(n.bodies))
 	n.callers = callers.New(netutil.LimitListener(l, c.MaxConnections), handler,
-		callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(c.Linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
+		callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(n.linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
 	l, err = listen(c.Readiness)
 	if err != nil {
 		return err
@@ -220,26 +221,37 @@
 	return n.settings.Load().Grace - exitMargin
 }
 
-// Reload reads the settings again, as a start with the arguments would, and applies those that can
-// change while the process runs.
+func (n *GatewayNode) linger() time.Duration {
+	return n.settings.Load().Linger
+}
+
+func (n *GatewayNode) callerStall() time.Duration {
+	return n.settings.Load().CallerStall
+}
+
+// Reload reads the settings again, as a start with the arguments would. It puts in force those that
+// can change while the process runs, and logs which of the changed ones need a restart.
 func (n *GatewayNode) Reload(args []string) error {
 	n.reloading.Lock()
 	defer n.reloading.Unlock()
-	old := n.settings.Load()
-	c, err := setting.ParseGateway(args)
+	r, err := setting.ParseGateway(args)
 	if err != nil {
 		n.log.Error("settings not reloaded, the old ones stay in force", "err", err)
 		return err
 	}
+	c := n.started.WithReloaded(r)
 	n.settings.Store(&c)
 	n.Core.SetBounds(bounds(c))
+	restart := n.started.NeedsRestart(r)
+	level := log.InfoLevel
+	if len(restart) > 0 {
+		level = log.WarnLevel
+	}
+	n.log.Log(level, "settings reloaded", "key_freshness_ms", c.KeyFreshness.Milliseconds(), "key_outage_ms", c.KeyOutage.Milliseconds(),
+		"retry_ratio", c.RetryRatio, "retry_slack", c.RetrySlack, "grace_ms", c.Grace.Milliseconds(), "needs_restart", restart)
 	if l, err := log.ParseLevel(c.Verbosity); err == nil {
 		n.log.SetLevel(l)
 	}
-	restart := c.Callers != old.Callers || c.Readiness != old.Readiness || c.PeerAddress() != old.PeerAddress() || c.Peers != old.Peers || c.Store != old.Store ||
-		c.ReadWait() != old.ReadWait() || c.Timing().PollInterval != old.Timing().PollInterval
-	n.log.Info("settings reloaded", "key_freshness_ms", c.KeyFreshness.Milliseconds(), "key_outage_ms", c.KeyOutage.Milliseconds(),
-		"retry_ratio", c.RetryRatio, "retry_slack", c.RetrySlack, "needs_restart", restart)
 	return nil
 }
 
--- a/setting/gateway.go
+++ b/setting/gateway.go
@@ -101,7 +101,7 @@
 
 // ParseGateway returns the settings that a gateway would start with now, given its arguments: those
 // of the command line, of the environment, and of the settings file that they name, in this order of
-// precedence, and else the defaults. Errors of the file have the code [fault.BadSetting].
+// precedence, and else the defaults. Errors of the file are like those of [Read].
 func ParseGateway(args []string) (g Gateway, err error) {
 	var c struct {
 		Gateway struct {
