--- a/callers/close_test.go
+++ b/callers/close_test.go
@@ -204,7 +204,7 @@
 	})
 	t.Run("a planned stop", func(t *testing.T) {
 		l := watch(t)
-		s, a := startOn(t, l, ok, WithLinger(0))
+		s, a := startOn(t, l, ok, WithLinger(func() time.Duration { return 0 }))
 		cs := keep(t, l, connections)
 		open := l.reads.close()
 		sendAll(t, l, cs)
