soak: limits that change, signals in series, other graces, squeezed and isolated gateways

Callers with raw connections of their own let these rest, so that it is known what became of a request; new checks for requests that a gateway took and did not answer, for stops that do not end by themselves with status 0, for processes that end unasked and for workers whose entry went. One planted breach at least each.

--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -74,6 +74,43 @@
 	addSignal(h, signal{limit: g.limit}, 30)
 }
 
+// cutKept breaks off a request on a kept connection some time after its last byte, beside a configuration.
+// Of the configurations the first one is beside the case's own request.
+func cutKept(h *history, q *request, seconds float64, passedOn bool) {
+	q.status, q.complete, q.answer, q.err, q.raw, q.kept = 0, false, "", "EOF", true, true
+	q.lastByte, q.ended = q.sent, q.sent.Add(time.Duration(seconds*float64(time.Second)))
+	h.configs = append(h.configs, q.sent.Add(-time.Second))
+	if !passedOn {
+		h.runs = nil
+	}
+}
+
+// cutOften breaks off requests at other times than beside a configuration.
+func cutOften(h *history, n int) {
+	for i := range n {
+		cutKept(h, addServed(h, fmt.Sprint("cut", i), 20+float64(i)), 0.1, true)
+	}
+	h.configs = nil
+}
+
+// cutInStop breaks off a request some time after the SIGTERM of a stop with a grace of 4 s.
+func cutInStop(h *history, q *request, seconds float64) {
+	q.complete, q.raw, q.answer, q.want, q.err, q.ended = false, true, "id", "id: 1", "EOF", at(9+seconds)
+	h.stops = []*plannedStop{{kind: changeGrace, from: at(9), ended: at(13), least: 4 * time.Second, end: "exit status 0", clean: true}}
+}
+
+// endStop adds a planned stop.
+func endStop(h *history, end string, clean bool) {
+	h.stops = []*plannedStop{{kind: signalSeries, from: at(10), ended: at(14), least: 4 * time.Second, end: end, clean: clean}}
+}
+
+// endSilently adds ends of gateways' processes that had not begun to work.
+func endSilently(h *history, gateways ...int) {
+	for _, g := range gateways {
+		h.ownEnds = append(h.ownEnds, ownEnd{g, at(9), "signal: hangup", true})
+	}
+}
+
 // TestPlantedBreaches guards against a check that finds nothing, or too much: each case adds one
 // violation, or one allowed deviation, to a history without violations.
 func TestPlantedBreaches(t *testing.T) {
@@ -197,6 +234,60 @@
 			h.runs = nil
 		}, ""},
 		{"long prompt refused, and it ran", func(h *history, q *request) { makeLong(h, q, 503, 2) }, "REFUSED"},
+		{"cut beside a configuration", func(h *history, q *request) { cutKept(h, q, 0.1, true) }, "LOST"},
+		{"cut beside a configuration, never passed on", func(h *history, q *request) { cutKept(h, q, 0.3, false) }, "LOST"},
+		{"crosses the close beside a configuration", func(h *history, q *request) { cutKept(h, q, 0.1, false) }, ""},
+		{"cut beside a configuration, the gateway was killed", func(h *history, q *request) {
+			cutKept(h, q, 0.3, true)
+			h.spans = []span{{kind: killGateway, from: at(6), to: at(7.5)}}
+		}, ""},
+		{"cut beside a configuration, another gateway was killed", func(h *history, q *request) {
+			cutKept(h, q, 0.3, true)
+			h.spans = []span{{kind: killGateway, gateway: 1, from: at(6), to: at(7.5)}}
+		}, "LOST"},
+		{"cut beside a configuration, the gateway squeezed", func(h *history, q *request) {
+			cutKept(h, q, 0.3, true)
+			h.spans = []span{{kind: squeezeGateway, from: at(9), to: at(12)}}
+		}, "LOST"},
+		{"cut beside a configuration, most of its time gone", func(h *history, q *request) { cutKept(h, q, 2.5, true) }, ""},
+		{"cut as often beside a configuration as else", func(h *history, q *request) {
+			cutKept(h, q, 0.1, true)
+			cutKept(h, addServed(h, "else", 20), 0.1, true)
+			cutKept(h, addServed(h, "again", 21), 0.1, true)
+			h.configs = h.configs[:1]
+		}, ""},
+		{"cut on kept connections three times, passed on", func(h *history, _ *request) { cutOften(h, 3) }, ""},
+		{"cut on kept connections four times, passed on", func(h *history, _ *request) { cutOften(h, 4) }, "LOST"},
+		{"cut beside a SIGHUP", func(h *history, q *request) {
+			cutKept(h, q, 0.1, true)
+			h.configs, h.reloads = nil, []reload{{0, at(9)}}
+		}, "LOST"},
+		{"cut by a stop before the last sixth", func(h *history, q *request) { cutInStop(h, q, 3.2) }, "LOST"},
+		{"cut by a stop in the last sixth", func(h *history, q *request) { cutInStop(h, q, 3.4) }, ""},
+		{"stop that ends by a signal", func(h *history, _ *request) { endStop(h, "signal: hangup", false) }, "STOP"},
+		{"stop that ends with a status", func(h *history, _ *request) { endStop(h, "exit status 1", false) }, "STOP"},
+		{"stop that ends by itself", func(h *history, _ *request) { endStop(h, "exit status 0", true) }, ""},
+		{"stop that does not end, the process stood still", func(h *history, _ *request) {
+			endStop(h, "killed after 4s", false)
+			h.spans = []span{{kind: pauseGateway, from: at(11), to: at(13)}}
+		}, ""},
+		{"stop with standstills that does not end", func(h *history, _ *request) {
+			endStop(h, "killed after 5s", false)
+			h.stops[0].kind = pausedSeries
+			h.spans = []span{{kind: pausedSeries, from: at(9), to: at(16)}}
+		}, "STOP"},
+		{"ended by itself", func(h *history, _ *request) { h.ownEnds = []ownEnd{{0, at(9), "signal: hangup", false}} }, "ENDED"},
+		{"ended before it worked", func(h *history, _ *request) { endSilently(h, 0, 1) }, ""},
+		{"ended before it worked, each another", func(h *history, _ *request) { endSilently(h, 0, 1, 2) }, ""},
+		{"ended before it worked again and again", func(h *history, _ *request) { endSilently(h, 0, 0, 0) }, "ENDED"},
+		{"worker's entry went long before", func(h *history, _ *request) {
+			h.goneSince["w"] = at(1)
+			h.spans = []span{{kind: isolateGateway, from: at(0), to: at(7)}}
+		}, "DRAIN"},
+		{"worker's entry went long before, the gateway just isolated", func(h *history, _ *request) {
+			h.goneSince["w"] = at(1)
+			h.spans = []span{{kind: isolateGateway, from: at(0), to: at(7.5)}}
+		}, ""},
 		{"at a worker that there is not", func(h *history, _ *request) { h.runs[0].worker = "strange-1" }, "ENTRIES"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -29,11 +29,13 @@
 	signed, complete    bool
 	answer, want        string // received body, and the body that a worker would have sent
 	err                 string
-	retryAfter          bool   // the answer has the header
-	promptTokens        int    // 0 if it states none
-	parts               string // list of its prompt's parts, empty if it has none
-	atMostOnce          bool   // it must not run twice
-	probedRoute         string // path prefix of the route that it tests; empty if none
+	retryAfter          bool      // the answer has the header
+	raw, kept           bool      // sent on a connection of its own, and after another request on it
+	lastByte            time.Time // when the last byte of a raw request was sent, zero if it was not
+	promptTokens        int       // 0 if it states none
+	parts               string    // list of its prompt's parts, empty if it has none
+	atMostOnce          bool      // it must not run twice
+	probedRoute         string    // path prefix of the route that it tests; empty if none
 }
 
 // run is the arrival of a request at a worker.
@@ -59,10 +61,15 @@
 	leavingSince map[string]time.Time // by worker
 	added        map[string]time.Time // by path prefix of the route
 	received     []receivedSignal     // that workers sent to gateways in answers
+	goneSince    map[string]time.Time // by worker, of those whose entry went beside isolateGateway
+	configs      []time.Time          // when a configuration was written
+	reloads      []reload
+	stops        []*plannedStop
+	ownEnds      []ownEnd
 }
 
 func newHistory() *history {
-	return &history{requests: map[string]*request{}, revoked: map[string]time.Time{}, leavingSince: map[string]time.Time{}, added: map[string]time.Time{}}
+	return &history{requests: map[string]*request{}, revoked: map[string]time.Time{}, leavingSince: map[string]time.Time{}, added: map[string]time.Time{}, goneSince: map[string]time.Time{}}
 }
 
 // undisturbed reports whether no unplanned fault was in effect between the two times or less than
@@ -75,7 +82,7 @@
 
 // check returns the violations that it finds, one line each.
 func (h *history) check() (bs []string) {
-	for _, c := range []func() []string{h.wrongAnswers, h.repeatedRuns, h.ranAfterRefusal, h.unrequestedRuns, h.ranWithRevokedKey, h.ranWhileDraining, h.revertedRoutes, h.lateRoutes, h.cutByPlannedStop, h.retryBudget, h.harmfulForwarded, h.runsAtUnlistedWorkers, h.ranAfterLeaving, h.ranDuringRetryDelay, h.overLimit, h.longWithoutEnd} {
+	for _, c := range []func() []string{h.wrongAnswers, h.repeatedRuns, h.ranAfterRefusal, h.unrequestedRuns, h.ranWithRevokedKey, h.ranWhileDraining, h.revertedRoutes, h.lateRoutes, h.cutByPlannedStop, h.retryBudget, h.harmfulForwarded, h.runsAtUnlistedWorkers, h.ranAfterLeaving, h.ranDuringRetryDelay, h.overLimit, h.longWithoutEnd, h.cutBesideWork, h.cutInStops, h.badEnds, h.endedUnasked, h.ranAfterEntryWent} {
 		bs = append(bs, c()...)
 	}
 	return bs
--- a/internal/soak/long_test.go
+++ b/internal/soak/long_test.go
@@ -96,7 +96,7 @@
 		switch {
 		case q.promptTokens == 0:
 			return ""
-		case d >= requestTimeout+callerGrace && !h.gatewayHit(q, pauseGateway, suspendGateway):
+		case d >= requestTimeout+callerGrace && !h.gatewayHit(q, pauseGateway, suspendGateway, pausedSeries):
 			return fmt.Sprintf("WAIT, it ended after %s", d)
 		case q.status == 0 && !h.mayBreak(q, d):
 			return fmt.Sprintf("WAIT, no answer after %s", d)
@@ -110,6 +110,6 @@
 // mayBreak reports whether a request may end without an answer after a time. A gateway that is
 // stopped may reset connections that it has not accepted.
 func (h *history) mayBreak(q *request, d time.Duration) bool {
-	return isConnectionRefused(q.err) || h.gatewayHit(q, killGateway, pauseGateway, suspendGateway) ||
-		d < stopLinger && h.gatewayHit(q, stopGateway)
+	return isConnectionRefused(q.err) || h.gatewayHit(q, killGateway, pauseGateway, suspendGateway, pausedSeries) ||
+		d < stopLinger && h.gatewayHit(q, stopGateway, signalSeries, changeGrace)
 }
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -43,16 +43,24 @@
 	askForRest     // a worker refuses requests with a Retry-After header
 	kinds          // of the steps that are drawn among each other
 
-	restoreStore = kinds // the store comes back from an older copy
+	restoreStore   = kinds            // the store comes back from an older copy
+	changeLimits   = restoreStore + 1 // configurations in quick series, each with other limits
+	signalSeries   = restoreStore + 2 // SIGTERM with SIGHUP and SIGTERM again, and SIGHUP after the new start
+	pausedSeries   = restoreStore + 3 // the same with SIGSTOP and SIGCONT
+	changeGrace    = restoreStore + 4 // a planned stop, with another grace in the settings file
+	squeezeGateway = restoreStore + 5 // a small share of a processor, beside configurations with other limits
+	isolateGateway = restoreStore + 6 // no link to store and peers, while the peers restart and a worker's entry goes
+	allKinds       = isolateGateway + 1
 )
 
-var kindNames = [kinds + 1]string{
+var kindNames = [allKinds]string{
 	"kill gateway", "pause gateway", "stop gateway", "reload gateway", "silence store", "reset store", "store busy", "store away",
 	"store loses answers", "store forgets", "delay worker", "reset worker", "silence worker", "deafen worker", "crash worker",
 	"drain worker", "revoke key", "add route", "grow configuration", "silence peers", "reset peers", "delay peers",
 	"harmful request", "strange entries", "suspend gateway", "turn readers away",
 	"name limit", "leave in answers", "ask for rest",
 	"restore store",
+	"change limits", "signals in series", "signals and standstills in series", "change grace", "squeeze gateway", "isolate gateway",
 }
 
 func (k kind) String() string {
@@ -63,8 +71,11 @@
 // bounded in time.
 var plannedWork = []kind{stopGateway, reloadGateway, drainWorker, revokeKey, addRoute, growConfig, nameLimit, leaveInAnswers, askForRest}
 
+// plannedSeries has the kinds of newSeries that are planned work.
+var plannedSeries = []kind{changeLimits, signalSeries, changeGrace}
+
 func (k kind) planned() bool {
-	return slices.Contains(plannedWork, k)
+	return slices.Contains(plannedWork, k) || slices.Contains(plannedSeries, k)
 }
 
 // step is one fault of a plan.
@@ -108,6 +119,10 @@
 			at += calmPause
 		}
 	}
+	ss = append(ss, newSeries(seed, length, ss)...)
+	if storeTellsNoEra(seed) {
+		return append(ss, newIsolation(seed, ss))
+	}
 	return append(ss, newRestores(seed, length)...)
 }
 
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -12,6 +13,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -73,6 +75,7 @@
 func (w *world) newGateway(i int, seeds *[]string) *gateway {
 	g := &gateway{
 		name:           fmt.Sprint("box-", i),
+		index:          i,
 		callersAddress: freeAddress(w.t),
 		readyAddress:   freeAddress(w.t),
 		store:          newProxy(w.t, w.store.Address()),
@@ -85,7 +88,7 @@
 		g.store.rate, g.peers.rate, link = narrowLinkBytesPerSecond, narrowLinkBytesPerSecond, narrowLinkMbits
 	}
 	*seeds = append(*seeds, g.peers.address())
-	text := fmt.Sprintf(`role = "gateway"
+	g.settings = fmt.Sprintf(`role = "gateway"
 box = %q
 hall = "z1"
 callers = %q
@@ -97,18 +100,26 @@
 store = %q
 key_freshness = %q
 freshness = %q
-grace = %q
 linger = %q
 long_wait = true
 retry_ratio = %g
 retry_slack = %d
 retry_window = %q
-`, g.name, g.callersAddress, g.readyAddress, peers, g.peers.address(), link, strings.Join(*seeds, `", "`), g.store.address(), keyFreshness, maxApplyDelay, stopGrace, stopLinger,
+`, g.name, g.callersAddress, g.readyAddress, peers, g.peers.address(), link, strings.Join(*seeds, `", "`), g.store.address(), keyFreshness, maxApplyDelay, stopLinger,
 		retryRatio, retrySlack, retryWindow)
-	require.NoError(w.t, os.WriteFile(g.config, []byte(text), 0o600))
+	w.writeSettings(g, stopGrace)
 	return g
 }
 
+// writeSettings writes a gateway's settings file.
+func (w *world) writeSettings(g *gateway, grace time.Duration) {
+	part := g.config + ".part" // renaming makes the write atomic
+	text := fmt.Sprintf("%sgrace = %q\n", g.settings, grace)
+	if err := errors.Join(os.WriteFile(part, []byte(text), 0o600), os.Rename(part, g.config)); err != nil {
+		w.t.Errorf("settings of %s: %v", g.name, err)
+	}
+}
+
 // start starts a gateway's process, unless an overlapping step has already done so.
 func (w *world) start(g *gateway) {
 	g.mu.Lock()
@@ -129,10 +140,11 @@
 		return
 	}
 	done := make(chan struct{})
-	g.cmd, g.exited = c, done
+	g.cmd, g.exited, g.asked, g.logStart = c, done, false, logSize(out)
 	g.instance++
 	go func() {
 		_ = c.Wait() // its log has the reason of its exit
+		w.recordOwnEnd(g, c.ProcessState.String(), logSize(out))
 		_ = out.Close()
 		close(done)
 	}()
@@ -143,6 +155,7 @@
 func (g *gateway) signal(s syscall.Signal) chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.asked = g.asked || s == syscall.SIGTERM || s == syscall.SIGKILL
 	if g.cmd != nil {
 		_ = g.cmd.Process.Signal(s) // it may have exited already
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,7 +68,7 @@
 
 // runSeed runs the plan of one seed under load and checks the history.
 func runSeed(t *testing.T, binary string, seed uint64) {
-	w := newWorld(t, binary, worldSize{*gateways, *workers, *callers})
+	w := newWorld(t, binary, worldSize{*gateways, *workers, *callers, storeTellsNoEra(seed)})
 	defer w.close()
 	p := newPlan(seed, *length)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -80,6 +80,9 @@
 		cs.Go(func() { w.runCaller(ctx, seed, i) })
 	}
 	cs.Go(func() { w.runLongCaller(ctx, seed) })
+	for i := range *gateways * keptCallersPerGateway {
+		cs.Go(func() { w.runKeptCaller(ctx, seed, i) })
+	}
 	for _, s := range p {
 		fs.Go(func() {
 			time.Sleep(s.at - time.Since(start))
@@ -160,11 +163,17 @@
 	bs = append(bs, w.check()...)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	ok, long, longOK := 0, 0, 0
+	ok, long, longOK, kept, crossed := 0, 0, 0, 0, 0
 	for _, q := range w.history.requests {
 		if q.promptTokens > 0 {
 			long++
 		}
+		if q.kept {
+			kept++
+		}
+		if q.kept && !q.ended.IsZero() && !q.complete {
+			crossed++
+		}
 		if q.promptTokens > 0 && success(q) && q.complete {
 			longOK++
 		}
@@ -172,8 +181,8 @@
 			ok++
 		}
 	}
-	t.Logf("seed %d: %d faults, %d requests, %d served, %d arrivals at workers, %d large values from peers, %d suspensions, %d of %d long prompts answered, %d sent and %d refused after a wait, %d promises broken",
-		seed, len(p), len(w.history.requests), ok, len(w.history.runs), w.countLogged("value received"), w.countLogged("machine was suspended"), longOK, long, w.countLogged(`"sent".*"turn_wait_ms":[1-9]`), w.countLogged(`"not sent".*"turn_wait_ms":[1-9]`), len(bs))
+	t.Logf("seed %d: %d faults, %d requests, %d served, %d arrivals at workers, %d large values from peers, %d suspensions, %d of %d long prompts answered, %d sent and %d refused after a wait, %d on kept connections, %d of them without an answer, %d planned stops, %d processes ended before they worked, %d promises broken",
+		seed, len(p), len(w.history.requests), ok, len(w.history.runs), w.countLogged("value received"), w.countLogged("machine was suspended"), longOK, long, w.countLogged(`"sent".*"turn_wait_ms":[1-9]`), w.countLogged(`"not sent".*"turn_wait_ms":[1-9]`), kept, crossed, len(w.history.stops), len(w.history.ownEnds), len(bs))
 	if len(bs) == 0 && !t.Failed() {
 		require.NoError(t, os.RemoveAll(w.logs))
 		return
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -23,6 +23,7 @@
 // worldSize is the number of processes and stand-ins in a world.
 type worldSize struct {
 	gateways, workers, callers int
+	eraless                    bool // whether the store tells no era
 }
 
 const (
@@ -49,12 +50,18 @@
 	callersAddress string
 	readyAddress   string
 	store          *proxy
-	peers          *proxy    // through which peers reach it
+	peers          *proxy // through which peers reach it
+	index          int
 	cmd            *exec.Cmd // nil until the first start
 	exited         chan struct{}
 	instance       int
 
 	suspended time.Duration // total; the process reads it from a file
+	asked     bool          // whether the process got a signal that ends it
+	logStart  int64         // size of its log when the process started
+
+	work     sync.Mutex // held during planned stops
+	settings string     // content of its file without the grace
 }
 
 // worker is a stand-in worker behind a proxy; the registry has the proxy's address.
@@ -81,6 +88,9 @@
 	keys           []string
 	routes         []string // paths of the added routes
 	filler         int      // number of further routes, which no caller uses
+	limits         limits
+	idleLimits     []idleLimit
+	limitsChanged  chan struct{} // closed by the next change
 	signals        map[string]signal
 	engineBusy     map[string]time.Time // until when an engine prefills, by id
 	crashes        sync.WaitGroup       // pending crashes and restarts of workers
@@ -88,8 +98,11 @@
 
 func newWorld(t testing.TB, binary string, z worldSize) *world {
 	t.Helper()
-	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory(), signals: map[string]signal{}, engineBusy: map[string]time.Time{}}
+	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory(), signals: map[string]signal{}, engineBusy: map[string]time.Time{}, limits: initialLimits, limitsChanged: make(chan struct{})}
 	t.Cleanup(w.store.Close)
+	if z.eraless {
+		w.store.HideEra()
+	}
 	w.logs = filepath.Join(os.TempDir(), "hollowgrade-soak", fmt.Sprint(os.Getpid(), "-", time.Now().UnixNano()))
 	require.NoError(t, os.MkdirAll(w.logs, 0o755))
 	for i := range totalKeys {
@@ -123,7 +136,7 @@
 	route("/once/", `"kind":"unsafe","maxAttempts":2`)
 	route("/again/", `"kind":"safe","maxAttempts":2`)
 	route("/stream/", `"kind":"streaming","resumable":true,"gap_aim_ms":200,"maxAttempts":3`)
-	routes = append(routes, longRoute)
+	routes = append(routes, longRoute, slowRoute)
 	for _, p := range w.routes {
 		route(p, `"kind":"safe","maxAttempts":2`)
 	}
@@ -131,8 +144,9 @@
 		route(fmt.Sprintf("/filler-%x/", hash(fmt.Sprint(i))), `"kind":"safe","maxAttempts":2`)
 	}
 	w.store.Put("keyed.op", "config", []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"},%s],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"o","apiKeys":["%s"]}]}`, w.version, strings.Join(routes, ","), longServiceRecord, strings.Join(w.keys, `","`))))
+ "limits":%s,
+ "tenants":[{"name":"o","apiKeys":["%s"]}]}`, w.version, strings.Join(routes, ","), longServiceRecord, w.limits, strings.Join(w.keys, `","`))))
+	w.recordConfig()
 }
 
 // addWorker starts a worker of a service and registers it.
@@ -162,7 +176,7 @@
 		return
 	}
 	id := r.Header.Get("Attempt-Id")
-	draw := hash(k.ID+id) % 100
+	draw := drawOf(k.ID, id)
 	body := ""
 	for i, q := range k.Requests() {
 		if q == r {
@@ -199,8 +213,21 @@
 	}
 }
 
+// draws is the number of values that decide on the behaviour to a request. Those of the failures are the least.
+const draws = 100
+
+// drawOf returns the draw of a request at a worker. Workers don't fail with slow streams.
+func drawOf(worker, id string) uint64 {
+	if strings.HasPrefix(id, slowPrefix) {
+		return draws - 1
+	}
+	return hash(worker+id) % draws
+}
+
 func answer(id string, draw uint64) platformtest.Behaviour {
 	switch {
+	case strings.HasPrefix(id, slowPrefix):
+		return platformtest.PacedStream(streamEvents, slowPause)
 	case !strings.HasPrefix(id, "stream") && !strings.HasPrefix(id, longPrefix):
 		return platformtest.Answer(http.StatusOK, "answer to "+id)
 	case draw < 20:
@@ -237,7 +264,7 @@
 	}
 	w.recordFault(s.kind, i, from, over)
 	switch s.kind {
-	case killGateway, pauseGateway, suspendGateway, stopGateway, reloadGateway:
+	case killGateway, pauseGateway, suspendGateway, stopGateway, reloadGateway, signalSeries, pausedSeries, changeGrace, squeezeGateway:
 		w.applyToProcess(g, s)
 	case silenceStore:
 		w.setModeFor(g.store, silence, s.duration)
@@ -281,7 +308,13 @@
 	case stopGateway:
 		w.stop(g)
 	case reloadGateway:
-		g.signal(syscall.SIGHUP)
+		w.reload(g)
+	case signalSeries, pausedSeries:
+		w.stopInSeries(g, s)
+	case changeGrace:
+		w.stopWithOtherGrace(g, s)
+	case squeezeGateway:
+		w.squeeze(g, s)
 	}
 }
 
@@ -316,12 +349,9 @@
 
 // stop stops a gateway as the platform does, SIGTERM and after stopGrace SIGKILL, and restarts it.
 func (w *world) stop(g *gateway) {
-	done := g.signal(syscall.SIGTERM)
-	select {
-	case <-done:
-	case <-time.After(stopGrace):
-		<-g.signal(syscall.SIGKILL)
-	}
+	g.work.Lock()
+	defer g.work.Unlock()
+	w.awaitEnd(w.beginStop(g, stopGateway, stopGrace), stopGrace)
 	w.start(g)
 }
 
@@ -359,6 +389,12 @@
 	case strangeEntries:
 		w.addInvalidEntries(s)
 		return
+	case changeLimits:
+		w.changeLimits(s)
+		return
+	case isolateGateway:
+		w.isolate(s)
+		return
 	}
 	k := w.worker(s.target)
 	if k == nil {
