hollowgrade: reading the clock runs no callback of a suspension on the stack of the caller

Cause: WorldClock.Now called the callbacks of a suspension that it found before it returned. Core.probeOf and Core.keepWatch read the clock with the lock of the core held, and the callback Core.Resume waits for it. The same was true of every reading of the clock under a lock that a callback takes.

Evidence: TestSuspensionThatIsFoundWithTheLockHeld (probe, end of a watch) and TestClockIsReadWithALockThatACallbackTakes (Now, Since, Until) hung before, each ended by its time-out of 5 s.

Change: Now, Since and Until leave the callbacks to a goroutine, one suspension after another, which ends when all are reported. CheckSuspension still calls them before it returns; its four users (Core.admit, Feed.Age, Feed.excerptFor, Agent.mayStart) hold no lock that a callback takes, and the two callbacks (Core.Resume, the line in the log) use Now and Suspensions only. The time includes the suspension before the callbacks run, so decisions that compare times are right meanwhile; only the new deadline timers come one scheduling later.

Measured: both tests pass at once; . ./core ./feed ./agent pass with the race detector, existing tests of suspensions unchanged.

--- a/core/suspend_test.go
+++ b/core/suspend_test.go
@@ -102,3 +102,45 @@
 		})
 	})
 }
+
+// Guards against callbacks of the clock that wait for the lock of the core on the stack of the caller that
+// holds it: a gateway hung there for good.
+func TestSuspensionThatIsFoundWithTheLockHeld(t *testing.T) {
+	u := hollowgrade.Upstream{ID: "unlisted"}
+	for name, f := range map[string]func(c *Core, suspend func()){
+		"by a probe": func(c *Core, suspend func()) {
+			suspend()
+			c.probeOf(u.Instance())
+		},
+		"at the end of a watch": func(c *Core, suspend func()) {
+			c.keepWatch(u, "c", probeResult{}, suspend) // it ends at once, since the upstream is not listed
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSuspendable()
+			c := s.core(&fakeUpstreams{})
+			done, resumed := make(chan struct{}), make(chan struct{})
+			s.OnSuspension(func(time.Duration) { close(resumed) })
+			go func() {
+				defer close(done)
+				f(c, func() {
+					s.suspend(10 * time.Second)
+					time.Sleep(50 * time.Millisecond) // until the clock checks again
+				})
+			}()
+			requireCloses(t, done)
+			requireCloses(t, resumed)
+		})
+	}
+}
+
+// requireCloses checks that a channel is closed within some seconds.
+func requireCloses(t *testing.T, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(5 * time.Second):
+		require.FailNow(t, "it hangs")
+	}
+}
--- a/worldclock.go
+++ b/worldclock.go
@@ -35,6 +35,8 @@
 	count       int
 	checkedAt   time.Time // on the steady clock
 	callbacks   []func(d time.Duration)
+	unreported  []time.Duration // suspensions for which the callbacks have not been called yet
+	reporting   bool            // whether a goroutine is calling the callbacks
 }
 
 // WorldClockOption configures a [WorldClock].
@@ -71,8 +73,11 @@
 	return time.Duration(t.Nano()), nil
 }
 
-// OnSuspension registers a function that is called with the duration of each suspension. The check
-// that detects the suspension calls it before it returns.
+// OnSuspension registers a function that is called with the duration of each suspension, in the order of
+// the suspensions and never twice at a time. [WorldClock.CheckSuspension] calls it before it returns,
+// unless the calls for an earlier suspension are still in progress, which it then follows. All other
+// methods may be called with a lock held that f waits for: f then runs on a goroutine of its own, and
+// the time already includes the suspension when f is called.
 func (w *WorldClock) OnSuspension(f func(d time.Duration)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -86,15 +91,19 @@
 	return w.count, w.suspended
 }
 
-// Now implements [Clock].
+// Now implements [Clock]. It does not wait for the callbacks of a suspension that it detects.
 func (w *WorldClock) Now() time.Time {
 	now := w.Clock.Now()
 	w.mu.Lock()
 	due := now.Sub(w.checkedAt) >= suspensionCheckInterval
 	all := w.suspended
 	w.mu.Unlock()
-	if due {
-		all = w.CheckSuspension()
+	if !due {
+		return now.Add(all)
+	}
+	all, report := w.detect()
+	if report {
+		go w.report()
 	}
 	return now.Add(all)
 }
@@ -109,25 +118,60 @@
 	return t.Sub(w.Now())
 }
 
-// CheckSuspension checks whether the machine was suspended since the last check. It returns the total
-// duration of the detected suspensions.
+// CheckSuspension checks whether the machine was suspended since the last check, and calls the callbacks
+// if it was. It must not be called with a lock held that they wait for. It returns the total duration of
+// the detected suspensions.
 func (w *WorldClock) CheckSuspension() time.Duration {
+	all, report := w.detect()
+	if report {
+		w.report()
+	}
+	return all
+}
+
+// detect checks whether the machine was suspended since the last check. It returns the total duration of
+// the detected suspensions, and whether the caller has to call report.
+func (w *WorldClock) detect() (all time.Duration, report bool) {
 	now, boot, ok := w.read()
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.checkedAt = now
 	d := boot - w.bootAtStart - now.Sub(w.started) - w.suspended
 	if !ok || d < minSuspension {
-		defer w.mu.Unlock()
-		return w.suspended
+		return w.suspended, false
 	}
 	w.suspended += d
 	w.count++
-	all, fs := w.suspended, w.callbacks
-	w.mu.Unlock()
-	for _, f := range fs {
-		f(d)
+	w.unreported = append(w.unreported, d)
+	report = !w.reporting
+	w.reporting = true
+	return w.suspended, report
+}
+
+// report calls the callbacks for all suspensions for which that has not been done.
+func (w *WorldClock) report() {
+	for {
+		d, fs, ok := w.nextReport()
+		if !ok {
+			return
+		}
+		for _, f := range fs {
+			f(d)
+		}
 	}
-	return all
+}
+
+// nextReport returns the earliest suspension for which the callbacks have not been called. It ends the
+// reporting if there is none.
+func (w *WorldClock) nextReport() (d time.Duration, fs []func(d time.Duration), ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.unreported) == 0 {
+		w.reporting = false
+		return 0, nil, false
+	}
+	d, w.unreported = w.unreported[0], w.unreported[1:]
+	return d, w.callbacks, true
 }
 
 // read reads both clocks. It returns false if too much time passed between the two readings, or if the
@@ -148,7 +192,8 @@
 }
 
 // CheckSuspension makes a [WorldClock] check whether the machine was suspended; it does nothing
-// for other clocks. Call it before decisions that depend on the age of something.
+// for other clocks. Call it before decisions that depend on the age of something, and without locks that
+// a callback of the clock waits for.
 func CheckSuspension(c Clock) {
 	if w, ok := c.(*WorldClock); ok {
 		w.CheckSuspension()
--- a/worldclock_test.go
+++ b/worldclock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,6 +92,96 @@
 	})
 }
 
+// Guards against callbacks on the stack of a caller that holds a lock which they wait for: reading the
+// clock then never returned.
+func TestClockIsReadWithALockThatACallbackTakes(t *testing.T) {
+	for name, read := range map[string]func(w *WorldClock){
+		"Now":   func(w *WorldClock) { w.Now() },
+		"Since": func(w *WorldClock) { w.Since(time.Time{}) },
+		"Until": func(w *WorldClock) { w.Until(time.Time{}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newMachine()
+			w := NewWorldClock(WithBootClock(m.boot))
+			var mu sync.Mutex
+			reported := make(chan time.Duration, 2)
+			w.OnSuspension(func(d time.Duration) {
+				mu.Lock()
+				defer mu.Unlock()
+				reported <- d
+			})
+			m.suspended = time.Minute
+			time.Sleep(2 * suspensionCheckInterval)
+			requireReturns(t, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				read(w)
+			})
+			require.InDelta(t, time.Minute, <-reported, float64(time.Second))
+			require.Empty(t, reported)
+		})
+	}
+}
+
+func TestCallbacksOfSuspensions(t *testing.T) {
+	t.Run("come one after another, in the order of the suspensions", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMachine()
+			w := NewWorldClock(WithBootClock(m.boot))
+			var began, ended []time.Duration
+			w.OnSuspension(func(d time.Duration) {
+				began = append(began, d)
+				time.Sleep(time.Second) // others are detected meanwhile
+				require.Equal(t, len(began), len(ended)+1)
+				ended = append(ended, d)
+			})
+			var want []time.Duration
+			for i := range 5 {
+				d := time.Duration(i+1) * time.Minute
+				m.suspended += d
+				want = append(want, d)
+				time.Sleep(suspensionCheckInterval)
+				w.Now()
+			}
+			time.Sleep(time.Minute)
+			synctest.Wait()
+			require.Equal(t, want, ended)
+		})
+	})
+	t.Run("may check for further ones", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMachine()
+			w := NewWorldClock(WithBootClock(m.boot))
+			n := 0
+			w.OnSuspension(func(time.Duration) {
+				if n++; n < 3 {
+					m.suspended += time.Minute
+				}
+				w.CheckSuspension()
+			})
+			m.suspended = time.Minute
+			require.Equal(t, time.Minute, w.CheckSuspension())
+			require.Equal(t, 3, n)
+		})
+	})
+}
+
+// requireReturns checks that f returns within some seconds.
+func requireReturns(t *testing.T, f func()) {
+	t.Helper()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		require.FailNow(t, "it doesn't return")
+	}
+}
+
 // BenchmarkWorldClock measures the cost of reading the clock: 83 ns for the monotonic clock alone, 112
 // ns with a check each 20 ms, 0.48 us with a check each time.
 func BenchmarkWorldClock(b *testing.B) {
