feed: doubt on an entry that went counts from when the trouble is known, and a cut of one's own casts none

Cause: the time until which an entry that goes may come back (Change.UncertainUntil) counted from the time-out of the last failed read. A read that is lost at the end of a cut times out up to 0.7 s after it, so that doubt ended 3.5 s after the cut; an entry that went 0.8 s after the cut and was learned 0.4 s later was used for 2 s from then. Besides, a gateway that had been cut off for long believed each entry that was missing for two seconds more, from when it learned of it.

Change: feed.contact, shared by the feeds of a relay, knows when polls of peers got no answer and the store said nothing either. A read that timed out while this process was cut off casts doubt from its sending; one that broke while it waited, or while peers answered, from its failure as before. After a silence of over 2 s, an entry that is missing once the view is whole is gone. Doubt after an outage of the store of which peers could be asked is unchanged.

Tests: calls of the stand-in store in internal/spread can be cut off; what was asked before a cut is never answered.

--- a/feed/backup.go
+++ b/feed/backup.go
@@ -56,6 +56,7 @@
 // noteReply records that a peer replied, and its standing. A source does not rely on others that
 // forward, since these may rely on it.
 func (r *Relay) noteReply(address string, s standing) {
+	r.contact.heard()
 	least := servedPeer
 	if !slices.Contains(r.sources(), r.self) {
 		least = forwardingPeer
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -73,6 +73,7 @@
 	peersFirst    func() bool // whether a view that was never complete waits for peers
 	minInterval   time.Duration
 	breaker       *Breaker
+	contact       *contact                         // shared with the other feeds of a relay
 	onReturn      func(kept func(key string) bool) // called when the view is complete after a return of the store
 	lossTime      time.Duration                    // how long records are believed that the store lost; 0 until they are written again
 	version       func(value []byte) int64         // version of a value; nil if values have none
@@ -107,6 +108,9 @@
 	synced          bool            // whether the next read can continue at next
 	readFailing     bool            // whether the last read failed
 	lastFailure     time.Time       // when a read last failed
+	troubleAt       time.Time       // latest time at which a read is known not to have been answered
+	readSent        time.Time       // when the current or last read was sent
+	readWait        time.Duration   // how long it waits at the store
 	following       bool            // whether this process makes no reads and relies on peers
 	answered        bool            // whether the store has answered since this process began to read
 	nextAnswerDue   time.Time       // when the answer to the current or next read is overdue
@@ -144,6 +148,7 @@
 	if f.breaker == nil {
 		f.breaker = NewBreaker(f.clock, func() time.Duration { return 0 })
 	}
+	f.contact = &contact{clock: f.clock}
 	return f
 }
 
@@ -301,6 +306,10 @@
 		wait = 0 // the freshness of the view has to be known at once
 	}
 	f.nextAnswerDue = sent.Add(wait + min(f.timing.AnswerGrace+2*f.lag, answerMargin))
+	f.readSent, f.readWait = sent, wait
+	if !f.synced {
+		f.readWait = 0
+	}
 	return f.next, f.synced, wait
 }
 
@@ -369,11 +378,15 @@
 // three seconds, the time after which a box that reaches the store again has to follow the registry.
 const uncertainPeriod = 2800 * time.Millisecond
 
-// uncertainUntil returns until when changes that arrive now may be effects of an outage, or zero.
-// The caller holds the lock.
+// uncertainUntil returns until when changes that arrive now may be effects of an outage of the store, or
+// zero. It is zero if this process itself was cut off so long that such effects are over, as far as it can
+// know. The caller holds the lock.
 func (f *Feed) uncertainUntil() time.Time {
+	if f.contact.isolatedSince(f.fresh) {
+		return time.Time{}
+	}
 	now := f.clock.Now()
-	if until := f.lastFailure.Add(uncertainPeriod); !f.lastFailure.IsZero() && now.Before(until) {
+	if until := f.troubleAt.Add(uncertainPeriod); !f.troubleAt.IsZero() && now.Before(until) {
 		return until
 	}
 	if !f.fresh.IsZero() && now.Sub(f.fresh) > f.wait+uncertainPeriod {
@@ -382,6 +395,18 @@
 	return time.Time{}
 }
 
+// troubleTime returns the latest time at which the store or the way to it is known to have failed, as of a
+// read that fails now. A read without an answer may have been lost when it was sent, and this process may
+// have been in touch again since; peers that answered all the time rule that out. The caller holds the
+// lock.
+func (f *Feed) troubleTime() time.Time {
+	now := f.clock.Now()
+	if f.readSent.IsZero() || now.Sub(f.readSent) < f.readWait || !f.contact.cutOffSince(f.readSent) {
+		return now
+	}
+	return f.readSent
+}
+
 // unconfirmedSinceFailure reports whether the last read of the store failed and no peer has
 // confirmed the view since.
 func (f *Feed) unconfirmedSinceFailure() bool {
@@ -410,7 +435,7 @@
 func (f *Feed) noteReadFailed(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lastFailure = f.clock.Now()
+	f.lastFailure, f.troubleAt = f.clock.Now(), f.troubleTime()
 	if f.readFailing {
 		return
 	}
@@ -450,6 +475,7 @@
 }
 
 func (f *Feed) noteReadAnswered() {
+	f.contact.heard()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answered = true
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -353,3 +353,28 @@
 		require.Equal(t, now.Add(-2*time.Second), f.Fresh())
 	})
 }
+
+// Guards against a read that was lost in a cut and timed out after it: an upstream that left after the cut was
+// used for 2.4 s.
+func TestAReadThatWasLostInACutCastsDoubtFromItsSending(t *testing.T) {
+	failed := func(t *testing.T, cutOff bool, wait, took time.Duration) (doubted time.Duration) {
+		t.Helper()
+		synctest.Test(t, func(*testing.T) {
+			f := New("f", newTopic(), WithLogger(log.New(io.Discard)), WithWait(wait))
+			f.Merge(page(1), time.Now())
+			f.synced = true
+			sent := time.Now()
+			f.planRead(sent, wait == 0)
+			time.Sleep(took)
+			if cutOff {
+				f.contact.lost(sent.Add(time.Millisecond), errDown)
+			}
+			f.noteReadFailed(errDown)
+			doubted = f.uncertainUntil().Sub(sent)
+		})
+		return doubted
+	}
+	require.Equal(t, uncertainPeriod, failed(t, true, 0, 700*time.Millisecond))
+	require.Equal(t, 700*time.Millisecond+uncertainPeriod, failed(t, false, 0, 700*time.Millisecond), "peers answered meanwhile, so the store is at fault")
+	require.Equal(t, 500*time.Millisecond+uncertainPeriod, failed(t, true, time.Second, 500*time.Millisecond), "broken while it waited")
+}
--- a/feed/poll.go
+++ b/feed/poll.go
@@ -170,6 +170,7 @@
 	r.received.Add(t.bytes)
 	if err != nil {
 		r.noteNoReply(address)
+		r.contact.lost(sent, err)
 		r.noteCut(address, t.bytes, r.clock.Since(sent), errors.Join(d.Err(), err))
 		return nil
 	}
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -45,6 +45,7 @@
 	pollNow          chan struct{} // signals a round in which no polled peer was served: others are polled at once
 
 	breaker *Breaker
+	contact *contact
 	started time.Time   // when this process started
 	listed  func() bool // whether the list of processes has been read
 
@@ -136,6 +137,7 @@
 	r.started = r.clock.Now()
 	r.lastServedReply = r.started
 	r.breaker = NewBreaker(r.clock, r.probeInterval)
+	r.contact = &contact{clock: r.clock}
 	return r
 }
 
@@ -165,6 +167,9 @@
 // Add adds feeds. It is called before Run.
 func (r *Relay) Add(fs ...*Feed) {
 	r.feeds = append(r.feeds, fs...)
+	for _, f := range fs {
+		f.contact = r.contact
+	}
 }
 
 // Reads reports whether this process has to read the store itself, as a reader or as a backup.
--- a/internal/spread/fleet_test.go
+++ b/internal/spread/fleet_test.go
@@ -123,6 +123,7 @@
 	silent  func(box string) bool
 	refused func(box string) bool // whether the store refuses a box's calls at once
 	calls   *callCounter
+	cuts    func(box string) (n int, now bool) // how often a box was cut off from the store, and whether it is now
 }
 
 // callCounter counts calls to the store.
@@ -159,6 +160,8 @@
 
 func (t *remoteTopic) Newest(ctx context.Context, patience time.Duration) (p hollowgrade.KeyedPage, err error) {
 	t.calls.add()
+	answered := t.watchCuts(patience)
+	defer func() { err = errors.Join(err, answered(ctx)) }()
 	if t.refused(t.box) {
 		return p, errDown
 	}
@@ -170,6 +173,8 @@
 
 func (t *remoteTopic) Wait(ctx context.Context, from int64, d, patience time.Duration) (p hollowgrade.KeyedPage, err error) {
 	t.calls.add()
+	answered := t.watchCuts(d + patience)
+	defer func() { err = errors.Join(err, answered(ctx)) }()
 	if t.refused(t.box) {
 		return p, errDown
 	}
@@ -179,6 +184,19 @@
 	return p, err
 }
 
+// watchCuts returns a function that fails a call after its time if the box was cut off since the call began.
+func (t *remoteTopic) watchCuts(timeout time.Duration) (answered func(ctx context.Context) error) {
+	begun := time.Now()
+	n, now := t.cuts(t.box)
+	return func(ctx context.Context) error {
+		if m, _ := t.cuts(t.box); m == n && !now {
+			return nil
+		}
+		hollowgrade.Sleep(ctx, hollowgrade.SystemClock(), time.Until(begun.Add(timeout)))
+		return errDown
+	}
+}
+
 // transmit waits for the time that the answer takes to arrive.
 func (t *remoteTopic) transmit(ctx context.Context, p hollowgrade.KeyedPage, patience time.Duration) error {
 	left := 0
@@ -219,6 +237,8 @@
 	faultsMu               sync.Mutex
 	silent                 func(box string) bool // whether the store does not answer a box
 	refused                func(box string) bool // whether it refuses the calls of a box at once
+	cutBox                 string                // is cut off from the store and from all peers now
+	cuts                   map[string]int        // how often each box was
 	config, fleet, members *memTopic
 	calls                  callCounter
 	timing                 feed.Timing
@@ -263,7 +283,7 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		f := &testFleet{net: newNetwork(), silent: noBox, refused: noBox, timing: feed.NewTiming(maxViewAge), config: newTopic(), fleet: newTopic(), members: newTopic()}
+		f := &testFleet{net: newNetwork(), silent: noBox, refused: noBox, cuts: map[string]int{}, timing: feed.NewTiming(maxViewAge), config: newTopic(), fleet: newTopic(), members: newTopic()}
 		f.calls.reset()
 		addresses := make([]string, len(ps))
 		for i := range ps {
@@ -308,7 +328,13 @@
 
 // remoteTopic returns a topic as the box reaches it.
 func (f *testFleet) remoteTopic(t *memTopic, box string, delay time.Duration) *remoteTopic {
-	return &remoteTopic{t, f.net, box, delay, func(box string) bool { return f.hasStoreFault(&f.silent, box) }, func(box string) bool { return f.hasStoreFault(&f.refused, box) }, &f.calls}
+	return &remoteTopic{t, f.net, box, delay, func(box string) bool { return f.hasStoreFault(&f.silent, box) }, func(box string) bool { return f.hasStoreFault(&f.refused, box) }, &f.calls, f.countCuts}
+}
+
+func (f *testFleet) countCuts(box string) (n int, now bool) {
+	f.faultsMu.Lock()
+	defer f.faultsMu.Unlock()
+	return f.cuts[box], f.cutBox == box
 }
 
 func (f *testFleet) start(ctx context.Context, g *sync.WaitGroup, box string, all []string, delay time.Duration) *gateway {
