feed: a read lost on the way to the store casts doubt from its sending, also where peers answer

Change: the time-out counts only where the view is older than peers that the store serves let it get, and this process was not cut off. Otherwise doubt counts from the sending of the read.

TestAReadThatWasLostInACutCastsDoubtFromItsSending has the case too; there the case of the store has an old view now, since a fresh one says the opposite. "follower of 2" is left out, since both read the store (it was skipped).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -397,14 +397,18 @@
 
 // troubleTime returns the latest time at which the store or the way to it is known to have failed, as of a
 // read that fails now. A read without an answer may have been lost when it was sent, and this process may
-// have been in touch again since; peers that answered all the time rule that out. The caller holds the
-// lock.
+// have been in touch again since. That is ruled out if peers answered all the time and the store served
+// none of them. The caller holds the lock.
 func (f *Feed) troubleTime() time.Time {
 	now := f.clock.Now()
-	if f.readSent.IsZero() || now.Sub(f.readSent) < f.readWait || !f.contact.cutOffSince(f.readSent) {
+	if f.readSent.IsZero() || now.Sub(f.readSent) < f.readWait {
 		return now
 	}
-	return f.readSent
+	served := now.Sub(f.fresh) <= f.timing.staleAge(f.wait)
+	if served || f.contact.cutOffSince(f.readSent) {
+		return f.readSent
+	}
+	return now
 }
 
 // unconfirmedSinceFailure reports whether the last read of the store failed and no peer has
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -357,11 +357,11 @@
 // Guards against a read that was lost in a cut and timed out after it: an upstream that left after the cut was
 // used for 2.4 s.
 func TestAReadThatWasLostInACutCastsDoubtFromItsSending(t *testing.T) {
-	failed := func(t *testing.T, cutOff bool, wait, took time.Duration) (doubted time.Duration) {
+	failed := func(t *testing.T, cutOff bool, age, wait, took time.Duration) (doubted time.Duration) {
 		t.Helper()
 		synctest.Test(t, func(*testing.T) {
 			f := New("f", newTopic(), WithLogger(log.New(io.Discard)), WithWait(wait))
-			f.Merge(page(1), time.Now())
+			f.Merge(page(1), time.Now().Add(-age))
 			f.synced = true
 			sent := time.Now()
 			f.planRead(sent, wait == 0)
@@ -374,7 +374,9 @@
 		})
 		return doubted
 	}
-	require.Equal(t, uncertainPeriod, failed(t, true, 0, 700*time.Millisecond))
-	require.Equal(t, 700*time.Millisecond+uncertainPeriod, failed(t, false, 0, 700*time.Millisecond), "peers answered meanwhile, so the store is at fault")
-	require.Equal(t, 500*time.Millisecond+uncertainPeriod, failed(t, true, time.Second, 500*time.Millisecond), "broken while it waited")
+	const timeout, long = 700 * time.Millisecond, time.Minute
+	require.Equal(t, uncertainPeriod, failed(t, true, long, 0, timeout))
+	require.Equal(t, uncertainPeriod, failed(t, false, 0, 0, timeout), "peers are served, so it was the way to the store")
+	require.Equal(t, timeout+uncertainPeriod, failed(t, false, long, 0, timeout), "peers answered and none is served, so it was the store")
+	require.Equal(t, timeout+uncertainPeriod, failed(t, true, 0, time.Second, timeout), "broken while it waited")
 }
--- a/internal/spread/leaving_test.go
+++ b/internal/spread/leaving_test.go
@@ -94,66 +94,65 @@
 	}
 }
 
-// cutOff cuts a box off from the store and from all peers, or none if it is empty. What a box that was cut
-// off has asked the store before is never answered.
-func (f *testFleet) cutOff(box string) {
+// cutOff cuts a box off from the store, and from all peers as well, or no box if it is empty. What a box that
+// was cut off has asked the store before is never answered.
+func (f *testFleet) cutOff(box string, peers bool) {
 	f.faultsMu.Lock()
 	f.cutBox = box
 	if box != "" {
 		f.cuts[box]++
 	}
 	f.faultsMu.Unlock()
-	f.net.partition(func(a, b string) bool { return a != b && box != "" && (a == box || b == box) })
+	f.net.partition(func(a, b string) bool { return peers && a != b && box != "" && (a == box || b == box) })
 }
 
 // Guards against a gateway that learns late that an upstream has left, since it was cut off, and uses it for
 // two seconds more: a request came 2.4 s after the upstream had left.
 func TestUpstreamsThatLeftWhileAGatewayWasCutOff(t *testing.T) {
-	for _, kind := range []string{"reader", "follower"} {
-		for _, boxes := range []int{2, 6} {
-			t.Run(fmt.Sprintf("%s of %d", kind, boxes), func(t *testing.T) {
-				inNetwork(t, fleetPlaces(boxes), storeDelay, func(t *testing.T, f *testFleet) {
-					rs := f.readers()
-					box := rs[0]
-					for _, g := range f.gateways {
-						if kind == "follower" && !slices.Contains(rs, g.box) {
-							box = g.box
-						}
-					}
-					if kind == "follower" && slices.Contains(rs, box) {
-						t.Skip("each gateway reads the store")
+	for _, c := range []struct {
+		kind  string
+		boxes int
+		peers bool // whether it is cut off from its peers too
+	}{{"reader", 2, true}, {"reader", 6, true}, {"follower", 6, true}, {"reader", 2, false}, {"reader", 6, false}, {"follower", 6, false}} {
+		t.Run(fmt.Sprintf("%s of %d, from peers %t", c.kind, c.boxes, c.peers), func(t *testing.T) {
+			inNetwork(t, fleetPlaces(c.boxes), storeDelay, func(t *testing.T, f *testFleet) {
+				rs := f.readers()
+				box := rs[0]
+				for _, g := range f.gateways {
+					if c.kind == "follower" && !slices.Contains(rs, g.box) {
+						box = g.box
 					}
-					e := f.watchEntries()
-					all, least := 0, time.Hour
-					var late, kept []string
-					for cut := time.Second; cut <= 12*time.Second; cut += 370 * time.Millisecond {
-						during := int(cut / entryInterval)
-						ks := e.add(t, f, during+8)
-						f.cutOff(box)
-						begun := time.Now()
-						e.drop(t, f, ks[:during])
-						time.Sleep(cut - time.Since(begun))
-						f.cutOff("")
-						over := time.Now()
-						e.drop(t, f, ks[during:])
-						time.Sleep(calmTime)
-						for i, k := range ks {
-							end, went := e.end(t, box, k), e.went[k]
-							all++
-							least = min(least, max(over.Add(contactTime).Sub(end), went.Add(leavingTime).Sub(end)))
-							if end.After(over.Add(contactTime)) && end.After(went.Add(leavingTime)) {
-								late = append(late, fmt.Sprintf("cut for %s: used until %s after its end, %s after it had left", cut, end.Sub(over), end.Sub(went)))
-							}
-							if cut >= isolationTime && i < during && end.After(over.Add(maxSpreadTime)) {
-								kept = append(kept, fmt.Sprintf("cut for %s: kept until %s after its end", cut, end.Sub(over)))
-							}
+				}
+				e := f.watchEntries()
+				all, least := 0, time.Hour
+				var late, kept []string
+				for cut := time.Second; cut <= 12*time.Second; cut += 370 * time.Millisecond {
+					during := int(cut / entryInterval)
+					ks := e.add(t, f, during+8)
+					f.cutOff(box, c.peers)
+					begun := time.Now()
+					e.drop(t, f, ks[:during])
+					time.Sleep(cut - time.Since(begun))
+					f.cutOff("", c.peers)
+					over := time.Now()
+					e.drop(t, f, ks[during:])
+					time.Sleep(calmTime)
+					for i, k := range ks {
+						end, went := e.end(t, box, k), e.went[k]
+						all++
+						least = min(least, max(over.Add(contactTime).Sub(end), went.Add(leavingTime).Sub(end)))
+						if end.After(over.Add(contactTime)) && end.After(went.Add(leavingTime)) {
+							late = append(late, fmt.Sprintf("cut for %s: used until %s after its end, %s after it had left", cut, end.Sub(over), end.Sub(went)))
+						}
+						if c.peers && cut >= isolationTime && i < during && end.After(over.Add(maxSpreadTime)) {
+							kept = append(kept, fmt.Sprintf("cut for %s: kept until %s after its end", cut, end.Sub(over)))
 						}
 					}
-					t.Logf("%d of %d used for too long, least time left %s, %d kept after a long cut", len(late), all, least, len(kept))
-					require.Empty(t, late)
-					require.Empty(t, kept, "it was cut off itself, so an entry that is missing then is gone")
-				})
+				}
+				t.Logf("%d of %d used for too long, least time left %s, %d kept after a long cut", len(late), all, least, len(kept))
+				require.Empty(t, late)
+				require.Empty(t, kept, "it was cut off itself, so an entry that is missing then is gone")
 			})
-		}
+		})
 	}
 }
