--- a/internal/spread/leaving_test.go
+++ b/internal/spread/leaving_test.go
@@ -156,3 +156,39 @@
 		})
 	}
 }
+
+// Guards against upstreams that are given up although the store was away, so that their entries come back.
+func TestUpstreamsWhoseEntriesWentWhileTheStoreWasAway(t *testing.T) {
+	for _, w := range storeFaults[:2] {
+		for _, boxes := range []int{2, 6} { // one alone cannot tell an outage of the store from a cut of its own
+			t.Run(fmt.Sprintf("%s of %d", w.name, boxes), func(t *testing.T) {
+				inNetwork(t, fleetPlaces(boxes), storeDelay, func(t *testing.T, f *testFleet) {
+					e := f.watchEntries()
+					least := time.Hour
+					n, short := 0, 0
+					for away := 4 * time.Second; away <= 12*time.Second; away += 370 * time.Millisecond {
+						ks := e.add(t, f, 8)
+						f.failBoxes(w, func(string) bool { return true })
+						time.Sleep(away)
+						for _, k := range ks {
+							require.NoError(t, f.fleet.Put(context.Background(), k, nil))
+						}
+						f.failBoxes(w, noBox)
+						back := time.Now()
+						time.Sleep(calmTime)
+						for _, g := range f.gateways {
+							d := e.end(t, g.box, ks[0]).Sub(back)
+							least = min(least, d)
+							n++
+							if d < leavingTime {
+								short++
+							}
+						}
+					}
+					t.Logf("least %s, %d of %d below", least, short, n)
+					require.GreaterOrEqual(t, least, leavingTime)
+				})
+			})
+		}
+	}
+}
