feed: a peer that did not see drops tells its keys, so that none is kept that is gone

Cause: a process that begins with the newest records knows nothing of the keys that were dropped before. It answered "all after offset n" without them, and the asker took its view for complete. The guard against that worked only where the store tells eras, and there kept the peer silent. The same between two pages of one view that come from different peers. Without eras each poll besides made the asker believe that it knew all drops.

Change: answers tell from which offset on the peer knows drops, requests up to where the asker knows those of its keys, and a checksum of these. Where drops may be missing and the keys differ, the peer lists its keys, 16 KB at a time. No call to the store is added.

The model of eras keeps its checks. It reads the newest records at once where the history is gone, as Feed.Run does, which can't occur within its eras. Keys may be dropped more than once where there are no eras; a drop that is seen then counts as the first one that it can be.

--- a/feed/era.go
+++ b/feed/era.go
@@ -135,7 +135,7 @@
 func (f *Feed) askedPosition() askedPosition {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q := askedPosition{next: f.next, lostSum: lostSum(f.lostRecords())}
+	q := askedPosition{next: f.next, lostSum: lostSum(f.lostRecords()), tellsDrops: true, dropsKnown: f.knownDrops(), keySum: f.keySum(), listedTo: f.listed.to}
 	if len(f.newest) > 0 && !f.refetching && !f.fresh.IsZero() { // until it is complete, all is asked for page by page
 		q.era = f.eras.current
 	}
@@ -155,6 +155,7 @@
 	before, next := f.eras.current, f.next
 	f.eras.enter(era, offset, next, exact)
 	f.next = min(f.next, offset)
+	f.dropsKnown, f.listed = min(f.dropsKnown, offset), listedKeys{}
 	f.synced = true
 	f.missing = nil // announced again by peers that have them
 	f.history = slices.DeleteFunc(f.history, func(l loggedRecord) bool { return l.offset >= offset })
@@ -176,6 +177,7 @@
 	f.eras.learnStart(offset, eraBefore)
 	if before > offset { // lost records were taken for kept ones, and new ones for older ones
 		f.next = min(f.next, offset)
+		f.dropsKnown, f.listed = min(f.dropsKnown, offset), listedKeys{}
 		f.eras.complete = min(f.eras.complete, offset)
 		f.lossesUncertain = false
 		f.findLost()
--- a/feed/era_model_test.go
+++ b/feed/era_model_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
 )
 
 // modelWrite is what the operator wrote last to a key. Its number is the value, and is dropped as well.
@@ -21,11 +25,18 @@
 	dropped bool
 }
 
-func (w modelWrite) value() []byte {
+// value returns the value as a record has it, filled up with blanks to a size in bytes.
+func (w modelWrite) value(size int) []byte {
 	if w.dropped {
 		return nil
 	}
-	return []byte(strconv.Itoa(w.number))
+	return fmt.Appendf(nil, "%-*d", size, w.number)
+}
+
+// numberOf returns the number of a value, 0 if it is empty.
+func numberOf(value []byte) int {
+	n, _ := strconv.Atoi(strings.TrimSpace(string(value)))
+	return n
 }
 
 // modelGateway is a feed with the number of the latest write of each key that it was seen to know.
@@ -41,18 +52,19 @@
 // eraModel plays writes of an operator, returns of the store, reads and polls in any order.
 type eraModel struct {
 	topic    *fakeTopic
+	size     int // of values in bytes
 	gateways []*modelGateway
 	numbers  int
 	written  map[string]modelWrite
-	dropped  map[string]int // number of the last drop of each key
-	lost     []string       // keys whose last write the store lost
+	dropped  map[string][]int // numbers of the drops of each key
+	lost     []string         // keys whose last write the store lost
 }
 
 var modelKeys = []string{"a", "b", "c"}
 
-func newEraModel() *eraModel {
-	m := &eraModel{topic: newTopic(), written: map[string]modelWrite{}, dropped: map[string]int{}}
-	m.topic.era = 1
+// newEraModel returns a model of a store in an era, 0 if it tells none.
+func newEraModel(era int64) *eraModel {
+	m := &eraModel{topic: topicOfEra(era), written: map[string]modelWrite{}, dropped: map[string][]int{}}
 	for range 3 {
 		m.gateways = append(m.gateways, nil)
 	}
@@ -68,19 +80,19 @@
 }
 
 func (m *eraModel) put(key string, w modelWrite) {
-	_ = m.topic.Put(context.Background(), key, w.value()) // never fails
+	_ = m.topic.Put(context.Background(), key, w.value(m.size)) // never fails
 	m.lost = slices.DeleteFunc(m.lost, func(k string) bool { return k == key })
 }
 
 // write writes a new value or a drop.
 func (m *eraModel) write(key string, drop bool) {
-	if w, ok := m.written[key]; drop && (!ok || w.dropped || m.dropped[key] > 0) {
-		return // two drops of a key are the same record
+	if w, ok := m.written[key]; drop && (!ok || w.dropped || m.topic.era > 0 && len(m.dropped[key]) > 0) {
+		return // two drops of a key are the same record, which tells nothing of whether one was lost
 	}
 	m.numbers++
 	m.written[key] = modelWrite{m.numbers, drop}
 	if drop {
-		m.dropped[key] = m.numbers
+		m.dropped[key] = append(m.dropped[key], m.numbers)
 	}
 	m.put(key, m.written[key])
 }
@@ -139,7 +151,10 @@
 }
 
 func (m *eraModel) read(i int) {
-	_, _ = m.gateways[i].readOnce(context.Background(), time.Now(), true) // failures end with the next read
+	_, err := m.gateways[i].readOnce(context.Background(), time.Now(), true) // failures end with the next read
+	if errors.Is(err, hollowgrade.ErrTrimmed) {                              // followed by a read of the newest records at once
+		_, _ = m.gateways[i].readOnce(context.Background(), time.Now(), true)
+	}
 }
 
 // requireNoRegress checks that no gateway goes back to an earlier write of a key.
@@ -151,9 +166,9 @@
 		}
 		for _, k := range modelKeys {
 			r, ok := g.value(k)
-			n, _ := strconv.Atoi(string(r.Value)) // 0 if dropped
+			n := numberOf(r.Value) // 0 if dropped
 			if ok && r.Dropped() {
-				n = max(g.seen[k], min(m.dropped[k], m.written[k].number))
+				n = firstSince(m.dropped[k], g.seen[k])
 			}
 			if ok {
 				require.GreaterOrEqual(t, n, g.seen[k], "seed %d: gateway %d went back to an earlier value of %s", seed, i, k)
@@ -163,6 +178,12 @@
 	}
 }
 
+// firstSince returns the first of ascending numbers that is not below one, or that one if all are.
+func firstSince(numbers []int, n int) int {
+	i, _ := slices.BinarySearch(numbers, n)
+	return append(numbers[i:len(numbers):len(numbers)], n)[0]
+}
+
 // expireUncertain lets the time pass for which lost records are believed without certainty.
 func (m *eraModel) expireUncertain() {
 	for _, g := range m.gateways {
@@ -182,7 +203,7 @@
 		}
 		for k, w := range m.written {
 			r, _ := g.value(k)
-			require.Equal(t, string(w.value()), string(r.Value), "seed %d: gateway %d, key %s", seed, i, k)
+			require.Equal(t, numberOf(w.value(0)), numberOf(r.Value), "seed %d: gateway %d, key %s", seed, i, k)
 		}
 	}
 }
@@ -208,23 +229,41 @@
 // polls and starts.
 func TestViewsOfAStoreThatGoesBack(t *testing.T) {
 	for seed := range *modelSeeds {
-		m := newEraModel()
-		m.play(t, seed)
+		m := newEraModel(1)
+		m.play(t, seed, func(r *rand.Rand) { m.goBack(r.Int64N(7)) })
 		if t.Failed() {
 			return
 		}
 	}
 }
 
-// play plays one course and checks it.
-func (m *eraModel) play(t *testing.T, seed uint64) {
+// Guards against views that stay old where processes start from the newest records, the history is gone at
+// times, and peers tell their views in parts. The store does not tell eras.
+func TestViewsOfAStoreWithoutEras(t *testing.T) {
+	for seed := range *modelSeeds {
+		m := newEraModel(0)
+		m.size = 7000
+		m.play(t, seed, func(*rand.Rand) { m.forget() })
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+// forget makes the store keep no records but the newest of each key.
+func (m *eraModel) forget() {
+	m.topic.set(func() { m.topic.first = int64(len(m.topic.records)) })
+}
+
+// play plays one course with a fault of the store, and checks it.
+func (m *eraModel) play(t *testing.T, seed uint64, fault func(r *rand.Rand)) {
 	r := rand.New(rand.NewPCG(seed, 0))
 	gateway := func() int { return r.IntN(len(m.gateways)) }
 	key := func() string { return modelKeys[r.IntN(len(modelKeys))] }
 	actions := []func(){
 		func() { m.write(key(), false) },
 		func() { m.write(key(), true) },
-		func() { m.goBack(r.Int64N(7)) },
+		func() { fault(r) },
 		m.rewrite,
 		func() { m.read(gateway()) },
 		func() { m.poll(gateway(), gateway()) },
--- a/feed/excerpt.go
+++ b/feed/excerpt.go
@@ -33,6 +33,9 @@
 	eraBefore  int64
 	from       int64                     // offset from which on the peer lacks records
 	lost       []hollowgrade.KeyedRecord // records that the store lost, if the peer has other ones
+	dropsFrom  int64                     // offset from which on all drops are known
+	sameKeys   bool                      // whether the view has the keys that the peer told of
+	listing    *keyListing               // in place of records, if the peer may lack drops before that offset
 }
 
 // askedPosition is how far a peer knows a topic.
@@ -40,16 +43,21 @@
 	era     int64 // 0 if it asks for all records
 	next    int64
 	lostSum uint64 // of the records that it knows the store lost
+	// dropsKnown is the offset below which it knows all drops of its keys, if it tells that.
+	dropsKnown int64
+	tellsDrops bool
+	keySum     uint64 // of its keys
+	listedTo   string // key up to which peers have listed theirs
 }
 
 // excerptFor returns what a peer lacks, as much as fits into one answer. Ok is false if the view has
 // never been complete, may lack records that were written since a return of the store, or does not know
-// which keys were dropped since.
+// which keys were dropped since and can't find out with the peer.
 func (f *Feed) excerptFor(q askedPosition) (p excerpt, ok bool) {
 	hollowgrade.CheckSuspension(f.clock) // peers adopt this age, so it must include the time of a suspension
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if p = f.excerpt(q); f.fresh.IsZero() || f.lossesUncertain || q.era > 0 && p.from < f.eras.complete {
+	if p = f.excerpt(q); f.fresh.IsZero() || f.lossesUncertain || !f.answersDrops(&p, q) {
 		return p, false
 	}
 	if lost := f.lostRecords(); lostSum(lost) != q.lostSum {
@@ -180,7 +188,7 @@
 		return
 	}
 	p.First, p.Next, p.End = a.at.Offset, min(a.at.Offset, r.Offset)+1, r.Offset+2
-	p.Records = []hollowgrade.KeyedRecord{r}
+	p.Records, p.value = []hollowgrade.KeyedRecord{r}, true
 	f.mergePeerPage(p, time.Time{})
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -92,6 +92,8 @@
 	newest        map[string]hollowgrade.KeyedRecord
 	earlier       map[string][]hollowgrade.KeyedRecord // large values before the newest, latest first
 	next          int64                                // all records of the present log below this offset are known
+	dropsKnown    int64                                // offset below which all drops of the view's keys are known, if it has any
+	listed        listedKeys                           // while peers list their keys
 	eras          eras                                 // of the present log
 	eraSince      time.Time                            // when the present era was learned, zero if it is the first one
 	returning     bool                                 // whether the view has not been complete in this era yet
@@ -334,7 +336,7 @@
 	}
 	if p.End < next {
 		f.log.Warn("the store ends before what is known of it", "feed", f.name, "era", p.Era, "end", p.End, "next", next)
-		f.next = p.End
+		f.next, f.dropsKnown = p.End, min(f.dropsKnown, p.End)
 	}
 	f.lossesUncertain = f.lossesUncertain || len(f.lost) > 0 && p.End > f.next // the log in between is not read
 	for k, r := range f.newest {
--- a/feed/merge.go
+++ b/feed/merge.go
@@ -22,6 +22,11 @@
 	startKnown bool
 	eraBefore  int64                     // whose log differs from there on, if the start is that of the era
 	whole      bool                      // whether it has all newest records, and does not tell what was dropped before
+	value      bool                      // whether it has one record only, which a peer sent by itself
+	dropsFrom  int64                     // offset from which on the peer tells all drops
+	sameKeys   bool                      // whether the peer has the keys that this process told of by their checksum
+	keySum     uint64                    // that checksum
+	listing    *keyListing               // keys of the peer, in place of records
 	lost       []hollowgrade.KeyedRecord // records that the store lost
 	absent     []string                  // keys of the view that the store no longer has
 }
@@ -42,13 +47,18 @@
 }
 
 // storeRecords stores records in the view and returns the resulting changes by offset. Ok is false if
-// the page isn't of the view's era, or leaves out records that the view lacks.
+// the page isn't of the view's era, or leaves out records or drops that the view lacks.
 func (f *Feed) storeRecords(p peerPage) (cs []Change, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.accepts(p) {
 		return nil, false
 	}
+	if p.listing != nil {
+		p.absent = f.unlisted(p)
+	} else {
+		f.noteDrops(p)
+	}
 	rs := f.place(p)
 	uncertainUntil := f.uncertainUntil()
 	if f.lossesExpired {
@@ -62,6 +72,10 @@
 			cs = append(cs, Change{KeyedRecord: r, From: p.From, UncertainUntil: uncertainUntil, Rewritten: rewritten})
 		}
 	}
+	if p.listing != nil {
+		f.noteListed(p)
+		return cs, false
+	}
 	f.next = max(f.next, p.Next)
 	return cs, true
 }
@@ -70,17 +84,20 @@
 // caller holds the lock.
 func (f *Feed) accepts(p peerPage) bool {
 	if p.From != "" {
-		return f.followPeer(p) && p.First <= f.next
+		return f.followPeer(p) && (p.listing != nil || p.First <= f.next && !f.outdates(p) && !f.lacksDrops(p))
 	}
 	return (p.Era == 0 || p.Era == f.eras.current) && p.First <= f.next // a peer may have told of a later era meanwhile
 }
 
+// outdates reports whether the view knows more than a peer, whose records may have been dropped since. The
+// caller holds the lock.
+func (f *Feed) outdates(p peerPage) bool {
+	return len(p.Records) > 0 && p.Next < f.next
+}
+
 // place returns the records of a page with their positions, by offset, and remembers them. The caller
 // holds the lock.
 func (f *Feed) place(p peerPage) (rs []hollowgrade.KeyedRecord) {
-	if p.whole {
-		f.eras.complete = max(f.eras.complete, p.End)
-	}
 	rs = slices.Clone(p.Records)
 	slices.SortFunc(rs, func(a, b hollowgrade.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	for i, r := range rs {
@@ -89,10 +106,7 @@
 			f.remember(r)
 		}
 	}
-	for _, k := range p.absent {
-		rs = append(rs, hollowgrade.KeyedRecord{Key: k, Position: f.eras.written(p.Next - 1)})
-	}
-	return rs
+	return append(rs, f.absentRecords(p)...)
 }
 
 // followPeer follows the era of a peer's page. It returns false if the page has to be ignored. The
--- a/feed/poll.go
+++ b/feed/poll.go
@@ -130,13 +130,13 @@
 // poll polls a peer once, and then for the missing pages one after another.
 func (r *Relay) poll(ctx context.Context, address string) {
 	for f := r.pollOnce(ctx, address); f != nil; {
-		before := f.Next()
+		before := f.askedPosition()
 		if !r.startPaging(f) {
 			return // another poll does it
 		}
 		more := r.pollOnce(ctx, address)
 		r.endPaging(f)
-		if f.Next() == before {
+		if f.askedPosition() == before {
 			return
 		}
 		f = more
@@ -244,7 +244,8 @@
 	for _, f := range r.feeds {
 		a := f.askedPosition()
 		asked[f.Name()] = a
-		q.Positions = append(q.Positions, &wire.FeedPosition{Feed: f.Name(), Next: a.next, Era: a.era, Displaced: a.lostSum})
+		q.Positions = append(q.Positions, &wire.FeedPosition{Feed: f.Name(), Next: a.next, Era: a.era, Displaced: a.lostSum,
+			DropsKnown: &a.dropsKnown, Keys: a.keySum, ListedTo: a.listedTo})
 	}
 	s, err := c.Open(&wire.Frame{Body: &wire.Frame_FeedRequest{FeedRequest: q}})
 	if err != nil {
@@ -307,6 +308,12 @@
 		r.log.Info("view updated from a peer", "feed", f.name, "peer", address, "next", m.Next, "records", len(p.Records),
 			"age_ms", after.Milliseconds(), "age_before_ms", before.Milliseconds())
 	}
+	if p.listing != nil {
+		if f.askedPosition() != asked {
+			t.more = f
+		}
+		return
+	}
 	if f.isOfEra(p.Era) && f.Next() == p.Next {
 		t.request(f, m, announced, address)
 	}
@@ -335,7 +342,11 @@
 // decodeReply decodes a peer's reply to the position that it was asked for. Announced are the records
 // that the store lost and whose values have to be requested.
 func decodeReply(m *wire.FeedReply, asked askedPosition) (p peerPage, announced []announcement) {
-	p.whole = asked.era == 0
+	p.whole = asked.era == 0 && m.DropsFrom == nil
+	p.dropsFrom, p.sameKeys, p.keySum = m.GetDropsFrom(), m.SameKeys, asked.keySum
+	if l := m.Listing; l != nil {
+		p.listing = &keyListing{after: l.After, keys: l.Keys, last: l.Last}
+	}
 	p.Era, p.First, p.Next, p.End = m.Era, asked.next, m.Next, max(m.End, m.Next)
 	if m.EraStart != nil {
 		p.start, p.startKnown, p.eraBefore = *m.EraStart, true, m.EraBefore
--- a/feed/server.go
+++ b/feed/server.go
@@ -82,7 +82,7 @@
 		if f == nil {
 			continue
 		}
-		p, ok := f.excerptFor(askedPosition{era: o.Era, next: o.Next, lostSum: o.Displaced})
+		p, ok := f.excerptFor(askedBy(o))
 		if !ok || f.unconfirmedSinceFailure() && o.Next > 0 {
 			continue // the view may be outdated, and the peer has one of its own
 		}
@@ -93,8 +93,13 @@
 	return t.Finish()
 }
 
+// askedBy returns the position that a peer asks for.
+func askedBy(o *wire.FeedPosition) askedPosition {
+	return askedPosition{era: o.Era, next: o.Next, lostSum: o.Displaced, dropsKnown: o.GetDropsKnown(), tellsDrops: o.DropsKnown != nil, keySum: o.Keys, listedTo: o.ListedTo}
+}
+
 func reply(name string, p excerpt, unserved, forwarded bool) *wire.Frame {
-	m := &wire.FeedReply{Feed: name, Next: p.Next, End: p.End, AgeMicros: p.age.Microseconds(), Unserved: unserved, Forwarded: forwarded, Era: p.Era}
+	m := &wire.FeedReply{Feed: name, Next: p.Next, End: p.End, AgeMicros: p.age.Microseconds(), Unserved: unserved, Forwarded: forwarded, Era: p.Era, DropsFrom: &p.dropsFrom, SameKeys: p.sameKeys}
 	if p.startKnown {
 		m.EraStart, m.EraBefore = &p.start, p.eraBefore
 	}
@@ -104,6 +109,9 @@
 	for _, k := range p.Records {
 		m.Records = append(m.Records, &wire.FeedRecord{Key: k.Key, Value: k.Value, Offset: k.Offset, Era: k.Era})
 	}
+	if l := p.listing; l != nil {
+		m.Listing = &wire.KeyListing{After: l.after, Keys: l.keys, Last: l.last}
+	}
 	if l := p.large; l != nil {
 		m.Large = &wire.LargeRecord{Key: l.Key, Offset: l.Offset, Size: int64(len(l.Value)), Era: l.Era}
 	}
