feed: a reader that does not know from where on a log differs polls others that may

After a return of the store a change was not in force for five seconds at one gateway of five (TestChangesAfterTheStoreWentBackAreInForceInTime).

Cause: a peer tells the newest record of each key only. A gateway that has got version 5 that way remembers nothing at the offset of version 6, so that it can't tell whether that record is of the copy. It takes the log for differing from its end on, and version 6 for older than the lost version 5, until it gives that up. Other gateways know the offset and tell it with each answer, but a reader that the store serves asks nobody.

Change: while the view of a topic is uncertain since a return, its process polls other readers, also where the store serves it, and polls again at once if the offset that it hears is an earlier one. No call to the store is added. Where no other gateway knows the offset, the lost record is given up after five seconds as before.

--- a/feed/era.go
+++ b/feed/era.go
@@ -142,6 +142,13 @@
 	return q
 }
 
+// uncertain reports whether it is not known what of the view the store lost when it came back.
+func (f *Feed) uncertain() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lossesUncertain
+}
+
 // EraSince returns when this process learned of the era, zero if it has known no earlier one.
 func (f *Feed) EraSince() time.Time {
 	f.mu.Lock()
--- a/feed/era_test.go
+++ b/feed/era_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -252,3 +254,39 @@
 		}
 	})
 }
+
+// Guards against a change that is not in force for five seconds after a return of the store: a reader that had
+// got the latest records from a peer, without those between, took what it did not know for part of the copy.
+func TestReaderThatDoesNotKnowTheLogAsksWhoDoes(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var reads atomic.Bool
+	k, f, _ := eraFeed(t, "1")
+	address := serveFeeds(t, f)
+	gap := New("f", k, WithLogger(log.New(io.Discard)), WithReader(reads.Load))
+	v := watch(gap)
+	requireRead(t, gap)
+	r := NewRelay("self:1", func() []string { return []string{address} }, WithRelayLogger(log.New(io.Discard)))
+	r.Add(gap)
+	var g sync.WaitGroup
+	defer g.Wait()
+	defer cancel()
+	g.Go(func() { gap.Run(ctx) })
+	g.Go(func() { r.Run(ctx) })
+	for _, s := range []string{"2", "3", "4"} {
+		require.NoError(t, k.Put(ctx, "a", []byte(s)))
+	}
+	requireRead(t, f)
+	requireKnown := func(all string) {
+		t.Helper()
+		require.Eventually(t, func() bool { return v.all() == all }, 2*time.Second, time.Millisecond, all)
+	}
+	requireKnown("map[a:4]")
+	reads.Store(true)
+	require.Eventually(t, func() bool { return r.isServed() && len(r.pollTargets()) == 0 }, 5*time.Second, time.Millisecond)
+	k.set(func() {
+		k.records = append(k.records[:1:1], hollowgrade.KeyedRecord{Key: "a", Value: []byte("5"), Position: hollowgrade.Position{Offset: 1}})
+		k.era++
+	})
+	requireRead(t, f)
+	requireKnown("map[a:5]")
+}
--- a/feed/poll.go
+++ b/feed/poll.go
@@ -49,14 +49,15 @@
 // pollTargets returns the peers to poll now. A process that does not read all topics, or that the
 // store does not answer, polls a sample of the processes that the store may serve. While no served
 // process replies, or a view is stale, it polls all readers that may be served, some of the backups
-// that are due, and some others. That holds for a reader too, which may have started during an outage.
+// that are due, and some others. That holds for a reader too, which may have started during an outage. One that
+// does not know from where on the log of a store that came back differs polls other readers, which may know.
 func (r *Relay) pollTargets() (as []string) {
 	readers, sources := r.readers(), r.sources()
 	served := r.isServed()
 	switch {
 	case !slices.Contains(sources, r.self):
 		as = r.addSample(nil, r.withServedPeers(sources))
-	case !slices.Contains(readers, r.self), r.unservedOnSome():
+	case !slices.Contains(readers, r.self), r.unservedOnSome(), r.uncertainOnSome():
 		as = r.addSample(nil, r.withServedPeers(readers))
 	}
 	if served && !slices.Contains(readers, r.self) {
@@ -86,6 +87,11 @@
 	})
 }
 
+// uncertainOnSome reports whether the view of some topic is uncertain since the store came back.
+func (r *Relay) uncertainOnSome() bool {
+	return slices.ContainsFunc(r.feeds, (*Feed).uncertain)
+}
+
 // isServed reports whether the store answers this process on all topics that it reads.
 func (r *Relay) isServed() bool {
 	return allServed(r.feeds)
@@ -314,6 +320,10 @@
 		}
 		return
 	}
+	if f.Next() < p.First { // the peer told that the log differs from an earlier offset on
+		t.more = f
+		return
+	}
 	if f.isOfEra(p.Era) && f.Next() == p.Next {
 		t.request(f, m, announced, address)
 	}
