node, callers: a planned stop gives up calls in the last sixth of its grace only

Half a second for the exit and 0.2 s for final answers were taken out of any grace. Both are a share of it now, where that is less; a grace of 8 s is as before. TestPlannedStopGivesUpInTheLastSixthOfItsGraceOnly: red before for 2 s and 4 s by the arithmetic of the constants (1.3 and 3.3 s).

--- a/callers/server.go
+++ b/callers/server.go
@@ -36,10 +36,11 @@
 	// defaultHeaderTimeout and defaultIdleTimeout apply until limits are set.
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = time.Minute
-	// finalAnswerTime is how long before the end of a planned stop the requests that are still open
-	// are cancelled. It leaves time to cancel a local call and to write the answer; otherwise the
-	// connections would be closed without an answer.
-	finalAnswerTime = 200 * time.Millisecond
+	// maxFinalAnswerTime and finalAnswerShare bound how long before the end of a planned stop the
+	// requests that are still open are cancelled. It leaves time to cancel a local call and to write
+	// the answer; otherwise the connections would be closed without an answer.
+	maxFinalAnswerTime = 200 * time.Millisecond
+	finalAnswerShare   = 15
 )
 
 // Limits bound callers' connections. A zero value stands for the default.
@@ -168,6 +169,7 @@
 // and its answers ask callers to close their connections. Then it accepts nothing new, closes
 // connections as they become idle and waits for the others, for as long as ctx lasts.
 func (s *Server) Stop(ctx context.Context) error {
+	cancelAt := finalAnswersAt(ctx)
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
@@ -175,22 +177,38 @@
 	_ = s.listener.Close()
 	s.cancel()
 	s.group.Wait()
-	err := s.drain(ctx)
+	err := s.drain(ctx, cancelAt)
 	_ = s.server.Close()
 	s.logClosed()
 	return err
 }
 
-// drain closes connections as they become idle and waits until none is open. Shortly before ctx
-// ends, the requests that are still open are cancelled with [hollowgrade.ErrStopping] as the cause.
-func (s *Server) drain(ctx context.Context) error {
-	const pollInterval = 20 * time.Millisecond
+// FinalAnswersAfter returns how long after the begin of a planned stop that may take d the requests
+// that are still open are cancelled.
+func FinalAnswersAfter(d time.Duration) time.Duration {
+	return d - min(maxFinalAnswerTime, d/finalAnswerShare)
+}
+
+// finalAnswersAt returns when the requests that are still open are cancelled in a stop that begins
+// now, the zero time if ctx has no end.
+func finalAnswersAt(ctx context.Context) time.Time {
 	end, bounded := ctx.Deadline()
+	if !bounded {
+		return time.Time{}
+	}
+	now := time.Now()
+	return now.Add(FinalAnswersAfter(end.Sub(now)))
+}
+
+// drain closes connections as they become idle and waits until none is open. At cancelAt, the
+// requests that are still open are cancelled with [hollowgrade.ErrStopping] as the cause.
+func (s *Server) drain(ctx context.Context, cancelAt time.Time) error {
+	const pollInterval = 20 * time.Millisecond
 	now := s.clock.Now()
 	s.drained.Store(&now)
 	s.recheck()
 	for s.Connections() > 0 {
-		if bounded && time.Until(end) < finalAnswerTime && s.baseContext.Err() == nil {
+		if !cancelAt.IsZero() && time.Now().After(cancelAt) && s.baseContext.Err() == nil {
 			s.log.Warn("cancelled the requests that were still open", "requests", s.Active(), "why", "the time of the stop is over")
 			s.cancelRequests(hollowgrade.ErrStopping)
 		}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -44,8 +44,11 @@
 )
 
 const (
-	// exitMargin is the part of the grace of a planned stop that is left for the process to exit.
-	exitMargin = 500 * time.Millisecond
+	// maxExitMargin and exitShare bound the part of the grace of a planned stop that is left for the
+	// process to exit. Together with the time for final answers it is less than a sixth of the grace:
+	// calls that an upstream is at work on may be cut in the last sixth only.
+	maxExitMargin = 500 * time.Millisecond
+	exitShare     = 12
 	// memoryLimitShare is the runtime's memory limit as a share of the box's memory.
 	memoryLimitShare = 0.8
 	megabyte         = 1 << 20
@@ -217,7 +220,13 @@
 
 // Grace returns how long a planned stop may take.
 func (n *GatewayNode) Grace() time.Duration {
-	return n.settings.Load().Grace - exitMargin
+	g := n.settings.Load().Grace
+	return g - exitMargin(g)
+}
+
+// exitMargin returns the part of the grace of a planned stop that is left for the process to exit.
+func exitMargin(grace time.Duration) time.Duration {
+	return min(maxExitMargin, grace/exitShare)
 }
 
 func (n *GatewayNode) linger() time.Duration {
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -19,7 +19,7 @@
 var inForce = map[string]func(*gateway) any{
 	"caller_stall":  func(g *gateway) any { return g.callerStall() },
 	"freshness":     func(g *gateway) any { return g.Core.Bounds().Freshness },
-	"grace":         func(g *gateway) any { return g.Grace() + exitMargin },
+	"grace":         func(g *gateway) any { return g.Grace() + exitMargin(g.Grace()*exitShare/(exitShare-1)) },
 	"key_freshness": func(g *gateway) any { return g.Core.Bounds().KeyFreshness },
 	"key_outage":    func(g *gateway) any { return g.Core.Bounds().KeyOutage },
 	"linger":        func(g *gateway) any { return g.linger() },
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hollowgrade/hollowgrade/callers"
 	"github.com/hollowgrade/hollowgrade/platform/platformtest"
 )
 
@@ -86,3 +87,10 @@
 	require.NoError(t, <-stopped)
 	require.Less(t, time.Since(begun), 5*time.Second, "the linger, and half a second for the operators' connection")
 }
+
+func TestPlannedStopGivesUpInTheLastSixthOfItsGraceOnly(t *testing.T) {
+	for _, grace := range []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second, 30 * time.Second} {
+		stop := grace - exitMargin(grace)
+		require.Greater(t, callers.FinalAnswersAfter(stop), grace-grace/6, "a grace of %s", grace)
+	}
+}
