--- a/callers/server.go
+++ b/callers/server.go
@@ -347,15 +347,14 @@
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.idleLimits
-	if n := len(l); n > 0 && l[n-1].limit == d {
+	if n := len(s.idleLimits); n > 0 && s.idleLimits[n-1].limit == d {
 		return
 	}
-	if len(l) == maxIdleLimits {
-		l[1].limit = max(l[0].limit, l[1].limit)
-		l = l[1:]
+	s.idleLimits = append(s.idleLimits, idleLimit{since: now, limit: d})
+	if len(s.idleLimits) > maxIdleLimits {
+		s.idleLimits[1].limit = max(s.idleLimits[0].limit, s.idleLimits[1].limit)
+		s.idleLimits = slices.Delete(s.idleLimits, 0, 1)
 	}
-	s.idleLimits = append(l, idleLimit{since: now, limit: d})
 }
 
 // longestIdleLimit returns the longest idle limit that was in force at any time since t.
