--- a/callers/server.go
+++ b/callers/server.go
@@ -26,19 +26,21 @@
 	closeLogInterval = time.Second
 	// crowdedShare is the share of the connections that are allowed from which on they are scarce.
 	crowdedShare = 0.75
-	// relieveInterval is how often connections are checked against a limit that got shorter while they
-	// are scarce.
-	relieveInterval = 250 * time.Millisecond
+	// maxIdleLimits is how many idle limits are remembered; older ones count as the oldest of them.
+	maxIdleLimits = 32
+	// limitsInterval is how often the limits are looked at for changes.
+	limitsInterval = 250 * time.Millisecond
 	// maxHeaderBytes bounds the headers that are read before the handler applies the published
 	// limit.
 	maxHeaderBytes = 1 << 20
 	// defaultHeaderTimeout and defaultIdleTimeout apply until limits are set.
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = time.Minute
-	// finalAnswerTime is how long before the end of a planned stop the requests that are still open
-	// are cancelled. It leaves time to cancel a local call and to write the answer; otherwise the
-	// connections would be closed without an answer.
-	finalAnswerTime = 200 * time.Millisecond
+	// maxFinalAnswerTime and finalAnswerShare bound how long before the end of a planned stop the
+	// requests that are still open are cancelled. It leaves time to cancel a local call and to write
+	// the answer; otherwise the connections would be closed without an answer.
+	maxFinalAnswerTime = 200 * time.Millisecond
+	finalAnswerShare   = 15
 )
 
 // Limits bound callers' connections. A zero value stands for the default.
@@ -55,7 +57,7 @@
 	limits     func() Limits
 	clock      hollowgrade.Clock
 	log        *log.Logger
-	linger     time.Duration
+	linger     func() time.Duration
 	acceptGate func(context.Context)
 
 	maxConns int                       // 0 for no bound
@@ -63,6 +65,7 @@
 
 	mu             sync.Mutex
 	conns          map[*conn]struct{}
+	idleLimits     []idleLimit // those of the recent past, the newest last
 	closed         closeCount
 	active         int // requests in the handler
 	stopping       bool
@@ -90,10 +93,10 @@
 	return func(s *Server) { s.limits = f }
 }
 
-// WithLinger sets for how long a planned stop goes on accepting connections, until the balancer
-// sends callers elsewhere.
-func WithLinger(d time.Duration) Option {
-	return func(s *Server) { s.linger = d }
+// WithLinger sets the function that returns for how long a planned stop that begins goes on accepting
+// connections, until the balancer sends callers elsewhere.
+func WithLinger(f func() time.Duration) Option {
+	return func(s *Server) { s.linger = f }
 }
 
 // WithAcceptGate sets a function that must return before the first connection is accepted. Earlier
@@ -115,10 +118,12 @@
 		listener:   l,
 		handler:    h,
 		limits:     func() Limits { return Limits{} },
+		linger:     func() time.Duration { return 0 },
 		clock:      hollowgrade.SystemClock(),
 		log:        log.Default(),
 		acceptGate: func(context.Context) {},
 		conns:      map[*conn]struct{}{},
+		cancel:     func() {},
 	}
 	for _, o := range os {
 		o(s)
@@ -143,7 +148,7 @@
 func (s *Server) Start(context.Context, *kernel.Kernel) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.group.Go(func() { s.relieve(ctx) })
+	s.group.Go(func() { s.watchLimits(ctx) })
 	s.group.Go(func() {
 		s.acceptGate(ctx)
 		if err := s.server.Serve(listener{Listener: s.listener, server: s}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -164,29 +169,46 @@
 // and its answers ask callers to close their connections. Then it accepts nothing new, closes
 // connections as they become idle and waits for the others, for as long as ctx lasts.
 func (s *Server) Stop(ctx context.Context) error {
+	cancelAt := finalAnswersAt(ctx)
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
-	hollowgrade.Sleep(ctx, s.clock, s.linger)
+	hollowgrade.Sleep(ctx, s.clock, s.linger())
 	_ = s.listener.Close()
 	s.cancel()
 	s.group.Wait()
-	err := s.drain(ctx)
+	err := s.drain(ctx, cancelAt)
 	_ = s.server.Close()
 	s.logClosed()
 	return err
 }
 
-// drain closes connections as they become idle and waits until none is open. Shortly before ctx
-// ends, the requests that are still open are cancelled with [hollowgrade.ErrStopping] as the cause.
-func (s *Server) drain(ctx context.Context) error {
-	const pollInterval = 20 * time.Millisecond
+// FinalAnswersAfter returns how long after the begin of a planned stop that may take d the requests
+// that are still open are cancelled.
+func FinalAnswersAfter(d time.Duration) time.Duration {
+	return d - min(maxFinalAnswerTime, d/finalAnswerShare)
+}
+
+// finalAnswersAt returns when the requests that are still open are cancelled in a stop that begins
+// now, the zero time if ctx has no end.
+func finalAnswersAt(ctx context.Context) time.Time {
 	end, bounded := ctx.Deadline()
+	if !bounded {
+		return time.Time{}
+	}
+	now := time.Now()
+	return now.Add(FinalAnswersAfter(end.Sub(now)))
+}
+
+// drain closes connections as they become idle and waits until none is open. At cancelAt, the
+// requests that are still open are cancelled with [hollowgrade.ErrStopping] as the cause.
+func (s *Server) drain(ctx context.Context, cancelAt time.Time) error {
+	const pollInterval = 20 * time.Millisecond
 	now := s.clock.Now()
 	s.drained.Store(&now)
 	s.recheck()
 	for s.Connections() > 0 {
-		if bounded && time.Until(end) < finalAnswerTime && s.baseContext.Err() == nil {
+		if !cancelAt.IsZero() && time.Now().After(cancelAt) && s.baseContext.Err() == nil {
 			s.log.Warn("cancelled the requests that were still open", "requests", s.Active(), "why", "the time of the stop is over")
 			s.cancelRequests(hollowgrade.ErrStopping)
 		}
@@ -221,10 +243,11 @@
 	return s.maxConns > 0 && float64(s.Connections()) >= crowdedShare*float64(s.maxConns)
 }
 
-// relieve closes connections that have been idle for longer than the limit in force while
+// watchLimits records the idle limit, and closes connections that have been idle for longer while
 // connections are scarce.
-func (s *Server) relieve(ctx context.Context) {
-	for hollowgrade.Sleep(ctx, s.clock, relieveInterval) {
+func (s *Server) watchLimits(ctx context.Context) {
+	for ; ctx.Err() == nil; hollowgrade.Sleep(ctx, s.clock, limitsInterval) {
+		s.recordIdleLimit(s.effectiveLimits().IdleTimeout)
 		if s.crowded() {
 			s.recheck()
 		}
@@ -263,6 +286,7 @@
 	if c == nil || d <= 0 {
 		return
 	}
+	s.recordIdleLimit(d)
 	c.setTold(d)
 	if d >= time.Second {
 		h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(d.Seconds())))
@@ -312,6 +336,40 @@
 	return l
 }
 
+// idleLimit is an idle limit and since when it has been in force.
+type idleLimit struct {
+	since time.Time
+	limit time.Duration
+}
+
+// recordIdleLimit records the idle limit in force.
+func (s *Server) recordIdleLimit(d time.Duration) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := len(s.idleLimits); n > 0 && s.idleLimits[n-1].limit == d {
+		return
+	}
+	s.idleLimits = append(s.idleLimits, idleLimit{since: now, limit: d})
+	if len(s.idleLimits) > maxIdleLimits {
+		s.idleLimits[1].limit = max(s.idleLimits[0].limit, s.idleLimits[1].limit)
+		s.idleLimits = slices.Delete(s.idleLimits, 0, 1)
+	}
+}
+
+// longestIdleLimit returns the longest idle limit that was in force at any time since t.
+func (s *Server) longestIdleLimit(t time.Time) (d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range slices.Backward(s.idleLimits) {
+		d = max(d, l.limit)
+		if l.since.Before(t) {
+			break
+		}
+	}
+	return d
+}
+
 // closeCount counts connections that were closed for their age.
 type closeCount struct {
 	idle, slow int
--- a/feed/poll.go
+++ b/feed/poll.go
@@ -49,14 +49,15 @@
 // pollTargets returns the peers to poll now. A process that does not read all topics, or that the
 // store does not answer, polls a sample of the processes that the store may serve. While no served
 // process replies, or a view is stale, it polls all readers that may be served, some of the backups
-// that are due, and some others. That holds for a reader too, which may have started during an outage.
+// that are due, and some others. That holds for a reader too, which may have started during an outage. One that
+// does not know from where on the log of a store that came back differs polls other readers, which may know.
 func (r *Relay) pollTargets() (as []string) {
 	readers, sources := r.readers(), r.sources()
 	served := r.isServed()
 	switch {
 	case !slices.Contains(sources, r.self):
 		as = r.addSample(nil, r.withServedPeers(sources))
-	case !slices.Contains(readers, r.self), r.unservedOnSome():
+	case !slices.Contains(readers, r.self), r.unservedOnSome(), r.uncertainOnSome():
 		as = r.addSample(nil, r.withServedPeers(readers))
 	}
 	if served && !slices.Contains(readers, r.self) {
@@ -86,6 +87,11 @@
 	})
 }
 
+// uncertainOnSome reports whether the view of some topic is uncertain since the store came back.
+func (r *Relay) uncertainOnSome() bool {
+	return slices.ContainsFunc(r.feeds, (*Feed).uncertain)
+}
+
 // isServed reports whether the store answers this process on all topics that it reads.
 func (r *Relay) isServed() bool {
 	return allServed(r.feeds)
@@ -130,13 +136,13 @@
 // poll polls a peer once, and then for the missing pages one after another.
 func (r *Relay) poll(ctx context.Context, address string) {
 	for f := r.pollOnce(ctx, address); f != nil; {
-		before := f.Next()
+		before := f.askedPosition()
 		if !r.startPaging(f) {
 			return // another poll does it
 		}
 		more := r.pollOnce(ctx, address)
 		r.endPaging(f)
-		if f.Next() == before {
+		if f.askedPosition() == before {
 			return
 		}
 		f = more
@@ -170,6 +176,7 @@
 	r.received.Add(t.bytes)
 	if err != nil {
 		r.noteNoReply(address)
+		r.contact.lost(sent, err)
 		r.noteCut(address, t.bytes, r.clock.Since(sent), errors.Join(d.Err(), err))
 		return nil
 	}
@@ -244,7 +251,8 @@
 	for _, f := range r.feeds {
 		a := f.askedPosition()
 		asked[f.Name()] = a
-		q.Positions = append(q.Positions, &wire.FeedPosition{Feed: f.Name(), Next: a.next, Era: a.era, Displaced: a.lostSum})
+		q.Positions = append(q.Positions, &wire.FeedPosition{Feed: f.Name(), Next: a.next, Era: a.era, Displaced: a.lostSum,
+			DropsKnown: &a.dropsKnown, Keys: a.keySum, ListedTo: a.listedTo})
 	}
 	s, err := c.Open(&wire.Frame{Body: &wire.Frame_FeedRequest{FeedRequest: q}})
 	if err != nil {
@@ -307,6 +315,16 @@
 		r.log.Info("view updated from a peer", "feed", f.name, "peer", address, "next", m.Next, "records", len(p.Records),
 			"age_ms", after.Milliseconds(), "age_before_ms", before.Milliseconds())
 	}
+	if p.listing != nil {
+		if f.askedPosition() != asked {
+			t.more = f
+		}
+		return
+	}
+	if f.Next() < p.First { // the peer told that the log differs from an earlier offset on
+		t.more = f
+		return
+	}
 	if f.isOfEra(p.Era) && f.Next() == p.Next {
 		t.request(f, m, announced, address)
 	}
@@ -335,7 +353,11 @@
 // decodeReply decodes a peer's reply to the position that it was asked for. Announced are the records
 // that the store lost and whose values have to be requested.
 func decodeReply(m *wire.FeedReply, asked askedPosition) (p peerPage, announced []announcement) {
-	p.whole = asked.era == 0
+	p.whole = asked.era == 0 && m.DropsFrom == nil
+	p.dropsFrom, p.sameKeys, p.keySum = m.GetDropsFrom(), m.SameKeys, asked.keySum
+	if l := m.Listing; l != nil {
+		p.listing = &keyListing{after: l.After, keys: l.Keys, last: l.Last}
+	}
 	p.Era, p.First, p.Next, p.End = m.Era, asked.next, m.Next, max(m.End, m.Next)
 	if m.EraStart != nil {
 		p.start, p.startKnown, p.eraBefore = *m.EraStart, true, m.EraBefore
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -20,7 +18,7 @@
 }
 
 // Run runs the command.
-func (c *entryCommand) Run(ctx context.Context, s *streams) error {
+func (c *entryCommand) Run(ctx context.Context, s *streams, h Hangups) error {
 	g, err := node.Logger(s.err, c.Verbosity)
 	if err != nil {
 		return err
@@ -29,8 +27,9 @@
 	if err != nil {
 		return err
 	}
+	go logHangups(ctx, h, g)
 	g.Info("entry starts", "box", c.Box, "callers", n.Callers, "operators", n.Operators, "incarnation", n.Incarnation)
-	return runUntil(ctx, n.Node, c.DrainTimeout, g)
+	return runUntil(ctx, n.Node, func() time.Duration { return c.DrainTimeout }, g)
 }
 
 // agentCommand runs an agent.
@@ -40,7 +39,7 @@
 }
 
 // Run runs the command.
-func (c *agentCommand) Run(ctx context.Context, s *streams) error {
+func (c *agentCommand) Run(ctx context.Context, s *streams, h Hangups) error {
 	g, err := node.Logger(s.err, c.Verbosity)
 	if err != nil {
 		return err
@@ -49,8 +48,9 @@
 	if err != nil {
 		return err
 	}
+	go logHangups(ctx, h, g)
 	g.Info("agent starts", "box", c.Box, "peers", n.Peers, "operators", n.Operators, "incarnation", n.Incarnation)
-	return runUntil(ctx, n.Node, c.DrainTimeout, g)
+	return runUntil(ctx, n.Node, func() time.Duration { return c.DrainTimeout }, g)
 }
 
 // gatewayCommand runs a gateway.
@@ -64,7 +64,7 @@
 const reloadInterval = time.Second
 
 // Run runs the command.
-func (c *gatewayCommand) Run(ctx context.Context, s *streams) error {
+func (c *gatewayCommand) Run(ctx context.Context, s *streams, h Hangups, a arguments) error {
 	w := node.NewLogWriter(s.out)
 	defer func() { _ = w.Close() }()
 	g, err := node.Logger(w, c.Verbosity)
@@ -81,21 +81,42 @@
 	}
 	g.Info("gateway starts", "box", c.Box, "hall", c.Hall, "callers", c.Callers, "readiness", c.Readiness, "peers", c.Peers,
 		"operators", n.Operators, "store", c.Store, "incarnation", n.Incarnation)
-	go watchSettings(ctx, string(c.Config), func() { _ = n.Reload(string(c.Config)) })
-	return runUntil(ctx, n.Node, n.Grace(), g)
+	l, cancel := context.WithCancel(context.WithoutCancel(ctx)) // settings are also reloaded during a planned stop
+	defer cancel()
+	go watchSettings(l, string(c.Config), h, func() { _ = n.Reload(a) })
+	return runUntil(ctx, n.Node, func() time.Duration { return c.currentGrace(n, a) }, g)
+}
+
+// currentGrace returns how long a planned stop that begins now may take. The file may have changed
+// since the last check.
+func (c *gatewayCommand) currentGrace(n *node.GatewayNode, a arguments) time.Duration {
+	if c.Config != "" {
+		_ = n.Reload(a)
+	}
+	return n.Grace()
+}
+
+// logHangups says at each SIGHUP that the role doesn't reload its settings.
+func logHangups(ctx context.Context, h Hangups, g *log.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h:
+			g.Warn("settings not reloaded, this role reads them at its start only")
+		}
+	}
 }
 
-// watchSettings calls reload at each SIGHUP and whenever the file has changed.
-func watchSettings(ctx context.Context, path string, reload func()) {
+// watchSettings calls reload at each SIGHUP and whenever the file has changed. The first check
+// always does: the file may have changed since it was read at the start.
+func watchSettings(ctx context.Context, path string, h Hangups, reload func()) {
 	if path == "" {
 		return
 	}
-	h := make(chan os.Signal, 1)
-	signal.Notify(h, syscall.SIGHUP)
-	defer signal.Stop(h)
 	t := time.NewTicker(reloadInterval)
 	defer t.Stop()
-	last := readFileVersion(path)
+	var last fileVersion
 	for {
 		select {
 		case <-ctx.Done():
@@ -125,14 +146,16 @@
 	return fileVersion{size: i.Size(), changed: i.ModTime()}
 }
 
-// runUntil runs a process until ctx ends, such as by SIGTERM, and then drains it.
-func runUntil(ctx context.Context, n *node.Node, drain time.Duration, g *log.Logger) error {
+// runUntil runs a process until ctx ends, such as by SIGTERM, and then drains it for at most the time
+// that drain returns at that moment.
+func runUntil(ctx context.Context, n *node.Node, drain func() time.Duration, g *log.Logger) error {
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
 	<-ctx.Done()
-	g.Info("draining", "box", n.Box.Name, "timeout", drain.String())
-	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), drain)
+	d := drain()
+	g.Info("draining", "box", n.Box.Name, "timeout", d.String())
+	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), d)
 	defer cancel()
 	err := n.Stop(c)
 	g.Info("stopped", "box", n.Box.Name, "err", err)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -44,8 +44,11 @@
 )
 
 const (
-	// exitMargin is the part of the grace of a planned stop that is left for the process to exit.
-	exitMargin = 500 * time.Millisecond
+	// maxExitMargin and exitShare bound the part of the grace of a planned stop that is left for the
+	// process to exit. Together with the time for final answers it is less than a sixth of the grace:
+	// calls that an upstream is at work on may be cut in the last sixth only.
+	maxExitMargin = 500 * time.Millisecond
+	exitShare     = 12
 	// memoryLimitShare is the runtime's memory limit as a share of the box's memory.
 	memoryLimitShare = 0.8
 	megabyte         = 1 << 20
@@ -61,7 +64,9 @@
 	*Node
 	Core      *core.Core
 	Operators string
-	settings  atomic.Pointer[setting.Gateway]
+	reloading sync.Mutex
+	started   setting.Gateway                 // the settings at the start
+	settings  atomic.Pointer[setting.Gateway] // those in force
 	callers   *callers.Server
 	config    *feed.Feed
 	held      *feed.Feed // blocked requests
@@ -81,7 +86,7 @@
 		return nil, err
 	}
 	s := platform.NewStore(c.Store)
-	n = &GatewayNode{Node: b, unused: new(atomic.Int64)}
+	n = &GatewayNode{Node: b, unused: new(atomic.Int64), started: c}
 	n.members = newMembers(c, s.Members(), b.clock, g, n.unused)
 	n.settings.Store(&c)
 	if err = c.CheckFreshness(); err != nil {
@@ -166,21 +171,21 @@
 		return err
 	}
 	n.bodies = callers.NewBudget(int64(bodyMemoryShare * float64(c.MemoryMB) * megabyte))
-	handler := platform.NewHandler(n.Core, n.limits, n.clock, g, platform.WithStall(c.CallerStall), platform.WithBodies(n.bodies))
+	handler := platform.NewHandler(n.Core, n.limits, n.clock, g, platform.WithStall(n.callerStall), platform.WithBodies(n.bodies))
 	n.callers = callers.New(l, handler,
-		callers.WithMaxConnections(c.MaxConnections), callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(c.Linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
+		callers.WithMaxConnections(c.MaxConnections), callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(n.linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
 	l, err = listen(c.Readiness)
 	if err != nil {
 		return err
 	}
 	n.Register(ReadinessService, newHTTP(l, platform.Readiness(n.ready), g))
-	n.Register(CallersService, n.callers)
 	o, err := newOperators(c.Operators, n.Node, n.ready, n.heldStore.serve)
 	if err != nil {
 		return err
 	}
 	n.Operators = o.address()
 	n.Register(OperatorsService, o)
+	n.Register(CallersService, n.callers) // the last one is stopped first and has the most time
 	return nil
 }
 
@@ -215,27 +220,46 @@
 
 // Grace returns how long a planned stop may take.
 func (n *GatewayNode) Grace() time.Duration {
-	return n.settings.Load().Grace - exitMargin
+	g := n.settings.Load().Grace
+	return g - exitMargin(g)
 }
 
-// Reload reads the settings file again and applies the settings that can change while the process
-// runs.
-func (n *GatewayNode) Reload(path string) error {
-	old := n.settings.Load()
-	c, err := old.Reread(path)
+// exitMargin returns the part of the grace of a planned stop that is left for the process to exit.
+func exitMargin(grace time.Duration) time.Duration {
+	return min(maxExitMargin, grace/exitShare)
+}
+
+func (n *GatewayNode) linger() time.Duration {
+	return n.settings.Load().Linger
+}
+
+func (n *GatewayNode) callerStall() time.Duration {
+	return n.settings.Load().CallerStall
+}
+
+// Reload reads the settings again, as a start with the arguments would. It puts in force those that
+// can change while the process runs, and logs which of the changed ones need a restart.
+func (n *GatewayNode) Reload(args []string) error {
+	n.reloading.Lock()
+	defer n.reloading.Unlock()
+	r, err := setting.ParseGateway(args)
 	if err != nil {
-		n.log.Error("settings not reloaded, the old ones stay in force", "path", path, "err", err)
+		n.log.Error("settings not reloaded, the old ones stay in force", "err", err)
 		return err
 	}
+	c := n.started.WithReloaded(r)
 	n.settings.Store(&c)
 	n.Core.SetBounds(bounds(c))
+	restart := n.started.NeedsRestart(r)
+	level := log.InfoLevel
+	if len(restart) > 0 {
+		level = log.WarnLevel
+	}
+	n.log.Log(level, "settings reloaded", "key_freshness_ms", c.KeyFreshness.Milliseconds(), "key_outage_ms", c.KeyOutage.Milliseconds(),
+		"retry_ratio", c.RetryRatio, "retry_slack", c.RetrySlack, "grace_ms", c.Grace.Milliseconds(), "needs_restart", restart)
 	if l, err := log.ParseLevel(c.Verbosity); err == nil {
 		n.log.SetLevel(l)
 	}
-	restart := c.Callers != old.Callers || c.Readiness != old.Readiness || c.PeerAddress() != old.PeerAddress() || c.Peers != old.Peers || c.Store != old.Store ||
-		c.ReadWait() != old.ReadWait() || c.Timing().PollInterval != old.Timing().PollInterval
-	n.log.Info("settings reloaded", "path", path, "key_freshness_ms", c.KeyFreshness.Milliseconds(), "key_outage_ms", c.KeyOutage.Milliseconds(),
-		"retry_ratio", c.RetryRatio, "retry_slack", c.RetrySlack, "needs_restart", restart)
 	return nil
 }
 
