core: count a crash that a later probe shows by refusing

What callers saw: a request, or a part of prompts, that crashes upstreams was not held after its third crash, and all callers of it got HG2010 ("one run of it at a time") for 10 s.

Cause: a process ends in steps. Its connections may break while its listener still accepts, so that the first probe is accepted and closed. The watch that this begins reported only upstreams that go on closing connections; where its next probe was refused, it ended, and the loss was dropped.

Change: a later probe that finds nobody reports the losses that ran there and after which nothing has come from the upstream, as one that is closed does.

--- a/core/closing.go
+++ b/core/closing.go
@@ -55,11 +55,14 @@
 	for c.fleet.markClosing(u.Instance()) && c.clock.Since(begun) < maxWatchTime {
 		hollowgrade.Sleep(context.Background(), c.clock, reprobeInterval)
 		p := c.probe(u, request)
+		if p.presence == hollowgrade.Absent {
+			c.confirmCrash(u, minCloseDelay, 0)
+		}
 		if p.presence != hollowgrade.Closing {
 			return
 		}
 		minCloseDelay = min(minCloseDelay, p.took)
-		c.confirmSilent(u, minCloseDelay)
+		c.confirmCrash(u, minCloseDelay, minSilence)
 		checked()
 	}
 }
@@ -78,16 +81,17 @@
 	minSilence = reprobeInterval - inFlightGrace
 )
 
-// confirmSilent reports the runs that were lost at an upstream as caused by a crash, if they ran
-// there and the upstream has been silent since and still closes connections.
-func (c *Core) confirmSilent(u hollowgrade.Upstream, closedAfter time.Duration) {
+// confirmCrash reports the runs that were lost at an upstream as caused by a crash, if they ran there
+// and the upstream has been silent since, for some time at least. A probe has just found that it still
+// closes connections or that it is absent.
+func (c *Core) confirmCrash(u hollowgrade.Upstream, closedAfter, silence time.Duration) {
 	now, lastActivity := c.clock.Now(), c.fleet.lastActivity(u.Instance())
 	ls := c.unconfirmed.takeIf(u.ID, func(l unconfirmedLoss) bool {
 		ran := l.Upstream == u.Instance() && l.Lost.Sub(l.Sent) >= max(minRunTime, minRunFactor*closedAfter)
-		return ran && now.Sub(l.Lost) >= minSilence && !lastActivity.After(l.Lost.Add(inFlightGrace))
+		return ran && now.Sub(l.Lost) >= silence && !lastActivity.After(l.Lost.Add(inFlightGrace))
 	})
 	for _, l := range ls {
-		c.log.Info("upstream crash confirmed, it closes connections and is silent", "upstream", l.Upstream, "fingerprint", l.Fingerprint,
+		c.log.Info("upstream crash confirmed by a later probe", "upstream", l.Upstream, "fingerprint", l.Fingerprint,
 			"ran_ms", l.Lost.Sub(l.Sent).Milliseconds(), "closed_after_ms", closedAfter.Milliseconds(), "lost_ms", c.clock.Since(l.Lost).Milliseconds())
 		c.quarantine.RecordLoss(l)
 	}
--- a/core/closing_test.go
+++ b/core/closing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -111,6 +112,63 @@
 	})
 }
 
+// scriptedProber implements [hollowgrade.Prober] with one result a probe; the last one repeats.
+type scriptedProber struct {
+	mu      sync.Mutex
+	results []hollowgrade.Presence
+}
+
+func (s *scriptedProber) Probe(context.Context, hollowgrade.Upstream) (p hollowgrade.Presence, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p = s.results[0]
+	if len(s.results) > 1 {
+		s.results = s.results[1:]
+	}
+	return p, nil
+}
+
+// Guards against crashes that are not counted because the first probe still reached the process as it
+// ended: the request crashed further upstreams, and its trial counted as running for 10 s.
+func TestAnEndThatTheFirstProbeComesTooEarlyFor(t *testing.T) {
+	// run loses one call at an upstream whose first probe is closed and whose next one is refused, and
+	// returns how many requests are then remembered.
+	run := func(t *testing.T, r reply, meanwhile func(c *Core)) (remembered int) {
+		t.Helper()
+		c := newCore(&fakeUpstreams{replies: []reply{r}}, WithProber(&scriptedProber{results: []hollowgrade.Presence{hollowgrade.Closing, hollowgrade.Absent}}))
+		k := call("/single/")
+		k.ID, k.Arrived = "lost", time.Now()
+		_ = c.Serve(context.Background(), k, &fakeSink{})
+		meanwhile(c)
+		time.Sleep(2 * reprobeInterval)
+		return c.Quarantine().Size()
+	}
+	nothing := func(*Core) {}
+	for name, k := range map[string]struct {
+		reply      reply
+		meanwhile  func(c *Core)
+		remembered int
+	}{
+		"speaks against what ran there":                 {delayed(broken), nothing, 1},
+		"and not against what was closed as it came":    {broken, nothing, 0},
+		"nor if the upstream went on with others first": {delayed(broken), sendEventsAfterLoss, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				require.Equal(t, k.remembered, run(t, k.reply, k.meanwhile))
+			})
+		})
+	}
+}
+
+// sendEventsAfterLoss reports an event of another call at all upstreams after a loss.
+func sendEventsAfterLoss(c *Core) {
+	time.Sleep(2 * inFlightGrace)
+	for _, m := range c.Fleet().members {
+		c.Fleet().recordActivity(m)
+	}
+}
+
 // sendEvents reports an event of another call at an upstream every 100 ms.
 func sendEvents(ctx context.Context, f *Fleet, m *member) {
 	for hollowgrade.Sleep(ctx, hollowgrade.SystemClock(), 100*time.Millisecond) {
