quarantine: end a trial whose loss is confirmed before its run ends

What callers saw: HG2010 for up to 10 s after a trial that was decided, also after the hold that followed from it.

Cause: a lost run of which it isn't known yet whether its upstream crashed leaves its trial open until that is known, or for 10 s. Where it became known before the run ended, nothing took that back.

Change: a loss of the run clears the mark. Runs of before the trial don't.

--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -135,9 +135,7 @@
 			r.losses = slices.Delete(r.losses, i, i+1)
 		}
 	}
-	if !r.localTrial && l.Sent.After(r.trialStart.Add(-sameLossTolerance)) {
-		r.trialStart = time.Time{} // this decides the trial
-	}
+	r.decideTrial(l)
 	i, _ := slices.BinarySearchFunc(r.losses, l, func(m keptLoss, l Loss) int { return m.Lost.Compare(l.Lost) })
 	r.losses = slices.Insert(r.losses, i, keptLoss{Loss: l, learnedAt: now, odds: 1})
 	if len(r.losses) > maxLossesPerRequest {
@@ -145,6 +143,17 @@
 	}
 }
 
+// decideTrial ends a trial of another process that a loss decides. That of this process ends with its
+// run.
+func (r *record) decideTrial(l Loss) {
+	switch {
+	case !r.localTrial && l.Sent.After(r.trialStart.Add(-sameLossTolerance)):
+		r.trialStart = time.Time{}
+	case r.localTrial && !l.Sent.Before(r.trialStart):
+		r.undecided = false
+	}
+}
+
 // sameLossTolerance is the difference in time up to which two reports are of one loss: each is sent
 // as an age, and takes a moment longer in a packet or on a stream.
 const sameLossTolerance = 200 * time.Millisecond
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -236,6 +236,40 @@
 			requireBlocked(t, b, s, true)
 		}
 	})
+	// Guards against trials that count as running for 10 s though they were decided.
+	t.Run("until the loss of the last one was confirmed, before or after its end", func(t *testing.T) {
+		for _, endsFirst := range []bool{true, false} {
+			w, s := newCluster(t, 2), request(1)
+			b := w.gateways[0]
+			for i := range 2 {
+				w.loseRun(b, s, instance("u", i), 200*time.Second) // long runs are lost by chance, so that the block is short
+				w.exchange()
+			}
+			l := b.Begin(s)
+			require.True(t, l.Trial)
+			w.exchange()
+			lost := Loss{Request: s, Upstream: "u2", Engines: 1, Sent: w.clock.Now(), Lost: w.clock.Now().Add(time.Second)}
+			w.clock.Advance(time.Second)
+			b.RecordUnconfirmed(lost)
+			if endsFirst {
+				b.End(l)
+			}
+			b.RecordLoss(lost)
+			if !endsFirst {
+				b.End(l)
+			}
+			w.exchange()
+			for _, b := range w.gateways {
+				requireBlocked(t, b, s, true)
+			}
+			w.clock.Advance(shortBlockTime)
+			for _, b := range w.gateways {
+				o := b.Begin(s)
+				require.True(t, o.Granted, "at %s, ends first: %t", b.box, endsFirst)
+				b.End(o)
+			}
+		}
+	})
 	t.Run("and end even if the end of an earlier run isn't known yet", func(t *testing.T) {
 		w, s := newCluster(t, 2), request(1)
 		earlier := Loss{Request: s, Upstream: "u2", Engines: 1, Sent: w.clock.Now()}
