core: don't judge a loss by a probe of before it

An upstream that broke one connection and crashed within a second was taken for alive, so that the request that crashed it was sent on.

Cause: the result of a probe was used for a second for all losses at the same instance, also for those that came after the probe.

Change: a probe serves losses that come up to 50 ms after its begin, the time in which the connections of one crash break.

Result: the new part of TestConnectionsThatBreakAreLookedInto is red without it and green with it; 20 losses at one moment still cost one probe.

--- a/core/losses.go
+++ b/core/losses.go
@@ -109,7 +109,7 @@
 // recordLoss reports a run that was lost at an upstream once a probe shows whether the upstream has
 // crashed.
 func (c *Core) recordLoss(u hollowgrade.Upstream, l quarantine.Loss, request string) {
-	p := c.probeOnce(u, request)
+	p := c.probeOnce(u, request, l.Lost)
 	if p.presence == hollowgrade.Absent {
 		c.quarantine.RecordLoss(l)
 		return
--- a/core/losses_test.go
+++ b/core/losses_test.go
@@ -132,15 +132,27 @@
 			c := newCore(&fakeUpstreams{}, WithProber(p))
 			u := hollowgrade.Upstream{ID: "u1"}
 			for range 20 {
-				go c.probeOnce(u, "r")
+				go c.probeOnce(u, "r", time.Now())
 			}
 			synctest.Wait()
 			require.EqualValues(t, 1, p.probes.Load())
 			time.Sleep(2 * probeResultTTL)
-			c.probeOnce(u, "r")
+			c.probeOnce(u, "r", time.Now())
 			require.EqualValues(t, 2, p.probes.Load())
 		})
 	})
+	// Guards against a crash that is taken for a broken connection since one broke a moment before it.
+	t.Run("but not one of before the loss", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCore(&fakeUpstreams{}, WithProber(&scriptedProber{results: []hollowgrade.Presence{hollowgrade.Present, hollowgrade.Absent}}))
+			u := hollowgrade.Upstream{ID: "u1"}
+			require.Equal(t, hollowgrade.Present, c.probeOnce(u, "r", time.Now()).presence)
+			time.Sleep(probeResultTTL / 2)
+			require.Equal(t, hollowgrade.Absent, c.probeOnce(u, "r", time.Now()).presence)
+			time.Sleep(probeResultTTL / 2)
+			require.Equal(t, hollowgrade.Absent, c.probeOnce(u, "r", time.Now()).presence)
+		})
+	})
 }
 
 func TestRequestsAreNotHeld(t *testing.T) {
--- a/core/probe.go
+++ b/core/probe.go
@@ -14,6 +14,9 @@
 	// probeResultTTL is how long the result is used for other calls that were lost at the same
 	// instance.
 	probeResultTTL = time.Second
+	// maxProbeLead is how long before a loss its probe may have begun: the connections of one crash
+	// break within this time.
+	maxProbeLead = 50 * time.Millisecond
 )
 
 // sharedProbe is a probe of an upstream whose connection broke.
@@ -29,14 +32,14 @@
 	took     time.Duration
 }
 
-// probeOnce returns the result of a probe of an upstream whose connection broke: of one in progress
-// or just made, or of a new one. A broken connection alone is no crash: an upstream may reset a
+// probeOnce returns the result of a probe of an upstream whose connection broke: of one that another
+// loss at about the same time has begun, or of a new one. A broken connection alone is no crash: an upstream may reset a
 // long prompt before it has read it, and go on with other calls.
-func (c *Core) probeOnce(u hollowgrade.Upstream, request string) probeResult {
+func (c *Core) probeOnce(u hollowgrade.Upstream, request string, lost time.Time) probeResult {
 	if c.prober == nil {
 		return probeResult{}
 	}
-	e, first := c.probeOf(u.Instance())
+	e, first := c.probeOf(u.Instance(), lost)
 	if !first {
 		<-e.done
 		return e.result
@@ -57,9 +60,9 @@
 	return f
 }
 
-// probeOf returns the probe of an instance that is in progress or was just made, or adds a new one
-// that the caller has to run.
-func (c *Core) probeOf(l hollowgrade.Instance) (e *sharedProbe, first bool) {
+// probeOf returns the probe of an instance that is in progress or was just made, unless it began before
+// a loss, or adds a new one that the caller has to run.
+func (c *Core) probeOf(l hollowgrade.Instance, lost time.Time) (e *sharedProbe, first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
@@ -68,7 +71,7 @@
 			delete(c.probes, o)
 		}
 	}
-	if e = c.probes[l]; e != nil {
+	if e = c.probes[l]; e != nil && lost.Sub(e.at) <= maxProbeLead {
 		return e, false
 	}
 	e = &sharedProbe{at: now, done: make(chan struct{})}
--- a/core/suspend_test.go
+++ b/core/suspend_test.go
@@ -110,7 +110,7 @@
 	for name, f := range map[string]func(c *Core, suspend func()){
 		"by a probe": func(c *Core, suspend func()) {
 			suspend()
-			c.probeOf(u.Instance())
+			c.probeOf(u.Instance(), time.Time{})
 		},
 		"at the end of a watch": func(c *Core, suspend func()) {
 			c.keepWatch(u, "c", probeResult{}, suspend) // it ends at once, since the upstream is not listed
