quarantine: judge suspects in their order, whenever a call comes

What callers saw: two parts that always come together are held by the name of the first, which sound requests share too, rather than of the later one. Calls with both were refused as they should be; operators found the hold under another name.

Cause: the order in which suspects are judged decides which of them is held. All are judged in order each 20 ms at most; a call between the moment at which a loss settles and that evaluation judged its own in the order of its prompt.

Change: a call whose suspects have new losses that have settled has all judged in order. That happens once a loss.

TestOrderOfVerdictsWhereACallComesFirst is red without it.

--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -32,7 +32,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	if now.Sub(t.lastEvaluation) >= evaluationInterval {
+	if now.Sub(t.lastEvaluation) >= evaluationInterval || t.evaluationDue(q, now) {
 		t.evaluateSettled(now)
 	}
 	var suspects []*record
@@ -55,6 +55,18 @@
 	return t.admit(suspects, now)
 }
 
+// evaluationDue reports whether a suspect of a request has new losses that have settled. They are
+// evaluated with all others, since the order decides which of several suspects is blocked. The lock is
+// held.
+func (t *Table) evaluationDue(q Request, now time.Time) bool {
+	for r := range t.recordsOf(q) {
+		if t.unevaluated[r.subject.Suspect()] && r.settled(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Blocked returns the refusal of a request that is blocked, and false if it isn't.
 func (t *Table) Blocked(q Request) (a Admission, blocked bool) {
 	if t.size.Load() == 0 {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -125,6 +125,25 @@
 	w.exchange()
 }
 
+// Guards against the block of a part that sound requests share too, where a call comes between the time
+// at which the last loss settles and the next evaluation of all.
+func TestOrderOfVerdictsWhereACallComesFirst(t *testing.T) {
+	w := newCluster(t, 1)
+	b := w.gateways[0]
+	w.losePart(b, 1, 2, soundPart, badPart)
+	b.RecordAnswer(withParts(9000, 9)(), true)
+	sent := w.clock.Now()
+	w.clock.Advance(runTime)
+	b.RecordLoss(Loss{Request: withParts(4000, soundPart, badPart)(), Upstream: "u", Engines: 1, Sent: sent, Lost: w.clock.Now()})
+	w.clock.Advance(settleTime - evaluationInterval/2)
+	b.Begin(request(1))
+	w.clock.Advance(evaluationInterval / 2)
+	requireGranted(t, b, false, soundPart, badPart)
+	hs := b.Blocks()
+	require.Len(t, hs, 1)
+	require.Equal(t, hollowgrade.Fingerprint{badPart}, hs[0].Fingerprint, "the later one in the prompt")
+}
+
 func requireGranted(t *testing.T, b *Table, granted bool, parts ...byte) {
 	t.Helper()
 	q := withParts(900_000, parts...)()
