upstream: don't let net/http run a call to a service twice

What callers saw: a call that may run once, with an idempotency key, could run twice at a plain service behind an agent; so could a call without a body.

Cause: net/http sends a request again by itself if a connection that it has used before ends without an answer and the request has an Idempotency-Key header, which is forwarded to the service, or is a GET, HEAD, OPTIONS or TRACE. The service may have run it. The keeper of the key learns nothing of it.

Evidence: found by reading for TestFaultMatrix ("key-2 ran 2 times", known red, not traced). A service that ends the connection after it has run the call ran it twice, each time, with a key and without a body.

Change: each call to a service has a connection of its own, as calls to workers have. It also meets no connection that the service is closing for its age. The check of the claim before the sending, which belongs to the opening of a connection, runs for each call now.

Calls to engines have no such header and a body, and are sent again only if nothing was written.

--- a/upstream/service.go
+++ b/upstream/service.go
@@ -29,13 +29,13 @@
 	return context.WithValue(ctx, checkKey{}, check)
 }
 
-// ServiceTransport returns an HTTP transport for a plain service. A nil dial function stands for
-// the default one.
+// ServiceTransport returns an HTTP transport for a plain service, with a connection for each call. A
+// nil dial function stands for the default one.
 func ServiceTransport(d DialFunc) *http.Transport {
 	if d == nil {
 		d = (&net.Dialer{}).DialContext
 	}
-	return Transport(func(ctx context.Context, network, address string) (c net.Conn, err error) {
+	t := Transport(func(ctx context.Context, network, address string) (c net.Conn, err error) {
 		t, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
 		if c, err = d(t, network, address); err != nil {
@@ -48,6 +48,10 @@
 		}
 		return c, nil
 	})
+	// net/http sends a call with an idempotency key or without a body again if a connection that it
+	// had used before ends without an answer.
+	t.DisableKeepAlives = true
+	return t
 }
 
 // Service implements [hollowgrade.Service] for a plain service at one base URL.
