feed: doubt on an entry that went lasts until the store has served for two seconds

Cause: doubt ended 2.8 s after the gateway's own last failed read of that topic. Another topic may do the probing, and probes are up to 1.5 s apart, so that read may be long before the return.

Change: feed.contact, shared by the feeds of a relay, knows that the store was away: it failed this process's last read, and a round of polls that was answered found no peer that it serves. Doubt lasts at least until 2 s after the first read or reply that shows that it serves again, which is no sooner than the return. Where a peer is served, or this process was cut off, nothing changes. Peers tell already whether the store serves them, so the messages stay as they are.

--- a/feed/backup.go
+++ b/feed/backup.go
@@ -53,10 +53,11 @@
 	at       time.Time
 }
 
-// noteReply records that a peer replied, and its standing. A source does not rely on others that
-// forward, since these may rely on it.
-func (r *Relay) noteReply(address string, s standing) {
+// noteReply records that a peer replied to a poll sent at the given time, and its standing. A source does
+// not rely on others that forward, since these may rely on it.
+func (r *Relay) noteReply(address string, s standing, sent time.Time) {
 	r.contact.heard()
+	failed := slices.ContainsFunc(r.feeds, (*Feed).fails)
 	least := servedPeer
 	if !slices.Contains(r.sources(), r.self) {
 		least = forwardingPeer
@@ -67,8 +68,12 @@
 	r.setStatus(address, s)
 	if s < least {
 		r.noteUnserved()
+		if failed && r.noneServed {
+			r.contact.noteStoreAway(sent)
+		}
 		return
 	}
+	r.contact.noteStoreServes(sent)
 	r.outstanding, r.noneServed, r.lastServedReply = 0, false, r.lastReply
 }
 
--- a/feed/breaker_test.go
+++ b/feed/breaker_test.go
@@ -151,7 +151,7 @@
 		for _, a := range all {
 			r := NewRelay(a, func() []string { return append([]string(nil), all...) }, WithRelayLogger(log.New(io.Discard)))
 			r.started = time.Now().Add(-time.Minute) // not one that is starting
-			r.noteReply("a peer", servedPeer)
+			r.noteReply("a peer", servedPeer, time.Now())
 			if !reach {
 				r.lastReply = time.Time{}
 			}
@@ -172,14 +172,14 @@
 		r := NewRelay(all[0], func() []string { return append([]string(nil), all...) }, WithRelayLogger(log.New(io.Discard)))
 		readers, higherRanked := r.readers(), r.higherRanked()
 		require.NotContains(t, readers, r.self)
-		r.noteReply("a peer", unservedPeer)
+		r.noteReply("a peer", unservedPeer, time.Now())
 		require.NotZero(t, r.probeInterval())
 		r.isBackup = true
 		require.True(t, r.actsAsBackup(0, higherRanked, true))
 		r.lastServedReply = time.Now().Add(-time.Minute)
 		r.updateOutage(readers, false, true, false)
 		require.Zero(t, r.probeInterval())
-		r.noteReply("a peer", servedPeer)
+		r.noteReply("a peer", servedPeer, time.Now())
 		r.updateOutage(readers, false, false, false)
 		require.NotZero(t, r.probeInterval())
 	})
--- a/feed/contact.go
+++ b/feed/contact.go
@@ -13,7 +13,8 @@
 const relistTime = 2 * time.Second
 
 // contact knows when this process was itself cut off: it polled peers, and neither a peer nor the store
-// answered. It is shared by the feeds of a process and safe for concurrent use.
+// answered. It also knows when the store was away: it failed this process, and peers answered of which it
+// served none. It is shared by the feeds of a process and safe for concurrent use.
 type contact struct {
 	clock hollowgrade.Clock
 
@@ -22,6 +23,8 @@
 	silentSince time.Time // when the first poll after that was sent which got no answer; zero if none was
 	regainedAt  time.Time // when the last silence ended
 	isolatedEnd time.Time // when the last silence ended that was longer than relistTime
+	awaySince   time.Time // when the first poll was sent by which the store is known to be away; zero if it isn't
+	returnedAt  time.Time // when the store was first known to serve again; zero if it was never away
 }
 
 // heard records that a peer or the store has answered.
@@ -59,6 +62,46 @@
 	return !c.silentSince.IsZero() || c.regainedAt.After(t)
 }
 
+// noteStoreAway records that the store fails this process, and that a peer polled at the given time answered
+// and found nobody whom it serves. Peers that it serves may not have been reached if this process was cut off.
+func (c *contact) noteStoreAway(sent time.Time) {
+	if c.cutOffSince(sent) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaySince.IsZero() {
+		c.awaySince = sent
+	}
+}
+
+// noteStoreServes records that the store answered a read sent at the given time, or that a peer polled then
+// answered that the store serves it. A store that is away may still answer a read that has waited there.
+func (c *contact) noteStoreServes(sent time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaySince.IsZero() || sent.Before(c.awaySince) {
+		return
+	}
+	c.awaySince, c.returnedAt = time.Time{}, c.clock.Now()
+}
+
+// relistedBy returns until when entries of upstreams that run may be missing because the store was away.
+// The store is taken to return no sooner than this process learns it, since its last failed read may be long
+// before. It is zero if the store was never away.
+func (c *contact) relistedBy() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.awaySince.IsZero():
+		return c.clock.Now().Add(relistTime)
+	case c.returnedAt.IsZero():
+		return time.Time{}
+	default:
+		return c.returnedAt.Add(relistTime)
+	}
+}
+
 // isolatedSince reports whether this process was cut off for longer than [relistTime], until after t and
 // not long ago.
 func (c *contact) isolatedSince(t time.Time) bool {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -388,7 +388,11 @@
 		return time.Time{}
 	}
 	now := f.clock.Now()
-	if until := f.troubleAt.Add(uncertainPeriod); !f.troubleAt.IsZero() && now.Before(until) {
+	until := f.contact.relistedBy()
+	if !f.troubleAt.IsZero() {
+		until = hollowgrade.Later(until, f.troubleAt.Add(uncertainPeriod))
+	}
+	if now.Before(until) {
 		return until
 	}
 	if !f.fresh.IsZero() && now.Sub(f.fresh) > f.wait+uncertainPeriod {
@@ -438,6 +442,13 @@
 	return f.clock.Since(f.missing[0].announcedAt)
 }
 
+// fails reports whether this process reads the store and its last read failed.
+func (f *Feed) fails() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readFailing && !f.following
+}
+
 func (f *Feed) noteReadFailed(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -484,6 +495,7 @@
 	f.contact.heard()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.contact.noteStoreServes(f.readSent)
 	f.answered = true
 	f.nextAnswerDue = hollowgrade.Later(f.nextAnswerDue, f.clock.Now().Add(f.minInterval+f.timing.AnswerGrace))
 	if !f.readFailing {
--- a/feed/poll.go
+++ b/feed/poll.go
@@ -268,7 +268,7 @@
 			if t.feeds < len(r.feeds) {
 				t.standing = unservedPeer
 			}
-			r.noteReply(address, t.standing)
+			r.noteReply(address, t.standing, sent)
 			return t, nil
 		}
 		if err != nil {
--- a/feed/transfer_test.go
+++ b/feed/transfer_test.go
@@ -408,20 +408,20 @@
 	t.Run("a source forwards while a served process replies", func(t *testing.T) {
 		clock := clockwork.NewFakeClock()
 		forwarder.clock = clock
-		forwarder.noteReply(readers[0], servedPeer)
+		forwarder.noteReply(readers[0], servedPeer, time.Now())
 		require.True(t, forwarder.forwards())
 		clock.Advance(forwarder.timing.maxReplyGap() + time.Millisecond)
 		require.False(t, forwarder.forwards())
 	})
 	t.Run("a source does not rely on one that forwards, a client does", func(t *testing.T) {
-		forwarder.noteReply(sources[maxReaders+1], forwardingPeer)
+		forwarder.noteReply(sources[maxReaders+1], forwardingPeer, time.Now())
 		require.False(t, forwarder.forwards())
-		client.noteReply(sources[maxReaders+1], forwardingPeer)
+		client.noteReply(sources[maxReaders+1], forwardingPeer, time.Now())
 		require.False(t, client.lacksServedReply())
 		require.False(t, client.forwards(), "it is no source")
 	})
 	t.Run("what forwards does not count as served", func(t *testing.T) {
-		client.noteReply(readers[1], forwardingPeer)
+		client.noteReply(readers[1], forwardingPeer, time.Now())
 		require.Zero(t, client.countServed(readers))
 	})
 }
