feed: close connections to peers without the lock of the relay

What callers saw: nothing by itself. Closing a connection waits for two goroutines of yamux; with the lock held all polls and answers of the process wait too.

Evidence: the mutex profile of TestALimitOfAnUpstreamHoldsForAllGatewaysTogether, 12 processes beside each other: Relay.drop was the largest single holder, 293 of 2,054 s of waiting. Calls do not take that lock.

Change: drop and conn close after they have unlocked.

Result: ./feed with the race detector passes; the profile was not taken again.

--- a/feed/poll.go
+++ b/feed/poll.go
@@ -214,23 +214,31 @@
 	if err != nil {
 		return nil, err
 	}
+	if o := r.addConn(address, c); o != c {
+		return o, c.Close()
+	}
+	return c, nil
+}
+
+// addConn adds a connection to a peer unless there is one, and returns the one that there is then.
+func (r *Relay) addConn(address string, c *peer.Conn) *peer.Conn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if o := r.conns[address]; o != nil {
-		return o, c.Close()
+		return o
 	}
 	r.conns[address] = c
-	return c, nil
+	return c
 }
 
 // drop closes and removes a connection on which an exchange failed.
 func (r *Relay) drop(address string, c *peer.Conn) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	if r.conns[address] == c {
 		delete(r.conns, address)
 	}
-	_ = c.Close()
+	r.mu.Unlock()
+	_ = c.Close() // waits for the goroutines of the connection
 }
 
 // exchange polls a peer and merges what it sends.
