quarantine: judge the suspects of a call in order after another block

What callers saw: as in, a part that sound requests share too is held rather than the later one that always comes with it.

Cause: a block on another suspect (here or told by a peer) explains crashes, so that losses which were likely by chance speak against their suspects now.

Change: a call evaluates its suspects in the order of the evaluation of all, and all of them before it decides.

--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -35,9 +35,16 @@
 	if now.Sub(t.lastEvaluation) >= evaluationInterval || t.evaluationDue(q, now) {
 		t.evaluateSettled(now)
 	}
-	var suspects []*record
+	var rs []*record
 	for r := range t.recordsOf(q) {
+		rs = append(rs, r)
+	}
+	slices.SortFunc(rs, compareForEvaluation) // the block of another suspect may leave several to be blocked
+	for _, r := range rs {
 		t.evaluate(r, now)
+	}
+	var suspects []*record
+	for _, r := range rs {
 		_, losses := r.consecutive()
 		switch {
 		case r.blocks(q, now):
--- a/quarantine/evaluation.go
+++ b/quarantine/evaluation.go
@@ -79,9 +79,14 @@
 	return xs
 }
 
-// evaluateSettled evaluates the suspects whose new losses have settled: parts first, among them those
-// with fewer losses, and among these the later ones in their prompts, which fewer prompts share. The
-// lock is held.
+// compareForEvaluation orders suspects for their evaluation: parts first, among them those with fewer
+// losses, and among these the later ones in their prompts, which fewer prompts share.
+func compareForEvaluation(a, b *record) int {
+	return cmp.Or(cmp.Compare(b.subject.Kind, a.subject.Kind), cmp.Compare(len(a.losses), len(b.losses)), cmp.Compare(b.position, a.position),
+		slices.Compare(a.subject.Fingerprint[:], b.subject.Fingerprint[:]))
+}
+
+// evaluateSettled evaluates the suspects whose new losses have settled. The lock is held.
 func (t *Table) evaluateSettled(now time.Time) {
 	t.lastEvaluation = now
 	var rs []*record
@@ -95,10 +100,7 @@
 			rs = append(rs, r)
 		}
 	}
-	slices.SortFunc(rs, func(a, b *record) int {
-		return cmp.Or(cmp.Compare(b.subject.Kind, a.subject.Kind), cmp.Compare(len(a.losses), len(b.losses)), cmp.Compare(b.position, a.position),
-			slices.Compare(a.subject.Fingerprint[:], b.subject.Fingerprint[:]))
-	})
+	slices.SortFunc(rs, compareForEvaluation)
 	for _, r := range rs {
 		t.evaluate(r, now)
 	}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -144,6 +145,34 @@
 	require.Equal(t, hollowgrade.Fingerprint{badPart}, hs[0].Fingerprint, "the later one in the prompt")
 }
 
+// Guards against the block of a part that sound requests share too, where losses come to speak against
+// both parts by the block of another one, without a new loss.
+func TestOrderOfVerdictsAfterAnotherBlock(t *testing.T) {
+	const otherPart = 77
+	w := newCluster(t, 1)
+	b, other, begun := w.gateways[0], withParts(70_000, otherPart), w.clock.Now()
+	for i := range lossesToBlock {
+		sent := w.clock.Now()
+		w.clock.Advance(runTime)
+		b.RecordLoss(Loss{Request: withParts(1000*(i+1), soundPart, badPart)(), Upstream: instance("p", i), Engines: 1, Sent: sent, Lost: w.clock.Now()})
+		for j := range poolSize / 3 {
+			b.RecordLoss(Loss{Request: other(), Upstream: instance("o", i, ".", j), Engines: 1, Sent: sent, Lost: w.clock.Now()})
+		}
+		w.clock.Advance(settleTime)
+		b.RecordAnswer(withParts(9000+i, 9)(), true)
+		b.StoreChanges()
+		w.clock.Advance(time.Millisecond)
+	}
+	require.Empty(t, b.Blocks(), "many crash at the same moments")
+	h := Block{Subject: other().part(hollowgrade.PartID{otherPart}), Since: begun, Until: w.clock.Now().Add(time.Minute), Losses: lossesToBlock, Odds: 1e-9}
+	b.Receive("peer", Update{Blocks: []Block{h}})
+	w.clock.Advance(evaluationInterval)
+	requireGranted(t, b, false, soundPart, badPart)
+	hs := slices.DeleteFunc(b.Blocks(), func(o Block) bool { return o.Suspect() == h.Suspect() })
+	require.Len(t, hs, 1)
+	require.Equal(t, hollowgrade.Fingerprint{badPart}, hs[0].Fingerprint, "the later one in the prompt")
+}
+
 func requireGranted(t *testing.T, b *Table, granted bool, parts ...byte) {
 	t.Helper()
 	q := withParts(900_000, parts...)()
