--- a/core/losses_test.go
+++ b/core/losses_test.go
@@ -141,6 +141,19 @@
 			require.EqualValues(t, 2, p.probes.Load())
 		})
 	})
+	t.Run("also if their connections break one after another, but not long after", func(t *testing.T) {
+		for after, probes := range map[time.Duration]int64{50 * time.Millisecond: 1, 51 * time.Millisecond: 2} {
+			synctest.Test(t, func(t *testing.T) {
+				p := &presentProber{}
+				c := newCore(&fakeUpstreams{}, WithProber(p))
+				u := hollowgrade.Upstream{ID: "u1"}
+				c.probeOnce(u, "r", time.Now())
+				time.Sleep(after)
+				c.probeOnce(u, "r", time.Now())
+				require.Equal(t, probes, p.probes.Load(), "%s after", after)
+			})
+		}
+	})
 	// Guards against a crash that is taken for a broken connection since one broke a moment before it.
 	t.Run("but not one of before the loss", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -282,6 +282,25 @@
 		w.gateways[0].End(l)
 		require.True(t, w.gateways[0].Begin(s).Granted)
 	})
+	t.Run("and don't end by the loss of an earlier run", func(t *testing.T) {
+		w, s := newCluster(t, 2), request(1)
+		earlier := Loss{Request: s, Upstream: "u3", Engines: 1, Sent: w.clock.Now()}
+		w.loseRun(w.gateways[0], s, "u0", runTime)
+		w.loseRun(w.gateways[0], s, "u1", runTime)
+		l := w.gateways[0].Begin(s)
+		require.True(t, l.Trial)
+		sent := w.clock.Now()
+		w.clock.Advance(runTime)
+		earlier.Lost = w.clock.Now()
+		w.gateways[0].RecordUnconfirmed(Loss{Request: s, Upstream: "u2", Engines: 1, Sent: sent, Lost: w.clock.Now()})
+		w.gateways[0].RecordLoss(earlier)
+		w.gateways[0].End(l)
+		w.exchange()
+		w.clock.Advance(time.Second)
+		for _, b := range w.gateways {
+			require.False(t, b.Begin(s).Granted, "at %s", b.box)
+		}
+	})
 	t.Run("not for ever if the gateway that has the run is lost", func(t *testing.T) {
 		w, s := newCluster(t, 2), request(1)
 		w.loseRun(w.gateways[0], s, "u0", runTime)
