core: probe an upstream that closes connections four times a second again

What callers saw: nothing measured. An upstream with too many connections got up to twenty probes a second from each gateway beside the four of its watch, one per 50 ms in which calls were lost there; reprobeInterval states four.

Cause: has each loss that comes later than 50 ms after a probe make a new one, also while the upstream is watched.

Change: while an instance is watched, losses there share the result that it closes connections. The watch judges them with its next probe, 250 ms later at most.

--- a/core/closing_test.go
+++ b/core/closing_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/placement"
+	"github.com/hollowgrade/hollowgrade/quarantine"
 )
 
 // These tests guard against late detection of crashes behind a proxy that accepts connections while
@@ -212,6 +213,20 @@
 			require.LessOrEqual(t, p.probes.Load(), int64(maxWatchTime/reprobeInterval)+2)
 		})
 	})
+	// Guards against a probe for each lost call, at an upstream that has too many connections already.
+	t.Run("also with four while calls are lost there", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := &proxyProber{closes: alwaysCloses}
+			c := newProxiedCore(t, &fakeUpstreams{}, p)
+			u := hollowgrade.Upstream{ID: "u1"}
+			for range maxWatchTime / (10 * time.Millisecond) {
+				go c.recordLoss(u, quarantine.Loss{Upstream: u.Instance(), Sent: time.Now(), Lost: time.Now()}, "r")
+				time.Sleep(10 * time.Millisecond)
+			}
+			require.Greater(t, p.probes.Load(), int64(maxWatchTime/reprobeInterval/2), "it is watched")
+			require.LessOrEqual(t, p.probes.Load(), int64(maxWatchTime/reprobeInterval)+2)
+		})
+	})
 	t.Run("and is used again soon after it keeps them", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			c, f, _, id := loseCall(t, closesUntil(time.Now().Add(1500*time.Millisecond)))
--- a/core/probe.go
+++ b/core/probe.go
@@ -26,6 +26,16 @@
 	result probeResult
 }
 
+// foundClosing reports whether the probe has ended and found that the upstream closes connections.
+func (e *sharedProbe) foundClosing() bool {
+	select {
+	case <-e.done:
+		return e.result.presence == hollowgrade.Closing
+	default:
+		return false
+	}
+}
+
 // probeResult is what a probe found, and how long it took.
 type probeResult struct {
 	presence hollowgrade.Presence
@@ -61,17 +71,18 @@
 }
 
 // probeOf returns the probe of an instance that is in progress or was just made, unless it began before
-// a loss, or adds a new one that the caller has to run.
+// a loss, or adds a new one that the caller has to run. While an instance is watched, the probes of its
+// watch show what became of later losses.
 func (c *Core) probeOf(l hollowgrade.Instance, lost time.Time) (e *sharedProbe, first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	for o, e := range c.probes {
-		if now.Sub(e.at) > probeResultTTL {
+		if now.Sub(e.at) > probeResultTTL && c.watched[o] == nil {
 			delete(c.probes, o)
 		}
 	}
-	if e = c.probes[l]; e != nil && lost.Sub(e.at) <= maxProbeLead {
+	if e = c.probes[l]; e != nil && (lost.Sub(e.at) <= maxProbeLead || c.watched[l] != nil && e.foundClosing()) {
 		return e, false
 	}
 	e = &sharedProbe{at: now, done: make(chan struct{})}
