--- a/core/probe.go
+++ b/core/probe.go
@@ -11,8 +11,8 @@
 	// probeTimeout bounds the connecting of a probe. Within a region an answer takes some
 	// milliseconds; an upstream that doesn't answer counts as crashed.
 	probeTimeout = 300 * time.Millisecond
-	// probeResultTTL is how long the result is used for other calls that were lost at the same
-	// instance.
+	// probeResultTTL is how long a result is kept for calls that were lost at the same instance at
+	// about the same time.
 	probeResultTTL = time.Second
 	// maxProbeLead is how long before a loss its probe may have begun: the connections of one crash
 	// break within this time.
