core: count a crash also if the closing listener keeps the first probe

Cause: a run counts as lost by a crash only if it lasted five times as long as the upstream keeps a connection that it closes, which tells an upstream with too many connections from one that has crashed. A process that ends may keep the first probe for some time; with 45 ms a run of 150 ms did not count though the next probe was refused.

Change: where a probe finds nobody within 0.5 s of the loss, any run of 10 ms counts after which nothing came from the upstream, as where the first probe finds nobody.

--- a/core/closing.go
+++ b/core/closing.go
@@ -56,13 +56,13 @@
 		hollowgrade.Sleep(context.Background(), c.clock, reprobeInterval)
 		p := c.probe(u, request)
 		if p.presence == hollowgrade.Absent {
-			c.confirmCrash(u, minCloseDelay, 0)
+			c.confirmAbsent(u)
 		}
 		if p.presence != hollowgrade.Closing {
 			return
 		}
 		minCloseDelay = min(minCloseDelay, p.took)
-		c.confirmCrash(u, minCloseDelay, minSilence)
+		c.confirmClosing(u, minCloseDelay)
 		checked()
 	}
 }
@@ -79,20 +79,35 @@
 	// minSilence is the time without any data that counts as a crash: a running upstream sends an
 	// event each 100 ms to some call. It is long enough for all losses of one crash to be recorded.
 	minSilence = reprobeInterval - inFlightGrace
+	// maxEndTime bounds the time from a loss until the upstream refuses connections that counts as one
+	// crash: the process ends its connections one after another. It has room for a late probe.
+	maxEndTime = 2 * reprobeInterval
 )
 
-// confirmCrash reports the runs that were lost at an upstream as caused by a crash, if they ran there
-// and the upstream has been silent since, for some time at least. A probe has just found that it still
-// closes connections or that it is absent.
-func (c *Core) confirmCrash(u hollowgrade.Upstream, closedAfter, silence time.Duration) {
-	now, lastActivity := c.clock.Now(), c.fleet.lastActivity(u.Instance())
+// confirmClosing reports the runs that were lost at an upstream which still closes connections as
+// caused by a crash, if they lasted much longer than it keeps these.
+func (c *Core) confirmClosing(u hollowgrade.Upstream, closedAfter time.Duration) {
+	minTime := max(minRunTime, minRunFactor*closedAfter)
+	c.confirmCrash(u, func(ran, ago time.Duration) bool { return ran >= minTime && ago >= minSilence })
+}
+
+// confirmAbsent reports the runs that were just lost at an upstream which is absent now as caused by a
+// crash. How long it kept the probes before tells nothing then: it was ending.
+func (c *Core) confirmAbsent(u hollowgrade.Upstream) {
+	c.confirmCrash(u, func(ran, ago time.Duration) bool { return ran >= minRunTime && ago <= maxEndTime })
+}
+
+// confirmCrash reports the runs that were lost at an upstream as caused by a crash, if nothing has come
+// from it since. The condition gets the time of a run and the time since its loss.
+func (c *Core) confirmCrash(u hollowgrade.Upstream, crashed func(ran, ago time.Duration) bool) {
+	lastActivity := c.fleet.lastActivity(u.Instance())
 	ls := c.unconfirmed.takeIf(u.ID, func(l unconfirmedLoss) bool {
-		ran := l.Upstream == u.Instance() && l.Lost.Sub(l.Sent) >= max(minRunTime, minRunFactor*closedAfter)
-		return ran && now.Sub(l.Lost) >= silence && !lastActivity.After(l.Lost.Add(inFlightGrace))
+		silent := !lastActivity.After(l.Lost.Add(inFlightGrace))
+		return l.Upstream == u.Instance() && silent && crashed(l.Lost.Sub(l.Sent), c.clock.Since(l.Lost))
 	})
 	for _, l := range ls {
 		c.log.Info("upstream crash confirmed by a later probe", "upstream", l.Upstream, "fingerprint", l.Fingerprint,
-			"ran_ms", l.Lost.Sub(l.Sent).Milliseconds(), "closed_after_ms", closedAfter.Milliseconds(), "lost_ms", c.clock.Since(l.Lost).Milliseconds())
+			"ran_ms", l.Lost.Sub(l.Sent).Milliseconds(), "lost_ms", c.clock.Since(l.Lost).Milliseconds())
 		c.quarantine.RecordLoss(l)
 	}
 }
--- a/core/closing_test.go
+++ b/core/closing_test.go
@@ -115,6 +115,8 @@
 
 // scriptedProber implements [hollowgrade.Prober] with one result a probe; the last one repeats.
 type scriptedProber struct {
+	closeDelay time.Duration // until the end of probes that are closed
+
 	mu      sync.Mutex
 	results []hollowgrade.Presence
 }
@@ -126,6 +128,9 @@
 	if len(s.results) > 1 {
 		s.results = s.results[1:]
 	}
+	if p == hollowgrade.Closing {
+		time.Sleep(s.closeDelay)
+	}
 	return p, nil
 }
 
@@ -134,9 +139,10 @@
 func TestAnEndThatTheFirstProbeComesTooEarlyFor(t *testing.T) {
 	// run loses one call at an upstream whose first probe is closed and whose next one is refused, and
 	// returns how many requests are then remembered.
-	run := func(t *testing.T, r reply, meanwhile func(c *Core)) (remembered int) {
+	run := func(t *testing.T, r reply, closeDelay time.Duration, meanwhile func(c *Core)) (remembered int) {
 		t.Helper()
-		c := newCore(&fakeUpstreams{replies: []reply{r}}, WithProber(&scriptedProber{results: []hollowgrade.Presence{hollowgrade.Closing, hollowgrade.Absent}}))
+		p := &scriptedProber{closeDelay: closeDelay, results: []hollowgrade.Presence{hollowgrade.Closing, hollowgrade.Absent}}
+		c := newCore(&fakeUpstreams{replies: []reply{r}}, WithProber(p))
 		k := call("/single/")
 		k.ID, k.Arrived = "lost", time.Now()
 		_ = c.Serve(context.Background(), k, &fakeSink{})
@@ -147,16 +153,18 @@
 	nothing := func(*Core) {}
 	for name, k := range map[string]struct {
 		reply      reply
+		closeDelay time.Duration
 		meanwhile  func(c *Core)
 		remembered int
 	}{
-		"speaks against what ran there":                 {delayed(broken), nothing, 1},
-		"and not against what was closed as it came":    {broken, nothing, 0},
-		"nor if the upstream went on with others first": {delayed(broken), sendEventsAfterLoss, 0},
+		"speaks against what ran there":                       {delayed(broken), 0, nothing, 1},
+		"also if it keeps that probe for some time":           {delayed(broken), 45 * time.Millisecond, nothing, 1},
+		"and not against what was closed as it came":          {broken, 0, nothing, 0},
+		"nor if the upstream went on with others before that": {delayed(broken), 0, sendEventsAfterLoss, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				require.Equal(t, k.remembered, run(t, k.reply, k.meanwhile))
+				require.Equal(t, k.remembered, run(t, k.reply, k.closeDelay, k.meanwhile))
 			})
 		})
 	}
