callers: a planned stop ends incomplete heads in time for its end

Operators: a planned stop with a short grace ended with status 1, "stopped with requests open" with 0 requests, where a caller had sent a part of a head. No caller lost anything.

Cause: a head that is incomplete when the linger is over was waited for for a second, also where less was left: 0.83 s with a grace of 2 s and a linger of 1 s.

Heads now have at most half of the time until open requests are cancelled, and connections that are due are read from more than once more only until then, so that a head that arrives byte by byte ends as well. With the default grace and linger heads have a second as before.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -25,9 +25,10 @@
 	// headCheckInterval is how often a head that is incomplete is checked against the limit, which may
 	// have changed.
 	headCheckInterval = 250 * time.Millisecond
-	// drainHeadTimeout bounds the rest of a head that is incomplete when a planned stop accepts
-	// nothing new.
+	// drainHeadTimeout and drainHeadShare bound the rest of a head that is incomplete when a planned
+	// stop accepts nothing new: by a time, and by a share of what is left until requests are cancelled.
 	drainHeadTimeout = time.Second
+	drainHeadShare   = 2
 	// lastReadTime is how long a connection that is due to be closed is read from once more. Its
 	// deadline may have passed while the process was not scheduled and bytes arrived.
 	lastReadTime = 20 * time.Millisecond
@@ -147,6 +148,9 @@
 	if c.lastReads > 0 && !stalled && !c.progress || c.lastReads >= maxLastReads {
 		return time.Time{}, false
 	}
+	if c.lastReads > 0 && c.server.draining().late(now) {
+		return time.Time{}, false
+	}
 	c.lastReads++
 	c.lastUntil = now.Add(lastReadTime)
 	c.progress = false
@@ -155,16 +159,16 @@
 
 // due returns when the connection is to be closed or checked again.
 func (c *conn) due(now time.Time) time.Time {
-	l, drainedAt := c.server.effectiveLimits(), c.server.drainStart()
+	l, drain := c.server.effectiveLimits(), c.server.draining()
 	if c.phase == phaseIdle {
-		if !drainedAt.IsZero() {
+		if drain != nil {
 			return now
 		}
 		return c.since.Add(c.idleLimit(l) + idleGrace)
 	}
 	d := c.since.Add(l.HeaderTimeout)
-	if !drainedAt.IsZero() {
-		d = earlier(d, drainedAt.Add(drainHeadTimeout))
+	if drain != nil {
+		d = earlier(d, drain.headsUntil)
 	}
 	return earlier(d, now.Add(headCheckInterval))
 }
--- a/callers/server.go
+++ b/callers/server.go
@@ -60,8 +60,8 @@
 	linger     func() time.Duration
 	acceptGate func(context.Context)
 
-	maxConns int                       // 0 for no bound
-	drained  atomic.Pointer[time.Time] // when a planned stop began to close connections
+	maxConns int                        // 0 for no bound
+	drain    atomic.Pointer[drainTimes] // nil until a planned stop closes connections
 
 	mu             sync.Mutex
 	conns          map[*conn]struct{}
@@ -177,7 +177,7 @@
 	_ = s.listener.Close()
 	s.cancel()
 	s.group.Wait()
-	err := s.drain(ctx, cancelAt)
+	err := s.closeAll(ctx, cancelAt)
 	_ = s.server.Close()
 	s.logClosed()
 	return err
@@ -200,13 +200,40 @@
 	return now.Add(FinalAnswersAfter(end.Sub(now)))
 }
 
-// drain closes connections as they become idle and waits until none is open. At cancelAt, the
-// requests that are still open are cancelled with [hollowgrade.ErrStopping] as the cause.
-func (s *Server) drain(ctx context.Context, cancelAt time.Time) error {
-	const pollInterval = 20 * time.Millisecond
+// drainTimes are the times of a planned stop that closes connections, on the server's clock.
+type drainTimes struct {
+	headsUntil time.Time // until when heads that are incomplete may arrive
+	cancelAt   time.Time // when open requests are cancelled, zero if never
+}
+
+// late reports whether only the time for final answers is left.
+func (t *drainTimes) late(now time.Time) bool {
+	return t != nil && !t.cancelAt.IsZero() && now.After(t.cancelAt)
+}
+
+// beginDrain begins to close connections in a planned stop that cancels requests at cancelAt.
+func (s *Server) beginDrain(cancelAt time.Time) {
 	now := s.clock.Now()
-	s.drained.Store(&now)
+	t := &drainTimes{headsUntil: now.Add(drainHeadTimeout)}
+	if !cancelAt.IsZero() {
+		left := time.Until(cancelAt)
+		t.headsUntil = earlier(t.headsUntil, now.Add(left/drainHeadShare))
+		t.cancelAt = now.Add(left)
+	}
+	s.drain.Store(t)
 	s.recheck()
+}
+
+// draining returns the times of a planned stop that closes connections, nil before that.
+func (s *Server) draining() *drainTimes {
+	return s.drain.Load()
+}
+
+// closeAll closes connections as they become idle and waits until none is open. At cancelAt, the
+// requests that are still open are cancelled with [hollowgrade.ErrStopping] as the cause.
+func (s *Server) closeAll(ctx context.Context, cancelAt time.Time) error {
+	const pollInterval = 20 * time.Millisecond
+	s.beginDrain(cancelAt)
 	for s.Connections() > 0 {
 		if !cancelAt.IsZero() && time.Now().After(cancelAt) && s.baseContext.Err() == nil {
 			s.log.Warn("cancelled the requests that were still open", "requests", s.Active(), "why", "the time of the stop is over")
@@ -220,14 +247,6 @@
 	return nil
 }
 
-// drainStart returns when a planned stop began to close connections, the zero time before that.
-func (s *Server) drainStart() time.Time {
-	if t := s.drained.Load(); t != nil {
-		return *t
-	}
-	return time.Time{}
-}
-
 // recheck checks all connections against what is in force now.
 func (s *Server) recheck() {
 	s.mu.Lock()
--- /dev/null
+++ b/callers/stop_test.go
@@ -0,0 +1,89 @@
+package callers
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// shortStop is how long a planned stop with a grace of 2 s may take.
+	shortStop = 1833 * time.Millisecond
+	// longLinger leaves less than a second of it.
+	longLinger = time.Second
+)
+
+// stopWithin stops the server in a planned stop that may take d.
+func stopWithin(s *Server, d time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return s.Stop(ctx)
+}
+
+// sendHead sends the head of a request that does not end, one byte at an interval, until the connection
+// ends.
+func sendHead(c net.Conn, interval time.Duration) {
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\nX: ")
+	for {
+		time.Sleep(interval)
+		if _, err := fmt.Fprint(c, "x"); err != nil {
+			return
+		}
+	}
+}
+
+func linger(d time.Duration) Option {
+	return WithLinger(func() time.Duration { return d })
+}
+
+// Guards against a planned stop that ends with connections open for the sake of heads that are
+// incomplete.
+func TestPlannedStopEndsIncompleteHeadsInTime(t *testing.T) {
+	t.Run("that has stopped arriving", func(t *testing.T) {
+		s, a := start(t, ok, linger(longLinger))
+		c, in := dial(t, a)
+		fmt.Fprint(c, "GET / HT")
+		require.NoError(t, stopWithin(s, shortStop))
+		requireTimeout(t, in)
+	})
+	t.Run("that arrives slowly", func(t *testing.T) {
+		for _, interval := range []time.Duration{time.Millisecond, 15 * time.Millisecond} {
+			s, a := start(t, ok, linger(longLinger))
+			c, _ := dial(t, a)
+			go sendHead(c, interval)
+			require.NoError(t, stopWithin(s, shortStop), "a byte each %s", interval)
+		}
+	})
+	t.Run("of many kept connections", func(t *testing.T) {
+		l := watch(t)
+		s, _ := startOn(t, l, ok, linger(longLinger))
+		cs := keep(t, l, 100)
+		for _, c := range cs {
+			fmt.Fprint(c, "GET / HT")
+		}
+		require.NoError(t, stopWithin(s, shortStop))
+		for _, c := range cs {
+			requireTimeout(t, c.in)
+		}
+	})
+	t.Run("but answers one that is completed before", func(t *testing.T) {
+		s, a := start(t, ok, linger(longLinger))
+		c, in := dial(t, a)
+		fmt.Fprint(c, request[:len(request)-2])
+		stopped := make(chan error, 1)
+		go func() { stopped <- stopWithin(s, shortStop) }()
+		require.Eventually(t, func() bool { return s.draining() != nil }, shortStop, time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
+		fmt.Fprint(c, request[len(request)-2:])
+		r, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		require.NoError(t, r.Body.Close())
+		require.Equal(t, http.StatusOK, r.StatusCode)
+		require.NoError(t, <-stopped)
+	})
+}
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/hollowgrade/hollowgrade/callers"
 	"github.com/hollowgrade/hollowgrade/platform/platformtest"
+	"github.com/hollowgrade/hollowgrade/setting"
 )
 
 // Guards against calls whose connections are closed without an answer when a gateway is stopped. A
@@ -94,3 +96,25 @@
 		require.Greater(t, callers.FinalAnswersAfter(stop), grace-grace/6, "a grace of %s", grace)
 	}
 }
+
+// Guards against a planned stop with a short grace that waits for the rest of a head until its time is
+// over.
+func TestIncompleteHeadDoesNotOutlastAPlannedStop(t *testing.T) {
+	s := newFixture(t)
+	w := platformtest.NewWorker("i-0", platformtest.Echo)
+	t.Cleanup(w.Close)
+	s.store.PutJSON("keyed.servers", w.ID, w.Record("s", "ready"))
+	g, err := setUpGateway(t, s.store.Address(), func(c *setting.Gateway) {
+		c.Grace, c.Linger = 2*time.Second, time.Second
+	})
+	require.NoError(t, err)
+	require.NoError(t, g.Start(context.Background()))
+	g.waitReady(t)
+	c, err := net.Dial("tcp", g.callersAddress)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	ctx, cancel := context.WithTimeout(context.Background(), g.Grace())
+	defer cancel()
+	time.AfterFunc(time.Second/2, func() { fmt.Fprint(c, "GET / HT") })
+	require.NoError(t, g.Stop(ctx))
+}
