callers: a planned stop that cuts no request succeeds

Operators: a planned stop ended with status 1 though no caller lost anything, where a connection without an open request was left at its end: one whose body was refused, which net/http keeps for half a second after the answer, or one that was not closed in time beside load.

Cause: a stop waited for all connections and failed if one was left. At the end of its time it now asks each connection whether a request may have been read that is not answered, and fails only then.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -13,9 +13,10 @@
 type phase int
 
 const (
-	phaseIdle phase = iota // nothing of it was read
-	phaseHead              // its head was read in part, or not parsed yet
-	phaseOpen              // its head is known; it is open until its answer is written
+	phaseIdle  phase = iota // nothing of it was read
+	phaseHead               // its head was read in part, or not parsed yet
+	phaseOpen               // its head is known; it is open until its answer is written
+	phaseEnded              // there is none: the connection is being closed
 )
 
 const (
@@ -93,9 +94,7 @@
 
 // endForAge ends a connection that has been idle or slow for too long.
 func (c *conn) endForAge() {
-	c.mu.Lock()
-	p := c.phase
-	c.mu.Unlock()
+	p := c.end()
 	c.server.recordClose(p)
 	if p == phaseHead {
 		_ = c.SetWriteDeadline(time.Now().Add(timeoutWriteTime))
@@ -104,12 +103,38 @@
 	_ = c.Close() // before net/http answers an incomplete head with 400
 }
 
+// end marks the connection as being closed and returns the phase in which it was.
+func (c *conn) end() (p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p = c.phase
+	c.phase = phaseEnded
+	return p
+}
+
+// CloseWrite is called by net/http when all answers are written, some time before it closes a
+// connection on which the caller may still be sending.
+func (c *conn) CloseWrite() error {
+	c.end()
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// holdsRequest reports whether a request may have been read that is not answered yet.
+func (c *conn) holdsRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == phaseOpen || c.phase == phaseHead && !c.waiting
+}
+
 // beginWait sets the deadline for bytes of a head. It reports false while a request is open.
 func (c *conn) beginWait() bool {
 	now := c.server.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == phaseOpen {
+	if c.phase == phaseOpen || c.phase == phaseEnded {
 		return false
 	}
 	c.waiting = true
@@ -202,7 +227,9 @@
 	now := c.server.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.begin(p, now)
+	if c.phase != phaseEnded {
+		c.begin(p, now)
+	}
 }
 
 func (c *conn) begin(p phase, now time.Time) {
--- a/callers/server.go
+++ b/callers/server.go
@@ -249,23 +249,45 @@
 			s.cancelRequests(hollowgrade.ErrStopping)
 		}
 		if !hollowgrade.Sleep(ctx, s.clock, pollInterval) {
-			s.log.Warn("stopped with requests open", "requests", s.Active())
-			return ctx.Err()
+			return s.giveUp(ctx)
 		}
 	}
 	return nil
 }
 
+// giveUp returns the error of a planned stop whose time is over. Closing connections without an open
+// request cuts nobody.
+func (s *Server) giveUp(ctx context.Context) error {
+	requests, others := 0, 0
+	for _, c := range s.openConns() {
+		if c.holdsRequest() {
+			requests++
+		} else {
+			others++
+		}
+	}
+	if requests == 0 {
+		s.log.Info("connections without an open request closed", "connections", others, "why", "the time of the stop is over")
+		return nil
+	}
+	s.log.Warn("stopped with requests open", "requests", requests, "other_connections", others)
+	return ctx.Err()
+}
+
 // recheck checks all connections against what is in force now.
 func (s *Server) recheck() {
-	s.mu.Lock()
-	cs := slices.Collect(maps.Keys(s.conns))
-	s.mu.Unlock()
-	for _, c := range cs {
+	for _, c := range s.openConns() {
 		c.recheck()
 	}
 }
 
+// openConns returns the open connections.
+func (s *Server) openConns() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 // crowded reports whether connections are scarce.
 func (s *Server) crowded() bool {
 	return s.maxConns > 0 && float64(s.Connections()) >= crowdedShare*float64(s.maxConns)
--- a/callers/stop_test.go
+++ b/callers/stop_test.go
@@ -127,3 +127,49 @@
 		require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
 	})
 }
+
+// Guards against a planned stop that fails for the sake of connections without an open request.
+func TestPlannedStopThatCutsNobodySucceeds(t *testing.T) {
+	t.Run("while closing takes long", func(t *testing.T) {
+		l := watch(t)
+		s, a := startOn(t, l, ok)
+		cs := keep(t, l, 3)
+		slow, slowIn := dial(t, a)
+		fmt.Fprint(slow, "GET / HT")
+		require.Eventually(t, func() bool { return l.bytesRead(slow) > 0 }, 10*time.Second, time.Millisecond)
+		open := l.closes.close()
+		time.AfterFunc(shortStop+time.Second, open)
+		require.NoError(t, stopWithin(s, shortStop))
+		requireTimeout(t, slowIn)
+		for _, c := range cs {
+			requireEnd(t, c.in)
+		}
+	})
+	t.Run("while the rest of a body that is refused is awaited", func(t *testing.T) {
+		s, a := start(t, func(w http.ResponseWriter, r *http.Request) {
+			if _, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 10)); err != nil {
+				w.WriteHeader(http.StatusRequestEntityTooLarge)
+			}
+		})
+		c, in := dial(t, a)
+		fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nmore than ten bytes")
+		r, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		require.NoError(t, r.Body.Close())
+		require.Equal(t, http.StatusRequestEntityTooLarge, r.StatusCode)
+		require.NoError(t, stopWithin(s, 200*time.Millisecond))
+	})
+	t.Run("but one that cuts a request fails", func(t *testing.T) {
+		block := make(chan struct{})
+		defer close(block)
+		entered := make(chan struct{})
+		s, a := start(t, func(http.ResponseWriter, *http.Request) { close(entered); <-block })
+		idle, idleIn := dial(t, a)
+		_ = idle
+		c, _ := dial(t, a)
+		fmt.Fprint(c, request)
+		<-entered
+		require.ErrorIs(t, stopWithin(s, 200*time.Millisecond), context.DeadlineExceeded)
+		requireEnd(t, idleIn)
+	})
+}
