node: a gateway leaves the list of gateways in time

Gateways: one whose planned stop takes all its time stayed in the store's list ("could not leave the list of gateways"), which costs the others failed connections until it starts again.

Cause: members.Stop was called after the callers' server and the operators' listener were stopped, with the time that was left: none if a connection was open to the end, or if an operators' connection waited for half a second.

The process now leaves the list once the callers are done, at the latest when final answers are due: a fifteenth of the time of the stop, as for these, and beside them, so that calls have as much time as before. It no longer takes its own leaving for the record of another.

TestGatewayLeavesTheListWhenItsStopTakesAllItsTime: before, both parts red each time (the record was there after 1.003 s of 1 s); after, 20 of 20 plays green (with the race detector, -count 10 in two processes, at a load of 29 to 39).

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -185,10 +185,42 @@
 	}
 	n.Operators = o.address()
 	n.Register(OperatorsService, o)
-	n.Register(CallersService, n.callers) // the last one is stopped first and has the most time
+	n.Register(CallersService, callersService{n.callers, n.members.leave}) // the last one is stopped first and has the most time
 	return nil
 }
 
+// callersService serves callers, until the process leaves the list of gateways.
+type callersService struct {
+	*callers.Server
+	leave func(context.Context)
+}
+
+// Stop implements [kernel.Service]. The process leaves the list once the callers are done, at the
+// latest while the last of them are answered: other services may take the rest of the time.
+func (s callersService) Stop(ctx context.Context) error {
+	served, cancel := untilFinalAnswers(ctx)
+	defer cancel()
+	var g sync.WaitGroup
+	g.Go(func() {
+		<-served.Done()
+		s.leave(ctx)
+	})
+	err := s.Server.Stop(ctx)
+	cancel()
+	g.Wait()
+	return err
+}
+
+// untilFinalAnswers returns a context that ends when the final answers of a stop that begins now are
+// due.
+func untilFinalAnswers(ctx context.Context) (context.Context, context.CancelFunc) {
+	end, bounded := ctx.Deadline()
+	if !bounded {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, callers.FinalAnswersAfter(time.Until(end)))
+}
+
 // peerHandler returns the handler for other gateways.
 func (n *GatewayNode) peerHandler(f *feed.Server) peer.Handler {
 	return func(_ context.Context, s *peer.Stream, first *wire.Frame) error {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -52,6 +52,7 @@
 	// cellPeers are the peer addresses of the others of the cell.
 	cellPeers []string
 	onCell    func(core.Cell) // called when the cell may have changed
+	leaving   bool            // whether this process is being taken off the list
 }
 
 // member is a gateway's record in the store's list.
@@ -107,7 +108,7 @@
 
 // storeReturned writes this process's record again if the store lost it.
 func (m *members) storeReturned(kept func(key string) bool) {
-	if m.own.Peers == "" || kept(m.box) {
+	if !m.joins() || kept(m.box) {
 		return
 	}
 	spread := time.Duration(m.count()) * time.Second / rejoinsPerSecond
@@ -135,7 +136,7 @@
 		} else {
 			m.known[c.Key] = k
 		}
-		if c.Key == m.box && k != m.own && m.own.Peers != "" {
+		if c.Key == m.box && k != m.own && m.own.Peers != "" && !m.leaving {
 			m.log.Warn("the list of gateways has another record for this box", "box", m.box, "address", k.Peers, "own", m.own.Peers)
 			m.requestJoin(0)
 		}
@@ -281,17 +282,41 @@
 	return m.runner.Start(ctx, k)
 }
 
-// Stop implements [kernel.Service]. The record of a process that ends without it stays, and costs
-// its peers failed connections.
+// joins reports whether this process belongs in the list.
+func (m *members) joins() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.own.Peers != "" && !m.leaving
+}
+
+// Stop implements [kernel.Service]. It may have left the list before.
 func (m *members) Stop(ctx context.Context) error {
-	if err := m.runner.Stop(ctx); err != nil {
-		return err
+	m.leave(ctx)
+	return nil
+}
+
+// leave takes this process off the list, once. The record of a process that ends without it stays,
+// and costs its peers failed connections.
+func (m *members) leave(ctx context.Context) {
+	if !m.beginLeaving() {
+		return
 	}
+	_ = m.runner.Stop(ctx) // never fails
 	if m.own.Peers == "" {
-		return nil
+		return
 	}
 	if err := m.put(ctx, nil); err != nil {
 		m.log.Warn("could not leave the list of gateways", "err", err)
 	}
-	return nil
+}
+
+// beginLeaving reports whether this process is not being taken off the list yet.
+func (m *members) beginLeaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leaving {
+		return false
+	}
+	m.leaving = true
+	return true
 }
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -112,3 +112,42 @@
 	time.AfterFunc(time.Second/2, func() { fmt.Fprint(c, "GET / HT") })
 	require.NoError(t, g.Stop(ctx))
 }
+
+// Guards against gateways that stay in the list because their callers' stop took all the time, which
+// costs the others failed connections.
+func TestGatewayLeavesTheListWhenItsStopTakesAllItsTime(t *testing.T) {
+	const drain = time.Second
+	// stopWith stops a gateway beside a connection, after it has sent what it is given.
+	stopWith := func(t *testing.T, address func(*gateway) string, sent string) (s *fixture, g *gateway) {
+		t.Helper()
+		s = newFixture(t)
+		w := platformtest.NewWorker("i-0", platformtest.Hang)
+		t.Cleanup(w.Close)
+		s.store.PutJSON("keyed.servers", w.ID, w.Record("s", "ready"))
+		g = startGatewayToStop(t, s.store.Address(), nil)
+		g.waitReady(t)
+		require.Eventually(t, func() bool { return s.store.Value("keyed.members", g.Box.Name) != "" }, 20*time.Second, time.Millisecond)
+		c, err := net.Dial("tcp", address(g))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		fmt.Fprint(c, sent)
+		go func() { _, _, _ = g.post("/once/x", "open", "k1", "hello") }()
+		require.Eventually(t, func() bool { return len(w.Requests()) > 0 }, 20*time.Second, time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), drain)
+		defer cancel()
+		begun := time.Now()
+		err = g.Stop(ctx)
+		t.Logf("stopped after %s: %v", time.Since(begun), err)
+		return s, g
+	}
+	t.Run("beside a body that does not arrive", func(t *testing.T) {
+		s, g := stopWith(t, func(g *gateway) string { return g.callersAddress },
+			"POST /once/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\nContent-Length: 100\r\n\r\n")
+		require.Empty(t, s.store.Value("keyed.members", g.Box.Name))
+	})
+	t.Run("beside a call that hangs and an operators' connection", func(t *testing.T) {
+		s, g := stopWith(t, func(g *gateway) string { return g.Operators }, "")
+		require.Empty(t, s.store.Value("keyed.members", g.Box.Name))
+		require.NotContains(t, g.log.String(), "has another record")
+	})
+}
