callers: empty lines do not begin a request

Callers: a client that sends an empty line after a body had its kept connection answered with 408 after the header limit, before its idle limit, and took that for the answer to its next request.

Cause: any byte that arrived between requests began a head. A connection of which only CR and LF have arrived since the last answer is idle now (RFC 9112, 2.2); it is closed at its idle limit, without an answer.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -82,7 +83,7 @@
 	for {
 		begun := time.Now()
 		n, err = c.Conn.Read(b)
-		if c.waitOn(n, err, time.Since(begun)) {
+		if c.waitOn(b[:n], err, time.Since(begun)) {
 			continue
 		}
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -143,20 +144,20 @@
 }
 
 // waitOn decides on the result of a read that took the given time whether another one follows.
-func (c *conn) waitOn(n int, err error, took time.Duration) bool {
+func (c *conn) waitOn(b []byte, err error, took time.Duration) bool {
 	now := c.server.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+	if len(b) == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		if until, ok := c.extend(now, took); ok {
 			c.setDeadline(now, until)
 			return true
 		}
 	}
-	if n > 0 && c.phase == phaseIdle {
+	if c.phase == phaseIdle && !isEmptyLines(b) {
 		c.begin(phaseHead, now)
 	}
-	c.waiting, c.progress = false, n > 0
+	c.waiting, c.progress = false, len(b) > 0
 	_ = c.SetReadDeadline(time.Time{}) // a closed connection ends the next read by itself
 	return false
 }
@@ -244,6 +245,11 @@
 	c.told = d
 }
 
+// isEmptyLines reports whether b has no byte of a head: some callers send an empty line after a body.
+func isEmptyLines(b []byte) bool {
+	return len(bytes.TrimLeft(b, "\r\n")) == 0
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/callers/server_test.go
+++ b/callers/server_test.go
@@ -49,6 +49,12 @@
 }
 
 func exchange(t *testing.T, c net.Conn, in *bufio.Reader) *http.Response {
+	t.Helper()
+	return send(t, c, in, request)
+}
+
+// send sends a request and waits for its answer.
+func send(t *testing.T, c net.Conn, in *bufio.Reader, request string) *http.Response {
 	t.Helper()
 	fmt.Fprint(c, request)
 	r, err := http.ReadResponse(in, nil)
@@ -311,3 +317,48 @@
 	require.Equal(t, http.StatusOK, r.StatusCode)
 	require.NoError(t, r.Body.Close())
 }
+
+const postRequest = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+
+// Guards against kept connections that count as slow for an empty line after a body.
+func TestEmptyLinesBeforeARequestDoNotBeginIt(t *testing.T) {
+	limits := WithLimits(func() Limits {
+		return Limits{HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 2 * time.Second}
+	})
+	for _, lines := range []string{"\r\n", "\n", "\r\n\r\n", "\r"} {
+		t.Run(fmt.Sprintf("the connection is kept after %q", lines), func(t *testing.T) {
+			_, a := start(t, ok, limits)
+			c, in := dial(t, a)
+			send(t, c, in, postRequest)
+			time.Sleep(100 * time.Millisecond)
+			fmt.Fprint(c, lines)
+			time.Sleep(time.Second)
+			require.Equal(t, http.StatusOK, send(t, c, in, postRequest).StatusCode)
+		})
+	}
+	t.Run("the connection is closed at its idle limit", func(t *testing.T) {
+		_, a := start(t, ok, limits)
+		c, in := dial(t, a)
+		answered := time.Now()
+		send(t, c, in, postRequest)
+		for range 2 {
+			time.Sleep(500 * time.Millisecond)
+			fmt.Fprint(c, "\r\n")
+		}
+		_, err := http.ReadResponse(in, nil)
+		require.Error(t, err, "without an answer")
+		require.Greater(t, time.Since(answered), 2*time.Second)
+		require.Less(t, time.Since(answered), 2*time.Second+idleGrace+closeTime)
+	})
+	t.Run("a head that follows is one from its first byte on", func(t *testing.T) {
+		_, a := start(t, ok, limits)
+		c, in := dial(t, a)
+		send(t, c, in, postRequest)
+		fmt.Fprint(c, "\r\n")
+		time.Sleep(100 * time.Millisecond)
+		fmt.Fprint(c, "\r\nGET / HT")
+		begun := time.Now()
+		requireTimeout(t, in)
+		require.Less(t, time.Since(begun), closeTime)
+	})
+}
