--- a/callers/server.go
+++ b/callers/server.go
@@ -59,6 +59,7 @@
 	log        *log.Logger
 	linger     func() time.Duration
 	acceptGate func(context.Context)
+	allClosed  chan struct{} // receives when no connection is open
 
 	maxConns int                        // 0 for no bound
 	drain    atomic.Pointer[drainTimes] // nil until a planned stop closes connections
@@ -122,6 +123,7 @@
 		clock:      hollowgrade.SystemClock(),
 		log:        log.Default(),
 		acceptGate: func(context.Context) {},
+		allClosed:  make(chan struct{}, 1),
 		conns:      map[*conn]struct{}{},
 		cancel:     func() {},
 	}
@@ -248,13 +250,28 @@
 			s.log.Warn("cancelled the requests that were still open", "requests", s.Active(), "why", "the time of the stop is over")
 			s.cancelRequests(hollowgrade.ErrStopping)
 		}
-		if !hollowgrade.Sleep(ctx, s.clock, pollInterval) {
+		if !s.awaitClosed(ctx, pollInterval) {
 			return s.giveUp(ctx)
 		}
 	}
 	return nil
 }
 
+// awaitClosed returns when the last connection is closed, at the latest after d. It reports false if
+// ctx ends first.
+func (s *Server) awaitClosed(ctx context.Context, d time.Duration) bool {
+	t := s.clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-s.allClosed:
+		return true
+	case <-t.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // giveUp returns the error of a planned stop whose time is over. Closing connections without an open
 // request cuts nobody.
 func (s *Server) giveUp(ctx context.Context) error {
@@ -368,9 +385,20 @@
 	case http.StateIdle:
 		c.setPhase(phaseIdle)
 	case http.StateClosed, http.StateHijacked:
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
+		s.removeConn(c)
+	}
+}
+
+func (s *Server) removeConn(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	if len(s.conns) > 0 {
+		return
+	}
+	select {
+	case s.allClosed <- struct{}{}:
+	default:
 	}
 }
 
--- a/callers/stop_test.go
+++ b/callers/stop_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 )
 
@@ -173,3 +174,21 @@
 		requireEnd(t, idleIn)
 	})
 }
+
+// Guards against a planned stop that waits for its next look at connections that are all closed.
+func TestPlannedStopEndsWithTheLastConnection(t *testing.T) {
+	release := make(chan struct{})
+	entered := make(chan struct{})
+	s, a := start(t, func(http.ResponseWriter, *http.Request) { close(entered); <-release }, WithClock(clockwork.NewFakeClock()))
+	c, in := dial(t, a)
+	fmt.Fprint(c, request)
+	<-entered
+	stopped := make(chan error, 1)
+	go func() { stopped <- stopWithin(s, longStop) }()
+	require.Eventually(t, func() bool { return s.draining() != nil }, longStop, time.Millisecond)
+	begun := time.Now()
+	close(release)
+	require.NoError(t, readAnswer(c, in))
+	require.NoError(t, <-stopped)
+	require.Less(t, time.Since(begun), longStop/2, "no timer of the server's clock ends")
+}
