callers: nothing is read from once more when a stop has cancelled its requests

The head that was suspected was not the cause.

Connections are closed without a last read once requests are cancelled, in the last fifteenth of a stop. What arrives then is not read; its caller gets a close.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -174,7 +174,7 @@
 	if c.lastReads > 0 && !stalled && !c.progress || c.lastReads >= maxLastReads {
 		return time.Time{}, false
 	}
-	if c.lastReads > 0 && c.server.draining().late(now) {
+	if c.server.draining().late(now) {
 		return time.Time{}, false
 	}
 	c.lastReads++
--- a/callers/stop_test.go
+++ b/callers/stop_test.go
@@ -192,3 +192,17 @@
 	require.NoError(t, <-stopped)
 	require.Less(t, time.Since(begun), longStop/2, "no timer of the server's clock ends")
 }
+
+// Guards against a planned stop that outlasts its time for a last read of connections whose requests it
+// has cancelled.
+func TestConnectionsAreNotReadFromOnceRequestsAreCancelled(t *testing.T) {
+	s, _ := start(t, ok)
+	now := s.clock.Now()
+	c := &conn{server: s, since: now}
+	s.drain.Store(&drainTimes{headsUntil: now, cancelAt: now.Add(time.Second)})
+	_, again := c.extend(now, lastReadTime)
+	require.True(t, again, "before that")
+	s.drain.Store(&drainTimes{headsUntil: now, cancelAt: now})
+	_, again = (&conn{server: s, since: now}).extend(now.Add(time.Millisecond), lastReadTime)
+	require.False(t, again)
+}
