callers: idle limits that are recorded at once do not hide one another

Callers: a kept connection may be closed sooner than the limit its caller knows of.

Cause: the time of a limit was read before the lock was taken. One that waited for the lock was last in the list with an older time, at which the search for the longest limit since an answer ends. The time is read with the lock held now.

--- a/callers/close_test.go
+++ b/callers/close_test.go
@@ -17,6 +17,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/kernel"
 )
 
@@ -326,3 +327,40 @@
 		})
 	}
 }
+
+// clockBesideOthers is a clock at which others run once while it is read.
+type clockBesideOthers struct {
+	hollowgrade.Clock
+	others atomic.Pointer[func()]
+}
+
+func (c *clockBesideOthers) Now() time.Time {
+	now := c.Clock.Now()
+	if f := c.others.Swap(nil); f != nil {
+		(*f)()
+	}
+	return now
+}
+
+// Guards against an idle limit that hides longer ones since it was recorded later than it says.
+func TestIdleLimitsRecordedAtOnceAreAllRemembered(t *testing.T) {
+	clock := &clockBesideOthers{Clock: hollowgrade.SystemClock()}
+	s := New(watch(t), http.HandlerFunc(ok), WithClock(clock)) // not started: it records no limits by itself
+	var answered time.Time
+	recorded := make(chan struct{})
+	others := func() {
+		answered = time.Now()
+		go func() {
+			defer close(recorded)
+			s.recordIdleLimit(time.Hour)
+		}()
+		select {
+		case <-recorded:
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+	clock.others.Store(&others)
+	s.recordIdleLimit(time.Second)
+	<-recorded
+	require.Equal(t, time.Hour, s.longestIdleLimit(answered))
+}
--- a/callers/server.go
+++ b/callers/server.go
@@ -422,9 +422,9 @@
 
 // recordIdleLimit records the idle limit in force.
 func (s *Server) recordIdleLimit(d time.Duration) {
-	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.clock.Now() // with the lock held, so that the list is in order
 	if n := len(s.idleLimits); n > 0 && s.idleLimits[n-1].limit == d {
 		return
 	}
