callers: the last bytes of an answer are bounded too

Callers saw nothing; a caller that did not read the last bytes of its answer kept its connection, and its place among the connections, for good. BoundWrites lifted its bound when the handler ended, but net/http sends what is buffered after that (finishRequest, or the final flush of an aborted answer).

--- a/callers/write.go
+++ b/callers/write.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// writeSlack is how long after the request's deadline its last bytes may still be written to the
-	// caller.
+	// writeSlack is how long after the request's deadline, or after the end of its handler if that is
+	// later, its last bytes may still be written to the caller.
 	writeSlack = time.Second
 	// maxWriteBytes is the size of one write. Each renews the bound on stalls, so a caller that reads
 	// slowly without stopping is not cut off.
@@ -17,13 +17,20 @@
 )
 
 // BoundWrites ensures that a caller who does not read cannot keep its request open much beyond its
-// deadline. The returned function removes the bound, since the connection may have further
-// requests.
+// deadline. The returned function is called when the handler ends. It bounds the last bytes, which
+// net/http sends after that; net/http removes the bound before the next request on the connection.
 func BoundWrites(w http.ResponseWriter, deadline time.Time) (end func()) {
 	c := http.NewResponseController(w)
-	// The error is ignored: a closed connection ends the request by itself.
+	// The errors are ignored: a closed connection ends the request by itself.
 	_ = c.SetWriteDeadline(deadline.Add(writeSlack))
-	return func() { _ = c.SetWriteDeadline(time.Time{}) }
+	return func() { _ = c.SetWriteDeadline(later(deadline, time.Now()).Add(writeSlack)) }
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Writer writes an answer to a caller and fails once the caller has stopped reading. It buffers
