callers: the end of a planned stop waits for no body

A planned stop waited to the end of its time for a body that did not come, also for one that net/http discards after the answer, and ended with an error ("stopped with requests open"); the caller's connection was cut without an answer. Cancelling the requests that are open does not end a read of a body.

From its last moment on (finalAnswersAt), the server ends the reads of bodies at each look, every 20 ms, since a handler may set a later deadline meanwhile. By then the contexts have the stop as their cause, so that this is not taken for a caller that has gone. The caller gets 408 (HG1010) with Connection: close; the call has not run. After an answer to a body of more than 256 KB that it gave up, net/http waits 0.5 s before it closes, longer than the last moment: it calls CloseWrite first, by which the server knows that nothing is left to be done.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -223,6 +223,15 @@
 	}
 }
 
+// endBody ends the read of a body that has not come, also where net/http discards it.
+func (c *conn) endBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseOpen {
+		_ = c.SetReadDeadline(time.Now()) // a closed connection ends the read by itself
+	}
+}
+
 // setPhase records how far the next request has come.
 func (c *conn) setPhase(p phase) {
 	now := c.server.clock.Now()
--- a/callers/server.go
+++ b/callers/server.go
@@ -241,7 +241,8 @@
 }
 
 // closeAll closes connections as they become idle and waits until none is open. At cancelAt, the
-// requests that are still open are cancelled with [hollowgrade.ErrStopping] as the cause.
+// requests that are still open are cancelled with [hollowgrade.ErrStopping] as the cause. From then
+// on, no body is waited for.
 func (s *Server) closeAll(ctx context.Context, cancelAt time.Time) error {
 	const pollInterval = 20 * time.Millisecond
 	s.beginDrain(cancelAt)
@@ -250,6 +251,9 @@
 			s.log.Warn("cancelled the requests that were still open", "requests", s.Active(), "why", "the time of the stop is over")
 			s.cancelRequests(hollowgrade.ErrStopping)
 		}
+		if s.baseContext.Err() != nil {
+			s.endBodies()
+		}
 		if !s.awaitClosed(ctx, pollInterval) {
 			return s.giveUp(ctx)
 		}
@@ -291,6 +295,14 @@
 	return ctx.Err()
 }
 
+// endBodies ends the reads of bodies that have not come. It is called again and again, since a
+// handler may set a later deadline meanwhile.
+func (s *Server) endBodies() {
+	for _, c := range s.openConns() {
+		c.endBody()
+	}
+}
+
 // recheck checks all connections against what is in force now.
 func (s *Server) recheck() {
 	for _, c := range s.openConns() {
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -66,6 +68,39 @@
 	})
 }
 
+// A planned stop ended with an error while a caller had not sent its body.
+func TestPlannedStopEndsCallsWhoseBodyHasNotCome(t *testing.T) {
+	const drain = 3 * time.Second
+	for name, length := range map[string]int{"a short body": 50, "a long body": 1 << 20} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t)
+			w := platformtest.NewWorker("i-0", platformtest.Echo)
+			t.Cleanup(w.Close)
+			s.store.PutJSON("keyed.servers", w.ID, w.Record("s", "ready"))
+			g, err := setUpGateway(t, s.store.Address(), nil)
+			require.NoError(t, err)
+			require.NoError(t, g.Start(context.Background()))
+			g.waitReady(t)
+			c, err := net.Dial("tcp", g.callersAddress)
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = c.Close() })
+			fmt.Fprintf(c, "POST /once/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: open\r\nDeadline-Ms: 60000\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\nhel", length)
+			require.Eventually(t, func() bool { return g.callers.Active() == 1 }, 10*time.Second, time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), drain)
+			defer cancel()
+			require.NoError(t, g.Stop(ctx))
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			b, err := io.ReadAll(r.Body)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusRequestTimeout, r.StatusCode)
+			require.True(t, r.Close)
+			require.Contains(t, string(b), "HG1010")
+			require.Empty(t, w.Requests())
+		})
+	}
+}
+
 func TestOperatorsConnectionDoesNotDelayAPlannedStop(t *testing.T) {
 	s := newFixture(t)
 	w := platformtest.NewWorker("i-0", platformtest.Echo)
