entry: the refusal of a body that does not come is sent

A caller of an entry that sent a part of its body only got no answer: the entry made its 408 (HG1010) after body_timeout, but lifted the read deadline before net/http, which discards the rest of a body before it sends an answer, so that the connection stayed for good. The deadline stays in force now; net/http removes it itself at the end of a body. It is not set for a request without a body, whose connection net/http reads meanwhile.

Before: TestBodyThatDoesNotComeIsRefused, with a length, red (no answer in 3 s of a body_timeout of 0.3 s). After: go test -race ./entry -run TestBodyThat -count 20 green; ./entry and TestSlowBody of ./internal/fleettest green.

--- a/entry/http.go
+++ b/entry/http.go
@@ -161,10 +161,12 @@
 
 // readBody reads the whole body of a caller, within the limits of size and time.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) (b []byte, err error) {
-	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(time.Now().Add(e.limits.BodyTimeout))
+	if r.Body != http.NoBody {
+		// net/http removes the deadline at the end of the body. Until then it has to hold: net/http
+		// discards the rest of a body before it sends a refusal.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.limits.BodyTimeout))
+	}
 	b, err = io.ReadAll(http.MaxBytesReader(w, r.Body, e.limits.MaxBodyBytes))
-	_ = c.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
