--- a/cmd/hollowgrade/process_test.go
+++ b/cmd/hollowgrade/process_test.go
@@ -70,10 +70,21 @@
 	t.Cleanup(func() {
 		_ = p.Process.Kill()
 		_ = p.Wait()
+		if t.Failed() {
+			p.logLines(t)
+		}
 	})
 	return p
 }
 
+// logLines logs the lines of the process that nobody has awaited.
+func (p *process) logLines(t testing.TB) {
+	t.Helper()
+	for l := range p.lines {
+		t.Logf("%d: %s", p.Process.Pid, l)
+	}
+}
+
 // await returns the first line that contains the text.
 func (p *process) await(t testing.TB, text string) string {
 	t.Helper()
--- a/cmd/hollowgrade/signals_test.go
+++ b/cmd/hollowgrade/signals_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -51,14 +50,6 @@
 	path      string
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // startHeld starts a gateway that waits for its settings until release is called: its settings file
 // is a pipe.
 func startHeld(t *testing.T) *signalGateway {
@@ -69,7 +60,7 @@
 	t.Cleanup(w.Close)
 	s.PutJSON("keyed.servers", w.ID, w.Record("s", "ready"))
 	s.Put("keyed.op", "config", []byte(signalsConfig))
-	g := &signalGateway{callers: freeAddress(t), readiness: freeAddress(t), path: filepath.Join(t.TempDir(), "gateway.toml")}
+	g := &signalGateway{callers: platformtest.FreeAddress(t), readiness: platformtest.FreeAddress(t), path: filepath.Join(t.TempDir(), "gateway.toml")}
 	g.settings = fmt.Sprintf("role = \"gateway\"\nbox = \"b\"\nhall = \"z\"\ncallers = %q\nreadiness = %q\nstore = %q\nlinger = \"200ms\"\n", g.callers, g.readiness, s.Address())
 	require.NoError(t, syscall.Mkfifo(g.path, 0o600))
 	g.process = start(t, binaries.hollowgrade, "gateway", "--config", g.path)
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -71,14 +71,6 @@
 	peersAddress   string
 }
 
-func freePort(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // maxPortTries bounds the tries to get free ports: any process may take a free port before the gateway
 // listens on it.
 const maxPortTries = 5
@@ -113,7 +105,7 @@
 
 func setUpGateway(t *testing.T, store string, change func(*setting.Gateway)) (g *gateway, err error) {
 	t.Helper()
-	g = &gateway{log: &logBuffer{}, callersAddress: freePort(t), ready: freePort(t), peersAddress: freePort(t)}
+	g = &gateway{log: &logBuffer{}, callersAddress: platformtest.FreeAddress(t), ready: platformtest.FreeAddress(t), peersAddress: platformtest.FreeAddress(t)}
 	c := setting.DefaultGateway()
 	c.Box, c.Hall, c.Store = "box-"+g.callersAddress, "z1", store
 	c.Callers, c.Readiness, c.Peers = g.callersAddress, g.ready, g.peersAddress
@@ -411,7 +403,7 @@
 	away := platformtest.NewStore()
 	defer away.Close()
 	away.SetMode(platformtest.Resetting)
-	g := startGateway(t, away.Address(), func(c *setting.Gateway) { c.Seeds = []string{s.gateway.peersAddress, freePort(t)} })
+	g := startGateway(t, away.Address(), func(c *setting.Gateway) { c.Seeds = []string{s.gateway.peersAddress, platformtest.FreeAddress(t)} })
 	g.waitReady(t)
 	st, _, err := g.call(t, "/once/x", "a1", "k2")
 	require.NoError(t, err)
