feed: run a test of virtual time on one processor

Cause: known from internal/spread (docs/FINDINGS.md): with the race detector all timers of a bubble share one context, which two threads use if they run expired timers at once.

Change: that test runs on one processor, as those of internal/spread do. No check, seed or bound has changed.

--- a/feed/freshness_test.go
+++ b/feed/freshness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -42,6 +43,8 @@
 // reported complete. The test varies delays, the speed of the store's clock and the times of
 // writes, including the end of a read's wait.
 func TestViewsAreNeverYoungerThanTold(t *testing.T) {
+	// With the race detector, the runtime crashes if two threads run expired timers of a bubble at once.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	for _, speed := range []float64{0.95, 1, 1.05} {
 		for seed := range uint64(40) {
 			synctest.Test(t, func(t *testing.T) {
