callers: read a body that has arrived also when its time is over

What callers saw: nothing yet, found by reading the change before its landing, and shown by a trial. A request whose body had arrived, but not been read when the caller's time was over, since the process was not scheduled, was refused with 408 "had not arrived". Before the bound on bodies it was served late.

Cause: a read whose deadline has passed returns without a look at the kernel's queue. Bodies that net/http reads together with the head were not hit.

A deadline in the past, by which net/http and a planned stop interrupt reads, is not extended.

--- a/callers/body_test.go
+++ b/callers/body_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -14,7 +16,7 @@
 	"github.com/hollowgrade/hollowgrade"
 )
 
-// A planned stop waited to the end of its time for a body that did not come, and ended with an error.
+// Guards against a planned stop that waits to its end for a body that does not come, and fails.
 func TestPlannedStopEndsBodiesThatDoNotCome(t *testing.T) {
 	for name, body := range map[string]string{
 		"with a length": "Content-Length: 50\r\n\r\nabc",
@@ -83,3 +85,53 @@
 	require.NoError(t, err)
 	require.Equal(t, "stopping\n", string(b))
 }
+
+// Guards against refusals of bodies that have arrived and that a process which was not scheduled has not
+// read when their time is over.
+func TestBodyThatHasArrivedIsReadAfterItsDeadline(t *testing.T) {
+	const (
+		size     = 100_000 // more than net/http reads with the head
+		deadline = 50 * time.Millisecond
+		maxLate  = 500 * time.Millisecond
+	)
+	type result struct {
+		n    int
+		err  error
+		late time.Duration
+	}
+	// readLate reads a body with a deadline, beginning some time after that has passed.
+	readLate := func(t *testing.T, send func(c net.Conn)) result {
+		t.Helper()
+		results := make(chan result, 1)
+		_, a := start(t, func(w http.ResponseWriter, r *http.Request) {
+			by := time.Now().Add(deadline)
+			_ = http.NewResponseController(w).SetReadDeadline(by)
+			time.Sleep(2 * deadline)
+			n, err := io.Copy(io.Discard, r.Body)
+			results <- result{int(n), err, time.Since(by)}
+		})
+		c, _ := dial(t, a)
+		fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
+		go send(c)
+		return <-results
+	}
+	t.Run("whole", func(t *testing.T) {
+		r := readLate(t, func(c net.Conn) { _, _ = c.Write(make([]byte, size)) })
+		require.NoError(t, r.err)
+		require.Equal(t, size, r.n)
+	})
+	t.Run("but not waited for", func(t *testing.T) {
+		r := readLate(t, func(net.Conn) {})
+		require.ErrorIs(t, r.err, os.ErrDeadlineExceeded)
+		require.Less(t, r.late, maxLate)
+	})
+	t.Run("nor for ever if it comes byte by byte", func(t *testing.T) {
+		r := readLate(t, func(c net.Conn) {
+			for _, err := c.Write([]byte("x")); err == nil; _, err = c.Write([]byte("x")) {
+				time.Sleep(lastReadTime / 4)
+			}
+		})
+		require.ErrorIs(t, r.err, os.ErrDeadlineExceeded)
+		require.Less(t, r.late, maxLate)
+	})
+}
--- a/callers/conn.go
+++ b/callers/conn.go
@@ -72,13 +72,25 @@
 	lastReads int           // since the connection is due to be closed
 	lastUntil time.Time     // until when the last of them waits
 	progress  bool          // whether it returned bytes
+	body      bodyBound     // on reads while a request is open
 }
 
+// bodyBound is a deadline for the reads of a body.
+type bodyBound struct {
+	by       time.Time // zero if there is none
+	extended int       // how often it was
+	inVain   int       // how often since a read last returned bytes
+}
+
+// maxInVain bounds the extensions of a body's deadline after which nothing came. The process may not be
+// scheduled during one of them.
+const maxInVain = 2
+
 // Read implements [net.Conn]. Between requests and within heads it returns
 // [os.ErrDeadlineExceeded] when the connection has been idle or slow for too long.
 func (c *conn) Read(b []byte) (n int, err error) {
 	if !c.beginWait() {
-		return c.Conn.Read(b)
+		return c.readOpen(b)
 	}
 	for {
 		begun := time.Now()
@@ -93,6 +105,52 @@
 	}
 }
 
+// readOpen reads while a request is open. Bytes of a body may have arrived while the process was not
+// scheduled, so a read whose deadline has passed is tried again.
+func (c *conn) readOpen(b []byte) (n int, err error) {
+	for {
+		n, err = c.Conn.Read(b)
+		if !c.extendBody(n, err) {
+			return n, err
+		}
+	}
+}
+
+// extendBody extends the deadline for a body by [lastReadTime] if a read has returned nothing by it. It
+// reports false if there is no such deadline, or no further extension.
+func (c *conn) extendBody(n int, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.body.inVain = 0
+		return false
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) || c.body.by.IsZero() || c.body.inVain >= maxInVain || c.body.extended >= maxLastReads {
+		return false
+	}
+	c.body.extended++
+	c.body.inVain++
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadTime))
+	return true
+}
+
+// SetReadDeadline implements [net.Conn]. Handlers bound the reads of bodies by it. A time that has
+// passed interrupts a read, which net/http does at the end of a request.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.boundBody(t)
+}
+
+// boundBody sets the deadline for a body, or interrupts the read of one. The lock is held.
+func (c *conn) boundBody(t time.Time) error {
+	c.body = bodyBound{}
+	if t.After(time.Now()) {
+		c.body.by = t
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // endForAge ends a connection that has been idle or slow for too long.
 func (c *conn) endForAge() {
 	p := c.end()
@@ -158,7 +216,7 @@
 		c.begin(phaseHead, now)
 	}
 	c.waiting, c.progress = false, len(b) > 0
-	_ = c.SetReadDeadline(time.Time{}) // a closed connection ends the next read by itself
+	_ = c.Conn.SetReadDeadline(time.Time{}) // a closed connection ends the next read by itself
 	return false
 }
 
@@ -210,7 +268,7 @@
 
 // setDeadline sets the deadline of the read that waits.
 func (c *conn) setDeadline(now, until time.Time) {
-	_ = c.SetReadDeadline(time.Now().Add(until.Sub(now)))
+	_ = c.Conn.SetReadDeadline(time.Now().Add(until.Sub(now)))
 }
 
 // recheck sets the deadline of a read that waits by what is in force now.
@@ -228,7 +286,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseOpen {
-		_ = c.SetReadDeadline(time.Now()) // a closed connection ends the read by itself
+		_ = c.boundBody(time.Now()) // a closed connection ends the read by itself
 	}
 }
 
--- a/callers/write.go
+++ b/callers/write.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"github.com/hollowgrade/hollowgrade"
 )
 
 const (
@@ -23,14 +25,7 @@
 	c := http.NewResponseController(w)
 	// The errors are ignored: a closed connection ends the request by itself.
 	_ = c.SetWriteDeadline(deadline.Add(writeSlack))
-	return func() { _ = c.SetWriteDeadline(later(deadline, time.Now()).Add(writeSlack)) }
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	return func() { _ = c.SetWriteDeadline(hollowgrade.Later(deadline, time.Now()).Add(writeSlack)) }
 }
 
 // Writer writes an answer to a caller and fails once the caller has stopped reading. It buffers
