--- a/core/closing.go
+++ b/core/closing.go
@@ -26,7 +26,7 @@
 )
 
 // watch starts to probe an upstream that closes connections, and has it avoided, until it keeps a
-// connection, has another instance or was watched for [maxWatch]. The returned channel is closed
+// connection, has another instance or was watched for [maxWatchTime]. The returned channel is closed
 // once the first of these probes has checked the runs that were lost there.
 func (c *Core) watch(u hollowgrade.Upstream, request string, first probeResult) (checked <-chan struct{}) {
 	c.mu.Lock()
@@ -79,8 +79,8 @@
 	// minSilence is the time without any data that counts as a crash: a running upstream sends an
 	// event each 100 ms to some call. It is long enough for all losses of one crash to be recorded.
 	minSilence = reprobeInterval - inFlightGrace
-	// maxEndTime bounds the time from a loss until the upstream refuses connections that counts as one
-	// crash: the process ends its connections one after another. It has room for a late probe.
+	// maxEndTime bounds the time from a loss until the upstream refuses connections, so that both count
+	// as one crash.
 	maxEndTime = 2 * reprobeInterval
 )
 
--- a/core/probe.go
+++ b/core/probe.go
@@ -43,8 +43,8 @@
 }
 
 // probeOnce returns the result of a probe of an upstream whose connection broke: of one that another
-// loss at about the same time has begun, or of a new one. A broken connection alone is no crash: an upstream may reset a
-// long prompt before it has read it, and go on with other calls.
+// loss at about the same time has begun, or of a new one. A broken connection alone is no crash: an
+// upstream may reset a long prompt before it has read it, and go on with other calls.
 func (c *Core) probeOnce(u hollowgrade.Upstream, request string, lost time.Time) probeResult {
 	if c.prober == nil {
 		return probeResult{}
--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -39,7 +39,7 @@
 	for r := range t.recordsOf(q) {
 		rs = append(rs, r)
 	}
-	slices.SortFunc(rs, compareForEvaluation) // the block of another suspect may leave several to be blocked
+	slices.SortFunc(rs, compareForEvaluation) // a block may explain the losses of the others
 	for _, r := range rs {
 		t.evaluate(r, now)
 	}
