cli: no signal but SIGKILL ends a role that serves

The same cause elsewhere: SIGQUIT and SIGABRT kept their default action in every role from start to exit, and cut all requests with exit status 2.

Change: both begin a planned stop, as SIGTERM does, and have no effect during one. Operators' commands keep the default action.

--- a/cmd/hollowgrade/signals_test.go
+++ b/cmd/hollowgrade/signals_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -36,6 +37,15 @@
 	{syscall.SIGINT, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP},
 }
 
+// stopSignals begin a planned stop. No other signal in otherSignals has an effect on requests.
+var (
+	stopSignals  = []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT, syscall.SIGABRT}
+	otherSignals = []syscall.Signal{
+		syscall.SIGHUP, syscall.SIGPIPE, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGALRM, syscall.SIGVTALRM, syscall.SIGXCPU, syscall.SIGXFSZ,
+		syscall.SIGCHLD, syscall.SIGURG, syscall.SIGWINCH, syscall.SIGIO, syscall.SIGPWR, syscall.SIGCONT,
+	}
+)
+
 func seriesName(ss []syscall.Signal) string {
 	return strings.ReplaceAll(strings.Trim(fmt.Sprint(ss), "[]"), " ", ", ")
 }
@@ -132,15 +142,28 @@
 
 // requireExit waits for the end of the process, which must come by itself with status 0.
 func (p *process) requireExit(t *testing.T) {
+	t.Helper()
+	require.NoError(t, p.awaitExit(t))
+}
+
+// requireFailure waits for the end of the process, which must come by itself with another status than 0.
+func (p *process) requireFailure(t *testing.T) {
+	t.Helper()
+	var e *exec.ExitError
+	require.ErrorAs(t, p.awaitExit(t), &e)
+	require.True(t, e.Exited(), e)
+}
+
+func (p *process) awaitExit(t *testing.T) (err error) {
 	t.Helper()
 	end := make(chan error, 1)
 	go func() { end <- p.Wait() }()
 	select {
-	case err := <-end:
-		require.NoError(t, err)
+	case err = <-end:
 	case <-time.After(20 * time.Second):
 		require.Fail(t, "process runs on")
 	}
+	return err
 }
 
 func requireWholeStream(t *testing.T, res *http.Response) {
@@ -192,6 +215,45 @@
 	}
 }
 
+// Guards against requests that are cut since the default action of a signal other than SIGKILL ends a
+// process, from its start to its exit.
+func TestDefaultActionOfNoSignalEndsAProcessThatServes(t *testing.T) {
+	for _, stop := range stopSignals {
+		t.Run("gateway: "+stop.String(), func(t *testing.T) {
+			t.Parallel()
+			g := startHeld(t)
+			g.sendSignals(t, otherSignals...) // at the start
+			g.release(t, "")
+			g.awaitReady(t)
+			g.sendSignals(t, otherSignals...) // while serving
+			stream, once := g.send(t, "/stream/x", "a1"), g.send(t, "/once/x", "a2")
+			g.sendSignals(t, stop)
+			g.sendSignals(t, otherSignals...) // during the stop
+			g.sendSignals(t, stopSignals...)
+			requireWholeStream(t, stream)
+			requireWholeStream(t, once)
+			g.requireExit(t)
+		})
+		for i, role := range []string{"entry", "agent"} {
+			t.Run(role+": "+stop.String(), func(t *testing.T) {
+				t.Parallel()
+				f := startFleet(t, 1, 1+i, step)
+				res := f.complete(t, 0, "Extra time", longAnswerTokens)
+				p := f.entries[0]
+				if role == "agent" {
+					p = f.agents[f.servingEngine(t)]
+				}
+				p.sendSignals(t, otherSignals...)
+				p.sendSignals(t, stop)
+				p.sendSignals(t, stopSignals...)
+				p.sendSignals(t, syscall.SIGHUP, syscall.SIGPIPE)
+				requireAnswer(t, "Extra time", longAnswerTokens, res)
+				p.requireExit(t)
+			})
+		}
+	}
+}
+
 // Guards against a planned stop that is as short as the settings said earlier.
 func TestStopHasTheGraceOfTheChangedFile(t *testing.T) {
 	t.Parallel()
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -54,13 +54,16 @@
 // Hangups delivers each SIGHUP, or one for several that arrive together.
 type Hangups <-chan os.Signal
 
-// NotifySignals receives SIGINT, SIGTERM and SIGHUP until the process exits, so that none of them
-// ends it by its default action. The context ends with the first SIGINT or SIGTERM; later ones have
-// no effect. Call it before anything else.
+// roleSignals are those that end operators' commands, which serve nobody, by their default action.
+var roleSignals = []os.Signal{syscall.SIGHUP, syscall.SIGQUIT, syscall.SIGABRT}
+
+// NotifySignals receives the signals that would end the process by their default action, until it
+// exits. The context ends with the first SIGINT, SIGTERM, SIGQUIT or SIGABRT; later ones have no
+// effect. Call it before anything else.
 func NotifySignals() (context.Context, Hangups) {
 	h := make(chan os.Signal, 1)
 	signal.Notify(h, syscall.SIGHUP)
-	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGQUIT, syscall.SIGABRT)
 	return ctx, h
 }
 
@@ -91,7 +94,7 @@
 		return exitUsage
 	}
 	if _, ok := setting.Roles()[hollowgrade.Role(c.Command())]; !ok {
-		signal.Reset(syscall.SIGHUP) // operators' commands end with their terminal
+		signal.Reset(roleSignals...)
 	}
 	if err = c.Run(); err != nil {
 		fmt.Fprintln(messages, "hollowgrade:", err)
