cli: the end of a log's reader does not end the process

What callers saw: a process whose standard output or standard error is a pipe ended by SIGPIPE within 0.1 s of the reader's closing, at its next line, and cut all that it had passed on; an entry and an agent likewise.

Cause: a failed write to standard output or standard error raises SIGPIPE in programs that do not receive that signal.

Change: a role receives SIGPIPE too; the write returns its error. Operators' commands still end quietly with their pipe, which is decided before the command line is parsed, as help is printed by the parser.

--- a/cmd/hollowgrade/process_test.go
+++ b/cmd/hollowgrade/process_test.go
@@ -49,6 +49,7 @@
 type process struct {
 	*exec.Cmd
 	lines chan string
+	out   io.Closer // the reader of its output
 }
 
 func start(t testing.TB, path string, args ...string) *process {
@@ -56,6 +57,7 @@
 	p := &process{Cmd: exec.Command(path, args...), lines: make(chan string, 4096)}
 	out, err := p.StdoutPipe()
 	require.NoError(t, err)
+	p.out = out
 	p.Stderr = p.Stdout
 	require.NoError(t, p.Start())
 	go func() {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -55,7 +56,7 @@
 type Hangups <-chan os.Signal
 
 // roleSignals are those that end operators' commands, which serve nobody, by their default action.
-var roleSignals = []os.Signal{syscall.SIGHUP, syscall.SIGQUIT, syscall.SIGABRT}
+var roleSignals = []os.Signal{syscall.SIGHUP, syscall.SIGPIPE, syscall.SIGQUIT, syscall.SIGABRT}
 
 // NotifySignals receives the signals that would end the process by their default action, until it
 // exits. The context ends with the first SIGINT, SIGTERM, SIGQUIT or SIGABRT; later ones have no
@@ -63,6 +64,8 @@
 func NotifySignals() (context.Context, Hangups) {
 	h := make(chan os.Signal, 1)
 	signal.Notify(h, syscall.SIGHUP)
+	// Never read: the write that failed returns an error as well.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGQUIT, syscall.SIGABRT)
 	return ctx, h
 }
@@ -85,6 +88,9 @@
 		fmt.Fprintln(messages, "hollowgrade:", err)
 		return exitUsage
 	}
+	if !startsRole(args) {
+		signal.Reset(roleSignals...)
+	}
 	c, err := k.Parse(args)
 	if exited {
 		return code
@@ -93,9 +99,6 @@
 		fmt.Fprintln(messages, "hollowgrade:", err)
 		return exitUsage
 	}
-	if _, ok := setting.Roles()[hollowgrade.Role(c.Command())]; !ok {
-		signal.Reset(roleSignals...)
-	}
 	if err = c.Run(); err != nil {
 		fmt.Fprintln(messages, "hollowgrade:", err)
 		return exitCode(err)
@@ -103,6 +106,15 @@
 	return exitOK
 }
 
+// startsRole reports whether a command line starts a role that serves callers or entries.
+func startsRole(args []string) bool {
+	if len(args) == 0 || slices.Contains(args, "--help") || slices.Contains(args, "-h") {
+		return false
+	}
+	_, ok := setting.Roles()[hollowgrade.Role(args[0])]
+	return ok
+}
+
 func exitCode(err error) int {
 	var f *fault.Error
 	if !errors.As(err, &f) {
