node: log lines that cannot be written are counted and told

What operators saw: nothing. Lines that were written to a pipe without a reader, or to a full disk, were lost, counted nowhere and told by no line.

The gauge can be set up for every role.

--- a/cmd/hollowgrade/log_test.go
+++ b/cmd/hollowgrade/log_test.go
@@ -1,15 +1,53 @@
 package main
 
 import (
+	"bufio"
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade/platform/platformtest"
 )
 
+// lostLines matches the metric of lost log lines unless it is zero.
+var lostLines = regexp.MustCompile(`(?m)^hollowgrade_log_dropped\{.*\} [1-9]`)
+
+// requireMetric waits until a line of the metrics at an operators' address matches.
+func requireMetric(t *testing.T, operators string, r *regexp.Regexp) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		res, err := http.Get("http://" + operators + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		b, err := io.ReadAll(res.Body)
+		return err == nil && r.Match(b)
+	}, 20*time.Second, 50*time.Millisecond)
+}
+
+// startWithOutput starts a process whose standard output and standard error are a file.
+func startWithOutput(t *testing.T, out *os.File, args ...string) *process {
+	t.Helper()
+	p := &process{Cmd: exec.Command(binaries.hollowgrade, args...)}
+	p.Stdout, p.Stderr = out, out
+	require.NoError(t, p.Start())
+	t.Cleanup(func() {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+	})
+	return p
+}
+
 // Guards against a process that SIGPIPE ends, with all requests under way, when the reader of its log ends.
 func TestEndOfALogReaderCutsNoRequest(t *testing.T) {
 	t.Run("gateway", func(t *testing.T) {
@@ -42,6 +80,36 @@
 	}
 }
 
+// Guards against lost log lines that nobody is told of.
+func TestLogReaderThatComesBackLearnsWhatWasLost(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "log")
+	require.NoError(t, syscall.Mkfifo(path, 0o600))
+	reader, err := os.OpenFile(path, os.O_RDONLY|syscall.O_NONBLOCK, 0)
+	require.NoError(t, err)
+	writer, err := os.OpenFile(path, os.O_WRONLY, 0)
+	require.NoError(t, err)
+	operators := platformtest.FreeAddress(t)
+	g := startWithOutput(t, writer, "gateway", "--box", "b", "--hall", "z", "--callers", "127.0.0.1:0", "--readiness", "127.0.0.1:0",
+		"--store", "127.0.0.1:1", "--operators", operators)
+	require.NoError(t, writer.Close())
+	_, err = bufio.NewReader(reader).ReadString('\n')
+	require.NoError(t, err)
+	require.NoError(t, reader.Close())
+	requireMetric(t, operators, lostLines) // the store does not answer: a line for that
+	reader, err = os.OpenFile(path, os.O_RDONLY, 0)
+	require.NoError(t, err)
+	defer time.AfterFunc(20*time.Second, func() { _ = reader.Close() }).Stop()
+	g.sendSignals(t, syscall.SIGTERM)
+	in := bufio.NewScanner(reader)
+	for in.Scan() && !strings.Contains(in.Text(), "log lines dropped") {
+	}
+	require.Regexp(t, `"lines":[1-9]`, in.Text())
+	_, err = io.Copy(io.Discard, reader)
+	require.NoError(t, err)
+	g.requireExit(t)
+}
+
 // Guards against operators' commands that complain or run on without the reader of their output.
 func TestOperatorsCommandsEndWithTheirPipe(t *testing.T) {
 	for _, args := range [][]string{{"explain", "gateway"}, {"--help"}, {"gateway", "--help"}} {
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -8,8 +8,8 @@
 )
 
 // WatchLog adds a gauge of the log lines that were dropped.
-func (n *GatewayNode) WatchLog(w *LogWriter) error {
-	return n.metrics.Gauge("hollowgrade.log_dropped", "Log lines dropped since the output did not keep up.", func() float64 {
+func (n *Node) WatchLog(w *LogWriter) error {
+	return n.metrics.Gauge("hollowgrade.log_dropped", "Log lines dropped since the output did not keep up or could not be written.", func() float64 {
 		return float64(w.Dropped())
 	})
 }
