cli: no role waits for the reader of its log

What callers saw: an entry or an agent whose standard error is a pipe that nobody reads stopped at its first line beyond 64 kB, with all its requests; one that could not start, in any role, never exited, so that no platform would start it anew.

Cause: entries and agents wrote their log in place, libraries (net/http) to standard error, and the last message before the exit as well.

Entries and agents tell the lines that were dropped on their metrics address too.

--- a/cmd/hollowgrade/log_test.go
+++ b/cmd/hollowgrade/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net/http"
 	"os"
@@ -35,6 +36,24 @@
 	}, 20*time.Second, 50*time.Millisecond)
 }
 
+// fullPipe returns the writing end of a pipe that is full and never read.
+func fullPipe(t *testing.T) *os.File {
+	t.Helper()
+	var fds [2]int
+	require.NoError(t, syscall.Pipe2(fds[:], syscall.O_CLOEXEC))
+	require.NoError(t, syscall.SetNonblock(fds[1], true))
+	for b := make([]byte, 1); ; {
+		if _, err := syscall.Write(fds[1], b); err != nil {
+			require.ErrorIs(t, err, syscall.EAGAIN)
+			break
+		}
+	}
+	require.NoError(t, syscall.SetNonblock(fds[1], false))
+	r, w := os.NewFile(uintptr(fds[0]), "reader"), os.NewFile(uintptr(fds[1]), "writer")
+	t.Cleanup(func() { _ = errors.Join(r.Close(), w.Close()) })
+	return w
+}
+
 // startWithOutput starts a process whose standard output and standard error are a file.
 func startWithOutput(t *testing.T, out *os.File, args ...string) *process {
 	t.Helper()
@@ -110,6 +129,30 @@
 	g.requireExit(t)
 }
 
+// Guards against a process that waits for the reader of its log.
+func TestLogThatNobodyReadsBlocksNoProcess(t *testing.T) {
+	platform := start(t, binaries.standin, "platform").await(t, "http://")
+	for role, args := range map[string][]string{
+		"gateway": {"--callers", "127.0.0.1:0", "--readiness", "127.0.0.1:0", "--store", "127.0.0.1:1"},
+		"entry":   {"--callers", "127.0.0.1:0", "--platform-log", platform, "--platform-list", platform},
+		"agent":   {"--peers", "127.0.0.1:0", "--platform-log", platform, "--platform-list", platform, "--engine", "http://127.0.0.1:1", "--models", "m"},
+	} {
+		t.Run(role, func(t *testing.T) {
+			t.Parallel()
+			operators := platformtest.FreeAddress(t)
+			p := startWithOutput(t, fullPipe(t), append([]string{role, "--box", "b", "--hall", "z", "--operators", operators}, args...)...)
+			requireMetric(t, operators, regexp.MustCompile(`(?m)^hollowgrade_log_dropped\{`))
+			p.sendSignals(t, syscall.SIGTERM)
+			p.requireExit(t)
+		})
+		t.Run(role+" that does not start", func(t *testing.T) {
+			t.Parallel()
+			p := startWithOutput(t, fullPipe(t), append([]string{role, "--box", "b", "--hall", "z", "--operators", "nowhere"}, args...)...)
+			p.requireFailure(t)
+		})
+	}
+}
+
 // Guards against operators' commands that complain or run on without the reader of their output.
 func TestOperatorsCommandsEndWithTheirPipe(t *testing.T) {
 	for _, args := range [][]string{{"explain", "gateway"}, {"--help"}, {"gateway", "--help"}} {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -15,6 +15,7 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/internal/node"
 	"github.com/hollowgrade/hollowgrade/setting"
 )
 
@@ -99,6 +100,11 @@
 		fmt.Fprintln(messages, "hollowgrade:", err)
 		return exitUsage
 	}
+	if startsRole(args) {
+		w := node.NewLogWriter(messages)
+		defer func() { _ = w.Close() }()
+		messages = w
+	}
 	if err = c.Run(); err != nil {
 		fmt.Fprintln(messages, "hollowgrade:", err)
 		return exitCode(err)
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	stdlog "log"
 	"os"
 	"time"
 
@@ -19,14 +22,18 @@
 
 // Run runs the command.
 func (c *entryCommand) Run(ctx context.Context, s *streams, h Hangups) error {
-	g, err := node.Logger(s.err, c.Verbosity)
+	w, g, err := openLog(s.err, c.Verbosity)
 	if err != nil {
 		return err
 	}
+	defer func() { _ = w.Close() }()
 	n, err := node.NewEntry(c.Entry, g)
 	if err != nil {
 		return err
 	}
+	if err = n.WatchLog(w); err != nil {
+		return err
+	}
 	go logHangups(ctx, h, g)
 	g.Info("entry starts", "box", c.Box, "callers", n.Callers, "operators", n.Operators, "incarnation", n.Incarnation)
 	return runUntil(ctx, n.Node, func() time.Duration { return c.DrainTimeout }, g)
@@ -40,14 +47,18 @@
 
 // Run runs the command.
 func (c *agentCommand) Run(ctx context.Context, s *streams, h Hangups) error {
-	g, err := node.Logger(s.err, c.Verbosity)
+	w, g, err := openLog(s.err, c.Verbosity)
 	if err != nil {
 		return err
 	}
+	defer func() { _ = w.Close() }()
 	n, err := node.NewAgent(c.Agent, g)
 	if err != nil {
 		return err
 	}
+	if err = n.WatchLog(w); err != nil {
+		return err
+	}
 	go logHangups(ctx, h, g)
 	g.Info("agent starts", "box", c.Box, "peers", n.Peers, "operators", n.Operators, "incarnation", n.Incarnation)
 	return runUntil(ctx, n.Node, func() time.Duration { return c.DrainTimeout }, g)
@@ -65,12 +76,11 @@
 
 // Run runs the command.
 func (c *gatewayCommand) Run(ctx context.Context, s *streams, h Hangups, a arguments) error {
-	w := node.NewLogWriter(s.out)
-	defer func() { _ = w.Close() }()
-	g, err := node.Logger(w, c.Verbosity)
+	w, g, err := openLog(s.out, c.Verbosity)
 	if err != nil {
 		return err
 	}
+	defer func() { _ = w.Close() }()
 	n, err := node.NewGateway(c.Gateway, g)
 	if err != nil {
 		g.Error("gateway does not start", "box", c.Box, "err", err)
@@ -96,6 +106,18 @@
 	return n.Grace()
 }
 
+// openLog returns the log of a role, which never blocks it. Messages of libraries go there too, since
+// standard error may be a pipe that nobody reads.
+func openLog(out io.Writer, verbosity string) (w *node.LogWriter, g *log.Logger, err error) {
+	w = node.NewLogWriter(out)
+	if g, err = node.Logger(w, verbosity); err != nil {
+		return nil, nil, errors.Join(err, w.Close())
+	}
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(g.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}).Writer())
+	return w, g, nil
+}
+
 // logHangups says at each SIGHUP that the role doesn't reload its settings.
 func logHangups(ctx context.Context, h Hangups, g *log.Logger) {
 	for {
