platform, core: answers without end are ended at a bound

What callers saw where one of two upstreams sends bytes without end that are no answer: of 12 calls with 4 s each some got nothing (504 at their deadline, a stream of comments, a failure's body), others waited a second, and the process grew by up to 1.5 GB, five times its box.

Cause: http.ReadResponse on a plain reader has no bound, neither had the body of a failed answer and the comments of a stream, and each part of these was a sign of life for the watchdog. A malformed head counted as a connection that broke, so that the request was suspected.

Change: the reader below the head's buffer ends a head at answer_head_max_bytes (32 kB) over all interim answers, and at 256 lines; the body of a failed answer ends at failure_max_bytes (64 kB), comments between two events at 32 kB; events above 16 kB share 3% of the memory. None of these renews the watchdog. Comments before the first event are kept until it comes, so that another attempt can replace the answer. What is malformed or too large is ErrNotAnAnswer, for which the quarantine blames no request. The log and hollowgrade_oversized_answers tell it by upstream and part.

--- /dev/null
+++ b/cmd/hollowgrade/endless_test.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade/platform/platformtest"
+)
+
+const (
+	endlessConfig = `{"version":1,"routes":[
+ {"name":"bad","host":"h","pathPrefix":"/bad/","kind":"streaming","resumable":true,"timeoutMs":4000,"goalLatencyMs":300,"gap_aim_ms":200,"maxAttempts":2,"service":"bad"},
+ {"name":"good","host":"h","pathPrefix":"/good/","kind":"streaming","resumable":true,"timeoutMs":4000,"goalLatencyMs":300,"gap_aim_ms":200,"maxAttempts":2,"service":"good"}],
+ "services":[{"name":"bad"},{"name":"good"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"o","apiKeys":["k1"]}]}`
+	endlessCallers = 300
+	boxMemoryMB    = 284
+	maxPeakMB      = 120
+	soundCalls     = 100
+	soundGoal      = 300 * time.Millisecond
+	minSoundShare  = 0.99
+)
+
+// postAs sends a request with a deadline and returns the answer's status and body.
+func postAs(address, path, id string) (status int, body string, err error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("hello"))
+	if err != nil {
+		return 0, "", err
+	}
+	r.Host = "h"
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Deadline-Ms", "4000")
+	r.Header.Set("Authorization", "Bearer k1")
+	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(b), err
+}
+
+// peakMB returns the largest memory that a process has had.
+func peakMB(t *testing.T, pid int) int {
+	t.Helper()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	require.NoError(t, err)
+	m := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(b)
+	require.NotNil(t, m)
+	kb, err := strconv.Atoi(string(m[1]))
+	require.NoError(t, err)
+	return kb >> 10
+}
+
+// Guards against upstreams that fill the memory of a gateway with bytes without end, and hold up calls to others.
+func TestAnswersWithoutEndDoNotFillTheMemory(t *testing.T) {
+	for _, name := range []string{"a header line", "header lines", "a body of a failed answer", "comments", "an event", "a head, byte by byte"} {
+		t.Run(name, func(t *testing.T) {
+			b := platformtest.EndlessAnswers()[name]
+			s := platformtest.NewStore()
+			t.Cleanup(s.Close)
+			for i, w := range []*platformtest.Worker{platformtest.NewWorker("i-0", b), platformtest.NewWorker("i-1", b), platformtest.NewWorker("i-2", platformtest.Stream(3, 0))} {
+				t.Cleanup(w.Close)
+				s.PutJSON("keyed.servers", w.ID, w.Record([]string{"bad", "bad", "good"}[i], "ready"))
+			}
+			s.Put("keyed.op", "config", []byte(endlessConfig))
+			g := &signalGateway{callers: platformtest.FreeAddress(t), readiness: platformtest.FreeAddress(t)}
+			g.process = start(t, binaries.hollowgrade, "gateway", "--box", "b", "--hall", "z", "--callers", g.callers, "--readiness", g.readiness,
+				"--store", s.Address(), "--memory-mb", fmt.Sprint(boxMemoryMB), "--linger", "200ms")
+			g.awaitReady(t)
+			var group sync.WaitGroup
+			for i := range endlessCallers {
+				group.Go(func() {
+					if st, _, err := postAs(g.callers, "/bad/x", fmt.Sprint("b", i)); err == nil && st == http.StatusOK {
+						t.Errorf("call %d was answered", i)
+					}
+				})
+			}
+			var inTime atomic.Int64
+			for i := range soundCalls {
+				time.Sleep(10 * time.Millisecond)
+				group.Go(func() {
+					begin := time.Now()
+					if st, body, err := postAs(g.callers, "/good/x", fmt.Sprint("g", i)); err == nil && st == http.StatusOK && strings.HasSuffix(body, platformtest.Event(3)) && time.Since(begin) < soundGoal {
+						inTime.Add(1)
+					}
+				})
+			}
+			group.Wait()
+			peak := peakMB(t, g.Process.Pid)
+			t.Logf("peak memory %d MB, %d of %d calls to the sound service in time", peak, inTime.Load(), soundCalls)
+			require.Less(t, peak, maxPeakMB)
+			require.GreaterOrEqual(t, float64(inTime.Load()), minSoundShare*soundCalls)
+			g.sendSignals(t, syscall.SIGTERM)
+			g.requireExit(t)
+		})
+	}
+}
--- a/core/core.go
+++ b/core/core.go
@@ -68,9 +68,11 @@
 	peers        func() int
 	fleet        *Fleet
 	box          string
-	quarantine   *quarantine.Table // requests that were lost in crashes of upstreams
-	unconfirmed  *unconfirmedLosses
-	catalog      atomic.Pointer[Catalog]
+	// maxFailureBytes bounds the body of an answer that is no success.
+	maxFailureBytes int
+	quarantine      *quarantine.Table // requests that were lost in crashes of upstreams
+	unconfirmed     *unconfirmedLosses
+	catalog         atomic.Pointer[Catalog]
 
 	started time.Time
 
@@ -96,6 +98,13 @@
 	Events       int
 	Turn         TurnResult    // of the last attempt that had to wait for its turn
 	TurnWait     time.Duration // for that turn
+	Oversized    []Oversize    // answers of which a part was larger than its bound
+}
+
+// Oversize is an answer of which a part was larger than its bound.
+type Oversize struct {
+	Upstream hollowgrade.Instance
+	Place    hollowgrade.AnswerPlace
 }
 
 // Option configures a [Core].
@@ -156,6 +165,12 @@
 	return func(c *Core) { c.peers = f }
 }
 
+// WithMaxFailureBytes sets the size in bytes beyond which the body of an answer that is no success is
+// not read on.
+func WithMaxFailureBytes(n int) Option {
+	return func(c *Core) { c.maxFailureBytes = n }
+}
+
 // WithBox sets the name of this box, which is sent to peers.
 func WithBox(box string) Option {
 	return func(c *Core) { c.box = box }
@@ -177,6 +192,8 @@
 		flows:     map[*flow]context.CancelCauseFunc{},
 		probes:    map[hollowgrade.Instance]*sharedProbe{},
 		watched:   map[hollowgrade.Instance]chan struct{}{},
+
+		maxFailureBytes: DefaultMaxFailureBytes,
 	}
 	c.SetBounds(DefaultBounds())
 	for _, o := range os {
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -23,7 +23,9 @@
 	sent             time.Time
 	answerBegan      bool // whether the answer has begun
 	begunAt          time.Time
-	progressRecorded bool // see recordProgress
+	progressRecorded bool   // see recordProgress
+	comments         []byte // received before the head was passed on
+	commentBytes     int    // since the last event
 	head             hollowgrade.Head
 	stopOverdueTimer func() bool // stops the timer of an overdue first event
 }
@@ -138,9 +140,15 @@
 		if err != nil {
 			return err
 		}
-		d.reset(a.stallTimeout())
+		if a.head.Success() {
+			d.reset(a.stallTimeout())
+		}
 		w.body = append(w.body, p.Data)
-		if size += len(p.Data); size > maxBufferedBytes {
+		size += len(p.Data)
+		if !a.head.Success() && size > f.core.maxFailureBytes {
+			return &hollowgrade.OversizeError{Place: hollowgrade.AnswerFailure, Limit: f.core.maxFailureBytes}
+		}
+		if size > maxBufferedBytes {
 			return a.passLong(x, w, d)
 		}
 	}
@@ -202,11 +210,18 @@
 	for {
 		p, err := x.Next()
 		if errors.Is(err, io.EOF) {
-			return f.passHead(a.head) // a stream without any event is complete too
+			return a.passHead() // a stream without any event is complete too
 		}
 		if err != nil {
 			return err
 		}
+		if p.Comment {
+			if err = a.passComment(p.Data); err != nil {
+				return err
+			}
+			continue
+		}
+		a.commentBytes = 0
 		w.reset(a.stallTimeout())
 		f.core.fleet.recordActivity(a.pick.member)
 		a.recordAnswerStart()
@@ -216,7 +231,7 @@
 			continue
 		}
 		w.reset(0) // silence of the caller is not the upstream's
-		if err = f.passHead(a.head); err != nil {
+		if err = a.passHead(); err != nil {
 			return err
 		}
 		if err = f.sink.Part(p.Data); err != nil {
@@ -239,12 +254,37 @@
 	f.lastEventAt = now
 }
 
-func (f *flow) passHead(h hollowgrade.Head) error {
+// passHead passes on the head of the attempt, and the comments that came before the first event, unless
+// the caller has received a head.
+func (a *attempt) passHead() error {
+	f := a.flow
 	if f.headSent {
 		return nil
 	}
 	f.headSent = true
-	if err := f.sink.Head(h); err != nil {
+	if err := f.sink.Head(a.head); err != nil {
+		return errors.Join(errSink, err)
+	}
+	if len(a.comments) == 0 {
+		return nil
+	}
+	if err := f.sink.Part(a.comments); err != nil {
+		return errors.Join(errSink, err)
+	}
+	return nil
+}
+
+// passComment passes on comments of a stream. They are no progress of the answer, so they are kept
+// until the first event has come: until then another attempt can replace this one.
+func (a *attempt) passComment(b []byte) error {
+	if a.commentBytes += len(b); a.commentBytes > maxCommentBytes {
+		return &hollowgrade.OversizeError{Place: hollowgrade.AnswerComments, Limit: maxCommentBytes}
+	}
+	if !a.flow.headSent {
+		a.comments = append(a.comments, b...)
+		return nil
+	}
+	if err := a.flow.sink.Part(b); err != nil {
 		return errors.Join(errSink, err)
 	}
 	return nil
--- a/core/flow.go
+++ b/core/flow.go
@@ -17,6 +17,13 @@
 // is passed on, so that a broken answer can still be replaced by that of another attempt.
 const maxBufferedBytes = 256 << 10
 
+const (
+	// maxCommentBytes bounds the comments of a stream between two events.
+	maxCommentBytes = 32 << 10
+	// DefaultMaxFailureBytes bounds the body of an answer that is no success.
+	DefaultMaxFailureBytes = 64 << 10
+)
+
 // defaultAllowed bounds a call if neither its caller nor its route sets a time.
 const defaultAllowed = 30 * time.Second
 
@@ -69,6 +76,7 @@
 	turn         TurnResult    // of the last attempt that had to wait for its turn
 	turnWait     time.Duration // for that turn
 	failure      *answer       // an upstream's error answer, kept while another attempt may succeed
+	oversized    []Oversize    // answers of which a part was larger than its bound
 }
 
 // answer is a complete, buffered answer.
@@ -267,6 +275,10 @@
 	t := Try{Placed: true, Free: errors.Is(err, hollowgrade.ErrNotSent)}
 	x := a.fault(err)
 	t.Err = x
+	var o *hollowgrade.OversizeError
+	if errors.As(err, &o) {
+		f.oversized = append(f.oversized, Oversize{Upstream: a.pick.upstream().Instance(), Place: o.Place})
+	}
 	if t.Free {
 		f.core.fleet.refundLimits(a.pick)
 	}
@@ -316,6 +328,7 @@
 		Events:       f.events,
 		Turn:         f.turn,
 		TurnWait:     f.turnWait,
+		Oversized:    f.oversized,
 	}
 	v := int64(0)
 	if f.catalog != nil {
--- a/exchange.go
+++ b/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -138,6 +139,34 @@
 // ErrNotAnAnswer is wrapped by an error if the upstream sent data that is no valid answer to the call.
 var ErrNotAnAnswer = errors.New("not an answer to this call")
 
+// AnswerPlace is a part of an answer whose size is bounded.
+type AnswerPlace string
+
+// The bounded parts of an answer.
+const (
+	AnswerHead     AnswerPlace = "head"     // with all interim ones before it
+	AnswerEvent    AnswerPlace = "event"    // of a stream
+	AnswerComments AnswerPlace = "comments" // of a stream, between two events
+	AnswerFailure  AnswerPlace = "failure"  // the body of an answer that is no success
+)
+
+// OversizeError is the error for a part of an answer that is larger than its bound, such as one that
+// never ends. It wraps [ErrNotAnAnswer].
+type OversizeError struct {
+	Place AnswerPlace
+	Limit int // in bytes
+}
+
+// Error implements error.
+func (e *OversizeError) Error() string {
+	return fmt.Sprintf("%v: a part of it, %s, has no end within %d bytes", ErrNotAnAnswer, e.Place, e.Limit)
+}
+
+// Unwrap returns [ErrNotAnAnswer].
+func (e *OversizeError) Unwrap() error {
+	return ErrNotAnAnswer
+}
+
 // Exchanger sends calls to upstreams.
 type Exchanger interface {
 	// Open sends the call and returns when the head of the answer has arrived. Cancelling ctx, even
@@ -202,6 +231,8 @@
 type Part struct {
 	Data  []byte
 	Event string // id of the event, empty if it has none
+	// Comment means that the part is no event but comments or empty lines between events.
+	Comment bool
 }
 
 // Sink sends an answer to the caller. An error of a method means that the caller has gone.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -54,6 +54,9 @@
 	megabyte         = 1 << 20
 	// bodyMemoryShare is the part of the box's memory that the bodies of open calls may take.
 	bodyMemoryShare = 0.25
+	// eventMemoryShare is the part of the box's memory that large events may take while they are
+	// received.
+	eventMemoryShare = 0.03
 	// gcPercent is how much the heap may grow between collections, in percent, within the memory
 	// limit. More saves processor time and costs memory.
 	gcPercent = 150
@@ -85,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := platform.NewStore(c.Store)
+	s := platform.NewStore(c.Store, platform.WithMaxHeadBytes(c.AnswerHeadMaxBytes))
 	n = &GatewayNode{Node: b, unused: new(atomic.Int64), started: c}
 	n.members = newMembers(c, s.Members(), b.clock, g, n.unused)
 	n.settings.Store(&c)
@@ -102,7 +105,7 @@
 	others := follow(membersFeed, s.Members(), c.MembersWait, feed.WithOnReturn(n.members.storeReturned))
 	n.held = follow(heldFeed, s.Held(), c.MembersWait, feed.WithPeersFirst(relay.PeersFirst), feed.WithOnReturn(func(kept func(key string) bool) { n.heldStore.storeReturned(kept) }))
 	n.state = n.configState
-	w := platform.NewWorkers()
+	w := platform.NewWorkers(platform.WithMaxHeadBytes(c.AnswerHeadMaxBytes), platform.WithLargeEvents(callers.NewBudget(largeEventBytes(c.MemoryMB))))
 	n.Core = core.New(w, w,
 		core.WithLogger(g),
 		core.WithClock(b.clock),
@@ -114,7 +117,8 @@
 		core.WithOutdated(n.config.OutdatedFor),
 		core.WithProcesses(n.members.count),
 		core.WithPeers(n.members.peers),
-		core.WithObserver(func(o core.Observation) { b.sample(callSample(o)) }))
+		core.WithMaxFailureBytes(c.FailureMaxBytes),
+		core.WithObserver(b.observe))
 	n.members.onCell = n.Core.Fleet().SetCell
 	n.Core.Fleet().SetCalendar(c.LongWait)
 	b.clock.OnSuspension(func(time.Duration) { n.Core.Resume() })
@@ -239,6 +243,19 @@
 	}
 }
 
+// largeEventBytes returns the memory that large events may take while they are received, 0 for no bound.
+func largeEventBytes(memoryMB int) int64 {
+	return int64(float64(memoryMB) * megabyte * eventMemoryShare)
+}
+
+// observe records a call that has ended.
+func (n *Node) observe(o core.Observation) {
+	n.sample(callSample(o))
+	for _, x := range o.Oversized {
+		n.metrics.AddOversized(string(x.Upstream), string(x.Place))
+	}
+}
+
 func bounds(c setting.Gateway) core.Bounds {
 	return core.Bounds{
 		KeyFreshness: c.KeyFreshness,
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -184,17 +184,22 @@
 	s := &fixture{store: platformtest.NewStore()}
 	t.Cleanup(s.store.Close)
 	s.configure(1, 5000, "k1", "k2")
+	s.addWorkers(t, bs...)
+	if len(bs) > 0 {
+		s.gateway = startGateway(t, s.store.Address(), nil)
+		s.gateway.waitReady(t)
+	}
+	return s
+}
+
+func (s *fixture) addWorkers(t *testing.T, bs ...platformtest.Behaviour) {
+	t.Helper()
 	for i, b := range bs {
 		w := platformtest.NewWorker(fmt.Sprintf("i-%d", i), b)
 		t.Cleanup(w.Close)
 		s.store.PutJSON("keyed.servers", w.ID, w.Record("s", "ready"))
 		s.workers = append(s.workers, w)
 	}
-	if len(bs) > 0 {
-		s.gateway = startGateway(t, s.store.Address(), nil)
-		s.gateway.waitReady(t)
-	}
-	return s
 }
 
 func (s *fixture) configure(version, onceTimeout int, keys ...string) {
--- a/measure/otel.go
+++ b/measure/otel.go
@@ -25,6 +25,7 @@
 	attempts metric.Int64Counter
 	ratio    metric.Float64Histogram
 	turns    metric.Float64Histogram
+	oversize metric.Int64Counter
 }
 
 // NewMetrics returns instruments that a Prometheus endpoint can read.
@@ -39,6 +40,9 @@
 	if m.requests, err = m.meter.Int64Counter("hollowgrade.requests", metric.WithDescription("Requests that have ended, by kind, outcome and code.")); err != nil {
 		return nil, err
 	}
+	if m.oversize, err = m.meter.Int64Counter("hollowgrade.oversized_answers", metric.WithDescription("Answers that were ended since a part of them was larger than its bound, by upstream and part.")); err != nil {
+		return nil, err
+	}
 	if m.attempts, err = m.meter.Int64Counter("hollowgrade.attempts", metric.WithDescription("Attempts made for requests that have ended.")); err != nil {
 		return nil, err
 	}
@@ -86,6 +90,12 @@
 	}
 }
 
+// AddOversized records an answer of an upstream that was ended since a part of it was larger than its
+// bound.
+func (m *Metrics) AddOversized(upstream, place string) {
+	m.oversize.Add(context.Background(), 1, metric.WithAttributes(attribute.String("upstream", upstream), attribute.String("part", place)))
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/setting/reload.go
+++ b/setting/reload.go
@@ -16,7 +16,7 @@
 	}
 	// startOnly are the keys of the settings whose changes need a restart.
 	startOnly = []string{
-		"announce", "box", "callers", "config_max_bytes", "config_wait", "fleet_wait", "hall", "leave_within", "link_mbps", "long_wait",
+		"announce", "answer_head_max_bytes", "box", "callers", "config_max_bytes", "config_wait", "failure_max_bytes", "fleet_wait", "hall", "leave_within", "link_mbps", "long_wait",
 		"max_connections", "members_wait", "memory_mb", "operators", "peers", "readiness", "retry_window", "seeds", "store",
 	}
 	// unused are the keys of the settings of all roles that a gateway doesn't use.
