platform: the time of a body is taken from its call

What workers saw: the whole Deadline-Ms of a caller also after its body had taken seconds, and so time beyond the caller's own (BUDGET counts over 0.5 s).

Cause: a call's time counted from the end of its body, the caller's counts from its sending.

Change: it counts from the head.

--- a/exchange.go
+++ b/exchange.go
@@ -29,7 +29,7 @@
 	// PromptTokens and MaxTokens are zero for calls that generate nothing.
 	PromptTokens int
 	MaxTokens    int
-	Arrived      time.Time     // when the call had been read, on the monotonic clock
+	Arrived      time.Time     // when the head of the call had been read, on the monotonic clock
 	Patience     time.Duration // how long the caller waits, counted from Arrived; 0 if unknown
 }
 
