entry, callers: an entry's refusal before the body is sent at once

What callers saw: with a wrong key, no key or an unknown service the refusal came only once the body had come, and never if it did not.

Cause: net/http discards the rest of a body before it sends an answer, and the entry set a deadline only when it read the body.

Change: what the gateway does stands in package callers, for both roles (BoundBody, ReadBody, RefuseBody); the two copies are gone. The entry uses it for refusals before the body.

--- a/platform/body.go
+++ b/callers/body.go
@@ -1,4 +1,4 @@
-package platform
+package callers
 
 import (
 	"context"
@@ -12,10 +12,10 @@
 	"github.com/hollowgrade/hollowgrade/fault"
 )
 
-// boundBody bounds the time until the body of a request has arrived, also while net/http discards
+// BoundBody bounds the time until the body of a request has arrived, also while net/http discards
 // the rest of it after the handler has returned. The bound ends with the body: net/http removes it
 // to wait for what follows.
-func boundBody(w http.ResponseWriter, r *http.Request, by time.Time) {
+func BoundBody(w http.ResponseWriter, r *http.Request, by time.Time) {
 	if r.Body == http.NoBody {
 		return
 	}
@@ -23,8 +23,9 @@
 	_ = http.NewResponseController(w).SetReadDeadline(by)
 }
 
-// readBody reads a body that has to arrive by the given time.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, by time.Time) (b []byte, err error) {
+// ReadBody reads a body of at most limit bytes, 0 for no bound, that has to arrive by the given time. The
+// error is a [fault.Error] of a request that has not run.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, by time.Time) (b []byte, err error) {
 	in := io.Reader(r.Body)
 	if limit > 0 {
 		in = http.MaxBytesReader(w, r.Body, limit)
@@ -39,14 +40,14 @@
 	case errors.Is(context.Cause(r.Context()), hollowgrade.ErrStopping):
 		return nil, fault.New(fault.SlowBody, "the body had not arrived when the box was stopped")
 	case errors.Is(err, os.ErrDeadlineExceeded), time.Now().After(by): // net/http hides a time-out within the end of a body in chunks
-		return nil, fault.New(fault.SlowBody, "the body had not arrived within the time that the caller waits")
+		return nil, fault.New(fault.SlowBody, "the body had not arrived in time")
 	default:
 		return nil, fault.New(fault.MalformedBody, "the body could not be read: %v", err)
 	}
 }
 
-// isSlowBody reports whether a request is refused since its body did not arrive in time.
-func isSlowBody(err error) bool {
+// IsSlowBody reports whether a request is refused since its body did not arrive in time.
+func IsSlowBody(err error) bool {
 	return fault.As(err, hollowgrade.Unknown).Code == fault.SlowBody
 }
 
@@ -58,6 +59,15 @@
 	maxUnreadBody = 256 << 10
 )
 
+// RefuseBody prepares the refusal of a request whose body was not read, or not as a whole, and whose rest
+// may come until the given time. Otherwise net/http would send the refusal only once the body had come.
+func RefuseBody(w http.ResponseWriter, r *http.Request, by time.Time) {
+	if r.Body != http.NoBody && !discardBody(w, r) {
+		closeAfter(w.Header())
+		BoundBody(w, r, by)
+	}
+}
+
 // discardBody reads what has arrived of a body and reports whether that was all of it, so that the
 // connection can be kept. It leaves alone a body in chunks, whose reader fails for good after a
 // time-out, one that the caller sends only when asked to, and a connection from which a read failed.
@@ -65,7 +75,7 @@
 	if r.ContentLength < 0 || r.Header.Get("Expect") != "" || r.Context().Err() != nil {
 		return false
 	}
-	boundBody(w, r, time.Now().Add(bodyGrace))
+	BoundBody(w, r, time.Now().Add(bodyGrace))
 	_, err := io.CopyN(io.Discard, r.Body, maxUnreadBody)
 	return errors.Is(err, io.EOF)
 }
--- a/entry/http.go
+++ b/entry/http.go
@@ -2,12 +2,10 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -16,6 +14,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/callers"
 	"github.com/hollowgrade/hollowgrade/config"
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/policy"
@@ -89,6 +88,9 @@
 func (e *Entry) handle(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := caller{id: uuid.NewString(), config: e.config.Load()}
+		bodyBy := time.Now().Add(e.limits.BodyTimeout)
+		callers.BoundBody(w, r, bodyBy)
+		read := markReads(r)
 		w.Header().Set(RequestHeader, c.id)
 		if ok, _ := e.Ready(); !ok {
 			w.Header().Set("Connection", "close")
@@ -99,11 +101,43 @@
 			err = h(w, r, c)
 		}
 		if err != nil {
+			if !read() {
+				callers.RefuseBody(w, r, bodyBy)
+			}
 			e.refuse(w, c.id, err)
 		}
 	}
 }
 
+// readMark records whether a body has been read from.
+type readMark struct {
+	io.ReadCloser
+	read bool
+}
+
+// Read implements [io.Reader].
+func (m *readMark) Read(b []byte) (int, error) {
+	m.read = true
+	return m.ReadCloser.Read(b)
+}
+
+// markReads returns a function that reports whether the body of the request has been read from.
+func markReads(r *http.Request) (read func() bool) {
+	if r.Body == http.NoBody {
+		return func() bool { return true }
+	}
+	m := &readMark{ReadCloser: r.Body}
+	r.Body = m
+	return func() bool { return m.read }
+}
+
+// readBody reads the whole body of a caller, within the limits of size and time.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	by := time.Now().Add(e.limits.BodyTimeout)
+	callers.BoundBody(w, r, by)
+	return callers.ReadBody(w, r, e.limits.MaxBodyBytes, by)
+}
+
 // authenticate finds the organisation by the bearer key alone; other headers of the caller are not
 // trusted.
 func (e *Entry) authenticate(r *http.Request, c *caller) error {
@@ -159,27 +193,6 @@
 	_ = json.NewEncoder(w).Encode(errorBody(id, f))
 }
 
-// readBody reads the whole body of a caller, within the limits of size and time.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) (b []byte, err error) {
-	if r.Body != http.NoBody {
-		// net/http removes the deadline at the end of the body. Until then it has to hold: net/http
-		// discards the rest of a body before it sends a refusal.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.limits.BodyTimeout))
-	}
-	b, err = io.ReadAll(http.MaxBytesReader(w, r.Body, e.limits.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return b, nil
-	case errors.As(err, &tooLarge):
-		return nil, fault.New(fault.BodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, fault.New(fault.SlowBody, "the body had not arrived after %s", e.limits.BodyTimeout)
-	default:
-		return nil, fault.New(fault.CallerGone, "the body broke off").WithOutcome(hollowgrade.NotRun)
-	}
-}
-
 // applyPolicy applies the organisation's policy and the values that the caller sets by headers.
 func (e *Entry) applyPolicy(r *http.Request, c caller, q hollowgrade.Request) (hollowgrade.Request, error) {
 	p := c.config.PolicyFor(c.organisation)
