node: callers' connections leave descriptors for upstreams

What callers saw: on a box with 4,100 descriptors, calls answered with 503 while callers' resting connections, of which max_connections allows 16,384, held all of them: no connection to an upstream could be opened.

Cause: max_connections does not follow the limit of the process.

Evidence: TestConnectionsLeaveDescriptorsForUpstreams, 300 descriptors and 400 resting connections: 503 before, 200 now; 2 of 2 parts red before.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -57,6 +59,9 @@
 	// eventMemoryShare is the part of the box's memory that large events may take while they are
 	// received.
 	eventMemoryShare = 0.03
+	// callerDescriptorShare is the part of the descriptors that callers' connections may take. The rest is
+	// for upstreams, which need one for each call, the store and peers.
+	callerDescriptorShare = 0.8
 	// gcPercent is how much the heap may grow between collections, in percent, within the memory
 	// limit. More saves processor time and costs memory.
 	gcPercent = 150
@@ -77,7 +82,9 @@
 	members   *members
 	unused    *atomic.Int64 // records of the store that could not be used
 	bodies    *callers.Budget
-	receiver  *loadview.Receiver
+	// maxConnections bounds callers' connections.
+	maxConnections int
+	receiver       *loadview.Receiver
 }
 
 // NewGateway opens the listeners and sets up a gateway. Start starts its services.
@@ -174,10 +181,13 @@
 	if err != nil {
 		return err
 	}
+	if n.maxConnections = maxConnections(c); n.maxConnections < c.MaxConnections {
+		g.Info("callers' connections bounded by descriptors", "connections", n.maxConnections, "max_connections", c.MaxConnections)
+	}
 	n.bodies = callers.NewBudget(int64(bodyMemoryShare * float64(c.MemoryMB) * megabyte))
 	handler := platform.NewHandler(n.Core, n.limits, n.clock, g, platform.WithStall(n.callerStall), platform.WithBodies(n.bodies))
 	n.callers = callers.New(l, handler,
-		callers.WithMaxConnections(c.MaxConnections), callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(n.linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
+		callers.WithMaxConnections(n.maxConnections), callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(n.linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
 	l, err = listen(c.Readiness)
 	if err != nil {
 		return err
@@ -248,6 +258,20 @@
 	return int64(float64(memoryMB) * megabyte * eventMemoryShare)
 }
 
+// maxConnections returns how many connections callers may have: as many as the settings allow, and at most
+// their share of the process's descriptors.
+func maxConnections(c setting.Gateway) int {
+	d := c.MaxDescriptors
+	var l syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l) == nil && (d == 0 || uint64(d) > l.Cur) {
+		d = int(min(l.Cur, math.MaxInt32))
+	}
+	if d == 0 {
+		return c.MaxConnections
+	}
+	return min(c.MaxConnections, max(int(callerDescriptorShare*float64(d)), 1))
+}
+
 // observe records a call that has ended.
 func (n *Node) observe(o core.Observation) {
 	n.sample(callSample(o))
@@ -318,7 +342,7 @@
 	switch {
 	case n.callers.Stopping():
 		return false, "stopping"
-	case n.callers.Connections() >= n.settings.Load().MaxConnections:
+	case n.callers.Connections() >= n.maxConnections:
 		return false, "as many connections as allowed are open"
 	case n.Core.Catalog() == nil:
 		return false, "no configuration yet"
--- a/setting/reload.go
+++ b/setting/reload.go
@@ -17,7 +17,7 @@
 	// startOnly are the keys of the settings whose changes need a restart.
 	startOnly = []string{
 		"announce", "answer_head_max_bytes", "box", "callers", "config_max_bytes", "config_wait", "failure_max_bytes", "fleet_wait", "hall", "leave_within", "link_mbps", "long_wait",
-		"max_connections", "members_wait", "memory_mb", "operators", "peers", "readiness", "retry_window", "seeds", "store",
+		"max_connections", "max_descriptors", "members_wait", "memory_mb", "operators", "peers", "readiness", "retry_window", "seeds", "store",
 	}
 	// unused are the keys of the settings of all roles that a gateway doesn't use.
 	unused = []string{"drain_timeout", "region"}
