--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -50,7 +50,8 @@
 	changeGrace    = restoreStore + 4 // a planned stop, with another grace in the settings file
 	squeezeGateway = restoreStore + 5 // a small share of a processor, beside configurations with other limits
 	isolateGateway = restoreStore + 6 // no link to store and peers, while the peers restart and a worker's entry goes
-	allKinds       = isolateGateway + 1
+	loseLog        = restoreStore + 7 // a gateway's log has no reader, or one that reads nothing
+	allKinds       = loseLog + 1
 )
 
 var kindNames = [allKinds]string{
@@ -60,7 +61,7 @@
 	"harmful request", "strange entries", "suspend gateway", "turn readers away",
 	"name limit", "leave in answers", "ask for rest",
 	"restore store",
-	"change limits", "signals in series", "signals and standstills in series", "change grace", "squeeze gateway", "isolate gateway",
+	"change limits", "signals in series", "signals and standstills in series", "change grace", "squeeze gateway", "isolate gateway", "lose log",
 }
 
 func (k kind) String() string {
@@ -72,7 +73,7 @@
 var plannedWork = []kind{stopGateway, reloadGateway, drainWorker, revokeKey, addRoute, growConfig, nameLimit, leaveInAnswers, askForRest}
 
 // plannedSeries has the kinds of newSeries that are planned work.
-var plannedSeries = []kind{changeLimits, signalSeries, changeGrace}
+var plannedSeries = []kind{changeLimits, signalSeries, changeGrace, loseLog}
 
 func (k kind) planned() bool {
 	return slices.Contains(plannedWork, k) || slices.Contains(plannedSeries, k)
@@ -120,6 +121,7 @@
 		}
 	}
 	ss = append(ss, newSeries(seed, length, ss)...)
+	ss = append(ss, newLogLosses(seed, length)...)
 	if storeTellsNoEra(seed) {
 		return append(ss, newIsolation(seed, ss))
 	}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -134,6 +134,17 @@
 	}
 	c := exec.Command(w.binary, "gateway", "--config", g.config)
 	c.Stdout, c.Stderr = out, out
+	g.log = nil
+	if w.pipedLogs {
+		p, writer, err := w.openLogPipe(g, out)
+		if err != nil {
+			w.t.Errorf("log pipe of %s: %v", g.name, err)
+			return
+		}
+		defer writer.Close()
+		c.Stdout, c.Stderr, g.log = writer, writer, p
+	}
+	pipe := g.log
 	c.Env = append(os.Environ(), suspendedFileEnv+"="+g.suspendedPath())
 	if err = c.Start(); err != nil {
 		w.t.Errorf("start %s: %v", g.name, err)
@@ -144,6 +155,9 @@
 	g.instance++
 	go func() {
 		_ = c.Wait() // its log has the reason of its exit
+		if pipe != nil {
+			pipe.end()
+		}
 		w.recordOwnEnd(g, c.ProcessState.String(), logSize(out))
 		_ = out.Close()
 		close(done)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,7 +68,7 @@
 
 // runSeed runs the plan of one seed under load and checks the history.
 func runSeed(t *testing.T, binary string, seed uint64) {
-	w := newWorld(t, binary, worldSize{*gateways, *workers, *callers, storeTellsNoEra(seed)})
+	w := newWorld(t, binary, worldSize{*gateways, *workers, *callers, storeTellsNoEra(seed), logsArePiped(seed), answersWithoutEnd(seed)})
 	defer w.close()
 	p := newPlan(seed, *length)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -94,6 +94,7 @@
 		w.resumeGateways()
 		w.awaitServing(t, "after the last fault")
 	}
+	bs = append(bs, w.overMemory()...)
 	cancel()
 	cs.Wait()
 	w.report(t, seed, p, bs)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -24,6 +24,8 @@
 type worldSize struct {
 	gateways, workers, callers int
 	eraless                    bool // whether the store tells no era
+	pipedLogs                  bool // whether gateways write their logs to pipes
+	endless                    bool // whether workers send answers without end
 }
 
 const (
@@ -59,6 +61,7 @@
 	suspended time.Duration // total; the process reads it from a file
 	asked     bool          // whether the process got a signal that ends it
 	logStart  int64         // size of its log when the process started
+	log       *logPipe      // nil if the process writes to a file
 
 	work     sync.Mutex // held during planned stops
 	settings string     // content of its file without the grace
@@ -74,11 +77,13 @@
 
 // world is the environment of a run.
 type world struct {
-	t        testing.TB
-	binary   string
-	logs     string
-	store    *platformtest.Store
-	gateways []*gateway
+	t         testing.TB
+	binary    string
+	logs      string
+	pipedLogs bool
+	endless   bool
+	store     *platformtest.Store
+	gateways  []*gateway
 
 	mu             sync.Mutex
 	history        *history
@@ -98,7 +103,7 @@
 
 func newWorld(t testing.TB, binary string, z worldSize) *world {
 	t.Helper()
-	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory(), signals: map[string]signal{}, engineBusy: map[string]time.Time{}, limits: initialLimits, limitsChanged: make(chan struct{})}
+	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory(), signals: map[string]signal{}, engineBusy: map[string]time.Time{}, limits: initialLimits, limitsChanged: make(chan struct{}), pipedLogs: z.pipedLogs, endless: z.endless}
 	t.Cleanup(w.store.Close)
 	if z.eraless {
 		w.store.HideEra()
@@ -204,6 +209,8 @@
 		platformtest.Reset(k, c, r)
 	case draw < 7:
 		w.recordSignal(platformtest.Answer(http.StatusInternalServerError, "no"))(k, c, r)
+	case draw < 8 && w.endless:
+		w.sendWithoutEnd(k, c, r)
 	case draw < 8:
 		platformtest.Hang(k, c, r)
 	default:
@@ -266,6 +273,8 @@
 	switch s.kind {
 	case killGateway, pauseGateway, suspendGateway, stopGateway, reloadGateway, signalSeries, pausedSeries, changeGrace, squeezeGateway:
 		w.applyToProcess(g, s)
+	case loseLog:
+		w.loseLog(g, s)
 	case silenceStore:
 		w.setModeFor(g.store, silence, s.duration)
 	case resetStore:
