core: comments of a stream wait for the next event

What a caller saw: a stream that another upstream took up, which sends empty lines or comments only, had up to 32 kB of these between its events, and went on elsewhere; and a stream of comments only was whole when its upstream ended, where it has neither length nor chunks.

Cause: comments were kept until the first event only; the end of a connection counted as the end of a stream without any event.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -24,8 +24,7 @@
 	answerBegan      bool // whether the answer has begun
 	begunAt          time.Time
 	progressRecorded bool   // see recordProgress
-	comments         []byte // received before the head was passed on
-	commentBytes     int    // since the last event
+	comments         []byte // since the last event
 	head             hollowgrade.Head
 	stopOverdueTimer func() bool // stops the timer of an overdue first event
 }
@@ -210,28 +209,28 @@
 	for {
 		p, err := x.Next()
 		if errors.Is(err, io.EOF) {
-			return a.passHead() // a stream without any event is complete too
+			return a.passComments() // a stream without any event is complete too
 		}
 		if err != nil {
 			return err
 		}
 		if p.Comment {
-			if err = a.passComment(p.Data); err != nil {
+			if err = a.keepComment(p.Data); err != nil {
 				return err
 			}
 			continue
 		}
-		a.commentBytes = 0
 		w.reset(a.stallTimeout())
 		f.core.fleet.recordActivity(a.pick.member)
 		a.recordAnswerStart()
 		a.recordProgress()
 		f.recordEvent()
 		if !newer(p.Event, f.lastEventID) {
+			a.comments = nil
 			continue
 		}
 		w.reset(0) // silence of the caller is not the upstream's
-		if err = a.passHead(); err != nil {
+		if err = a.passComments(); err != nil {
 			return err
 		}
 		if err = f.sink.Part(p.Data); err != nil {
@@ -254,36 +253,34 @@
 	f.lastEventAt = now
 }
 
-// passHead passes on the head of the attempt, and the comments that came before the first event, unless
-// the caller has received a head.
-func (a *attempt) passHead() error {
-	f := a.flow
+func (f *flow) passHead(h hollowgrade.Head) error {
 	if f.headSent {
 		return nil
 	}
 	f.headSent = true
-	if err := f.sink.Head(a.head); err != nil {
-		return errors.Join(errSink, err)
-	}
-	if len(a.comments) == 0 {
-		return nil
-	}
-	if err := f.sink.Part(a.comments); err != nil {
+	if err := f.sink.Head(h); err != nil {
 		return errors.Join(errSink, err)
 	}
 	return nil
 }
 
-// passComment passes on comments of a stream. They are no progress of the answer, so they are kept
-// until the first event has come: until then another attempt can replace this one.
-func (a *attempt) passComment(b []byte) error {
-	if a.commentBytes += len(b); a.commentBytes > maxCommentBytes {
+// keepComment keeps comments of a stream. They are no progress of the answer, so they are passed on with
+// the next event or at the end: until then another attempt can replace this one.
+func (a *attempt) keepComment(b []byte) error {
+	if len(a.comments)+len(b) > maxCommentBytes {
 		return &hollowgrade.OversizeError{Place: hollowgrade.AnswerComments, Limit: maxCommentBytes}
 	}
-	if !a.flow.headSent {
-		a.comments = append(a.comments, b...)
-		return nil
+	a.comments = append(a.comments, b...)
+	return nil
+}
+
+// passComments passes on the comments since the last event, after the head.
+func (a *attempt) passComments() error {
+	if err := a.flow.passHead(a.head); err != nil || len(a.comments) == 0 {
+		return err
 	}
+	b := a.comments
+	a.comments = nil
 	if err := a.flow.sink.Part(b); err != nil {
 		return errors.Join(errSink, err)
 	}
