fleettest: the lease test waits until its keeper keeps the range

Cause, the test's own: it froze the keeper as soon as the entries were ready. The keeper may not have read by then that the range is its own, grants nothing, and the play proves nothing.

Change: before the freeze the test waits until the keeper grants another key of the range, which is as strict: what is claimed afterwards is as before.

--- a/internal/fleettest/lease_test.go
+++ b/internal/fleettest/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -16,14 +17,40 @@
 // countGrants returns how many agents grant a claim of the key, each for a different request.
 func countGrants(f *Fleet, key string) (n int) {
 	for _, a := range f.Agents {
-		v := a.keeper.Claim(&wire.Claim{Organisation: "a", Key: key, Id: a.incarnation, HoldMicros: time.Minute.Microseconds()})
-		if ledger.Verdict(v.GetVerdict()) == ledger.Granted {
+		if claim(a, key) == ledger.Granted {
 			n++
 		}
 	}
 	return n
 }
 
+// awaitOwnership waits until an agent grants claims of the range of a key.
+func awaitOwnership(t *testing.T, a *AgentBox, key string) {
+	t.Helper()
+	const longest = time.Minute
+	begin, other := time.Now(), otherKeyOfRange(key)
+	for claim(a, other) != ledger.Granted {
+		require.Less(t, time.Since(begin), longest, "%s does not keep the range", a.Name)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// otherKeyOfRange returns another key of the same range.
+func otherKeyOfRange(key string) string {
+	for i := 0; ; i++ {
+		k := fmt.Sprint(key, "-", i)
+		if (ledger.KeyID{Organisation: "a", Key: k}).Range() == (ledger.KeyID{Organisation: "a", Key: key}).Range() {
+			return k
+		}
+	}
+}
+
+// claim returns an agent's verdict on a claim of a key.
+func claim(a *AgentBox, key string) ledger.Verdict {
+	v := a.keeper.Claim(&wire.Claim{Organisation: "a", Key: key, Id: a.incarnation, HoldMicros: time.Minute.Microseconds()})
+	return ledger.Verdict(v.GetVerdict())
+}
+
 // Guards against two grants of one key: a keeper is frozen, another process takes over its range, and
 // long after that the first resumes and receives a claim before it has read the log. Only the lease
 // prevents the second grant.
@@ -45,6 +72,7 @@
 			g.KeyTimes.Lease, g.KeyTimes.Window = c.lease, 5*time.Second
 			inBubble(t, g, func(t *testing.T, f *Fleet) {
 				old := f.Agents[f.keeperOf("a", key)]
+				awaitOwnership(t, old, key) // it may be ready before it has read that the range is its own
 				f.Config.KeyTimes.Lease = lease
 				next := f.StartAgent("engine-8", false)
 				for _, a := range f.Agents {
