cli: a role with wrong settings exits also if nobody reads its messages

What operators saw: a role with a wrong argument or settings file, whose standard error is a pipe that is full, never exited.

Cause: the message of a command line that can't be parsed was written in place; only later messages went through the log's writer.

Change: messages of a role go through it from before the parsing.

Evidence: TestLogThatNobodyReadsBlocksNoProcess, three new parts, 3 of 3 red before (20 s).

--- a/cmd/hollowgrade/log_test.go
+++ b/cmd/hollowgrade/log_test.go
@@ -150,6 +150,11 @@
 			p := startWithOutput(t, fullPipe(t), append([]string{role, "--box", "b", "--hall", "z", "--operators", "nowhere"}, args...)...)
 			p.requireFailure(t)
 		})
+		t.Run(role+" with wrong settings", func(t *testing.T) {
+			t.Parallel()
+			p := startWithOutput(t, fullPipe(t), append([]string{role, "--unknown"}, args...)...)
+			p.requireFailure(t)
+		})
 	}
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -89,7 +89,11 @@
 		fmt.Fprintln(messages, "hollowgrade:", err)
 		return exitUsage
 	}
-	if !startsRole(args) {
+	if startsRole(args) {
+		w := node.NewLogWriter(messages) // does not block the exit
+		defer func() { _ = w.Close() }()
+		messages = w
+	} else {
 		signal.Reset(roleSignals...)
 	}
 	c, err := k.Parse(args)
@@ -100,11 +104,6 @@
 		fmt.Fprintln(messages, "hollowgrade:", err)
 		return exitUsage
 	}
-	if startsRole(args) {
-		w := node.NewLogWriter(messages)
-		defer func() { _ = w.Close() }()
-		messages = w
-	}
 	if err = c.Run(); err != nil {
 		fmt.Fprintln(messages, "hollowgrade:", err)
 		return exitCode(err)
