core: comments between two events have at most 4 kB

Cause: 32 kB of the shortest comments are 6,500 parts; 300 calls at once with two attempts each parse them for a second or two of processor time.

Change: the bound is 4 kB between two events; that of a sound stream is a line or two.

--- a/core/flow.go
+++ b/core/flow.go
@@ -18,8 +18,9 @@
 const maxBufferedBytes = 256 << 10
 
 const (
-	// maxCommentBytes bounds the comments of a stream between two events.
-	maxCommentBytes = 32 << 10
+	// maxCommentBytes bounds the comments of a stream between two events. Each of them takes processor
+	// time, and the shortest have one byte.
+	maxCommentBytes = 4 << 10
 	// DefaultMaxFailureBytes bounds the body of an answer that is no success.
 	DefaultMaxFailureBytes = 64 << 10
 )
