--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -58,7 +58,7 @@
 	bodyMemoryShare = 0.25
 	// eventMemoryShare is the part of the box's memory that large events may take while they are
 	// received.
-	eventMemoryShare = 0.03
+	eventMemoryShare = 0.015
 	// callerDescriptorShare is the part of the descriptors that callers' connections may take. The rest is
 	// for upstreams, which need one for each call, the store and peers.
 	callerDescriptorShare = 0.8
