platform, cli: clearer errors and comments

The error for a head of too many lines said a number of bytes, and the text "not an answer" stood twice; comments told what a name says.

--- a/cmd/hollowgrade/endless_test.go
+++ b/cmd/hollowgrade/endless_test.go
@@ -53,8 +53,8 @@
 }
 
 // inGoal makes a call through a gateway and the same call at its worker, and reports whether the first was
-// answered and took no longer than the goal beyond twice what the second took: the machine may hold up both, and
-// the first on two ways.
+// answered within the goal and twice the time of the second. A loaded machine delays both, and the first has
+// two hops.
 func inGoal(gateway, worker, id string) bool {
 	direct := make(chan time.Duration, 1)
 	begin := time.Now()
--- a/core/flow.go
+++ b/core/flow.go
@@ -18,8 +18,8 @@
 const maxBufferedBytes = 256 << 10
 
 const (
-	// maxCommentBytes bounds the comments of a stream between two events. Each of them takes processor
-	// time, and the shortest have one byte.
+	// maxCommentBytes bounds the comments of a stream between two events. Short ones cost much more
+	// processor time than their bytes suggest.
 	maxCommentBytes = 4 << 10
 	// DefaultMaxFailureBytes bounds the body of an answer that is no success.
 	DefaultMaxFailureBytes = 64 << 10
--- a/exchange.go
+++ b/exchange.go
@@ -154,12 +154,17 @@
 // never ends. It wraps [ErrNotAnAnswer].
 type OversizeError struct {
 	Place AnswerPlace
-	Limit int // in bytes
+	Limit int // in bytes, or in lines if Lines is set
+	Lines bool
 }
 
 // Error implements error.
 func (e *OversizeError) Error() string {
-	return fmt.Sprintf("%v: a part of it, %s, has no end within %d bytes", ErrNotAnAnswer, e.Place, e.Limit)
+	unit := "bytes"
+	if e.Lines {
+		unit = "lines"
+	}
+	return fmt.Sprintf("%s of more than %d %s", e.Place, e.Limit, unit)
 }
 
 // Unwrap returns [ErrNotAnAnswer].
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -56,7 +56,7 @@
 // Hangups delivers each SIGHUP, or one for several that arrive together.
 type Hangups <-chan os.Signal
 
-// roleSignals are those that end operators' commands, which serve nobody, by their default action.
+// roleSignals are received by roles only. Operators' commands keep their default action.
 var roleSignals = []os.Signal{syscall.SIGHUP, syscall.SIGPIPE, syscall.SIGQUIT, syscall.SIGABRT}
 
 // NotifySignals receives the signals that would end the process by their default action, until it
@@ -65,7 +65,7 @@
 func NotifySignals() (context.Context, Hangups) {
 	h := make(chan os.Signal, 1)
 	signal.Notify(h, syscall.SIGHUP)
-	// Never read: the write that failed returns an error as well.
+	// Nobody reads the channel: receiving the signal is enough to turn off its default action.
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGQUIT, syscall.SIGABRT)
 	return ctx, h
@@ -90,7 +90,7 @@
 		return exitUsage
 	}
 	if startsRole(args) {
-		w := node.NewLogWriter(messages) // does not block the exit
+		w := node.NewLogWriter(messages) // a blocked output must not block the exit
 		defer func() { _ = w.Close() }()
 		messages = w
 	} else {
