review: case 6, work goes to a leaving worker after silent connections

Open connections to the store fall silent for good soon after the readers of the registry began to read, and a worker leaves. The gateways learn of it 3.3 to 3.8 s after the silence began, and send it requests from 3.0 s on, when they are in touch again.

--- a/review/second/cases_test.go
+++ b/review/second/cases_test.go
@@ -38,3 +38,5 @@
 func TestReviewCase4(t *testing.T) { runCase(t, "4") }
 
 func TestReviewCase5(t *testing.T) { runCase(t, "5") }
+
+func TestReviewCase6(t *testing.T) { runCase(t, "6") }
--- a/review/second/cmd/review-second/main.go
+++ b/review/second/cmd/review-second/main.go
@@ -25,8 +25,9 @@
 
 // cases are the cases by name. Each returns how often its rule was broken.
 var cases = map[string]func(p *play) (broken int, err error){
-	"silence":    silence,
-	"late-reuse": lateReuse,
+	"silence":     silence,
+	"late-reuse":  lateReuse,
+	"silent-conn": silentConnections,
 }
 
 // maxTime bounds a case.
--- a/review/second/standin/world.go
+++ b/review/second/standin/world.go
@@ -133,8 +133,8 @@
 	return nil
 }
 
-// Close ends all processes and stand-ins. With keep it leaves the logs of the gateways.
-func (w *World) Close(keep bool) {
+// StopGateways kills all gateways, so that others can be started.
+func (w *World) StopGateways() {
 	var g sync.WaitGroup
 	for _, x := range w.Gateways {
 		g.Go(x.Kill)
@@ -143,6 +143,12 @@
 	for _, p := range w.Proxies {
 		p.Close()
 	}
+	w.Gateways, w.Proxies = nil, nil
+}
+
+// Close ends all processes and stand-ins. With keep it leaves the logs of the gateways.
+func (w *World) Close(keep bool) {
+	w.StopGateways()
 	for _, k := range w.Workers {
 		k.End()
 	}
