review: case 7, bytes that are no answer become a promise

A faulty worker runs a request that may run once and sends a bare 503 in place of its answer, without id, seal or Not-Executed. The gateway hands it on, and the caller repeats.

--- a/review/second/cases_test.go
+++ b/review/second/cases_test.go
@@ -40,3 +40,5 @@
 func TestReviewCase5(t *testing.T) { runCase(t, "5") }
 
 func TestReviewCase6(t *testing.T) { runCase(t, "6") }
+
+func TestReviewCase7(t *testing.T) { runCase(t, "7") }
--- a/review/second/cmd/review-second/main.go
+++ b/review/second/cmd/review-second/main.go
@@ -28,6 +28,7 @@
 	"silence":     silence,
 	"late-reuse":  lateReuse,
 	"silent-conn": silentConnections,
+	"no-answer":   noAnswer,
 }
 
 // maxTime bounds a case.
--- a/review/second/standin/worker.go
+++ b/review/second/standin/worker.go
@@ -20,6 +20,9 @@
 	First  time.Duration // until the first event, or the work of a plain request
 	Pause  time.Duration // between events
 	Size   int           // bytes of a plain answer, or of an event's data
+	// Spoiled is what a faulty worker sends in place of its answer once it has done the work; empty for
+	// none. The connection ends with it.
+	Spoiled string
 }
 
 // Run is one request that a worker has begun to work on.
@@ -309,6 +312,10 @@
 	if !sleep(ctx, j.First) {
 		return false
 	}
+	if j.Spoiled != "" {
+		w.log.Add("worker %s has run %s and spoils its answer", w.ID, run.ID)
+		return w.write(ctx, c, j.Spoiled)
+	}
 	b := strings.Repeat("x", j.Size)
 	return w.write(ctx, c, w.head(r, http.StatusOK, fmt.Sprintf("Response-Seal: %s\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n", w.seal(run), len(b)))+b)
 }
