--- a/review/second/cmd/review-second/latereuse.go
+++ b/review/second/cmd/review-second/latereuse.go
@@ -14,6 +14,7 @@
 // connections.
 func lateReuse(p *play) (broken int, err error) {
 	const (
+		gateways = 5 // of which one is stopped
 		clients  = 40
 		deadline = 15 * time.Second
 		maxThink = 40 * time.Millisecond // between an answer and the next request
@@ -27,7 +28,7 @@
 			return 0, err
 		}
 	}
-	if err = w.StartGateways(p.ctx, 1, standin.SmallBounds); err != nil {
+	if err = w.StartGateways(p.ctx, gateways, standin.SmallBounds); err != nil {
 		return 0, err
 	}
 	g := w.Gateways[0]
--- a/review/second/cmd/review-second/noanswer.go
+++ b/review/second/cmd/review-second/noanswer.go
@@ -26,12 +26,14 @@
 		spoilEvery = 50 // of the answers of the faulty one
 		clients    = 12
 		perClient  = 100
+		spoilTime  = 5500 * time.Millisecond // for which it spoils them, from its first request on
 	)
 	var answered atomic.Int64
+	begun := sync.OnceValue(time.Now)
 	sound := func(*http.Request) standin.Job { return standin.Job{First: 20 * time.Millisecond, Size: 800} }
 	faulty := func(*http.Request) standin.Job {
 		j := standin.Job{First: 20 * time.Millisecond, Size: 800}
-		if answered.Add(1)%spoilEvery == 0 && p.trouble {
+		if first := begun(); answered.Add(1)%spoilEvery == 0 && p.trouble && time.Since(first) < spoilTime {
 			j.Spoiled = bareRefusal
 		}
 		return j
--- a/review/second/cmd/review-second/silence.go
+++ b/review/second/cmd/review-second/silence.go
@@ -15,7 +15,8 @@
 	const (
 		slots, queue = 16, 2
 		workers      = 2
-		quiet        = 1300 * time.Millisecond
+		gateways     = 5 // of which one is stopped
+		quiet        = 1000 * time.Millisecond
 		shortWait    = 10 * time.Second
 		longWait     = 15 * time.Second
 	)
@@ -31,7 +32,7 @@
 			return 0, err
 		}
 	}
-	if err = w.StartGateways(p.ctx, 1, standin.SmallBounds); err != nil {
+	if err = w.StartGateways(p.ctx, gateways, standin.SmallBounds); err != nil {
 		return 0, err
 	}
 	g := w.Gateways[0]
--- a/review/second/cmd/review-second/silentconn.go
+++ b/review/second/cmd/review-second/silentconn.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +14,8 @@
 func silentConnections(p *play) (broken int, err error) {
 	const (
 		gateways  = 5
+		workers   = 8                      // of which one leaves
+		callers   = 4                      // of each gateway
 		contact   = 3 * time.Second        // contactMs
 		untilSign = 200 * time.Millisecond // from the silence to the worker's entry
 		served    = 6 * time.Second        // how long the worker serves on after it
@@ -20,8 +23,8 @@
 	b := standin.SmallBounds
 	job := func(*http.Request) standin.Job { return standin.Job{First: 60 * time.Millisecond, Size: 800} }
 	w := p.world
-	for _, id := range []string{"i-one", "i-two", "i-three"} {
-		if err = w.AddWorker(standin.NewWorker(id, standin.PlainName, "hcm-tanthuan", 6, 24, job, p.log)); err != nil {
+	for i := range workers {
+		if err = w.AddWorker(standin.NewWorker(fmt.Sprintf("i-%d", i+1), standin.PlainName, "hcm-tanthuan", 6, 24, job, p.log)); err != nil {
 			return 0, err
 		}
 	}
@@ -35,7 +38,7 @@
 	var all sync.WaitGroup
 	stop := make(chan struct{})
 	for i, g := range w.Gateways {
-		for range 2 {
+		for range callers {
 			all.Go(func() {
 				var c *standin.Conn
 				for {
