core, callers: a call that a planned stop would cut is refused before it is sent

Cause: a stop answers what it has read, but nothing asked whether the time that is left bears it; the core did not know when the stop cancels requests.

Change: the server tells the core how much time a planned stop leaves, and each attempt is checked just before it is sent. Once no new connections are accepted, a call of which nothing was sent is refused (503, HG2005, not run) unless it is certain to end in time; during the linger, and for further attempts, what is known of its route's recent answers decides. Long prompts that wait for their turn are looked at each time that they look for it.

--- a/callers/server.go
+++ b/callers/server.go
@@ -63,6 +63,7 @@
 
 	maxConns int                        // 0 for no bound
 	drain    atomic.Pointer[drainTimes] // nil until a planned stop closes connections
+	cancelAt atomic.Pointer[time.Time]  // when a planned stop cancels requests, nil if there is none or it never does
 
 	mu             sync.Mutex
 	conns          map[*conn]struct{}
@@ -167,11 +168,24 @@
 	return s.stopping
 }
 
+// PlannedStop returns the planned stop that is under way. It reports false if there is none, or if it
+// cancels no request.
+func (s *Server) PlannedStop() (p hollowgrade.PlannedStop, ok bool) {
+	at := s.cancelAt.Load()
+	if at == nil {
+		return p, false
+	}
+	return hollowgrade.PlannedStop{Left: time.Until(*at), Accepting: s.draining() == nil}, true
+}
+
 // Stop implements [kernel.Service]. It goes on serving until the balancer sends callers elsewhere,
 // and its answers ask callers to close their connections. Then it accepts nothing new, closes
 // connections as they become idle and waits for the others, for as long as ctx lasts.
 func (s *Server) Stop(ctx context.Context) error {
 	cancelAt := finalAnswersAt(ctx)
+	if !cancelAt.IsZero() {
+		s.cancelAt.Store(&cancelAt)
+	}
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
--- a/core/calendar_test.go
+++ b/core/calendar_test.go
@@ -233,6 +233,18 @@
 		requireFault(t, x, fault.Draining, hollowgrade.NotRun)
 		require.Positive(t, x.RetryAfter)
 	})
+	run("are refused at once when the box stops sooner than they are certain to end", func(t *testing.T, c *Core, f *fakeUpstreams) {
+		require.NoError(t, c.Serve(context.Background(), longCall("a"), &fakeSink{}))
+		stopped := time.Now().Add(50 * time.Millisecond)
+		c.plannedStop = func() (hollowgrade.PlannedStop, bool) {
+			return hollowgrade.PlannedStop{Left: time.Until(stopped) + time.Second}, !time.Now().Before(stopped)
+		}
+		x := fault.As(c.Serve(context.Background(), longCall("b"), &fakeSink{}), hollowgrade.Unknown)
+		requireFault(t, x, fault.Draining, hollowgrade.NotRun)
+		require.Less(t, time.Since(stopped), maxTurnPause)
+		require.Empty(t, c.fleet.waits)
+		require.Len(t, f.sentCalls(), 1)
+	})
 	run("are sent when engines end that had prompts before them", func(t *testing.T, c *Core, f *fakeUpstreams) {
 		require.NoError(t, c.Serve(context.Background(), longCall("a"), &fakeSink{}))
 		for i := range 6 {
--- a/core/core.go
+++ b/core/core.go
@@ -64,6 +64,8 @@
 	observe      func(Observation)
 	age          func() (time.Duration, bool)
 	outdated     func() time.Duration
+	plannedStop  func() (hollowgrade.PlannedStop, bool)
+	durations    *durations
 	processes    func() int
 	peers        func() int
 	fleet        *Fleet
@@ -142,6 +144,12 @@
 	return func(c *Core) { c.outdated = f }
 }
 
+// WithPlannedStop sets the function that returns the planned stop of this process, if one is under way.
+// Calls that it would cancel are not sent. Without it none is known.
+func WithPlannedStop(f func() (hollowgrade.PlannedStop, bool)) Option {
+	return func(c *Core) { c.plannedStop = f }
+}
+
 // WithReporter sets how upstreams that seem slow are asked for their speed.
 func WithReporter(r hollowgrade.Reporter) Option {
 	return func(c *Core) { c.reporter = r }
@@ -180,18 +188,20 @@
 // configuration and no upstreams yet.
 func New(x hollowgrade.Exchanger, r hollowgrade.Reserver, os ...Option) *Core {
 	c := &Core{
-		exchanger: x,
-		reserver:  r,
-		clock:     hollowgrade.SystemClock(),
-		log:       log.Default(),
-		observe:   func(Observation) {},
-		age:       func() (time.Duration, bool) { return 0, true },
-		outdated:  func() time.Duration { return 0 },
-		processes: func() int { return 1 },
-		budgets:   map[string]*retry.Window{},
-		flows:     map[*flow]context.CancelCauseFunc{},
-		probes:    map[hollowgrade.Instance]*sharedProbe{},
-		watched:   map[hollowgrade.Instance]chan struct{}{},
+		exchanger:   x,
+		reserver:    r,
+		clock:       hollowgrade.SystemClock(),
+		log:         log.Default(),
+		observe:     func(Observation) {},
+		age:         func() (time.Duration, bool) { return 0, true },
+		outdated:    func() time.Duration { return 0 },
+		plannedStop: func() (p hollowgrade.PlannedStop, ok bool) { return p, false },
+		durations:   newDurations(),
+		processes:   func() int { return 1 },
+		budgets:     map[string]*retry.Window{},
+		flows:       map[*flow]context.CancelCauseFunc{},
+		probes:      map[hollowgrade.Instance]*sharedProbe{},
+		watched:     map[hollowgrade.Instance]chan struct{}{},
 
 		maxFailureBytes: DefaultMaxFailureBytes,
 	}
--- a/core/flow.go
+++ b/core/flow.go
@@ -120,6 +120,9 @@
 
 // Try implements [Work].
 func (f *flow) Try(ctx context.Context, n, left int) Try {
+	if err := f.checkStop(n, 0); err != nil {
+		return Try{Err: err}
+	}
 	r := f.request()
 	var p *pick
 	if f.waitsForTurn(n, r) {
@@ -179,10 +182,15 @@
 		f.core.fleet.release(p, false)
 		return Try{Err: err, Placed: f.noMemory < maxMemoryTries, Free: true}
 	}
+	if err = f.checkStop(n, max(p.FirstEvent, f.expectedDuration())); err != nil {
+		f.dropPick(p)
+		return Try{Err: err}
+	}
 	err = a.run(ctx)
 	f.core.fleet.release(p, a.answerBegan)
 	f.recordOutcome(ctx, a, err)
 	if err == nil {
+		f.core.durations.record(f.route.Name, f.core.clock.Since(a.sent))
 		return Try{Placed: true}
 	}
 	return f.classifyFailure(a, err)
--- a/core/turn.go
+++ b/core/turn.go
@@ -77,6 +77,10 @@
 			f.endTurn(TurnEnded, waited)
 			return nil, f.quarantinedError(a)
 		}
+		if err := f.checkStop(1, f.expectedDuration()); err != nil {
+			f.endTurn(TurnEnded, waited)
+			return nil, err
+		}
 		p, state, again := f.core.fleet.start(w, after(r, waited), f.tried)
 		switch state {
 		case Started:
--- a/exchange.go
+++ b/exchange.go
@@ -132,6 +132,15 @@
 // graceful shutdown. It differs from a caller that has gone: the caller still waits for an answer.
 var ErrStopping = errors.New("the box is being stopped")
 
+// PlannedStop is a graceful shutdown of this box, as far as it concerns requests.
+type PlannedStop struct {
+	// Left is the time until the requests that are still open are cancelled with [ErrStopping]. It is
+	// negative after that.
+	Left time.Duration
+	// Accepting means that new connections are still accepted, until callers are sent elsewhere.
+	Accepting bool
+}
+
 // ErrNotSent is wrapped by the error of [Exchanger.Open] if no part of the call was sent, so that the
 // upstream cannot have run it.
 var ErrNotSent = errors.New("nothing was sent")
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -122,6 +122,7 @@
 		core.WithBounds(bounds(c)),
 		core.WithAge(n.config.Age),
 		core.WithOutdated(n.config.OutdatedFor),
+		core.WithPlannedStop(n.plannedStop),
 		core.WithProcesses(n.members.count),
 		core.WithPeers(n.members.peers),
 		core.WithMaxFailureBytes(c.FailureMaxBytes),
@@ -302,6 +303,14 @@
 	return min(maxExitMargin, grace/exitShare)
 }
 
+// plannedStop returns the planned stop that is under way, if there is one.
+func (n *GatewayNode) plannedStop() (p hollowgrade.PlannedStop, ok bool) {
+	if n.callers == nil { // calls are served through it
+		return p, false
+	}
+	return n.callers.PlannedStop()
+}
+
 func (n *GatewayNode) linger() time.Duration {
 	return n.settings.Load().Linger
 }
--- /dev/null
+++ b/internal/node/latecalls_test.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade/platform/platformtest"
+	"github.com/hollowgrade/hollowgrade/setting"
+)
+
+// keptConn is a caller's connection that is kept between requests.
+type keptConn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+// dialKept opens a connection to a gateway.
+func dialKept(t *testing.T, g *gateway) *keptConn {
+	t.Helper()
+	c, err := net.Dial("tcp", g.callersAddress)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return &keptConn{Conn: c, in: bufio.NewReader(c)}
+}
+
+// send sends a request that waits for the given time.
+func (c *keptConn) send(id string, patience time.Duration) {
+	fmt.Fprintf(c, "POST /once/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer k1\r\nContent-Length: 5\r\n\r\nhello", id, patience.Milliseconds())
+}
+
+// receive returns the answer to a request, or an error if the connection ends without one.
+func (c *keptConn) receive() (*http.Response, error) {
+	r, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r, err
+}
+
+func TestRequestTakenLateInAPlannedStopIsNotCut(t *testing.T) {
+	const grace = 3 * time.Second
+	// stopBeside stops a gateway while a request is open whose answer takes a second. Once new connections
+	// are refused it sends another one on the same connection and returns its answer.
+	stopBeside := func(t *testing.T, id string, patience time.Duration) (s *fixture, next *http.Response) {
+		t.Helper()
+		s = newFixture(t)
+		w := platformtest.NewWorker("i-0", func(w *platformtest.Worker, c net.Conn, r *http.Request) {
+			if r.Header.Get("Attempt-Id") == "late" {
+				platformtest.Hang(w, c, r)
+				return
+			}
+			time.Sleep(time.Second)
+			platformtest.Echo(w, c, r)
+		})
+		t.Cleanup(w.Close)
+		s.workers = append(s.workers, w)
+		s.store.PutJSON("keyed.servers", w.ID, w.Record("s", "ready"))
+		g := startGatewayToStop(t, s.store.Address(), func(c *setting.Gateway) { c.Grace, c.Linger = grace, 100*time.Millisecond })
+		g.waitReady(t)
+		c := dialKept(t, g)
+		c.send("open", grace)
+		require.Eventually(t, func() bool { return len(w.Requests()) > 0 }, 20*time.Second, time.Millisecond)
+		stopped := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), g.Grace())
+			defer cancel()
+			stopped <- g.Stop(ctx)
+		}()
+		require.Eventually(t, func() bool {
+			n, err := net.Dial("tcp", g.callersAddress)
+			if err == nil {
+				_ = n.Close()
+			}
+			return err != nil
+		}, grace, time.Millisecond)
+		c.send(id, patience)
+		r, err := c.receive()
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, r.StatusCode)
+		require.False(t, r.Close, "it began before the stop")
+		next, err = c.receive()
+		require.NoError(t, err)
+		require.True(t, next.Close)
+		require.NoError(t, <-stopped)
+		return s, next
+	}
+	t.Run("one that may outlast the stop is refused", func(t *testing.T) {
+		s, r := stopBeside(t, "late", 4*time.Second)
+		require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+		after, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.Less(t, after, 1.0, "other gateways take it now")
+		require.Len(t, s.workers[0].Requests(), 1)
+	})
+	t.Run("one that ends before the stop does is answered", func(t *testing.T) {
+		_, r := stopBeside(t, "short", 1200*time.Millisecond)
+		require.Equal(t, http.StatusOK, r.StatusCode)
+	})
+}
