internal/node: the test of requests taken late in a stop waits for what it asks, not for a time

Its worker took a second for the first answer, which left 0.25 s until the stop cancels: on a busy machine the second request could have come too late to be served. The worker answers once the other request is sent, and the stop has a second more. What is asked is the same.

--- a/internal/node/latecalls_test.go
+++ b/internal/node/latecalls_test.go
@@ -48,18 +48,19 @@
 }
 
 func TestRequestTakenLateInAPlannedStopIsNotCut(t *testing.T) {
-	const grace = 3 * time.Second
-	// stopBeside stops a gateway while a request is open whose answer takes a second. Once new connections
-	// are refused it sends another one on the same connection and returns its answer.
+	const grace = 4 * time.Second
+	// stopBeside stops a gateway while a request is open. Once new connections are refused it sends another
+	// one on the same connection, lets the first one be answered, and returns the answer to the other.
 	stopBeside := func(t *testing.T, id string, patience time.Duration) (s *fixture, next *http.Response) {
 		t.Helper()
 		s = newFixture(t)
+		answer := make(chan struct{})
 		w := platformtest.NewWorker("i-0", func(w *platformtest.Worker, c net.Conn, r *http.Request) {
 			if r.Header.Get("Attempt-Id") == "late" {
 				platformtest.Hang(w, c, r)
 				return
 			}
-			time.Sleep(time.Second)
+			<-answer
 			platformtest.Echo(w, c, r)
 		})
 		t.Cleanup(w.Close)
@@ -84,6 +85,7 @@
 			return err != nil
 		}, grace, time.Millisecond)
 		c.send(id, patience)
+		close(answer)
 		r, err := c.receive()
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, r.StatusCode)
@@ -95,7 +97,7 @@
 		return s, next
 	}
 	t.Run("one that may outlast the stop is refused", func(t *testing.T) {
-		s, r := stopBeside(t, "late", 4*time.Second)
+		s, r := stopBeside(t, "late", time.Minute)
 		require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
 		after, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
 		require.NoError(t, err)
@@ -103,7 +105,7 @@
 		require.Len(t, s.workers[0].Requests(), 1)
 	})
 	t.Run("one that ends before the stop does is answered", func(t *testing.T) {
-		_, r := stopBeside(t, "short", 1200*time.Millisecond)
+		_, r := stopBeside(t, "short", time.Second)
 		require.Equal(t, http.StatusOK, r.StatusCode)
 	})
 }
