core: a long failure is looked at as a short one is before it is passed on

Callers saw, by a test only: where failure_max_bytes is set to more than 256 KB, a signed 503 with a longer body to a request that may run once only was passed on as it is, a promise that it has not run. A request that may be repeated got the failure instead of another attempt.

Cause: passWhole() passes any answer on in parts once more than 256 KB of it have come, before the status of a failure is looked at. The setting has no upper bound, its default of 64 KB hides the fault.

Change: only successes are passed on in parts; failures are read whole, up to failure_max_bytes.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -83,6 +83,16 @@
 		require.Nil(t, s.head)
 		require.Len(t, f.sentCalls(), 1)
 	})
+	t.Run("nor is one whose body is longer than what is buffered of a success", func(t *testing.T) {
+		refusal := func(ctx context.Context, _ hollowgrade.Sending) (hollowgrade.Exchange, error) {
+			body := []hollowgrade.Part{{Data: make([]byte, maxBufferedBytes+1)}}
+			return &fakeExchange{ctx: ctx, head: hollowgrade.Head{Status: 503, Signed: true, ImpliesNotRun: true}, parts: body, end: io.EOF}, nil
+		}
+		f, s := &fakeUpstreams{replies: []reply{refusal}}, &fakeSink{}
+		err := newCore(f, WithMaxFailureBytes(2*maxBufferedBytes)).Serve(context.Background(), call("/once/"), s)
+		requireFault(t, fault.As(err, hollowgrade.NotRun), fault.UpstreamFailed, hollowgrade.Unknown)
+		require.Nil(t, s.head)
+	})
 	t.Run("what was not run goes elsewhere", func(t *testing.T) {
 		s, f, x := serve(t, "/once/", shed, status(200, "hello"))
 		require.Nil(t, x)
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -147,7 +147,7 @@
 		if !a.head.Success() && size > f.core.maxFailureBytes {
 			return &hollowgrade.OversizeError{Place: hollowgrade.AnswerFailure, Limit: f.core.maxFailureBytes}
 		}
-		if size > maxBufferedBytes {
+		if a.head.Success() && size > maxBufferedBytes {
 			return a.passLong(x, w, d)
 		}
 	}
