core: a stream that loses its upstream in a planned stop is continued if its rest ends in time

Callers would see: a stream of ten events whose upstream breaks after the ninth is broken off in a planned stop although 2.3 s are left and the missing event comes after 0.3 s at another upstream.

Cause: the check before a further attempt compares what the stop leaves with the time that a whole answer of the route takes. The caller has the begin of the stream, and the attempt brings the rest only.

Change: once a head has been sent, the time since the first event is subtracted from the expected one, and the predicted time until the next first event is added.

--- a/core/flow.go
+++ b/core/flow.go
@@ -182,7 +182,7 @@
 		f.core.fleet.release(p, false)
 		return Try{Err: err, Placed: f.noMemory < maxMemoryTries, Free: true}
 	}
-	if err = f.checkStop(n, max(p.FirstEvent, f.expectedDuration())); err != nil {
+	if err = f.checkStop(n, f.expectedTime(p.FirstEvent)); err != nil {
 		f.dropPick(p)
 		return Try{Err: err}
 	}
--- a/core/stop_test.go
+++ b/core/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,46 @@
 	}
 }
 
+// slowEvents replies with the events from through to, each after a pause, then ends with err.
+func slowEvents(from, to int, pause time.Duration, err error) reply {
+	return func(ctx context.Context, s hollowgrade.Sending) (hollowgrade.Exchange, error) {
+		x, _ := events(from, to, err)(ctx, s)
+		return &slowExchange{*x.(*fakeExchange), pause}, nil
+	}
+}
+
+// slowExchange returns each part after a pause.
+type slowExchange struct {
+	fakeExchange
+	pause time.Duration
+}
+
+func (x *slowExchange) Next() (hollowgrade.Part, error) {
+	if len(x.parts) > 0 {
+		time.Sleep(x.pause)
+	}
+	return x.fakeExchange.Next()
+}
+
+func TestStreamThatIsNearlyDoneIsContinuedInAPlannedStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams, pause = 12, 300 * time.Millisecond
+		rs := slices.Repeat([]reply{slowEvents(1, 10, pause, io.EOF)}, streams)
+		rs = append(rs, slowEvents(1, 9, pause, errBroken), slowEvents(10, 10, pause, io.EOF))
+		begin := time.Now().Add(time.Hour)
+		c := newCore(&fakeUpstreams{replies: rs}, WithPlannedStop(func() (hollowgrade.PlannedStop, bool) {
+			return hollowgrade.PlannedStop{Left: time.Until(begin.Add(4 * time.Second))}, time.Now().After(begin)
+		}))
+		for range streams {
+			require.NoError(t, c.Serve(context.Background(), call("/resume/"), &fakeSink{}))
+		}
+		begin = time.Now().Add(time.Second)
+		s := &fakeSink{}
+		require.NoError(t, c.Serve(context.Background(), call("/resume/"), s))
+		require.Equal(t, "1,2,3,4,5,6,7,8,9,10,", s.body.String())
+	})
+}
+
 func TestCallsThatAPlannedStopWouldCutAreRefused(t *testing.T) {
 	run := func(name string, do func(t *testing.T)) {
 		t.Run(name, func(t *testing.T) { synctest.Test(t, do) })
