core: only whole answers count for the time that an answer of a route is expected to take

Callers would see: after some failures on a route, or streams that were continued, calls that a planned stop cuts are sent during its linger instead of being refused.

Cause: each attempt that ended without an error was recorded, also one whose failure was passed on, which comes at once, and one that brought the rest of a stream only. Twenty of them reduced the expected time of a route that takes 3 s to 1.81 and 1.93 s.

Change: only attempts that bring a success from its first byte on are recorded.

Evidence: go test -race ./core -run TestOnlyWholeAnswersCountForTheExpectedTime, both parts red 3 of 3 on the code before, green 3 of 3 after, with the tests of planned stops and of turns in package core.

--- a/core/flow.go
+++ b/core/flow.go
@@ -186,11 +186,14 @@
 		f.dropPick(p)
 		return Try{Err: err}
 	}
+	continues := f.headSent
 	err = a.run(ctx)
 	f.core.fleet.release(p, a.answerBegan)
 	f.recordOutcome(ctx, a, err)
 	if err == nil {
-		f.core.durations.record(f.route.Name, f.core.clock.Since(a.sent))
+		if a.head.Success() && !continues {
+			f.core.durations.record(f.route.Name, f.core.clock.Since(a.sent))
+		}
 		return Try{Placed: true}
 	}
 	return f.classifyFailure(a, err)
--- a/core/stop.go
+++ b/core/stop.go
@@ -51,7 +51,7 @@
 // maxEstimates bounds the routes that are remembered.
 const maxEstimates = 4096
 
-// durations estimates how long answered attempts take, by route. It is safe for concurrent use.
+// durations estimates how long attempts take that bring a whole answer, by route. It is safe for concurrent use.
 type durations struct {
 	mu      sync.Mutex
 	byRoute map[string]durationEstimate
@@ -65,7 +65,7 @@
 	return &durations{byRoute: map[string]durationEstimate{}}
 }
 
-// record adds the duration of an answered attempt.
+// record adds the duration of an attempt that brought a whole answer, from its first byte on.
 func (d *durations) record(route string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
