core: the time for which a prompt is held back counts once in a planned stop, and before it begins

Callers would see, during the linger of a planned stop: a long prompt that is held back until its engines have nearly finished others is refused after that although its first event would come in time, and one that is known not to end in time waits for 350 ms before it is refused.

Cause: the predicted first event includes the time for which the call is held back, and was compared with what the stop leaves only after that time had passed.

Change: the check is made before the call is held back, with that time, and again before it is sent, without what has passed.

--- a/core/flow.go
+++ b/core/flow.go
@@ -168,6 +168,10 @@
 
 // send makes one attempt with a pick.
 func (f *flow) send(ctx context.Context, p *pick, n, left int) Try {
+	if err := f.checkStop(n, f.expectedTime(p.SendDelay, p.FirstEvent)); err != nil {
+		f.dropPick(p)
+		return Try{Err: err}
+	}
 	u := p.upstream()
 	f.tried[u.Instance()] = true
 	f.upstreams = append(f.upstreams, u.ID)
@@ -182,7 +186,7 @@
 		f.core.fleet.release(p, false)
 		return Try{Err: err, Placed: f.noMemory < maxMemoryTries, Free: true}
 	}
-	if err = f.checkStop(n, f.expectedTime(p.FirstEvent)); err != nil {
+	if err = f.checkStop(n, f.expectedTime(0, p.FirstEvent-a.heldBack)); err != nil {
 		f.dropPick(p)
 		return Try{Err: err}
 	}
--- a/core/stop.go
+++ b/core/stop.go
@@ -29,12 +29,13 @@
 	return fault.New(fault.Draining, "this box is being stopped in %s", max(s.Left, 0).Round(time.Millisecond)).WithOutcome(hollowgrade.NotRun)
 }
 
-// expectedTime returns how long an attempt is expected to take of which the first event is predicted after
-// the given time, 0 if nothing is known. What the caller has of a stream is not sent again.
-func (f *flow) expectedTime(first time.Duration) time.Duration {
+// expectedTime returns how long an attempt is expected to take that is held back for the given time and of
+// which the first event is predicted after the other, 0 if nothing is known. What the caller has of a stream
+// is not sent again.
+func (f *flow) expectedTime(hold, first time.Duration) time.Duration {
 	d := f.core.durations.expected(f.route.Name)
 	if !f.headSent {
-		return max(first, d)
+		return max(first, hold+d)
 	}
 	streamed := f.core.clock.Since(f.call.Arrived) - f.first
 	return first + max(d-streamed, 0)
--- a/core/stop_test.go
+++ b/core/stop_test.go
@@ -143,3 +143,41 @@
 	run("not failures", "once", status(500, "no"))
 	run("not the rest of a stream", "resume", slowEvents(1, 9, pause, errBroken), slowEvents(10, 10, pause, io.EOF))
 }
+
+func TestTimeForWhichACallIsHeldBackCountsOnceInAPlannedStop(t *testing.T) {
+	const backlog = 500 * time.Millisecond
+	// serveHeldBack serves a long prompt behind the backlog of its engines, and returns how long that took.
+	serveHeldBack := func(left time.Duration) (took time.Duration, sent int, err error) {
+		f := &fakeUpstreams{replies: []reply{events(1, 2, io.EOF)}}
+		c := New(f, f, WithLogger(discardLogger()), stopIn(left, true))
+		r := Route{Name: "r", Host: "h", Prefix: "/", Repeat: Resume, Stream: true, Goal: 3 * time.Second, PauseGoal: 800 * time.Millisecond, Targets: []Target{{"e", 1}}, MaxAttempts: 2}
+		c.SetCatalog(NewCatalog(1, []Route{r}, []Service{{Name: "e", Engine: figures()}}, nil, Limits{}))
+		for _, id := range []string{"u1", "u2"} {
+			c.Fleet().Put(hollowgrade.Upstream{ID: id, Service: "e", Address: id + ":1"})
+		}
+		for _, m := range c.fleet.members {
+			m.addPrefill(time.Now(), backlog)
+		}
+		k := call("/x")
+		k.PromptTokens, k.MaxTokens, k.Patience = 100_000, 100, 9*time.Second
+		begin := time.Now()
+		err = c.Serve(context.Background(), k, &fakeSink{})
+		return time.Since(begin), len(f.sentCalls()), err
+	}
+	t.Run("it is sent if its first event comes in time", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			took, sent, err := serveHeldBack(2 * backlog)
+			require.NoError(t, err)
+			require.Equal(t, 1, sent)
+			require.Greater(t, took, backlog/2, "it is held back")
+		})
+	})
+	t.Run("it is refused at once if it does not", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			took, sent, err := serveHeldBack(backlog + 200*time.Millisecond)
+			requireFault(t, fault.As(err, hollowgrade.Unknown), fault.Draining, hollowgrade.NotRun)
+			require.Zero(t, sent)
+			require.Zero(t, took)
+		})
+	})
+}
--- a/core/turn.go
+++ b/core/turn.go
@@ -77,7 +77,7 @@
 			f.endTurn(TurnEnded, waited)
 			return nil, f.quarantinedError(a)
 		}
-		if err := f.checkStop(1, f.expectedTime(0)); err != nil {
+		if err := f.checkStop(1, f.expectedTime(0, 0)); err != nil {
 			f.endTurn(TurnEnded, waited)
 			return nil, err
 		}
