core: a long prompt that a planned stop sends away keeps the time of its first arrival

Callers would see: a long prompt that has waited for its turn at a gateway and is refused since that is stopped comes to the next gateway as a new one, behind prompts that came later.

Cause: only prompts that the engines have no time for are remembered as refused and told to peers. A stop, which sends away all prompts that wait as soon as new connections are refused, did not record them.

Change: both ways by which a stop ends the wait record the refusal with the first arrival.

Evidence: go test -race ./core -run TestLongPromptThatAPlannedStopSendsAwayKeepsItsTimeOfArrival, both parts red 3 of 3 on the code before, green 3 of 3 after, with the tests of planned stops and of turns in package core.

--- a/core/refusal.go
+++ b/core/refusal.go
@@ -19,7 +19,7 @@
 // MaxRefusals bounds the refused prompts that one gateway remembers and tells its peers of.
 const MaxRefusals = 64
 
-// Refusal is a long prompt that was refused for want of time. Its caller may come back to any gateway.
+// Refusal is a long prompt that was refused for want of time, or while it waited. Its caller may come back to any gateway.
 type Refusal struct {
 	Fingerprint  hollowgrade.Fingerprint
 	FirstArrival time.Time // of its caller's first attempt
--- a/core/stop_test.go
+++ b/core/stop_test.go
@@ -181,3 +181,36 @@
 		})
 	})
 }
+
+func TestLongPromptThatAPlannedStopSendsAwayKeepsItsTimeOfArrival(t *testing.T) {
+	const waits = 50 * time.Millisecond
+	// requireRemembered serves a prompt that waits for its turn until the box is stopped.
+	requireRemembered := func(t *testing.T, stop func(c *Core, cancel context.CancelCauseFunc)) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			c := calendarCore(&fakeUpstreams{replies: []reply{events(1, 3, io.EOF)}})
+			require.NoError(t, c.Serve(context.Background(), longCall("a"), &fakeSink{}))
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			stop(c, cancel)
+			k := longCall("b")
+			requireFault(t, fault.As(c.Serve(ctx, k, &fakeSink{}), hollowgrade.Unknown), fault.Draining, hollowgrade.NotRun)
+			rs := c.fleet.Refusals()
+			require.Len(t, rs, 1)
+			require.Equal(t, k.Arrived, rs[0].FirstArrival)
+		})
+	}
+	t.Run("once new connections are refused", func(t *testing.T) {
+		requireRemembered(t, func(c *Core, _ context.CancelCauseFunc) {
+			at := time.Now().Add(waits)
+			c.plannedStop = func() (hollowgrade.PlannedStop, bool) {
+				return hollowgrade.PlannedStop{Left: time.Second}, time.Now().After(at)
+			}
+		})
+	})
+	t.Run("when open requests are cancelled", func(t *testing.T) {
+		requireRemembered(t, func(_ *Core, cancel context.CancelCauseFunc) {
+			time.AfterFunc(waits, func() { cancel(hollowgrade.ErrStopping) })
+		})
+	})
+}
--- a/core/turn.go
+++ b/core/turn.go
@@ -79,6 +79,7 @@
 		}
 		if err := f.checkStop(1, f.expectedTime(0, 0)); err != nil {
 			f.endTurn(TurnEnded, waited)
+			f.rememberWait(r, waited)
 			return nil, err
 		}
 		p, state, again := f.core.fleet.start(w, after(r, waited), f.tried)
@@ -90,14 +91,19 @@
 			return nil, f.noTime(r, waited, again)
 		}
 		if !hollowgrade.Sleep(ctx, f.core.clock, again) {
-			return nil, f.waitEnded(ctx, f.core.clock.Since(begin))
+			return nil, f.waitEnded(ctx, r, f.core.clock.Since(begin))
 		}
 	}
 }
 
+// rememberWait records that a prompt is refused which has waited, so that its wait counts when it comes back.
+func (f *flow) rememberWait(r placement.Request, waited time.Duration) {
+	f.core.fleet.recordRefusal(f.fingerprint, f.core.clock.Now().Add(-r.Waited-waited))
+}
+
 // noTime returns the error for a long prompt that the engines have no time for.
 func (f *flow) noTime(r placement.Request, waited, retryAfter time.Duration) error {
-	f.core.fleet.recordRefusal(f.fingerprint, f.core.clock.Now().Add(-r.Waited-waited))
+	f.rememberWait(r, waited)
 	f.endTurn(TurnRefused, waited)
 	f.core.log.Info("not sent", "request", f.call.ID, "why", "the engines have no time for it", "prompt_tokens", f.call.PromptTokens,
 		"goal_ms", f.route.Goal.Milliseconds(), "waited_ms", r.Waited.Milliseconds(), "turn_wait_ms", waited.Milliseconds(),
@@ -107,12 +113,13 @@
 }
 
 // waitEnded returns the error for a call that ended while it waited for its turn.
-func (f *flow) waitEnded(ctx context.Context, waited time.Duration) error {
+func (f *flow) waitEnded(ctx context.Context, r placement.Request, waited time.Duration) error {
 	f.endTurn(TurnEnded, waited)
 	c := context.Cause(ctx)
 	f.core.log.Info("not sent", "request", f.call.ID, "why", "it ended while it waited for its turn", "turn_wait_ms", waited.Milliseconds(), "cause", c)
 	switch {
 	case errors.Is(c, hollowgrade.ErrStopping):
+		f.rememberWait(r, waited)
 		return fault.New(fault.Draining, "this box is being stopped").WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetryAfter)
 	case errors.Is(c, errOutOfTime):
 		return fault.New(fault.DeadlinePassed, "the allowed time passed before the call could be sent").WithOutcome(hollowgrade.NotRun)
