--- a/core/stop.go
+++ b/core/stop.go
@@ -29,9 +29,16 @@
 	return fault.New(fault.Draining, "this box is being stopped in %s", max(s.Left, 0).Round(time.Millisecond)).WithOutcome(hollowgrade.NotRun)
 }
 
-// expectedDuration returns how long an attempt is expected to take, 0 if nothing is known.
-func (f *flow) expectedDuration() time.Duration {
-	return f.core.durations.expected(f.route.Name)
+// expectedTime returns how long an attempt is expected to take that is held back for the given time and of
+// which the first event is predicted after the other, 0 if nothing is known. What the caller has of a stream
+// is not sent again.
+func (f *flow) expectedTime(hold, first time.Duration) time.Duration {
+	d := f.core.durations.expected(f.route.Name)
+	if !f.headSent {
+		return max(first, hold+d)
+	}
+	streamed := f.core.clock.Since(f.call.Arrived) - f.first
+	return first + max(d-streamed, 0)
 }
 
 // The weights of a new sample in the mean and in the mean deviation, and the number of deviations above the
@@ -45,7 +52,7 @@
 // maxEstimates bounds the routes that are remembered.
 const maxEstimates = 4096
 
-// durations estimates how long answered attempts take, by route. It is safe for concurrent use.
+// durations estimates how long attempts take that bring a whole answer, by route. It is safe for concurrent use.
 type durations struct {
 	mu      sync.Mutex
 	byRoute map[string]durationEstimate
@@ -59,7 +66,7 @@
 	return &durations{byRoute: map[string]durationEstimate{}}
 }
 
-// record adds the duration of an answered attempt.
+// record adds the duration of an attempt that brought a whole answer, from its first byte on.
 func (d *durations) record(route string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/core/stop_test.go
+++ b/core/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,46 @@
 	}
 }
 
+// slowEvents replies with the events from through to, each after a pause, then ends with err.
+func slowEvents(from, to int, pause time.Duration, err error) reply {
+	return func(ctx context.Context, s hollowgrade.Sending) (hollowgrade.Exchange, error) {
+		x, _ := events(from, to, err)(ctx, s)
+		return &slowExchange{*x.(*fakeExchange), pause}, nil
+	}
+}
+
+// slowExchange returns each part after a pause.
+type slowExchange struct {
+	fakeExchange
+	pause time.Duration
+}
+
+func (x *slowExchange) Next() (hollowgrade.Part, error) {
+	if len(x.parts) > 0 {
+		time.Sleep(x.pause)
+	}
+	return x.fakeExchange.Next()
+}
+
+func TestStreamThatIsNearlyDoneIsContinuedInAPlannedStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams, pause = 12, 300 * time.Millisecond
+		rs := slices.Repeat([]reply{slowEvents(1, 10, pause, io.EOF)}, streams)
+		rs = append(rs, slowEvents(1, 9, pause, errBroken), slowEvents(10, 10, pause, io.EOF))
+		begin := time.Now().Add(time.Hour)
+		c := newCore(&fakeUpstreams{replies: rs}, WithPlannedStop(func() (hollowgrade.PlannedStop, bool) {
+			return hollowgrade.PlannedStop{Left: time.Until(begin.Add(4 * time.Second))}, time.Now().After(begin)
+		}))
+		for range streams {
+			require.NoError(t, c.Serve(context.Background(), call("/resume/"), &fakeSink{}))
+		}
+		begin = time.Now().Add(time.Second)
+		s := &fakeSink{}
+		require.NoError(t, c.Serve(context.Background(), call("/resume/"), s))
+		require.Equal(t, "1,2,3,4,5,6,7,8,9,10,", s.body.String())
+	})
+}
+
 func TestCallsThatAPlannedStopWouldCutAreRefused(t *testing.T) {
 	run := func(name string, do func(t *testing.T)) {
 		t.Run(name, func(t *testing.T) { synctest.Test(t, do) })
@@ -84,3 +125,92 @@
 		require.NotEqual(t, hollowgrade.NotRun, x.Outcome)
 	})
 }
+
+func TestOnlyWholeAnswersCountForTheExpectedTime(t *testing.T) {
+	const calls, pause = 20, 300 * time.Millisecond
+	whole := slowEvents(1, 10, pause, io.EOF)
+	run := func(name, route string, replies ...reply) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCore(&fakeUpstreams{replies: append([]reply{whole}, slices.Repeat(replies, calls)...)})
+				for range 1 + calls {
+					require.NoError(t, c.Serve(context.Background(), call("/"+route+"/"), &fakeSink{}))
+				}
+				require.GreaterOrEqual(t, c.durations.expected(route), 10*pause)
+			})
+		})
+	}
+	run("not failures", "once", status(500, "no"))
+	run("not the rest of a stream", "resume", slowEvents(1, 9, pause, errBroken), slowEvents(10, 10, pause, io.EOF))
+}
+
+func TestTimeForWhichACallIsHeldBackCountsOnceInAPlannedStop(t *testing.T) {
+	const backlog = 500 * time.Millisecond
+	// serveHeldBack serves a long prompt behind the backlog of its engines, and returns how long that took.
+	serveHeldBack := func(left time.Duration) (took time.Duration, sent int, err error) {
+		f := &fakeUpstreams{replies: []reply{events(1, 2, io.EOF)}}
+		c := New(f, f, WithLogger(discardLogger()), stopIn(left, true))
+		r := Route{Name: "r", Host: "h", Prefix: "/", Repeat: Resume, Stream: true, Goal: 3 * time.Second, PauseGoal: 800 * time.Millisecond, Targets: []Target{{"e", 1}}, MaxAttempts: 2}
+		c.SetCatalog(NewCatalog(1, []Route{r}, []Service{{Name: "e", Engine: figures()}}, nil, Limits{}))
+		for _, id := range []string{"u1", "u2"} {
+			c.Fleet().Put(hollowgrade.Upstream{ID: id, Service: "e", Address: id + ":1"})
+		}
+		for _, m := range c.fleet.members {
+			m.addPrefill(time.Now(), backlog)
+		}
+		k := call("/x")
+		k.PromptTokens, k.MaxTokens, k.Patience = 100_000, 100, 9*time.Second
+		begin := time.Now()
+		err = c.Serve(context.Background(), k, &fakeSink{})
+		return time.Since(begin), len(f.sentCalls()), err
+	}
+	t.Run("it is sent if its first event comes in time", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			took, sent, err := serveHeldBack(2 * backlog)
+			require.NoError(t, err)
+			require.Equal(t, 1, sent)
+			require.Greater(t, took, backlog/2, "it is held back")
+		})
+	})
+	t.Run("it is refused at once if it does not", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			took, sent, err := serveHeldBack(backlog + 200*time.Millisecond)
+			requireFault(t, fault.As(err, hollowgrade.Unknown), fault.Draining, hollowgrade.NotRun)
+			require.Zero(t, sent)
+			require.Zero(t, took)
+		})
+	})
+}
+
+func TestLongPromptThatAPlannedStopSendsAwayKeepsItsTimeOfArrival(t *testing.T) {
+	const waits = 50 * time.Millisecond
+	// requireRemembered serves a prompt that waits for its turn until the box is stopped.
+	requireRemembered := func(t *testing.T, stop func(c *Core, cancel context.CancelCauseFunc)) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			c := calendarCore(&fakeUpstreams{replies: []reply{events(1, 3, io.EOF)}})
+			require.NoError(t, c.Serve(context.Background(), longCall("a"), &fakeSink{}))
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			stop(c, cancel)
+			k := longCall("b")
+			requireFault(t, fault.As(c.Serve(ctx, k, &fakeSink{}), hollowgrade.Unknown), fault.Draining, hollowgrade.NotRun)
+			rs := c.fleet.Refusals()
+			require.Len(t, rs, 1)
+			require.Equal(t, k.Arrived, rs[0].FirstArrival)
+		})
+	}
+	t.Run("once new connections are refused", func(t *testing.T) {
+		requireRemembered(t, func(c *Core, _ context.CancelCauseFunc) {
+			at := time.Now().Add(waits)
+			c.plannedStop = func() (hollowgrade.PlannedStop, bool) {
+				return hollowgrade.PlannedStop{Left: time.Second}, time.Now().After(at)
+			}
+		})
+	})
+	t.Run("when open requests are cancelled", func(t *testing.T) {
+		requireRemembered(t, func(_ *Core, cancel context.CancelCauseFunc) {
+			time.AfterFunc(waits, func() { cancel(hollowgrade.ErrStopping) })
+		})
+	})
+}
