node, accept: every listener goes on after an error of Accept

A process that had no descriptor left when a peer connected accepted none of its peers from then on: an agent answered no entry any more and a gateway no other gateway, until it was restarted, with readiness good. Cause: peer.Server.Serve returned at the first error of Accept. net/http retries EMFILE, ENFILE, EINTR and time-outs, but ends after others which accept(2) says to retry.

All roles open their listeners in one place now, as accept.Listener, which fails only once it is closed.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := listenPeers(c.Peers, c.Common, t)
+	l, err := b.listenPeers(c.Peers, c.Common, t)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := listen(c.Callers)
+	l, err := b.listen(c.Callers)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -153,7 +153,7 @@
 	sender := loadview.New(instanceName(c.Box, b.Incarnation), n.Core.Fleet(), n.members.cellAddresses, loadOptions...)
 	n.receiver.OnStream(sender.Redial)
 	b.Register(FeedsService, newRunner(n.config.Run, fleet.Run, others.Run, n.held.Run, relay.Run, sender.Run, n.heldStore.run))
-	if err = n.listen(c, relay, g); err != nil {
+	if err = n.listenAll(c, relay, g); err != nil {
 		return nil, err
 	}
 	return n, n.gauges(relay)
@@ -168,17 +168,17 @@
 	return box + "/" + incarnation[:min(incarnationDigits, len(incarnation))]
 }
 
-// listen opens the listeners and registers what serves them.
-func (n *GatewayNode) listen(c setting.Gateway, r *feed.Relay, g *log.Logger) error {
+// listenAll opens the listeners and registers what serves them.
+func (n *GatewayNode) listenAll(c setting.Gateway, r *feed.Relay, g *log.Logger) error {
 	if c.Peers != "" {
-		l, err := listen(c.Peers)
+		l, err := n.listen(c.Peers)
 		if err != nil {
 			return err
 		}
 		n.Register(PeersService, newPeers(l, n.peerHandler(r.NewServer(c.LinkMbps)), g))
 	}
 	n.Register(MembersService, n.members)
-	l, err := listen(c.Callers)
+	l, err := n.listen(c.Callers)
 	if err != nil {
 		return err
 	}
@@ -189,7 +189,7 @@
 	handler := platform.NewHandler(n.Core, n.limits, n.clock, g, platform.WithStall(n.callerStall), platform.WithBodies(n.bodies))
 	n.callers = callers.New(l, handler,
 		callers.WithMaxConnections(n.maxConnections), callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(n.linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
-	l, err = listen(c.Readiness)
+	l, err = n.listen(c.Readiness)
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/hollowgrade/hollowgrade/config"
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/fold"
+	"github.com/hollowgrade/hollowgrade/internal/accept"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/kernel"
 	"github.com/hollowgrade/hollowgrade/measure"
@@ -101,19 +102,24 @@
 	return peer.WithTLS(peer.TCP(), c.Client)
 }
 
-func listen(address string) (net.Listener, error) {
+// listen opens a listener that goes on after errors that pass.
+func (n *Node) listen(address string) (net.Listener, error) {
 	var c net.ListenConfig
-	return c.Listen(context.Background(), "tcp", address)
+	l, err := c.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return accept.NewListener(l, n.clock, n.log), nil
 }
 
 // listenPeers opens the listener for peers. Without TLS it must be on loopback, unless the settings
 // have insecure = true.
-func listenPeers(address string, c setting.Common, t *peer.Certificates) (l net.Listener, err error) {
+func (n *Node) listenPeers(address string, c setting.Common, t *peer.Certificates) (l net.Listener, err error) {
 	defer errs.Annotate(&err, "listen for peers")
 	if t == nil && !c.Insecure && !peer.IsLoopback(address) {
 		return nil, fault.New(fault.BadSetting, "peers is %s: beyond loopback set tls_cert, tls_key and tls_ca, or insecure = true", address)
 	}
-	l, err = listen(address)
+	l, err = n.listen(address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -65,7 +65,7 @@
 }
 
 func newOperators(address string, n *Node, ready func() (bool, string), more ...func(*mux.Router)) (o *operators, err error) {
-	l, err := listen(address)
+	l, err := n.listen(address)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -31,8 +31,8 @@
 	return &Server{handle: h, broken: broken, sessions: map[*yamux.Session]struct{}{}}
 }
 
-// Serve accepts connections until the listener is closed. Ending ctx aborts
-// the exchanges that are being served.
+// Serve accepts connections until the listener is closed. It returns the first other error of Accept:
+// whether one passes is for the listener to tell. Ending ctx aborts the exchanges that are being served.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	for {
 		c, err := l.Accept()
