core: a silent upstream is kept if a planned stop leaves no time for another attempt

Callers would see: in a planned stop, a request whose sound worker is silent for 0.9 s is ended by a 502 with 2.6 s left, though its answer was to come 0.3 s later.

Cause: a silent upstream is given up if another one and a retry are left. Since attempts are checked against a planned stop, the other attempt may be refused, and then both are lost.

Change: during a planned stop a silent upstream is given up only if what is left bears a whole answer of the route and the pause before it.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := newWatchdog(a.flow.core.clock, a.stallTimeout(), func() bool {
-		if !a.flow.abandonUpstream() {
+		if !a.abandonUpstream() {
 			return false
 		}
 		cancel(errStalled)
--- a/core/silence_test.go
+++ b/core/silence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -101,3 +102,34 @@
 		require.Len(t, f.sentCalls(), 1)
 	})
 }
+
+// afterSilence returns a reply that comes later than another one by d.
+func afterSilence(d time.Duration, r reply) reply {
+	return func(ctx context.Context, s hollowgrade.Sending) (hollowgrade.Exchange, error) {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(d):
+		}
+		return r(ctx, s)
+	}
+}
+
+func TestSilentUpstreamIsKeptIfAPlannedStopLeavesNoTimeForAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const calls = 12
+		takes3s := steady(30, 100*time.Millisecond, 1)
+		replies := append(slices.Repeat([]reply{takes3s}, calls), afterSilence(1200*time.Millisecond, steady(18, 100*time.Millisecond, 1)), takes3s)
+		f := &fakeUpstreams{replies: replies}
+		end := time.Now().Add(time.Hour)
+		c := newCore(f, WithPlannedStop(func() (hollowgrade.PlannedStop, bool) {
+			return hollowgrade.PlannedStop{Left: time.Until(end), Accepting: true}, true
+		}))
+		for range calls {
+			require.NoError(t, c.Serve(context.Background(), call("/again/"), &fakeSink{}))
+		}
+		end = time.Now().Add(3500 * time.Millisecond)
+		require.NoError(t, c.Serve(context.Background(), call("/again/"), &fakeSink{}))
+		require.Len(t, f.sentCalls(), calls+1)
+	})
+}
--- a/core/stop.go
+++ b/core/stop.go
@@ -29,6 +29,16 @@
 	return fault.New(fault.Draining, "this box is being stopped in %s", max(s.Left, 0).Round(time.Millisecond)).WithOutcome(hollowgrade.NotRun)
 }
 
+// pauseMargin is the time from the end of an attempt until another one is sent, with few retries.
+const pauseMargin = 5 * minRetryPause
+
+// stopCutsAnother reports whether a planned stop leaves too little time for another attempt that brings a
+// whole answer. It is safe to call while this one is under way.
+func (a *attempt) stopCutsAnother() bool {
+	s, stopping := a.flow.core.plannedStop()
+	return stopping && s.Left < pauseMargin+max(a.pick.FirstEvent, a.flow.core.durations.expected(a.flow.route.Name))
+}
+
 // expectedTime returns how long an attempt is expected to take that is held back for the given time and of
 // which the first event is predicted after the other, 0 if nothing is known. What the caller has of a stream
 // is not sent again.
--- a/core/watchdog.go
+++ b/core/watchdog.go
@@ -38,10 +38,11 @@
 	return max(d, stallPredictionFactor*a.pick.FirstEvent)
 }
 
-// abandonUpstream reports whether a silent upstream may be given up: there must be another one and a
-// retry in the budget, which is taken out at once.
-func (f *flow) abandonUpstream() bool {
-	if !f.core.fleet.hasUntried(f.service.Name, f.tried) || !f.budget.Spend(f.core.clock.Now()) {
+// abandonUpstream reports whether a silent upstream may be given up: there must be another one, a retry in
+// the budget, which is taken out at once, and time for it if a planned stop is under way.
+func (a *attempt) abandonUpstream() bool {
+	f := a.flow
+	if !f.core.fleet.hasUntried(f.service.Name, f.tried) || a.stopCutsAnother() || !f.budget.Spend(f.core.clock.Now()) {
 		return false
 	}
 	f.retryPaid.Store(true)
