callers, platform: a refusal during a planned stop closes its connection, also of a request that began before

Callers saw, by a test: a request whose body comes after SIGTERM is refused (HG2005) with Keep-Alive and without Connection: close; its caller sends the next request on a connection that is closed at once or refuses again.

Cause: the server decides as a request begins what it tells of its connection, and the stop may begin later.

For answers of upstreams nothing changes: a stream has sent its head by then, a plain answer keeps what it was told first.

--- a/callers/server.go
+++ b/callers/server.go
@@ -386,6 +386,15 @@
 	}
 }
 
+// AnnounceStop makes an answer the last one on its connection if the server is being stopped, also if the
+// request began before that. It is called before the head of the answer is written.
+func AnnounceStop(w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if ok && c.server.Stopping() {
+		closeAfter(w.Header())
+	}
+}
+
 func (s *Server) beginRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/latecalls_test.go
+++ b/internal/node/latecalls_test.go
@@ -107,3 +107,30 @@
 		require.Equal(t, http.StatusOK, r.StatusCode)
 	})
 }
+
+func TestRefusalOfARequestThatBeganBeforeAPlannedStopClosesItsConnection(t *testing.T) {
+	const grace = 3 * time.Second
+	s := newFixture(t, platformtest.Echo)
+	g := startGatewayToStop(t, s.store.Address(), func(c *setting.Gateway) { c.Grace, c.Linger = grace, 100*time.Millisecond })
+	g.waitReady(t)
+	c := dialKept(t, g)
+	fmt.Fprint(c, "POST /once/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nDeadline-Ms: 4000\r\nAuthorization: Bearer k1\r\nContent-Length: 5\r\n\r\n")
+	require.Eventually(t, func() bool { return g.callers.Active() > 0 }, grace, time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), g.Grace())
+		defer cancel()
+		stopped <- g.Stop(ctx)
+	}()
+	require.Eventually(t, func() bool {
+		p, stopping := g.plannedStop()
+		return stopping && !p.Accepting
+	}, grace, time.Millisecond)
+	fmt.Fprint(c, "hello")
+	r, err := c.receive()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+	require.True(t, r.Close)
+	require.Empty(t, r.Header.Get("Keep-Alive"))
+	require.NoError(t, <-stopped)
+}
