core: a silent upstream is kept until another one has answered

Cause: the watchdog of an attempt cancelled its exchange as soon as another upstream was usable, untried and paid for. Whether that one takes the call is known only from its answer, when nothing was left to go back to. Plain calls that may run again as well.

Change: on silence an attempt is made beside the silent one. The first that has something for the caller (a newer event, the end of a stream, a whole plain answer) ends the others, waits until they have ended, and is passed on; a refusal ends itself only. Sends count against maxAttempts and the retry budget as before, a dial that failed against neither; each attempt has its own accounting. The watchdog stands still also while a complete answer is written to a caller that reads slowly.

A test is replaced: "what may have run is not called not run" (a planned stop) had a first attempt that was silent for 3 s, which is now served by a second one made beside it before the stop's time is over.

--- a/core/attempts.go
+++ b/core/attempts.go
@@ -40,6 +40,7 @@
 	Err    error // nil if the request succeeded
 	Placed bool  // an upstream was picked for the attempt
 	Free   bool  // nothing was sent to the upstream, so the attempt doesn't count
+	Beside int   // further attempts that were sent while this one ran
 }
 
 // Attempts bounds the attempts at one request.
@@ -64,6 +65,7 @@
 		if !t.Free {
 			left--
 		}
+		left -= t.Beside
 		f := fault.As(t.Err, hollowgrade.Unknown)
 		worst = worst.Combine(f.Outcome)
 		f = f.WithOutcome(worst)
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -15,9 +15,9 @@
 // attempt is one exchange for a flow.
 type attempt struct {
 	flow             *flow
+	runner           *runner
 	pick             *pick
-	number           int  // of the attempt, counted from 1
-	last             bool // whether it is the last one allowed
+	number           int // of the attempt, counted from 1
 	reservation      *reservation
 	heldBack         time.Duration // how long the sending was held back
 	sent             time.Time
@@ -46,14 +46,9 @@
 
 // run opens the exchange and passes its answer on.
 func (a *attempt) run(ctx context.Context) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	w := newWatchdog(a.flow.core.clock, a.stallTimeout(), func() bool {
-		if !a.flow.abandonUpstream() {
-			return false
-		}
-		cancel(errStalled)
-		return true
+		a.flow.startBeside(a)
+		return false
 	})
 	defer w.stop()
 	a.stopOverdueTimer = a.startOverdueTimer()
@@ -109,8 +104,8 @@
 		return fault.New(fault.DeadlinePassed, "the allowed time passed before the call could be sent").WithOutcome(hollowgrade.NotRun)
 	case errors.Is(err, hollowgrade.ErrNotSent):
 		return fault.New(fault.UpstreamLost, "upstream %s could not be reached", id).WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetryAfter)
-	case errors.Is(err, errStalled):
-		return fault.New(fault.UpstreamLost, "upstream %s went silent", id).WithOutcome(hollowgrade.Unknown)
+	case errors.Is(err, errOvertaken):
+		return fault.New(fault.UpstreamLost, "another upstream answered before %s", id).WithOutcome(hollowgrade.Unknown)
 	case errors.Is(err, errOutOfTime):
 		return fault.New(fault.DeadlinePassed, "the allowed time passed").WithOutcome(hollowgrade.Unknown)
 	case errors.Is(err, context.Canceled):
@@ -152,19 +147,28 @@
 		}
 	}
 	a.recordAnswerStart()
+	d.stop() // silence of the caller is not the upstream's
 	if a.head.Success() {
-		return f.passAnswer(w)
+		return a.passWon(w)
 	}
 	failed := fault.New(fault.UpstreamFailed, "upstream %s answered with status %d", a.pick.upstream().ID, a.head.Status)
 	switch {
 	case f.Repeatable():
-		f.failure = w
+		f.keepFailure(w)
 		return failed
 	case a.head.ImpliesNotRun: // but the upstream does not say so
 		return failed.WithOutcome(hollowgrade.Unknown)
 	default:
-		return f.passAnswer(w)
+		return a.passWon(w)
+	}
+}
+
+// passWon passes on a buffered answer that has come before those of other upstreams.
+func (a *attempt) passWon(w *answer) error {
+	if err := a.flow.race.win(a.runner); err != nil {
+		return err
 	}
+	return a.flow.passAnswer(w)
 }
 
 // markAtFault makes later calls avoid the upstream that the answer names as the reason why the call
@@ -181,8 +185,8 @@
 func (a *attempt) passLong(x hollowgrade.Exchange, w *answer, d *watchdog) error {
 	a.recordAnswerStart()
 	d.stop() // an answer of which the caller has a part can't be replaced
-	if err := a.flow.passAnswer(w); err != nil {
-		return errors.Join(errSink, err)
+	if err := a.passWon(w); err != nil {
+		return passError(err)
 	}
 	for {
 		p, err := x.Next()
@@ -198,6 +202,14 @@
 	}
 }
 
+// passError marks an error in passing on an answer that won.
+func passError(err error) error {
+	if errors.Is(err, errOvertaken) {
+		return err
+	}
+	return errors.Join(errSink, err)
+}
+
 // recordAnswerStart records that the answer has begun.
 func (a *attempt) recordAnswerStart() {
 	if a.answerBegan {
@@ -205,8 +217,15 @@
 	}
 	a.answerBegan, a.begunAt = true, a.flow.core.clock.Now()
 	a.stopOverdueTimer()
-	if a.flow.first == 0 {
-		a.flow.first = a.flow.core.clock.Since(a.flow.call.Arrived)
+	a.flow.recordFirst()
+}
+
+// recordFirst records when the first part of an answer came.
+func (f *flow) recordFirst() {
+	f.race.mu.Lock()
+	defer f.race.mu.Unlock()
+	if f.first == 0 {
+		f.first = f.core.clock.Since(f.call.Arrived)
 	}
 }
 
@@ -217,7 +236,8 @@
 	for {
 		p, err := x.Next()
 		if errors.Is(err, io.EOF) {
-			return a.passComments() // a stream without any event is complete too
+			w.stop()
+			return a.passEnd()
 		}
 		if err != nil {
 			return err
@@ -228,30 +248,49 @@
 			}
 			continue
 		}
-		w.reset(a.stallTimeout())
+		w.reset(0) // silence of the caller is not the upstream's
 		f.core.fleet.recordActivity(a.pick.member)
 		a.recordAnswerStart()
 		a.recordProgress()
-		f.recordEvent()
-		if !newer(p.Event, f.lastEventID) {
-			a.comments = nil
-			continue
-		}
-		w.reset(0) // silence of the caller is not the upstream's
-		if err = a.passComments(); err != nil {
+		if err = a.passEvent(p); err != nil {
 			return err
 		}
-		if err = f.sink.Part(p.Data); err != nil {
-			return errors.Join(errSink, err)
-		}
-		f.events++
-		if p.Event != "" {
-			f.lastEventID = p.Event
-		}
 		w.reset(a.stallTimeout())
 	}
 }
 
+// passEvent passes on an event that the caller has not received, if no other upstream has spoken before.
+func (a *attempt) passEvent(p hollowgrade.Part) error {
+	f := a.flow
+	if !newer(p.Event, f.lastEventID) {
+		a.comments = nil
+		return nil
+	}
+	if err := f.race.win(a.runner); err != nil {
+		return err
+	}
+	f.recordEvent()
+	if err := a.passComments(); err != nil {
+		return err
+	}
+	if err := f.sink.Part(p.Data); err != nil {
+		return errors.Join(errSink, err)
+	}
+	f.events++
+	if p.Event != "" {
+		f.lastEventID = p.Event
+	}
+	return nil
+}
+
+// passEnd passes on the end of a stream. A stream without any event is complete too.
+func (a *attempt) passEnd() error {
+	if err := a.flow.race.win(a.runner); err != nil {
+		return err
+	}
+	return a.passComments()
+}
+
 // recordEvent updates the longest pause between two events of all attempts.
 func (f *flow) recordEvent() {
 	now := f.core.clock.Now()
--- a/core/flow.go
+++ b/core/flow.go
@@ -45,7 +45,6 @@
 
 var (
 	errOutOfTime = errors.New("the allowed time has passed")
-	errStalled   = errors.New("the upstream went silent")
 	errSink      = errors.New("caller is gone")
 )
 
@@ -62,6 +61,7 @@
 	service      Service
 	budget       *retry.Window
 	deadline     time.Time
+	race         *race // of the current attempt
 
 	noMemory     int                           // attempts that failed for want of free memory
 	retryPaid    atomic.Bool                   // whether the next retry is already taken out of the budget
@@ -118,8 +118,11 @@
 	return f.budget.Spend(f.core.clock.Now())
 }
 
-// Try implements [Work].
-func (f *flow) Try(ctx context.Context, n, left int) Try {
+// furtherAttempt is the number of all attempts after the first one of a call, where no other is known.
+const furtherAttempt = 2
+
+// try makes one attempt, the n-th of the call.
+func (f *flow) try(u *runner, n int) Try {
 	if err := f.checkStop(n, 0); err != nil {
 		return Try{Err: err}
 	}
@@ -127,7 +130,7 @@
 	var p *pick
 	if f.waitsForTurn(n, r) {
 		var err error
-		if p, err = f.takeTurn(ctx, r); err != nil {
+		if p, err = f.takeTurn(u.ctx, r); err != nil {
 			return Try{Err: err}
 		}
 	}
@@ -139,16 +142,32 @@
 		return Try{Err: f.quarantinedError(l)}
 	}
 	defer f.core.quarantine.End(l)
+	a, err := f.newAttempt(u, n, r, p)
+	if err != nil {
+		return Try{Err: err}
+	}
+	return f.send(a, n)
+}
+
+// newAttempt returns an attempt with a pick, which is made if it is nil.
+func (f *flow) newAttempt(u *runner, n int, r placement.Request, p *pick) (*attempt, error) {
+	f.race.mu.Lock()
+	defer f.race.mu.Unlock()
 	if p == nil {
 		p = f.core.fleet.pick(f.service.Name, r, f.tried)
 	}
 	if p == nil {
-		return Try{Err: f.noUpstreamError()}
+		return nil, f.noUpstreamError()
 	}
 	if p.Refused {
-		return Try{Err: f.refuse(p)}
+		return nil, f.refuse(p)
 	}
-	return f.send(ctx, p, n, left)
+	f.tried[p.upstream().Instance()] = true
+	f.upstreams = append(f.upstreams, p.upstream().ID)
+	if n == 1 {
+		f.predicted = f.turnWait + p.FirstEvent
+	}
+	return &attempt{flow: f, runner: u, pick: p, number: len(f.upstreams)}, nil
 }
 
 // request returns the placement request of the next attempt.
@@ -166,21 +185,14 @@
 	return n == 1 && !f.core.quarantine.Suspected(f.identity()) && f.core.fleet.schedules(r) && f.core.fleet.hasUntried(f.service.Name, f.tried)
 }
 
-// send makes one attempt with a pick.
-func (f *flow) send(ctx context.Context, p *pick, n, left int) Try {
-	u := p.upstream()
-	f.tried[u.Instance()] = true
-	f.upstreams = append(f.upstreams, u.ID)
-	if n == 1 {
-		f.predicted = f.turnWait + p.FirstEvent
-	}
-	a := &attempt{flow: f, pick: p, number: n, last: left == 1}
-	err := f.prepare(ctx, a)
+// send sends an attempt and passes its answer on.
+func (f *flow) send(a *attempt, n int) Try {
+	ctx, p := a.runner.ctx, a.pick
+	noMemory, err := f.prepare(ctx, a)
 	defer a.reservation.end()
 	if err != nil {
-		f.core.fleet.refundLimits(p)
-		f.core.fleet.release(p, false)
-		return Try{Err: err, Placed: f.noMemory < maxMemoryTries, Free: true}
+		f.dropPick(p)
+		return Try{Err: err, Placed: noMemory < maxMemoryTries, Free: true}
 	}
 	if err = f.checkStop(n, max(p.FirstEvent, f.expectedDuration())); err != nil {
 		f.dropPick(p)
@@ -197,19 +209,31 @@
 }
 
 // prepare waits for the engines and reserves memory between the pick of an attempt and its sending.
-// It fails if an upstream has begun to leave meanwhile.
-func (f *flow) prepare(ctx context.Context, a *attempt) (err error) {
+// It fails if an upstream has begun to leave meanwhile. NoMemory is how many attempts of the call have failed
+// for want of memory.
+func (f *flow) prepare(ctx context.Context, a *attempt) (noMemory int, err error) {
 	p := a.pick
 	a.heldBack = f.waitForEngines(ctx, p)
-	if a.reservation, err = f.core.reserveMemory(ctx, f.call.ID, a.number, p); err != nil {
-		f.noMemory++
-		return err
+	a.reservation, err = f.core.reserveMemory(ctx, f.call.ID, a.number, p)
+	noMemory = f.countNoMemory(err)
+	if err != nil {
+		return noMemory, err
 	}
 	if !f.core.fleet.stillUsable(p) {
 		f.core.log.Info("not sent", "request", f.call.ID, "attempt", a.number, "upstream", p.upstream().ID, "why", "it or a helper began to leave or names a limit")
-		return fault.New(fault.Draining, "upstream %s or a helper began to leave or named a limit before the call was sent", p.upstream().ID)
+		return noMemory, fault.New(fault.Draining, "upstream %s or a helper began to leave or named a limit before the call was sent", p.upstream().ID)
 	}
-	return nil
+	return noMemory, nil
+}
+
+// countNoMemory counts an attempt that failed for want of memory, and returns how many there were.
+func (f *flow) countNoMemory(err error) int {
+	f.race.mu.Lock()
+	defer f.race.mu.Unlock()
+	if err != nil {
+		f.noMemory++
+	}
+	return f.noMemory
 }
 
 // logSent logs that an attempt is sent.
@@ -286,13 +310,14 @@
 	t.Err = x
 	var o *hollowgrade.OversizeError
 	if errors.As(err, &o) {
-		f.oversized = append(f.oversized, Oversize{Upstream: a.pick.upstream().Instance(), Place: o.Place})
+		f.recordOversize(Oversize{Upstream: a.pick.upstream().Instance(), Place: o.Place})
 	}
 	if t.Free {
 		f.core.fleet.refundLimits(a.pick)
 	}
-	switch x.Code {
-	case fault.UpstreamLost, fault.AnswerCut:
+	switch {
+	case errors.Is(err, errOvertaken): // avoided since it was silent, if it was
+	case x.Code == fault.UpstreamLost, x.Code == fault.AnswerCut:
 		f.core.fleet.recordFailure(a.pick.member, f.call.ID, err.Error())
 	}
 	f.core.log.Info("attempt failed", "request", f.call.ID, "fingerprint", f.fingerprint, "parts", loggedParts(f.call.Parts), "upstream", a.pick.upstream().ID, "code", x.Code,
@@ -300,6 +325,19 @@
 	return t
 }
 
+func (f *flow) recordOversize(o Oversize) {
+	f.race.mu.Lock()
+	defer f.race.mu.Unlock()
+	f.oversized = append(f.oversized, o)
+}
+
+// keepFailure keeps an upstream's error answer.
+func (f *flow) keepFailure(w *answer) {
+	f.race.mu.Lock()
+	defer f.race.mu.Unlock()
+	f.failure = w
+}
+
 // finish passes on an upstream's error answer if no attempt did better.
 func (f *flow) finish(err error) error {
 	if err == nil || f.failure == nil || f.headSent {
--- a/core/losses.go
+++ b/core/losses.go
@@ -128,7 +128,7 @@
 	if errors.As(err, &x) {
 		return false
 	}
-	for _, other := range []error{hollowgrade.ErrNotSent, hollowgrade.ErrNotAnAnswer, errStalled, errOutOfTime, errSink, hollowgrade.ErrStopping, context.Canceled} {
+	for _, other := range []error{hollowgrade.ErrNotSent, hollowgrade.ErrNotAnAnswer, errOvertaken, errOutOfTime, errSink, hollowgrade.ErrStopping, context.Canceled} {
 		if errors.Is(err, other) {
 			return false
 		}
--- /dev/null
+++ b/core/race.go
@@ -0,0 +1,221 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+
+	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/fault"
+)
+
+// A silent upstream may go on at any moment, and another one may refuse the call, so what runs is ended
+// only when something better has come. A race is one attempt and those that were started beside it:
+// each is a runner, and the first runner that has something for the caller ends the others.
+
+// errOvertaken is why the runners that lost are ended.
+var errOvertaken = errors.New("another upstream answered first")
+
+// race is the attempts of a flow that run at the same time. Its lock also guards what attempts change in
+// their flow before they have won.
+type race struct {
+	ctx   context.Context // of the flow
+	group sync.WaitGroup  // runners that were started beside the first
+
+	mu       sync.Mutex
+	runners  []*runner // in the order of their start
+	left     int       // attempts that may still be sent
+	results  []result  // in the order of their ends
+	panicked any       // value of a panic in a runner beside the first
+}
+
+// runner makes attempts one after the other until one is sent and not refused.
+type runner struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	ended  chan struct{}
+	lost   bool // whether another runner has won; guarded by the race's lock
+}
+
+// result is how an attempt ended.
+type result struct {
+	Try
+	lost bool
+}
+
+// sent reports whether the attempt counts.
+func (t Try) sent() bool {
+	return t.Placed && !t.Free
+}
+
+// begin adds a runner, for which an attempt is taken. The lock is held.
+func (r *race) begin() *runner {
+	u := &runner{ended: make(chan struct{})}
+	u.ctx, u.cancel = context.WithCancelCause(r.ctx)
+	r.left--
+	r.runners = append(r.runners, u)
+	return u
+}
+
+// end removes a runner whose accounting is done.
+func (r *race) end(u *runner) {
+	u.cancel(nil)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runners = slices.DeleteFunc(r.runners, func(o *runner) bool { return o == u })
+	close(u.ended)
+}
+
+// win ends all other runners and waits until they have ended. It returns an error if another one has won
+// before.
+func (r *race) win(u *runner) error {
+	others, err := r.outrun(u)
+	for _, o := range others {
+		o.cancel(errOvertaken)
+	}
+	for _, o := range others {
+		<-o.ended
+	}
+	return err
+}
+
+// outrun makes a runner the only one that has not lost, and returns the others.
+func (r *race) outrun(u *runner) (others []*runner, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if u.lost {
+		return nil, errOvertaken
+	}
+	if len(r.runners) == 1 {
+		return nil, nil
+	}
+	for _, o := range r.runners {
+		if o != u {
+			o.lost = true
+			others = append(others, o)
+		}
+	}
+	r.runners = []*runner{u}
+	return others, nil
+}
+
+// abort ends all runners and waits for them.
+func (r *race) abort() {
+	r.mu.Lock()
+	us := slices.Clone(r.runners)
+	r.mu.Unlock()
+	for _, u := range us {
+		u.cancel(context.Canceled)
+	}
+	r.group.Wait()
+}
+
+// record keeps the result of an attempt, and returns what was taken for one that was not sent.
+func (r *race) record(u *runner, t Try) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !t.sent() {
+		r.left++
+	}
+	r.results = append(r.results, result{t, u.lost})
+}
+
+// result returns the result of all attempts: a success if there is one, otherwise the last failure, with
+// the worst outcome of all.
+func (r *race) result(first Try) Try {
+	t, sent, worst := first, 0, hollowgrade.NotRun
+	for _, o := range r.results {
+		if !o.sent() {
+			continue
+		}
+		sent++
+		if o.Err != nil {
+			worst = worst.Combine(fault.As(o.Err, hollowgrade.Unknown).Outcome)
+		}
+		if !o.lost {
+			t = o.Try
+		}
+	}
+	if sent == 0 || t.Err == nil {
+		return t
+	}
+	t.Err = fault.As(t.Err, hollowgrade.Unknown).WithOutcome(worst)
+	t.Beside = sent - 1
+	return t
+}
+
+// Try implements [Work]. It ends when the attempt has ended and all those that were started beside it.
+func (f *flow) Try(ctx context.Context, n, left int) Try {
+	f.race = &race{ctx: ctx, left: left}
+	u := f.race.begin()
+	defer f.race.abort() // after a panic
+	t := f.runFirst(u, n)
+	f.race.group.Wait()
+	if f.race.panicked != nil {
+		panic(f.race.panicked)
+	}
+	return f.race.result(t)
+}
+
+// runFirst makes the attempt beside which others may be started.
+func (f *flow) runFirst(u *runner, n int) Try {
+	defer f.race.end(u)
+	t := f.try(u, n)
+	f.race.record(u, t)
+	return t
+}
+
+// startBeside starts a runner beside a silent one if that is the latest and another attempt is possible:
+// there are attempts left, another upstream, and a retry in the budget.
+func (f *flow) startBeside(a *attempt) {
+	r := f.race
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runners[len(r.runners)-1] != a.runner || a.runner.lost || !f.takeAttempt() {
+		return
+	}
+	f.core.fleet.recordFailure(a.pick.member, f.call.ID, "silent")
+	u := r.begin()
+	r.group.Go(func() { f.runBeside(u) })
+}
+
+// takeAttempt reports whether another attempt is possible, and takes a retry out of the budget for it. The
+// lock is held.
+func (f *flow) takeAttempt() bool {
+	return f.race.left > 0 && f.core.fleet.hasUntried(f.service.Name, f.tried) && f.Spend()
+}
+
+// runBeside makes attempts while upstreams refuse the call.
+func (f *flow) runBeside(u *runner) {
+	r := f.race
+	defer r.end(u)
+	defer func() {
+		if v := recover(); v != nil {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.panicked = v
+		}
+	}()
+	for {
+		t := f.try(u, furtherAttempt)
+		r.record(u, t)
+		if !t.sent() {
+			f.retryPaid.Store(true)
+		}
+		if t.Err == nil || !t.Placed || fault.As(t.Err, hollowgrade.Unknown).Outcome != hollowgrade.NotRun || u.ctx.Err() != nil || !f.tryNext() {
+			return
+		}
+	}
+}
+
+// tryNext is takeAttempt for a runner that goes on after a refusal.
+func (f *flow) tryNext() bool {
+	f.race.mu.Lock()
+	defer f.race.mu.Unlock()
+	if !f.takeAttempt() {
+		return false
+	}
+	f.race.left--
+	return true
+}
--- a/core/stop_test.go
+++ b/core/stop_test.go
@@ -73,12 +73,12 @@
 	})
 	run("what may have run is not called not run", func(t *testing.T) {
 		cutLate := func(ctx context.Context, _ hollowgrade.Sending) (hollowgrade.Exchange, error) {
-			time.Sleep(3 * time.Second)
+			time.Sleep(plainStall - time.Millisecond) // no other attempt is made before
 			return &fakeExchange{ctx: ctx, head: hollowgrade.Head{Status: 200, Signed: true}, end: io.ErrUnexpectedEOF}, nil
 		}
 		f := &fakeUpstreams{replies: []reply{cutLate, status(200, "hello")}}
 		r := call("/again/")
-		err := newCore(f, stopIn(2*time.Second, true)).Serve(context.Background(), r, &fakeSink{})
+		err := newCore(f, stopIn(plainStall/2, true)).Serve(context.Background(), r, &fakeSink{})
 		x := fault.As(err, hollowgrade.NotRun)
 		require.Equal(t, fault.Draining, x.Code)
 		require.NotEqual(t, hollowgrade.NotRun, x.Outcome)
--- a/core/watchdog.go
+++ b/core/watchdog.go
@@ -8,8 +8,8 @@
 )
 
 // A caller gives up on a stream after a gap of the greatest of two seconds, four goals and eight
-// pause goals (the platform's rule). An upstream that is silent for a part of that counts as lost,
-// and the call is sent elsewhere while the caller still waits.
+// pause goals (the platform's rule). If an upstream is silent for a part of that, the call is sent to
+// another one beside it while the caller still waits.
 const (
 	callerGap             = 2 * time.Second
 	callerGapGoals        = 4
@@ -20,11 +20,11 @@
 	stallPredictionFactor = 2                      // in predicted times to the first event: a prediction is rarely that far off
 )
 
-// stallTimeout returns how long the upstream may be silent, 0 for no bound: if no other attempt is
-// possible, the call waits for the answer to the end.
+// stallTimeout returns how long the upstream may be silent until another attempt is made beside it, 0 if
+// none may be: the call waits for the answer to the end.
 func (a *attempt) stallTimeout() time.Duration {
 	f := a.flow
-	if !f.Repeatable() || a.last {
+	if !f.Repeatable() {
 		return 0
 	}
 	if f.route.Repeat != Resume {
@@ -38,16 +38,6 @@
 	return max(d, stallPredictionFactor*a.pick.FirstEvent)
 }
 
-// abandonUpstream reports whether a silent upstream may be given up: there must be another one and a
-// retry in the budget, which is taken out at once.
-func (f *flow) abandonUpstream() bool {
-	if !f.core.fleet.hasUntried(f.service.Name, f.tried) || !f.budget.Spend(f.core.clock.Now()) {
-		return false
-	}
-	f.retryPaid.Store(true)
-	return true
-}
-
 // watchdog calls a function when nothing has happened for a while, and again as long as the function
 // returns false. The function doesn't run after stop has returned.
 type watchdog struct {
