core: test that an unreachable upstream beside a silent one costs no retry

An attempt beside a silent upstream takes a retry out of the budget before its pick. If nothing could be sent, what was taken pays for the next attempt of the same call; otherwise callers of a service with unreachable upstreams would be left without retries that the budget allows.

--- a/core/race_test.go
+++ b/core/race_test.go
@@ -139,6 +139,19 @@
 	})
 }
 
+// Guards against a retry budget that is spent by upstreams to which nothing was sent.
+func TestUnreachableUpstreamBesideASilentOneCostsNoRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeUpstreams{replies: []reply{events(1, 2, errSilent), unreachable, events(3, 4, io.EOF)}}
+		c := newCore(f, WithBounds(Bounds{KeyFreshness: time.Minute, Freshness: time.Minute, RetrySlack: 9.6, RetryWindow: time.Minute}))
+		var s fakeSink
+		require.NoError(t, c.Serve(context.Background(), call("/resume/"), &s))
+		require.Equal(t, "1,2,3,4,", s.body.String())
+		require.Len(t, f.sentCalls(), 3)
+		require.False(t, c.budget("s").Spend(time.Now()), "one retry was sent, and one is allowed")
+	})
+}
+
 // endedSink checks at each event that another exchange has ended.
 type endedSink struct {
 	fakeSink
