node: the test of blocked parts counts sound requests from the block at the latest

TestPartOfPromptsThatEndsUpstreams counted sound requests from 6 s after the fifth crash only.

It now counts from 6 s after the fifth crash or after all gateways have blocked as many parts as crash upstreams, whichever is earlier: never later than before, so no request that was counted is left out, and the bounds are the same.

--- a/internal/node/parts_test.go
+++ b/internal/node/parts_test.go
@@ -20,8 +20,9 @@
 const (
 	// crashesOfAPart is the number of crashes after which a part of prompts has to be known.
 	crashesOfAPart = 5
-	// soundDelay is the time after the last of these crashes from which on sound requests have to be
-	// served at their first attempt, and minSoundRatio is the part of them.
+	// soundDelay is the time after the last of these crashes, or after the part is blocked at all
+	// gateways if that is earlier, from which on sound requests have to be served at their first
+	// attempt, and minSoundRatio is the part of them.
 	soundDelay    = 2 * quarantineDelay
 	minSoundRatio = 0.95
 )
@@ -32,7 +33,8 @@
 	pool *crashingPool
 
 	mu            sync.Mutex
-	sound, served int // sound requests after soundDelay, and those that were served at the first attempt
+	known         time.Time // when all gateways had blocked the parts, zero before
+	sound, served int       // sound requests after soundDelay, and those that were served at the first attempt
 }
 
 // send sends a request with a list of parts, and reports whether it was served.
@@ -46,7 +48,7 @@
 
 // sendSound sends a sound request and counts it once its part has to be known.
 func (c *partCallers) sendSound(parts string) {
-	counts := c.pool.sinceCrash(crashesOfAPart) > soundDelay
+	counts := max(c.pool.sinceCrash(crashesOfAPart), c.sinceKnown()) > soundDelay
 	served := c.send(parts)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -58,6 +60,39 @@
 	}
 }
 
+// awaitKnown waits until each gateway has blocked a number of parts.
+func (c *partCallers) awaitKnown(parts int, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if slices.ContainsFunc(c.gateways, func(g *gateway) bool { return countParts(g) < parts }) {
+			continue
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.known = time.Now()
+		return
+	}
+}
+
+// countParts returns how many parts a gateway has blocked.
+func countParts(g *gateway) (n int) {
+	for _, b := range g.Core.Quarantine().Blocks() {
+		if isPart(b) {
+			n++
+		}
+	}
+	return n
+}
+
+// sinceKnown returns the time since all gateways had blocked the parts, 0 before.
+func (c *partCallers) sinceKnown() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.known.IsZero() {
+		return 0
+	}
+	return time.Since(c.known)
+}
+
 // requireKnownPart runs gateways whose callers send crashing requests four times a second for each
 // list of parts, beside fifty sound ones. It checks that soon no upstream gets crashing requests any
 // more and that the sound ones are served.
@@ -68,6 +103,7 @@
 		c.runEvery(duration, 250*time.Millisecond, func() { c.send(p) })
 	}
 	c.runEvery(duration, 20*time.Millisecond, func() { c.sendSound(sound) })
+	c.group.Go(func() { c.awaitKnown(len(crashing), duration) })
 	c.group.Wait()
 	late, crashed := m.sendsAfter(crashesOfAPart*len(crashing), quarantineDelay)
 	t.Logf("%d sent later than %s after the last crash that is allowed; %d crashes in all; %d of %d sound ones served", late, quarantineDelay, crashed, c.served, c.sound)
