--- a/cmd/hollowgrade/endless_test.go
+++ b/cmd/hollowgrade/endless_test.go
@@ -79,6 +79,20 @@
 	return kb >> 10
 }
 
+// cpuTime returns the processor time that a process has used.
+func cpuTime(t *testing.T, pid int) time.Duration {
+	t.Helper()
+	const tick = 10 * time.Millisecond // of all architectures that are served
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	require.NoError(t, err)
+	fs := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
+	user, err := strconv.Atoi(fs[11])
+	require.NoError(t, err)
+	system, err := strconv.Atoi(fs[12])
+	require.NoError(t, err)
+	return time.Duration(user+system) * tick
+}
+
 // Guards against upstreams that fill the memory of a gateway with bytes without end, and hold up calls to others.
 func TestAnswersWithoutEndDoNotFillTheMemory(t *testing.T) {
 	for _, name := range []string{"a header line", "header lines", "a body of a failed answer", "comments", "an event", "a head, byte by byte"} {
@@ -115,7 +129,7 @@
 			}
 			group.Wait()
 			peak := peakMB(t, g.Process.Pid)
-			t.Logf("peak memory %d MB, %d of %d calls to the sound service in time", peak, inTime.Load(), soundCalls)
+			t.Logf("peak memory %d MB, processor time %s, %d of %d calls to the sound service in time", peak, cpuTime(t, g.Process.Pid), inTime.Load(), soundCalls)
 			require.Less(t, peak, maxPeakMB)
 			require.GreaterOrEqual(t, float64(inTime.Load()), minSoundShare*soundCalls)
 			g.sendSignals(t, syscall.SIGTERM)
