soak: workers fail with bare statuses that promise that nothing was run

The stand-ins' own failures were 500 with id and signature in all seeds, so the check REFUSED had nothing to find.

Change: in half of the seeds, by a draw of its own, own failures are 408, 421, 425, 429 or 503 without id, signature or Not-Executed, recorded as run; REFUSED counts 425 as well, with a planted breach. The plan of a seed stays as it is.

--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -131,6 +131,7 @@
 			h.runs[0].refused = true
 		}, ""},
 		{"called not run", func(_ *history, q *request) { q.status = 503 }, "REFUSED"},
+		{"called too early", func(_ *history, q *request) { q.status = 425 }, "REFUSED"},
 		{"called unknown", func(_ *history, q *request) { q.status = 502 }, ""},
 		{"nobody asked", func(h *history, q *request) { delete(h.requests, q.id) }, "UNASKED"},
 		{"changed path", func(h *history, _ *request) { h.runs[0].path = "/once/y" }, "UNASKED"},
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -148,7 +148,7 @@
 func (h *history) ranAfterRefusal() []string {
 	n := h.runCounts()
 	return h.eachEnded(func(q *request) string {
-		if q.atMostOnce && n[q.id] > 0 && slices.Contains([]int{408, 421, 429, 503}, q.status) {
+		if q.atMostOnce && n[q.id] > 0 && slices.Contains(statusesNotRun, q.status) {
 			return "REFUSED, yet it ran"
 		}
 		return ""
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,7 +68,7 @@
 
 // runSeed runs the plan of one seed under load and checks the history.
 func runSeed(t *testing.T, binary string, seed uint64) {
-	w := newWorld(t, binary, worldSize{*gateways, *workers, *callers, storeTellsNoEra(seed), logsArePiped(seed), answersWithoutEnd(seed)})
+	w := newWorld(t, binary, worldSize{*gateways, *workers, *callers, storeTellsNoEra(seed), logsArePiped(seed), answersWithoutEnd(seed), failuresAreBare(seed)})
 	defer w.close()
 	p := newPlan(seed, *length)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -26,6 +26,7 @@
 	eraless                    bool // whether the store tells no era
 	pipedLogs                  bool // whether gateways write their logs to pipes
 	endless                    bool // whether workers send answers without end
+	bare                       bool // whether their failures have no id and signature
 }
 
 const (
@@ -82,6 +83,7 @@
 	logs      string
 	pipedLogs bool
 	endless   bool
+	bare      bool
 	store     *platformtest.Store
 	gateways  []*gateway
 
@@ -103,7 +105,7 @@
 
 func newWorld(t testing.TB, binary string, z worldSize) *world {
 	t.Helper()
-	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory(), signals: map[string]signal{}, engineBusy: map[string]time.Time{}, limits: initialLimits, limitsChanged: make(chan struct{}), pipedLogs: z.pipedLogs, endless: z.endless}
+	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory(), signals: map[string]signal{}, engineBusy: map[string]time.Time{}, limits: initialLimits, limitsChanged: make(chan struct{}), pipedLogs: z.pipedLogs, endless: z.endless, bare: z.bare}
 	t.Cleanup(w.store.Close)
 	if z.eraless {
 		w.store.HideEra()
@@ -208,7 +210,7 @@
 	case draw < 5:
 		platformtest.Reset(k, c, r)
 	case draw < 7:
-		w.recordSignal(platformtest.Answer(http.StatusInternalServerError, "no"))(k, c, r)
+		w.fail(id)(k, c, r)
 	case draw < 8:
 		w.neverAnswer(k, c, r)
 	default:
