soak: streams follow each other on kept connections over a planned stop

The soak's streams rested between two requests, and a cut in the last sixth of the grace was excused however late the request had been sent.

Change: a seed without an isolation ends with one step drawn for it, after all faults that would excuse a gateway: a stop with a grace of 6 or 8 s under 24 slow streams that end 3 to 4.9 s after the SIGTERM. What was sent later than 3 s after a SIGTERM and passed on must not be cut until 1 s after the grace (LOST), with planted breaches. The plan of a seed gets one step more.

--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -99,6 +99,13 @@
 	h.stops = []*plannedStop{{kind: changeGrace, from: at(9), ended: at(13), least: 4 * time.Second, end: "exit status 0", clean: true}}
 }
 
+// sendInStop breaks off a request that was sent some time after the SIGTERM of a stop with a grace of 4 s, in
+// the last sixth of that.
+func sendInStop(h *history, q *request, seconds float64) {
+	cutInStop(h, q, 3.8)
+	q.sent = at(9 + seconds)
+}
+
 // endStop adds a planned stop.
 func endStop(h *history, end string, clean bool) {
 	h.stops = []*plannedStop{{kind: signalSeries, from: at(10), ended: at(14), least: 4 * time.Second, end: end, clean: clean}}
@@ -265,6 +272,12 @@
 		}, "LOST"},
 		{"cut by a stop before the last sixth", func(h *history, q *request) { cutInStop(h, q, 3.2) }, "LOST"},
 		{"cut by a stop in the last sixth", func(h *history, q *request) { cutInStop(h, q, 3.4) }, ""},
+		{"sent late in a stop and cut in its last sixth", func(h *history, q *request) { sendInStop(h, q, 3.1) }, "LOST"},
+		{"sent less late in a stop and cut in its last sixth", func(h *history, q *request) { sendInStop(h, q, 2.9) }, ""},
+		{"sent late in a stop and never passed on", func(h *history, q *request) {
+			sendInStop(h, q, 3.1)
+			h.runs = nil
+		}, ""},
 		{"stop that ends by a signal", func(h *history, _ *request) { endStop(h, "signal: hangup", false) }, "STOP"},
 		{"stop that ends with a status", func(h *history, _ *request) { endStop(h, "exit status 1", false) }, "STOP"},
 		{"stop that ends by itself", func(h *history, _ *request) { endStop(h, "exit status 0", true) }, ""},
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -51,7 +51,9 @@
 	squeezeGateway = restoreStore + 5 // a small share of a processor, beside configurations with other limits
 	isolateGateway = restoreStore + 6 // no link to store and peers, while the peers restart and a worker's entry goes
 	loseLog        = restoreStore + 7 // a gateway's log has no reader, or one that reads nothing
-	allKinds       = loseLog + 1
+
+	stopUnderStreams = restoreStore + 8 // a planned stop while streams end late in it, whose callers send the next ones
+	allKinds         = stopUnderStreams + 1
 )
 
 var kindNames = [allKinds]string{
@@ -62,6 +64,7 @@
 	"name limit", "leave in answers", "ask for rest",
 	"restore store",
 	"change limits", "signals in series", "signals and standstills in series", "change grace", "squeeze gateway", "isolate gateway", "lose log",
+	"stop under streams",
 }
 
 func (k kind) String() string {
@@ -73,7 +76,7 @@
 var plannedWork = []kind{stopGateway, reloadGateway, drainWorker, revokeKey, addRoute, growConfig, nameLimit, leaveInAnswers, askForRest}
 
 // plannedSeries has the kinds of newSeries that are planned work.
-var plannedSeries = []kind{changeLimits, signalSeries, changeGrace, loseLog}
+var plannedSeries = []kind{changeLimits, signalSeries, changeGrace, loseLog, stopUnderStreams}
 
 func (k kind) planned() bool {
 	return slices.Contains(plannedWork, k) || slices.Contains(plannedSeries, k)
@@ -125,7 +128,8 @@
 	if storeTellsNoEra(seed) {
 		return append(ss, newIsolation(seed, ss))
 	}
-	return append(ss, newRestores(seed, length)...)
+	ss = append(ss, newRestores(seed, length)...)
+	return append(ss, newFinale(seed, ss))
 }
 
 func formatPlan(ss []step) string {
--- a/internal/soak/stops_test.go
+++ b/internal/soak/stops_test.go
@@ -233,17 +233,26 @@
 	return bs
 }
 
-// cutInStops finds requests that had reached a worker and whose connection a planned stop broke before the
-// last sixth of its grace.
+// mayCut reports whether a stop may cut off a request: in the last sixth of its grace, if that was not sent
+// late in the stop.
+func (p *plannedStop) mayCut(q *request) bool {
+	if q.sent.After(p.from.Add(lateSendTime)) {
+		return q.ended.After(p.from.Add(p.least + lateCutTime))
+	}
+	return !q.ended.Before(p.from.Add(p.least * 5 / 6))
+}
+
+// cutInStops finds requests that had reached a worker and whose connection a planned stop broke though it must
+// not.
 func (h *history) cutInStops() []string {
 	return h.eachEnded(func(q *request) string {
 		if q.complete || q.status != 0 && !q.raw || isConnectionRefused(q.err) || h.runCounts()[q.id] == 0 {
 			return ""
 		}
 		for _, p := range h.stops {
-			in := p.gateway == q.gateway && q.sent.Before(p.from.Add(p.least)) && q.ended.After(p.from) && q.ended.Before(p.from.Add(p.least*5/6))
+			in := p.gateway == q.gateway && q.sent.Before(p.from.Add(p.least)) && q.ended.After(p.from) && !p.mayCut(q)
 			if in && p.kind.planned() && !p.silent && h.mayNotBeCut(q) {
-				return fmt.Sprintf("LOST, %s cut it off %s after its SIGTERM, of a grace of %s or more", p.kind, q.ended.Sub(p.from), p.least)
+				return fmt.Sprintf("LOST, %s cut it off %s after its SIGTERM, %s after it was sent, of a grace of %s or more", p.kind, q.ended.Sub(p.from), q.ended.Sub(q.sent), p.least)
 			}
 		}
 		return ""
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -271,7 +271,7 @@
 	}
 	w.recordFault(s.kind, i, from, over)
 	switch s.kind {
-	case killGateway, pauseGateway, suspendGateway, stopGateway, reloadGateway, signalSeries, pausedSeries, changeGrace, squeezeGateway, loseLog:
+	case killGateway, pauseGateway, suspendGateway, stopGateway, reloadGateway, signalSeries, pausedSeries, changeGrace, squeezeGateway, loseLog, stopUnderStreams:
 		w.applyToProcess(g, s)
 	case silenceStore:
 		w.setModeFor(g.store, silence, s.duration)
@@ -320,6 +320,8 @@
 		w.stopInSeries(g, s)
 	case changeGrace:
 		w.stopWithOtherGrace(g, s)
+	case stopUnderStreams:
+		w.stopUnderStreams(g, s)
 	case squeezeGateway:
 		w.squeeze(g, s)
 	case loseLog:
