soak: a sound worker is silent for about a second while the others are full

What was not played: a worker that sends nothing for a second and goes on, which the users do not call trouble.

No stream of such a worker may be cut (LOST), in stops and at other times, with planted breaches.

--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -106,6 +106,17 @@
 	q.sent = at(9 + seconds)
 }
 
+// cutInSilence breaks off a paced stream some time after its worker fell silent for a second.
+func cutInSilence(h *history, q *request, seconds float64) {
+	delete(h.requests, q.id)
+	q.id = pacedPrefix + "-1"
+	q.path = "/paced/" + q.id
+	h.requests[q.id], h.runs[0].id, h.runs[0].path = q, q.id, q.path
+	q.complete, q.raw, q.kept, q.answer, q.err = false, true, true, "", "EOF"
+	q.lastByte, q.ended = q.sent, at(10.5+seconds)
+	h.quiet = []quietTime{{"w", at(10.5), at(11.5)}}
+}
+
 // endStop adds a planned stop.
 func endStop(h *history, end string, clean bool) {
 	h.stops = []*plannedStop{{kind: signalSeries, from: at(10), ended: at(14), least: 4 * time.Second, end: end, clean: clean}}
@@ -278,6 +289,20 @@
 			sendInStop(h, q, 3.1)
 			h.runs = nil
 		}, ""},
+		{"cut after its worker was silent", func(h *history, q *request) { cutInSilence(h, q, 1.3) }, "LOST"},
+		{"cut before its worker was silent", func(h *history, q *request) { cutInSilence(h, q, -0.1) }, ""},
+		{"cut while another worker was silent", func(h *history, q *request) {
+			cutInSilence(h, q, 1.3)
+			h.quiet[0].worker = "v"
+		}, ""},
+		{"cut after its worker was silent, the gateway was killed", func(h *history, q *request) {
+			cutInSilence(h, q, 1.3)
+			h.spans = []span{{kind: killGateway, from: at(8), to: at(9)}}
+		}, ""},
+		{"cut by a stop after its worker was silent", func(h *history, q *request) {
+			cutInSilence(h, q, 1.3)
+			h.stops = []*plannedStop{{kind: changeGrace, from: at(9), ended: at(13), least: 4 * time.Second, end: "exit status 0", clean: true}}
+		}, "LOST"},
 		{"stop that ends by a signal", func(h *history, _ *request) { endStop(h, "signal: hangup", false) }, "STOP"},
 		{"stop that ends with a status", func(h *history, _ *request) { endStop(h, "exit status 1", false) }, "STOP"},
 		{"stop that ends by itself", func(h *history, _ *request) { endStop(h, "exit status 0", true) }, ""},
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -66,6 +66,7 @@
 	reloads      []reload
 	stops        []*plannedStop
 	ownEnds      []ownEnd
+	quiet        []quietTime
 }
 
 func newHistory() *history {
@@ -82,7 +83,7 @@
 
 // check returns the violations that it finds, one line each.
 func (h *history) check() (bs []string) {
-	for _, c := range []func() []string{h.wrongAnswers, h.repeatedRuns, h.ranAfterRefusal, h.unrequestedRuns, h.ranWithRevokedKey, h.ranWhileDraining, h.revertedRoutes, h.lateRoutes, h.cutByPlannedStop, h.retryBudget, h.harmfulForwarded, h.runsAtUnlistedWorkers, h.ranAfterLeaving, h.ranDuringRetryDelay, h.overLimit, h.longWithoutEnd, h.cutBesideWork, h.cutInStops, h.badEnds, h.endedUnasked, h.ranAfterEntryWent} {
+	for _, c := range []func() []string{h.wrongAnswers, h.repeatedRuns, h.ranAfterRefusal, h.unrequestedRuns, h.ranWithRevokedKey, h.ranWhileDraining, h.revertedRoutes, h.lateRoutes, h.cutByPlannedStop, h.retryBudget, h.harmfulForwarded, h.runsAtUnlistedWorkers, h.ranAfterLeaving, h.ranDuringRetryDelay, h.overLimit, h.longWithoutEnd, h.cutBesideWork, h.cutInStops, h.badEnds, h.endedUnasked, h.ranAfterEntryWent, h.cutBesideSilence} {
 		bs = append(bs, c()...)
 	}
 	return bs
--- a/internal/soak/finale_test.go
+++ b/internal/soak/finale_test.go
@@ -9,7 +9,7 @@
 const finaleStream = 5 // of the random numbers of a seed, so that the other steps stay the same
 
 // finales are the kinds of which one is drawn for the end of each seed without an isolation.
-var finales = []kind{stopUnderStreams}
+var finales = []kind{stopUnderStreams, silenceSound}
 
 // newFinale generates the step after all faults of a seed that would excuse gateways. Returns of the store
 // excuse no cut.
--- a/internal/soak/kept_test.go
+++ b/internal/soak/kept_test.go
@@ -119,6 +119,9 @@
 	if strings.HasPrefix(q.id, slowPrefix) {
 		return slowTimeout
 	}
+	if strings.HasPrefix(q.id, pacedPrefix) {
+		return pacedTimeout
+	}
 	return requestTimeout
 }
 
--- a/internal/soak/long_test.go
+++ b/internal/soak/long_test.go
@@ -111,5 +111,5 @@
 // stopped may reset connections that it has not accepted.
 func (h *history) mayBreak(q *request, d time.Duration) bool {
 	return isConnectionRefused(q.err) || h.gatewayHit(q, killGateway, pauseGateway, suspendGateway, pausedSeries) ||
-		d < stopLinger && h.gatewayHit(q, stopGateway, signalSeries, changeGrace, stopUnderStreams)
+		d < stopLinger && h.gatewayHit(q, stopGateway, signalSeries, changeGrace, stopUnderStreams, silenceSound)
 }
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -53,7 +53,8 @@
 	loseLog        = restoreStore + 7 // a gateway's log has no reader, or one that reads nothing
 
 	stopUnderStreams = restoreStore + 8 // a planned stop while streams end late in it, whose callers send the next ones
-	allKinds         = stopUnderStreams + 1
+	silenceSound     = restoreStore + 9 // a sound worker sends nothing for about a second, while the others are full
+	allKinds         = silenceSound + 1
 )
 
 var kindNames = [allKinds]string{
@@ -64,7 +65,7 @@
 	"name limit", "leave in answers", "ask for rest",
 	"restore store",
 	"change limits", "signals in series", "signals and standstills in series", "change grace", "squeeze gateway", "isolate gateway", "lose log",
-	"stop under streams",
+	"stop under streams", "silence sound worker",
 }
 
 func (k kind) String() string {
@@ -76,7 +77,7 @@
 var plannedWork = []kind{stopGateway, reloadGateway, drainWorker, revokeKey, addRoute, growConfig, nameLimit, leaveInAnswers, askForRest}
 
 // plannedSeries has the kinds of newSeries that are planned work.
-var plannedSeries = []kind{changeLimits, signalSeries, changeGrace, loseLog, stopUnderStreams}
+var plannedSeries = []kind{changeLimits, signalSeries, changeGrace, loseLog, stopUnderStreams, silenceSound}
 
 func (k kind) planned() bool {
 	return slices.Contains(plannedWork, k) || slices.Contains(plannedSeries, k)
--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -95,7 +95,7 @@
 var linkFaults = []kind{
 	killGateway, pauseGateway, suspendGateway, stopGateway, silencePeers, resetPeers, delayPeers,
 	delayWorker, resetWorker, silenceWorker, deafenWorker, crashWorker, harmfulRequest,
-	signalSeries, pausedSeries, changeGrace, squeezeGateway, isolateGateway, stopUnderStreams,
+	signalSeries, pausedSeries, changeGrace, squeezeGateway, isolateGateway, stopUnderStreams, silenceSound,
 }
 
 // connected reports whether no fault of linkFaults was in effect between the two times or less than
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -99,6 +99,7 @@
 	idleLimits     []idleLimit
 	limitsChanged  chan struct{} // closed by the next change
 	signals        map[string]signal
+	allFullBut     string               // id of the only plain worker that is not full, empty if none is
 	engineBusy     map[string]time.Time // until when an engine prefills, by id
 	crashes        sync.WaitGroup       // pending crashes and restarts of workers
 }
@@ -143,7 +144,7 @@
 	route("/once/", `"kind":"unsafe","maxAttempts":2`)
 	route("/again/", `"kind":"safe","maxAttempts":2`)
 	route("/stream/", `"kind":"streaming","resumable":true,"gap_aim_ms":200,"maxAttempts":3`)
-	routes = append(routes, longRoute, slowRoute)
+	routes = append(routes, longRoute, slowRoute, pacedRoute)
 	for _, p := range w.routes {
 		route(p, `"kind":"safe","maxAttempts":2`)
 	}
@@ -191,7 +192,7 @@
 		}
 	}
 	w.mu.Lock()
-	refuses := w.signals[k.ID].retryLater
+	refuses := w.signals[k.ID].retryLater || w.isFull(k.ID)
 	w.history.runs = append(w.history.runs, run{
 		id: id, worker: k.ID, path: r.URL.Path, body: body, organisation: r.Header.Get("Tenant"), at: time.Now(),
 		refused: refuses || draw < 3 && !strings.HasPrefix(id, harmfulPrefix) || r.Header.Get("Expect-Instance") != k.ID, keyForwarded: r.Header.Get("Authorization") != "",
@@ -223,9 +224,9 @@
 // draws is the number of values that decide on the behaviour to a request. Those of the failures are the least.
 const draws = 100
 
-// drawOf returns the draw of a request at a worker. Workers don't fail with slow streams.
+// drawOf returns the draw of a request at a worker. Workers don't fail with slow and paced streams.
 func drawOf(worker, id string) uint64 {
-	if strings.HasPrefix(id, slowPrefix) {
+	if strings.HasPrefix(id, slowPrefix) || strings.HasPrefix(id, pacedPrefix) {
 		return draws - 1
 	}
 	return hash(worker+id) % draws
@@ -235,6 +236,8 @@
 	switch {
 	case strings.HasPrefix(id, slowPrefix):
 		return platformtest.PacedStream(streamEvents, slowPause)
+	case strings.HasPrefix(id, pacedPrefix):
+		return platformtest.PacedStream(streamEvents, pacedPause)
 	case !strings.HasPrefix(id, "stream") && !strings.HasPrefix(id, longPrefix):
 		return platformtest.Answer(http.StatusOK, "answer to "+id)
 	case draw < 20:
@@ -271,7 +274,7 @@
 	}
 	w.recordFault(s.kind, i, from, over)
 	switch s.kind {
-	case killGateway, pauseGateway, suspendGateway, stopGateway, reloadGateway, signalSeries, pausedSeries, changeGrace, squeezeGateway, loseLog, stopUnderStreams:
+	case killGateway, pauseGateway, suspendGateway, stopGateway, reloadGateway, signalSeries, pausedSeries, changeGrace, squeezeGateway, loseLog, stopUnderStreams, silenceSound:
 		w.applyToProcess(g, s)
 	case silenceStore:
 		w.setModeFor(g.store, silence, s.duration)
@@ -322,6 +325,8 @@
 		w.stopWithOtherGrace(g, s)
 	case stopUnderStreams:
 		w.stopUnderStreams(g, s)
+	case silenceSound:
+		w.silenceSound(g, s)
 	case squeezeGateway:
 		w.squeeze(g, s)
 	case loseLog:
