soak: open connections to the store fall silent for good beside an entry that goes

What was not played: connections to the store that say nothing any more while new ones work. The soak's silence of a link ends by itself and holds new connections as well.

The proxies before the store silence what is open, at all gateways at once; up to a second later a worker's entry goes without a word, and it serves on for 8 to 14 s. The check of isolations (DRAIN, 2 s after the entry went, from gateways that nothing disturbed for 3 s) holds for it: that connections fall silent disturbs at that moment only. Planted breaches for both sides of the 3 s.

--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -327,6 +327,14 @@
 			h.goneSince["w"] = at(1)
 			h.spans = []span{{kind: isolateGateway, from: at(0), to: at(7.5)}}
 		}, ""},
+		{"worker's entry went long before, connections silent since", func(h *history, _ *request) {
+			h.goneSince["w"] = at(7.5)
+			h.spans = []span{{kind: silenceConnections, from: at(7), to: at(7)}}
+		}, "DRAIN"},
+		{"worker's entry went long before, connections just silent", func(h *history, _ *request) {
+			h.goneSince["w"] = at(7.5)
+			h.spans = []span{{kind: silenceConnections, from: at(7.2), to: at(7.2)}}
+		}, ""},
 		{"at a worker that there is not", func(h *history, _ *request) { h.runs[0].worker = "strange-1" }, "ENTRIES"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -52,9 +52,10 @@
 	isolateGateway = restoreStore + 6 // no link to store and peers, while the peers restart and a worker's entry goes
 	loseLog        = restoreStore + 7 // a gateway's log has no reader, or one that reads nothing
 
-	stopUnderStreams = restoreStore + 8 // a planned stop while streams end late in it, whose callers send the next ones
-	silenceSound     = restoreStore + 9 // a sound worker sends nothing for about a second, while the others are full
-	allKinds         = silenceSound + 1
+	stopUnderStreams   = restoreStore + 8  // a planned stop while streams end late in it, whose callers send the next ones
+	silenceSound       = restoreStore + 9  // a sound worker sends nothing for about a second, while the others are full
+	silenceConnections = restoreStore + 10 // open connections to the store fall silent for good, beside an entry that goes
+	allKinds           = silenceConnections + 1
 )
 
 var kindNames = [allKinds]string{
@@ -65,7 +66,7 @@
 	"name limit", "leave in answers", "ask for rest",
 	"restore store",
 	"change limits", "signals in series", "signals and standstills in series", "change grace", "squeeze gateway", "isolate gateway", "lose log",
-	"stop under streams", "silence sound worker",
+	"stop under streams", "silence sound worker", "silence connections",
 }
 
 func (k kind) String() string {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -35,6 +35,9 @@
 	mu        sync.Mutex
 	to        string // target of new connections
 	conns     map[net.Conn]bool
+	silent    chan struct{} // closed when the connections that are open now fall silent for good
+	closed    chan struct{}
+	closeOnce sync.Once
 	busyUntil time.Time // when the link has sent all bytes passed to throttle
 }
 
@@ -43,7 +46,7 @@
 	var k net.ListenConfig
 	l, err := k.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p := &proxy{listener: l, to: target, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, to: target, conns: map[net.Conn]bool{}, silent: make(chan struct{}), closed: make(chan struct{})}
 	go p.accept()
 	t.Cleanup(p.close)
 	return p
@@ -70,6 +73,14 @@
 	p.mode.Store(int32(w))
 }
 
+// silenceOpen silences all open connections for good. New ones are forwarded.
+func (p *proxy) silenceOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.silent)
+	p.silent = make(chan struct{})
+}
+
 // reset closes all connections with a TCP reset.
 func (p *proxy) reset() {
 	p.mu.Lock()
@@ -84,6 +95,7 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close()
+	p.closeOnce.Do(func() { close(p.closed) })
 	p.set(pass)
 	p.reset()
 }
@@ -110,9 +122,10 @@
 	}
 	p.mu.Lock()
 	p.conns[c], p.conns[u] = true, true
+	silent := p.silent
 	p.mu.Unlock()
-	go p.copy(u, c, false)
-	p.copy(c, u, true)
+	go p.copy(u, c, false, silent)
+	p.copy(c, u, true, silent)
 }
 
 // throttle waits until the link, which all connections share, has sent n bytes.
@@ -131,8 +144,8 @@
 }
 
 // copy forwards bytes in one direction until either side closes. back is true towards the dialling
-// side.
-func (p *proxy) copy(to, from net.Conn, back bool) {
+// side. Once silent is closed, neither bytes nor ends are forwarded until the proxy closes.
+func (p *proxy) copy(to, from net.Conn, back bool, silent chan struct{}) {
 	defer func() {
 		_ = to.Close()
 		_ = from.Close()
@@ -147,6 +160,12 @@
 		for w := linkMode(p.mode.Load()); w == silence || w == deafen && back; w = linkMode(p.mode.Load()) {
 			time.Sleep(modePollInterval)
 		}
+		select {
+		case <-silent:
+			<-p.closed
+			return
+		default:
+		}
 		if linkMode(p.mode.Load()) == delay {
 			time.Sleep(linkDelay)
 		}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -272,6 +272,10 @@
 		w.restoreStore(s)
 		return
 	}
+	if s.kind == silenceConnections {
+		w.silenceConnections(s)
+		return
+	}
 	w.recordFault(s.kind, i, from, over)
 	switch s.kind {
 	case killGateway, pauseGateway, suspendGateway, stopGateway, reloadGateway, signalSeries, pausedSeries, changeGrace, squeezeGateway, loseLog, stopUnderStreams, silenceSound:
