soak: workers' entries go without a word at any time

What was not played: a worker whose entry goes without draining while it serves on, outside of isolations and silent connections. The check of such workers also rested whenever anything was disturbed anywhere, so nine tenths of a seed could show nothing.

Change: by a draw of its own one or two entries go in each seed and one more in its first calm time; each worker serves on for 8 to 14 s. Besides the calm times, the check (DRAIN) counts what comes from a gateway in touch: it, the store and that worker's links undisturbed for 3 s, and the store undisturbed when the entry went. Planted breaches for each of these.

--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -335,6 +335,42 @@
 			h.goneSince["w"] = at(7.5)
 			h.spans = []span{{kind: silenceConnections, from: at(7.2), to: at(7.2)}}
 		}, ""},
+		{"worker's entry went long before, in calm times", func(h *history, _ *request) {
+			h.goneSince["w"] = at(8)
+			h.spans = []span{{kind: loseEntry, from: at(8), to: at(10)}}
+		}, "DRAIN"},
+		{"worker's entry went long before, another gateway was killed", func(h *history, _ *request) {
+			h.goneSince["w"] = at(8)
+			h.spans = []span{{kind: killGateway, gateway: 1, from: at(7), to: at(9)}}
+		}, "DRAIN"},
+		{"worker's entry went long before, the gateway was killed", func(h *history, _ *request) {
+			h.goneSince["w"] = at(8)
+			h.spans = []span{{kind: killGateway, from: at(7), to: at(9)}}
+		}, ""},
+		{"worker's entry went long before, the gateway was stopped", func(h *history, _ *request) {
+			h.goneSince["w"] = at(8)
+			h.spans = []span{{kind: killGateway, gateway: 1, from: at(7), to: at(9)}}
+			endStop(h, "exit status 0", true)
+			h.stops[0].from, h.stops[0].ended = at(5), at(8)
+		}, ""},
+		{"worker's entry went while the store was away", func(h *history, _ *request) {
+			h.goneSince["w"] = at(4)
+			h.spans = []span{{kind: awayStore, from: at(3), to: at(6)}, {kind: killGateway, gateway: 1, from: at(8), to: at(10)}}
+		}, ""},
+		{"worker's entry went long before, its links were silent", func(h *history, _ *request) {
+			h.goneSince["w"] = at(7)
+			h.spans = []span{{kind: silenceWorker, from: at(8), to: at(9)}}
+			h.linkFaults["w"] = h.spans
+		}, ""},
+		{"worker's entry went long before, another's links were silent", func(h *history, _ *request) {
+			h.goneSince["w"] = at(7)
+			h.spans = []span{{kind: silenceWorker, from: at(8), to: at(9)}}
+			h.linkFaults["v"] = h.spans
+		}, "DRAIN"},
+		{"worker's entry went just before", func(h *history, _ *request) {
+			h.goneSince["w"] = at(8.1)
+			h.spans = []span{{kind: loseEntry, from: at(8.1), to: at(10)}}
+		}, ""},
 		{"at a worker that there is not", func(h *history, _ *request) { h.runs[0].worker = "strange-1" }, "ENTRIES"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -61,16 +61,17 @@
 	leavingSince map[string]time.Time // by worker
 	added        map[string]time.Time // by path prefix of the route
 	received     []receivedSignal     // that workers sent to gateways in answers
-	goneSince    map[string]time.Time // by worker, of those whose entry went beside isolateGateway
+	goneSince    map[string]time.Time // by worker, of those whose entry went without a word
 	configs      []time.Time          // when a configuration was written
 	reloads      []reload
 	stops        []*plannedStop
 	ownEnds      []ownEnd
 	quiet        []quietTime
+	linkFaults   map[string][]span // by worker
 }
 
 func newHistory() *history {
-	return &history{requests: map[string]*request{}, revoked: map[string]time.Time{}, leavingSince: map[string]time.Time{}, added: map[string]time.Time{}, goneSince: map[string]time.Time{}}
+	return &history{requests: map[string]*request{}, revoked: map[string]time.Time{}, leavingSince: map[string]time.Time{}, added: map[string]time.Time{}, goneSince: map[string]time.Time{}, linkFaults: map[string][]span{}}
 }
 
 // undisturbed reports whether no unplanned fault was in effect between the two times or less than
--- a/internal/soak/isolate_test.go
+++ b/internal/soak/isolate_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -84,21 +83,3 @@
 	}
 	all.Wait()
 }
-
-// ranAfterEntryWent finds requests that reached a worker more than maxDrainDelay after its entry went, from
-// gateways that nothing has disturbed for settleTime.
-func (h *history) ranAfterEntryWent() (bs []string) {
-	n := 0
-	all := h.eachRun(func(r run, q *request) string {
-		at, ok := h.goneSince[r.worker]
-		if !ok || q == nil || !r.at.After(at.Add(maxDrainDelay)) || !h.undisturbed(r.at, r.at) {
-			return ""
-		}
-		n++
-		return fmt.Sprintf("DRAIN, %s after its entry went, from gateway %d", r.at.Sub(at), q.gateway)
-	})
-	if n == 0 {
-		return nil
-	}
-	return []string{fmt.Sprintf("%s; %d such requests", all[0], n)}
-}
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -55,7 +55,8 @@
 	stopUnderStreams   = restoreStore + 8  // a planned stop while streams end late in it, whose callers send the next ones
 	silenceSound       = restoreStore + 9  // a sound worker sends nothing for about a second, while the others are full
 	silenceConnections = restoreStore + 10 // open connections to the store fall silent for good, beside an entry that goes
-	allKinds           = silenceConnections + 1
+	loseEntry          = restoreStore + 11 // a worker's entry goes without a word, and it serves on
+	allKinds           = loseEntry + 1
 )
 
 var kindNames = [allKinds]string{
@@ -66,7 +67,7 @@
 	"name limit", "leave in answers", "ask for rest",
 	"restore store",
 	"change limits", "signals in series", "signals and standstills in series", "change grace", "squeeze gateway", "isolate gateway", "lose log",
-	"stop under streams", "silence sound worker", "silence connections",
+	"stop under streams", "silence sound worker", "silence connections", "lose entry",
 }
 
 func (k kind) String() string {
@@ -78,7 +79,7 @@
 var plannedWork = []kind{stopGateway, reloadGateway, drainWorker, revokeKey, addRoute, growConfig, nameLimit, leaveInAnswers, askForRest}
 
 // plannedSeries has the kinds of newSeries that are planned work.
-var plannedSeries = []kind{changeLimits, signalSeries, changeGrace, loseLog, stopUnderStreams, silenceSound}
+var plannedSeries = []kind{changeLimits, signalSeries, changeGrace, loseLog, stopUnderStreams, silenceSound, loseEntry}
 
 func (k kind) planned() bool {
 	return slices.Contains(plannedWork, k) || slices.Contains(plannedSeries, k)
@@ -125,8 +126,10 @@
 			at += calmPause
 		}
 	}
+	entries := newEntryLosses(seed, length, ss)
 	ss = append(ss, newSeries(seed, length, ss)...)
 	ss = append(ss, newLogLosses(seed, length)...)
+	ss = append(ss, entries...)
 	if storeTellsNoEra(seed) {
 		return append(ss, newIsolation(seed, ss))
 	}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -415,11 +416,15 @@
 	case isolateGateway:
 		w.isolate(s)
 		return
+	case loseEntry:
+		w.loseEntry(rand.New(rand.NewPCG(uint64(s.target), 11)), w.worker(s.target))
+		return
 	}
 	k := w.worker(s.target)
 	if k == nil {
 		return // harmful requests have crashed all of them
 	}
+	w.recordLinkFault(k, s)
 	switch s.kind {
 	case delayWorker:
 		w.setModeFor(k.proxy, delay, s.duration)
@@ -451,16 +456,6 @@
 	}
 }
 
-// worker returns one of the present workers, or nil if there is none.
-func (w *world) worker(which int) *worker {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if len(w.workers) == 0 {
-		return nil
-	}
-	return w.workers[which%len(w.workers)]
-}
-
 // replace removes a worker that leaves or crashes and adds a new one.
 func (w *world) replace(k *worker) {
 	w.mu.Lock()
