--- a/internal/soak/quiet_test.go
+++ b/internal/soak/quiet_test.go
@@ -19,9 +19,9 @@
 	pacedStreams           = 30 // one after another on the kept connection of each caller
 	pacedChain             = 3
 	pacedStartSpread       = pacedPause * streamEvents / 2
-	minQuietTime, quietGap = 950 * time.Millisecond, 200 * time.Millisecond // a second or so
-	fullBefore             = 200 * time.Millisecond                         // before the silence
-	maxQuietStopDelay      = time.Second                                    // from a SIGTERM to the silence
+	minQuietTime, quietGap = time.Second, 200 * time.Millisecond // a second or so
+	fullBefore             = 200 * time.Millisecond              // before the silence
+	maxQuietStopDelay      = time.Second                         // from a SIGTERM to the silence
 )
 
 // silenceSound lets a worker send nothing for about a second and go on, while the others of its service are
