soak: the end of a worker excuses the requests that end just after it

The users' rule excuses what a worker breaks off.

Change: the soak records when it ends a worker. A request that ran there and ended within a second after that was broken off by it; any other is checked as before. Planted breaches: just ended, ended long before, another worker ended.

--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -282,6 +282,18 @@
 			h.configs, h.reloads = nil, []reload{{0, at(9)}}
 		}, "LOST"},
 		{"cut by a stop before the last sixth", func(h *history, q *request) { cutInStop(h, q, 3.2) }, "LOST"},
+		{"cut by a stop, its worker had just ended", func(h *history, q *request) {
+			cutInStop(h, q, 3.2)
+			h.workerEnds = []workerEnd{{"w", at(12)}}
+		}, ""},
+		{"cut by a stop, its worker had ended long before", func(h *history, q *request) {
+			cutInStop(h, q, 3.2)
+			h.workerEnds = []workerEnd{{"w", at(11)}}
+		}, "LOST"},
+		{"cut by a stop, another worker had just ended", func(h *history, q *request) {
+			cutInStop(h, q, 3.2)
+			h.workerEnds = []workerEnd{{"v", at(12)}}
+		}, "LOST"},
 		{"cut by a stop in the last sixth", func(h *history, q *request) { cutInStop(h, q, 3.4) }, ""},
 		{"sent late in a stop and cut in its last sixth", func(h *history, q *request) { sendInStop(h, q, 3.1) }, "LOST"},
 		{"sent less late in a stop and cut in its last sixth", func(h *history, q *request) { sendInStop(h, q, 2.9) }, ""},
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -68,6 +68,7 @@
 	ownEnds      []ownEnd
 	quiet        []quietTime
 	linkFaults   map[string][]span // by worker
+	workerEnds   []workerEnd
 }
 
 func newHistory() *history {
--- a/internal/soak/gone_test.go
+++ b/internal/soak/gone_test.go
@@ -54,7 +54,7 @@
 	}
 	w.removeEntry(k)
 	time.Sleep(minGoneServes + time.Duration(r.Int64N(int64(goneVariety))))
-	k.Close()
+	w.end(k)
 }
 
 // worker returns one of the present workers, or nil if there is none.
--- a/internal/soak/harm_test.go
+++ b/internal/soak/harm_test.go
@@ -82,7 +82,7 @@
 	if how != restartInPlace {
 		k.proxy.close()
 	}
-	k.Close()
+	w.end(k)
 	time.Sleep(workerDownTime)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/soak/isolate_test.go
+++ b/internal/soak/isolate_test.go
@@ -58,7 +58,7 @@
 	time.Sleep(time.Duration(r.Int64N(int64(maxHealGap))))
 	heal[1](pass)
 	time.Sleep(time.Until(from.Add(goneServes)))
-	k.Close()
+	w.end(k)
 }
 
 // removeEntry removes a worker's entry from the registry, and adds another worker.
--- a/internal/soak/kept_test.go
+++ b/internal/soak/kept_test.go
@@ -36,6 +36,7 @@
 	reloadWorkTime  = maxApplyDelay
 	restOfIdleLimit = 5 // callers rest for four fifths of the limit at most
 	keptBodyRepeats = 200
+	workerEndTime   = time.Second // before the end of a request, in which the end of its worker is a reason for it
 )
 
 // keptCaller sends requests to one gateway on one connection after another, and lets them rest between two
@@ -193,9 +194,34 @@
 // workerFaults are the faults by which workers break off answers.
 var workerFaults = []kind{delayWorker, resetWorker, silenceWorker, deafenWorker, crashWorker, drainWorker, leaveInAnswers, harmfulRequest, isolateGateway}
 
+// workerEnd is the end of a worker.
+type workerEnd struct {
+	worker string
+	at     time.Time
+}
+
+// end ends a worker and its connections.
+func (w *world) end(k *worker) {
+	w.mu.Lock()
+	w.history.workerEnds = append(w.history.workerEnds, workerEnd{k.ID, time.Now()})
+	w.mu.Unlock()
+	k.Close()
+}
+
+// workerEnded reports whether a worker ended under a request, just before that did.
+func (h *history) workerEnded(q *request) bool {
+	return slices.ContainsFunc(h.workerEnds, func(e workerEnd) bool {
+		under := e.at.After(q.sent) && e.at.Before(q.ended) && q.ended.Before(e.at.Add(workerEndTime))
+		return under && slices.ContainsFunc(h.runs, func(r run) bool { return r.id == q.id && r.worker == e.worker && !r.refused })
+	})
+}
+
 // mayNotBeCut reports whether neither a fault of the request's gateway nor a worker that broke off its answer
 // is a reason for the end of its connection.
 func (h *history) mayNotBeCut(q *request) bool {
+	if h.workerEnded(q) {
+		return false
+	}
 	if !q.raw {
 		return h.undisturbed(q.sent, q.ended)
 	}
--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -56,7 +56,7 @@
 	}
 	w.store.Put("keyed.servers", k.ID, nil)
 	time.Sleep(stopGrace) // its requests finish
-	k.Close()
+	w.end(k)
 }
 
 func (w *world) setSignal(k *worker, g signal) {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -436,7 +436,7 @@
 		w.setModeFor(k.proxy, deafen, s.duration)
 	case crashWorker:
 		w.replace(k)
-		k.Close()
+		w.end(k)
 		time.Sleep(s.duration)
 		w.store.Put("keyed.servers", k.ID, nil)
 	case drainWorker:
@@ -448,7 +448,7 @@
 		time.Sleep(maxDrainDelay + s.duration)
 		w.store.Put("keyed.servers", k.ID, nil)
 		time.Sleep(stopGrace) // its requests finish
-		k.Close()
+		w.end(k)
 	case nameLimit, leaveInAnswers, askForRest:
 		w.announce(k, s)
 	case revokeKey, addRoute, growConfig:
