soak: a reset of a proxy reaches both sides as a reset

Closing one side of a proxied connection made the copier close the other before its linger time was set, so that a reset could arrive as a close, which ends an answer of that form.

Change: the linger time of all connections is set before any is closed.

--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -87,8 +87,10 @@
 	defer p.mu.Unlock()
 	for c := range p.conns {
 		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
+			_ = t.SetLinger(0) // before any is closed, as copy closes the other side then
 		}
+	}
+	for c := range p.conns {
 		_ = c.Close()
 	}
 }
