--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -255,6 +255,9 @@
 	w.history.spans = append(w.history.spans, span{k, gateway, from, to})
 }
 
+// storeModes has the modes of the faults that the store makes by itself.
+var storeModes = map[kind]platformtest.Mode{busyStore: platformtest.Busy, awayStore: platformtest.Unavailable, loseAnswers: platformtest.LosingAnswers}
+
 // apply executes one step and returns when it is over.
 func (w *world) apply(s step) {
 	from := time.Now()
@@ -293,12 +296,8 @@
 		g.peers.reset()
 	case delayPeers:
 		w.setModeFor(g.peers, delay, s.duration)
-	case busyStore:
-		w.setStoreMode(platformtest.Busy, s.duration)
-	case awayStore:
-		w.setStoreMode(platformtest.Unavailable, s.duration)
-	case loseAnswers:
-		w.setStoreMode(platformtest.LosingAnswers, s.duration)
+	case busyStore, awayStore, loseAnswers:
+		w.setStoreMode(storeModes[s.kind], s.duration)
 	case compactStore:
 		w.store.Compact("keyed.op")
 		w.store.Compact("keyed.servers")
