--- a/internal/soak/breach_test.go
+++ b/internal/soak/breach_test.go
@@ -99,6 +99,24 @@
 	h.stops = []*plannedStop{{kind: changeGrace, from: at(9), ended: at(13), least: 4 * time.Second, end: "exit status 0", clean: true}}
 }
 
+// sendInStop breaks off a request that was sent some time after the SIGTERM of a stop with a grace of 4 s, in
+// the last sixth of that.
+func sendInStop(h *history, q *request, seconds float64) {
+	cutInStop(h, q, 3.8)
+	q.sent = at(9 + seconds)
+}
+
+// cutInSilence breaks off a paced stream some time after its worker fell silent for a second.
+func cutInSilence(h *history, q *request, seconds float64) {
+	delete(h.requests, q.id)
+	q.id = pacedPrefix + "-1"
+	q.path = "/paced/" + q.id
+	h.requests[q.id], h.runs[0].id, h.runs[0].path = q, q.id, q.path
+	q.complete, q.raw, q.kept, q.answer, q.err = false, true, true, "", "EOF"
+	q.lastByte, q.ended = q.sent, at(10.5+seconds)
+	h.quiet = []quietTime{{"w", at(10.5), at(11.5)}}
+}
+
 // endStop adds a planned stop.
 func endStop(h *history, end string, clean bool) {
 	h.stops = []*plannedStop{{kind: signalSeries, from: at(10), ended: at(14), least: 4 * time.Second, end: end, clean: clean}}
@@ -131,6 +149,7 @@
 			h.runs[0].refused = true
 		}, ""},
 		{"called not run", func(_ *history, q *request) { q.status = 503 }, "REFUSED"},
+		{"called too early", func(_ *history, q *request) { q.status = 425 }, "REFUSED"},
 		{"called unknown", func(_ *history, q *request) { q.status = 502 }, ""},
 		{"nobody asked", func(h *history, q *request) { delete(h.requests, q.id) }, "UNASKED"},
 		{"changed path", func(h *history, _ *request) { h.runs[0].path = "/once/y" }, "UNASKED"},
@@ -263,7 +282,39 @@
 			h.configs, h.reloads = nil, []reload{{0, at(9)}}
 		}, "LOST"},
 		{"cut by a stop before the last sixth", func(h *history, q *request) { cutInStop(h, q, 3.2) }, "LOST"},
+		{"cut by a stop, its worker had just ended", func(h *history, q *request) {
+			cutInStop(h, q, 3.2)
+			h.workerEnds = []workerEnd{{"w", at(12)}}
+		}, ""},
+		{"cut by a stop, its worker had ended long before", func(h *history, q *request) {
+			cutInStop(h, q, 3.2)
+			h.workerEnds = []workerEnd{{"w", at(11)}}
+		}, "LOST"},
+		{"cut by a stop, another worker had just ended", func(h *history, q *request) {
+			cutInStop(h, q, 3.2)
+			h.workerEnds = []workerEnd{{"v", at(12)}}
+		}, "LOST"},
 		{"cut by a stop in the last sixth", func(h *history, q *request) { cutInStop(h, q, 3.4) }, ""},
+		{"sent late in a stop and cut in its last sixth", func(h *history, q *request) { sendInStop(h, q, 3.1) }, "LOST"},
+		{"sent less late in a stop and cut in its last sixth", func(h *history, q *request) { sendInStop(h, q, 2.9) }, ""},
+		{"sent late in a stop and never passed on", func(h *history, q *request) {
+			sendInStop(h, q, 3.1)
+			h.runs = nil
+		}, ""},
+		{"cut after its worker was silent", func(h *history, q *request) { cutInSilence(h, q, 1.3) }, "LOST"},
+		{"cut before its worker was silent", func(h *history, q *request) { cutInSilence(h, q, -0.1) }, ""},
+		{"cut while another worker was silent", func(h *history, q *request) {
+			cutInSilence(h, q, 1.3)
+			h.quiet[0].worker = "v"
+		}, ""},
+		{"cut after its worker was silent, the gateway was killed", func(h *history, q *request) {
+			cutInSilence(h, q, 1.3)
+			h.spans = []span{{kind: killGateway, from: at(8), to: at(9)}}
+		}, ""},
+		{"cut by a stop after its worker was silent", func(h *history, q *request) {
+			cutInSilence(h, q, 1.3)
+			h.stops = []*plannedStop{{kind: changeGrace, from: at(9), ended: at(13), least: 4 * time.Second, end: "exit status 0", clean: true}}
+		}, "LOST"},
 		{"stop that ends by a signal", func(h *history, _ *request) { endStop(h, "signal: hangup", false) }, "STOP"},
 		{"stop that ends with a status", func(h *history, _ *request) { endStop(h, "exit status 1", false) }, "STOP"},
 		{"stop that ends by itself", func(h *history, _ *request) { endStop(h, "exit status 0", true) }, ""},
@@ -288,6 +339,50 @@
 			h.goneSince["w"] = at(1)
 			h.spans = []span{{kind: isolateGateway, from: at(0), to: at(7.5)}}
 		}, ""},
+		{"worker's entry went long before, connections silent since", func(h *history, _ *request) {
+			h.goneSince["w"] = at(7.5)
+			h.spans = []span{{kind: silenceConnections, from: at(7), to: at(7)}}
+		}, "DRAIN"},
+		{"worker's entry went long before, connections just silent", func(h *history, _ *request) {
+			h.goneSince["w"] = at(7.5)
+			h.spans = []span{{kind: silenceConnections, from: at(7.2), to: at(7.2)}}
+		}, ""},
+		{"worker's entry went long before, in calm times", func(h *history, _ *request) {
+			h.goneSince["w"] = at(8)
+			h.spans = []span{{kind: loseEntry, from: at(8), to: at(10)}}
+		}, "DRAIN"},
+		{"worker's entry went long before, another gateway was killed", func(h *history, _ *request) {
+			h.goneSince["w"] = at(8)
+			h.spans = []span{{kind: killGateway, gateway: 1, from: at(7), to: at(9)}}
+		}, "DRAIN"},
+		{"worker's entry went long before, the gateway was killed", func(h *history, _ *request) {
+			h.goneSince["w"] = at(8)
+			h.spans = []span{{kind: killGateway, from: at(7), to: at(9)}}
+		}, ""},
+		{"worker's entry went long before, the gateway was stopped", func(h *history, _ *request) {
+			h.goneSince["w"] = at(8)
+			h.spans = []span{{kind: killGateway, gateway: 1, from: at(7), to: at(9)}}
+			endStop(h, "exit status 0", true)
+			h.stops[0].from, h.stops[0].ended = at(5), at(8)
+		}, ""},
+		{"worker's entry went while the store was away", func(h *history, _ *request) {
+			h.goneSince["w"] = at(4)
+			h.spans = []span{{kind: awayStore, from: at(3), to: at(6)}, {kind: killGateway, gateway: 1, from: at(8), to: at(10)}}
+		}, ""},
+		{"worker's entry went long before, its links were silent", func(h *history, _ *request) {
+			h.goneSince["w"] = at(7)
+			h.spans = []span{{kind: silenceWorker, from: at(8), to: at(9)}}
+			h.linkFaults["w"] = h.spans
+		}, ""},
+		{"worker's entry went long before, another's links were silent", func(h *history, _ *request) {
+			h.goneSince["w"] = at(7)
+			h.spans = []span{{kind: silenceWorker, from: at(8), to: at(9)}}
+			h.linkFaults["v"] = h.spans
+		}, "DRAIN"},
+		{"worker's entry went just before", func(h *history, _ *request) {
+			h.goneSince["w"] = at(8.1)
+			h.spans = []span{{kind: loseEntry, from: at(8.1), to: at(10)}}
+		}, ""},
 		{"at a worker that there is not", func(h *history, _ *request) { h.runs[0].worker = "strange-1" }, "ENTRIES"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -61,15 +61,18 @@
 	leavingSince map[string]time.Time // by worker
 	added        map[string]time.Time // by path prefix of the route
 	received     []receivedSignal     // that workers sent to gateways in answers
-	goneSince    map[string]time.Time // by worker, of those whose entry went beside isolateGateway
+	goneSince    map[string]time.Time // by worker, of those whose entry went without a word
 	configs      []time.Time          // when a configuration was written
 	reloads      []reload
 	stops        []*plannedStop
 	ownEnds      []ownEnd
+	quiet        []quietTime
+	linkFaults   map[string][]span // by worker
+	workerEnds   []workerEnd
 }
 
 func newHistory() *history {
-	return &history{requests: map[string]*request{}, revoked: map[string]time.Time{}, leavingSince: map[string]time.Time{}, added: map[string]time.Time{}, goneSince: map[string]time.Time{}}
+	return &history{requests: map[string]*request{}, revoked: map[string]time.Time{}, leavingSince: map[string]time.Time{}, added: map[string]time.Time{}, goneSince: map[string]time.Time{}, linkFaults: map[string][]span{}}
 }
 
 // undisturbed reports whether no unplanned fault was in effect between the two times or less than
@@ -82,7 +85,7 @@
 
 // check returns the violations that it finds, one line each.
 func (h *history) check() (bs []string) {
-	for _, c := range []func() []string{h.wrongAnswers, h.repeatedRuns, h.ranAfterRefusal, h.unrequestedRuns, h.ranWithRevokedKey, h.ranWhileDraining, h.revertedRoutes, h.lateRoutes, h.cutByPlannedStop, h.retryBudget, h.harmfulForwarded, h.runsAtUnlistedWorkers, h.ranAfterLeaving, h.ranDuringRetryDelay, h.overLimit, h.longWithoutEnd, h.cutBesideWork, h.cutInStops, h.badEnds, h.endedUnasked, h.ranAfterEntryWent} {
+	for _, c := range []func() []string{h.wrongAnswers, h.repeatedRuns, h.ranAfterRefusal, h.unrequestedRuns, h.ranWithRevokedKey, h.ranWhileDraining, h.revertedRoutes, h.lateRoutes, h.cutByPlannedStop, h.retryBudget, h.harmfulForwarded, h.runsAtUnlistedWorkers, h.ranAfterLeaving, h.ranDuringRetryDelay, h.overLimit, h.longWithoutEnd, h.cutBesideWork, h.cutInStops, h.badEnds, h.endedUnasked, h.ranAfterEntryWent, h.cutBesideSilence} {
 		bs = append(bs, c()...)
 	}
 	return bs
@@ -148,7 +151,7 @@
 func (h *history) ranAfterRefusal() []string {
 	n := h.runCounts()
 	return h.eachEnded(func(q *request) string {
-		if q.atMostOnce && n[q.id] > 0 && slices.Contains([]int{408, 421, 429, 503}, q.status) {
+		if q.atMostOnce && n[q.id] > 0 && slices.Contains(statusesNotRun, q.status) {
 			return "REFUSED, yet it ran"
 		}
 		return ""
--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -56,7 +56,7 @@
 	}
 	w.store.Put("keyed.servers", k.ID, nil)
 	time.Sleep(stopGrace) // its requests finish
-	k.Close()
+	w.end(k)
 }
 
 func (w *world) setSignal(k *worker, g signal) {
@@ -95,7 +95,7 @@
 var linkFaults = []kind{
 	killGateway, pauseGateway, suspendGateway, stopGateway, silencePeers, resetPeers, delayPeers,
 	delayWorker, resetWorker, silenceWorker, deafenWorker, crashWorker, harmfulRequest,
-	signalSeries, pausedSeries, changeGrace, squeezeGateway, isolateGateway,
+	signalSeries, pausedSeries, changeGrace, squeezeGateway, isolateGateway, stopUnderStreams, silenceSound,
 }
 
 // connected reports whether no fault of linkFaults was in effect between the two times or less than
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -26,6 +27,7 @@
 	eraless                    bool // whether the store tells no era
 	pipedLogs                  bool // whether gateways write their logs to pipes
 	endless                    bool // whether workers send answers without end
+	bare                       bool // whether their failures have no id and signature
 }
 
 const (
@@ -82,6 +84,7 @@
 	logs      string
 	pipedLogs bool
 	endless   bool
+	bare      bool
 	store     *platformtest.Store
 	gateways  []*gateway
 
@@ -97,13 +100,14 @@
 	idleLimits     []idleLimit
 	limitsChanged  chan struct{} // closed by the next change
 	signals        map[string]signal
+	allFullBut     string               // id of the only plain worker that is not full, empty if none is
 	engineBusy     map[string]time.Time // until when an engine prefills, by id
 	crashes        sync.WaitGroup       // pending crashes and restarts of workers
 }
 
 func newWorld(t testing.TB, binary string, z worldSize) *world {
 	t.Helper()
-	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory(), signals: map[string]signal{}, engineBusy: map[string]time.Time{}, limits: initialLimits, limitsChanged: make(chan struct{}), pipedLogs: z.pipedLogs, endless: z.endless}
+	w := &world{t: t, binary: binary, store: platformtest.NewStore(), history: newHistory(), signals: map[string]signal{}, engineBusy: map[string]time.Time{}, limits: initialLimits, limitsChanged: make(chan struct{}), pipedLogs: z.pipedLogs, endless: z.endless, bare: z.bare}
 	t.Cleanup(w.store.Close)
 	if z.eraless {
 		w.store.HideEra()
@@ -141,7 +145,7 @@
 	route("/once/", `"kind":"unsafe","maxAttempts":2`)
 	route("/again/", `"kind":"safe","maxAttempts":2`)
 	route("/stream/", `"kind":"streaming","resumable":true,"gap_aim_ms":200,"maxAttempts":3`)
-	routes = append(routes, longRoute, slowRoute)
+	routes = append(routes, longRoute, slowRoute, pacedRoute)
 	for _, p := range w.routes {
 		route(p, `"kind":"safe","maxAttempts":2`)
 	}
@@ -189,7 +193,7 @@
 		}
 	}
 	w.mu.Lock()
-	refuses := w.signals[k.ID].retryLater
+	refuses := w.signals[k.ID].retryLater || w.isFull(k.ID)
 	w.history.runs = append(w.history.runs, run{
 		id: id, worker: k.ID, path: r.URL.Path, body: body, organisation: r.Header.Get("Tenant"), at: time.Now(),
 		refused: refuses || draw < 3 && !strings.HasPrefix(id, harmfulPrefix) || r.Header.Get("Expect-Instance") != k.ID, keyForwarded: r.Header.Get("Authorization") != "",
@@ -208,7 +212,7 @@
 	case draw < 5:
 		platformtest.Reset(k, c, r)
 	case draw < 7:
-		w.recordSignal(platformtest.Answer(http.StatusInternalServerError, "no"))(k, c, r)
+		w.fail(id)(k, c, r)
 	case draw < 8:
 		w.neverAnswer(k, c, r)
 	default:
@@ -221,9 +225,9 @@
 // draws is the number of values that decide on the behaviour to a request. Those of the failures are the least.
 const draws = 100
 
-// drawOf returns the draw of a request at a worker. Workers don't fail with slow streams.
+// drawOf returns the draw of a request at a worker. Workers don't fail with slow and paced streams.
 func drawOf(worker, id string) uint64 {
-	if strings.HasPrefix(id, slowPrefix) {
+	if strings.HasPrefix(id, slowPrefix) || strings.HasPrefix(id, pacedPrefix) {
 		return draws - 1
 	}
 	return hash(worker+id) % draws
@@ -233,6 +237,8 @@
 	switch {
 	case strings.HasPrefix(id, slowPrefix):
 		return platformtest.PacedStream(streamEvents, slowPause)
+	case strings.HasPrefix(id, pacedPrefix):
+		return platformtest.PacedStream(streamEvents, pacedPause)
 	case !strings.HasPrefix(id, "stream") && !strings.HasPrefix(id, longPrefix):
 		return platformtest.Answer(http.StatusOK, "answer to "+id)
 	case draw < 20:
@@ -249,6 +255,9 @@
 	w.history.spans = append(w.history.spans, span{k, gateway, from, to})
 }
 
+// storeModes has the modes of the faults that the store makes by itself.
+var storeModes = map[kind]platformtest.Mode{busyStore: platformtest.Busy, awayStore: platformtest.Unavailable, loseAnswers: platformtest.LosingAnswers}
+
 // apply executes one step and returns when it is over.
 func (w *world) apply(s step) {
 	from := time.Now()
@@ -267,9 +276,13 @@
 		w.restoreStore(s)
 		return
 	}
+	if s.kind == silenceConnections {
+		w.silenceConnections(s)
+		return
+	}
 	w.recordFault(s.kind, i, from, over)
 	switch s.kind {
-	case killGateway, pauseGateway, suspendGateway, stopGateway, reloadGateway, signalSeries, pausedSeries, changeGrace, squeezeGateway, loseLog:
+	case killGateway, pauseGateway, suspendGateway, stopGateway, reloadGateway, signalSeries, pausedSeries, changeGrace, squeezeGateway, loseLog, stopUnderStreams, silenceSound:
 		w.applyToProcess(g, s)
 	case silenceStore:
 		w.setModeFor(g.store, silence, s.duration)
@@ -283,12 +296,8 @@
 		g.peers.reset()
 	case delayPeers:
 		w.setModeFor(g.peers, delay, s.duration)
-	case busyStore:
-		w.setStoreMode(platformtest.Busy, s.duration)
-	case awayStore:
-		w.setStoreMode(platformtest.Unavailable, s.duration)
-	case loseAnswers:
-		w.setStoreMode(platformtest.LosingAnswers, s.duration)
+	case busyStore, awayStore, loseAnswers:
+		w.setStoreMode(storeModes[s.kind], s.duration)
 	case compactStore:
 		w.store.Compact("keyed.op")
 		w.store.Compact("keyed.servers")
@@ -318,6 +327,10 @@
 		w.stopInSeries(g, s)
 	case changeGrace:
 		w.stopWithOtherGrace(g, s)
+	case stopUnderStreams:
+		w.stopUnderStreams(g, s)
+	case silenceSound:
+		w.silenceSound(g, s)
 	case squeezeGateway:
 		w.squeeze(g, s)
 	case loseLog:
@@ -402,11 +415,15 @@
 	case isolateGateway:
 		w.isolate(s)
 		return
+	case loseEntry:
+		w.loseEntry(rand.New(rand.NewPCG(uint64(s.target), 11)), w.worker(s.target))
+		return
 	}
 	k := w.worker(s.target)
 	if k == nil {
 		return // harmful requests have crashed all of them
 	}
+	w.recordLinkFault(k, s)
 	switch s.kind {
 	case delayWorker:
 		w.setModeFor(k.proxy, delay, s.duration)
@@ -418,7 +435,7 @@
 		w.setModeFor(k.proxy, deafen, s.duration)
 	case crashWorker:
 		w.replace(k)
-		k.Close()
+		w.end(k)
 		time.Sleep(s.duration)
 		w.store.Put("keyed.servers", k.ID, nil)
 	case drainWorker:
@@ -430,7 +447,7 @@
 		time.Sleep(maxDrainDelay + s.duration)
 		w.store.Put("keyed.servers", k.ID, nil)
 		time.Sleep(stopGrace) // its requests finish
-		k.Close()
+		w.end(k)
 	case nameLimit, leaveInAnswers, askForRest:
 		w.announce(k, s)
 	case revokeKey, addRoute, growConfig:
@@ -438,16 +455,6 @@
 	}
 }
 
-// worker returns one of the present workers, or nil if there is none.
-func (w *world) worker(which int) *worker {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if len(w.workers) == 0 {
-		return nil
-	}
-	return w.workers[which%len(w.workers)]
-}
-
 // replace removes a worker that leaves or crashes and adds a new one.
 func (w *world) replace(k *worker) {
 	w.mu.Lock()
