feed: a silent connection to the store is no trouble of the store

Cause: a read was given up 0.7 s after its wait of up to 3 s, the next could take another silent connection, and readers told each other meanwhile that the store did not serve them.

Change: an answer that is overdue is asked for once more on a new connection without a wait, idle connections are closed, and the other reads of the process do the same once the new one answers first. The old connection is kept until then. Only a new connection that fails or is late counts as trouble. Quiet times have no call more.

--- a/feed/contact.go
+++ b/feed/contact.go
@@ -25,6 +25,42 @@
 	isolatedEnd time.Time // when the last silence ended that was longer than relistTime
 	awaySince   time.Time // when the first poll was sent by which the store is known to be away; zero if it isn't
 	returnedAt  time.Time // when the store was first known to serve again; zero if it was never away
+	failedAt    time.Time // when a new connection to the store last failed, or was not answered in time
+	suspicion   chan struct{}
+}
+
+// suspected returns a channel that is closed when a connection to the store is found silent.
+func (c *contact) suspected() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.suspicion == nil {
+		c.suspicion = make(chan struct{})
+	}
+	return c.suspicion
+}
+
+// suspectConnections records that a connection to the store was found silent, so that others may be too.
+func (c *contact) suspectConnections() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.suspicion != nil {
+		close(c.suspicion)
+		c.suspicion = nil
+	}
+}
+
+// noteStoreFails records that a new connection to the store failed or is not answered in time.
+func (c *contact) noteStoreFails() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failedAt = c.clock.Now()
+}
+
+// storeFailedAt returns when that was last, the zero time if it never was.
+func (c *contact) storeFailedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failedAt
 }
 
 // heard records that a peer or the store has answered.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -75,6 +75,7 @@
 	breaker       *Breaker
 	contact       *contact                         // shared with the other feeds of a relay
 	onReturn      func(kept func(key string) bool) // called when the view is complete after a return of the store
+	redial        func()                           // makes the next call to the store use a new connection; nil if connections aren't kept
 	lossTime      time.Duration                    // how long records are believed that the store lost; 0 until they are written again
 	version       func(value []byte) int64         // version of a value; nil if values have none
 	clock         hollowgrade.Clock
@@ -213,7 +214,7 @@
 		}
 		sent := f.clock.Now()
 		records, err := f.readOnce(ctx, sent, probe)
-		f.breaker.Report(probe, err == nil || errors.Is(err, hollowgrade.ErrTrimmed) || ctx.Err() != nil)
+		f.breaker.Report(probe, answered(err) || ctx.Err() != nil)
 		if err == nil {
 			p.Reset()
 			f.noteReadAnswered()
@@ -261,7 +262,7 @@
 // readOnce makes one read, sent at sent, and merges its records. It returns their number. A probe
 // does not wait at the store.
 func (f *Feed) readOnce(ctx context.Context, sent time.Time, probe bool) (records int, err error) {
-	next, synced, wait := f.planRead(sent, probe)
+	r, synced := f.planRead(sent, probe)
 	if !synced {
 		p, err := f.topic.Newest(ctx, newestMargin)
 		if err != nil {
@@ -270,10 +271,11 @@
 		if same, err := f.followEra(ctx, p.Era); !same {
 			return 0, err
 		}
-		f.resync(p, next, sent)
+		f.resync(p, r.next, sent)
 		return len(p.Records), nil
 	}
-	p, err := f.topic.Wait(ctx, next, wait, answerMargin)
+	a := f.await(ctx, r)
+	p, err := a.page, a.err
 	var trimmed *hollowgrade.TrimmedError
 	if errors.As(err, &trimmed) {
 		p.Era = trimmed.Era
@@ -289,48 +291,12 @@
 		f.synced = false
 		f.mu.Unlock()
 	case err == nil:
-		p.First = next
-		f.mergePage(p, f.completeAsOf(sent, wait, len(p.Records)))
+		p.First = a.next
+		f.mergePage(p, f.completeAsOf(a.sent, a.wait, len(p.Records)))
 	}
 	return len(p.Records), err
 }
 
-// planRead returns the offset at which the read sent at sent begins, and how long it waits, so that
-// the view gets no older than [Timing.answerDue] until the answer arrives.
-func (f *Feed) planRead(sent time.Time, probe bool) (next int64, synced bool, wait time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	wait = min(max(f.timing.answerDue(f.wait)-f.lag-sent.Sub(f.fresh), 0), f.wait)
-	if left, due := f.lossesDue(); due {
-		wait = min(wait, left)
-	}
-	if probe || f.readFailing || f.returning {
-		wait = 0 // the freshness of the view has to be known at once
-	}
-	f.nextAnswerDue = sent.Add(wait + min(f.timing.AnswerGrace+2*f.lag, answerMargin))
-	f.readSent, f.readWait = sent, wait
-	if !f.synced {
-		f.readWait = 0
-	}
-	return f.next, f.synced, wait
-}
-
-// completeAsOf returns the time as of which a read shows that there were no records beyond those
-// that it returned. The store answers a waiting read as soon as there is a record, so an empty
-// answer after the whole wait holds for the end of the wait; any other holds only for when the read
-// was sent. Always using the send time would make idle views up to two waits old instead of one.
-func (f *Feed) completeAsOf(sent time.Time, wait time.Duration, records int) time.Time {
-	took := f.clock.Since(sent)
-	waited := wait - wait/clockDriftDivisor // in case the store's clock runs faster than this one
-	if records > 0 || took < waited {
-		return sent
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lag = min(max(took-wait, f.lag*lagDecay/(lagDecay+1), 0), answerMargin)
-	return sent.Add(waited)
-}
-
 // resync merges all newest records, as they were read when all before next was known. A key that is not
 // among them was dropped, unless the store lost its record.
 func (f *Feed) resync(p hollowgrade.KeyedPage, next int64, sent time.Time) {
@@ -452,6 +418,9 @@
 func (f *Feed) noteReadFailed(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.redial != nil {
+		f.redial()
+	}
 	f.lastFailure, f.troubleAt = f.clock.Now(), f.troubleTime()
 	if f.readFailing {
 		return
--- a/feed/option.go
+++ b/feed/option.go
@@ -55,6 +55,12 @@
 	return func(f *Feed) { f.breaker = a }
 }
 
+// WithRedial sets a function that closes kept connections to the store, so that the next call opens a new
+// one. With it, a read whose answer is overdue is asked again on a new connection.
+func WithRedial(redial func()) Option {
+	return func(f *Feed) { f.redial = redial }
+}
+
 // WithVersion sets the function that returns the version of a value, 0 if it has none. After a return
 // of the store a value does not replace one of a higher version that the store lost.
 func WithVersion(f func(value []byte) int64) Option {
--- a/feed/timing.go
+++ b/feed/timing.go
@@ -53,6 +53,12 @@
 	return wait + wait/clockDriftDivisor + t.AnswerGrace
 }
 
+// silenceGrace is the time beyond the wait after which a new connection to the store is tried: it can answer
+// before the reader is taken not to be served.
+func (t Timing) silenceGrace() time.Duration {
+	return t.AnswerGrace / 2
+}
+
 // staleAge is the age from which a view, read by others with the given wait, is older than readers
 // that the store serves let it get.
 func (t Timing) staleAge(wait time.Duration) time.Duration {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -104,7 +104,7 @@
 	}
 	relay := feed.NewRelay(c.PeerAddress(), n.members.addresses, feed.WithRelayLogger(g), feed.WithRelayClock(b.clock), feed.WithPlaces(n.members.place), feed.WithListed(n.members.listed), feed.WithRelayTiming(c.Timing()))
 	follow := func(name string, t hollowgrade.Topic, wait time.Duration, os ...feed.Option) *feed.Feed {
-		os = append([]feed.Option{feed.WithLogger(g), feed.WithClock(b.clock), feed.WithWait(wait), feed.WithReader(relay.Reads), feed.WithBreaker(relay.Breaker()), feed.WithTiming(c.Timing())}, os...)
+		os = append([]feed.Option{feed.WithLogger(g), feed.WithClock(b.clock), feed.WithWait(wait), feed.WithReader(relay.Reads), feed.WithBreaker(relay.Breaker()), feed.WithTiming(c.Timing()), feed.WithRedial(s.DropIdle)}, os...)
 		return feed.New(name, t, os...)
 	}
 	n.config = follow(configFeed, s.Config(), c.ReadWait(), feed.WithReader(relay.ReadsLarge), feed.WithPeersFirst(relay.PeersFirst), feed.WithMaxValueBytes(c.ConfigMaxBytes), feed.WithVersion(platform.CatalogVersion))
--- a/internal/spread/fleet_test.go
+++ b/internal/spread/fleet_test.go
@@ -124,6 +124,7 @@
 	refused func(box string) bool // whether the store refuses a box's calls at once
 	calls   *callCounter
 	cuts    func(box string) (n int, now bool) // how often a box was cut off from the store, and whether it is now
+	conns   *storeConns
 }
 
 // callCounter counts calls to the store.
@@ -162,6 +163,8 @@
 	t.calls.add()
 	answered := t.watchCuts(patience)
 	defer func() { err = errors.Join(err, answered(ctx)) }()
+	heard := t.conns.open(patience)
+	defer func() { err = errors.Join(err, heard(ctx, err)) }()
 	if t.refused(t.box) {
 		return p, errDown
 	}
@@ -175,6 +178,8 @@
 	t.calls.add()
 	answered := t.watchCuts(d + patience)
 	defer func() { err = errors.Join(err, answered(ctx)) }()
+	heard := t.conns.open(d + patience)
+	defer func() { err = errors.Join(err, heard(ctx, err)) }()
 	if t.refused(t.box) {
 		return p, errDown
 	}
@@ -239,6 +244,7 @@
 	refused                func(box string) bool // whether it refuses the calls of a box at once
 	cutBox                 string                // is cut off from the store and from all peers now
 	cuts                   map[string]int        // how often each box was
+	silencedAt             time.Time             // connections to the store that were open then are silent
 	config, fleet, members *memTopic
 	calls                  callCounter
 	timing                 feed.Timing
@@ -327,8 +333,8 @@
 }
 
 // remoteTopic returns a topic as the box reaches it.
-func (f *testFleet) remoteTopic(t *memTopic, box string, delay time.Duration) *remoteTopic {
-	return &remoteTopic{t, f.net, box, delay, func(box string) bool { return f.hasStoreFault(&f.silent, box) }, func(box string) bool { return f.hasStoreFault(&f.refused, box) }, &f.calls, f.countCuts}
+func (f *testFleet) remoteTopic(t *memTopic, box string, delay time.Duration, conns *storeConns) *remoteTopic {
+	return &remoteTopic{t, f.net, box, delay, func(box string) bool { return f.hasStoreFault(&f.silent, box) }, func(box string) bool { return f.hasStoreFault(&f.refused, box) }, &f.calls, f.countCuts, conns}
 }
 
 func (f *testFleet) countCuts(box string) (n int, now bool) {
@@ -340,10 +346,11 @@
 func (f *testFleet) start(ctx context.Context, g *sync.WaitGroup, box string, all []string, delay time.Duration) *gateway {
 	quiet := log.New(io.Discard)
 	w := &gateway{box: box}
+	conns := &storeConns{silenced: f.silenceOfConnections}
 	w.relay = feed.NewRelay(box, func() []string { return append([]string(nil), all...) }, feed.WithRelayLogger(quiet), feed.WithDialer(f.net.dialer(box)), feed.WithPlaces(f.net.place), feed.WithRelayTiming(f.timing))
-	w.config = feed.New("config", f.remoteTopic(f.config, box, delay), feed.WithLogger(quiet), feed.WithTiming(f.timing), feed.WithWait(min(f.timing.ReadWait, 1500*time.Millisecond)), feed.WithReader(w.relay.ReadsLarge), feed.WithPeersFirst(w.relay.PeersFirst), feed.WithBreaker(w.relay.Breaker()))
-	w.fleet = feed.New("fleet", f.remoteTopic(f.fleet, box, delay), feed.WithLogger(quiet), feed.WithTiming(f.timing), feed.WithWait(3*time.Second), feed.WithReader(w.relay.Reads), feed.WithPeersFirst(w.relay.PeersFirst), feed.WithBreaker(w.relay.Breaker()))
-	w.members = feed.New("members", f.remoteTopic(f.members, box, delay), feed.WithLogger(quiet), feed.WithTiming(f.timing), feed.WithWait(20*time.Second), feed.WithReader(w.relay.Reads), feed.WithBreaker(w.relay.Breaker()))
+	w.config = feed.New("config", f.remoteTopic(f.config, box, delay, conns), feed.WithRedial(conns.dropIdle), feed.WithLogger(quiet), feed.WithTiming(f.timing), feed.WithWait(min(f.timing.ReadWait, 1500*time.Millisecond)), feed.WithReader(w.relay.ReadsLarge), feed.WithPeersFirst(w.relay.PeersFirst), feed.WithBreaker(w.relay.Breaker()))
+	w.fleet = feed.New("fleet", f.remoteTopic(f.fleet, box, delay, conns), feed.WithRedial(conns.dropIdle), feed.WithLogger(quiet), feed.WithTiming(f.timing), feed.WithWait(3*time.Second), feed.WithReader(w.relay.Reads), feed.WithPeersFirst(w.relay.PeersFirst), feed.WithBreaker(w.relay.Breaker()))
+	w.members = feed.New("members", f.remoteTopic(f.members, box, delay, conns), feed.WithRedial(conns.dropIdle), feed.WithLogger(quiet), feed.WithTiming(f.timing), feed.WithWait(20*time.Second), feed.WithReader(w.relay.Reads), feed.WithBreaker(w.relay.Breaker()))
 	fs := []*feed.Feed{w.config, w.fleet, w.members}
 	w.relay.Add(fs...)
 	v := w.relay.NewServer(f.net.place(box).Link)
--- a/internal/spread/leaving_test.go
+++ b/internal/spread/leaving_test.go
@@ -75,15 +75,21 @@
 func (e *entries) add(t *testing.T, f *testFleet, n int) (keys []string) {
 	t.Helper()
 	for range n {
-		k := fmt.Sprint("u", e.puts)
-		e.puts++
-		require.NoError(t, f.fleet.Put(context.Background(), k, []byte("ready")))
-		keys = append(keys, k)
+		keys = append(keys, e.put(t, f))
 	}
 	time.Sleep(calmTime)
 	return keys
 }
 
+// put writes the entry of an upstream and returns its key.
+func (e *entries) put(t *testing.T, f *testFleet) (key string) {
+	t.Helper()
+	key = fmt.Sprint("u", e.puts)
+	e.puts++
+	require.NoError(t, f.fleet.Put(context.Background(), key, []byte("ready")))
+	return key
+}
+
 // drop removes entries one after another.
 func (e *entries) drop(t *testing.T, f *testFleet, keys []string) {
 	t.Helper()
