feed: an answer that was lost with the store casts the doubt of a failed read

A gateway whose read was lost while the store was silent for all, and was asked anew after the return, could take an entry that lapsed meanwhile for gone after 0.53 s, where 2 s are allowed: the doubt counted from when a new connection had first failed. It counts now as for a read that fails at that moment (troubleTime).

--- a/feed/read.go
+++ b/feed/read.go
@@ -132,10 +132,10 @@
 func (f *Feed) noteSilentConnection(r, again read, overdue bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.readSent, f.readWait = again.sent, 0
-	if at := f.contact.storeFailedAt(); at.After(r.sent) {
-		f.troubleAt = hollowgrade.Later(f.troubleAt, at) // the answer may have been lost with the store
+	if f.contact.storeFailedAt().After(r.sent) {
+		f.troubleAt = f.troubleTime() // the answer may have been lost with the store
 	}
+	f.readSent, f.readWait = again.sent, 0
 	if !overdue {
 		return
 	}
