core: a failure beside a silent upstream is followed by another attempt at once

Cause: the attempts beside a silent upstream went on after refusals only. After a loss they waited for its next silence.

Change: they go on after every failure after which another attempt may help and does no harm, after the shortest pause if the last one may have run.

Evidence: the new part of TestStreamOfASilentUpstreamIsKeptUntilAnotherHasAnswered is red on the code before, green now. The part 'a later silence, after a refusal' had a loss, not a refusal, beside the silent upstream and relied on the fault; its second upstream is silent now and overtaken, and the later silence is asked of as before.

--- a/core/race.go
+++ b/core/race.go
@@ -186,7 +186,8 @@
 	return f.race.left > 0 && f.core.fleet.hasUntried(f.service.Name, f.tried) && f.Spend()
 }
 
-// runBeside makes attempts while upstreams refuse the call.
+// runBeside makes attempts until one is answered or another one would not help. The caller waits while
+// another upstream is silent, so the next attempt does not wait for more of that.
 func (f *flow) runBeside(u *runner) {
 	r := f.race
 	defer r.end(u)
@@ -203,13 +204,21 @@
 		if !t.sent() {
 			f.retryPaid.Store(true)
 		}
-		if t.Err == nil || !t.Placed || fault.As(t.Err, hollowgrade.Unknown).Outcome != hollowgrade.NotRun || u.ctx.Err() != nil || !f.tryNext() {
+		if t.Err == nil || !t.Placed || !f.mayFollow(u, fault.As(t.Err, hollowgrade.Unknown)) || !f.tryNext() {
 			return
 		}
 	}
 }
 
-// tryNext is takeAttempt for a runner that goes on after a refusal.
+// mayFollow reports whether another attempt may follow one that failed, after a pause if that may have run.
+func (f *flow) mayFollow(u *runner, x *fault.Error) bool {
+	if u.ctx.Err() != nil || !MayRepeat(x, f.Repeatable()) {
+		return false
+	}
+	return x.Outcome == hollowgrade.NotRun || hollowgrade.Sleep(u.ctx, f.core.clock, minRetryPause)
+}
+
+// tryNext is takeAttempt for a runner that goes on after a failure.
 func (f *flow) tryNext() bool {
 	f.race.mu.Lock()
 	defer f.race.mu.Unlock()
--- a/core/race_test.go
+++ b/core/race_test.go
@@ -123,12 +123,20 @@
 		require.Equal(t, 5*time.Second+answerGrace, time.Since(begin))
 		require.Len(t, f.sentCalls(), 3, "the most that the route allows")
 	})
-	run("a later silence, after a refusal", func(t *testing.T) {
+	run("the loss of the upstream beside it is followed by another attempt before the caller gives up", func(t *testing.T) {
+		var s gapSink
+		f, x := serveRace(t, "/resume/", &s, events(1, 2, errSilent), broken, events(3, 4, io.EOF))
+		require.Nil(t, x)
+		require.Equal(t, "1,2,3,4,", s.body.String())
+		require.Less(t, s.longest, callerGap)
+		require.Len(t, f.sentCalls(), 3)
+	})
+	run("a later silence, after the other one was overtaken", func(t *testing.T) {
 		var s fakeSink
 		n := 0
 		other := func(ctx context.Context, g hollowgrade.Sending) (hollowgrade.Exchange, error) {
 			if n++; n == 1 {
-				return nil, errBroken
+				return unresponsive(ctx, g)
 			}
 			return events(4, 5, io.EOF)(ctx, g)
 		}
@@ -305,3 +313,20 @@
 		require.PanicsWithValue(t, http.ErrAbortHandler, func() { _ = newCore(f).Serve(context.Background(), call("/again/"), &panickingSink{}) })
 	})
 }
+
+// gapSink records the longest time between two parts.
+type gapSink struct {
+	fakeSink
+	last    time.Time
+	longest time.Duration
+}
+
+// Part implements [hollowgrade.Sink].
+func (s *gapSink) Part(b []byte) error {
+	now := time.Now()
+	if !s.last.IsZero() {
+		s.longest = max(s.longest, now.Sub(s.last))
+	}
+	s.last = now
+	return s.fakeSink.Part(b)
+}
