feed, platform: an answer of the store that is being received is not asked for again

Cause: a read was overdue if its whole answer was not there, 0.1 s after its wait; a megabyte takes longer on most links. The second read halved the rate of the first, and counted as trouble of the store after 0.2 s.

Change: the store's client reports when the answer has begun. From then on the connection is not silent. The answer may be late by half of the time that a read has beyond its wait at the most, so that a silent connection is known before the read is given up, and the connections have no keep-alive that ends a read before it is checked: the error of a read counts as trouble.

Evidence: TestAnswerThatIsBeingReceivedIsNotAskedForAgain red on the code before, green now; all of ./feed with the race detector green. Not played: the keep-alive on a path that is silent.

--- a/feed/read.go
+++ b/feed/read.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
 )
 
+// maxSilenceGrace bounds how late an answer may be until its connection is checked. A silent one has to be
+// known before the read itself is given up.
+const maxSilenceGrace = answerMargin / 2
+
 // read is one read of a topic from an offset on.
 type read struct {
 	next int64
@@ -43,7 +48,7 @@
 		f.readWait = 0
 	}
 	r = read{next: f.next, sent: sent, wait: wait, checked: f.redial != nil && !probe && !f.readFailing}
-	r.overdue = sent.Add(wait + min(f.timing.silenceGrace()+2*f.lag, answerMargin))
+	r.overdue = sent.Add(wait + min(f.timing.silenceGrace()+2*f.lag, maxSilenceGrace))
 	return r, f.synced
 }
 
@@ -63,14 +68,21 @@
 	return sent.Add(waited)
 }
 
-// ask makes a read and sends its outcome to the returned channel.
-func (f *Feed) ask(ctx context.Context, r read) <-chan answer {
-	c := make(chan answer, 1)
+// pending is a read that is under way.
+type pending struct {
+	answer <-chan answer
+	begun  <-chan struct{} // closed when the first bytes of its answer have come
+}
+
+// ask makes a read.
+func (f *Feed) ask(ctx context.Context, r read) pending {
+	c, begun := make(chan answer, 1), make(chan struct{})
+	ctx = hollowgrade.WithAnswerBegun(ctx, sync.OnceFunc(func() { close(begun) }))
 	go func() {
 		p, err := f.topic.Wait(ctx, r.next, r.wait, answerMargin)
 		c <- answer{r, p, err}
 	}()
-	return c
+	return pending{c, begun}
 }
 
 // await returns the answer to a read. Connections may fall silent while new ones work: if the answer is
@@ -78,7 +90,7 @@
 // new connection. The first answer counts, and the read has failed only if neither is answered.
 func (f *Feed) await(ctx context.Context, r read) answer {
 	if !r.checked {
-		return <-f.ask(ctx, r)
+		return <-f.ask(ctx, r).answer
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -87,8 +99,10 @@
 	t := f.clock.NewTimer(r.overdue.Sub(f.clock.Now()))
 	defer t.Stop()
 	select {
-	case a := <-kept:
+	case a := <-kept.answer:
 		return a
+	case <-kept.begun:
+		return <-kept.answer // a connection that brings a long answer is not silent
 	case <-suspected:
 		return f.askAgain(ctx, r, kept, false)
 	case <-t.Chan():
@@ -97,7 +111,7 @@
 }
 
 // askAgain asks the store on a new connection while the answer to a read is outstanding.
-func (f *Feed) askAgain(ctx context.Context, r read, kept <-chan answer, overdue bool) answer {
+func (f *Feed) askAgain(ctx context.Context, r read, kept pending, overdue bool) answer {
 	f.redial()
 	again := read{next: r.next, sent: f.clock.Now()}
 	fresh := f.ask(ctx, again)
@@ -110,10 +124,14 @@
 		case <-t.Chan():
 			f.contact.noteStoreFails()
 			continue
-		case a = <-kept:
-			kept = nil
-		case a = <-fresh:
-			fresh = nil
+		case <-fresh.begun:
+			t.Stop()
+			fresh.begun = nil
+			continue
+		case a = <-kept.answer:
+			kept.answer = nil
+		case a = <-fresh.answer:
+			fresh.answer = nil
 			if a.err == nil {
 				f.noteSilentConnection(r, again, overdue)
 			} else {
--- a/feed/read_test.go
+++ b/feed/read_test.go
@@ -93,3 +93,35 @@
 		require.Less(t, after, defaultMinReadInterval+time.Second+nominalAnswerGrace)
 	})
 }
+
+// longAnswer is a topic whose read is answered at once and received for long, as over a narrow link.
+type longAnswer struct {
+	lostAnswers
+	reads atomic.Int32
+}
+
+func (t *longAnswer) Wait(ctx context.Context, from int64, d, _ time.Duration) (p hollowgrade.KeyedPage, err error) {
+	p.Next, p.End = max(from, 2), 2
+	if from >= p.End {
+		hollowgrade.Sleep(ctx, hollowgrade.SystemClock(), d)
+		return p, ctx.Err()
+	}
+	t.reads.Add(1)
+	hollowgrade.AnswerBegun(ctx)
+	hollowgrade.Sleep(ctx, hollowgrade.SystemClock(), d+time.Second)
+	p.Records = []hollowgrade.KeyedRecord{{Key: "a", Value: []byte("gone")}}
+	return p, ctx.Err()
+}
+
+// Guards against a long answer that is asked for again while it is received.
+func TestAnswerThatIsBeingReceivedIsNotAskedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &longAnswer{}
+		f := New("f", s, WithLogger(log.New(io.Discard)), WithWait(time.Second), WithRedial(s.redial))
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		f.Run(ctx)
+		require.Equal(t, int32(1), s.reads.Load())
+		require.False(t, s.fresh.Load(), "no connection is given up")
+	})
+}
