--- a/core/race.go
+++ b/core/race.go
@@ -30,7 +30,7 @@
 	panicked any       // value of a panic in a runner beside the first
 }
 
-// runner makes attempts one after the other until one is sent and not refused.
+// runner makes attempts one after the other until one is answered or another one would not help.
 type runner struct {
 	ctx    context.Context
 	cancel context.CancelCauseFunc
