core: the comment on planned stops says what the code checks

It said that a call of which nothing was sent is refused after the linger; the code looks at the first attempt only, so that one after a refusal goes by the expected time.

--- a/core/stop.go
+++ b/core/stop.go
@@ -12,7 +12,7 @@
 // take the given time. The attempts of a call are counted from 1.
 //
 // While new connections are accepted, callers have not been sent elsewhere yet, so the expected time decides.
-// After that, a call of which nothing was sent is refused unless it is certain to end in time.
+// After that, a first attempt is made only if it is certain to end in time.
 func (f *flow) checkStop(attempt int, expected time.Duration) error {
 	s, stopping := f.core.plannedStop()
 	if !stopping {
