standalone: an odd entry does not hold up the list of boxes

Callers of an entry: new engines got no calls and engines that were taken away kept theirs, since entries and agents went on with the list of before for good, without a line in the log.

Cause: the list was decoded as one document, so that one entry of another writer (a wrong type, 1e400, one nested deeper than encoding/json decodes) made all of it unreadable; the directory used its last list and dropped the error.

Change: entries are told apart token by token, which has no bound of depth, and each is decoded and checked by itself: name, role, a known state, addresses with a port that exists, one for peers at agents. What is left out is logged once for each change of what is found, as is a list that cannot be read and the first one that can be read again. A reply beyond 64 MB is an error, not cut there.

TestListThatCannotBeRead: a list that is cut or none is not taken for whole, and has a line.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -37,7 +37,7 @@
 		return nil, err
 	}
 	b.Box.Peer = l.Addr().String()
-	d := newDirectory(c.Common)
+	d := newDirectory(c.Common, g)
 	p := standalone.NewLog(c.PlatformLog, nil)
 	b.follow(c.Common, p, d, dialer(t))
 	k := agent.NewKeeper(b.Box.Name, b.Incarnation, keyTimes(c), b.clock, g, p, b.follower, d.Agents, dialer(t))
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -41,7 +41,7 @@
 	}
 	callers := l.Addr().String()
 	l = netutil.LimitListener(l, c.MaxConnections)
-	d := newDirectory(c.Common)
+	d := newDirectory(c.Common, g)
 	e := entry.New(b.Box, b.Incarnation, l, d.Agents,
 		entry.WithLogger(g),
 		entry.WithClock(b.clock),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,16 +74,16 @@
 }
 
 // newDirectory returns the directory of the agents, from the settings and the platform's list.
-func newDirectory(c setting.Common) *standalone.Directory {
+func newDirectory(c setting.Common, g *log.Logger) *standalone.Directory {
 	var bs hollowgrade.Boxes
 	if c.PlatformList != "" {
-		bs = standalone.NewBoxes(c.PlatformList, nil)
+		bs = standalone.NewBoxes(c.PlatformList, nil, standalone.WithLogger(g))
 	}
 	var static []hollowgrade.Box
 	for _, a := range c.Agents {
 		static = append(static, hollowgrade.Box{Name: a, Role: hollowgrade.AgentRole, Peer: a, State: hollowgrade.BoxLive})
 	}
-	return standalone.NewDirectory(bs, static)
+	return standalone.NewDirectory(bs, static, standalone.WithLogger(g))
 }
 
 // certificates returns the certificates that the settings name, or nil if connections between peers
--- a/standalone/directory.go
+++ b/standalone/directory.go
@@ -15,16 +15,18 @@
 // platform's list cannot be read, the last one that was read is used: a stale list is better than
 // none.
 type Directory struct {
+	options
 	boxes  hollowgrade.Boxes
 	static []hollowgrade.Box
 
 	mu         sync.Mutex
 	lastListed []hollowgrade.Box
+	failure    changes
 }
 
 // NewDirectory returns a directory. Boxes may be nil; static has the agents that the settings name.
-func NewDirectory(boxes hollowgrade.Boxes, static []hollowgrade.Box) *Directory {
-	return &Directory{boxes: boxes, static: static}
+func NewDirectory(boxes hollowgrade.Boxes, static []hollowgrade.Box, os ...Option) *Directory {
+	return &Directory{options: newOptions(os), boxes: boxes, static: static}
 }
 
 // Agents returns the boxes of all agents.
@@ -47,9 +49,12 @@
 	if d.boxes == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	c, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	bs, err := d.boxes.List(ctx)
+	bs, err := d.boxes.List(c)
+	if ctx.Err() == nil {
+		d.logResult(err)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err == nil {
@@ -57,3 +62,14 @@
 	}
 	return d.lastListed
 }
+
+// logResult logs a read of the list whose result differs from that of the one before.
+func (d *Directory) logResult(err error) {
+	switch {
+	case !d.failure.note(err):
+	case err != nil:
+		d.log.Warn("list of boxes not read, the last one stays in use", "err", err)
+	default:
+		d.log.Info("list of boxes read again")
+	}
+}
--- a/standalone/standalone.go
+++ b/standalone/standalone.go
@@ -51,7 +51,8 @@
 	return client{base: base, http: &http.Client{Transport: t, Timeout: callTimeout}}
 }
 
-func (c client) call(ctx context.Context, method, path string, body []byte, reply any) (status int, err error) {
+// call makes a call, and decodes the reply unless the status says that there is none.
+func (c client) call(ctx context.Context, method, path string, body []byte, decode func(doc []byte) error) (status int, err error) {
 	defer errs.Annotate(&err, "call %s", path)
 	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
@@ -65,7 +66,20 @@
 	if res.StatusCode != http.StatusOK && res.StatusCode != http.StatusGone {
 		return res.StatusCode, fmt.Errorf("status %d", res.StatusCode)
 	}
-	return res.StatusCode, json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(reply)
+	doc, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
+	switch {
+	case err != nil:
+		return res.StatusCode, err
+	case len(doc) > maxReplyBytes:
+		return res.StatusCode, fmt.Errorf("over %d bytes", maxReplyBytes)
+	default:
+		return res.StatusCode, decode(doc)
+	}
+}
+
+// into returns a decoder of a whole document into v.
+func into(v any) func(doc []byte) error {
+	return func(doc []byte) error { return json.Unmarshal(doc, v) }
 }
 
 // Log implements [hollowgrade.Log].
@@ -81,37 +95,20 @@
 // Append implements [hollowgrade.Log].
 func (l *Log) Append(ctx context.Context, body []byte) (offset int64, err error) {
 	var r AppendReply
-	_, err = l.client.call(ctx, http.MethodPost, PathAppend, body, &r)
+	_, err = l.client.call(ctx, http.MethodPost, PathAppend, body, into(&r))
 	return r.Offset, err
 }
 
 // Read implements [hollowgrade.Log].
 func (l *Log) Read(ctx context.Context, from int64, limit int) (p hollowgrade.Page, err error) {
 	v := url.Values{"from": {strconv.FormatInt(from, 10)}, "limit": {strconv.Itoa(limit)}}
-	s, err := l.client.call(ctx, http.MethodGet, PathRead+"?"+v.Encode(), nil, &p)
+	s, err := l.client.call(ctx, http.MethodGet, PathRead+"?"+v.Encode(), nil, into(&p))
 	if err == nil && s == http.StatusGone {
 		err = hollowgrade.ErrTrimmed
 	}
 	return p, err
 }
 
-// Boxes implements [hollowgrade.Boxes].
-type Boxes struct {
-	client client
-}
-
-// NewBoxes returns a client for the box list at the base URL. A nil transport stands for the
-// default one.
-func NewBoxes(base string, t http.RoundTripper) *Boxes {
-	return &Boxes{client: newClient(base, t)}
-}
-
-// List implements [hollowgrade.Boxes].
-func (b *Boxes) List(ctx context.Context) (bs []hollowgrade.Box, err error) {
-	_, err = b.client.call(ctx, http.MethodGet, PathBoxes, nil, &bs)
-	return bs, err
-}
-
 // Weights implements [hollowgrade.WeightStore].
 type Weights struct {
 	client client
@@ -129,6 +126,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = w.client.call(ctx, http.MethodPost, PathFetch, b, &struct{}{})
+	_, err = w.client.call(ctx, http.MethodPost, PathFetch, b, into(&struct{}{}))
 	return err
 }
