standalone: an odd record does not hold up the log

Boxes would have stopped following the configuration: a page of the log was decoded as one document, so that one record that is of another type, nested too deeply, or has an offset beyond an int64 made the page unreadable with each read. (There was a line: "reading the log failed".)

Change: records are decoded one by one. One that cannot be decoded has the offset that follows from its place and no body, so the fold skips it like any other malformed record (HG5005), at all boxes alike.

--- a/standalone/entries.go
+++ b/standalone/entries.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 )
 
@@ -63,3 +64,26 @@
 	d.UseNumber()
 	return d
 }
+
+// eachField calls f with the name of each field of the object doc. F reads the field's value from the
+// decoder.
+func eachField(doc []byte, f func(name string, d *json.Decoder) error) error {
+	d := newDecoder(doc)
+	t, err := d.Token()
+	if err != nil {
+		return err
+	}
+	if t != json.Delim('{') {
+		return errors.New("it is not an object")
+	}
+	for d.More() {
+		if t, err = d.Token(); err != nil {
+			return err
+		}
+		if err = f(fmt.Sprint(t), d); err != nil {
+			return err
+		}
+	}
+	_, err = d.Token()
+	return err
+}
--- a/standalone/entries_test.go
+++ b/standalone/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
 )
 
 // nested is deeper than encoding/json decodes.
@@ -123,3 +126,26 @@
 		})
 	}
 }
+
+// Guards against boxes that stop following the log since one record of a page is odd.
+func TestOddRecordDoesNotHoldUpTheLog(t *testing.T) {
+	for name, odd := range map[string]string{
+		"a number":               `5`,
+		"null":                   `null`,
+		"a body of another type": `{"offset":8,"time":"2026-01-02T03:04:05Z","body":{}}`,
+		"an offset too large":    `{"offset":1e400,"time":"2026-01-02T03:04:05Z","body":""}`,
+		"no time":                `{"offset":8,"time":"soon","body":""}`,
+		"deeply nested":          nested,
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newList(t)
+			l.body.Store(`{"records":[{"offset":7,"body":"YQ=="},` + odd + `,{"offset":9,"body":"Yg=="}],"new":` + nested + `,"earliest":3,"next":10}`)
+			p, err := NewLog(l.URL, nil).Read(context.Background(), 7, 10)
+			require.NoError(t, err)
+			require.Equal(t, hollowgrade.Page{
+				Records:  []hollowgrade.Record{{Offset: 7, Body: []byte("a")}, {Offset: 8}, {Offset: 9, Body: []byte("b")}},
+				Earliest: 3, Next: 10,
+			}, p)
+		})
+	}
+}
--- a/standalone/standalone.go
+++ b/standalone/standalone.go
@@ -102,7 +102,11 @@
 // Read implements [hollowgrade.Log].
 func (l *Log) Read(ctx context.Context, from int64, limit int) (p hollowgrade.Page, err error) {
 	v := url.Values{"from": {strconv.FormatInt(from, 10)}, "limit": {strconv.Itoa(limit)}}
-	s, err := l.client.call(ctx, http.MethodGet, PathRead+"?"+v.Encode(), nil, into(&p))
+	decode := func(doc []byte) (err error) {
+		p, err = decodePage(doc, from)
+		return err
+	}
+	s, err := l.client.call(ctx, http.MethodGet, PathRead+"?"+v.Encode(), nil, decode)
 	if err == nil && s == http.StatusGone {
 		err = hollowgrade.ErrTrimmed
 	}
