config: a record that cannot be decoded leaves nothing behind

Callers with a key of an organisation whose record does not decode were let in without limits: the keys that had been decoded before the odd field led to an organisation that is not there, and so did those of a record that names another organisation. An event kept a part of its fields. A key range was given to the keeper whose name had been decoded.

Cause: encoding/json goes on after a field of another type, and add used what it had filled in beside the error.

Change: an organisation or event that does not decode is not used, nor an organisation under another name. A key range stays, with no keeper: without an entry it would count as one that never had a keeper, and the next one would grant keys at once, beside the last one's lease. The error has a line, as before.

--- a/config/config.go
+++ b/config/config.go
@@ -162,35 +162,63 @@
 	}
 }
 
+// add adds an item. One that is not used leaves nothing behind, but for a key range: without an entry it would
+// count as one that never had a keeper, whose next one need not wait for the lease of the last.
 func (c *Config) add(i fold.Item, previous *Config) (err error) {
 	switch i.Kind {
 	case OrganisationKind:
-		var o Organisation
-		o, err = decode(i, c.Organisations)
-		for _, k := range o.Keys {
-			c.byKey[k] = o.Name
-		}
+		err = c.addOrganisation(i)
 	case ModelKind:
 		_, err = decode(i, c.Models)
 	case ServiceKind:
 		_, err = decode(i, c.Services)
 	case EventKind:
-		var e Event
-		e, err = decode(i, c.Events)
-		e.Revision = i.Revision
-		c.Events[i.Name] = e
+		err = c.addEvent(i)
 	case ObjectiveKind:
 		_, err = decode(i, c.Objectives)
 	case KeyRangeKind:
-		var r KeyRange
-		err = json.Unmarshal(i.Body, &r)
-		c.KeyRanges[i.Name] = Range{KeyRange: r, Epoch: i.Revision}
+		err = c.addKeyRange(i)
 	case PolicyKind:
 		err = c.addPolicy(i, previous)
 	}
 	return err
 }
 
+func (c *Config) addOrganisation(i fold.Item) error {
+	var o Organisation
+	if err := json.Unmarshal(i.Body, &o); err != nil {
+		return err
+	}
+	if o.Name != i.Name {
+		return fmt.Errorf("its record names %.64q", o.Name)
+	}
+	c.Organisations[i.Name] = o
+	for _, k := range o.Keys {
+		c.byKey[k] = i.Name
+	}
+	return nil
+}
+
+func (c *Config) addEvent(i fold.Item) error {
+	e, err := decode(i, c.Events)
+	if err != nil {
+		return err
+	}
+	e.Revision = i.Revision
+	c.Events[i.Name] = e
+	return nil
+}
+
+func (c *Config) addKeyRange(i fold.Item) error {
+	var r KeyRange
+	err := json.Unmarshal(i.Body, &r)
+	if err != nil {
+		r = KeyRange{}
+	}
+	c.KeyRanges[i.Name] = Range{KeyRange: r, Epoch: i.Revision}
+	return err
+}
+
 func decode[T any](i fold.Item, into map[string]T) (v T, err error) {
 	if err = json.Unmarshal(i.Body, &v); err != nil {
 		return v, err
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hollowgrade/hollowgrade"
@@ -115,3 +117,63 @@
 		})
 	}
 }
+
+// putRaw publishes an item whose body no release of ours writes.
+func putRaw(t *testing.T, l hollowgrade.Log, kind, name, body string) {
+	t.Helper()
+	s, err := fold.Load(t.Context(), l)
+	require.NoError(t, err)
+	i, _ := s.Item(kind, name)
+	c, err := fold.NewChange(kind, name, i.Revision, json.RawMessage(body), uuid.NewString(), "another writer")
+	require.NoError(t, err)
+	_, err = fold.Publish(t.Context(), l, s, c)
+	require.NoError(t, err)
+}
+
+// Guards against what a record that cannot be decoded leaves behind: keys that lead to an organisation
+// without limits, an event without a period, a key range of the wrong keeper.
+func TestRecordThatCannotBeDecodedLeavesNothingBehind(t *testing.T) {
+	compile := func(t *testing.T, kind, name, body string) *Config {
+		t.Helper()
+		l := standin.NewLog(0, hollowgrade.SystemClock())
+		putRaw(t, l, kind, name, body)
+		publish(t, l, OrganisationKind, "other", Organisation{Name: "other", Keys: []string{KeyDigest("other")}})
+		c, es := loadAndCompile(t, l, nil)
+		require.Len(t, es, 1)
+		require.ErrorContains(t, es[0], kind+" "+name)
+		o, ok := c.Authenticate("other")
+		require.True(t, ok)
+		require.Equal(t, "other", o.Name)
+		return c
+	}
+	keys := `"keys":["` + KeyDigest("secret") + `"]`
+	for name, body := range map[string]string{
+		"a limit of another type":  `{"name":"o",` + keys + `,"max_requests":"5"}`,
+		"a limit too large":        `{"name":"o",` + keys + `,"max_tokens":1e400}`,
+		"a policy that is a list":  `{"name":"o",` + keys + `,"policy":[]}`,
+		"keys of which one is odd": `{"name":"o","keys":["` + KeyDigest("secret") + `",5]}`,
+		"the name of another one":  `{"name":"other",` + keys + `}`,
+		"no name":                  `{` + keys + `}`,
+	} {
+		t.Run("organisation with "+name, func(t *testing.T) {
+			c := compile(t, OrganisationKind, "o", body)
+			_, ok := c.Authenticate("secret")
+			require.False(t, ok)
+			require.Len(t, c.Organisations, 1)
+		})
+	}
+	t.Run("event with models of another type", func(t *testing.T) {
+		c := compile(t, EventKind, "e", `{"name":"e","starts":"2026-01-02T03:04:05Z","models":5}`)
+		require.Empty(t, c.Events)
+	})
+	for name, body := range map[string]string{
+		"an incarnation of another type": `{"owner":"a","incarnation":5,"first":true}`,
+		"an epoch too large":             `{"owner":"a","incarnation":"i","former":1e400}`,
+		"no fields":                      `5`,
+	} {
+		t.Run("key range with "+name+" has no keeper and was not free", func(t *testing.T) {
+			c := compile(t, KeyRangeKind, "0", body)
+			require.Equal(t, map[string]Range{"0": {Epoch: 1}}, c.KeyRanges)
+		})
+	}
+}
