internal/jsonlist: lists are read entry by entry by one package

Reading lists whose entries others may write moves out of package standalone, since the agent's reader of its engine's holdings needs the same. No behaviour changes.

--- a/standalone/boxes.go
+++ b/standalone/boxes.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/internal/jsonlist"
 )
 
 // Option configures [Boxes] and a [Directory].
@@ -65,7 +66,7 @@
 
 // decodeBoxes decodes the list. The entries that cannot be used are returned as errors.
 func decodeBoxes(doc []byte) (bs []hollowgrade.Box, unused []error, err error) {
-	err = eachEntry(newDecoder(doc), doc, func(e json.RawMessage) {
+	err = jsonlist.Each(doc, func(e json.RawMessage) {
 		b, err := decodeBox(e)
 		if err != nil {
 			unused = append(unused, fmt.Errorf("entry %.64q: %w", e, err))
