upstream, agent: an odd allocation of an engine leaves the others

Callers: an engine beside which one allocation is not of our form (tokens of another type, 1e400, nested too deeply, without an id) got no requests: its agent took it for one that does not answer, refused what was queued, and released no memory without a lease.

--- a/agent/memory.go
+++ b/agent/memory.go
@@ -175,6 +175,10 @@
 	if err == nil {
 		var held []hollowgrade.Allocation
 		held, err = a.engine.Holdings(ctx)
+		if errors.Is(err, hollowgrade.ErrUnusedEntries) {
+			a.log.Warn("holdings of the engine not used", "err", err)
+			err = nil
+		}
 		if err == nil {
 			a.reclaim(ctx, load, held)
 		}
--- a/engine.go
+++ b/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -16,7 +17,8 @@
 	Cancel(ctx context.Context, id string) error
 	// Load returns the engine's own load report, which may be out of date.
 	Load(ctx context.Context) (EngineLoad, error)
-	// Holdings lists all allocations of memory on the engine.
+	// Holdings lists all allocations of memory on the engine. With an error that wraps [ErrUnusedEntries]
+	// it returns those that can be used.
 	Holdings(ctx context.Context) ([]Allocation, error)
 	// Reserve reserves memory under an id for ttl.
 	Reserve(ctx context.Context, id string, tokens int, ttl time.Duration) error
@@ -81,6 +83,9 @@
 	ReservationAllocation AllocationKind = "reservation"
 )
 
+// ErrUnusedEntries means that a list had entries that cannot be used and were left out.
+var ErrUnusedEntries = errors.New("entries of the list cannot be used")
+
 // Allocation is memory that an engine has allocated under an id.
 type Allocation struct {
 	ID     string         `json:"id"`
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -18,6 +18,7 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
+	"github.com/hollowgrade/hollowgrade/internal/jsonlist"
 )
 
 // The paths of the engine's protocol.
@@ -166,24 +167,54 @@
 	return hollowgrade.EngineLoad(r), err
 }
 
-// Holdings implements [hollowgrade.Engine].
+// Holdings implements [hollowgrade.Engine]. The engine may serve others beside the agent, whose allocations
+// need not be of our form.
 func (e *Engine) Holdings(ctx context.Context) (hs []hollowgrade.Allocation, err error) {
-	err = e.call(ctx, PathHoldings, struct{}{}, &hs)
-	return hs, err
+	doc, err := e.callForReply(ctx, PathHoldings, struct{}{})
+	if err != nil {
+		return nil, err
+	}
+	unused := 0
+	err = jsonlist.Each(doc, func(b json.RawMessage) {
+		var h hollowgrade.Allocation
+		if json.Unmarshal(b, &h) != nil || h.ID == "" {
+			unused++
+			return
+		}
+		hs = append(hs, h)
+	})
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("decode holdings: %w", err)
+	case unused > 0:
+		return hs, fmt.Errorf("%w: %d of %d", hollowgrade.ErrUnusedEntries, unused, unused+len(hs))
+	default:
+		return hs, nil
+	}
+}
+
+// call makes a call and decodes its reply, if reply is not nil.
+func (e *Engine) call(ctx context.Context, path string, body, reply any) error {
+	doc, err := e.callForReply(ctx, path, body)
+	if err != nil || reply == nil {
+		return err
+	}
+	return json.Unmarshal(doc, reply)
 }
 
-func (e *Engine) call(ctx context.Context, path string, body, reply any) (err error) {
+// callForReply makes a call and returns its whole reply.
+func (e *Engine) callForReply(ctx context.Context, path string, body any) (doc []byte, err error) {
 	defer errs.Annotate(&err, "engine call %s", path)
 	res, err := e.post(ctx, path, body)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer res.Body.Close()
-	if reply == nil {
-		_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxReplyBytes))
-		return err
+	doc, err = io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
+	if err == nil && len(doc) > maxReplyBytes {
+		err = fmt.Errorf("reply of over %d bytes", maxReplyBytes)
 	}
-	return json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(reply)
+	return doc, err
 }
 
 func (e *Engine) post(ctx context.Context, path string, body any) (res *http.Response, err error) {
