internal/node: odd entries of all lists that a gateway reads, as tests

The users' report on odd entries, at the gateway: registry, list of gateways, blocked requests; nested deeper than encoding/json decodes, numbers beyond all types, ports out of range, and the largest figures that are valid.

--- a/internal/node/entries_test.go
+++ b/internal/node/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,9 @@
 	"github.com/hollowgrade/hollowgrade/platform/platformtest"
 )
 
+// deeplyNested is deeper than encoding/json decodes.
+var deeplyNested = strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+
 // invalidEntries returns invalid entries of another writer, with the address of an upstream that
 // would answer.
 func invalidEntries(w *platformtest.Worker) map[string][]byte {
@@ -19,6 +23,10 @@
 		return []byte(strings.Replace(e, old, n, 1))
 	}
 	return map[string][]byte{
+		"nested":     with(`"slots"`, `"tags":`+deeplyNested+`,"slots"`),
+		"too-large":  with(`"slots":4`, `"slots":1e400`),
+		"too-cold":   with(`"coldLeftMs":0`, `"coldLeftMs":1e400`),
+		"port":       with(w.Address(), "127.0.0.1:65536"),
 		"resting":    with("ready", "resting"),
 		"stateless":  with(`"state":"ready",`, ""),
 		"unborn":     with(`"slots"`, `"born":"soon","slots"`),
@@ -62,18 +70,34 @@
 		before := g.members.count()
 		s.store.Put("keyed.members", "strange", []byte(`{"peers":7}`))
 		s.store.Put("keyed.members", "text", []byte("nowhere"))
+		s.store.Put("keyed.members", "port", []byte(`{"peers":"127.0.0.1:65536"}`))
+		s.store.Put("keyed.members", "large", []byte(`{"peers":"127.0.0.1:1","link_mbps":1e400}`))
+		s.store.Put("keyed.members", "nested", []byte(`{"peers":"127.0.0.1:1","tags":`+deeplyNested+`}`))
 		s.store.Put("keyed.members", g.Box.Name, []byte("x"))
 		require.Eventually(t, func() bool { return strings.Contains(s.store.Value("keyed.members", g.Box.Name), g.peersAddress) }, 20*time.Second, 5*time.Millisecond)
 		require.Equal(t, before, g.members.count())
 	})
 	t.Run("among held requests hold none", func(t *testing.T) {
-		for key, v := range map[string]string{"x": "{}", strings.Repeat("ab", 16): `{"since":1}`, strings.Repeat("cd", 16): "\xff"} {
+		odd := []string{`{"since":1}`, "\xff", `{"since":1e400}`, deeplyNested, `{"since":` + deeplyNested + `}`}
+		s.store.Put("keyed.held", "x", []byte("{}"))
+		for i, v := range odd {
+			key := strings.Repeat(fmt.Sprint("a", i), 16)
 			s.store.Put("keyed.held", key, []byte(v))
 		}
 		before := g.unused.Load()
 		require.Eventually(t, func() bool {
-			return g.unused.Load() >= before && strings.Count(g.log.String(), `"msg":"held request not used"`) == 3
+			return g.unused.Load() >= before && strings.Count(g.log.String(), `"msg":"held request not used"`) == len(odd)+1
 		}, 20*time.Second, time.Millisecond)
 		require.Empty(t, g.Core.Quarantine().Blocks())
 	})
+	t.Run("with the largest figures end no process", func(t *testing.T) {
+		s.store.Put("keyed.servers", "large", fmt.Appendf(nil, `{"service":"s","address":"%s","zone":"z1","version":"v1",`+
+			`"slots":%d,"state":"ready","coldLeftMs":1e300,"callSeq":%[2]d,"born":%[2]d}`, other.Address(), math.MaxInt64))
+		require.Eventually(t, func() bool { return g.Core.Fleet().Count("s") == 2 }, 20*time.Second, time.Millisecond)
+		for i := range 50 {
+			st, _, err := g.call(t, "/once/x", fmt.Sprint("b", i), "k1")
+			require.NoError(t, err)
+			require.Equal(t, 200, st)
+		}
+	})
 }
