platform: a stream without a length that ends before its first event is not whole

Callers got 200 with an empty body, framed as whole (MIXED), where an upstream had ended between the head of an event stream without a length and its first event.

Cause: such an answer ends with its connection, and a process that ends closes its connection like one that is done. A stream that had brought nothing but comments was not taken for whole; one that had brought nothing at all was.

--- a/internal/node/unframed_test.go
+++ b/internal/node/unframed_test.go
@@ -35,4 +35,18 @@
 		require.Error(t, err)
 		require.Equal(t, stream(3), b)
 	})
+	t.Run("are taken up at another upstream if they end before their first event", func(t *testing.T) {
+		s := newFixture(t, platformtest.UnframedStream(0, 0), platformtest.Stream(eventCount, 0))
+		for i := range 8 {
+			st, b, err := s.gateway.call(t, "/stream/x", fmt.Sprint("d", i), "k1")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, st)
+			require.Equal(t, stream(eventCount), b)
+		}
+	})
+	t.Run("are no empty answers if they end before their first event and nothing can take them up", func(t *testing.T) {
+		s := newFixture(t, platformtest.UnframedStream(0, 0))
+		st, b, err := s.gateway.call(t, "/once/x", "e", "k1")
+		require.True(t, err != nil || st == http.StatusBadGateway, "status %d, %q", st, b)
+	})
 }
