callers: a planned stop counts the time for which its machine was suspended

Callers of a box that was suspended during its planned stop had their connections ended without an answer: the stop went on for as long as it had left before, and the platform, whose grace goes on, ended the process first. Calls were still passed on in that time as well.

Cause: when requests are cancelled, how much time is left, and the end of the linger were told on the steady clock, which leaves suspensions out, while deadlines of calls are told on the clock that has them.

Change: all times of a stop are on the server's clock, and the linger looks at it every 20 ms, as the wait for connections does.

--- a/callers/server.go
+++ b/callers/server.go
@@ -28,6 +28,8 @@
 	crowdedShare = 0.75
 	// maxIdleLimits is how many idle limits are remembered; older ones count as the oldest of them.
 	maxIdleLimits = 32
+	// stopInterval is how often a planned stop looks at its times and at the open connections.
+	stopInterval = 20 * time.Millisecond
 	// limitsInterval is how often the limits are looked at for changes.
 	limitsInterval = 250 * time.Millisecond
 	// maxHeaderBytes bounds the headers that are read before the handler applies the published
@@ -175,21 +177,21 @@
 	if at == nil {
 		return p, false
 	}
-	return hollowgrade.PlannedStop{Left: time.Until(*at), Accepting: s.draining() == nil}, true
+	return hollowgrade.PlannedStop{Left: s.clock.Until(*at), Accepting: s.draining() == nil}, true
 }
 
 // Stop implements [kernel.Service]. It goes on serving until the balancer sends callers elsewhere,
 // and its answers ask callers to close their connections. Then it accepts nothing new, closes
 // connections as they become idle and waits for the others, for as long as ctx lasts.
 func (s *Server) Stop(ctx context.Context) error {
-	cancelAt := finalAnswersAt(ctx)
+	cancelAt := s.finalAnswersAt(ctx)
 	if !cancelAt.IsZero() {
 		s.cancelAt.Store(&cancelAt)
 	}
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
-	hollowgrade.Sleep(ctx, s.clock, s.lingerBefore(cancelAt))
+	s.lingerBefore(ctx, cancelAt)
 	_ = s.listener.Close()
 	s.cancel()
 	s.group.Wait()
@@ -199,13 +201,16 @@
 	return err
 }
 
-// lingerBefore returns for how long a stop that cancels requests at cancelAt goes on accepting
-// connections. It leaves as much time to close them as there is for final answers.
-func (s *Server) lingerBefore(cancelAt time.Time) time.Duration {
-	if cancelAt.IsZero() {
-		return s.linger()
+// lingerBefore goes on accepting connections until the linger is over. A stop that cancels requests at cancelAt
+// leaves as much time to close them as there is for final answers. A machine that was suspended meanwhile
+// lingers no longer for it.
+func (s *Server) lingerBefore(ctx context.Context, cancelAt time.Time) {
+	d := s.linger()
+	if !cancelAt.IsZero() {
+		d = min(d, FinalAnswersAfter(s.clock.Until(cancelAt)))
+	}
+	for end := s.clock.Now().Add(d); d > 0 && hollowgrade.Sleep(ctx, s.clock, min(d, stopInterval)); d = s.clock.Until(end) {
 	}
-	return min(s.linger(), FinalAnswersAfter(time.Until(cancelAt)))
 }
 
 // FinalAnswersAfter returns how long after the begin of a planned stop that may take d the requests
@@ -214,15 +219,14 @@
 	return d - min(maxFinalAnswerTime, d/finalAnswerShare)
 }
 
-// finalAnswersAt returns when the requests that are still open are cancelled in a stop that begins
-// now, the zero time if ctx has no end.
-func finalAnswersAt(ctx context.Context) time.Time {
+// finalAnswersAt returns when, on the server's clock, the requests that are still open are cancelled in a stop
+// that begins now, the zero time if ctx has no end.
+func (s *Server) finalAnswersAt(ctx context.Context) time.Time {
 	end, bounded := ctx.Deadline()
 	if !bounded {
 		return time.Time{}
 	}
-	now := time.Now()
-	return now.Add(FinalAnswersAfter(end.Sub(now)))
+	return s.clock.Now().Add(FinalAnswersAfter(time.Until(end)))
 }
 
 // drainTimes are the times of a planned stop that closes connections, on the server's clock.
@@ -241,9 +245,8 @@
 	now := s.clock.Now()
 	t := &drainTimes{headsUntil: now.Add(drainHeadTimeout)}
 	if !cancelAt.IsZero() {
-		left := time.Until(cancelAt)
-		t.headsUntil = earlier(t.headsUntil, now.Add(left/drainHeadShare))
-		t.cancelAt = now.Add(left)
+		t.headsUntil = earlier(t.headsUntil, now.Add(cancelAt.Sub(now)/drainHeadShare))
+		t.cancelAt = cancelAt
 	}
 	s.drain.Store(t)
 	s.recheck()
@@ -258,17 +261,16 @@
 // requests that are still open are cancelled with [hollowgrade.ErrStopping] as the cause. From then
 // on, no body is waited for.
 func (s *Server) closeAll(ctx context.Context, cancelAt time.Time) error {
-	const pollInterval = 20 * time.Millisecond
 	s.beginDrain(cancelAt)
 	for s.Connections() > 0 {
-		if !cancelAt.IsZero() && time.Now().After(cancelAt) && s.baseContext.Err() == nil {
+		if !cancelAt.IsZero() && s.clock.Now().After(cancelAt) && s.baseContext.Err() == nil {
 			s.log.Warn("cancelled the requests that were still open", "requests", s.Active(), "why", "the time of the stop is over")
 			s.cancelRequests(hollowgrade.ErrStopping)
 		}
 		if s.baseContext.Err() != nil {
 			s.endBodies()
 		}
-		if !s.awaitClosed(ctx, pollInterval) {
+		if !s.awaitClosed(ctx, stopInterval) {
 			return s.giveUp(ctx)
 		}
 	}
--- a/callers/stop_test.go
+++ b/callers/stop_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+
+	"github.com/hollowgrade/hollowgrade"
 )
 
 const (
@@ -206,3 +210,40 @@
 	_, again = (&conn{server: s, since: now}).extend(now.Add(time.Millisecond), lastReadTime)
 	require.False(t, again)
 }
+
+// Guards against a planned stop that counts on time which has passed while its machine was suspended: the
+// platform ends the process before its open requests have their final answers.
+func TestPlannedStopOfAMachineThatIsSuspended(t *testing.T) {
+	for name, lingers := range map[string]time.Duration{"while it lingers": longLinger, "while it waits": 0} {
+		t.Run(name, func(t *testing.T) {
+			begun, lost := time.Now(), atomic.Int64{}
+			k := hollowgrade.NewWorldClock(hollowgrade.WithBootClock(func() (time.Duration, error) {
+				return time.Since(begun) + time.Duration(lost.Load()), nil
+			}))
+			s, a := start(t, func(w http.ResponseWriter, r *http.Request) {
+				<-r.Context().Done()
+				if errors.Is(context.Cause(r.Context()), hollowgrade.ErrStopping) {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			}, linger(lingers), WithClock(k))
+			c, in := dial(t, a)
+			fmt.Fprint(c, request)
+			require.Eventually(t, func() bool { return s.Active() == 1 }, longStop, time.Millisecond)
+			stopped := make(chan error, 1)
+			go func() { stopped <- stopWithin(s, longStop) }()
+			time.Sleep(longStop / 10)
+			lost.Store(int64(longStop))
+			resumed := time.Now()
+			require.Eventually(t, func() bool {
+				p, ok := s.PlannedStop()
+				return ok && p.Left < 0
+			}, longStop/10, time.Millisecond)
+			r, err := http.ReadResponse(in, nil)
+			require.NoError(t, err)
+			require.NoError(t, r.Body.Close())
+			require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+			require.NoError(t, <-stopped)
+			require.Less(t, time.Since(resumed), longStop/10)
+		})
+	}
+}
