core: a call at an upstream that hangs ends once no other one takes it

Callers of calls that may run again waited for all of their time (5.15 s) where their upstream hung for good and the other one had refused or failed at two attempts: the refusal counts as an attempt, so that none was left, and the silent one was kept to the end.

Change: if no attempt or no untried upstream is left, another one was asked and failed, the caller has nothing yet, and the silent one has sent nothing to any call of this gateway for two stall timeouts (1.8 s or six goals for plain calls, 1.1 times the gap after which a caller gives a stream up), the call ends with 502, which says that it may have run. The caller can ask again in the time that is left. An upstream that goes on after a second or so, or that answers other calls meanwhile, is waited for as before; so is one beside which no other one was asked. What the upstream sends in the moment of the decision is not passed on after it. Parts of plain answers count as signs of life of an upstream now.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -46,14 +46,16 @@
 
 // run opens the exchange and passes its answer on.
 func (a *attempt) run(ctx context.Context) error {
-	w := newWatchdog(a.flow.core.clock, a.stallTimeout(), func() bool {
-		a.flow.startBeside(a)
+	s, stall := a.sending(), a.stallTimeout()
+	sent := a.sent
+	w := newWatchdog(a.flow.core.clock, stall, func() bool {
+		a.flow.handleSilence(a, sent, silentStalls*stall)
 		return false
 	})
 	defer w.stop()
 	a.stopOverdueTimer = a.startOverdueTimer()
 	defer a.stopOverdueTimer()
-	x, err := a.flow.core.exchanger.Open(ctx, a.sending())
+	x, err := a.flow.core.exchanger.Open(ctx, s)
 	if err != nil {
 		return cause(ctx, err)
 	}
@@ -104,6 +106,8 @@
 		return fault.New(fault.DeadlinePassed, "the allowed time passed before the call could be sent").WithOutcome(hollowgrade.NotRun)
 	case errors.Is(err, hollowgrade.ErrNotSent):
 		return fault.New(fault.UpstreamLost, "upstream %s could not be reached", id).WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetryAfter)
+	case errors.Is(err, errUnresponsive):
+		return fault.New(fault.UpstreamLost, "upstream %s is silent, and no other one took the call", id).WithOutcome(hollowgrade.Unknown)
 	case errors.Is(err, errOvertaken):
 		return fault.New(fault.UpstreamLost, "another upstream answered before %s", id).WithOutcome(hollowgrade.Unknown)
 	case errors.Is(err, errOutOfTime):
@@ -135,6 +139,7 @@
 			return err
 		}
 		if a.head.Success() {
+			f.core.fleet.recordActivity(a.pick.member)
 			d.reset(a.stallTimeout())
 		}
 		w.body = append(w.body, p.Data)
--- a/core/race.go
+++ b/core/race.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/fault"
@@ -14,8 +15,16 @@
 // only when something better has come. A race is one attempt and those that were started beside it:
 // each is a runner, and the first runner that has something for the caller ends the others.
 
-// errOvertaken is why the runners that lost are ended.
-var errOvertaken = errors.New("another upstream answered first")
+var (
+	// errOvertaken is why the runners that lost are ended.
+	errOvertaken = errors.New("another upstream answered first")
+	// errUnresponsive is why the last runner is ended although no other one has an answer.
+	errUnresponsive = errors.New("the upstream is silent, and no other one takes the call")
+)
+
+// silentStalls is after how many stall timeouts without a sign of life an upstream is not waited for any longer
+// if no other one takes the call. A sound one may be silent for longer than one of them.
+const silentStalls = 2
 
 // race is the attempts of a flow that run at the same time. Its lock also guards what attempts change in
 // their flow before they have won.
@@ -166,18 +175,44 @@
 	return t
 }
 
-// startBeside starts a runner beside a silent one if that is the latest and another attempt is possible:
-// there are attempts left, another upstream, and a retry in the budget.
-func (f *flow) startBeside(a *attempt) {
+// handleSilence makes another attempt beside a silent one, or ends the call if no other upstream takes it and
+// this one has sent nothing to any call for the given time since it was sent this one: its caller can then ask
+// again in the time that is left.
+func (f *flow) handleSilence(a *attempt, sent time.Time, limit time.Duration) {
 	r := f.race
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.runners[len(r.runners)-1] != a.runner || a.runner.lost || !f.takeAttempt() {
-		return
+	switch {
+	case a.runner.lost || r.runners[len(r.runners)-1] != a.runner:
+	case f.takeAttempt():
+		f.startBeside(a)
+	case f.refusedElsewhere() && f.silentFor(a.pick.upstream(), sent) >= limit:
+		f.core.log.Info("given up", "request", f.call.ID, "upstream", a.pick.upstream().ID, "why", "it is silent, and no other one took the call")
+		a.runner.lost = true // what comes now is not passed on
+		a.runner.cancel(errUnresponsive)
 	}
+}
+
+// startBeside starts a runner beside a silent one, for which an attempt was taken. The lock is held.
+func (f *flow) startBeside(a *attempt) {
 	f.core.fleet.recordFailure(a.pick.member, f.call.ID, "silent")
-	u := r.begin()
-	r.group.Go(func() { f.runBeside(u) })
+	u := f.race.begin()
+	f.race.group.Go(func() { f.runBeside(u) })
+}
+
+// refusedElsewhere reports whether only one runner is left, no attempt is, others have failed, and the caller
+// has nothing yet. The lock is held.
+func (f *flow) refusedElsewhere() bool {
+	r := f.race
+	if f.first > 0 || len(r.runners) > 1 || r.left > 0 && f.core.fleet.hasUntried(f.service.Name, f.tried) {
+		return false
+	}
+	return slices.ContainsFunc(r.results, func(o result) bool { return o.sent() })
+}
+
+// silentFor returns for how long an upstream that was sent a call has sent nothing to any call.
+func (f *flow) silentFor(u hollowgrade.Upstream, sent time.Time) time.Duration {
+	return f.core.clock.Since(hollowgrade.Later(sent, f.core.fleet.lastActivity(u.Instance())))
 }
 
 // takeAttempt reports whether another attempt is possible, and takes a retry out of the budget for it. The
--- a/core/race_test.go
+++ b/core/race_test.go
@@ -330,3 +330,55 @@
 	s.last = now
 	return s.fakeSink.Part(b)
 }
+
+// Guards against a caller that waits for all of its time at an upstream that hangs, though no other one takes
+// its call and it could ask again.
+func TestCallAtAnUpstreamThatHangsEndsOnceNoOtherTakesIt(t *testing.T) {
+	run := func(name string, f func(t *testing.T)) {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, f) })
+	}
+	const never = time.Hour
+	// requireGivenUp serves a call and checks that it ends soon, and is not said not to have run.
+	requireGivenUp := func(t *testing.T, path string, limit time.Duration, rs ...reply) {
+		t.Helper()
+		begin := time.Now()
+		_, x := serveRace(t, path, &fakeSink{}, rs...)
+		require.NotNil(t, x)
+		require.NotEqual(t, hollowgrade.NotRun, x.Outcome, "the silent one may run it")
+		require.LessOrEqual(t, time.Since(begin), limit)
+	}
+	run("the other refuses", func(t *testing.T) {
+		requireGivenUp(t, "/again/", silentStalls*plainStall, plainAfter(never, status(200, "first")), shed)
+	})
+	run("the other fails", func(t *testing.T) {
+		requireGivenUp(t, "/again/", silentStalls*plainStall, plainAfter(never, status(200, "first")), broken)
+	})
+	run("the others refuse a stream", func(t *testing.T) {
+		requireGivenUp(t, "/resume/", callerGap*11/10, plainAfter(never, events(1, 3, io.EOF)), shed, shed)
+	})
+	run("one that goes on after a second or so is waited for", func(t *testing.T) {
+		var s fakeSink
+		_, x := serveRace(t, "/again/", &s, plainAfter(brief, status(200, "first")), shed)
+		require.Nil(t, x)
+		require.Equal(t, "first", s.body.String())
+	})
+	run("one that answers other calls meanwhile is waited for", func(t *testing.T) {
+		f := &fakeUpstreams{replies: []reply{plainAfter(3*time.Second, status(200, "first")), shed}}
+		c := newCore(f)
+		go func() {
+			for range 6 {
+				time.Sleep(500 * time.Millisecond)
+				m := c.Fleet().members[f.sentCalls()[0].Upstream.Instance()]
+				c.Fleet().recordActivity(m)
+			}
+		}()
+		var s fakeSink
+		require.NoError(t, c.Serve(context.Background(), call("/again/"), &s))
+		require.Equal(t, "first", s.body.String())
+	})
+	run("one that nobody was asked beside is waited for", func(t *testing.T) {
+		var s fakeSink
+		_, x := serveRace(t, "/once/", &s, plainAfter(4*time.Second, status(200, "first")))
+		require.Nil(t, x)
+	})
+}
