core: in a planned stop a call's own length counts, not that of its route's others

Callers of calls that are much longer than others of their route had them passed on during the linger of a planned stop and cut at its end (LOST, in the last sixth of the grace): the expected time was that of whole answers of the route.

Change: for streams whose call says how many tokens it allows, a gateway remembers the time until the first event and the time for each token after it, by route, as for whole answers. What is expected of a call is its predicted first event, or that of its route's others where nothing is predicted, and the time of its own tokens; of a continued stream, less what the caller has had time to get.

Measured: TestCallThatIsLongerThanOthersOfItsRouteIsRefusedInAPlannedStop: a call of ten times the tokens was sent with 5 s left before, and is refused now (503, not run); one like the others, and a long one with 15 s left, are sent in both.

--- a/core/flow.go
+++ b/core/flow.go
@@ -208,13 +208,22 @@
 	f.recordOutcome(ctx, a, err)
 	if err == nil {
 		if a.head.Success() && !continues {
-			f.core.durations.record(f.route.Name, f.core.clock.Since(a.sent))
+			f.recordDuration(a)
 		}
 		return Try{Placed: true}
 	}
 	return f.classifyFailure(a, err)
 }
 
+// recordDuration records how long an attempt took that brought a whole answer.
+func (f *flow) recordDuration(a *attempt) {
+	now, tokens := f.core.clock.Now(), 0
+	if a.head.Stream && a.answerBegan {
+		tokens = f.call.MaxTokens
+	}
+	f.core.durations.record(f.route.Name, now.Sub(a.sent), now.Sub(a.begunAt), tokens)
+}
+
 // prepare waits for the engines and reserves memory between the pick of an attempt and its sending.
 // It fails if an upstream has begun to leave meanwhile. NoMemory is how many attempts of the call have failed
 // for want of memory.
--- a/core/stop.go
+++ b/core/stop.go
@@ -33,12 +33,22 @@
 // which the first event is predicted after the other, 0 if nothing is known. What the caller has of a stream
 // is not sent again.
 func (f *flow) expectedTime(hold, first time.Duration) time.Duration {
-	d := f.core.durations.expected(f.route.Name)
-	if !f.headSent {
-		return max(first, hold+d)
+	e := f.core.durations.estimates(f.route.Name)
+	streamed := time.Duration(0)
+	if f.headSent {
+		streamed = f.core.clock.Since(f.call.Arrived) - f.first
 	}
-	streamed := f.core.clock.Since(f.call.Arrived) - f.first
-	return first + max(d-streamed, 0)
+	// Calls of one route may differ in length by far, so what a call says of its own goes first.
+	if t := time.Duration(f.call.MaxTokens); t > 0 && e.perToken.known {
+		if first <= 0 {
+			first = hold + e.first.most()
+		}
+		return first + max(t*e.perToken.most()-streamed, 0)
+	}
+	if f.headSent {
+		return first + max(e.whole.most()-streamed, 0)
+	}
+	return max(first, hold+e.whole.most())
 }
 
 // The weights of a new sample in the mean and in the mean deviation, and the number of deviations above the
@@ -55,38 +65,66 @@
 // durations estimates how long attempts take that bring a whole answer, by route. It is safe for concurrent use.
 type durations struct {
 	mu      sync.Mutex
-	byRoute map[string]durationEstimate
+	byRoute map[string]routeDurations
 }
 
-type durationEstimate struct {
-	mean, deviation time.Duration
+// routeDurations are the estimates of one route.
+type routeDurations struct {
+	whole    estimate // of a whole answer
+	first    estimate // until the first event of a stream
+	perToken estimate // from then on, for each token that the call of a stream allows
 }
 
 func newDurations() *durations {
-	return &durations{byRoute: map[string]durationEstimate{}}
+	return &durations{byRoute: map[string]routeDurations{}}
 }
 
-// record adds the duration of an attempt that brought a whole answer, from its first byte on.
-func (d *durations) record(route string, took time.Duration) {
+// record adds an attempt that brought a whole answer. For a stream whose call says how many tokens it allows,
+// streamed is how much of the time came after its first event.
+func (d *durations) record(route string, took, streamed time.Duration, tokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e, known := d.byRoute[route]
+	r, known := d.byRoute[route]
 	if !known && len(d.byRoute) >= maxEstimates {
 		clear(d.byRoute) // configurations may rename their routes again and again
 	}
-	if !known {
-		d.byRoute[route] = durationEstimate{mean: took, deviation: took / 2}
-		return
+	r.whole = r.whole.with(took)
+	if tokens > 0 {
+		r.first = r.first.with(took - streamed)
+		r.perToken = r.perToken.with(streamed / time.Duration(tokens))
 	}
-	e.deviation += time.Duration(deviationWeight * float64((took-e.mean).Abs()-e.deviation))
-	e.mean += time.Duration(meanWeight * float64(took-e.mean))
-	d.byRoute[route] = e
+	d.byRoute[route] = r
 }
 
-// expected returns how long attempts on a route take at the most, as far as known.
-func (d *durations) expected(route string) time.Duration {
+// estimates returns what is known of a route.
+func (d *durations) estimates(route string) routeDurations {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e := d.byRoute[route]
+	return d.byRoute[route]
+}
+
+// expected returns how long attempts on a route take at the most, as far as known.
+func (d *durations) expected(route string) time.Duration {
+	return d.estimates(route).whole.most()
+}
+
+// estimate is a mean and a mean deviation of samples. The zero value knows nothing.
+type estimate struct {
+	mean, deviation time.Duration
+	known           bool
+}
+
+// with returns the estimate with another sample.
+func (e estimate) with(d time.Duration) estimate {
+	if !e.known {
+		return estimate{mean: d, deviation: d / 2, known: true}
+	}
+	e.deviation += time.Duration(deviationWeight * float64((d-e.mean).Abs()-e.deviation))
+	e.mean += time.Duration(meanWeight * float64(d-e.mean))
+	return e
+}
+
+// most returns the greatest value that is expected, 0 if nothing is known.
+func (e estimate) most() time.Duration {
 	return e.mean + deviations*e.deviation
 }
--- a/core/stop_test.go
+++ b/core/stop_test.go
@@ -218,3 +218,50 @@
 		})
 	})
 }
+
+// stoppingAfter returns an option for a planned stop that begins when the returned function is called and
+// leaves d.
+func stoppingAfter(d time.Duration, accepting bool) (o Option, begin func()) {
+	var end time.Time
+	o = WithPlannedStop(func() (hollowgrade.PlannedStop, bool) {
+		return hollowgrade.PlannedStop{Left: time.Until(end), Accepting: accepting}, !end.IsZero()
+	})
+	return o, func() { end = time.Now().Add(d) }
+}
+
+// Guards against calls that a planned stop cuts since the others of their route are far shorter.
+func TestCallThatIsLongerThanOthersOfItsRouteIsRefusedInAPlannedStop(t *testing.T) {
+	const calls, shortTokens, longTokens, pause = 20, 100, 1000, 100 * time.Millisecond
+	withTokens := func(n int) hollowgrade.Call {
+		k := call("/resume/")
+		k.MaxTokens = n
+		return k
+	}
+	run := func(name string, left time.Duration, tokens int, do func(t *testing.T, err error, sent int)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o, begin := stoppingAfter(left, true)
+				f := &fakeUpstreams{replies: []reply{slowEvents(1, 10, pause, io.EOF)}}
+				c := newCore(f, o)
+				for range calls {
+					require.NoError(t, c.Serve(context.Background(), withTokens(shortTokens), &fakeSink{}))
+				}
+				begin()
+				err := c.Serve(context.Background(), withTokens(tokens), &fakeSink{})
+				do(t, err, len(f.sentCalls())-calls)
+			})
+		})
+	}
+	run("a long one", 5*time.Second, longTokens, func(t *testing.T, err error, sent int) {
+		requireFault(t, fault.As(err, hollowgrade.Unknown), fault.Draining, hollowgrade.NotRun)
+		require.Zero(t, sent)
+	})
+	run("not one like the others", 5*time.Second, shortTokens, func(t *testing.T, err error, sent int) {
+		require.NoError(t, err)
+		require.Equal(t, 1, sent)
+	})
+	run("not a long one for which there is time", 15*time.Second, longTokens, func(t *testing.T, err error, sent int) {
+		require.NoError(t, err)
+		require.Equal(t, 1, sent)
+	})
+}
