core: a second attempt of which nothing is known is not made after the linger

Callers whose first attempt was refused by an upstream after the linger of a planned stop had their call sent to another one and cut by the stop, where nothing was known yet of how long their route takes: right after a start, or on a new route.

Change: then a further attempt of a call that has not run is treated like a first one. It is made only if the time that its caller and route allow ends before the stop does; the caller is sent elsewhere otherwise (503, not run). One of a call that may have run is made as before, since its caller would only be told of a failure.

--- a/core/flow.go
+++ b/core/flow.go
@@ -64,6 +64,7 @@
 	race         *race // of the current attempt
 
 	noMemory     int                           // attempts that failed for want of free memory
+	mayHaveRun   atomic.Bool                   // whether an upstream may have run the call
 	retryPaid    atomic.Bool                   // whether the next retry is already taken out of the budget
 	tried        map[hollowgrade.Instance]bool // instances that were picked for the call
 	upstreams    []string                      // the same, in order
@@ -324,6 +325,9 @@
 	t := Try{Placed: true, Free: errors.Is(err, hollowgrade.ErrNotSent)}
 	x := a.fault(err)
 	t.Err = x
+	if x.Outcome != hollowgrade.NotRun {
+		f.mayHaveRun.Store(true)
+	}
 	var o *hollowgrade.OversizeError
 	if errors.As(err, &o) {
 		f.recordOversize(Oversize{Upstream: a.pick.upstream().Instance(), Place: o.Place})
--- a/core/stop.go
+++ b/core/stop.go
@@ -12,13 +12,14 @@
 // take the given time. The attempts of a call are counted from 1.
 //
 // While new connections are accepted, callers have not been sent elsewhere yet, so the expected time decides.
-// After that, a first attempt is made only if it is certain to end in time.
+// After that, a call that has not run is only sent if it is certain to end in time, unless a further attempt
+// of it is known to take less.
 func (f *flow) checkStop(attempt int, expected time.Duration) error {
 	s, stopping := f.core.plannedStop()
 	if !stopping {
 		return nil
 	}
-	if !s.Accepting && attempt == 1 {
+	if !s.Accepting && !f.mayHaveRun.Load() && (attempt == 1 || !f.core.durations.estimates(f.route.Name).whole.known) {
 		expected = f.deadline.Sub(f.core.clock.Now()) + answerGrace
 	}
 	if expected <= s.Left {
