entry: requests that are open at the end of a planned stop are answered

Callers whose request was open at the end of an entry's planned stop had their connection ended without an answer.

Cause: the entry waited for open requests until the time of the stop was over and stopped its server for callers only then, which cancels open requests some time before its end, and had none left.

Change: the server's part of the stop begins after the linger, as at gateways. Runs under a key go on without their callers until the end, as before; their callers' connections are still ended without an answer then.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -213,6 +213,10 @@
 		o = hollowgrade.Failed
 	}
 	switch {
+	case errors.Is(context.Cause(ctx), hollowgrade.ErrStopping) && o == hollowgrade.NotRun:
+		return fault.New(fault.Draining, "entry %s is being stopped", e.box.Name).WithRetryAfter(shortRetryAfter)
+	case errors.Is(context.Cause(ctx), hollowgrade.ErrStopping):
+		return fault.New(fault.UpstreamLost, "entry %s is being stopped, and agent %s has not answered", e.box.Name, l.box.Name).WithOutcome(o)
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return fault.New(fault.DeadlinePassed, "the allowed time passed").WithOutcome(o)
 	case ctx.Err() != nil:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -187,29 +188,32 @@
 
 // Stop implements [kernel.Service]. First the entry reports itself not ready and goes on serving,
 // since the balancer sends requests until it has noticed. Then it refuses new requests and finishes
-// the open ones, for as long as ctx lasts.
+// the open ones. Shortly before ctx ends, those that are still open are cancelled, so that their callers get
+// an answer.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.linger(ctx)
 	e.Drain()
-	var err error
+	err := e.callers.Stop(ctx)
 	select {
 	case <-e.idle:
 	case <-ctx.Done():
-		err = ctx.Err()
+		err = errors.Join(err, ctx.Err())
 	}
 	e.cancel()
-	if e := e.callers.Stop(ctx); err == nil {
-		err = e
-	}
 	e.group.Wait()
 	return err
 }
 
+// linger goes on serving, at most until a planned stop cancels what is open.
 func (e *Entry) linger(ctx context.Context) {
+	d := e.limits.Linger
+	if end, bounded := ctx.Deadline(); bounded {
+		d = min(d, callers.FinalAnswersAfter(time.Until(end)))
+	}
 	e.mu.Lock()
 	e.lingering = true
 	e.mu.Unlock()
-	hollowgrade.Sleep(ctx, e.clock, e.limits.Linger)
+	hollowgrade.Sleep(ctx, e.clock, d)
 }
 
 // Drain makes the entry refuse new requests and report itself not ready, so that the balancer sends
