entry: requests that a planned stop would cut are refused during its linger

Callers of an entry had requests of any length taken during the linger of its planned stop, passed on, and cut at the end of the stop, also second attempts after the linger.

Change: as at gateways, what is sent is first asked whether the time that the stop leaves bears it: an engine's request by the time that placement predicts for it, a call to a plain service or a group by what others with that target took (core.Durations, which gateways use for routes), once it is known. What would be cut is refused at once as not run (HG2005); under a key, after its claim.

Measured: TestRequestTakenDuringTheLingerOfAnEntryIsNotCut red before (its connection ends after 0.9 s), 503 now, and the service is not called. The fault matrix of internal/fleettest holds.

--- a/core/core.go
+++ b/core/core.go
@@ -65,7 +65,7 @@
 	age          func() (time.Duration, bool)
 	outdated     func() time.Duration
 	plannedStop  func() (hollowgrade.PlannedStop, bool)
-	durations    *durations
+	durations    *Durations
 	processes    func() int
 	peers        func() int
 	fleet        *Fleet
@@ -196,7 +196,7 @@
 		age:         func() (time.Duration, bool) { return 0, true },
 		outdated:    func() time.Duration { return 0 },
 		plannedStop: func() (p hollowgrade.PlannedStop, ok bool) { return p, false },
-		durations:   newDurations(),
+		durations:   NewDurations(),
 		processes:   func() int { return 1 },
 		budgets:     map[string]*retry.Window{},
 		flows:       map[*flow]context.CancelCauseFunc{},
--- a/core/flow.go
+++ b/core/flow.go
@@ -222,7 +222,7 @@
 	if a.head.Stream && a.answerBegan {
 		tokens = f.call.MaxTokens
 	}
-	f.core.durations.record(f.route.Name, now.Sub(a.sent), now.Sub(a.begunAt), tokens)
+	f.core.durations.Record(f.route.Name, now.Sub(a.sent), now.Sub(a.begunAt), tokens)
 }
 
 // prepare waits for the engines and reserves memory between the pick of an attempt and its sending.
--- a/core/stop.go
+++ b/core/stop.go
@@ -63,8 +63,8 @@
 // maxEstimates bounds the routes that are remembered.
 const maxEstimates = 4096
 
-// durations estimates how long attempts take that bring a whole answer, by route. It is safe for concurrent use.
-type durations struct {
+// Durations estimates how long attempts take that bring a whole answer, by route. It is safe for concurrent use.
+type Durations struct {
 	mu      sync.Mutex
 	byRoute map[string]routeDurations
 }
@@ -76,13 +76,14 @@
 	perToken estimate // from then on, for each token that the call of a stream allows
 }
 
-func newDurations() *durations {
-	return &durations{byRoute: map[string]routeDurations{}}
+// NewDurations returns estimates that know nothing yet.
+func NewDurations() *Durations {
+	return &Durations{byRoute: map[string]routeDurations{}}
 }
 
-// record adds an attempt that brought a whole answer. For a stream whose call says how many tokens it allows,
+// Record adds an attempt that brought a whole answer. For a stream whose call says how many tokens it allows,
 // streamed is how much of the time came after its first event.
-func (d *durations) record(route string, took, streamed time.Duration, tokens int) {
+func (d *Durations) Record(route string, took, streamed time.Duration, tokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r, known := d.byRoute[route]
@@ -98,14 +99,14 @@
 }
 
 // estimates returns what is known of a route.
-func (d *durations) estimates(route string) routeDurations {
+func (d *Durations) estimates(route string) routeDurations {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.byRoute[route]
 }
 
-// expected returns how long attempts on a route take at the most, as far as known.
-func (d *durations) expected(route string) time.Duration {
+// Expected returns how long attempts on a route take at the most, 0 if nothing is known.
+func (d *Durations) Expected(route string) time.Duration {
 	return d.estimates(route).whole.most()
 }
 
--- a/core/stop_test.go
+++ b/core/stop_test.go
@@ -139,7 +139,7 @@
 					k.LastEventID = lastEvent
 					require.NoError(t, c.Serve(context.Background(), k, &fakeSink{}))
 				}
-				require.GreaterOrEqual(t, c.durations.expected(route), 10*pause)
+				require.GreaterOrEqual(t, c.durations.Expected(route), 10*pause)
 			})
 		})
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/callers"
 	"github.com/hollowgrade/hollowgrade/config"
+	"github.com/hollowgrade/hollowgrade/core"
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/kernel"
 	"github.com/hollowgrade/hollowgrade/ledger"
@@ -63,6 +64,8 @@
 	placement   sched.Placement
 	observe     func(Observation)
 	callers     *callers.Server
+	durations   *core.Durations           // of calls to plain services and to groups, by target
+	stopsAt     atomic.Pointer[time.Time] // when a planned stop cancels what is open, nil if none does
 
 	config atomic.Pointer[config.Config]
 	ctx    context.Context // ends when the entry stops
@@ -151,6 +154,7 @@
 		agents:      agents,
 		placement:   sched.NewQuickest(),
 		observe:     func(Observation) {},
+		durations:   core.NewDurations(),
 		links:       map[string]*link{},
 		prefixes:    sched.NewPrefixes(prefixLimit),
 		usage:       map[string]*usage{},
@@ -208,7 +212,10 @@
 func (e *Entry) linger(ctx context.Context) {
 	d := e.limits.Linger
 	if end, bounded := ctx.Deadline(); bounded {
-		d = min(d, callers.FinalAnswersAfter(time.Until(end)))
+		left := callers.FinalAnswersAfter(time.Until(end))
+		at := e.clock.Now().Add(left)
+		e.stopsAt.Store(&at)
+		d = min(d, left)
 	}
 	e.mu.Lock()
 	e.lingering = true
@@ -216,6 +223,18 @@
 	hollowgrade.Sleep(ctx, e.clock, d)
 }
 
+// checkStop returns an error if a planned stop would cancel a request that is sent now and is expected to take
+// the given time, 0 if that is not known.
+func (e *Entry) checkStop(q *query, expected time.Duration) error {
+	at := e.stopsAt.Load()
+	if at == nil || expected <= at.Sub(e.clock.Now()) {
+		return nil
+	}
+	e.log.Info("not sent", "request", q.request.ID, "why", "the planned stop leaves too little time", "expected_ms", expected.Milliseconds(),
+		"left_ms", at.Sub(e.clock.Now()).Milliseconds())
+	return fault.New(fault.Draining, "entry %s is being stopped", e.box.Name).WithRetryAfter(shortRetryAfter)
+}
+
 // Drain makes the entry refuse new requests and report itself not ready, so that the balancer sends
 // callers elsewhere.
 func (e *Entry) Drain() {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -83,8 +83,30 @@
 // if the request was sent to none.
 func (e *Entry) attemptOnce(ctx context.Context, q *query, tried map[*link]bool) (l *link, err error) {
 	if q.request.Service == "" && e.needsGroup(q.request) {
-		return e.serveGroup(ctx, q)
+		return e.timed(q, "group for ", func() (*link, error) { return e.serveGroup(ctx, q) })
 	}
+	if q.request.Service != "" {
+		return e.timed(q, "", func() (*link, error) { return e.attemptPlaced(ctx, q, tried) })
+	}
+	return e.attemptPlaced(ctx, q, tried)
+}
+
+// timed makes an attempt whose duration cannot be predicted from its request: what is expected of it is what
+// others with the same target took.
+func (e *Entry) timed(q *query, kind string, attempt func() (*link, error)) (l *link, err error) {
+	key := kind + target(q.request)
+	if err = e.checkStop(q, e.durations.Expected(key)); err != nil {
+		return nil, err
+	}
+	sent := e.clock.Now()
+	if l, err = attempt(); err == nil {
+		e.durations.Record(key, e.clock.Since(sent), 0, 0)
+	}
+	return l, err
+}
+
+// attemptPlaced is attemptOnce for a request that one upstream serves.
+func (e *Entry) attemptPlaced(ctx context.Context, q *query, tried map[*link]bool) (l *link, err error) {
 	l, c, err := e.place(q, tried)
 	if err != nil {
 		return nil, err
@@ -222,7 +244,7 @@
 	return e.targets[target]
 }
 
-// checkEstimate refuses a request whose estimated time exceeds its remaining time.
+// checkEstimate refuses a request whose estimated time exceeds its remaining time, or that of a planned stop.
 func (e *Entry) checkEstimate(q *query, l *sched.Load, w sched.Work) error {
 	if q.request.Service != "" {
 		return nil
@@ -234,7 +256,7 @@
 	}
 	left := q.request.Remaining(e.clock.Now())
 	if p.Total <= left {
-		return nil
+		return e.checkStop(q, p.Total)
 	}
 	f := fault.New(fault.CannotMakeIt, "the answer would take %s at the best upstream, allowed are %s",
 		p.Total.Round(time.Millisecond), left.Round(time.Millisecond))
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -15,6 +15,7 @@
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/agent"
 	"github.com/hollowgrade/hollowgrade/config"
+	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/fold"
 	"github.com/hollowgrade/hollowgrade/internal/standin"
 )
@@ -112,6 +113,26 @@
 	return stopped
 }
 
+// Guards against requests that an entry takes during the linger of a planned stop, and that the stop cuts.
+func TestRequestTakenDuringTheLingerOfAnEntryIsNotCut(t *testing.T) {
+	const took, lingers, grace = time.Second, 400 * time.Millisecond, 900 * time.Millisecond
+	s := slowService{took, make(chan string, 10)}
+	e, url := startEntry(t, s, lingers)
+	st, body, err := callEntry(t, url, "/before")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, st, body)
+	stopped := stopEntry(e, grace)
+	require.Eventually(t, func() bool { ok, _ := e.Ready(); return !ok }, lingers/2, time.Millisecond)
+	st, body, err = callEntry(t, url, "/during")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, st, body)
+	require.Contains(t, body, fault.Draining)
+	require.Contains(t, body, hollowgrade.NotRun)
+	require.NoError(t, <-stopped)
+	require.Equal(t, "/before", <-s.calls)
+	require.Empty(t, s.calls)
+}
+
 // Guards against requests that are open at the end of a planned stop of an entry and get no answer.
 func TestRequestThatIsOpenAtTheEndOfAStopOfAnEntryIsAnswered(t *testing.T) {
 	const grace = 900 * time.Millisecond
