entry: answers that still come are not cut since the agent's reports do not

Change: without a report for 3 s the link gets no new requests. The connection is closed only if none of its exchanges has received a byte in that time either; it is looked at again each 3 s. The next report makes the link usable again. Keep-alives of the connection itself do not count, so requests at an agent from which nothing comes are given up after 3 s, as before.

--- a/entry/link.go
+++ b/entry/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -19,7 +20,7 @@
 	listInterval     = time.Second     // between two reads of the list of boxes
 	dialTimeout      = 2 * time.Second // for a connection to an agent
 	maxDialBackoff   = 5 * time.Second // between two attempts to connect
-	statusTimeout    = 3 * time.Second // after this time without a heartbeat the connection is closed
+	statusTimeout    = 3 * time.Second // after this time without a heartbeat no new request is sent
 	breakerThreshold = 3
 	breakerCooldown  = 2 * time.Second
 	hallLatency      = 1500 * time.Microsecond // assumed one-way latency between two data halls
@@ -134,24 +135,75 @@
 	return e.readStatus(ctx, l, c, s)
 }
 
-// readStatus applies status reports until the connection ends or no report arrives for
-// statusTimeout.
+// readStatus applies status reports until the connection ends.
 func (e *Entry) readStatus(ctx context.Context, l *link, c *peer.Conn, s *peer.Stream) (connected bool) {
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
-	quiet := e.clock.AfterFunc(statusTimeout, func() { _ = c.Close() })
-	defer quiet.Stop()
+	w := e.watchStatus(l, c)
+	defer w.stop()
 	for {
 		f, err := s.Receive()
 		if err != nil || f.GetStatus() == nil {
 			return connected
 		}
-		quiet.Reset(statusTimeout)
+		w.reset()
 		e.updateStatus(l, c, f.GetStatus())
 		connected = true
 	}
 }
 
+// statusWatch waits for the status reports on a connection. Without one for statusTimeout, the link gets no
+// new requests until one comes. The requests that run on the connection go on while anything arrives on it;
+// otherwise it is closed.
+type statusWatch struct {
+	entry *Entry
+	link  *link
+	conn  *peer.Conn
+
+	mu       sync.Mutex
+	timer    hollowgrade.Timer
+	received int64 // bytes that had arrived when the current wait began
+	ended    bool
+}
+
+func (e *Entry) watchStatus(l *link, c *peer.Conn) *statusWatch {
+	w := &statusWatch{entry: e, link: l, conn: c, received: c.Received()}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = e.clock.AfterFunc(statusTimeout, w.expire)
+	return w
+}
+
+// reset begins the wait for the next report.
+func (w *statusWatch) reset() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.received = w.conn.Received()
+	w.timer.Reset(statusTimeout)
+}
+
+func (w *statusWatch) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := w.conn.Received()
+	switch {
+	case w.ended:
+	case n == w.received:
+		_ = w.conn.Close()
+	default:
+		w.received = n
+		w.entry.disconnected(w.link)
+		w.timer.Reset(statusTimeout)
+	}
+}
+
+func (w *statusWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	w.timer.Stop()
+}
+
 func (e *Entry) updateStatus(l *link, c *peer.Conn, m *wire.Status) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -80,7 +80,8 @@
 
 // Conn is a connection to a peer.
 type Conn struct {
-	session *yamux.Session
+	session  *yamux.Session
+	received atomic.Int64 // bytes
 }
 
 // Dial connects to a peer.
@@ -90,11 +91,16 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := yamux.Client(n, config())
+	y, err := yamux.Client(n, config())
 	if err != nil {
 		return nil, errors.Join(err, n.Close())
 	}
-	return &Conn{session: s}, nil
+	return &Conn{session: y}, nil
+}
+
+// Received returns how many bytes have arrived on the exchanges of the connection.
+func (c *Conn) Received() int64 {
+	return c.received.Load()
 }
 
 // Open begins an exchange with the given first frame.
@@ -104,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s = newStream(y)
+	s = newStream(y, countingReader{y, &c.received})
 	if err = s.Send(f); err != nil {
 		s.Abort()
 		return nil, err
@@ -133,9 +139,10 @@
 
 const streamBufferBytes = 4 << 10
 
-func newStream(y *yamux.Stream) *Stream {
+// newStream returns an exchange on a stream, from which in reads.
+func newStream(y *yamux.Stream, in io.Reader) *Stream {
 	s := &Stream{raw: y, out: bufio.NewWriterSize(y, streamBufferBytes)}
-	s.in = bufio.NewReaderSize(countingReader{y, &s.received}, streamBufferBytes)
+	s.in = bufio.NewReaderSize(countingReader{in, &s.received}, streamBufferBytes)
 	return s
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -82,7 +82,7 @@
 			_ = r.Close()
 			continue
 		}
-		s.group.Go(func() { s.serveStream(ctx, y, newStream(r)) })
+		s.group.Go(func() { s.serveStream(ctx, y, newStream(r, r)) })
 	}
 }
 
