--- a/core/exchange.go
+++ b/core/exchange.go
@@ -96,16 +96,10 @@
 		return x
 	case errors.Is(err, errSink):
 		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.Failed)
-	case errors.Is(err, hollowgrade.ErrStopping) && errors.Is(err, hollowgrade.ErrNotSent):
-		return fault.New(fault.Draining, "this box is being stopped").WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetryAfter)
+	case errors.Is(err, hollowgrade.ErrNotSent):
+		return a.notSentFault(err)
 	case errors.Is(err, hollowgrade.ErrStopping):
 		return fault.New(fault.Draining, "this box is being stopped, and upstream %s has not answered", id).WithOutcome(hollowgrade.Unknown)
-	case errors.Is(err, hollowgrade.ErrNotSent) && errors.Is(err, context.Canceled):
-		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.NotRun)
-	case errors.Is(err, hollowgrade.ErrNotSent) && errors.Is(err, errOutOfTime):
-		return fault.New(fault.DeadlinePassed, "the allowed time passed before the call could be sent").WithOutcome(hollowgrade.NotRun)
-	case errors.Is(err, hollowgrade.ErrNotSent):
-		return fault.New(fault.UpstreamLost, "upstream %s could not be reached", id).WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetryAfter)
 	case errors.Is(err, errUnresponsive):
 		return fault.New(fault.UpstreamLost, "upstream %s is silent, and no other one took the call", id).WithOutcome(hollowgrade.Unknown)
 	case errors.Is(err, errOvertaken):
@@ -121,6 +115,20 @@
 	}
 }
 
+// notSentFault returns the error that an attempt is reported as of which nothing was sent.
+func (a *attempt) notSentFault(err error) *fault.Error {
+	switch {
+	case errors.Is(err, hollowgrade.ErrStopping):
+		return fault.New(fault.Draining, "this box is being stopped").WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetryAfter)
+	case errors.Is(err, context.Canceled):
+		return fault.New(fault.CallerGone, "the caller went away").WithOutcome(hollowgrade.NotRun)
+	case errors.Is(err, errOutOfTime):
+		return fault.New(fault.DeadlinePassed, "the allowed time passed before the call could be sent").WithOutcome(hollowgrade.NotRun)
+	default:
+		return fault.New(fault.UpstreamLost, "upstream %s could not be reached", a.pick.upstream().ID).WithOutcome(hollowgrade.NotRun).WithRetryAfter(shortRetryAfter)
+	}
+}
+
 // passWhole reads and passes on an answer that is not a stream.
 func (a *attempt) passWhole(x hollowgrade.Exchange, d *watchdog) error {
 	f := a.flow
--- a/core/stop_test.go
+++ b/core/stop_test.go
@@ -279,30 +279,30 @@
 // their calls have not run.
 func TestSecondAttemptOfWhichNothingIsKnownIsNotMadeAfterTheLinger(t *testing.T) {
 	const half, stop = 500 * time.Millisecond, 3 * time.Second
-	serve := func(t *testing.T, route string, accepting time.Duration, rs ...reply) (err error, sent int) {
+	serve := func(t *testing.T, route string, accepting time.Duration, rs ...reply) (sent int, err error) {
 		t.Helper()
 		f := &fakeUpstreams{replies: rs}
 		k := call(route)
 		k.Patience = 2 * stop
 		err = newCore(f, stopsAccepting(accepting, stop)).Serve(context.Background(), k, &fakeSink{})
-		return err, len(f.sentCalls())
+		return len(f.sentCalls()), err
 	}
 	run := func(name string, do func(t *testing.T)) {
 		t.Run(name, func(t *testing.T) { synctest.Test(t, do) })
 	}
 	hello := status(200, "hello")
 	run("after a refusal", func(t *testing.T) {
-		err, sent := serve(t, "/once/", half, plainAfter(2*half, shed), hello)
+		sent, err := serve(t, "/once/", half, plainAfter(2*half, shed), hello)
 		requireFault(t, fault.As(err, hollowgrade.Unknown), fault.Draining, hollowgrade.NotRun)
 		require.Equal(t, 1, sent)
 	})
 	run("it is made while new connections are accepted", func(t *testing.T) {
-		err, sent := serve(t, "/once/", stop, plainAfter(2*half, shed), hello)
+		sent, err := serve(t, "/once/", stop, plainAfter(2*half, shed), hello)
 		require.NoError(t, err)
 		require.Equal(t, 2, sent)
 	})
 	run("it is made for a call that may have run", func(t *testing.T) {
-		err, sent := serve(t, "/again/", half, plainAfter(half, broken), hello)
+		sent, err := serve(t, "/again/", half, plainAfter(half, broken), hello)
 		require.NoError(t, err)
 		require.Equal(t, 2, sent)
 	})
