--- a/internal/node/snapshot_test.go
+++ b/internal/node/snapshot_test.go
@@ -48,7 +48,7 @@
 func TestSnapshotsOfPeers(t *testing.T) {
 	const pieces, pause, patience = 10, 30 * time.Millisecond, 150 * time.Millisecond
 	ask := func(address string) ([]byte, error) {
-		return fetchSnapshot(context.Background(), peer.TCP(), address, 0, patience)
+		return fetchSnapshot(context.Background(), peer.TCP(), address, 0, patience, func(silent bool) bool { return !silent })
 	}
 	t.Run("one that takes longer in all than a peer may be silent", func(t *testing.T) {
 		b, err := ask(listenSnapshotPeer(t, pieces, pieces, pause))
@@ -68,6 +68,25 @@
 			return bs
 		}
 	}
+	t.Run("one that is silent for a while is kept beside others that have none", func(t *testing.T) {
+		slow := listenSnapshotPeer(t, 1, 1, peerTimeout*5/4)
+		l := &logBuffer{}
+		bs := Snapshots(boxes(slow, "127.0.0.1:1", "127.0.0.1:1"), peer.TCP(), log.New(l))(context.Background(), 0)
+		require.Len(t, bs, 1, l.String())
+	})
+	t.Run("another one counts that comes while one is silent", func(t *testing.T) {
+		hung := listenSnapshotPeer(t, 2, 1, 0)
+		begin := time.Now()
+		bs := Snapshots(boxes(hung, listenSnapshotPeer(t, 1, 1, 0), hung), peer.TCP(), log.New(io.Discard))(context.Background(), 0)
+		require.Len(t, bs, 1)
+		require.Less(t, time.Since(begin), 2*peerTimeout)
+	})
+	t.Run("if all are silent they are left", func(t *testing.T) {
+		hung := listenSnapshotPeer(t, 2, 1, 0)
+		begin := time.Now()
+		require.Empty(t, Snapshots(boxes(hung, hung, hung), peer.TCP(), log.New(io.Discard))(context.Background(), 0))
+		require.Less(t, time.Since(begin), 4*peerTimeout)
+	})
 	t.Run("one copy is enough", func(t *testing.T) {
 		a := listenSnapshotPeer(t, 1, 1, 0)
 		bs := Snapshots(boxes(a, a, a), peer.TCP(), log.New(io.Discard))(context.Background(), 0)
