entry, callers: the linger of an entry's planned stop is the server's

An entry on a machine that is suspended during its linger went on to linger for the rest of it, and told the time that the stop leaves by a clock of its own: the stop's arithmetic stood twice, at the entry and in its server for callers, where suspensions count.

Change: the server lingers for the entry too, calls it when the linger is over (WithDrainHook), and tells it the time that is left.

Measured: the entry's tests on stops, the server's on suspensions, the fault matrix of internal/fleettest and internal/demo hold. Found by reading the change; the entry's part has no test of its own, since it is the server's code that TestPlannedStopOfAMachineThatIsSuspended plays.

--- a/callers/server.go
+++ b/callers/server.go
@@ -61,6 +61,7 @@
 	log        *log.Logger
 	linger     func() time.Duration
 	acceptGate func(context.Context)
+	onDrain    func()
 	allClosed  chan struct{} // receives when no connection is open
 
 	maxConns int                        // 0 for no bound
@@ -103,6 +104,11 @@
 	return func(s *Server) { s.linger = f }
 }
 
+// WithDrainHook sets a function that a planned stop calls when its linger is over, before it closes connections.
+func WithDrainHook(f func()) Option {
+	return func(s *Server) { s.onDrain = f }
+}
+
 // WithAcceptGate sets a function that must return before the first connection is accepted. Earlier
 // connections wait in the listener's queue.
 func WithAcceptGate(f func(context.Context)) Option {
@@ -126,6 +132,7 @@
 		clock:      hollowgrade.SystemClock(),
 		log:        log.Default(),
 		acceptGate: func(context.Context) {},
+		onDrain:    func() {},
 		allClosed:  make(chan struct{}, 1),
 		conns:      map[*conn]struct{}{},
 		cancel:     func() {},
@@ -192,6 +199,7 @@
 	s.stopping = true
 	s.mu.Unlock()
 	s.lingerBefore(ctx, cancelAt)
+	s.onDrain()
 	_ = s.listener.Close()
 	s.cancel()
 	s.group.Wait()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,8 +64,7 @@
 	placement   sched.Placement
 	observe     func(Observation)
 	callers     *callers.Server
-	durations   *core.Durations           // of calls to plain services and to groups, by target
-	stopsAt     atomic.Pointer[time.Time] // when a planned stop cancels what is open, nil if none does
+	durations   *core.Durations // of calls to plain services and to groups, by target
 
 	config atomic.Pointer[config.Config]
 	ctx    context.Context // ends when the entry stops
@@ -165,7 +164,8 @@
 	}
 	e.config.Store(&config.Config{})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.callers = callers.New(l, e.router(), callers.WithClock(e.clock), callers.WithLogger(e.log), callers.WithLimits(e.connLimits))
+	e.callers = callers.New(l, e.router(), callers.WithClock(e.clock), callers.WithLogger(e.log), callers.WithLimits(e.connLimits),
+		callers.WithLinger(func() time.Duration { return e.limits.Linger }), callers.WithDrainHook(e.Drain))
 	return e
 }
 
@@ -195,8 +195,9 @@
 // the open ones. Shortly before ctx ends, those that are still open are cancelled, so that their callers get
 // an answer.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.linger(ctx)
-	e.Drain()
+	e.mu.Lock()
+	e.lingering = true
+	e.mu.Unlock()
 	err := e.callers.Stop(ctx)
 	select {
 	case <-e.idle:
@@ -208,30 +209,15 @@
 	return err
 }
 
-// linger goes on serving, at most until a planned stop cancels what is open.
-func (e *Entry) linger(ctx context.Context) {
-	d := e.limits.Linger
-	if end, bounded := ctx.Deadline(); bounded {
-		left := callers.FinalAnswersAfter(time.Until(end))
-		at := e.clock.Now().Add(left)
-		e.stopsAt.Store(&at)
-		d = min(d, left)
-	}
-	e.mu.Lock()
-	e.lingering = true
-	e.mu.Unlock()
-	hollowgrade.Sleep(ctx, e.clock, d)
-}
-
 // checkStop returns an error if a planned stop would cancel a request that is sent now and is expected to take
 // the given time, 0 if that is not known.
 func (e *Entry) checkStop(q *query, expected time.Duration) error {
-	at := e.stopsAt.Load()
-	if at == nil || expected <= at.Sub(e.clock.Now()) {
+	s, stopping := e.callers.PlannedStop()
+	if !stopping || expected <= s.Left {
 		return nil
 	}
 	e.log.Info("not sent", "request", q.request.ID, "why", "the planned stop leaves too little time", "expected_ms", expected.Milliseconds(),
-		"left_ms", at.Sub(e.clock.Now()).Milliseconds())
+		"left_ms", s.Left.Milliseconds())
 	return fault.New(fault.Draining, "entry %s is being stopped", e.box.Name).WithRetryAfter(shortRetryAfter)
 }
 
