standalone, internal/jsonlist: odd entries take bounded memory

A list of boxes of 64 MB, the most that is read, with nothing but odd entries would have kept an error for each, and one of nothing but brackets eight bytes for each, on boxes of some hundred MB (found by reading the change; by arithmetic, not played at that size).

Change: the first error and the number of entries are kept; a value nested beyond 1,048,576 levels makes the list unreadable, which has a line, and the last one stays.

Measured: the tests of both packages hold; a list nested one level too deeply is refused with ErrTooDeep.

--- a/internal/jsonlist/jsonlist.go
+++ b/internal/jsonlist/jsonlist.go
@@ -9,8 +9,15 @@
 	"io"
 )
 
-// ErrNotAList is returned for a document that has something else where a list is due.
-var ErrNotAList = errors.New("it is not a list")
+// maxDepth bounds how deeply a value may be nested: the decoder keeps some bytes for each level.
+const maxDepth = 1 << 20
+
+var (
+	// ErrNotAList is returned for a document that has something else where a list is due.
+	ErrNotAList = errors.New("it is not a list")
+	// ErrTooDeep is returned for a value that is nested too deeply even to be skipped.
+	ErrTooDeep = errors.New("a value is nested too deeply")
+)
 
 // Each calls f with each entry of the list doc. An entry may be any JSON value, also one that is nested too
 // deeply for [json.Unmarshal]. Entries before a syntax error have been passed to f when it is returned.
@@ -41,7 +48,7 @@
 	return err
 }
 
-// Skip reads one value of any depth.
+// Skip reads one value.
 func Skip(d *json.Decoder) error {
 	for depth := 0; ; {
 		t, err := d.Token()
@@ -57,8 +64,11 @@
 		case json.Delim(']'), json.Delim('}'):
 			depth--
 		}
-		if depth == 0 {
+		switch {
+		case depth == 0:
 			return nil
+		case depth > maxDepth:
+			return ErrTooDeep
 		}
 	}
 }
--- a/internal/jsonlist/jsonlist_test.go
+++ b/internal/jsonlist/jsonlist_test.go
@@ -37,6 +37,8 @@
 	}
 	_, err := entries(`{"a":1}`)
 	require.ErrorIs(t, err, ErrNotAList)
+	_, err = entries("[" + strings.Repeat("[", maxDepth+1))
+	require.ErrorIs(t, err, ErrTooDeep)
 	_, err = entries(`[[1`)
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
--- a/standalone/boxes.go
+++ b/standalone/boxes.go
@@ -50,7 +50,7 @@
 // List implements [hollowgrade.Boxes]. Others than the platform may write entries: one that cannot be used
 // is left out and logged.
 func (b *Boxes) List(ctx context.Context) (bs []hollowgrade.Box, err error) {
-	var unused []error
+	var unused error
 	decode := func(doc []byte) (err error) {
 		bs, unused, err = decodeBoxes(doc)
 		return err
@@ -58,22 +58,30 @@
 	if _, err = b.client.call(ctx, http.MethodGet, PathBoxes, nil, decode); err != nil {
 		return nil, err
 	}
-	if err := errors.Join(unused...); b.unused.note(err) && err != nil {
-		b.log.Error("boxes not used", "entries", len(unused), "used", len(bs), "err", unused[0])
+	if b.unused.note(unused) && unused != nil {
+		b.log.Error("boxes not used", "used", len(bs), "err", unused)
 	}
 	return bs, nil
 }
 
-// decodeBoxes decodes the list. The entries that cannot be used are returned as errors.
-func decodeBoxes(doc []byte) (bs []hollowgrade.Box, unused []error, err error) {
+// decodeBoxes decodes the list. If some entries cannot be used, unused says how many and why the first one
+// cannot.
+func decodeBoxes(doc []byte) (bs []hollowgrade.Box, unused, err error) {
+	n := 0
+	var first error
 	err = jsonlist.Each(doc, func(e json.RawMessage) {
 		b, err := decodeBox(e)
-		if err != nil {
-			unused = append(unused, fmt.Errorf("entry %.64q: %w", e, err))
+		if err == nil {
+			bs = append(bs, b)
 			return
 		}
-		bs = append(bs, b)
+		if n++; first == nil {
+			first = fmt.Errorf("entry %.64q: %w", e, err)
+		}
 	})
+	if n > 0 {
+		unused = fmt.Errorf("%w: %d, the first one: %w", hollowgrade.ErrUnusedEntries, n, first)
+	}
 	return bs, unused, err
 }
 
