callers, memory: heads are bounded before they are parsed, and share one total with bodies

What callers saw: clients that sent heads beyond the limit, or without end, ended a gateway: it ran out of memory, and all callers of the box lost their requests.

Cause: net/http read up to 1 MB of a head and parsed it as it came, before the handler applied the published limit; a field of 6 bytes takes some 130 once it is parsed, and heads had no total.

Change: the connection below net/http keeps what has arrived of a head and passes it on once it is whole. It ends a head at the limit in force with 431. What a whole head takes once parsed is claimed before the parser sees it, out of one budget with the bodies (a quarter of memory_mb). When that is used up, incomplete heads give way first, then requests whose bodies have not come, the largest and oldest first; requests at work never do. All refusals are of requests that were not passed on: 431, or 503 with a Retry-After. What has arrived is read for 5 ms, so that the refusal is not dropped.

--- a/callers/body.go
+++ b/callers/body.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +11,7 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/fault"
+	"github.com/hollowgrade/hollowgrade/memory"
 )
 
 // BoundBody bounds the time until the body of a request has arrived, also while net/http discards
@@ -31,8 +33,11 @@
 		in = http.MaxBytesReader(w, r.Body, limit)
 	}
 	b, err = io.ReadAll(in)
+	c := connOf(r)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case c != nil && !c.claim.Advance(memory.Working):
+		return nil, NoMemory()
 	case err == nil:
 		return b, nil
 	case errors.As(err, &tooLarge):
@@ -46,6 +51,37 @@
 	}
 }
 
+// NoMemory returns the error of a request that has not run, since the budget has no room for it.
+func NoMemory() error {
+	return fault.New(fault.Overloaded, "open requests take all the memory that they may").WithRetryAfter(time.Second)
+}
+
+// Claim returns the claim of a request, on which its body is counted. If another server than [Server] serves it,
+// that is one of the given budget, which may be nil for no bound.
+func Claim(r *http.Request, b *memory.Budget) *memory.Claim {
+	if c := connOf(r); c != nil {
+		return c.claim
+	}
+	return cmp.Or(b, memory.NewBudget(0)).NewClaim(nil)
+}
+
+// ClaimBody adds what the body of a request may take to its claim: its length, or as much as the limit allows
+// where that is not given. It reports false if there is no room. A limit of 0 is no bound.
+func ClaimBody(c *memory.Claim, r *http.Request, limit int64) bool {
+	n := r.ContentLength
+	if n < 0 || limit > 0 && n > limit { // no more is read
+		n = limit
+	}
+	return c.Add(n, memory.Waiting)
+}
+
+// IsRevoked reports whether a request has to end since its memory was given to others. Reads of its body
+// fail.
+func IsRevoked(r *http.Request) bool {
+	c := connOf(r)
+	return c != nil && c.isRevoked()
+}
+
 // IsSlowBody reports whether a request is refused since its body did not arrive in time.
 func IsSlowBody(err error) bool {
 	return fault.As(err, hollowgrade.Unknown).Code == fault.SlowBody
--- a/callers/conn.go
+++ b/callers/conn.go
@@ -3,11 +3,12 @@
 import (
 	"bytes"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync"
 	"time"
+
+	"github.com/hollowgrade/hollowgrade/memory"
 )
 
 // phase is how far the next request on a connection has come.
@@ -55,7 +56,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, server: l.server, since: l.server.clock.Now()}, nil
+	n := &conn{Conn: c, server: l.server, since: l.server.clock.Now()}
+	n.claim = l.server.budget.NewClaim(n.revoke)
+	return n, nil
 }
 
 // conn is a caller's connection. Whether it is closed for its age is decided by the goroutine that
@@ -63,8 +66,11 @@
 type conn struct {
 	net.Conn
 	server *Server
+	claim  *memory.Claim // for the memory of a request
+	head   head          // of the goroutine that reads
 
 	mu        sync.Mutex
+	revoked   bool // whether the claim was, and the request has to end
 	phase     phase
 	since     time.Time     // when the phase began
 	told      time.Duration // the idle limit that the last answer named
@@ -87,21 +93,47 @@
 const maxInVain = 2
 
 // Read implements [net.Conn]. Between requests and within heads it returns
-// [os.ErrDeadlineExceeded] when the connection has been idle or slow for too long.
+// [os.ErrDeadlineExceeded] when the connection has been idle or slow for too long. Heads are passed on once
+// they are complete.
 func (c *conn) Read(b []byte) (n int, err error) {
+	if n = c.head.pass(b); n > 0 {
+		return n, nil
+	}
+	for n == 0 && err == nil {
+		n, err = c.readOnce(b)
+	}
+	return n, err
+}
+
+// readOnce reads once. It returns no bytes and no error if more of a head has to arrive.
+func (c *conn) readOnce(b []byte) (n int, err error) {
 	if !c.beginWait() {
-		return c.readOpen(b)
+		n, err = c.readOpen(b)
+		c.head.follow(b[:n])
+		return n, err
+	}
+	n, err = c.readWaiting(b)
+	switch {
+	case c.isRevoked() && (n > 0 || errors.Is(err, os.ErrDeadlineExceeded)):
+		return 0, c.refuse(causeNoMemory)
+	case n == 0 && errors.Is(err, os.ErrDeadlineExceeded):
+		c.endForAge()
+		return 0, err
+	case n == 0:
+		return 0, err
+	default:
+		return c.addHead(b[:n])
 	}
+}
+
+// readWaiting reads while a head is waited for, until bytes have arrived or the connection is to be closed.
+func (c *conn) readWaiting(b []byte) (n int, err error) {
 	for {
 		begun := time.Now()
 		n, err = c.Conn.Read(b)
-		if c.waitOn(b[:n], err, time.Since(begun)) {
-			continue
-		}
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-			c.endForAge()
+		if !c.waitOn(b[:n], err, time.Since(begun)) {
+			return n, err
 		}
-		return n, err
 	}
 }
 
@@ -145,6 +177,9 @@
 // boundBody sets the deadline for a body, or interrupts the read of one. The lock is held.
 func (c *conn) boundBody(t time.Time) error {
 	c.body = bodyBound{}
+	if c.revoked {
+		t = time.Now()
+	}
 	if t.After(time.Now()) {
 		c.body.by = t
 	}
@@ -153,13 +188,13 @@
 
 // endForAge ends a connection that has been idle or slow for too long.
 func (c *conn) endForAge() {
-	p := c.end()
-	c.server.recordClose(p)
-	if p == phaseHead {
-		_ = c.SetWriteDeadline(time.Now().Add(timeoutWriteTime))
-		_, _ = io.WriteString(c, timeoutAnswer) // a caller that is gone needs no answer
+	if c.end() != phaseHead {
+		c.server.recordClose(causeIdle)
+		_ = c.Close()
+		return
 	}
-	_ = c.Close() // before net/http answers an incomplete head with 400
+	c.server.recordClose(causeSlow)
+	c.answerAndClose(timeoutAnswer) // before net/http answers an incomplete head with 400
 }
 
 // end marks the connection as being closed and returns the phase in which it was.
@@ -197,6 +232,10 @@
 		return false
 	}
 	c.waiting = true
+	if c.revoked {
+		_ = c.Conn.SetReadDeadline(time.Now()) // a closed connection ends the next read by itself
+		return true
+	}
 	c.setDeadline(now, c.due(now))
 	return true
 }
@@ -206,7 +245,7 @@
 	now := c.server.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(b) == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+	if len(b) == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.revoked {
 		if until, ok := c.extend(now, took); ok {
 			c.setDeadline(now, until)
 			return true
@@ -276,7 +315,7 @@
 	now := c.server.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.waiting && c.lastReads == 0 {
+	if c.waiting && c.lastReads == 0 && !c.revoked {
 		c.setDeadline(now, c.due(now))
 	}
 }
--- a/callers/server.go
+++ b/callers/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -19,11 +20,10 @@
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/kernel"
+	"github.com/hollowgrade/hollowgrade/memory"
 )
 
 const (
-	// closeLogInterval is the least time between two log lines on closed connections.
-	closeLogInterval = time.Second
 	// crowdedShare is the share of the connections that are allowed from which on they are scarce.
 	crowdedShare = 0.75
 	// maxIdleLimits is how many idle limits are remembered; older ones count as the oldest of them.
@@ -32,12 +32,12 @@
 	stopInterval = 20 * time.Millisecond
 	// limitsInterval is how often the limits are looked at for changes.
 	limitsInterval = 250 * time.Millisecond
-	// maxHeaderBytes bounds the headers that are read before the handler applies the published
-	// limit.
-	maxHeaderBytes = 1 << 20
-	// defaultHeaderTimeout and defaultIdleTimeout apply until limits are set.
+	// defaultHeaderTimeout, defaultIdleTimeout and defaultHeadBytes apply until limits are set.
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = time.Minute
+	defaultHeadBytes     = 64 << 10
+	// noHeadLimit leaves the limit on heads to conn, which applies the one in force.
+	noHeadLimit = math.MaxInt32
 	// maxFinalAnswerTime and finalAnswerShare bound how long before the end of a planned stop the
 	// requests that are still open are cancelled. It leaves time to cancel a local call and to write
 	// the answer; otherwise the connections would be closed without an answer.
@@ -49,6 +49,7 @@
 type Limits struct {
 	HeaderTimeout time.Duration // for the headers of a request
 	IdleTimeout   time.Duration // between two requests
+	HeadBytes     int           // of the head of a request, from the request line to the empty line
 }
 
 // Server serves callers. It implements [kernel.Service].
@@ -57,6 +58,7 @@
 	server     *http.Server
 	handler    http.Handler
 	limits     func() Limits
+	budget     *memory.Budget
 	clock      hollowgrade.Clock
 	log        *log.Logger
 	linger     func() time.Duration
@@ -71,7 +73,8 @@
 	mu             sync.Mutex
 	conns          map[*conn]struct{}
 	idleLimits     []idleLimit // those of the recent past, the newest last
-	closed         closeCount
+	closed         closeCounts // since the last log line
+	closedInAll    closeCounts
 	active         int // requests in the handler
 	stopping       bool
 	group          sync.WaitGroup
@@ -98,6 +101,11 @@
 	return func(s *Server) { s.limits = f }
 }
 
+// WithBudget sets the budget for the heads and bodies of all requests.
+func WithBudget(b *memory.Budget) Option {
+	return func(s *Server) { s.budget = b }
+}
+
 // WithLinger sets the function that returns for how long a planned stop that begins goes on accepting
 // connections, until the balancer sends callers elsewhere.
 func WithLinger(f func() time.Duration) Option {
@@ -128,6 +136,7 @@
 		listener:   l,
 		handler:    h,
 		limits:     func() Limits { return Limits{} },
+		budget:     memory.NewBudget(0),
 		linger:     func() time.Duration { return 0 },
 		clock:      hollowgrade.SystemClock(),
 		log:        log.Default(),
@@ -149,7 +158,7 @@
 		Handler:           http.HandlerFunc(s.handle),
 		ConnState:         s.trackConn,
 		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    noHeadLimit,
 		ReadHeaderTimeout: 0, // conn applies the limit in force
 		ErrorLog:          s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
@@ -374,11 +383,41 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	s.beginRequest()
 	defer s.endRequest()
-	c, _ := r.Context().Value(connKey{}).(*conn)
+	c := connOf(r)
 	s.announce(c, w.Header())
+	if c != nil {
+		defer c.release()
+		if !c.claimParsed(r) {
+			refuseParsed(w)
+			return
+		}
+	}
 	s.handler.ServeHTTP(w, r)
 }
 
+// connOf returns the connection of a request, nil if another server than [Server] serves it.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
+
+// claimParsed takes what a head takes once it is parsed. A pipelined one was not counted as it arrived. A
+// request without a body has arrived as a whole.
+func (c *conn) claimParsed(r *http.Request) bool {
+	st := memory.Waiting
+	if r.Body == http.NoBody {
+		st = memory.Working
+	}
+	return c.claim.Set(max(c.claim.Bytes(), parsedCost(r)), st)
+}
+
+// refuseParsed refuses a request that the handler has not seen, since there is no memory for it.
+func refuseParsed(w http.ResponseWriter) {
+	closeAfter(w.Header())
+	w.Header().Set("Retry-After", noMemoryRetryAfter)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // announce tells the caller how long its connection is kept.
 func (s *Server) announce(c *conn, h http.Header) {
 	if s.Stopping() {
@@ -399,8 +438,7 @@
 // AnnounceStop makes an answer the last one on its connection if the server is being stopped, also if the
 // request began before that. It is called before the head of the answer is written.
 func AnnounceStop(w http.ResponseWriter, r *http.Request) {
-	c, ok := r.Context().Value(connKey{}).(*conn)
-	if ok && c.server.Stopping() {
+	if c := connOf(r); c != nil && c.server.Stopping() {
 		closeAfter(w.Header())
 	}
 }
@@ -428,8 +466,10 @@
 	case http.StateActive:
 		c.setPhase(phaseOpen)
 	case http.StateIdle:
+		c.release() // also where net/http has answered without the handler
 		c.setPhase(phaseIdle)
 	case http.StateClosed, http.StateHijacked:
+		c.release()
 		s.removeConn(c)
 	}
 }
@@ -456,6 +496,9 @@
 	if l.IdleTimeout <= 0 {
 		l.IdleTimeout = defaultIdleTimeout
 	}
+	if l.HeadBytes <= 0 {
+		l.HeadBytes = defaultHeadBytes
+	}
 	return l
 }
 
@@ -492,36 +535,3 @@
 	}
 	return d
 }
-
-// closeCount counts connections that were closed for their age.
-type closeCount struct {
-	idle, slow int
-}
-
-// recordClose counts a connection that is closed for its age, in the phase that took too long.
-func (s *Server) recordClose(p phase) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed == (closeCount{}) {
-		s.clock.AfterFunc(closeLogInterval, s.logClosed)
-	}
-	if p == phaseIdle {
-		s.closed.idle++
-	} else {
-		s.closed.slow++
-	}
-}
-
-// logClosed writes a line on the connections that were closed since the last one.
-func (s *Server) logClosed() {
-	s.mu.Lock()
-	n, open := s.closed, len(s.conns)
-	s.closed = closeCount{}
-	s.mu.Unlock()
-	if n == (closeCount{}) {
-		return
-	}
-	l := s.effectiveLimits()
-	s.log.Info("connections closed", "idle", n.idle, "slow", n.slow, "idle_limit_ms", l.IdleTimeout.Milliseconds(),
-		"header_limit_ms", l.HeaderTimeout.Milliseconds(), "open", open, "stopping", s.Stopping())
-}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/hollowgrade/hollowgrade/kernel"
 	"github.com/hollowgrade/hollowgrade/loadview"
 	"github.com/hollowgrade/hollowgrade/measure"
+	"github.com/hollowgrade/hollowgrade/memory"
 	"github.com/hollowgrade/hollowgrade/peer"
 	"github.com/hollowgrade/hollowgrade/platform"
 	"github.com/hollowgrade/hollowgrade/setting"
@@ -81,7 +82,7 @@
 	heldStore *heldStore
 	members   *members
 	unused    *atomic.Int64 // records of the store that could not be used
-	bodies    *callers.Budget
+	bodies    *memory.Budget
 	// maxConnections bounds callers' connections.
 	maxConnections int
 	receiver       *loadview.Receiver
@@ -112,7 +113,7 @@
 	others := follow(membersFeed, s.Members(), c.MembersWait, feed.WithOnReturn(n.members.storeReturned))
 	n.held = follow(heldFeed, s.Held(), c.MembersWait, feed.WithPeersFirst(relay.PeersFirst), feed.WithOnReturn(func(kept func(key string) bool) { n.heldStore.storeReturned(kept) }))
 	n.state = n.configState
-	w := platform.NewWorkers(platform.WithMaxHeadBytes(c.AnswerHeadMaxBytes), platform.WithLargeEvents(callers.NewBudget(largeEventBytes(c.MemoryMB))))
+	w := platform.NewWorkers(platform.WithMaxHeadBytes(c.AnswerHeadMaxBytes), platform.WithLargeEvents(memory.NewBudget(largeEventBytes(c.MemoryMB))))
 	n.Core = core.New(w, w,
 		core.WithLogger(g),
 		core.WithClock(b.clock),
@@ -185,10 +186,10 @@
 	if n.maxConnections = maxConnections(c); n.maxConnections < c.MaxConnections {
 		g.Info("callers' connections bounded by descriptors", "connections", n.maxConnections, "max_connections", c.MaxConnections)
 	}
-	n.bodies = callers.NewBudget(int64(bodyMemoryShare * float64(c.MemoryMB) * megabyte))
+	n.bodies = memory.NewBudget(int64(bodyMemoryShare * float64(c.MemoryMB) * megabyte))
 	handler := platform.NewHandler(n.Core, n.limits, n.clock, g, platform.WithStall(n.callerStall), platform.WithBodies(n.bodies))
 	n.callers = callers.New(l, handler,
-		callers.WithMaxConnections(n.maxConnections), callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(n.linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
+		callers.WithMaxConnections(n.maxConnections), callers.WithBudget(n.bodies), callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(n.linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
 	l, err = n.listen(c.Readiness)
 	if err != nil {
 		return err
@@ -375,7 +376,7 @@
 
 func (n *GatewayNode) connLimits() callers.Limits {
 	l := n.limits()
-	return callers.Limits{HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+	return callers.Limits{HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, HeadBytes: l.HeaderBytes}
 }
 
 func (n *GatewayNode) configState() ConfigState {
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -32,9 +32,18 @@
 		n.metrics.Gauge("hollowgrade.store_era", "Era of the platform's store; it rises when the store comes back from an older copy; 0 if unknown.", func() float64 {
 			return float64(n.config.Era())
 		}),
-		n.metrics.Gauge("hollowgrade.body_bytes", "Bytes of the bodies of requests that are open.", func() float64 {
+		n.metrics.Gauge("hollowgrade.body_bytes", "Bytes that heads and bodies of requests take, also of those that are arriving.", func() float64 {
 			return float64(n.bodies.Held())
 		}),
+		n.metrics.Gauge("hollowgrade.heads_too_large", "Requests refused since the start as their heads went beyond the limit.", func() float64 {
+			return float64(n.callers.LargeHeads())
+		}),
+		n.metrics.Gauge("hollowgrade.heads_without_memory", "Requests refused since the start as there was no memory for their heads.", func() float64 {
+			return float64(n.callers.HeadsWithoutMemory())
+		}),
+		n.metrics.Gauge("hollowgrade.memory_revoked", "Requests that were arriving and have given way to others since the start.", func() float64 {
+			return float64(n.bodies.Revoked())
+		}),
 		n.metrics.Gauge("hollowgrade.halls_evacuated", "Data halls whose upstreams get no calls, since operators are emptying them.", func() float64 {
 			return float64(len(n.Core.Fleet().Evacuation().Halls()))
 		}),
