node: readiness and operators' listeners bound heads, time and connections

What was seen: clients of these listeners could fill the memory of a gateway, an entry or an agent as callers could, and nothing bounded their number.

Cause: both ran net/http's server with its limit of 1 MB for a head, no time for a body or an answer, and no bound of connections.

Change: one server for both. A head has 12 kB, a request and its answer 10 s each; 32 connections are open, and one more closes the one that has been without a request for the longest time, so that those who hold connections keep no balancer out.

Why it works: 32 heads of the shortest fields take some 200 kB each once parsed, and a listener of one's own takes nothing of the callers' budget.

--- a/cmd/hollowgrade/process_test.go
+++ b/cmd/hollowgrade/process_test.go
@@ -121,22 +121,35 @@
 // startFleet starts entries, and engines with an agent each.
 func startFleet(t testing.TB, entries, engines int, step string) *fleet {
 	t.Helper()
-	f := &fleet{platform: start(t, binaries.standin, "platform").await(t, "http://"), killed: map[int]bool{}}
+	f := newFleet(t)
 	for i := range engines {
 		f.addEngine(t, i, step)
 	}
 	f.publish(t)
 	for i := range entries {
-		e := start(t, binaries.hollowgrade, "entry", "--box", fmt.Sprint("entry-", i), "--hall", "hall-1", "--callers", "127.0.0.1:0",
-			"--platform-log", f.platform, "--platform-list", f.platform, "--log-poll", "50ms", "--linger", "1s")
-		f.entries = append(f.entries, e)
-		f.callers = append(f.callers, "http://"+field(t, e.await(t, "entry starts"), "callers"))
+		f.addEntry(t, i)
 	}
 	f.awaitReady(t)
 	return f
 }
 
-func (f *fleet) addEngine(t testing.TB, i int, step string) {
+// newFleet starts the stand-in for the platform.
+func newFleet(t testing.TB) *fleet {
+	t.Helper()
+	return &fleet{platform: start(t, binaries.standin, "platform").await(t, "http://"), killed: map[int]bool{}}
+}
+
+// addEntry starts an entry.
+func (f *fleet) addEntry(t testing.TB, i int) {
+	t.Helper()
+	e := start(t, binaries.hollowgrade, "entry", "--box", fmt.Sprint("entry-", i), "--hall", "hall-1", "--callers", "127.0.0.1:0",
+		"--platform-log", f.platform, "--platform-list", f.platform, "--log-poll", "50ms", "--linger", "1s")
+	f.entries = append(f.entries, e)
+	f.callers = append(f.callers, "http://"+field(t, e.await(t, "entry starts"), "callers"))
+}
+
+// addEngine starts an engine with an agent and returns the agent's peer address.
+func (f *fleet) addEngine(t testing.TB, i int, step string) (peers string) {
 	t.Helper()
 	e := start(t, binaries.standin, "engine", "--step", step)
 	u := e.await(t, "http://")
@@ -144,10 +157,9 @@
 	a := start(t, binaries.hollowgrade, "agent", "--box", box, "--hall", "hall-1", "--peers", "127.0.0.1:0", "--max-running", "128",
 		"--platform-log", f.platform, "--platform-list", f.platform, "--engine", u, "--models", "copy-1", "--log-poll", "50ms")
 	f.engines, f.agents, f.urls = append(f.engines, e), append(f.agents, a), append(f.urls, u)
-	registerBox(t, f.platform, hollowgrade.Box{
-		Name: box, Role: hollowgrade.AgentRole, Hall: "hall-1",
-		Peer: field(t, a.await(t, "agent starts"), "peers"), State: hollowgrade.BoxLive,
-	})
+	peers = field(t, a.await(t, "agent starts"), "peers")
+	registerBox(t, f.platform, hollowgrade.Box{Name: box, Role: hollowgrade.AgentRole, Hall: "hall-1", Peer: peers, State: hollowgrade.BoxLive})
+	return peers
 }
 
 func registerBox(t testing.TB, platform string, b hollowgrade.Box) {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -461,15 +460,3 @@
 		})
 	})
 }
-
-// newHTTP returns a service that serves a handler.
-func newHTTP(l net.Listener, h http.Handler, g *log.Logger) kernel.Service {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: operatorsHeaderTimeout}
-	return newRunner(func(ctx context.Context) {
-		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-		defer stop()
-		if err := s.Serve(l); ctx.Err() == nil {
-			g.Error("listener failed", "address", l.Addr().String(), "err", err)
-		}
-	})
-}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -50,11 +50,8 @@
 	EraSince  time.Time // when it rose; zero if it did not
 }
 
-const (
-	operatorsHeaderTimeout = 5 * time.Second
-	// operatorsStopTimeout bounds how long a planned stop waits for operators' connections.
-	operatorsStopTimeout = 500 * time.Millisecond
-)
+// operatorsStopTimeout bounds how long a planned stop waits for operators' connections.
+const operatorsStopTimeout = 500 * time.Millisecond
 
 // operators serves operators' tools on a listener apart from callers'.
 type operators struct {
@@ -79,7 +76,7 @@
 	for _, m := range more {
 		m(r)
 	}
-	o.server = &http.Server{Handler: r, ReadHeaderTimeout: operatorsHeaderTimeout}
+	o.server = newSideServer(r)
 	return o, nil
 }
 
