entry, setting: heads and bodies of an entry's callers share a total as well

What callers saw: the same as at gateways; an entry had no limit of heads but net/http's 1 MB, no setting of memory, and bodies of max_requests times max_body_bytes, 64 GB.

Cause: the bound of a process's memory was the gateway's alone.

Change: memory_mb and max_descriptors are settings of all roles; memory_mb is the machine's memory where it is 0. An entry has a new limit, max_head_bytes, of 64 kB. Heads and bodies are claimed as at gateways, a body before it is read. max_connections of entries and agents follows the descriptors.

Why it works: the server and the budget are those of gateways.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/hollowgrade/hollowgrade/fault"
 	"github.com/hollowgrade/hollowgrade/kernel"
 	"github.com/hollowgrade/hollowgrade/ledger"
+	"github.com/hollowgrade/hollowgrade/memory"
 	"github.com/hollowgrade/hollowgrade/peer"
 	"github.com/hollowgrade/hollowgrade/retry"
 	"github.com/hollowgrade/hollowgrade/sched"
@@ -29,6 +30,7 @@
 // Limits bound what an entry accepts.
 type Limits struct {
 	MaxBodyBytes  int64         // size of a caller's request
+	MaxHeadBytes  int           // size of its head
 	BodyTimeout   time.Duration // time for a caller to send its body
 	HeaderTimeout time.Duration // time for a caller to send its headers
 	MaxRequests   int           // requests open at once
@@ -42,6 +44,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		MaxBodyBytes:  8 << 20,
+		MaxHeadBytes:  64 << 10,
 		BodyTimeout:   30 * time.Second,
 		HeaderTimeout: 5 * time.Second,
 		MaxRequests:   8192,
@@ -57,6 +60,7 @@
 	box         hollowgrade.Box
 	incarnation string
 	limits      Limits
+	budget      *memory.Budget // for heads and bodies of requests
 	clock       hollowgrade.Clock
 	log         *log.Logger
 	dial        peer.Dialer
@@ -119,6 +123,11 @@
 	return func(e *Entry) { e.limits = l }
 }
 
+// WithBudget sets the budget for heads and bodies of callers' requests.
+func WithBudget(b *memory.Budget) Option {
+	return func(e *Entry) { e.budget = b }
+}
+
 // WithDialer sets how connections to agents are opened.
 func WithDialer(d peer.Dialer) Option {
 	return func(e *Entry) { e.dial = d }
@@ -147,6 +156,7 @@
 		box:         b,
 		incarnation: incarnation,
 		limits:      DefaultLimits(),
+		budget:      memory.NewBudget(0),
 		clock:       hollowgrade.SystemClock(),
 		log:         log.Default(),
 		dial:        peer.TCP(),
@@ -164,14 +174,14 @@
 	}
 	e.config.Store(&config.Config{})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.callers = callers.New(l, e.router(), callers.WithClock(e.clock), callers.WithLogger(e.log), callers.WithLimits(e.connLimits),
+	e.callers = callers.New(l, e.router(), callers.WithClock(e.clock), callers.WithLogger(e.log), callers.WithLimits(e.connLimits), callers.WithBudget(e.budget),
 		callers.WithLinger(func() time.Duration { return e.limits.Linger }), callers.WithDrainHook(e.Drain))
 	return e
 }
 
 // connLimits returns the limits of callers' connections.
 func (e *Entry) connLimits() callers.Limits {
-	return callers.Limits{HeaderTimeout: e.limits.HeaderTimeout, IdleTimeout: idleTimeout}
+	return callers.Limits{HeaderTimeout: e.limits.HeaderTimeout, IdleTimeout: idleTimeout, HeadBytes: e.limits.MaxHeadBytes}
 }
 
 // SetConfig puts a configuration in force. An older one never replaces a newer one.
--- a/entry/http.go
+++ b/entry/http.go
@@ -135,6 +135,9 @@
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	by := time.Now().Add(e.limits.BodyTimeout)
 	callers.BoundBody(w, r, by)
+	if !callers.ClaimBody(callers.Claim(r, e.budget), r, e.limits.MaxBodyBytes) {
+		return nil, callers.NoMemory()
+	}
 	return callers.ReadBody(w, r, e.limits.MaxBodyBytes, by)
 }
 
--- a/entry/links_test.go
+++ b/entry/links_test.go
@@ -63,7 +63,7 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-func memory() float64 {
+func heapInUse() float64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
@@ -79,7 +79,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			g := log.New(io.Discard)
 			bs := startAgents(b, n, g)
-			before := memory()
+			before := heapInUse()
 			var bytes atomic.Int64
 			dial := func(ctx context.Context, address string) (net.Conn, error) {
 				c, err := peer.TCP()(ctx, address)
@@ -102,7 +102,7 @@
 				b.ReportMetric(float64(bytes.Load()-had)/seconds, "B/s")
 				b.ReportMetric(100*(cpu(b)-spent).Seconds()/seconds, "%core")
 			}
-			b.ReportMetric(memory()-before, "mem-B")
+			b.ReportMetric(heapInUse()-before, "mem-B")
 		})
 	}
 }
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -24,6 +24,7 @@
 // NewAgent opens the listeners and sets up an agent. Start starts its services.
 func NewAgent(c setting.Agent, g *log.Logger) (n *AgentNode, err error) {
 	defer errs.Annotate(&err, "set up agent %s", c.Box)
+	limitMemory(c.MemoryMB)
 	b, err := newNode(hollowgrade.AgentRole, c.Process, g)
 	if err != nil {
 		return nil, err
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -27,6 +27,7 @@
 // NewEntry opens the listeners and sets up an entry. Start starts its services.
 func NewEntry(c setting.Entry, g *log.Logger) (n *EntryNode, err error) {
 	defer errs.Annotate(&err, "set up entry %s", c.Box)
+	limitMemory(c.MemoryMB)
 	b, err := newNode(hollowgrade.EntryRole, c.Process, g)
 	if err != nil {
 		return nil, err
@@ -40,13 +41,14 @@
 		return nil, err
 	}
 	callers := l.Addr().String()
-	l = netutil.LimitListener(l, c.MaxConnections)
+	l = netutil.LimitListener(l, maxConnections(c.Process, g))
 	d := newDirectory(c.Common, g)
 	e := entry.New(b.Box, b.Incarnation, l, d.Agents,
 		entry.WithLogger(g),
 		entry.WithClock(b.clock),
 		entry.WithDialer(dialer(t)),
 		entry.WithLimits(entryLimits(c)),
+		entry.WithBudget(memoryBudget(c.Process, requestMemoryShare)),
 		entry.WithPlacement(newPlacement(c.Placement)),
 		entry.WithObserver(func(o entry.Observation) { b.sample(sampleOf(o)) }))
 	n = &EntryNode{Node: b, Callers: callers, Entry: e}
@@ -65,6 +67,7 @@
 func entryLimits(c setting.Entry) entry.Limits {
 	return entry.Limits{
 		MaxBodyBytes:  c.MaxBodyBytes,
+		MaxHeadBytes:  c.MaxHeadBytes,
 		BodyTimeout:   c.BodyTimeout,
 		HeaderTimeout: c.HeaderTimeout,
 		MaxRequests:   c.MaxRequests,
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"math"
 	"net"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -51,20 +48,9 @@
 	// calls that an upstream is at work on may be cut in the last sixth only.
 	maxExitMargin = 500 * time.Millisecond
 	exitShare     = 12
-	// memoryLimitShare is the runtime's memory limit as a share of the box's memory.
-	memoryLimitShare = 0.8
-	megabyte         = 1 << 20
-	// bodyMemoryShare is the part of the box's memory that the bodies of open calls may take.
-	bodyMemoryShare = 0.25
 	// eventMemoryShare is the part of the box's memory that large events may take while they are
 	// received.
 	eventMemoryShare = 0.015
-	// callerDescriptorShare is the part of the descriptors that callers' connections may take. The rest is
-	// for upstreams, which need one for each call, the store and peers.
-	callerDescriptorShare = 0.8
-	// gcPercent is how much the heap may grow between collections, in percent, within the memory
-	// limit. More saves processor time and costs memory.
-	gcPercent = 150
 )
 
 // GatewayNode is a process of the role gateway.
@@ -182,10 +168,8 @@
 	if err != nil {
 		return err
 	}
-	if n.maxConnections = maxConnections(c); n.maxConnections < c.MaxConnections {
-		g.Info("callers' connections bounded by descriptors", "connections", n.maxConnections, "max_connections", c.MaxConnections)
-	}
-	n.bodies = memory.NewBudget(int64(bodyMemoryShare * float64(c.MemoryMB) * megabyte))
+	n.maxConnections = maxConnections(c.Process, g)
+	n.bodies = memoryBudget(c.Process, requestMemoryShare)
 	handler := platform.NewHandler(n.Core, n.limits, n.clock, g, platform.WithStall(n.callerStall), platform.WithBodies(n.bodies))
 	n.callers = callers.New(l, handler,
 		callers.WithMaxConnections(n.maxConnections), callers.WithBudget(n.bodies), callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(n.linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
@@ -246,33 +230,11 @@
 	}
 }
 
-// limitMemory sets the runtime's memory limit from the memory of the box.
-func limitMemory(mb int) {
-	if mb > 0 {
-		debug.SetGCPercent(gcPercent)
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(mb) * megabyte))
-	}
-}
-
 // largeEventBytes returns the memory that large events may take while they are received, 0 for no bound.
 func largeEventBytes(memoryMB int) int64 {
 	return int64(float64(memoryMB) * megabyte * eventMemoryShare)
 }
 
-// maxConnections returns how many connections callers may have: as many as the settings allow, and at most
-// their share of the process's descriptors.
-func maxConnections(c setting.Gateway) int {
-	d := c.MaxDescriptors
-	var l syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l) == nil && (d == 0 || uint64(d) > l.Cur) {
-		d = int(min(l.Cur, math.MaxInt32))
-	}
-	if d == 0 {
-		return c.MaxConnections
-	}
-	return min(c.MaxConnections, max(int(callerDescriptorShare*float64(d)), 1))
-}
-
 // observe records a call that has ended.
 func (n *Node) observe(o core.Observation) {
 	n.sample(callSample(o))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l = netutil.LimitListener(l, c.MaxConnections)
+	l = netutil.LimitListener(l, maxConnections(c.Process, n.log))
 	if t == nil {
 		return l, nil
 	}
--- a/internal/node/slowreaders_test.go
+++ b/internal/node/slowreaders_test.go
@@ -121,7 +121,7 @@
 	t.Parallel()
 	s := newFixture(t)
 	g := startGateway(t, s.store.Address(), func(c *setting.Gateway) { c.MemoryMB = smallestBoxMB })
-	require.True(t, g.bodies.Take(int64(bodyMemoryShare*smallestBoxMB*megabyte)))
+	require.True(t, g.bodies.Take(int64(requestMemoryShare*smallestBoxMB*megabyte)))
 	st, body, err := g.call(t, "/once/x", "c1", "k1")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, st)
--- a/setting/gateway.go
+++ b/setting/gateway.go
@@ -37,8 +37,6 @@
 	LongWait           bool          `help:"Whether long prompts wait at the gateways until the engines have time for them, in an order that all gateways share, and are refused when there is no time for all of them. Otherwise they are sent at once, or refused by what other calls would lose." default:"false" group:"limits"`
 	CallerStall        time.Duration `help:"How long a caller may read nothing of its answer before it is cut off, so that it keeps no upstream busy. One that reads slowly is waited for." default:"1500ms" min:"100ms" max:"1m" group:"limits"`
 	LinkMbps           float64       `name:"link-mbps" help:"Rate of the box's link, 0 if not known. Gateways with wide links read the store for the others, and send large values to more of them at a time." default:"0" min:"0" group:"limits"`
-	MaxDescriptors     int           `help:"Descriptors that the process may have open; 0 for the limit that it runs under. Callers' connections take at most four fifths of them, whatever max_connections allows, so that upstreams can be reached." default:"0" min:"0" group:"limits"`
-	MemoryMB           int           `name:"memory-mb" help:"Memory that the process may use, in MB; 0 to leave it unbounded." default:"0" min:"0" group:"limits"`
 }
 
 // freshnessMargin is the difference between key_freshness and the maximum age of a view: 300 ms
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -17,6 +17,8 @@
 	Region         string        `help:"Region that the data hall belongs to." default:"local" group:"place"`
 	Operators      string        `help:"Address on which operators' tools read metrics, status, readiness and the report." default:"127.0.0.1:0" group:"listen"`
 	MaxConnections int           `help:"Connections that are open at once on the main listener; more have to wait." default:"16384" min:"1" group:"limits"`
+	MaxDescriptors int           `help:"Descriptors that the process may have open; 0 for the limit that it runs under. Connections of the main listener take at most four fifths of them, whatever max_connections allows, so that upstreams can be reached." default:"0" min:"0" group:"limits"`
+	MemoryMB       int           `name:"memory-mb" help:"Memory that the process may use, in MB; 0 for that of the machine. What callers and peers may make it hold are shares of it." default:"0" min:"0" group:"limits"`
 	DrainTimeout   time.Duration `help:"How long a planned stop waits for open requests." default:"10m" min:"0s" group:"limits"`
 	Verbosity      string        `help:"Least level of what is logged." default:"info" enum:"debug,info,warn,error" group:"logs"`
 }
@@ -41,6 +43,7 @@
 	Common
 	Callers       string        `help:"Address on which callers are served." default:"127.0.0.1:8080" group:"listen"`
 	MaxBodyBytes  int64         `help:"Largest body of a request, in bytes." default:"8388608" min:"1024" max:"16777216" group:"limits"`
+	MaxHeadBytes  int           `help:"Largest head of a request, in bytes." default:"65536" min:"4096" max:"1048576" group:"limits"`
 	BodyTimeout   time.Duration `help:"How long a caller may take to send its body." default:"30s" min:"100ms" group:"limits"`
 	HeaderTimeout time.Duration `help:"How long a caller may take to send its headers." default:"5s" min:"100ms" group:"limits"`
 	MaxRequests   int           `help:"Requests open at once." default:"8192" min:"1" group:"limits"`
