peer: frames take memory as they come, out of a total

What was seen: 20 peers with 64 exchanges each, whose first frames announced 1 MB and of which 200 kB came, took 808 MB of a gateway and 875 MB of an agent on, whose boxes had 96 MB in the test.

Cause: a frame was allocated by the length that it announces; nothing bounded what the frames of all connections take; yamux keeps a buffer of up to 256 kB of each exchange, and fills it as fast as bytes come.

Change: a frame beyond 4 kB is allocated and claimed as it arrives, twice as much at a time, out of a tenth of the box's memory. When that is used up, the connection that takes the most is closed. The connection is read no more than 64 kB ahead of the exchanges, with a pause of 20 ms at most, since some may not read before long; buffers of yamux that were read are dropped.

Why it works: what a peer makes a process hold is what it has sent, and who has sent the most without completing a frame goes first.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/hollowgrade/hollowgrade/internal/wire"
 	"github.com/hollowgrade/hollowgrade/kernel"
 	"github.com/hollowgrade/hollowgrade/ledger"
+	"github.com/hollowgrade/hollowgrade/memory"
 	"github.com/hollowgrade/hollowgrade/peer"
 	"github.com/hollowgrade/hollowgrade/sched"
 )
@@ -56,6 +57,7 @@
 	box         hollowgrade.Box
 	incarnation string
 	limits      Limits
+	budget      *memory.Budget // for frames of peers that are arriving
 	clock       hollowgrade.Clock
 	log         *log.Logger
 	listener    net.Listener
@@ -147,6 +149,11 @@
 	return func(a *Agent) { a.limits = l }
 }
 
+// WithBudget sets the budget for the frames of peers that are arriving.
+func WithBudget(b *memory.Budget) Option {
+	return func(a *Agent) { a.budget = b }
+}
+
 // WithQueue sets the queue, which decides the order of work.
 func WithQueue(q sched.Queue) Option {
 	return func(a *Agent) { a.queue = q }
@@ -185,6 +192,7 @@
 		listener:    l,
 		queue:       sched.NewFair(),
 		memory:      ledger.NewMemory(0),
+		budget:      memory.NewBudget(0),
 		revision:    func() int64 { return 0 },
 		observe:     func(Observation) {},
 		jobs:        map[string]*job{},
@@ -197,7 +205,7 @@
 	for _, o := range os {
 		o(a)
 	}
-	a.server = peer.NewServer(a.handle, a.logBrokenPeer)
+	a.server = peer.NewServer(a.handle, a.logBrokenPeer, peer.WithBudget(a.budget))
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a
 }
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -46,6 +46,7 @@
 		agent.WithLogger(g),
 		agent.WithClock(b.clock),
 		agent.WithLimits(agentLimits(c)),
+		agent.WithBudget(memoryBudget(c.Process, frameMemoryShare)),
 		agent.WithQueue(newQueue(c.Order)),
 		agent.WithKeys(k),
 		agent.WithRevision(func() int64 { return b.follower.State().Revision() }),
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -161,7 +161,7 @@
 		if err != nil {
 			return err
 		}
-		n.Register(PeersService, newPeers(l, n.peerHandler(r.NewServer(c.LinkMbps)), g))
+		n.Register(PeersService, newPeers(l, n.peerHandler(r.NewServer(c.LinkMbps)), memoryBudget(c.Process, frameMemoryShare), g))
 	}
 	n.Register(MembersService, n.members)
 	l, err := n.listen(c.Callers)
@@ -394,10 +394,10 @@
 }
 
 // newPeers returns a service that serves other gateways.
-func newPeers(l net.Listener, h peer.Handler, g *log.Logger) kernel.Service {
+func newPeers(l net.Listener, h peer.Handler, b *memory.Budget, g *log.Logger) kernel.Service {
 	s := peer.NewServer(h, func(a net.Addr, err error) {
 		g.Warn("connection to peer closed after an invalid frame", "peer", a.String(), "err", err)
-	})
+	}, peer.WithBudget(b))
 	return newRunner(func(ctx context.Context) {
 		defer s.Close()
 		stop := context.AfterFunc(ctx, func() { _ = l.Close() })
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -18,6 +18,8 @@
 	// requestMemoryShare is the part of the box's memory that heads and bodies of callers' requests may
 	// take.
 	requestMemoryShare = 0.25
+	// frameMemoryShare is the part of the box's memory that frames of peers may take while they arrive.
+	frameMemoryShare = 0.1
 	// mainDescriptorShare is the part of the descriptors that connections of the main listener may take. The
 	// rest is for upstreams, which need one for each call, the store and peers.
 	mainDescriptorShare = 0.8
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -19,6 +19,7 @@
 
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/memory"
 )
 
 const (
@@ -134,7 +135,8 @@
 	raw      *yamux.Stream
 	in       *bufio.Reader
 	out      *bufio.Writer
-	received atomic.Int64 // bytes
+	received atomic.Int64  // bytes
+	claim    *memory.Claim // for frames that are arriving; nil for no bound
 }
 
 const streamBufferBytes = 4 << 10
@@ -176,12 +178,11 @@
 // Receive reads the next frame. It returns [io.EOF] when the other side has
 // ended the exchange between two frames.
 func (s *Stream) Receive() (f *wire.Frame, err error) {
-	f = &wire.Frame{}
-	err = protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(s.in, f)
+	f, err = s.readFrame()
 	switch {
 	case err == nil && f.Body == nil:
 		return nil, fmt.Errorf("%w: empty", ErrBroken)
-	case err == nil, errors.Is(err, io.EOF), isTransport(err):
+	case err == nil, errors.Is(err, io.EOF), errors.Is(err, ErrNoMemory), isTransport(err):
 		return f, err
 	default:
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -22,13 +22,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	cut = make(chan error, 1)
-	s := NewServer(func(_ context.Context, s *Stream, f *wire.Frame) error {
-		if err := s.Send(f); err != nil {
-			return err
-		}
-		_, err := s.Receive()
-		return err
-	}, func(_ net.Addr, err error) { cut <- err })
+	s := NewServer(echoFirst, func(_ net.Addr, err error) { cut <- err })
 	go func() { _ = s.Serve(context.Background(), l) }()
 	t.Cleanup(func() {
 		_ = l.Close()
@@ -37,6 +31,15 @@
 	return l.Addr().String(), cut
 }
 
+// echoFirst is a [Handler] that sends the first frame back.
+func echoFirst(_ context.Context, s *Stream, f *wire.Frame) error {
+	if err := s.Send(f); err != nil {
+		return err
+	}
+	_, err := s.Receive()
+	return err
+}
+
 func hello(box string) *wire.Frame {
 	return &wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{Box: box}}}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/yamux"
 
 	"github.com/hollowgrade/hollowgrade/internal/wire"
+	"github.com/hollowgrade/hollowgrade/memory"
 )
 
 // Handler serves one exchange. The stream is ended when it returns.
@@ -19,16 +20,30 @@
 type Server struct {
 	handle Handler
 	broken func(peer net.Addr, err error)
+	budget *memory.Budget
 
 	mu       sync.Mutex
 	sessions map[*yamux.Session]struct{}
 	group    sync.WaitGroup
 }
 
+// ServerOption configures a server.
+type ServerOption func(*Server)
+
+// WithBudget sets the budget for the frames that are arriving on all connections. When it is used up, the
+// connection that takes the most of it is closed.
+func WithBudget(b *memory.Budget) ServerOption {
+	return func(s *Server) { s.budget = b }
+}
+
 // NewServer returns a server. Broken is called for each peer that was disconnected for a broken
-// frame.
-func NewServer(h Handler, broken func(peer net.Addr, err error)) *Server {
-	return &Server{handle: h, broken: broken, sessions: map[*yamux.Session]struct{}{}}
+// frame, or for frames for which there was no memory.
+func NewServer(h Handler, broken func(peer net.Addr, err error), os ...ServerOption) *Server {
+	s := &Server{handle: h, broken: broken, budget: memory.NewBudget(0), sessions: map[*yamux.Session]struct{}{}}
+	for _, o := range os {
+		o(s)
+	}
+	return s
 }
 
 // Serve accepts connections until the listener is closed. It returns the first other error of Accept:
@@ -57,7 +72,8 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, c net.Conn) {
-	y, err := yamux.Server(c, config())
+	p := newPacedConn(c)
+	y, err := yamux.Server(p, config())
 	if err != nil {
 		_ = c.Close()
 		return
@@ -73,6 +89,12 @@
 	}()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	claim := s.budget.NewClaim(func() { s.disconnect(y, ErrNoMemory) })
+	var streams sync.WaitGroup
+	defer s.group.Go(func() { // once none of them claims more
+		streams.Wait()
+		claim.Release()
+	})
 	for {
 		r, err := y.AcceptStream()
 		if err != nil {
@@ -82,7 +104,13 @@
 			_ = r.Close()
 			continue
 		}
-		s.group.Go(func() { s.serveStream(ctx, y, newStream(r, r)) })
+		t := newStream(r, p.reader(r))
+		t.claim = claim
+		streams.Add(1)
+		s.group.Go(func() {
+			defer streams.Done()
+			s.serveStream(ctx, y, t)
+		})
 	}
 }
 
@@ -99,8 +127,15 @@
 		_ = t.raw.SetReadDeadline(time.Time{})
 		err = s.handle(ctx, t, f)
 	}
-	if errors.Is(err, ErrBroken) {
-		s.broken(y.RemoteAddr(), err)
-		_ = y.Close()
+	if errors.Is(err, ErrBroken) || errors.Is(err, ErrNoMemory) {
+		s.disconnect(y, err)
+	}
+}
+
+// disconnect closes the connection of a peer and reports why, once for each connection.
+func (s *Server) disconnect(y *yamux.Session, why error) {
+	if !y.IsClosed() {
+		s.broken(y.RemoteAddr(), why)
 	}
+	_ = y.Close()
 }
