--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -101,11 +101,12 @@
 key_freshness = %q
 freshness = %q
 linger = %q
+memory_mb = %d
 long_wait = true
 retry_ratio = %g
 retry_slack = %d
 retry_window = %q
-`, g.name, g.callersAddress, g.readyAddress, peers, g.peers.address(), link, strings.Join(*seeds, `", "`), g.store.address(), keyFreshness, maxApplyDelay, stopLinger,
+`, g.name, g.callersAddress, g.readyAddress, peers, g.peers.address(), link, strings.Join(*seeds, `", "`), g.store.address(), keyFreshness, maxApplyDelay, stopLinger, maxPeakMB,
 		retryRatio, retrySlack, retryWindow)
 	w.writeSettings(g, stopGrace)
 	return g
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,6 +83,12 @@
 	for i := range *gateways * keptCallersPerGateway {
 		cs.Go(func() { w.runKeptCaller(ctx, seed, i) })
 	}
+	if hasCrowd(seed) {
+		qs := crowdRequests()
+		for i := range crowdCallers {
+			cs.Go(func() { w.runCrowdCaller(ctx, qs, seed, i) })
+		}
+	}
 	for _, s := range p {
 		fs.Go(func() {
 			time.Sleep(s.at - time.Since(start))
