upstream, standalone: heads of answers at entries and agents have a bound

What was seen: by reading, an engine, a service or the platform could send entries and agents a head of 10 MB, net/http's limit; gateways have 32 kB.

Change: the transports of entries and agents have 32 kB as well.

Heads of many short fields are bounded in bytes only here, not in lines.

--- a/standalone/standalone.go
+++ b/standalone/standalone.go
@@ -39,6 +39,7 @@
 
 const (
 	maxReplyBytes = 64 << 20
+	maxHeadBytes  = 32 << 10 // of an answer
 	callTimeout   = 30 * time.Second
 )
 
@@ -47,7 +48,13 @@
 	http *http.Client
 }
 
+// newClient returns a client. A nil transport stands for net/http's default one with the bound of heads.
 func newClient(base string, t http.RoundTripper) client {
+	if t == nil {
+		d := http.DefaultTransport.(*http.Transport).Clone()
+		d.MaxResponseHeaderBytes = maxHeadBytes
+		t = d
+	}
 	return client{base: base, http: &http.Client{Transport: t, Timeout: callTimeout}}
 }
 
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -85,14 +85,18 @@
 	maxIdleConns  = 512
 )
 
+// maxHeadBytes bounds the head of an answer.
+const maxHeadBytes = 32 << 10
+
 // Transport returns an HTTP transport that keeps enough idle connections to one upstream. A nil
 // dial function stands for the default one.
 func Transport(d DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:         d,
-		MaxIdleConns:        maxIdleConns,
-		MaxIdleConnsPerHost: maxIdleConns,
-		DisableCompression:  true,
+		DialContext:            d,
+		MaxIdleConns:           maxIdleConns,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true,
 	}
 }
 
