callers: connections without a request give way when all are taken

What callers saw: clients that took all connections of a gateway and sent nothing, or a part of a head, kept all others out until the idle limit or that of heads had passed, and the gateway reported itself not ready meanwhile.

Cause: the bound of connections made new ones wait for whichever closed first.

Change: a new connection is accepted, and the one closes that has been open for the longest time without a request, by the goroutine that reads from it and only if that read returns nothing. Connections that have had a request stay; when there are only these the next one waits as before, and only then the gateway reports itself not ready. Entries use the same.

Why it works: a caller sends its request when it is connected, so that it is younger than those who hold connections for nothing.

--- a/callers/closed.go
+++ b/callers/closed.go
@@ -13,6 +13,7 @@
 	causeSlow                        // a head did not arrive in time
 	causeLargeHead                   // a head was larger than the limit
 	causeNoMemory                    // a head found no room in the budget, or gave way to others
+	causeCrowded                     // it gave way to a new connection, as all were taken
 	closeCauses                      // how many there are
 )
 
@@ -57,7 +58,7 @@
 		return
 	}
 	l := s.effectiveLimits()
-	s.log.Info("connections closed", "idle", n[causeIdle], "slow", n[causeSlow], "large_heads", n[causeLargeHead], "no_memory", n[causeNoMemory],
+	s.log.Info("connections closed", "idle", n[causeIdle], "slow", n[causeSlow], "large_heads", n[causeLargeHead], "no_memory", n[causeNoMemory], "crowded", n[causeCrowded],
 		"idle_limit_ms", l.IdleTimeout.Milliseconds(), "header_limit_ms", l.HeaderTimeout.Milliseconds(), "head_limit_bytes", l.HeadBytes,
 		"held_bytes", s.budget.Held(), "open", open, "stopping", s.Stopping())
 }
--- a/callers/conn.go
+++ b/callers/conn.go
@@ -71,6 +71,7 @@
 
 	mu        sync.Mutex
 	revoked   bool // whether the claim was, and the request has to end
+	givesWay  bool // whether the connection is closed for another one unless a request begins
 	phase     phase
 	since     time.Time     // when the phase began
 	told      time.Duration // the idle limit that the last answer named
@@ -117,7 +118,7 @@
 	case c.isRevoked() && (n > 0 || errors.Is(err, os.ErrDeadlineExceeded)):
 		return 0, c.refuse(causeNoMemory)
 	case n == 0 && errors.Is(err, os.ErrDeadlineExceeded):
-		c.endForAge()
+		c.endWaiting()
 		return 0, err
 	case n == 0:
 		return 0, err
@@ -186,15 +187,27 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// endForAge ends a connection that has been idle or slow for too long.
-func (c *conn) endForAge() {
-	if c.end() != phaseHead {
-		c.server.recordClose(causeIdle)
+// endWaiting ends a connection that has been idle or slow for too long, or gives way to another one.
+func (c *conn) endWaiting() {
+	p, givesWay := c.end(), c.isGivingWay()
+	idle, slow, answer := causeIdle, causeSlow, timeoutAnswer
+	if givesWay {
+		idle, slow, answer = causeCrowded, causeCrowded, unavailableAnswer
+	}
+	if p != phaseHead {
+		c.server.recordClose(idle)
 		_ = c.Close()
 		return
 	}
-	c.server.recordClose(causeSlow)
-	c.answerAndClose(timeoutAnswer) // before net/http answers an incomplete head with 400
+	c.server.recordClose(slow)
+	c.answerAndClose(answer) // before net/http answers an incomplete head with 400
+}
+
+// isGivingWay reports whether the connection is closed for another one.
+func (c *conn) isGivingWay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.givesWay
 }
 
 // end marks the connection as being closed and returns the phase in which it was.
@@ -232,7 +245,7 @@
 		return false
 	}
 	c.waiting = true
-	if c.revoked {
+	if c.revoked || c.givesWay {
 		_ = c.Conn.SetReadDeadline(time.Now()) // a closed connection ends the next read by itself
 		return true
 	}
@@ -245,7 +258,7 @@
 	now := c.server.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(b) == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.revoked {
+	if len(b) == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.revoked && !c.givesWay {
 		if until, ok := c.extend(now, took); ok {
 			c.setDeadline(now, until)
 			return true
@@ -315,7 +328,7 @@
 	now := c.server.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.waiting && c.lastReads == 0 && !c.revoked {
+	if c.waiting && c.lastReads == 0 && !c.revoked && !c.givesWay {
 		c.setDeadline(now, c.due(now))
 	}
 }
--- a/callers/head.go
+++ b/callers/head.go
@@ -29,9 +29,9 @@
 
 // The answers to requests whose heads were not passed on to the handler: none of them has run.
 const (
-	largeHeadAnswer    = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	noMemoryRetryAfter = "1" // seconds
-	noMemoryAnswer     = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: " + noMemoryRetryAfter + "\r\nContent-Length: 0\r\n\r\n"
+	largeHeadAnswer       = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	unavailableRetryAfter = "1" // seconds
+	unavailableAnswer     = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: " + unavailableRetryAfter + "\r\nContent-Length: 0\r\n\r\n"
 )
 
 // headCost returns the memory that a whole head takes until its request has ended: its bytes as they have
@@ -187,7 +187,7 @@
 
 // refuse answers a request whose head was not passed on, and closes the connection.
 func (c *conn) refuse(why closeCause) error {
-	answer := noMemoryAnswer
+	answer := unavailableAnswer
 	if why == causeLargeHead {
 		answer = largeHeadAnswer
 	}
--- a/callers/server.go
+++ b/callers/server.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"golang.org/x/net/netutil"
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/kernel"
@@ -72,6 +71,7 @@
 
 	mu             sync.Mutex
 	conns          map[*conn]struct{}
+	unused         unusedConns
 	idleLimits     []idleLimit // those of the recent past, the newest last
 	closed         closeCounts // since the last log line
 	closedInAll    closeCounts
@@ -123,7 +123,8 @@
 	return func(s *Server) { s.acceptGate = f }
 }
 
-// WithMaxConnections sets how many connections are open at once. More wait in the listener's queue.
+// WithMaxConnections sets how many connections are open at once. For one more, the oldest one without a request
+// is closed; if all have had one, it waits.
 func WithMaxConnections(n int) Option {
 	return func(s *Server) { s.maxConns = n }
 }
@@ -150,7 +151,7 @@
 		o(s)
 	}
 	if s.maxConns > 0 {
-		s.listener = netutil.LimitListener(s.listener, s.maxConns)
+		s.listener = newLimitListener(s.listener, s.maxConns, s)
 	}
 	s.baseContext, s.cancelRequests = context.WithCancelCause(context.Background())
 	s.server = &http.Server{
@@ -386,6 +387,7 @@
 	c := connOf(r)
 	s.announce(c, w.Header())
 	if c != nil {
+		s.used(c)
 		defer c.release()
 		if !c.claimParsed(r) {
 			refuseParsed(w)
@@ -414,7 +416,7 @@
 // refuseParsed refuses a request that the handler has not seen, since there is no memory for it.
 func refuseParsed(w http.ResponseWriter) {
 	closeAfter(w.Header())
-	w.Header().Set("Retry-After", noMemoryRetryAfter)
+	w.Header().Set("Retry-After", unavailableRetryAfter)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -462,6 +464,7 @@
 	case http.StateNew:
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
+		s.unused.add(c)
 		s.mu.Unlock()
 	case http.StateActive:
 		c.setPhase(phaseOpen)
@@ -478,6 +481,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.unused.remove(c)
 	if len(s.conns) > 0 {
 		return
 	}
--- a/callers/server_test.go
+++ b/callers/server_test.go
@@ -362,3 +362,37 @@
 		require.Less(t, time.Since(begun), closeTime)
 	})
 }
+
+// Guards against callers that hold all connections without a request, so that others get no answer.
+func TestConnectionsWithoutARequestGiveWay(t *testing.T) {
+	const most = 8
+	s, a := start(t, ok, WithMaxConnections(most), WithLimits(func() Limits { return Limits{HeaderTimeout: time.Hour, IdleTimeout: time.Hour} }))
+	used, usedIn := dial(t, a)
+	exchange(t, used, usedIn)
+	var ins []*bufio.Reader
+	for i := range 4 * most {
+		c, in := dial(t, a)
+		if i%2 == 0 {
+			fmt.Fprint(c, "GET / HT")
+		}
+		ins = append(ins, in)
+	}
+	c, in := dial(t, a)
+	exchange(t, c, in)
+	requireStatusOrEnd(t, ins[0])
+	exchange(t, used, usedIn)
+	require.LessOrEqual(t, s.Connections(), most)
+	require.False(t, s.Full())
+}
+
+// requireStatusOrEnd requires that a request without a whole head is refused as not run, or its connection
+// closed.
+func requireStatusOrEnd(t *testing.T, in *bufio.Reader) {
+	t.Helper()
+	r, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return
+	}
+	require.NoError(t, r.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+}
--- a/cmd/hollowgrade/crowd_test.go
+++ b/cmd/hollowgrade/crowd_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hollowgrade/hollowgrade/platform/platformtest"
@@ -26,6 +27,7 @@
 	crowdWriteTime   = 5 * time.Second // of one client
 	crowdHold        = time.Second     // for which a client then keeps its connection open
 	crowdEndless     = 8 << 20         // bytes of a client that sends without end
+	crowdPatience    = time.Minute     // for a request that may hang
 	memoryVariable   = "HOLLOWGRADE_MEMORY_MB"
 	publishedHead    = 16384 // limit of a head in the configuration
 	crowdMegabyte    = 1 << 20
@@ -128,6 +130,11 @@
 }
 
 func startCrowdGateway(t *testing.T) *crowdGateway {
+	t.Helper()
+	return startCrowdGatewayWith(t, signalsConfig)
+}
+
+func startCrowdGatewayWith(t *testing.T, config string) *crowdGateway {
 	t.Helper()
 	t.Setenv(memoryVariable, fmt.Sprint(crowdMemoryMB))
 	s := platformtest.NewStore()
@@ -135,7 +142,7 @@
 	w := platformtest.NewWorker("i-0", platformtest.PacedStream(3, 0))
 	t.Cleanup(w.Close)
 	s.PutJSON("keyed.servers", w.ID, w.Record("s", "ready"))
-	s.Put("keyed.op", "config", []byte(signalsConfig))
+	s.Put("keyed.op", "config", []byte(config))
 	g := &crowdGateway{
 		signalGateway: &signalGateway{callers: platformtest.FreeAddress(t), readiness: platformtest.FreeAddress(t)},
 		operators:     platformtest.FreeAddress(t),
@@ -189,3 +196,35 @@
 	require.Contains(t, string(b), platformtest.Event(3))
 	requireBounds(t, g.process)
 }
+
+// Guards against callers that take all connections and send nothing, or a part of a head, so that others get no
+// answer.
+func TestCrowdOfConnectionsKeepsNobodyOut(t *testing.T) {
+	const limits = `"headerTimeoutMs":3000,"idleTimeoutMs":15000`
+	for name, begin := range map[string]string{"nothing": "", "a part of a head": headBegin} {
+		t.Run(name, func(t *testing.T) {
+			require.Contains(t, signalsConfig, limits)
+			g := startCrowdGatewayWith(t, strings.Replace(signalsConfig, limits, `"headerTimeoutMs":3600000,"idleTimeoutMs":3600000`, 1))
+			for range 2 * crowdDescriptors {
+				c, err := net.Dial("tcp", g.callers)
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = c.Close() })
+				_, _ = io.WriteString(c, begin) // the gateway may have closed the connection
+			}
+			answered := make(chan struct{})
+			go func() {
+				defer close(answered)
+				_, body, err := postAs(g.callers, "/stream/x", "ordinary")
+				assert.NoError(t, err)
+				assert.Contains(t, body, platformtest.Event(3))
+			}()
+			select {
+			case <-answered:
+			case <-time.After(crowdPatience):
+				require.Fail(t, "the request is not answered")
+			}
+			requireBounds(t, g.process)
+			g.awaitReady(t)
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,6 +61,7 @@
 	incarnation string
 	limits      Limits
 	budget      *memory.Budget // for heads and bodies of requests
+	maxConns    int            // of callers
 	clock       hollowgrade.Clock
 	log         *log.Logger
 	dial        peer.Dialer
@@ -128,6 +129,11 @@
 	return func(e *Entry) { e.budget = b }
 }
 
+// WithMaxConnections sets how many connections callers may have, 0 for no bound.
+func WithMaxConnections(n int) Option {
+	return func(e *Entry) { e.maxConns = n }
+}
+
 // WithDialer sets how connections to agents are opened.
 func WithDialer(d peer.Dialer) Option {
 	return func(e *Entry) { e.dial = d }
@@ -174,7 +180,7 @@
 	}
 	e.config.Store(&config.Config{})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.callers = callers.New(l, e.router(), callers.WithClock(e.clock), callers.WithLogger(e.log), callers.WithLimits(e.connLimits), callers.WithBudget(e.budget),
+	e.callers = callers.New(l, e.router(), callers.WithClock(e.clock), callers.WithLogger(e.log), callers.WithLimits(e.connLimits), callers.WithBudget(e.budget), callers.WithMaxConnections(e.maxConns),
 		callers.WithLinger(func() time.Duration { return e.limits.Linger }), callers.WithDrainHook(e.Drain))
 	return e
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/charmbracelet/log"
-	"golang.org/x/net/netutil"
 
 	"github.com/hollowgrade/hollowgrade"
 	"github.com/hollowgrade/hollowgrade/entry"
@@ -41,13 +40,13 @@
 		return nil, err
 	}
 	callers := l.Addr().String()
-	l = netutil.LimitListener(l, maxConnections(c.Process, g))
 	d := newDirectory(c.Common, g)
 	e := entry.New(b.Box, b.Incarnation, l, d.Agents,
 		entry.WithLogger(g),
 		entry.WithClock(b.clock),
 		entry.WithDialer(dialer(t)),
 		entry.WithLimits(entryLimits(c)),
+		entry.WithMaxConnections(maxConnections(c.Process, g)),
 		entry.WithBudget(memoryBudget(c.Process, requestMemoryShare)),
 		entry.WithPlacement(newPlacement(c.Placement)),
 		entry.WithObserver(func(o entry.Observation) { b.sample(sampleOf(o)) }))
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -68,9 +68,7 @@
 	members   *members
 	unused    *atomic.Int64 // records of the store that could not be used
 	bodies    *memory.Budget
-	// maxConnections bounds callers' connections.
-	maxConnections int
-	receiver       *loadview.Receiver
+	receiver  *loadview.Receiver
 }
 
 // NewGateway opens the listeners and sets up a gateway. Start starts its services.
@@ -168,11 +166,10 @@
 	if err != nil {
 		return err
 	}
-	n.maxConnections = maxConnections(c.Process, g)
 	n.bodies = memoryBudget(c.Process, requestMemoryShare)
 	handler := platform.NewHandler(n.Core, n.limits, n.clock, g, platform.WithStall(n.callerStall), platform.WithBodies(n.bodies))
 	n.callers = callers.New(l, handler,
-		callers.WithMaxConnections(n.maxConnections), callers.WithBudget(n.bodies), callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(n.linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
+		callers.WithMaxConnections(maxConnections(c.Process, g)), callers.WithBudget(n.bodies), callers.WithLogger(g), callers.WithClock(n.clock), callers.WithLinger(n.linger), callers.WithLimits(n.connLimits), callers.WithAcceptGate(n.awaitStartup))
 	l, err = n.listen(c.Readiness)
 	if err != nil {
 		return err
@@ -313,7 +310,7 @@
 	switch {
 	case n.callers.Stopping():
 		return false, "stopping"
-	case n.callers.Connections() >= n.maxConnections:
+	case n.callers.Full():
 		return false, "as many connections as allowed are open"
 	case n.Core.Catalog() == nil:
 		return false, "no configuration yet"
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -51,7 +51,7 @@
 	if syscall.Sysinfo(&i) != nil {
 		return 0
 	}
-	return uint64(i.Totalram) * uint64(i.Unit)
+	return i.Totalram * uint64(i.Unit)
 }
 
 // maxConnections returns how many connections the main listener may have: as many as the settings allow, and at
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -10,6 +10,7 @@
 // later one.
 type Stage int
 
+// The stages, in the order in which claims give way.
 const (
 	Partial Stage = iota // a message that has not arrived as a whole and was not parsed
 	Waiting              // a request whose body has not arrived
