callers: a request that begins as its connection gives way is served

What callers would have seen: a request whose head was read just as its connection was chosen to give way to a new one would have been cancelled as if its caller had gone.

Cause: the read deadline that ends a waiting connection stayed in force after the head was passed on, and net/http takes an error of its read during a request for the end of the connection.

Change and why it works: the deadline is removed when the head is known, before net/http reads again; a connection with an open request is not chosen.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -347,8 +347,13 @@
 	now := c.server.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseEnded {
-		c.begin(p, now)
+	if c.phase == phaseEnded {
+		return
+	}
+	c.begin(p, now)
+	if p == phaseOpen && c.givesWay { // the request came first
+		c.givesWay = false
+		_ = c.Conn.SetReadDeadline(time.Time{}) // a closed connection ends the next read by itself
 	}
 }
 
--- a/callers/limit.go
+++ b/callers/limit.go
@@ -152,9 +152,6 @@
 // used notes that a request is served on a connection.
 func (s *Server) used(c *conn) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.unused.remove(c)
-	s.mu.Unlock()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.givesWay = false
 }
