callers: a connection that gives way is read from once more

What callers would have seen: a request that had arrived on a new connection and was not read yet, as on a box short of processor time, was dropped when the connection gave way to another one.

Cause: a read that a deadline interrupts returns without a look at the kernel's queue.

Change and why it works: such a connection is read from once more, for a millisecond, by the goroutine that decides on its end.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -35,6 +35,8 @@
 	// lastReadTime is how long a connection that is due to be closed is read from once more. Its
 	// deadline may have passed while the process was not scheduled and bytes arrived.
 	lastReadTime = 20 * time.Millisecond
+	// lastLookTime is the same for a connection that gives way to another one, which waits for it.
+	lastLookTime = time.Millisecond
 	// maxLastReads bounds the last reads. Another one follows one that returned a part of a head, or
 	// during which the process was not scheduled in time.
 	maxLastReads = 8
@@ -72,6 +74,7 @@
 	mu        sync.Mutex
 	revoked   bool // whether the claim was, and the request has to end
 	givesWay  bool // whether the connection is closed for another one unless a request begins
+	lastLook  bool // whether it was read from for that
 	phase     phase
 	since     time.Time     // when the phase began
 	told      time.Duration // the idle limit that the last answer named
@@ -258,11 +261,8 @@
 	now := c.server.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(b) == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.revoked && !c.givesWay {
-		if until, ok := c.extend(now, took); ok {
-			c.setDeadline(now, until)
-			return true
-		}
+	if len(b) == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.readAgain(now, took) {
+		return true
 	}
 	if c.phase == phaseIdle && !isEmptyLines(b) {
 		c.begin(phaseHead, now)
@@ -272,6 +272,24 @@
 	return false
 }
 
+// readAgain decides whether a read follows one of the given time that a deadline has ended, and sets the next
+// deadline.
+func (c *conn) readAgain(now time.Time, took time.Duration) bool {
+	if c.revoked || c.givesWay && c.lastLook {
+		return false
+	}
+	if c.givesWay { // a request may have arrived that the interrupted read did not see
+		c.lastLook = true
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lastLookTime))
+		return true
+	}
+	until, ok := c.extend(now, took)
+	if ok {
+		c.setDeadline(now, until)
+	}
+	return ok
+}
+
 // extend returns until when the connection is read from after a deadline has passed in a read that
 // took the given time. It reports false if the connection is to be closed.
 func (c *conn) extend(now time.Time, took time.Duration) (until time.Time, ok bool) {
@@ -352,7 +370,7 @@
 	}
 	c.begin(p, now)
 	if p == phaseOpen && c.givesWay { // the request came first
-		c.givesWay = false
+		c.givesWay, c.lastLook = false, false
 		_ = c.Conn.SetReadDeadline(time.Time{}) // a closed connection ends the next read by itself
 	}
 }
--- a/callers/limit_test.go
+++ b/callers/limit_test.go
@@ -4,10 +4,14 @@
 	"net"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
+// arrivalTime is how long bytes take on loopback at the most.
+const arrivalTime = 50 * time.Millisecond
+
 // connInPhase returns a connection of a server in a phase, and the other end of it.
 func connInPhase(t *testing.T, p phase) (c *conn, other net.Conn) {
 	t.Helper()
@@ -45,6 +49,16 @@
 		_, err = c.Read(read)
 		require.NoError(t, err)
 	})
+	t.Run("it has arrived and was not read", func(t *testing.T) {
+		c, other := connInPhase(t, phaseIdle)
+		_, err := other.Write([]byte(request))
+		require.NoError(t, err)
+		time.Sleep(arrivalTime)
+		c.giveWay()
+		n, err := c.Read(make([]byte, len(request)))
+		require.NoError(t, err)
+		require.Equal(t, len(request), n)
+	})
 	t.Run("nothing of it has come", func(t *testing.T) {
 		c, _ := connInPhase(t, phaseIdle)
 		c.giveWay()
--- a/callers/server.go
+++ b/callers/server.go
@@ -25,16 +25,10 @@
 const (
 	// crowdedShare is the share of the connections that are allowed from which on they are scarce.
 	crowdedShare = 0.75
-	// maxIdleLimits is how many idle limits are remembered; older ones count as the oldest of them.
-	maxIdleLimits = 32
 	// stopInterval is how often a planned stop looks at its times and at the open connections.
 	stopInterval = 20 * time.Millisecond
 	// limitsInterval is how often the limits are looked at for changes.
 	limitsInterval = 250 * time.Millisecond
-	// defaultHeaderTimeout, defaultIdleTimeout and defaultHeadBytes apply until limits are set.
-	defaultHeaderTimeout = 10 * time.Second
-	defaultIdleTimeout   = time.Minute
-	defaultHeadBytes     = 64 << 10
 	// noHeadLimit leaves the limit on heads to conn, which applies the one in force.
 	noHeadLimit = math.MaxInt32
 	// maxFinalAnswerTime and finalAnswerShare bound how long before the end of a planned stop the
@@ -44,13 +38,6 @@
 	finalAnswerShare   = 15
 )
 
-// Limits bound callers' connections. A zero value stands for the default.
-type Limits struct {
-	HeaderTimeout time.Duration // for the headers of a request
-	IdleTimeout   time.Duration // between two requests
-	HeadBytes     int           // of the head of a request, from the request line to the empty line
-}
-
 // Server serves callers. It implements [kernel.Service].
 type Server struct {
 	listener   net.Listener
@@ -490,52 +477,3 @@
 	default:
 	}
 }
-
-// effectiveLimits returns the limits in force, with defaults for those that are not set.
-func (s *Server) effectiveLimits() Limits {
-	l := s.limits()
-	if l.HeaderTimeout <= 0 {
-		l.HeaderTimeout = defaultHeaderTimeout
-	}
-	if l.IdleTimeout <= 0 {
-		l.IdleTimeout = defaultIdleTimeout
-	}
-	if l.HeadBytes <= 0 {
-		l.HeadBytes = defaultHeadBytes
-	}
-	return l
-}
-
-// idleLimit is an idle limit and since when it has been in force.
-type idleLimit struct {
-	since time.Time
-	limit time.Duration
-}
-
-// recordIdleLimit records the idle limit in force.
-func (s *Server) recordIdleLimit(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now() // with the lock held, so that the list is in order
-	if n := len(s.idleLimits); n > 0 && s.idleLimits[n-1].limit == d {
-		return
-	}
-	s.idleLimits = append(s.idleLimits, idleLimit{since: now, limit: d})
-	if len(s.idleLimits) > maxIdleLimits {
-		s.idleLimits[1].limit = max(s.idleLimits[0].limit, s.idleLimits[1].limit)
-		s.idleLimits = slices.Delete(s.idleLimits, 0, 1)
-	}
-}
-
-// longestIdleLimit returns the longest idle limit that was in force at any time since t.
-func (s *Server) longestIdleLimit(t time.Time) (d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, l := range slices.Backward(s.idleLimits) {
-		d = max(d, l.limit)
-		if l.since.Before(t) {
-			break
-		}
-	}
-	return d
-}
