callers: a connection has five seconds for its first request

What callers saw: TestConnectionsLeaveDescriptorsForUpstreams was red since: a caller that connected, rested for a second and then sent its request had been closed for a new connection, since all were taken.

Cause: the oldest connection without a request gave way at once.

Change and why it works: it does so after 5 s without a request. Who holds connections for nothing holds them for longer.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -58,7 +58,8 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &conn{Conn: c, server: l.server, since: l.server.clock.Now()}
+	now := l.server.clock.Now()
+	n := &conn{Conn: c, server: l.server, accepted: now, since: now}
 	n.claim = l.server.budget.NewClaim(n.revoke)
 	return n, nil
 }
@@ -67,9 +68,10 @@
 // reads from it, and only when a read has returned nothing: a request that was read is never cut.
 type conn struct {
 	net.Conn
-	server *Server
-	claim  *memory.Claim // for the memory of a request
-	head   head          // of the goroutine that reads
+	server   *Server
+	accepted time.Time
+	claim    *memory.Claim // for the memory of a request
+	head     head          // of the goroutine that reads
 
 	mu        sync.Mutex
 	revoked   bool // whether the claim was, and the request has to end
--- a/callers/limit.go
+++ b/callers/limit.go
@@ -7,12 +7,17 @@
 	"time"
 )
 
-// limitInterval is how often a connection that waits for others to close has another one closed.
-const limitInterval = 20 * time.Millisecond
+const (
+	// limitInterval is how often a connection that waits for others to close has another one closed.
+	limitInterval = 20 * time.Millisecond
+	// minUnusedTime is for how long a connection is kept for its first request.
+	minUnusedTime = 5 * time.Second
+)
 
 // limitListener bounds how many connections are open at once. If all are taken, the next one is accepted and
 // waits: the connection gives way that has been open for the longest time without a request, and another one if
-// it has not closed within [limitInterval]. Connections on which a request was served do not.
+// it has not closed within [limitInterval]. Connections on which a request was served do not, nor those that
+// have been open for less than [minUnusedTime].
 type limitListener struct {
 	net.Listener
 	slots  chan struct{} // one value for each open connection
@@ -110,21 +115,27 @@
 	}
 }
 
-// removeOldest returns the oldest connection and removes it, or returns nil.
-func (u *unusedConns) removeOldest() *conn {
+// removeOldest returns the oldest connection and removes it if it was accepted before the given time, or returns
+// nil.
+func (u *unusedConns) removeOldest(before time.Time) *conn {
 	e := u.order.Front()
 	if e == nil {
 		return nil
 	}
 	c := e.Value.(*conn)
+	if c.accepted.After(before) {
+		return nil
+	}
 	u.remove(c)
 	return c
 }
 
-// closeOldestUnused closes the oldest connection on which no request was served yet.
+// closeOldestUnused closes the oldest connection on which no request was served yet, if it has had the time for
+// one.
 func (s *Server) closeOldestUnused() {
+	before := s.clock.Now().Add(-minUnusedTime)
 	s.mu.Lock()
-	c := s.unused.removeOldest()
+	c := s.unused.removeOldest(before)
 	s.mu.Unlock()
 	if c != nil {
 		c.giveWay()
