--- a/callers/head.go
+++ b/callers/head.go
@@ -64,7 +64,7 @@
 	atStart   position = iota // before the first line
 	atStartCR                 // after a carriage return there
 	inLine                    // within a line
-	atLine                    // at the begin of a line that may be the empty one at the end
+	atLine                    // at the start of a line that may be the empty one at the end
 	atLineCR                  // after a carriage return there
 )
 
@@ -144,7 +144,7 @@
 	h.size, h.lines = 0, 0
 }
 
-// addHead adds bytes that have arrived while a head is waited for. It returns how many bytes at the begin of b
+// addHead adds bytes that have arrived while a head is waited for. It returns how many bytes at the start of b
 // are to be passed on at once, 0 if more have to arrive. The error is [io.EOF] if the connection was closed
 // with a refusal.
 func (c *conn) addHead(b []byte) (n int, err error) {
--- a/callers/limit.go
+++ b/callers/limit.go
@@ -142,7 +142,8 @@
 	}
 }
 
-// Full reports whether as many connections as allowed are open and none of them gives way to a new one.
+// Full reports whether as many connections as allowed are open and all of them have had a request, so that none
+// gives way to a new one.
 func (s *Server) Full() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/callers/server.go
+++ b/callers/server.go
@@ -110,8 +110,8 @@
 	return func(s *Server) { s.acceptGate = f }
 }
 
-// WithMaxConnections sets how many connections are open at once. For one more, the oldest one without a request
-// is closed; if all have had one, it waits.
+// WithMaxConnections sets how many connections are open at once. For one more, the oldest one is closed that has
+// been open for [minUnusedTime] without a request; if there is none, the new one waits.
 func WithMaxConnections(n int) Option {
 	return func(s *Server) { s.maxConns = n }
 }
