upstream, standalone: an answer that is reset during the upload is not whole

Their transports open connections as answer.Conn now, which waits for a write under way and returns an error in place of io.EOF after one that failed.

--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -3,6 +3,7 @@
 package answer
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -64,3 +65,18 @@
 	}
 	return io.EOF
 }
+
+// Dial returns a function that opens connections with d and returns each as a [Conn]. A nil function stands
+// for the default one.
+func Dial(d func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	if d == nil {
+		d = (&net.Dialer{}).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+}
--- a/standalone/standalone.go
+++ b/standalone/standalone.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/internal/answer"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 )
 
@@ -53,6 +54,7 @@
 	if t == nil {
 		d := http.DefaultTransport.(*http.Transport).Clone()
 		d.MaxResponseHeaderBytes = maxHeadBytes
+		d.DialContext = answer.Dial(d.DialContext)
 		t = d
 	}
 	return client{base: base, http: &http.Client{Transport: t, Timeout: callTimeout}}
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/hollowgrade/hollowgrade"
+	"github.com/hollowgrade/hollowgrade/internal/answer"
 	"github.com/hollowgrade/hollowgrade/internal/errs"
 	"github.com/hollowgrade/hollowgrade/internal/jsonlist"
 )
@@ -92,7 +93,7 @@
 // dial function stands for the default one.
 func Transport(d DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:            d,
+		DialContext:            answer.Dial(d),
 		MaxIdleConns:           maxIdleConns,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		MaxResponseHeaderBytes: maxHeadBytes,
