--- a/standalone/standalone.go
+++ b/standalone/standalone.go
@@ -72,6 +72,9 @@
 		return 0, err
 	}
 	defer res.Body.Close()
+	if err = answer.CheckHead(res); err != nil {
+		return 0, err
+	}
 	if res.StatusCode != http.StatusOK && res.StatusCode != http.StatusGone {
 		return res.StatusCode, fmt.Errorf("status %d", res.StatusCode)
 	}
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -232,7 +232,7 @@
 		return nil, err
 	}
 	r.Header.Set("Content-Type", "application/json")
-	res, err = e.client.Do(r)
+	res, err = checkHead(e.client.Do(r))
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -9,6 +9,8 @@
 	"net/url"
 	"strings"
 	"time"
+
+	"github.com/hollowgrade/hollowgrade/internal/answer"
 )
 
 // DialFunc opens a connection.
@@ -70,7 +72,8 @@
 }
 
 // Do implements [hollowgrade.Service]. The path of r is resolved below the base URL. Redirects are
-// returned and not followed: a second call would be a second run.
+// returned and not followed: a second call would be a second run. The error wraps
+// [hollowgrade.ErrNotAnAnswer] if the service sent a head that is that of no answer.
 func (s *Service) Do(r *http.Request) (*http.Response, error) {
 	u := *s.base
 	// Not joined by url.JoinPath: it would clean the path, which is for the service to interpret,
@@ -80,5 +83,16 @@
 	u.RawQuery = r.URL.RawQuery
 	r.URL = &u
 	r.Host = u.Host
-	return s.transport.RoundTrip(r)
+	return checkHead(s.transport.RoundTrip(r))
+}
+
+// checkHead returns a response if its head is that of an answer.
+func checkHead(res *http.Response, err error) (*http.Response, error) {
+	if err != nil {
+		return nil, err
+	}
+	if err = answer.CheckHead(res); err != nil {
+		return nil, errors.Join(err, res.Body.Close())
+	}
+	return res, nil
 }
