--- a/internal/node/invalidhead_test.go
+++ b/internal/node/invalidhead_test.go
@@ -47,3 +47,12 @@
 		})
 	}
 }
+
+// Guards against callers that get a field whose name is none, or a body that its upstream did not mean.
+func TestAnswerWithAnInvalidFieldReachesNoCaller(t *testing.T) {
+	for _, l := range standin.InvalidFields() {
+		t.Run(l, func(t *testing.T) {
+			requireNoAnswerAtGateway(t, standin.WithField(unframedHead+"\r\n5\r\nhello\r\n0\r\n\r\n", l))
+		})
+	}
+}
--- a/standalone/invalidhead_test.go
+++ b/standalone/invalidhead_test.go
@@ -34,3 +34,12 @@
 		})
 	}
 }
+
+// Guards against a field whose name is none.
+func TestAnswerWithAnInvalidFieldIsNone(t *testing.T) {
+	for _, l := range standin.InvalidFields() {
+		t.Run(l, func(t *testing.T) {
+			requireNoAnswer(t, func(answer string) string { return standin.WithField(answer, l) })
+		})
+	}
+}
