--- a/standalone/earlyanswer_test.go
+++ b/standalone/earlyanswer_test.go
@@ -1,7 +1,6 @@
 package standalone_test
 
 import (
-	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -14,10 +13,7 @@
 // the call was being written: the write got the reset, and the read after it the end of the connection.
 func TestAnswerThatIsResetDuringTheUploadIsNotWhole(t *testing.T) {
 	const answer = "HTTP/1.1 200 OK\r\nA: b\r\n\r\n" + `{"offset":5}`
-	d := http.DefaultTransport.(*http.Transport).DialContext
-	http.DefaultTransport.(*http.Transport).DialContext = standin.ResetDial(answer) // the client copies it
-	t.Cleanup(func() { http.DefaultTransport.(*http.Transport).DialContext = d })
-	l := standalone.NewLog("http://platform", nil)
-	_, err := l.Append(t.Context(), make([]byte, 1<<20))
+	dialDefault(t, standin.ResetDial(answer))
+	_, err := standalone.NewLog("http://platform", nil).Append(t.Context(), make([]byte, 1<<20))
 	require.Error(t, err)
 }
