--- a/internal/node/latecalls_test.go
+++ b/internal/node/latecalls_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -136,3 +137,63 @@
 	require.Empty(t, r.Header.Get("Keep-Alive"))
 	require.NoError(t, <-stopped)
 }
+
+// Guards against requests that may not run twice and that a planned stop, in calm, takes late in its grace, passes
+// on and cuts: connections become free at all moments of the stop, and each sends its next request at once.
+func TestRequestsThatComeThroughoutAPlannedStopAreNotCut(t *testing.T) {
+	const (
+		grace    = 4 * time.Second
+		callers  = 36
+		work     = 500 * time.Millisecond // of the requests that come late
+		patience = work + time.Second
+		interval = 100 * time.Millisecond // between the ends of the first ones
+	)
+	s := newFixture(t)
+	w := platformtest.NewWorker("i-0", func(w *platformtest.Worker, c net.Conn, r *http.Request) {
+		d, err := time.ParseDuration(r.Header.Get("Work"))
+		if err != nil {
+			return
+		}
+		time.Sleep(d)
+		platformtest.Echo(w, c, r)
+	})
+	t.Cleanup(w.Close)
+	record := w.Record("s", "ready")
+	record["slots"] = 2 * callers
+	s.store.PutJSON("keyed.servers", w.ID, record)
+	g := startGatewayToStop(t, s.store.Address(), func(c *setting.Gateway) { c.Grace, c.Linger = grace, 100*time.Millisecond })
+	g.waitReady(t)
+	send := func(c *keptConn, id string, d, patience time.Duration) {
+		fmt.Fprintf(c, "POST /once/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nWork: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer k1\r\nContent-Length: 5\r\n\r\nhello", id, d, patience.Milliseconds())
+	}
+	var group sync.WaitGroup
+	statuses := make([]int, callers) // of the answers to the late requests, 0 for none
+	for i := range callers {
+		c := dialKept(t, g)
+		first := time.Duration(i) * interval
+		send(c, fmt.Sprint("first", i), first, 2*grace)
+		group.Go(func() {
+			if r, err := c.receive(); err != nil || r.Close {
+				return // the last ones begin or end with the stop
+			}
+			send(c, fmt.Sprint("late", i), work, []time.Duration{patience, time.Minute}[i%2])
+			if r, err := c.receive(); err == nil {
+				statuses[i] = r.StatusCode
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return len(w.Requests()) >= callers }, 10*time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), g.Grace())
+	defer cancel()
+	require.NoError(t, g.Stop(ctx))
+	group.Wait()
+	late := 0
+	for _, r := range w.Requests() {
+		var i int
+		if _, err := fmt.Sscanf(r.Header.Get("Attempt-Id"), "late%d", &i); err == nil {
+			late++
+			require.Equal(t, http.StatusOK, statuses[i], "request %d was passed on and cut", i)
+		}
+	}
+	require.Positive(t, late)
+}
