--- a/internal/standin/heads.go
+++ b/internal/standin/heads.go
@@ -2,8 +2,8 @@
 
 import "strings"
 
-// InvalidStatuses are statuses that HTTP doesn't define or that answer no request of ours. net/http refuses the last two
-// itself.
+// InvalidStatuses are statuses that HTTP doesn't define, and one that answers no request of ours. net/http itself
+// refuses the last two.
 func InvalidStatuses() []string {
 	return []string{"000", "001", "099", "+10", "101", "600", "999", "-10", "1e2"}
 }
@@ -13,8 +13,8 @@
 	return strings.Replace(answer, " 200 OK\r\n", " "+status+" OK\r\n", 1)
 }
 
-// InvalidFields are lines of a head whose names are none. All but the first ones, which hold a blank, are refused by
-// net/http.
+// InvalidFields are lines of a head that are no fields. net/http itself refuses all but the first five, whose names
+// hold a blank.
 func InvalidFields() []string {
 	return []string{
 		"A B: c", "A : c", "Content-Length : 5", "Transfer-Encoding : chunked", "Not-Executed : 1",
--- a/internal/standin/resetconn.go
+++ b/internal/standin/resetconn.go
@@ -21,8 +21,8 @@
 	blocked   chan struct{} // closed when the second write has begun
 	ended     chan struct{} // closed when a read has got the end
 	closed    chan struct{}
-	once      sync.Once
-	onceEnded sync.Once
+	closeOnce sync.Once
+	endOnce   sync.Once
 }
 
 // ResetDial returns a function for a transport that opens connections with the given answer.
@@ -61,7 +61,7 @@
 	if err = c.await(c.blocked); err != nil {
 		return 0, err
 	}
-	c.onceEnded.Do(func() { close(c.ended) })
+	c.endOnce.Do(func() { close(c.ended) })
 	return 0, io.EOF
 }
 
@@ -76,7 +76,7 @@
 
 // Close implements [net.Conn].
 func (c *ResetConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
+	c.closeOnce.Do(func() { close(c.closed) })
 	return nil
 }
 
