answer: an upstream that closes before it has read the call has not answered

Cause: a worker that has read all that has come so far closes in order, and resets only when more of the call arrives. Reads get the end of the connection, never that reset, and the write may have ended: the kernel had taken the rest. At a service the end could also come between two writes of net/http.

Now such an end counts only once the whole request is written (answer.Conn knows for calls itself, for net/http by its trace) and the kernel's TCP_INFO says that the other side has acknowledged it. A process that has closed gets no more of it acknowledged, so that this holds for any size. What is acknowledged rarely takes a second look, since the close itself acknowledges what has come. The end of the call ends the wait, as before.

The stand-in ends its side, waits until the part has been read, and then closes with bytes unread.

--- a/standalone/standalone.go
+++ b/standalone/standalone.go
@@ -63,7 +63,7 @@
 // call makes a call, and decodes the reply unless the status says that there is none.
 func (c client) call(ctx context.Context, method, path string, body []byte, decode func(doc []byte) error) (status int, err error) {
 	defer errs.Annotate(&err, "call %s", path)
-	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(answer.WithTrace(ctx), method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
--- a/upstream/earlyanswer_test.go
+++ b/upstream/earlyanswer_test.go
@@ -20,14 +20,20 @@
 
 const unframedHead = "HTTP/1.1 200 OK\r\nA: b\r\n\r\n"
 
-// upload calls a service with a long body and returns the body of the answer.
-func upload(t *testing.T, base string, d upstream.DialFunc) (body string, err error) {
+// startUpload calls a service with a long body.
+func startUpload(t *testing.T, base string, d upstream.DialFunc) (*http.Response, error) {
 	t.Helper()
 	s, err := upstream.NewService(base, upstream.ServiceTransport(d))
 	require.NoError(t, err)
 	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "/x", strings.NewReader(strings.Repeat("a", uploadBytes)))
 	require.NoError(t, err)
-	a, err := s.Do(q)
+	return s.Do(q)
+}
+
+// upload calls a service with a long body and returns the body of the answer.
+func upload(t *testing.T, base string, d upstream.DialFunc) (body string, err error) {
+	t.Helper()
+	a, err := startUpload(t, base, d)
 	if err != nil {
 		return "", err
 	}
@@ -36,6 +42,30 @@
 	return string(b), err
 }
 
+// serveEarly starts a service that answers each request before it has read the body, ends its side of the
+// connection, and closes once then has returned.
+func serveEarly(t *testing.T, then func(q *http.Request)) (base string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if q, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, unframedHead+"hello")
+				_ = c.(*net.TCPConn).CloseWrite()
+				then(q)
+			}
+			_ = c.Close()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
 // Guards against a part of an answer that is taken for whole since the upstream reset the connection while the
 // call was being written: the write got the reset, and the read after it the end of the connection.
 func TestAnswerThatIsResetDuringTheUploadIsNotWhole(t *testing.T) {
@@ -63,29 +93,31 @@
 	})
 }
 
+// Guards against a part of an answer that is taken for whole since the service closed the connection before it
+// had read the call, and reset it when the rest arrived: reads get the end of the connection only.
+func TestAnswerThatEndsBeforeTheCallIsReadIsNotWhole(t *testing.T) {
+	read := make(chan struct{}, 1)
+	a, err := startUpload(t, serveEarly(t, func(*http.Request) { <-read }), nil)
+	if err != nil {
+		close(read)
+	}
+	require.NoError(t, err)
+	defer a.Body.Close()
+	_, err = io.ReadFull(a.Body, make([]byte, len("hello")))
+	close(read) // so that the service closes with bytes unread, which resets
+	require.NoError(t, err)
+	_, err = io.ReadAll(a.Body)
+	require.Error(t, err)
+}
+
 // Guards against a whole answer that is lost since it came before the end of the upload.
 func TestEarlyAnswerThatIsWholeIsPassedOn(t *testing.T) {
 	const plays = 20
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			q, err := http.ReadRequest(bufio.NewReader(c))
-			if err == nil {
-				_, _ = io.WriteString(c, unframedHead+"hello")
-				_ = c.(*net.TCPConn).CloseWrite()
-				_, _ = io.Copy(io.Discard, q.Body) // ends when the client closes
-			}
-			_ = c.Close()
-		}
-	}()
+	base := serveEarly(t, func(q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body) // ends when the client closes
+	})
 	for range plays {
-		b, err := upload(t, "http://"+l.Addr().String(), nil)
+		b, err := upload(t, base, nil)
 		require.NoError(t, err)
 		require.Equal(t, "hello", b)
 	}
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -227,7 +227,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+path, bytes.NewReader(b))
+	r, err := http.NewRequestWithContext(answer.WithTrace(ctx), http.MethodPost, e.base+path, bytes.NewReader(b))
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -83,7 +83,7 @@
 	u.RawQuery = r.URL.RawQuery
 	r.URL = &u
 	r.Host = u.Host
-	return checkHead(s.transport.RoundTrip(r))
+	return checkHead(s.transport.RoundTrip(r.WithContext(answer.WithTrace(r.Context()))))
 }
 
 // checkHead returns a response if its head is that of an answer.
