--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -83,8 +83,8 @@
 	return n, err
 }
 
-// endError returns [io.EOF], or an error if the request has not been delivered. It waits for a write that is
-// under way, which may have got the reset.
+// endError returns [io.EOF], or an error if the request has not been delivered. It waits for what is still being
+// written, which may have got the reset.
 func (c *Conn) endError() error {
 	if err := c.awaitRequest(); err != nil {
 		return err
